--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Everything a developer runs. `make test` and `make demo` need only Go and make.
+
+GO ?= go
+BIN ?= bin
+STATICCHECK = $(GO) tool -modfile=tools/go.mod staticcheck
+BUF = $(GO) tool -modfile=tools/go.mod buf
+PACKAGES = ./...
+# Packages whose tests run with the race detector.
+RACE_PACKAGES ?= ./...
+
+.PHONY: build test fmt-check vet lint generate generate-check unit demo
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test: fmt-check vet lint generate-check build unit
+
+fmt-check:
+	@files=$$(gofmt -s -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
+	if [ -n "$$files" ]; then echo "not formatted:"; echo "$$files"; exit 1; fi
+
+vet:
+	$(GO) vet $(PACKAGES)
+
+lint:
+	$(STATICCHECK) $(PACKAGES)
+
+generate:
+	$(BUF) generate
+
+# The generated code must equal what its sources give.
+generate-check: generate
+	@git diff --exit-code --stat -- internal/api || { echo "generated code is out of date: run make generate"; exit 1; }
+
+unit:
+	$(GO) test -race -timeout 20m $(RACE_PACKAGES)
