--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,27 @@
+// Package metrics serves the counters of one process as JSON over HTTP.
+package metrics
+
+import (
+	"encoding/json"
+	"net/http"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// NewRegistry returns the process's registry, with the runtime's own figures.
+func NewRegistry() gometrics.Registry {
+	r := gometrics.NewRegistry()
+	gometrics.RegisterRuntimeMemStats(r)
+	return r
+}
+
+// Handler serves every metric of the registry.
+func Handler(r gometrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		gometrics.CaptureRuntimeMemStatsOnce(r)
+		w.Header().Set("Content-Type", "application/json")
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		_ = enc.Encode(r.GetAll())
+	})
+}
