--- /dev/null
+++ b/internal/control/sessions/handle.go
@@ -0,0 +1,74 @@
+package sessions
+
+import (
+	"time"
+
+	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/decide/admission"
+)
+
+func (s *Server) handle(ss *session, m *filbertv1.EntryMessage) {
+	switch body := m.Body.(type) {
+	case *filbertv1.EntryMessage_Ask:
+		s.ask(ss, body.Ask)
+	case *filbertv1.EntryMessage_Withdraw:
+		if r, _, ok := s.pools.Runner(body.Withdraw.Pool); ok {
+			r.Withdraw(ss.holder, body.Withdraw.Request)
+		}
+	case *filbertv1.EntryMessage_Renewals:
+		s.renew(ss, body.Renewals)
+		ss.send(&filbertv1.ControlMessage{Body: &filbertv1.ControlMessage_Alive{Alive: &filbertv1.Alive{}}})
+	case *filbertv1.EntryMessage_Settle:
+		s.settle(body.Settle)
+	}
+}
+
+func (s *Server) ask(ss *session, a *filbertv1.Ask) {
+	r, _, ok := s.pools.Runner(a.Pool)
+	if !ok {
+		ss.send(refusal(a.Request, filbertv1.RefusalReason_REFUSAL_REASON_NOT_OWNER, retryNotOwner))
+		return
+	}
+	r.Ask(admission.Ask{
+		Holder: ss.holder, Request: a.Request, Account: a.Account,
+		PromptTokens: int(a.PromptTokens), MaxTokens: int(a.MaxTokens),
+		Fingerprint: a.Fingerprint, Prefix: a.Prefix,
+		MaxWait: time.Duration(a.WaitMs) * time.Millisecond, Avoid: a.Avoid,
+		AdoptTarget: a.AdoptTarget, AdoptTokens: int(a.AdoptTokens),
+	})
+}
+
+func (s *Server) renew(ss *session, m *filbertv1.Renewals) {
+	byPool := map[string][]admission.Renewal{}
+	for _, r := range m.Renewals {
+		byPool[r.Pool] = append(byPool[r.Pool], admission.Renewal{
+			Lease: admission.LeaseID(r.Lease), Target: r.Target, Account: r.Account,
+			PromptTokens: int(r.PromptTokens), Produced: int(r.Produced),
+		})
+	}
+	for name, renewals := range byPool {
+		if r, _, ok := s.pools.Runner(name); ok {
+			r.Renew(ss.holder, renewals)
+		}
+	}
+}
+
+var outcomes = map[filbertv1.Outcome]admission.Outcome{
+	filbertv1.Outcome_OUTCOME_DONE:           admission.OutcomeDone,
+	filbertv1.Outcome_OUTCOME_NOT_RUN:        admission.OutcomeNotRun,
+	filbertv1.Outcome_OUTCOME_TARGET_FAILED:  admission.OutcomeTargetFailed,
+	filbertv1.Outcome_OUTCOME_CALLER_LEFT:    admission.OutcomeCallerLeft,
+	filbertv1.Outcome_OUTCOME_TARGET_CRASHED: admission.OutcomeTargetCrashed,
+}
+
+func (s *Server) settle(m *filbertv1.Settle) {
+	r, _, ok := s.pools.Runner(m.Pool)
+	if !ok {
+		return
+	}
+	r.Settle(admission.Settlement{
+		Lease: admission.LeaseID(m.Lease), Outcome: outcomes[m.Outcome], Produced: int(m.Produced),
+		FirstToken: time.Duration(m.FirstTokenUs) * time.Microsecond,
+		Duration:   time.Duration(m.DurationUs) * time.Microsecond,
+	})
+}
--- /dev/null
+++ b/internal/entry/state/watcher.go
@@ -0,0 +1,182 @@
+package state
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/blackboard"
+	"filbertdeck/internal/failure"
+	"filbertdeck/internal/rpc"
+	"filbertdeck/internal/table"
+)
+
+const (
+	// confirmEvery is how often the local control process is asked for the
+	// freshness of the host list; the question is its heartbeat as well.
+	confirmEvery = 500 * time.Millisecond
+	// confirmLimit bounds one question. A control process on the same host
+	// answers in microseconds; after this time the connection is doubted.
+	confirmLimit = time.Second
+	// reconnectPause keeps a watcher from spinning while all are gone.
+	reconnectPause = 200 * time.Millisecond
+)
+
+// Watcher is the board's only writer.
+type Watcher struct {
+	controls   []string
+	entry      string
+	dataCentre string
+	creds      rpc.Credentials
+	log        *slog.Logger
+
+	tables    *blackboard.Writer[table.Table]
+	hosts     *blackboard.Writer[Hosts]
+	pools     *blackboard.Writer[Pools]
+	confirmed *blackboard.Writer[Confirmation]
+
+	snapshot func() []byte
+}
+
+// Params are what a watcher needs to know.
+type Params struct {
+	// Controls are tried in order, the local one first.
+	Controls   []string
+	Entry      string
+	DataCentre string
+	Creds      rpc.Credentials
+	Log        *slog.Logger
+	// Snapshot gives the accounting, as JSON, for the control process.
+	Snapshot func() []byte
+}
+
+// NewWatcher claims the board's sections.
+func NewWatcher(b *Board, p Params) (*Watcher, error) {
+	w := &Watcher{
+		controls: p.Controls, entry: p.Entry, dataCentre: p.DataCentre,
+		creds: p.Creds, log: p.Log, snapshot: p.Snapshot,
+	}
+	var err error
+	if w.tables, err = b.Table.Claim(); err != nil {
+		return nil, err
+	}
+	if w.hosts, err = b.Hosts.Claim(); err != nil {
+		return nil, err
+	}
+	if w.pools, err = b.Pools.Claim(); err != nil {
+		return nil, err
+	}
+	if w.confirmed, err = b.Confirmed.Claim(); err != nil {
+		return nil, err
+	}
+	return w, nil
+}
+
+// Run watches until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, control := range w.controls {
+			err := w.follow(ctx, control)
+			if ctx.Err() != nil {
+				return
+			}
+			w.log.Warn("state stream ended", "control", control, "error", err)
+		}
+		select {
+		case <-time.After(reconnectPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// follow takes state from one control process until its heartbeat stays out.
+func (w *Watcher) follow(ctx context.Context, control string) error {
+	conn, err := rpc.Dial(control, w.creds)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	client := filbertv1.NewAdmissionClient(conn)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := client.WatchState(ctx, &filbertv1.WatchStateRequest{Entry: w.entry, DataCentre: w.dataCentre})
+	if err != nil {
+		return failure.Wrap(err, failure.KindControlLost, "state stream of %s cannot be opened", control)
+	}
+	go func() {
+		w.confirmLoop(ctx, client)
+		cancel()
+	}()
+	for {
+		update, err := stream.Recv()
+		if err != nil {
+			return failure.Wrap(err, failure.KindControlLost, "state stream of %s broke", control)
+		}
+		w.apply(update)
+	}
+}
+
+// confirmLoop returns when a question stays without an answer.
+func (w *Watcher) confirmLoop(ctx context.Context, client filbertv1.AdmissionClient) {
+	ticker := time.NewTicker(confirmEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		if w.confirm(ctx, client) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+func (w *Watcher) confirm(ctx context.Context, client filbertv1.AdmissionClient) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmLimit)
+	defer cancel()
+	asked := time.Now()
+	reply, err := client.Confirm(ctx, &filbertv1.ConfirmRequest{})
+	if err != nil {
+		return failure.Wrap(err, failure.KindControlLost, "heartbeat was not answered")
+	}
+	if !reply.Unconfirmed {
+		w.confirmed.Publish(&Confirmation{
+			HostsRevision: reply.HostsRevision,
+			At:            asked.Add(-time.Duration(reply.ConfirmedMs) * time.Millisecond),
+		})
+	}
+	_, err = client.PutAccounting(ctx, &filbertv1.PutAccountingRequest{Entry: w.entry, Snapshot: w.snapshot()})
+	if err != nil {
+		return failure.Wrap(err, failure.KindControlLost, "accounting was not taken")
+	}
+	return nil
+}
+
+func (w *Watcher) apply(u *filbertv1.StateUpdate) {
+	if t := u.GetTable(); t != nil {
+		w.applyTable(t)
+	}
+	if h := u.GetHosts(); h != nil {
+		w.hosts.Publish(&Hosts{Revision: h.Revision, List: h.Hosts})
+	}
+	if p := u.GetPools(); p != nil {
+		w.pools.Publish(newPools(p.Pools))
+	}
+}
+
+// applyTable reads the table again although the control process did so
+// already: the two may run different releases during an upgrade, and a row
+// that this one does not understand must leave its table as it is.
+func (w *Watcher) applyTable(t *filbertv1.TableSection) {
+	parsed, faults := table.Parse(t.Revision, [][]byte{t.Csv})
+	if len(faults) > 0 {
+		w.log.Error("table refused", "revision", t.Revision, "faults", len(faults))
+		return
+	}
+	parsed.Drained = map[string]bool{}
+	for _, name := range t.Drained {
+		parsed.Drained[name] = true
+	}
+	w.tables.Publish(parsed)
+}
