--- /dev/null
+++ b/internal/decide/once/hosts.go
@@ -0,0 +1,184 @@
+package once
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// HostList is one state of the published list of live entries.
+type HostList struct {
+	// Revision is the configuration service's revision of the list.
+	Revision uint64
+	// Live holds the forward addresses of the entries that may own keys.
+	Live []string
+	// Confirmed is when the request that confirmed this list was SENT to the
+	// configuration service, on the scale of `now`. The time of receipt would
+	// not do: a message that waited in a socket while this process was paused
+	// would make an old list look fresh.
+	Confirmed time.Duration
+}
+
+// ConfirmedAt converts a wall-clock time of a confirmation, as told by another
+// process, to the monotonic scale: age by the wall clocks, plus the bound on
+// how far two hosts' wall clocks differ.
+func (c Config) ConfirmedAt(now time.Duration, wall, confirmed time.Time) time.Duration {
+	age := max(wall.Sub(confirmed), 0)
+	return now - age - c.ClockError
+}
+
+// ownership knows, for the hosts of the published list, since when this
+// process and until when every other one has been live. That answers "have I
+// been the owner of this key without a break since t?" for any key in one pass
+// over the hosts, without keeping old lists.
+type ownership struct {
+	self     uint64
+	selfName string
+	revision uint64
+	// news is the highest revision that a peer was heard to have while it was
+	// newer than ours, newsAt when that was heard first.
+	news      uint64
+	newsAt    time.Duration
+	known     bool
+	selfLive  bool
+	selfSince time.Duration
+	confirmed time.Duration
+	hosts     map[string]*hostSpan
+}
+
+type hostSpan struct {
+	hash uint64
+	live bool
+	// last is when a host that is not live any more was last known live.
+	last time.Duration
+}
+
+func newOwnership(self string) ownership {
+	return ownership{self: xxhash.Sum64String(self), selfName: self, hosts: map[string]*hostSpan{}}
+}
+
+// weight ranks a host for a key (rendezvous hashing): the host with the
+// highest weight owns the key, and a change of one host moves only its keys.
+func weight(host, key uint64) uint64 {
+	x := host ^ key
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9 // finalizer of SplitMix64
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// set takes a list. unbroken is the longest time between two confirmations
+// that counts as continuous.
+func (o *ownership) set(now time.Duration, list HostList, unbroken, forget time.Duration) {
+	if o.known && list.Confirmed < o.confirmed {
+		return // an older confirmation that came late says nothing new
+	}
+	broken := o.breaks(list, unbroken)
+	if broken || list.Revision != o.revision {
+		o.replace(now, list, broken)
+		o.forget(now - forget)
+	}
+	o.known, o.revision, o.confirmed = true, list.Revision, list.Confirmed
+	if o.news <= o.revision || o.newsAt < list.Confirmed {
+		o.news = 0
+	}
+}
+
+// breaks tells whether other lists may have been in force, for long enough to
+// matter, without this process knowing: after a long time without
+// confirmation, after a restore to an older state, and when the service still
+// shows an older list than a peer had before we asked. Ownership then begins
+// anew.
+func (o *ownership) breaks(list HostList, unbroken time.Duration) bool {
+	switch {
+	case !o.known, list.Confirmed-o.confirmed > unbroken, list.Revision < o.revision:
+		return true
+	default:
+		return o.news > list.Revision && o.newsAt < list.Confirmed
+	}
+}
+
+// heard notes a peer's list revision.
+func (o *ownership) heard(now time.Duration, revision uint64) {
+	if revision <= o.revision || revision <= o.news {
+		return
+	}
+	if o.news == 0 {
+		o.newsAt = now
+	}
+	o.news = revision
+}
+
+func (o *ownership) replace(now time.Duration, list HostList, broken bool) {
+	for _, h := range o.hosts {
+		if h.live {
+			h.live, h.last = false, now
+		}
+	}
+	wasLive := o.selfLive
+	o.selfLive = false
+	for _, name := range list.Live {
+		if name == o.selfName {
+			o.selfLive = true
+			continue
+		}
+		h := o.hosts[name]
+		if h == nil {
+			h = &hostSpan{hash: xxhash.Sum64String(name)}
+			o.hosts[name] = h
+		}
+		h.live = true
+	}
+	if o.selfLive && (!wasLive || broken) {
+		o.selfSince = now
+	}
+}
+
+// forget drops hosts that left so long ago that no living key can be theirs.
+func (o *ownership) forget(before time.Duration) {
+	for name, h := range o.hosts {
+		if !h.live && h.last < before {
+			delete(o.hosts, name)
+		}
+	}
+}
+
+// owner names the key's owner in the list in force, "" when there is none.
+func (o *ownership) owner(key uint64) string {
+	best, bestWeight := "", uint64(0)
+	if o.selfLive {
+		best, bestWeight = o.selfName, weight(o.self, key)
+	}
+	for name, h := range o.hosts {
+		if !h.live {
+			continue
+		}
+		w := weight(h.hash, key)
+		if best == "" || w > bestWeight || (w == bestWeight && name < best) {
+			best, bestWeight = name, w
+		}
+	}
+	return best
+}
+
+// since gives the time from which this process has been the key's owner
+// without a break; ok is false when it is not the owner now.
+func (o *ownership) since(key uint64) (since time.Duration, ok bool) {
+	if !o.known || !o.selfLive {
+		return 0, false
+	}
+	mine := weight(o.self, key)
+	since = o.selfSince
+	for name, h := range o.hosts {
+		w := weight(h.hash, key)
+		if w < mine || (w == mine && o.selfName < name) {
+			continue
+		}
+		if h.live {
+			return 0, false
+		}
+		since = max(since, h.last)
+	}
+	return since, true
+}
--- /dev/null
+++ b/internal/decide/once/once.go
@@ -0,0 +1,514 @@
+// Package once decides which entry may run a call that must run at most once,
+// and what a repeated call is told. It is pure: no network, no clock, no
+// goroutine; time is an argument.
+//
+// Load pattern: callers on poor links send a booking again, through another
+// entry, while the first one is queued, running or lost; meanwhile hosts are
+// replaced, processes pause, and the list of hosts is late. Without this
+// package each entry runs what it receives: a crew drives out twice.
+//
+// Nothing of the system writes shared state, so the right to run a call must
+// follow from what is known to all: the key itself or the published host list.
+//
+//   - A minted key names one process (address and incarnation). Only that
+//     process ever runs the call. Safety needs no clock, no list and no peer.
+//     When the process is gone the answer is "unknown", for good.
+//   - A caller's own key belongs to the rendezvous owner over the published
+//     list of live hosts. The owner runs it only if it can vouch that nobody
+//     else ran it: it has been the owner without a break, by lists that the
+//     configuration service confirmed at most Freshness ago, since Freshness +
+//     Margin before the key can first have been accepted anywhere.
+//
+// Why that is enough for callers' keys. Let the list change at T so that the
+// key moves from P to Q. P's last confirmation of the old list was sent before
+// T, so P stops vouching by T+Freshness, and its last check leaves it Margin
+// to put the first byte on the wire. Q has been owner since T at the earliest
+// and runs only keys that can't have been accepted anywhere before
+// T+Freshness+Margin. A list that lasted shorter than that let nobody run
+// anything new, so lists that fell between two confirmations do no harm.
+//
+// A caller's clock is not trusted: every entry refuses a UUIDv7 from more than
+// AheadLimit in the future, so a key can't have been accepted before its stamp
+// less AheadLimit and ClockError. Entries' wall clocks must agree within
+// ClockError. An opaque key has no time; its caller must not use it for longer
+// than OpaqueWindow after the first try.
+//
+// What it can't exclude is told in docs/design/single-execution.md: a
+// configuration service that confirms an old list as current to some readers,
+// and a process that pauses between the last check and the write for longer
+// than Margin. Both concern callers' own keys only.
+package once
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"filbertdeck/internal/failure"
+)
+
+// Config holds the bounds; the zero value of a field means its default.
+type Config struct {
+	Self Process
+	// Freshness is the age past which a confirmation of the host list no
+	// longer lets this process run callers' keys.
+	Freshness time.Duration
+	// Margin is the time that a process needs at most from its last check to
+	// the first byte on the wire.
+	Margin time.Duration
+	// ClockError bounds the difference of two hosts' wall clocks.
+	ClockError time.Duration
+	// AheadLimit is how far in the future a UUIDv7 may lie.
+	AheadLimit time.Duration
+	// OrderedLife is the life of a UUIDv7 key, from its stamp.
+	OrderedLife time.Duration
+	// OpaqueWindow is how long a caller may use an opaque key.
+	OpaqueWindow time.Duration
+	// MintedLife is the life of a minted key.
+	MintedLife time.Duration
+	// MaxKeys and MaxAnswerBytes bound the record; MaxAnswer one answer.
+	MaxKeys, MaxAnswerBytes, MaxAnswer int
+}
+
+// The defaults and their grounds.
+const (
+	// DefaultFreshness: watches are confirmed every second; three times that
+	// rides out one lost answer and its retry.
+	DefaultFreshness = 3 * time.Second
+	// DefaultMargin: the write follows the check by microseconds; a garbage
+	// collection or a busy processor adds up to tens of milliseconds.
+	DefaultMargin = 2 * time.Second
+	// DefaultClockError: hosts with a time service differ by milliseconds.
+	DefaultClockError = 500 * time.Millisecond
+	// DefaultAheadLimit lets callers' clocks run ahead a little.
+	DefaultAheadLimit = 2 * time.Second
+	// DefaultLife is long enough for a technician to drive back into coverage.
+	DefaultLife = 15 * time.Minute
+	// DefaultMaxKeys times DefaultMaxAnswer is not reached: bookings answer in
+	// some hundred bytes; the byte bound is what holds.
+	DefaultMaxKeys        = 20_000
+	DefaultMaxAnswerBytes = 16 << 20
+	DefaultMaxAnswer      = 64 << 10
+)
+
+func (c Config) withDefaults() Config {
+	orDuration := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	orInt := func(n *int, v int) {
+		if *n == 0 {
+			*n = v
+		}
+	}
+	orDuration(&c.Freshness, DefaultFreshness)
+	orDuration(&c.Margin, DefaultMargin)
+	orDuration(&c.ClockError, DefaultClockError)
+	orDuration(&c.AheadLimit, DefaultAheadLimit)
+	orDuration(&c.OrderedLife, DefaultLife)
+	orDuration(&c.OpaqueWindow, DefaultLife)
+	orDuration(&c.MintedLife, DefaultLife)
+	orInt(&c.MaxKeys, DefaultMaxKeys)
+	orInt(&c.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	orInt(&c.MaxAnswer, DefaultMaxAnswer)
+	return c
+}
+
+// holdOff is how long after a change of owner nobody can tell whether the old
+// owner has stopped.
+func (c Config) holdOff() time.Duration { return c.Freshness + c.Margin }
+
+// Header is one header line of an answer.
+type Header struct{ Name, Value string }
+
+// Answer is what a target answered.
+type Answer struct {
+	Status  int
+	Headers []Header
+	Body    []byte
+}
+
+func (a *Answer) size() int {
+	size := len(a.Body)
+	for _, h := range a.Headers {
+		size += len(h.Name) + len(h.Value)
+	}
+	return size
+}
+
+// Call is one call as it reached this entry.
+type Call struct {
+	Account string
+	Key     Key
+	// Fingerprint is equal for equal method, path and body.
+	Fingerprint uint64
+	// Wall is the wall clock's time at arrival; only UUIDv7 keys need it.
+	Wall time.Time
+	// Forwarded is set when another entry sent the call on, with the
+	// incarnation and list revision that it believes in (0: does not know).
+	Forwarded     bool
+	Incarnation   uint64
+	HostsRevision uint64
+}
+
+// Action says what to do with a call.
+type Action int
+
+// The actions.
+const (
+	// Run: this entry may run the call. Check must follow right before the
+	// first byte, and Finish, Lost or NotRun at the end.
+	Run Action = iota + 1
+	// Replay: it ran already; Answer is what the target answered.
+	Replay
+	// Forward: Owner may run it.
+	Forward
+	// Refuse: Err says why.
+	Refuse
+)
+
+// Decision answers Begin.
+type Decision struct {
+	Action Action
+	Answer *Answer
+	Owner  Process
+	Err    *failure.Error
+}
+
+func refuse(err *failure.Error) Decision { return Decision{Action: Refuse, Err: err} }
+
+type state int
+
+const (
+	stateReserved state = iota + 1
+	stateSent
+	stateDone
+	stateUnknown
+	// stateExpired remembers an opaque key past its window for as long as
+	// there is room: its caller is at fault, but need not book twice for it.
+	stateExpired
+)
+
+type record struct {
+	id          string
+	place       int // in the expiry queue
+	state       state
+	kind        KeyKind
+	fingerprint uint64
+	answer      *Answer
+	held        int // bytes that count against MaxAnswerBytes
+	expires     time.Duration
+}
+
+// Register is an entry's record of the calls that it may run. It is not safe
+// for concurrent use; the entry holds one lock around it.
+type Register struct {
+	cfg     Config
+	owners  ownership
+	records map[string]*record
+	expiry  expiryQueue
+	bytes   int
+	minted  uint64
+}
+
+// New returns an empty register: a process that has just started vouches for
+// nothing that is older than itself.
+func New(cfg Config) *Register {
+	cfg = cfg.withDefaults()
+	return &Register{cfg: cfg, owners: newOwnership(cfg.Self.Address), records: map[string]*record{}}
+}
+
+// SetHosts takes a confirmed state of the published host list. Call it at
+// every confirmation, also when nothing changed.
+func (r *Register) SetHosts(now time.Duration, list HostList) {
+	forget := max(r.cfg.OrderedLife, r.cfg.OpaqueWindow) + r.cfg.holdOff() + r.cfg.AheadLimit + r.cfg.ClockError
+	r.owners.set(now, list, r.cfg.Freshness, forget)
+}
+
+// Heard notes a list revision that a peer has. While a peer knows a newer list
+// this process's own confirmation is worth nothing.
+// It may be called at each gossip message and is called for forwarded calls.
+func (r *Register) Heard(now time.Duration, revision uint64) {
+	r.owners.heard(now, revision)
+}
+
+// NextSequence numbers the keys that this process mints.
+func (r *Register) NextSequence() uint64 {
+	r.minted++
+	return r.minted
+}
+
+// Owner names the entry that owns a caller's key by the list in force.
+func (r *Register) Owner(account string, key Key) string {
+	return r.owners.owner(hashOf(recordID(account, key)))
+}
+
+// Len and Bytes give the record's size for counters.
+func (r *Register) Len() int   { return len(r.records) }
+func (r *Register) Bytes() int { return r.bytes }
+
+func recordID(account string, key Key) string { return account + "\x00" + key.ID }
+
+func hashOf(id string) uint64 { return xxhash.Sum64String(id) }
+
+// Begin decides about a call that has just arrived.
+func (r *Register) Begin(now time.Duration, call Call) Decision {
+	r.expire(now)
+	id := recordID(call.Account, call.Key)
+	if rec := r.records[id]; rec != nil {
+		return r.again(rec, call)
+	}
+	if d, mine := r.place(now, call, id); !mine {
+		return d
+	}
+	expires, err := r.mayRun(now, call, id)
+	if err != nil {
+		return refuse(err)
+	}
+	if err := r.room(now); err != nil {
+		return refuse(err)
+	}
+	r.reserve(id, call, expires)
+	return Decision{Action: Run}
+}
+
+// reserve puts a key on record and sets room for its answer aside.
+func (r *Register) reserve(id string, call Call, expires time.Duration) {
+	rec := &record{
+		id: id, place: notQueued, state: stateReserved, kind: call.Key.Kind,
+		fingerprint: call.Fingerprint, expires: expires,
+	}
+	r.records[id] = rec
+	r.hold(rec, r.cfg.MaxAnswer)
+	r.expiry.push(rec)
+}
+
+// again answers a call whose key is on record.
+func (r *Register) again(rec *record, call Call) Decision {
+	if rec.fingerprint != call.Fingerprint {
+		return refuse(failure.New(failure.KindKeyReused, "this idempotency key was used for another call"))
+	}
+	switch rec.state {
+	case stateDone:
+		if rec.answer == nil {
+			return refuse(failure.New(failure.KindOutcomeUnknown, "the call ran; its answer was too large to keep").Ran())
+		}
+		return Decision{Action: Replay, Answer: rec.answer}
+	case stateUnknown:
+		return refuse(failure.New(failure.KindOutcomeUnknown, "the call was sent and no answer came back").Unknown())
+	case stateExpired:
+		return refuse(failure.New(failure.KindKeyExpired, "the key was used longer ago than allowed").Unknown())
+	default:
+		return refuse(failure.New(failure.KindInProgress, "the call with this key is in progress").Unknown().After(inProgressRetry))
+	}
+}
+
+// inProgressRetry is when to ask again for a call that is in progress; a plain
+// service answers within a second.
+const inProgressRetry = time.Second
+
+// place says where a call belongs; mine is true when that is this process.
+func (r *Register) place(now time.Duration, call Call, id string) (d Decision, mine bool) {
+	if call.Key.Kind == KeyMinted {
+		return r.placeMinted(call)
+	}
+	if call.Forwarded && call.HostsRevision > 0 {
+		r.Heard(now, call.HostsRevision)
+	}
+	if call.Incarnation != 0 && call.Incarnation != r.cfg.Self.Incarnation {
+		return refuse(ownerLost()), false
+	}
+	owner := r.owners.owner(hashOf(id))
+	switch {
+	case owner == r.cfg.Self.Address:
+		return Decision{}, true
+	case owner == "" || call.Forwarded:
+		// Passing it on again could send the call round and round while two
+		// entries hold different lists.
+		return refuse(unvouched("the owner of this key is not known here").After(r.cfg.Freshness)), false
+	default:
+		return Decision{Action: Forward, Owner: Process{Address: owner}}, false
+	}
+}
+
+func (r *Register) placeMinted(call Call) (Decision, bool) {
+	owner := call.Key.Owner
+	switch {
+	case owner == r.cfg.Self:
+		return Decision{}, true
+	case owner.Address == r.cfg.Self.Address || call.Forwarded:
+		// An earlier process at this address made the key. It may have run the
+		// call; nobody is left who knows.
+		return refuse(ownerLost()), false
+	default:
+		return Decision{Action: Forward, Owner: owner}, false
+	}
+}
+
+func ownerLost() *failure.Error {
+	return failure.New(failure.KindOwnerLost, "the entry that could run this call is gone").Unknown()
+}
+
+// OwnerUnreachable is the answer when the owner that Begin named does not
+// answer: it may have run the call earlier, so the outcome is unknown.
+func OwnerUnreachable(cause error) *failure.Error {
+	return failure.Wrap(cause, failure.KindOwnerLost, "the entry that may run this call can't be reached").Unknown()
+}
+
+func unvouched(why string) *failure.Error {
+	return failure.New(failure.KindKeyUnvouched, "%s; it may have run at another entry", why).Unknown()
+}
+
+// mayRun decides whether this process, the key's owner, may run a new key, and
+// until when the key has to be remembered.
+func (r *Register) mayRun(now time.Duration, call Call, id string) (time.Duration, *failure.Error) {
+	switch call.Key.Kind {
+	case KeyMinted:
+		return r.mayRunMinted(now, call.Key)
+	case KeyOrdered:
+		return r.mayRunOrdered(now, call, id)
+	default:
+		return r.mayRunOpaque(now, id)
+	}
+}
+
+func (r *Register) mayRunMinted(now time.Duration, key Key) (time.Duration, *failure.Error) {
+	expires := key.MintedAt + r.cfg.MintedLife
+	if now >= expires {
+		return 0, failure.New(failure.KindKeyExpired, "the key's life is over").Unknown()
+	}
+	return expires, nil
+}
+
+func (r *Register) mayRunOrdered(now time.Duration, call Call, id string) (time.Duration, *failure.Error) {
+	age := call.Wall.Sub(call.Key.Stamp)
+	if age < -r.cfg.AheadLimit {
+		return 0, failure.New(failure.KindKeyInvalid, "the key's time lies in the future").Unknown()
+	}
+	if age >= r.cfg.OrderedLife {
+		return 0, failure.New(failure.KindKeyExpired, "the key's life is over").Unknown()
+	}
+	first := now - age - r.cfg.AheadLimit - r.cfg.ClockError
+	since, err := r.vouch(now, id)
+	if err != nil {
+		return 0, err
+	}
+	if first < since+r.cfg.holdOff() {
+		// This can't change any more: the key's time stays what it is.
+		return 0, unvouched("the key is older than this entry's ownership")
+	}
+	// Past this time every entry finds the key expired by its stamp.
+	return now - age + r.cfg.OrderedLife + r.cfg.ClockError, nil
+}
+
+func (r *Register) mayRunOpaque(now time.Duration, id string) (time.Duration, *failure.Error) {
+	since, err := r.vouch(now, id)
+	if err != nil {
+		return 0, err
+	}
+	ready := since + r.cfg.holdOff() + r.cfg.OpaqueWindow
+	if now < ready {
+		return 0, unvouched("this entry became the key's owner too recently").After(ready - now)
+	}
+	return now + r.cfg.OpaqueWindow, nil
+}
+
+// vouch gives the time since which this process has owned the key, provided
+// that its list is confirmed.
+func (r *Register) vouch(now time.Duration, id string) (time.Duration, *failure.Error) {
+	since, ok := r.owners.since(hashOf(id))
+	if !ok {
+		return 0, unvouched("this entry is not the key's owner").After(r.cfg.Freshness)
+	}
+	if now-r.owners.confirmed > r.cfg.Freshness {
+		return 0, unvouched("the host list is not confirmed").After(r.cfg.Freshness)
+	}
+	if r.owners.news > r.owners.revision {
+		return 0, unvouched("a newer host list exists").After(r.cfg.Freshness)
+	}
+	return since, nil
+}
+
+// room makes place for one more key, or refuses: forgetting a live key would
+// let it run a second time.
+func (r *Register) room(now time.Duration) *failure.Error {
+	full := func() bool {
+		return len(r.records) >= r.cfg.MaxKeys || r.bytes+r.cfg.MaxAnswer > r.cfg.MaxAnswerBytes
+	}
+	for full() && r.dropExpired() {
+	}
+	if !full() {
+		return nil
+	}
+	return failure.New(failure.KindOverloaded, "the record of idempotency keys is full").After(r.expiry.wait(now))
+}
+
+// Check is called right before the first byte goes to the target. A process
+// that slept since Begin finds out here that its right has ended. until is
+// when the first byte must have left: a pause between Check and the write that
+// ends before it is harmless; it is at least Margin long.
+func (r *Register) Check(now time.Duration, account string, key Key) (until time.Duration, err *failure.Error) {
+	id := recordID(account, key)
+	rec := r.records[id]
+	if rec == nil || rec.state != stateReserved {
+		return 0, unvouched("the key's record has ended meanwhile")
+	}
+	until = rec.expires
+	if key.Kind != KeyMinted {
+		if _, err := r.vouch(now, id); err != nil {
+			r.drop(rec)
+			return 0, err
+		}
+		until = r.owners.confirmed + r.cfg.holdOff()
+	}
+	rec.state = stateSent
+	return until, nil
+}
+
+// Finish records the target's answer.
+func (r *Register) Finish(account string, key Key, answer *Answer) {
+	rec := r.records[recordID(account, key)]
+	if rec == nil || rec.state != stateSent {
+		return
+	}
+	rec.state = stateDone
+	size := answer.size()
+	if size > r.cfg.MaxAnswer {
+		r.hold(rec, 0)
+		return
+	}
+	rec.answer = answer
+	r.hold(rec, size)
+}
+
+// Lost records that the call was sent and that no answer came.
+func (r *Register) Lost(account string, key Key) {
+	rec := r.records[recordID(account, key)]
+	if rec == nil || rec.state != stateSent {
+		return
+	}
+	rec.state = stateUnknown
+	r.hold(rec, 0)
+}
+
+// NotRun records that the call certainly did not run: it was never sent, or
+// the target itself said so. The key may be used again.
+func (r *Register) NotRun(account string, key Key) {
+	rec := r.records[recordID(account, key)]
+	if rec != nil && (rec.state == stateReserved || rec.state == stateSent) {
+		r.drop(rec)
+	}
+}
+
+// hold sets the bytes that a record counts for.
+func (r *Register) hold(rec *record, size int) {
+	r.bytes += size - rec.held
+	rec.held = size
+}
+
+func (r *Register) drop(rec *record) {
+	r.hold(rec, 0)
+	r.expiry.remove(rec)
+	delete(r.records, rec.id)
+}
