--- a/internal/decide/memory/memory.go
+++ b/internal/decide/memory/memory.go
@@ -34,10 +34,9 @@
 // horizons are in tokens ahead. A batch turns over in a few thousand steps;
 // beyond that prediction says nothing. Steps of a half octave, because a burst
 // of outputs of like length peaks between two horizons: with plain doublings
-// fourteen outputs of 900 tokens were let in where nine fit. Horizons of a few
-// tokens were left out; they never decided.
+// fourteen outputs of 900 tokens were let in where nine fit.
 var horizons = [...]int{
-	0, 8, 32, 64, 96, 128, 192, 256, 384, 512, 768, 1024, 1536, 2048, 3072, 4096,
+	0, 8, 16, 32, 64, 96, 128, 192, 256, 384, 512, 768, 1024, 1536, 2048, 3072, 4096,
 }
 
 const horizonCount = len(horizons)
