--- a/internal/entry/generation/relay.go
+++ b/internal/entry/generation/relay.go
@@ -51,7 +51,7 @@
 }
 
 // NewRelay returns a relay.
-func NewRelay(a *admit.Client, client *http.Client, ring *handle.Ring, pick Picker, poolOf PoolOf) *Relay {
+func NewRelay(a *admit.Client, client Doer, ring *handle.Ring, pick Picker, poolOf PoolOf) *Relay {
 	return &Relay{admission: a, engines: engineClient{http: client}, ring: ring, pick: pick, poolOf: poolOf}
 }
 
--- a/internal/entry/generation/target.go
+++ b/internal/entry/generation/target.go
@@ -54,7 +54,12 @@
 
 // engineClient speaks the engines' protocol.
 type engineClient struct {
-	http *http.Client
+	http Doer
+}
+
+// Doer sends a request once; targetclient.Client is one.
+type Doer interface {
+	Do(req *http.Request) (*http.Response, error)
 }
 
 // start sends the request that begins a generation.
@@ -63,9 +68,6 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.KindInternal, "the request to the target could not be made")
 	}
-	// Without GetBody the transport cannot send the request a second time by
-	// itself when a reused connection breaks.
-	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(headerGeneration, generation)
 	req.Header.Set(headerPriority, strconv.Itoa(int(lease.Priority)))
@@ -90,7 +92,7 @@
 	if err != nil {
 		watchdog.Stop()
 		cancel()
-		return nil, failure.Wrap(err, failure.KindTargetLost, "the target cannot be reached").Unknown()
+		return nil, lostStream(err)
 	}
 	s := &stream{events: sse.NewReader(resp.Body, 0), body: resp.Body, cancel: cancel, watchdog: watchdog}
 	if resp.StatusCode == http.StatusOK {
--- /dev/null
+++ b/internal/entry/plain/once.go
@@ -0,0 +1,241 @@
+package plain
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"filbertdeck/internal/accounting"
+	"filbertdeck/internal/decide/once"
+	"filbertdeck/internal/entry/admit"
+	"filbertdeck/internal/entry/state"
+	"filbertdeck/internal/failure"
+	"filbertdeck/internal/handle"
+)
+
+// HeaderKey carries the caller's idempotency key.
+const HeaderKey = "Idempotency-Key"
+
+// headerReplayed marks an answer that is repeated from the record.
+const headerReplayed = "Filbert-Replayed"
+
+// onceLimit bounds one call; past it the outcome is unknown.
+const onceLimit = 30 * time.Second
+
+// OnceDoer sends a request at most once and runs before right before the first
+// byte; targetclient.Once is one.
+type OnceDoer interface {
+	Do(req *http.Request, before func() error) (*http.Response, error)
+}
+
+// Forwarder hands a call to the entry that owns its key.
+type Forwarder interface {
+	Forward(ctx context.Context, owner once.Process, key string, revision uint64, call Call) (*once.Answer, bool, error)
+}
+
+// Once runs calls that may run at most once.
+type Once struct {
+	Admission *admit.Client
+	Client    OnceDoer
+	Pick      Picker
+	Ring      *handle.Ring
+	Self      once.Process
+	Board     *state.Board
+	Forwarder Forwarder
+
+	mu       sync.Mutex
+	register *once.Register
+	start    time.Time
+}
+
+// Open makes the register; the process vouches for nothing older.
+func (o *Once) Open() {
+	o.start = time.Now()
+	o.register = once.New(once.Config{Self: o.Self})
+}
+
+func (o *Once) now() time.Duration { return time.Since(o.start) }
+
+// Mint makes a key that only this process will ever run.
+func (o *Once) Mint(account string) string {
+	o.mu.Lock()
+	sequence := o.register.NextSequence()
+	o.mu.Unlock()
+	return o.Ring.Mint(handle.Minted{
+		Account: account, Owner: o.Self.Address, Incarnation: o.Self.Incarnation,
+		Age0: o.now(), Sequence: sequence,
+	})
+}
+
+// parseKey reads the caller's key, minted or of its own making.
+func (o *Once) parseKey(text, account string) (once.Key, error) {
+	if text == "" {
+		return once.Key{}, failure.New(failure.KindKeyRequired, "this service needs the header %s", HeaderKey)
+	}
+	if !handle.IsMinted(text) {
+		return once.CallerKey(text)
+	}
+	m, err := o.Ring.OpenMinted(text, account)
+	if err != nil {
+		return once.Key{}, err
+	}
+	owner := once.Process{Address: m.Owner, Incarnation: m.Incarnation}
+	id := owner.Address + "/" + strconv.FormatUint(m.Incarnation, 16) + "/" + strconv.FormatUint(m.Sequence, 16)
+	return once.MintedKey(id, owner, m.Age0), nil
+}
+
+// Serve answers the call; the failure it returns was told to the caller.
+func (o *Once) Serve(ctx context.Context, w http.ResponseWriter, call Call) error {
+	answer, replayed, err := o.Run(ctx, call, call.Header.Get(HeaderKey), nil)
+	if err != nil {
+		failure.Write(w, err)
+		return err
+	}
+	if replayed {
+		w.Header().Set(headerReplayed, "true")
+		call.Books.Update(func(c *accounting.Counts) { c.Replays++ })
+	}
+	write(w, answer)
+	return nil
+}
+
+// Origin is set for a call that another entry handed over.
+type Origin struct {
+	Incarnation   uint64
+	HostsRevision uint64
+}
+
+// Run runs the call, repeats its recorded answer, or hands it to its owner.
+func (o *Once) Run(ctx context.Context, call Call, keyText string, origin *Origin) (*once.Answer, bool, error) {
+	key, err := o.parseKey(keyText, call.Account.Name)
+	if err != nil {
+		return nil, false, err
+	}
+	request := once.Call{
+		Account: call.Account.Name, Key: key, Fingerprint: call.fingerprint(), Wall: time.Now(),
+	}
+	if origin != nil {
+		request.Forwarded = true
+		request.Incarnation, request.HostsRevision = origin.Incarnation, origin.HostsRevision
+	}
+	d, revision := o.begin(request)
+	switch d.Action {
+	case once.Replay:
+		return d.Answer, true, nil
+	case once.Forward:
+		return o.Forwarder.Forward(ctx, d.Owner, keyText, revision, call)
+	case once.Refuse:
+		return nil, false, d.Err
+	}
+	answer, err := o.execute(ctx, call, key)
+	return answer, false, err
+}
+
+func (o *Once) begin(request once.Call) (once.Decision, uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	revision := o.refresh()
+	return o.register.Begin(o.now(), request), revision
+}
+
+// refresh hands the register the host list in force and when it was last
+// confirmed, and gives the list's revision.
+func (o *Once) refresh() uint64 {
+	hosts, confirmed := o.Board.Hosts.Get(), o.Board.Confirmed.Get()
+	if hosts == nil || confirmed == nil {
+		return 0
+	}
+	if hosts.Revision != confirmed.HostsRevision {
+		// The list on the blackboard is older than the one that was confirmed.
+		o.register.Heard(confirmed.HostsRevision)
+		return hosts.Revision
+	}
+	o.register.SetHosts(o.now(), once.HostList{
+		Revision: hosts.Revision, Live: hosts.LiveEntries(), Confirmed: confirmed.At.Sub(o.start),
+	})
+	return hosts.Revision
+}
+
+// Refresh keeps the register's view of the host list continuous while no call
+// comes.
+func (o *Once) Refresh() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refresh()
+}
+
+// execute runs a call that this process may run. The call goes on when its
+// caller leaves: its outcome is on record for when the caller asks again.
+func (o *Once) execute(ctx context.Context, call Call, key once.Key) (*once.Answer, error) {
+	lease, err := acquire(ctx, o.Admission, o.Pick, call, nil)
+	if err != nil {
+		o.notRun(call, key)
+		return nil, err
+	}
+	started := time.Now()
+	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), onceLimit)
+	defer cancel()
+	answer, err := o.send(runCtx, call, key, lease)
+	elapsed := time.Since(started)
+	lease.Settle(outcome(runCtx, err), elapsed, elapsed)
+	o.record(call, key, answer, err)
+	return answer, err
+}
+
+func (o *Once) send(ctx context.Context, call Call, key once.Key, lease *admit.Lease) (*once.Answer, error) {
+	req, err := call.request(lease.Target)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := o.Client.Do(req.WithContext(ctx), func() error {
+		if err := lease.Check(time.Now()); err != nil {
+			return err
+		}
+		return o.check(call, key)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if resp.Header.Get("Filbert-Executed") == string(failure.ExecutedNo) && resp.StatusCode >= http.StatusBadRequest {
+		_ = resp.Body.Close()
+		return nil, failure.New(failure.KindTargetFailed, "the target did not run the call (status %d)", resp.StatusCode)
+	}
+	return readAnswer(resp)
+}
+
+// check is the last look at the right to run, right before the first byte.
+func (o *Once) check(call Call, key once.Key) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refresh()
+	until, err := o.register.Check(o.now(), call.Account.Name, key)
+	if err != nil {
+		return err
+	}
+	if o.now() >= until {
+		return failure.New(failure.KindKeyUnvouched, "the process was paused before the call was sent")
+	}
+	return nil
+}
+
+func (o *Once) notRun(call Call, key once.Key) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.register.NotRun(call.Account.Name, key)
+}
+
+func (o *Once) record(call Call, key once.Key, answer *once.Answer, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	account := call.Account.Name
+	switch {
+	case err == nil:
+		o.register.Finish(account, key, answer)
+	case failure.From(err).Executed == failure.ExecutedNo:
+		o.register.NotRun(account, key)
+	default:
+		o.register.Lost(account, key)
+	}
+}
