--- /dev/null
+++ b/internal/decide/rollout/join.go
@@ -0,0 +1,60 @@
+package rollout
+
+import "time"
+
+// Figures of joining.
+const (
+	// joinPeers is how many peers a new process asks before it serves. An edit
+	// is in force on all but a few nodes within a second or so; that three
+	// peers drawn at random all lack it is then less likely than one in a
+	// million, while waiting for more would hold up the start of a fleet.
+	joinPeers = 3
+	// joinGrace is how long a process with the service's word but fewer peers
+	// waits. A whole fleet that starts at once has no peers that know more
+	// than the service; it must not wait for ever.
+	joinGrace = 3 * time.Second
+)
+
+// Join decides when a new process is ready. Without it a host that is
+// replaced while the configuration service is stale or restored would serve
+// from a table older than the one in force: an edit would revert there.
+type Join struct {
+	started time.Duration
+	asked   map[string]bool
+	service bool
+	done    bool
+}
+
+// NewJoin starts at now.
+func NewJoin(now time.Duration) *Join {
+	return &Join{started: now, asked: map[string]bool{}}
+}
+
+// Peer notes that everything a peer holds was taken over.
+func (j *Join) Peer(address string) {
+	if !j.done {
+		j.asked[address] = true
+	}
+}
+
+// Service notes that the service's documents were read.
+func (j *Join) Service() { j.service = true }
+
+// Ready tells whether the process may serve: peers is how many others there
+// are to ask, holds whether a table is in force here. Once ready it stays so.
+func (j *Join) Ready(now time.Duration, peers int, holds bool) bool {
+	if j.done {
+		return true
+	}
+	// Without peers the service's word is all there is.
+	enough := len(j.asked) >= min(joinPeers, peers) && (peers > 0 || j.service)
+	waited := now-j.started >= joinGrace
+	if holds && (enough || waited) {
+		j.done = true
+	}
+	return j.done
+}
+
+// Confirmed tells whether enough peers were asked, for the operators' view: a
+// process that became ready by waiting can only know what the service says.
+func (j *Join) Confirmed() bool { return len(j.asked) >= joinPeers }
--- /dev/null
+++ b/internal/table/apply.go
@@ -0,0 +1,116 @@
+package table
+
+import (
+	"encoding/csv"
+	"maps"
+	"strings"
+)
+
+// Change is one row that differs between two revisions. Text is empty when
+// the row is gone.
+type Change struct {
+	Key  string
+	Text string
+}
+
+// Apply gives the table that results from changing rows of t, which stays as
+// it was. Only the changed rows are parsed; the others are shared. The rules
+// that span rows (a key of one account only, services that exist) hold for
+// the result, or nothing changes.
+func (t *Table) Apply(epoch, revision uint64, changes []Change) (*Table, Faults) {
+	b := &builder{
+		table: &Table{
+			Epoch: epoch, Revision: revision,
+			Accounts: maps.Clone(t.Accounts), Services: maps.Clone(t.Services),
+			Drained: t.Drained, ByKey: maps.Clone(t.ByKey),
+		},
+		seen: map[string]place{}, places: map[*Account]place{},
+	}
+	var faults Faults
+	// First every old row goes, then the new ones come: a key may move from
+	// one account to another within one edit.
+	lostService := false
+	for _, c := range changes {
+		lostService = b.remove(c) || lostService
+	}
+	for i, c := range changes {
+		b.replace(i+1, c, &faults)
+	}
+	if lostService {
+		b.recheckAll()
+	}
+	b.finish(&faults)
+	b.table.Epoch = epoch
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return b.table, nil
+}
+
+// remove takes a row out; it tells whether a service is lost by it.
+func (b *builder) remove(c Change) bool {
+	if name, ok := strings.CutPrefix(c.Key, accountPrefix); ok {
+		if old := b.table.Accounts[name]; old != nil {
+			for _, k := range old.KeyHashes {
+				delete(b.table.ByKey, k)
+			}
+			delete(b.table.Accounts, name)
+		}
+	}
+	if name, ok := strings.CutPrefix(c.Key, servicePrefix); ok {
+		delete(b.table.Services, name)
+		return c.Text == ""
+	}
+	return false
+}
+
+func (b *builder) replace(line int, c Change, faults *Faults) {
+	if c.Text == "" {
+		return
+	}
+	r := csv.NewReader(strings.NewReader(c.Text))
+	r.FieldsPerRecord = -1
+	cells, err := r.Read()
+	if err != nil || len(cells) != len(columns) {
+		faults.add(Fault{Row: line, Column: "(row)", Value: c.Key, Allowed: "one row in canonical form"})
+		return
+	}
+	row := &rowReader{at: place{0, line}, header: columns, cells: cells, faults: faults}
+	before := len(b.seen)
+	b.add(row)
+	if _, ok := b.seen[c.Key]; (!ok || len(b.seen) != before+1) && !row.failed {
+		row.fault(colName, row.cell(colName), "the row that its key "+c.Key+" names")
+	}
+}
+
+// recheckAll puts every account up for the check against the services.
+func (b *builder) recheckAll() {
+	for _, a := range b.table.Accounts {
+		if _, ok := b.places[a]; !ok {
+			b.places[a] = place{}
+		}
+	}
+}
+
+// With gives the table with the drain list and the services' targets filled
+// in; rows are shared with t.
+func (t *Table) With(drained []string, targets map[string][]Target) *Table {
+	out := *t
+	out.Drained = set(drained...)
+	out.Services = make(map[string]*Service, len(t.Services))
+	for name, s := range t.Services {
+		copied := *s
+		copied.Targets = targets[name]
+		out.Services[name] = &copied
+	}
+	return &out
+}
+
+// Newer tells whether t comes after other in the order of edits: by epoch,
+// then by the configuration service's revision.
+func (t *Table) Newer(other *Table) bool {
+	if other == nil || t.Epoch != other.Epoch {
+		return other == nil || t.Epoch > other.Epoch
+	}
+	return t.Revision > other.Revision
+}
--- a/internal/table/row.go
+++ b/internal/table/row.go
@@ -8,10 +8,12 @@
 // RowKind tells an account's row from a service's.
 type RowKind string
 
-// The two kinds of rows.
+// The kinds of rows.
 const (
 	RowAccount RowKind = "account"
 	RowService RowKind = "service"
+	// RowEpoch is the table's own row: its name is the operators' epoch.
+	RowEpoch RowKind = "epoch"
 )
 
 // ServiceType says how a service's requests are served.
@@ -81,6 +83,11 @@
 
 // Table is one revision of the operators' table. It is immutable.
 type Table struct {
+	// Epoch is the number in the table's own row of kind epoch, 0 without one.
+	// Operators raise it after the configuration service was restored from a
+	// backup; it leads the order of revisions.
+	Epoch uint64
+	// Revision is the configuration service's: the newest of the pages'.
 	Revision uint64
 	Accounts map[string]*Account
 	Services map[string]*Service
