Add slow start: the bound of a cold target, kept by the whole fleet

Only the published owner grants to a cold target, one request at a time against a report that covers the last grant; while it can't be sure to be the only owner it leaves room for one unseen grant of each possible other.

--- /dev/null
+++ b/internal/decide/slowstart/gate.go
@@ -0,0 +1,190 @@
+package slowstart
+
+import (
+	"math"
+	"time"
+)
+
+// unbounded is the room at a warm target that doesn't say what it bears.
+const unbounded = 1 << 20
+
+// Gate holds what one allocator knows of one target. It is not safe for
+// concurrent use. Times count from any fixed start, the same for all calls.
+type Gate struct {
+	cfg    Config
+	owner  ownership
+	flight flight
+	warmth warmth
+
+	report Report
+	taken  time.Duration
+	known  bool
+	// alive is the latest moment at which the incarnation is known to have
+	// lived, by a report or by a token.
+	alive time.Duration
+}
+
+// New returns a gate without a report; it gives no room until one comes.
+func New(cfg Config) *Gate {
+	cfg = cfg.withDefaults()
+	return &Gate{
+		cfg: cfg, flight: flight{leaseFor: cfg.LeaseFor}, warmth: newWarmth(cfg),
+		taken: math.MinInt64,
+	}
+}
+
+// SetOwner says whether the published host list of the given revision names
+// this allocator as the pool's owner. Call it for each list that is read, also
+// when the answer stays the same.
+func (g *Gate) SetOwner(now time.Duration, revision uint64, owner bool) {
+	g.owner.set(now, revision, owner)
+}
+
+// Confirm says that the host list in force here was the newest one at the
+// moment at: a read of the configuration service that was begun then, or
+// gossip, sent then, of peers that know no newer list.
+func (g *Gate) Confirm(at time.Duration) { g.owner.confirm(at) }
+
+// Observe takes a report that was received at now. Reports may come late or
+// out of order; one that was taken before the latest is dropped.
+func (g *Gate) Observe(now time.Duration, r Report) {
+	taken := now - r.Age
+	if taken <= g.taken {
+		return
+	}
+	g.warmth.observe(taken, r)
+	g.report, g.taken, g.known = r, taken, true
+	g.alive = max(g.alive, taken)
+	g.flight.covered(taken, r.Incarnation)
+}
+
+// Granted books a grant. For a lease that another allocator granted and a
+// renewal made known, call Granted and, when it has produced tokens, Started.
+func (g *Gate) Granted(now time.Duration, lease uint64) {
+	g.flight.add(now, lease, g.report.Incarnation)
+}
+
+// Started says that the target was seen to work on the lease.
+func (g *Gate) Started(now time.Duration, lease uint64) { g.flight.done(now, lease) }
+
+// Progress says that the target produced a token for the lease at the moment
+// at. It proves that the incarnation which began the lease still lives. A lease
+// counts only once a report covers it: an earlier one may have begun on an
+// incarnation that is not known here yet.
+func (g *Gate) Progress(at time.Duration, lease uint64) {
+	if g.known && g.flight.coveredBy(lease, g.report.Incarnation) {
+		g.alive = max(g.alive, at)
+	}
+}
+
+// Ended takes a lease off. finished says that the target completed it;
+// firstToken is its time to the first token, 0 when there was none.
+func (g *Gate) Ended(now time.Duration, lease uint64, finished bool, firstToken time.Duration) {
+	same := g.flight.grantedTo(lease, g.report.Incarnation)
+	running := g.flight.running()
+	g.flight.done(now, lease)
+	g.flight.end(lease)
+	if same && finished {
+		g.warmth.finished(running, firstToken)
+	}
+}
+
+// Suspect makes the target cold until reports show otherwise: its connections
+// broke, or it died while it ran requests.
+func (g *Gate) Suspect(now time.Duration) {
+	g.warmth.suspect()
+	g.known = false
+	g.taken = max(g.taken, now)
+}
+
+// State says how far the target is.
+func (g *Gate) State(now time.Duration) State {
+	if !g.known || g.alive <= now-g.cfg.FreshFor {
+		return Unknown
+	}
+	return g.warmth.state
+}
+
+// Room is the number of requests that may be granted now.
+func (g *Gate) Room(now time.Duration) int {
+	g.flight.expire(now)
+	state := g.State(now)
+	sole := g.owner.sole(now, g.taken, g.cfg)
+	switch {
+	case state == Warm, state == Settled && sole:
+		return g.warmRoom()
+	case state == Cold, state == Settled:
+		return g.coldRoom(now, sole)
+	default:
+		return 0
+	}
+}
+
+// warmRoom counts every grant that no report covers as arrived, and keeps to
+// one burst a report.
+func (g *Gate) warmRoom() int {
+	limit := unbounded
+	burst := g.cfg.Burst
+	if g.report.Bears > 0 {
+		limit = g.report.Bears
+		burst = max(burst, limit/4)
+	}
+	used := max(g.report.load()+len(g.flight.unseen), g.flight.running())
+	room := min(limit-used, burst-g.flight.since(g.taken))
+	return max(room, 0)
+}
+
+// coldRoom gives one place, and only against a report that covers every grant
+// made here. See the package comment for why this bounds the whole fleet.
+func (g *Gate) coldRoom(now time.Duration, sole bool) int {
+	fresh := g.taken > now-g.cfg.FreshFor && g.taken > g.owner.began
+	if !g.owner.is || !fresh || len(g.flight.unseen) > 0 {
+		return 0
+	}
+	places := g.cfg.Claimants
+	if sole {
+		places = 1
+	}
+	load := max(g.report.load(), g.flight.running())
+	if load+places > g.warmth.bears() {
+		return 0
+	}
+	return 1
+}
+
+// ownership is what the host list says of this allocator.
+type ownership struct {
+	is        bool
+	revision  uint64
+	began     time.Duration
+	confirmed time.Duration
+	ever      bool
+}
+
+// set starts the ownership anew when a revision was skipped: another allocator
+// may have been the owner in it, with a grant still on its way. One would
+// notice by a cold target that has one request too many after two quick
+// changes of the list.
+func (o *ownership) set(now time.Duration, revision uint64, is bool) {
+	skipped := revision != o.revision && revision != o.revision+1
+	if is && (!o.is || skipped) {
+		o.began = now
+	}
+	o.is, o.revision = is, revision
+}
+
+func (o *ownership) confirm(at time.Duration) {
+	o.confirmed = max(o.confirmed, at)
+	o.ever = true
+}
+
+// sole tells whether no other allocator can be granting to this target, and no
+// grant of an earlier owner can arrive after the report. An earlier owner acts
+// on its last confirmation for ConfirmFor, and its last grant lives for
+// LeaseFor; both began before this ownership did.
+func (o *ownership) sole(now, reportTaken time.Duration, cfg Config) bool {
+	if !o.is || !o.ever || o.confirmed < o.began || now-o.confirmed > cfg.ConfirmFor {
+		return false
+	}
+	return reportTaken > o.began+cfg.ConfirmFor+cfg.LeaseFor
+}
