Read the stand-ins' settings through the common settings package

The checks and their wording stood twice, here and in internal/settings. Each stand-in is a settings struct of its own now; the first argument names it. By hand: a wrong flag, a wrong variable and a wrong stand-in each end with one typed line and exit code 2; SIGTERM ends with 0.

--- a/internal/standin/command/run.go
+++ b/internal/standin/command/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,89 +9,114 @@
 
 	"go.uber.org/fx"
 
+	"filbertdeck/internal/failure"
+	"filbertdeck/internal/settings"
 	"filbertdeck/internal/standin/app"
 	"filbertdeck/internal/standin/engine"
 	"filbertdeck/internal/standin/model"
 	"filbertdeck/internal/standin/platform"
 	"filbertdeck/internal/standin/web"
+	"filbertdeck/internal/version"
 )
 
-// The program's exit codes.
+const program = "filbert-standin"
+
+const usage = `Usage: filbert-standin {platform | engine | app} [--listen IP:PORT] [options]
+
+Small stand-ins for what filbertdeck meets, for tests and the demo:
+  platform   the configuration service: versioned values, read and watched
+  engine     a model engine with a continuous batch and scripted faults
+  app        a plain service that counts how often each call ran
+
+The first line on standard output is "listening ip:port".
+"filbert-standin engine --help" lists a stand-in's options.`
+
+// The program's exit codes beside settings.ExitUsage.
 const (
-	exitFailed   = 1
-	exitSettings = 2
+	exitFailed = 1
 	// exitCrashed is that of a scripted crash.
 	exitCrashed = 3
 )
 
-// standin is what each of the stand-ins offers.
-type standin interface {
+// Standin is what each of the stand-ins offers.
+type Standin interface {
 	Handler() http.Handler
 	Close()
 }
 
+// chosen holds the settings of the stand-in that was asked for.
+type chosen interface {
+	make() Standin
+	address() string
+}
+
 // Main runs the program and gives its exit code.
 func Main(args []string, out, errOut io.Writer) int {
-	settings, err := Parse(args, out)
-	if errors.Is(err, errShown) {
+	c, err := choose(args, out)
+	if settings.IsHelp(err) {
 		return 0
 	}
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, err)
-		return exitSettings
+		return settings.ExitUsage
 	}
-	program := fx.New(fx.NopLogger, fx.Supply(settings, fx.Annotate(out, fx.As(new(io.Writer)))),
-		fx.Provide(newStandin), fx.Invoke(serve))
-	if err := program.Start(context.Background()); err != nil {
-		_, _ = fmt.Fprintln(errOut, err)
-		return exitFailed
+	if c == nil {
+		return 0
 	}
-	<-program.Done()
-	if err := program.Stop(context.Background()); err != nil {
+	if err := run(c, out); err != nil {
 		_, _ = fmt.Fprintln(errOut, err)
 		return exitFailed
 	}
 	return 0
 }
 
-func newStandin(s *Settings) standin {
-	switch {
-	case s.Platform != nil:
-		return platform.NewServer(platform.Config{CallsPerSecond: s.Platform.CallsPerSecond})
-	case s.App != nil:
-		return app.NewServer(app.Config{Delay: s.App.Delay, Bears: s.App.Bears})
-	default:
-		return engine.NewServer(s.Engine.config())
+// choose reads the settings of the stand-in that the first argument names. It
+// gives nil when only help or the version was asked for.
+func choose(args []string, out io.Writer) (chosen, error) {
+	name := ""
+	if len(args) > 0 {
+		name = args[0]
 	}
+	switch name {
+	case "platform":
+		s := &PlatformSettings{}
+		return s, parse(s, args, out)
+	case "engine":
+		s := &EngineSettings{}
+		return s, parse(s, args, out)
+	case "app":
+		s := &AppSettings{}
+		return s, parse(s, args, out)
+	case "-h", "--help":
+		_, err := fmt.Fprintln(out, usage)
+		return nil, err
+	case "--version":
+		_, err := fmt.Fprintln(out, program, version.String())
+		return nil, err
+	}
+	return nil, failure.New(failure.KindSettingInvalid, "first argument is %q; allowed: platform, engine, app", name)
 }
 
-func (e *EngineSettings) config() engine.Config {
-	m := model.Default()
-	m.MemoryTokens, m.MaxBatch = e.MemoryTokens, e.MaxBatch
-	m.BaseStep, m.PerSequence, m.PerPrompt = e.BaseStep, e.PerSequence, e.PerPrompt
-	m.RampTime, m.FullBears, m.StallTime = e.RampTime, e.FullBears, e.StallTime
-	if e.FallOver == "crash" {
-		m.FallOver = model.FallOverCrash
-	}
-	m.ReportLag, m.CacheLag, m.CacheLoss = e.ReportLag, e.CacheLag, e.CacheLoss
-	m.Seed = e.Seed
-	m.Incarnation = 0
-	cfg := engine.Config{
-		Model: m, CheckFence: e.CheckFence, Grace: e.Grace, RestartAfter: e.RestartAfter,
-		Lengths: engine.Lengths{Median: e.MedianTokens, Sigma: e.SigmaTokens, Seed: e.Seed},
-	}
-	if e.RestartAfter == 0 {
-		cfg.OnCrash = func() { os.Exit(exitCrashed) }
+func parse(dest any, args []string, out io.Writer) error {
+	return settings.Parse(program+" "+args[0], usage, dest, args[1:], out)
+}
+
+// run serves until the process is told to stop.
+func run(c chosen, out io.Writer) error {
+	app := fx.New(fx.NopLogger, fx.Provide(c.make), fx.Invoke(func(lc fx.Lifecycle, st Standin) { serve(lc, c.address(), st, out) }))
+	if err := app.Start(context.Background()); err != nil {
+		return err
 	}
-	return cfg
+	<-app.Done()
+	return app.Stop(context.Background())
 }
 
 // serve listens while the program runs.
-func serve(lc fx.Lifecycle, s *Settings, st standin, out io.Writer) {
+func serve(lc fx.Lifecycle, address string, st Standin, out io.Writer) {
 	var listener *web.Listener
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) (err error) {
-			listener, err = web.Listen(s.Listen, st.Handler(), out)
+			listener, err = web.Listen(address, st.Handler(), out)
 			return err
 		},
 		OnStop: func(ctx context.Context) error {
@@ -101,3 +125,35 @@
 		},
 	})
 }
+
+func (s *PlatformSettings) make() Standin {
+	return platform.NewServer(platform.Config{CallsPerSecond: s.CallsPerSecond})
+}
+
+func (s *AppSettings) make() Standin {
+	return app.NewServer(app.Config{Delay: s.Delay, Bears: s.Bears})
+}
+
+func (s *EngineSettings) make() Standin {
+	cfg := engine.Config{
+		Model: s.model(), CheckFence: s.CheckFence, Grace: s.Grace, RestartAfter: s.RestartAfter,
+		Lengths: engine.Lengths{Median: s.MedianTokens, Sigma: s.SigmaTokens, Seed: s.Seed},
+	}
+	if s.RestartAfter == 0 {
+		cfg.OnCrash = func() { os.Exit(exitCrashed) }
+	}
+	return engine.NewServer(cfg)
+}
+
+func (s *EngineSettings) model() model.Config {
+	m := model.Default()
+	m.MemoryTokens, m.MaxBatch = s.MemoryTokens, s.MaxBatch
+	m.BaseStep, m.PerSequence, m.PerPrompt = s.BaseStep, s.PerSequence, s.PerPrompt
+	m.RampTime, m.FullBears, m.StallTime = s.RampTime, s.FullBears, s.StallTime
+	if s.FallOver == "crash" {
+		m.FallOver = model.FallOverCrash
+	}
+	m.ReportLag, m.CacheLag, m.CacheLoss = s.ReportLag, s.CacheLag, s.CacheLoss
+	m.Seed, m.Incarnation = s.Seed, 0
+	return m
+}
