--- a/internal/decide/admission/types.go
+++ b/internal/decide/admission/types.go
@@ -84,6 +84,8 @@
 	// Bears is the number of requests that the target bears now; 0 means that
 	// the target does not say.
 	Bears int
+	// Stopping is set once the target has announced that it will stop.
+	Stopping bool
 	// StepTime is the mean time of a batch step.
 	StepTime time.Duration
 	// CachedPrefixes are the prefix hashes the target reports as cached since
--- a/internal/entry/plain/once.go
+++ b/internal/entry/plain/once.go
@@ -149,7 +149,7 @@
 	}
 	if hosts.Revision != confirmed.HostsRevision {
 		// The list on the blackboard is older than the one that was confirmed.
-		o.register.Heard(confirmed.HostsRevision)
+		o.register.Heard(o.now(), confirmed.HostsRevision)
 		return hosts.Revision
 	}
 	o.register.SetHosts(o.now(), once.HostList{
--- a/internal/entry/state/watcher.go
+++ b/internal/entry/state/watcher.go
@@ -169,7 +169,7 @@
 // already: the two may run different releases during an upgrade, and a row
 // that this one does not understand must leave its table as it is.
 func (w *Watcher) applyTable(t *filbertv1.TableSection) {
-	parsed, faults := table.Parse(t.Revision, [][]byte{t.Csv})
+	parsed, faults := table.Parse(t.Revision, t.Pages)
 	if len(faults) > 0 {
 		w.log.Error("table refused", "revision", t.Revision, "faults", len(faults))
 		return
