--- a/internal/decide/once/hosts.go
+++ b/internal/decide/once/hosts.go
@@ -71,7 +71,7 @@
 // set takes a list. unbroken is the longest time between two confirmations
 // that counts as continuous.
 func (o *ownership) set(now time.Duration, list HostList, unbroken, forget time.Duration) {
-	if o.known && list.Confirmed < o.confirmed {
+	if o.known && list.Confirmed < o.confirmed && list.Revision <= o.revision {
 		return // an older confirmation that came late says nothing new
 	}
 	broken := o.breaks(list, unbroken)
