--- a/internal/standin/command/run.go
+++ b/internal/standin/command/run.go
@@ -146,7 +146,7 @@
 }
 
 func (s *EngineSettings) model() model.Config {
-	m := model.Default()
+	m := model.DefaultConfig()
 	m.MemoryTokens, m.MaxBatch = s.MemoryTokens, s.MaxBatch
 	m.BaseStep, m.PerSequence, m.PerPrompt = s.BaseStep, s.PerSequence, s.PerPrompt
 	m.RampTime, m.FullBears, m.StallTime = s.RampTime, s.FullBears, s.StallTime
--- a/internal/standin/model/config.go
+++ b/internal/standin/model/config.go
@@ -14,7 +14,7 @@
 	FallOverCrash
 )
 
-// Config holds the engine's figures. A zero field takes the value of Default,
+// Config holds the engine's figures. A zero field takes the value of DefaultConfig,
 // but for those that say otherwise.
 type Config struct {
 	// MemoryTokens is the memory for keys and values, in tokens.
@@ -58,7 +58,7 @@
 // it bears: graph compilation and weight loading compete with serving.
 const coldSlowdown = 3
 
-// Default gives the figures of one engine of the target size.
+// DefaultConfig gives the figures of one engine of the target size.
 //
 // 10,000 servers make 12 million tokens a second, 1,200 each. With these step
 // times 20 sequences make 1,330 tokens a second, 50 make 2,200, and at 204
@@ -67,7 +67,7 @@
 // batch is what long reports run out of. Prompt tokens cost 20 microseconds
 // each, 50,000 a second, the usual order for a server of eight accelerators;
 // a chunk of 512 adds 10 ms to the others' step.
-func Default() Config {
+func DefaultConfig() Config {
 	return Config{
 		MemoryTokens: 100_000, MaxBatch: 256, MaxWaiting: 1024,
 		BaseStep: 10 * time.Millisecond, PerSequence: 250 * time.Microsecond,
@@ -81,7 +81,7 @@
 
 // withDefaults fills the fields whose zero value means nothing.
 func (c Config) withDefaults() Config {
-	d := Default()
+	d := DefaultConfig()
 	setInt := func(field *int, value int) {
 		if *field == 0 {
 			*field = value
--- a/internal/standin/model/job.go
+++ b/internal/standin/model/job.go
@@ -10,8 +10,8 @@
 	ID JobID
 	// Priority: higher is admitted first and preempted last.
 	Priority int
-	// PromptTokens are computed first; Length tokens are then produced. Nothing
-	// outside the engine knows Length ahead.
+	// PromptTokens are computed first, at least one; Length tokens are then
+	// produced. Nothing outside the engine knows Length ahead.
 	PromptTokens, Length int
 	// Prefix is the chain of hashes of the prompt's leading blocks.
 	Prefix []uint64
