--- a/internal/decide/fairqueue/queue.go
+++ b/internal/decide/fairqueue/queue.go
@@ -287,8 +287,10 @@
 // it could shed its debt by pausing for a moment.
 func (q *Queue[T]) forgetIdle(now time.Duration) {
 	for range min(sweepPerPush, len(q.idle)) {
-		q.sweep++
-		i := q.sweep % len(q.idle)
+		if q.sweep++; q.sweep >= len(q.idle) {
+			q.sweep = 0
+		}
+		i := q.sweep
 		a := q.idle[i]
 		busy := a.waiting > 0 || a.running > 0
 		if !busy && q.owes(a, now) {
--- a/internal/decide/fairqueue/queue_test.go
+++ b/internal/decide/fairqueue/queue_test.go
@@ -19,7 +19,6 @@
 // job is a running request of the little pool below.
 type job struct {
 	account string
-	request *Request[int]
 	left    int
 	made    int
 }
