--- /dev/null
+++ b/internal/entry/module.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/gorilla/mux"
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"filbertdeck/internal/accounting"
+	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/decide/once"
+	"filbertdeck/internal/entry/admit"
+	"filbertdeck/internal/entry/callers"
+	"filbertdeck/internal/entry/generation"
+	"filbertdeck/internal/entry/lifecycle"
+	"filbertdeck/internal/entry/plain"
+	"filbertdeck/internal/entry/state"
+	"filbertdeck/internal/failure"
+	"filbertdeck/internal/handle"
+	"filbertdeck/internal/metrics"
+	"filbertdeck/internal/rpc"
+	"filbertdeck/internal/secure"
+	"filbertdeck/internal/targetclient"
+)
+
+// Options build the program from its settings.
+func (s *Settings) Options() []fx.Option {
+	return []fx.Option{
+		fx.Supply(s),
+		fx.Provide(
+			secure.New, (*secure.Identity).Credentials, newProcess, newRing, state.NewBoard, accounting.New, newLifecycle,
+			newAdmission, newTargetClient, newRelay, newLookups, newOnce, newPeers, newAPI, newWatcher,
+		),
+		fx.Invoke(runWatcher, servePeers, serveAdmin, serveCallers, keepRegister),
+	}
+}
+
+// newProcess draws the incarnation: another process at the same address is
+// another owner of idempotency keys.
+func newProcess(s *Settings) once.Process {
+	return once.Process{Address: s.PeerListen, Incarnation: rand.Uint64() | 1}
+}
+
+func newRing(s *Settings, log *slog.Logger) (*handle.Ring, error) {
+	if s.KeyRing == "" {
+		log.Warn("no key ring is set; handles open in this process only")
+		return handle.NewRing(handle.RandomSecrets())
+	}
+	text, err := os.ReadFile(s.KeyRing)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.KindSettingInvalid, "--key-ring (FILBERT_ENTRY_KEY_RING) cannot be read")
+	}
+	secrets, err := handle.ParseSecrets(text)
+	if err != nil {
+		return nil, err
+	}
+	return handle.NewRing(secrets)
+}
+
+func newLifecycle(b *state.Board, s *Settings) *lifecycle.Lifecycle {
+	return lifecycle.New(func() error {
+		t := b.Table.Get()
+		if t == nil || !b.Ready() {
+			return failure.New(failure.KindNotReady, "the table has not been read yet")
+		}
+		if t.Drained[s.DataCentre] {
+			return failure.New(failure.KindNotReady, "data centre %s is taken out", s.DataCentre)
+		}
+		return nil
+	})
+}
+
+func newAdmission(lc fx.Lifecycle, self once.Process, s *Settings, creds rpc.Credentials, b *state.Board) *admit.Client {
+	hello := &filbertv1.Hello{Entry: self.Address, Incarnation: self.Incarnation, DataCentre: s.DataCentre}
+	c := admit.New(hello, creds, b.Owners)
+	lc.Append(fx.StopHook(c.Close))
+	return c
+}
+
+func newTargetClient() *targetclient.Client { return targetclient.New(targetclient.Settings{}) }
+
+func newRelay(a *admit.Client, client *targetclient.Client, ring *handle.Ring, b *state.Board, s *Settings) *generation.Relay {
+	pick := func(service string, _ []uint64, avoid []string) (string, error) {
+		return b.Pick(service, s.DataCentre, avoid)
+	}
+	return generation.NewRelay(a, client, ring, pick, b.PoolOf)
+}
+
+func newLookups(a *admit.Client, client *targetclient.Client, b *state.Board, s *Settings) *plain.Lookups {
+	return &plain.Lookups{Admission: a, Client: client, Pick: plainPicker(b, s)}
+}
+
+func plainPicker(b *state.Board, s *Settings) plain.Picker {
+	return func(service string, avoid []string) (string, error) { return b.Pick(service, s.DataCentre, avoid) }
+}
+
+func newPeers(lc fx.Lifecycle, creds rpc.Credentials) *plain.Peers {
+	p := plain.NewPeers(creds)
+	lc.Append(fx.StopHook(p.Close))
+	return p
+}
+
+func newOnce(a *admit.Client, ring *handle.Ring, self once.Process, b *state.Board, p *plain.Peers, s *Settings) *plain.Once {
+	o := &plain.Once{
+		Admission: a, Client: targetclient.NewOnce(targetclient.Settings{}), Pick: plainPicker(b, s),
+		Ring: ring, Self: self, Board: b, Forwarder: p,
+	}
+	o.Open()
+	return o
+}
+
+func newAPI(
+	b *state.Board, books *accounting.Book, life *lifecycle.Lifecycle, ring *handle.Ring,
+	relay *generation.Relay, lookups *plain.Lookups, o *plain.Once, s *Settings,
+) *callers.API {
+	return &callers.API{
+		Board: b, Books: books, Life: life, Ring: ring, Relay: relay, Lookups: lookups, Once: o, BodyLimit: s.BodyLimit,
+	}
+}
+
+func newWatcher(b *state.Board, books *accounting.Book, self once.Process, s *Settings, creds rpc.Credentials, log *slog.Logger) (*state.Watcher, error) {
+	controls := s.Control
+	if len(controls) == 0 {
+		controls = []string{defaultControl}
+	}
+	return state.NewWatcher(b, state.Params{
+		Controls: controls, Entry: self.Address, DataCentre: s.DataCentre, Creds: creds, Log: log,
+		Snapshot: func() []byte { return snapshot(books, self, s) },
+	})
+}
+
+func snapshot(books *accounting.Book, self once.Process, s *Settings) []byte {
+	body, err := json.Marshal(books.Snapshot(s.Host, s.DataCentre, self.Incarnation))
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+func runWatcher(lc fx.Lifecycle, w *state.Watcher) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { go w.Run(ctx); return nil },
+		OnStop:  func(context.Context) error { cancel(); return nil },
+	})
+}
+
+// registerEvery is how often the register of idempotency keys looks at the
+// host list; it is well below the list's freshness bound.
+const registerEvery = 500 * time.Millisecond
+
+func keepRegister(lc fx.Lifecycle, o *plain.Once) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				ticker := time.NewTicker(registerEvery)
+				defer ticker.Stop()
+				for ctx.Err() == nil {
+					select {
+					case <-ticker.C:
+						o.Refresh()
+					case <-ctx.Done():
+					}
+				}
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error { cancel(); return nil },
+	})
+}
+
+func servePeers(lc fx.Lifecycle, id *secure.Identity, creds rpc.Credentials, o *plain.Once, b *state.Board, life *lifecycle.Lifecycle, s *Settings) {
+	server := rpc.NewServer(creds)
+	filbertv1.RegisterForwardServer(server, &plain.Server{Once: o, Board: b, Begin: life.Begin})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			l, err := id.Listen(s.PeerListen)
+			if err != nil {
+				return err
+			}
+			go func() { _ = server.Serve(l) }()
+			return nil
+		},
+		OnStop: func(context.Context) error { server.Stop(); return nil },
+	})
+}
+
+func serveAdmin(lc fx.Lifecycle, id *secure.Identity, reg gometrics.Registry, books *accounting.Book, self once.Process, life *lifecycle.Lifecycle, s *Settings) {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", life.Healthz)
+	r.HandleFunc("/readyz", life.Readyz)
+	r.Handle("/metrics", metrics.Handler(reg))
+	r.HandleFunc("/accounting", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(snapshot(books, self, s))
+	})
+	server := &http.Server{Handler: r, ReadHeaderTimeout: adminReadLimit}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return serveHTTP(server, id.ListenHTTP, s.AdminListen) },
+		OnStop:  func(context.Context) error { return server.Close() },
+	})
+}
+
+const adminReadLimit = 10 * time.Second
+
+func serveHTTP(server *http.Server, listen func(string) (net.Listener, error), address string) error {
+	l, err := listen(address)
+	if err != nil {
+		return err
+	}
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
+// serveCallers is the last to start and the first to stop. Its stop reports
+// "not ready", waits for the requests in progress, and only then closes.
+func serveCallers(lc fx.Lifecycle, id *secure.Identity, api *callers.API, life *lifecycle.Lifecycle, s *Settings) {
+	server := callers.NewServer(api.Handler())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return serveHTTP(server, id.ListenHTTP, s.Listen) },
+		OnStop: func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, s.StopNotice+s.StopWait)
+			defer cancel()
+			err := life.Stop(ctx, s.StopNotice)
+			return errors.Join(err, server.Shutdown(ctx))
+		},
+	})
+}
