Serve the whole path in separate processes: make demo

Cause: everything later grows on a path that runs. Two data centres, three hosts, four engines, one plain service; stream, whole answer, lookup, a work order sent twice through two entries and run once, an edit, a drain. Not yet: gossip (every control process watches), the fair allocator, TLS towards the platform.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,7 @@
 
 unit:
 	$(GO) test -race -timeout 20m $(RACE_PACKAGES)
+
+# The main job on one machine; every process ends with it.
+demo: build
+	$(BIN)/filbert-demo --bin-dir $(BIN)
--- a/internal/control/state/service.go
+++ b/internal/control/state/service.go
@@ -127,10 +127,7 @@
 }
 
 func tableSection(t *table.Table) *filbertv1.TableSection {
-	section := &filbertv1.TableSection{Revision: t.Revision}
-	for _, page := range table.Encode(t) {
-		section.Pages = append(section.Pages, page)
-	}
+	section := &filbertv1.TableSection{Revision: t.Revision, Pages: table.Encode(t)}
 	for name := range t.Drained {
 		section.Drained = append(section.Drained, name)
 	}
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -195,11 +195,12 @@
 	})
 }
 
-func serveAdmin(lc fx.Lifecycle, id *secure.Identity, reg gometrics.Registry, books *accounting.Book, self once.Process, life *lifecycle.Lifecycle, s *Settings) {
+func serveAdmin(lc fx.Lifecycle, id *secure.Identity, reg gometrics.Registry, books *accounting.Book, b *state.Board, self once.Process, life *lifecycle.Lifecycle, s *Settings) {
 	r := mux.NewRouter()
 	r.HandleFunc("/healthz", life.Healthz)
 	r.HandleFunc("/readyz", life.Readyz)
 	r.Handle("/metrics", metrics.Handler(reg))
+	r.HandleFunc("/state", b.ServeSummary)
 	r.HandleFunc("/accounting", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(snapshot(books, self, s))
