--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -103,6 +103,7 @@
 		s.model.Reclaim(now, milliseconds(f.NoticeMS, defaultNoticeMS))
 	case FaultNone:
 		s.frozenUntil, s.misnumber = time.Time{}, misnumberNone
+		s.model.Thaw(now)
 		s.model.Slow(now, 1)
 	default:
 		return failure.New(failure.KindBadRequest, "kind: %q is no fault of an engine", f.Kind)
--- a/internal/standin/model/faults.go
+++ b/internal/standin/model/faults.go
@@ -25,6 +25,16 @@
 	e.stall(d)
 }
 
+// Thaw ends a freeze early.
+func (e *Engine) Thaw(now time.Duration) {
+	e.catchUp(now)
+	left := max(0, e.stalledUntil-e.now)
+	e.stalledUntil -= left
+	if e.stepping {
+		e.stepEnd -= left
+	}
+}
+
 // Cold takes the engine's warmth without any other sign.
 func (e *Engine) Cold(now time.Duration) {
 	e.catchUp(now)
@@ -47,10 +57,13 @@
 	e.record()
 }
 
+// stall holds the step in progress and the next one back until d from now. Of
+// stalls that overlap the one that ends last counts.
 func (e *Engine) stall(d time.Duration) {
+	longer := max(0, e.now+d-max(e.stalledUntil, e.now))
 	e.stalledUntil = max(e.stalledUntil, e.now+d)
 	if e.stepping {
-		e.stepEnd += d
+		e.stepEnd += longer
 	}
 }
 
--- a/internal/standin/model/fuzz_test.go
+++ b/internal/standin/model/fuzz_test.go
@@ -23,6 +23,10 @@
 			e.Cold(now)
 		case 9:
 			e.Freeze(now, time.Duration(arg)*ms)
+			if arg%4 == 0 {
+				e.Thaw(now + time.Duration(arg/2)*ms)
+				now = e.Now()
+			}
 		case 10:
 			e.Slow(now, float64(1+arg%4))
 		case 11:
--- a/internal/standin/model/model_test.go
+++ b/internal/standin/model/model_test.go
@@ -241,6 +241,8 @@
 	},
 		Entry("none", func(*model.Engine) {}, "11:1 22:1"),
 		Entry("freeze", func(e *model.Engine) { e.Freeze(5*ms, 100*ms) }, "111:1 122:1"),
+		Entry("freeze twice", func(e *model.Engine) { e.Freeze(5*ms, 100*ms); e.Freeze(6*ms, 20*ms) }, "111:1 122:1"),
+		Entry("freeze, ended early", func(e *model.Engine) { e.Freeze(5*ms, 100*ms); e.Thaw(55 * ms); e.Thaw(56 * ms) }, "61:1 72:1"),
 		Entry("slow", func(e *model.Engine) { e.Slow(5*ms, 3) }, "11:1 44:1"),
 		Entry("crash", func(e *model.Engine) { e.Crash(15 * ms) }, ""),
 		Entry("reclaim", func(e *model.Engine) { e.Reclaim(5*ms, 10*ms) }, "11:1 15:0"),
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -42,11 +42,14 @@
 type Config struct {
 	// CallsPerSecond is the rate over all readers; 0 means no limit.
 	CallsPerSecond int
+	// Now tells the time that the rate goes by; nil means the wall clock.
+	Now func() time.Time
 }
 
 // Server is the configuration service. Handler and Close are safe for
 // concurrent use.
 type Server struct {
+	now     func() time.Time
 	mu      sync.Mutex
 	store   *store
 	stale   *store
@@ -60,8 +63,11 @@
 
 // NewServer returns an empty service in normal mode.
 func NewServer(cfg Config) *Server {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
 	return &Server{
-		store: newStore(), mode: ModeNormal, limiter: limiter{perSecond: cfg.CallsPerSecond},
+		now: cfg.Now, store: newStore(), mode: ModeNormal, limiter: limiter{perSecond: cfg.CallsPerSecond},
 		changed: make(chan struct{}), closed: make(chan struct{}),
 	}
 }
@@ -160,7 +166,7 @@
 // is down it drops the connection.
 func (s *Server) admit(w http.ResponseWriter, prefix string) bool {
 	s.mu.Lock()
-	allowed := s.limiter.take(time.Now(), prefix)
+	allowed := s.limiter.take(s.now(), prefix)
 	mode := s.mode
 	s.mu.Unlock()
 	if mode == ModeDown {
