--- a/internal/table/apply.go
+++ b/internal/table/apply.go
@@ -75,7 +75,7 @@
 		faults.add(Fault{Row: line, Column: "(row)", Value: c.Key, Allowed: "one row in canonical form"})
 		return
 	}
-	row := &rowReader{at: place{0, line}, header: columns, cells: cells, faults: faults}
+	row := &rowReader{at: place{0, line}, header: columns, index: canonicalIndex, cells: cells, faults: faults}
 	before := len(b.seen)
 	b.add(row)
 	if _, ok := b.seen[c.Key]; (!ok || len(b.seen) != before+1) && !row.failed {
--- a/internal/table/cells.go
+++ b/internal/table/cells.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/hex"
 	"math"
-	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -16,18 +15,19 @@
 type rowReader struct {
 	at     place
 	header []string
+	// index gives each column's place in the header.
+	index  map[string]int
 	cells  []string
 	faults *Faults
 	failed bool
 }
 
 func (r *rowReader) cell(column string) string {
-	for i, h := range r.header {
-		if h == column && i < len(r.cells) {
-			return strings.TrimSpace(r.cells[i])
-		}
+	i, ok := r.index[column]
+	if !ok || i >= len(r.cells) {
+		return ""
 	}
-	return ""
+	return strings.TrimSpace(r.cells[i])
 }
 
 func (r *rowReader) fault(column, value, allowed string) {
@@ -47,11 +47,21 @@
 	}
 }
 
-var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
-
 // validName tells whether a name may stand in a URL, a metric and a log.
 func validName(name string) bool {
-	return len(name) <= maxName && namePattern.MatchString(name)
+	if name == "" || len(name) > maxName || !letterOrDigit(name[0]) {
+		return false
+	}
+	for i := range len(name) {
+		if !letterOrDigit(name[i]) && !strings.ContainsRune("._-", rune(name[i])) {
+			return false
+		}
+	}
+	return true
+}
+
+func letterOrDigit(c byte) bool {
+	return c >= '0' && c <= '9' || c >= 'A' && c <= 'Z' || c >= 'a' && c <= 'z'
 }
 
 func (r *rowReader) name() string {
--- a/internal/table/columns.go
+++ b/internal/table/columns.go
@@ -25,6 +25,9 @@
 	colType, colDelivery, colMaxTokens, colMaxWait, colQueueLimit,
 }
 
+// canonicalIndex gives each column's place in the canonical header.
+var canonicalIndex = indexOf(columns)
+
 // Columns gives the table's columns in canonical order.
 func Columns() []string { return append([]string(nil), columns...) }
 
--- a/internal/table/parse.go
+++ b/internal/table/parse.go
@@ -56,6 +56,7 @@
 	comma  rune
 	// header gives the canonical column of each cell; nil until it was read.
 	header []string
+	index  map[string]int
 	rows   int
 }
 
@@ -122,7 +123,7 @@
 	if len(cells) > len(p.header) && !blank(cells[len(p.header):]) {
 		p.faults.add(Fault{Page: p.page, Row: line, Column: "(row)", Value: strconv.Itoa(len(cells)) + " cells", Allowed: "as many cells as the header has"})
 	}
-	row := rowReader{at: place{p.page, line}, header: p.header, cells: cells, faults: &p.faults}
+	row := rowReader{at: place{p.page, line}, header: p.header, index: p.index, cells: cells, faults: &p.faults}
 	p.build.add(&row)
 	return true
 }
@@ -148,7 +149,7 @@
 	if !seen[colName] {
 		p.faults.add(Fault{Page: p.page, Row: line, Column: "(header)", Value: "", Allowed: "a column " + colName})
 	}
-	p.header = names
+	p.header, p.index = names, indexOf(names)
 	return true
 }
 
@@ -181,3 +182,11 @@
 	}
 	return true
 }
+
+func indexOf(header []string) map[string]int {
+	m := make(map[string]int, len(header))
+	for i, h := range header {
+		m[h] = i
+	}
+	return m
+}
