--- a/internal/decide/once/hosts.go
+++ b/internal/decide/once/hosts.go
@@ -19,6 +19,15 @@
 	Confirmed time.Duration
 }
 
+// digest is equal for lists of the same hosts, in any order.
+func (l HostList) digest() uint64 {
+	var sum uint64
+	for _, name := range l.Live {
+		sum += xxhash.Sum64String(name)
+	}
+	return sum
+}
+
 // ConfirmedAt converts a wall-clock time of a confirmation, as told by another
 // process, to the monotonic scale: age by the wall clocks, plus the bound on
 // how far two hosts' wall clocks differ.
@@ -35,6 +44,7 @@
 	self     uint64
 	selfName string
 	revision uint64
+	digest   uint64 // of the list's content
 	// news is the highest revision that a peer was heard to have while it was
 	// newer than ours, newsAt when that was heard first.
 	news      uint64
@@ -74,12 +84,13 @@
 	if o.known && list.Confirmed < o.confirmed && list.Revision <= o.revision {
 		return // an older confirmation that came late says nothing new
 	}
-	broken := o.breaks(list, unbroken)
+	digest := list.digest()
+	broken := o.breaks(list, digest, unbroken)
 	if broken || list.Revision != o.revision {
 		o.replace(now, list, broken)
 		o.forget(now - forget)
 	}
-	o.known, o.revision, o.confirmed = true, list.Revision, list.Confirmed
+	o.known, o.revision, o.digest, o.confirmed = true, list.Revision, digest, list.Confirmed
 	if o.news <= o.revision || o.newsAt < list.Confirmed {
 		o.news = 0
 	}
@@ -87,13 +98,16 @@
 
 // breaks tells whether other lists may have been in force, for long enough to
 // matter, without this process knowing: after a long time without
-// confirmation, after a restore to an older state, and when the service still
+// confirmation, after a restore to an older state (a revision that falls, or
+// one that is used a second time for another list), and when the service still
 // shows an older list than a peer had before we asked. Ownership then begins
 // anew.
-func (o *ownership) breaks(list HostList, unbroken time.Duration) bool {
+func (o *ownership) breaks(list HostList, digest uint64, unbroken time.Duration) bool {
 	switch {
 	case !o.known, list.Confirmed-o.confirmed > unbroken, list.Revision < o.revision:
 		return true
+	case list.Revision == o.revision && digest != o.digest:
+		return true
 	default:
 		return o.news > list.Revision && o.newsAt < list.Confirmed
 	}
--- a/internal/decide/once/once.go
+++ b/internal/decide/once/once.go
@@ -198,7 +198,10 @@
 	fingerprint uint64
 	answer      *Answer
 	held        int // bytes that count against MaxAnswerBytes
-	expires     time.Duration
+	// first is the earliest time at which the key can have been accepted
+	// anywhere.
+	first   time.Duration
+	expires time.Duration
 }
 
 // Register is an entry's record of the calls that it may run. It is not safe
@@ -262,22 +265,22 @@
 	if d, mine := r.place(now, call, id); !mine {
 		return d
 	}
-	expires, err := r.mayRun(now, call, id)
+	life, err := r.mayRun(now, call, id)
 	if err != nil {
 		return refuse(err)
 	}
 	if err := r.room(now); err != nil {
 		return refuse(err)
 	}
-	r.reserve(id, call, expires)
+	r.reserve(id, call, life)
 	return Decision{Action: Run}
 }
 
 // reserve puts a key on record and sets room for its answer aside.
-func (r *Register) reserve(id string, call Call, expires time.Duration) {
+func (r *Register) reserve(id string, call Call, life lifetime) {
 	rec := &record{
 		id: id, place: notQueued, state: stateReserved, kind: call.Key.Kind,
-		fingerprint: call.Fingerprint, expires: expires,
+		fingerprint: call.Fingerprint, first: life.first, expires: life.expires,
 	}
 	r.records[id] = rec
 	r.hold(rec, r.cfg.MaxAnswer)
@@ -360,9 +363,11 @@
 	return failure.New(failure.KindKeyUnvouched, "%s; it may have run at another entry", why).Unknown()
 }
 
-// mayRun decides whether this process, the key's owner, may run a new key, and
-// until when the key has to be remembered.
-func (r *Register) mayRun(now time.Duration, call Call, id string) (time.Duration, *failure.Error) {
+// lifetime is the time in which a key can have been and will be accepted.
+type lifetime struct{ first, expires time.Duration }
+
+// mayRun decides whether this process, the key's owner, may run a new key.
+func (r *Register) mayRun(now time.Duration, call Call, id string) (lifetime, *failure.Error) {
 	switch call.Key.Kind {
 	case KeyMinted:
 		return r.mayRunMinted(now, call.Key)
@@ -373,50 +378,48 @@
 	}
 }
 
-func (r *Register) mayRunMinted(now time.Duration, key Key) (time.Duration, *failure.Error) {
+func (r *Register) mayRunMinted(now time.Duration, key Key) (lifetime, *failure.Error) {
 	expires := key.MintedAt + r.cfg.MintedLife
 	if now >= expires {
-		return 0, failure.New(failure.KindKeyExpired, "the key's life is over").Unknown()
+		return lifetime{}, failure.New(failure.KindKeyExpired, "the key's life is over").Unknown()
 	}
-	return expires, nil
+	return lifetime{first: key.MintedAt, expires: expires}, nil
 }
 
-func (r *Register) mayRunOrdered(now time.Duration, call Call, id string) (time.Duration, *failure.Error) {
+func (r *Register) mayRunOrdered(now time.Duration, call Call, id string) (lifetime, *failure.Error) {
 	age := call.Wall.Sub(call.Key.Stamp)
 	if age < -r.cfg.AheadLimit {
-		return 0, failure.New(failure.KindKeyInvalid, "the key's time lies in the future").Unknown()
+		return lifetime{}, failure.New(failure.KindKeyInvalid, "the key's time lies in the future").Unknown()
 	}
 	if age >= r.cfg.OrderedLife {
-		return 0, failure.New(failure.KindKeyExpired, "the key's life is over").Unknown()
+		return lifetime{}, failure.New(failure.KindKeyExpired, "the key's life is over").Unknown()
 	}
-	first := now - age - r.cfg.AheadLimit - r.cfg.ClockError
-	since, err := r.vouch(now, id)
-	if err != nil {
-		return 0, err
+	life := lifetime{
+		first: now - age - r.cfg.AheadLimit - r.cfg.ClockError,
+		// Past this time every entry finds the key expired by its stamp.
+		expires: now - age + r.cfg.OrderedLife + r.cfg.ClockError,
 	}
-	if first < since+r.cfg.holdOff() {
-		// This can't change any more: the key's time stays what it is.
-		return 0, unvouched("the key is older than this entry's ownership")
+	ready, err := r.vouch(now, id)
+	if err == nil && life.first < ready {
+		// Waiting does not help: the key's time stays what it is.
+		err = unvouched("the key is older than this entry's ownership")
 	}
-	// Past this time every entry finds the key expired by its stamp.
-	return now - age + r.cfg.OrderedLife + r.cfg.ClockError, nil
+	return life, err
 }
 
-func (r *Register) mayRunOpaque(now time.Duration, id string) (time.Duration, *failure.Error) {
-	since, err := r.vouch(now, id)
-	if err != nil {
-		return 0, err
+func (r *Register) mayRunOpaque(now time.Duration, id string) (lifetime, *failure.Error) {
+	life := lifetime{first: now - r.cfg.OpaqueWindow, expires: now + r.cfg.OpaqueWindow}
+	ready, err := r.vouch(now, id)
+	if err == nil && life.first < ready {
+		err = unvouched("this entry became the key's owner too recently").After(ready - life.first)
 	}
-	ready := since + r.cfg.holdOff() + r.cfg.OpaqueWindow
-	if now < ready {
-		return 0, unvouched("this entry became the key's owner too recently").After(ready - now)
-	}
-	return now + r.cfg.OpaqueWindow, nil
+	return life, err
 }
 
-// vouch gives the time since which this process has owned the key, provided
-// that its list is confirmed.
-func (r *Register) vouch(now time.Duration, id string) (time.Duration, *failure.Error) {
+// vouch gives the time from which on this process can vouch for the key: it
+// has owned it without a break, and earlier owners have stopped. It fails
+// while the host list is not confirmed.
+func (r *Register) vouch(now time.Duration, id string) (ready time.Duration, err *failure.Error) {
 	since, ok := r.owners.since(hashOf(id))
 	if !ok {
 		return 0, unvouched("this entry is not the key's owner").After(r.cfg.Freshness)
@@ -427,7 +430,7 @@
 	if r.owners.news > r.owners.revision {
 		return 0, unvouched("a newer host list exists").After(r.cfg.Freshness)
 	}
-	return since, nil
+	return since + r.cfg.holdOff(), nil
 }
 
 // room makes place for one more key, or refuses: forgetting a live key would
@@ -456,7 +459,12 @@
 	}
 	until = rec.expires
 	if key.Kind != KeyMinted {
-		if _, err := r.vouch(now, id); err != nil {
+		ready, err := r.vouch(now, id)
+		if err == nil && rec.first < ready {
+			// The key was another's for a while since Begin.
+			err = unvouched("this entry lost the key for a while")
+		}
+		if err != nil {
 			r.drop(rec)
 			return 0, err
 		}
