--- a/Makefile
+++ b/Makefile
@@ -8,12 +8,12 @@
 # Packages whose tests run with the race detector.
 RACE_PACKAGES ?= ./...
 
-.PHONY: build test fmt-check vet lint generate generate-check unit demo
+.PHONY: build test fmt-check vet lint generate generate-check reference reference-check unit demo
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
-test: fmt-check vet lint generate-check build unit
+test: fmt-check vet lint generate-check build reference-check unit
 
 fmt-check:
 	@files=$$(gofmt -s -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
@@ -32,6 +32,13 @@
 generate-check: generate
 	@git diff --exit-code --stat -- internal/api || { echo "generated code is out of date: run make generate"; exit 1; }
 
+# The configuration reference must equal what the settings declare.
+reference: build
+	$(BIN)/filbert-reference > docs/configuration.md
+
+reference-check: build
+	@$(BIN)/filbert-reference | cmp - docs/configuration.md || { echo "docs/configuration.md is out of date: run make reference"; exit 1; }
+
 unit:
 	$(GO) test -race -timeout 20m $(RACE_PACKAGES)
 
