Measure what an entry costs: filbert-overhead

Cause: the aims (100 us of processor time a request, one allocation a token, 20 KB a stream) need figures. The profile shows a quarter in the scheduler (parking and waking between requests) and the rest in socket calls; ruled out: the decision code (not among the first 60 lines).

--- /dev/null
+++ b/cmd/filbert-overhead/main.go
@@ -0,0 +1,48 @@
+// Filbert-overhead measures what an entry and a control process cost.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"filbertdeck/internal/overhead"
+	"filbertdeck/internal/version"
+)
+
+type args struct {
+	BinDir   string        `arg:"--bin-dir" default:"bin" help:"folder of the programs"`
+	Requests int           `arg:"--requests" default:"1000" help:"requests of the latency comparison"`
+	Streams  int           `arg:"--streams" default:"200" help:"streams of the token measurement"`
+	Tokens   int           `arg:"--tokens" default:"1000" help:"tokens of each of them"`
+	Open     int           `arg:"--open" default:"2000" help:"streams that are held open at once"`
+	Idle     time.Duration `arg:"--idle" default:"5s" help:"how long an idle control process is watched"`
+}
+
+// Version implements go-arg's versioned interface.
+func (args) Version() string { return "filbert-overhead " + version.String() }
+
+// limit bounds the whole measurement.
+const limit = 5 * time.Minute
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	cfg := overhead.Config{
+		BinDir: a.BinDir, Requests: a.Requests, Streams: a.Streams, Tokens: a.Tokens, Open: a.Open, Idle: a.Idle,
+	}
+	if err := overhead.Run(ctx, cfg, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "measurement failed:", err)
+		cancel()
+		os.Exit(1)
+	}
+}
--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -117,7 +117,7 @@
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
-	r.Handle("/metrics", metrics.Handler(reg))
+	metrics.Mount(r, reg)
 	server := &http.Server{Handler: r, ReadHeaderTimeout: adminReadLimit}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -199,7 +199,7 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/healthz", life.Healthz)
 	r.HandleFunc("/readyz", life.Readyz)
-	r.Handle("/metrics", metrics.Handler(reg))
+	metrics.Mount(r, reg)
 	r.HandleFunc("/state", b.ServeSummary)
 	r.HandleFunc("/accounting", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -4,7 +4,9 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 
+	"github.com/gorilla/mux"
 	gometrics "github.com/rcrowley/go-metrics"
 )
 
@@ -25,3 +27,10 @@
 		_ = enc.Encode(r.GetAll())
 	})
 }
+
+// Mount adds the counters and Go's profiles to an administration listener.
+func Mount(r *mux.Router, reg gometrics.Registry) {
+	r.Handle("/metrics", Handler(reg))
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	r.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
+}
