--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -35,8 +35,8 @@
 
 // stream is a stream that the test follows.
 type stream struct {
-	resp   *http.Response
-	lines  *bufio.Scanner
+	resp  *http.Response
+	lines *bufio.Scanner
 }
 
 var _ = Describe("the engine", func() {
