--- /dev/null
+++ b/internal/load/stream.go
@@ -0,0 +1,123 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"filbertdeck/internal/failure"
+)
+
+// doneData is the data of a stream's last event.
+const doneData = "[DONE]"
+
+// following is a stream that is being followed over one or more connections.
+type following struct {
+	caller *caller
+	call   Call
+	check  checker
+	out    outcome
+	handle string
+	last   time.Time
+	done   bool
+}
+
+// stream follows a generation; a lost connection is resumed at another entry
+// by the handle of the last event.
+func (c *caller) stream(ctx context.Context, call Call) outcome {
+	f := &following{caller: c, call: call}
+	f.out.attempts, f.out.err = c.client.retry(ctx, f.received, func() error { return f.connect(ctx) })
+	if f.out.err == nil && f.out.violation == "" {
+		f.out.violation = f.check.complete(call.Length)
+	}
+	f.out.tokens = f.check.next
+	return f.out
+}
+
+func (f *following) received() int { return f.check.next }
+
+// connect follows one connection to its end.
+func (f *following) connect(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(f.caller.client.target.Silence, cancel)
+	defer silence.Stop()
+	q := f.caller.completion(f.call, true)
+	if f.handle != "" {
+		q.headers = append(q.headers, [2]string{"Last-Event-ID", f.handle})
+	}
+	resp, err := f.caller.client.send(ctx, q)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(resp.Body, maxEventLine))
+		return refusal(resp, body)
+	}
+	return f.events(newEventReader(resp.Body, func() { silence.Reset(f.caller.client.target.Silence) }))
+}
+
+var errStreamEnded = errors.New("stream ended before its last event")
+
+func (f *following) events(r *eventReader) error {
+	for !f.done && f.out.violation == "" {
+		e, ok := r.next()
+		if !ok {
+			return lost(errStreamEnded)
+		}
+		if e.name == "error" {
+			return streamFailure(e.data)
+		}
+		f.take(e)
+	}
+	return nil
+}
+
+func streamFailure(data string) error {
+	var p failure.Problem
+	if json.Unmarshal([]byte(data), &p) != nil {
+		return failure.New(failure.KindInternal, "stream failed without a problem document").Unknown()
+	}
+	return failure.FromProblem(p)
+}
+
+// take checks one event and notes its time.
+func (f *following) take(e event) {
+	if e.data == doneData {
+		f.done = true
+		return
+	}
+	a, ok := parseCompletion([]byte(e.data))
+	if !ok {
+		f.out.violation = ViolationMalformed
+		return
+	}
+	if e.id != "" {
+		f.handle = e.id
+	}
+	f.out.violation = f.check.add(a.piece())
+	if f.out.violation == "" && a.Filbert.Tokens > 0 {
+		f.time(a.Filbert.Tokens)
+	}
+}
+
+// time notes the gap before an event's first token; its other tokens came
+// together with it.
+func (f *following) time(tokens int) {
+	now := time.Now()
+	if f.last.IsZero() {
+		f.out.first = now
+	} else {
+		gap := now.Sub(f.last)
+		f.caller.gap(f.call, gap)
+		f.out.stall += max(0, gap-f.caller.bound)
+	}
+	for range tokens - 1 {
+		f.caller.gap(f.call, 0)
+	}
+	f.last = now
+}
