--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"filbertdeck/internal/failure"
 )
 
@@ -74,33 +76,45 @@
 	body, _ := json.Marshal(completionBody{
 		Model: c.client.service(call.Kind), Prompt: c.prompt(call), MaxTokens: call.Kind.Output.Max, Stream: stream,
 	})
-	return request{method: http.MethodPost, path: "/v1/completions", body: string(body), account: call.Account}
+	return request{method: http.MethodPost, path: "/v1/completions", body: string(body), account: call.Account, generation: true}
+}
+
+// position says where an answer's tokens belong.
+type position struct {
+	Generation string `json:"generation"`
+	Offset     int    `json:"offset"`
+	Tokens     int    `json:"tokens"`
 }
 
-// completionAnswer is the callers' answer, whole or one event of it.
+// completionAnswer is the callers' answer, whole or one event of it. An engine
+// that is called directly gives position and text at the top level.
 type completionAnswer struct {
+	position
+	Text    string `json:"text"`
 	Choices []struct {
 		Text string `json:"text"`
 	} `json:"choices"`
 	Usage struct {
 		CompletionTokens int `json:"completion_tokens"`
 	} `json:"usage"`
-	Filbert struct {
-		Generation string `json:"generation"`
-		Offset     int    `json:"offset"`
-		Tokens     int    `json:"tokens"`
-	} `json:"filbert"`
+	Filbert position `json:"filbert"`
 }
 
-func parseCompletion(data []byte) (completionAnswer, bool) {
+func parseCompletion(data []byte, direct bool) (completionAnswer, bool) {
 	var a completionAnswer
 	err := json.Unmarshal(data, &a)
-	return a, err == nil && len(a.Choices) == 1
+	if direct && a.Filbert.Generation == "" {
+		a.Filbert = a.position
+	}
+	return a, err == nil && (len(a.Choices) == 1 || direct)
 }
 
 func (a completionAnswer) piece() piece {
-	f := a.Filbert
-	return piece{generation: f.Generation, offset: f.Offset, tokens: f.Tokens, text: a.Choices[0].Text}
+	f, text := a.Filbert, a.Text
+	if len(a.Choices) == 1 {
+		text = a.Choices[0].Text
+	}
+	return piece{generation: f.Generation, offset: f.Offset, tokens: f.Tokens, text: text}
 }
 
 func (c *caller) whole(ctx context.Context, call Call) outcome {
@@ -113,7 +127,7 @@
 	if o.err != nil {
 		return o
 	}
-	a, ok := parseCompletion(body)
+	a, ok := parseCompletion(body, c.client.target.direct())
 	if !ok {
 		o.violation = ViolationMalformed
 		return o
@@ -141,7 +155,7 @@
 	var o outcome
 	var body []byte
 	q := request{method: http.MethodGet, account: call.Account}
-	q.path = servicePath(c.client.service(call.Kind), "items/"+strconv.Itoa(call.Number%100)+"?mark="+c.mark(call))
+	q.path = c.client.servicePath(call.Kind, "items/"+strconv.Itoa(call.Number%100)+"?mark="+c.mark(call))
 	o.attempts, o.err = c.client.retry(ctx, noProgress, func() (err error) {
 		body, err = c.client.answer(ctx, q)
 		return err
@@ -171,14 +185,9 @@
 // sends the call again under the same key, as a careful caller does.
 func (c *caller) once(ctx context.Context, call Call) outcome {
 	var o outcome
-	var key struct {
-		Key string `json:"key"`
-	}
-	o.attempts, o.err = c.client.retry(ctx, noProgress, func() error {
-		body, err := c.client.answer(ctx, request{method: http.MethodPost, path: "/v1/idempotency-keys", account: call.Account})
-		if err == nil && (json.Unmarshal(body, &key) != nil || key.Key == "") {
-			return failure.New(failure.KindInternal, "no key in the answer")
-		}
+	var key string
+	o.attempts, o.err = c.client.retry(ctx, noProgress, func() (err error) {
+		key, err = c.mintKey(ctx, call)
 		return err
 	})
 	if o.err != nil {
@@ -186,7 +195,7 @@
 	}
 	q := request{
 		method: http.MethodPost, account: call.Account, body: strconv.Quote(c.mark(call)),
-		path: servicePath(c.client.service(call.Kind), "orders"), headers: [][2]string{{"Idempotency-Key", key.Key}},
+		path: c.client.servicePath(call.Kind, "orders"), headers: [][2]string{{"Idempotency-Key", key}},
 	}
 	var body []byte
 	again, err := c.client.retry(ctx, noProgress, func() (err error) {
@@ -199,3 +208,21 @@
 	}
 	return o
 }
+
+// mintKey asks an entry for a key; a stand-in that is called directly takes any.
+func (c *caller) mintKey(ctx context.Context, call Call) (string, error) {
+	if c.client.target.direct() {
+		return uuid.NewString(), nil
+	}
+	body, err := c.client.answer(ctx, request{method: http.MethodPost, path: "/v1/idempotency-keys", account: call.Account})
+	if err != nil {
+		return "", err
+	}
+	var minted struct {
+		Key string `json:"key"`
+	}
+	if json.Unmarshal(body, &minted) != nil || minted.Key == "" {
+		return "", failure.New(failure.KindInternal, "no key in the answer")
+	}
+	return minted.Key, nil
+}
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -19,6 +19,10 @@
 type Target struct {
 	// Entries are ip:port.
 	Entries []string
+	// DirectEngines and DirectApps are stand-ins that are called without the
+	// system between, as the measure of what the system adds. They take the
+	// place of Entries; a lost stream is not resumed then.
+	DirectEngines, DirectApps []string
 	// Accounts and Keys go together.
 	Accounts, Keys []string
 	// Services replaces a kind's service, by the kind's name.
@@ -64,10 +68,19 @@
 
 func (c *client) close() { c.http.CloseIdleConnections() }
 
-// entry gives the entries in turn, so that calls spread and a retry goes to
+func (t *Target) direct() bool { return len(t.DirectEngines)+len(t.DirectApps) > 0 }
+
+// address gives the entries in turn, so that calls spread and a retry goes to
 // another one.
-func (c *client) entry() string {
-	return c.target.Entries[c.turn.Add(1)%uint64(len(c.target.Entries))]
+func (c *client) address(generation bool) string {
+	list := c.target.Entries
+	if c.target.direct() {
+		list = c.target.DirectApps
+	}
+	if c.target.direct() && generation {
+		list = c.target.DirectEngines
+	}
+	return list[c.turn.Add(1)%uint64(len(list))]
 }
 
 func (c *client) service(k *Kind) string {
@@ -81,7 +94,9 @@
 type request struct {
 	method, path, body string
 	account            int
-	headers            [][2]string
+	// generation tells completions from calls of plain services.
+	generation bool
+	headers    [][2]string
 }
 
 // Kinds of failures that the tool itself sees. Their names differ from those
@@ -95,7 +110,7 @@
 // send gives the response, whose body the caller closes. Its error is of kind
 // connection-lost: nobody knows what became of the request.
 func (c *client) send(ctx context.Context, q request) (*http.Response, error) {
-	r, err := http.NewRequestWithContext(ctx, q.method, "http://"+c.entry()+q.path, strings.NewReader(q.body))
+	r, err := http.NewRequestWithContext(ctx, q.method, "http://"+c.address(q.generation)+q.path, strings.NewReader(q.body))
 	if err != nil {
 		return nil, failure.Wrap(err, failure.KindInternal, "request can't be made")
 	}
@@ -184,6 +199,11 @@
 	return err
 }
 
-func servicePath(service, rest string) string {
-	return fmt.Sprintf("/v1/services/%s/%s", service, rest)
+// servicePath gives the path of a call, which a stand-in sees without the
+// entry's prefix.
+func (c *client) servicePath(k *Kind, rest string) string {
+	if c.target.direct() {
+		return "/" + rest
+	}
+	return fmt.Sprintf("/v1/services/%s/%s", c.service(k), rest)
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -21,6 +21,9 @@
 	. "github.com/onsi/gomega"
 
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/standin/app"
+	"filbertdeck/internal/standin/engine"
+	"filbertdeck/internal/standin/model"
 )
 
 func TestLoad(t *testing.T) {
@@ -275,6 +278,21 @@
 		Expect(g.Tokens).To(BeNumerically(">=", 3*g.Refused))
 	})
 
+	It("calls stand-ins directly, as a measure of what the system adds", func() {
+		e := engine.NewServer(engine.Config{Model: model.Config{BaseStep: 100 * time.Microsecond}})
+		defer e.Close()
+		engines, apps := httptest.NewServer(e.Handler()), httptest.NewServer(app.NewServer(app.Config{}).Handler())
+		defer engines.Close()
+		defer apps.Close()
+		var out, errOut bytes.Buffer
+		Expect(Main([]string{"run", "--direct-engine", engines.Listener.Addr().String(), "--direct-app", apps.Listener.Addr().String(),
+			"--api-key", "a=KEY", "--rate", "400", "--duration", "250ms", "--length-scale", "0.01"}, &out, &errOut)).To(BeZero())
+		var r Result
+		Expect(json.Unmarshal(out.Bytes(), &r)).To(Succeed())
+		Expect(r.Total.Whole).To(Equal(r.Total.Sent))
+		Expect(r.Kinds["report"].Tokens).To(BeNumerically(">", 0))
+	})
+
 	// The system hangs for a moment. A tool that times calls from their actual
 	// start reports a few slow ones; callers of a fixed rate would all have waited.
 	It("times from the intended start", func() {
@@ -313,6 +331,9 @@
 	Entry("subcommand", "walk", `first argument is "walk"; allowed: run, compare, profiles`),
 	Entry("no entry", "run --api-key a=SECRET", `--entry (FILBERT_LOAD_ENTRY) is ""; allowed: at least one ip:port`),
 	Entry("entry", "run --entry here --api-key a=SECRET", `--entry (FILBERT_LOAD_ENTRY) is "here"`),
+	Entry("entries and stand-ins", "run --entry 127.0.0.1:1 --direct-app 127.0.0.1:2", "none beside --direct-engine"),
+	Entry("no engine", "run --direct-app 127.0.0.1:2", "--direct-engine"),
+	Entry("no app", "run --direct-engine 127.0.0.1:2", "--direct-app"),
 	Entry("no key", "run --entry 127.0.0.1:1", "--api-key (FILBERT_LOAD_API_KEY)"),
 	Entry("key", "run --entry 127.0.0.1:1 --api-key SECRET", "account=KEY"),
 	Entry("rate", "run --rate 0", `--rate (FILBERT_LOAD_RATE) is "0": out of range`),
@@ -353,7 +374,7 @@
 	f.Add([]byte("event: error\ndata: {\"title\":\"overloaded\"}\n\n"), 2)
 	f.Add([]byte("data: {\"choices\":[{\"text\":\"- w- w\"}],\"filbert\":{\"generation\":\"g\",\"tokens\":-3}}\n\n"), 3)
 	f.Fuzz(func(t *testing.T, data []byte, length int) {
-		c := &caller{bound: time.Second, gap: func(Call, time.Duration) {}}
+		c := &caller{client: &client{}, bound: time.Second, gap: func(Call, time.Duration) {}}
 		s := &following{caller: c, call: Call{Kind: &Kind{Type: TypeStream}, Length: length}}
 		err := s.events(newEventReader(bytes.NewReader(data), func() {}))
 		if err == nil && s.out.violation == "" && !s.done {
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -71,10 +71,10 @@
 			Kinds: []Kind{
 				{Name: "report", Service: "reports", Type: TypeStream, Share: 0.30,
 					Prompt: LogNormal{400, 0.6, 4000}, Output: LogNormal{1500, 0.8, 8192}},
-				{Name: "contract", Service: "contracts", Type: TypeWhole, Share: 0.15,
+				{Name: "contract", Service: "summaries", Type: TypeWhole, Share: 0.15,
 					Prompt: LogNormal{2500, 0.5, 8000}, Output: LogNormal{300, 0.7, 4096}},
 				{Name: "lookup", Service: "sites", Type: TypeLookup, Share: 0.45},
-				{Name: "booking", Service: "bookings", Type: TypeOnce, Share: 0.10},
+				{Name: "booking", Service: "orders", Type: TypeOnce, Share: 0.10},
 			},
 			StallBound: stallBound,
 		},
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -67,12 +67,12 @@
 	Violations map[Violation]int `json:"violations,omitempty"`
 	// FirstToken, Answer and Refusal run from the intended start; Answer is for
 	// whole answers, Refusal for refusals.
-	FirstToken    Summary `json:"first_token"`
-	BetweenTokens Summary `json:"between_tokens"`
+	FirstToken    Summary `json:"first_token,omitzero"`
+	BetweenTokens Summary `json:"between_tokens,omitzero"`
 	// Stall is the time per stream that gaps took beyond the bound.
-	Stall   Summary `json:"stall"`
-	Answer  Summary `json:"answer"`
-	Refusal Summary `json:"refusal"`
+	Stall   Summary `json:"stall,omitzero"`
+	Answer  Summary `json:"answer,omitzero"`
+	Refusal Summary `json:"refusal,omitzero"`
 }
 
 // Result is a run's outcome, as written to its JSON file.
--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -12,6 +12,8 @@
 // RunSettings are the flags and variables of filbert-load run.
 type RunSettings struct {
 	Entries       []string      `arg:"--entry,separate,env:FILBERT_LOAD_ENTRY" check:"hostport" help:"ip:port of an entry; repeat it to spread the callers"`
+	DirectEngines []string      `arg:"--direct-engine,separate,env:FILBERT_LOAD_DIRECT_ENGINE" check:"hostport" help:"ip:port of an engine stand-in to call without the system between; repeat it"`
+	DirectApps    []string      `arg:"--direct-app,separate,env:FILBERT_LOAD_DIRECT_APP" check:"hostport" help:"the same for a plain service's stand-in"`
 	APIKeys       []string      `arg:"--api-key,separate,env:FILBERT_LOAD_API_KEY" secret:"true" help:"account=KEY; repeat it, largest account first"`
 	Services      []string      `arg:"--service,separate,env:FILBERT_LOAD_SERVICE" help:"kind=service, to replace a kind's service; repeat it"`
 	Profile       string        `arg:"--profile,env:FILBERT_LOAD_PROFILE" check:"foundation|cooperative" default:"foundation" help:"mix of calls"`
@@ -44,8 +46,8 @@
 }
 
 func (s *RunSettings) config() (Config, error) {
-	if len(s.Entries) == 0 {
-		return Config{}, invalid("--entry (FILBERT_LOAD_ENTRY)", "", "at least one ip:port")
+	if err := s.checkAddresses(); err != nil {
+		return Config{}, err
 	}
 	if s.Warmup >= s.Duration {
 		return Config{}, invalid("--warmup (FILBERT_LOAD_WARMUP)", s.Warmup.String(), "less than --duration, which is "+s.Duration.String())
@@ -64,13 +66,29 @@
 			Duration: s.Duration, LengthScale: s.LengthScale, Seed: s.Seed,
 		},
 		Target: Target{
-			Entries: s.Entries, Accounts: accounts, Keys: keys, Services: services,
+			Entries: s.Entries, DirectEngines: s.DirectEngines, DirectApps: s.DirectApps, Accounts: accounts, Keys: keys, Services: services,
 			Timeout: s.Timeout, Silence: s.Silence, Attempts: s.Attempts,
 		},
 		Warmup: s.Warmup, MaxInProgress: s.MaxInProgress, ProgressEvery: s.ProgressEvery,
 	}, err
 }
 
+// checkAddresses wants either entries or both kinds of stand-ins.
+func (s *RunSettings) checkAddresses() error {
+	direct := len(s.DirectEngines) + len(s.DirectApps)
+	switch {
+	case len(s.Entries) == 0 && direct == 0:
+		return invalid("--entry (FILBERT_LOAD_ENTRY)", "", "at least one ip:port")
+	case len(s.Entries) > 0 && direct > 0:
+		return invalid("--entry (FILBERT_LOAD_ENTRY)", strings.Join(s.Entries, " "), "none beside --direct-engine and --direct-app")
+	case direct > 0 && len(s.DirectEngines) == 0:
+		return invalid("--direct-engine (FILBERT_LOAD_DIRECT_ENGINE)", "", "at least one beside --direct-app")
+	case direct > 0 && len(s.DirectApps) == 0:
+		return invalid("--direct-app (FILBERT_LOAD_DIRECT_APP)", "", "at least one beside --direct-engine")
+	}
+	return nil
+}
+
 // keys splits account=KEY; a key never shows in an error.
 func (s *RunSettings) keys() (accounts, keys []string, err error) {
 	const name, allowed = "--api-key (FILBERT_LOAD_API_KEY)", "account=KEY, at least one, each account once"
--- a/internal/load/stream.go
+++ b/internal/load/stream.go
@@ -91,12 +91,12 @@
 		f.done = true
 		return
 	}
-	a, ok := parseCompletion([]byte(e.data))
+	a, ok := parseCompletion([]byte(e.data), f.caller.client.target.direct())
 	if !ok {
 		f.out.violation = ViolationMalformed
 		return
 	}
-	if e.id != "" {
+	if e.id != "" && !f.caller.client.target.direct() {
 		f.handle = e.id
 	}
 	f.out.violation = f.check.add(a.piece())
