--- a/internal/decide/once/schedule_test.go
+++ b/internal/decide/once/schedule_test.go
@@ -316,6 +316,6 @@
 		for _, kind := range []once.KeyKind{once.KeyMinted, once.KeyOrdered, once.KeyOpaque} {
 			Expect(ran[kind]).To(BeNumerically(">", 100), "kind %d", kind)
 		}
-		AddReportEntry("schedules", fmt.Sprintf( "ran %v, naive broke %d of 1000", ran, naive))
+		AddReportEntry("schedules", fmt.Sprintf("ran %v, naive broke %d of 1000", ran, naive))
 	})
 })
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -31,8 +31,9 @@
 	Silence time.Duration
 	// IdlePerTarget bounds the idle connections that New keeps per target.
 	IdlePerTarget int
-	// TLS is nil for plain text.
-	TLS *tls.Config
+	// TLS gives the settings of the next connection, so that they can follow
+	// renewed files; nil means plain text.
+	TLS func() *tls.Config
 }
 
 // The defaults and their grounds.
@@ -83,7 +84,7 @@
 	if err != nil || s.TLS == nil {
 		return raw, err
 	}
-	config := s.TLS.Clone()
+	config := s.TLS()
 	if config.ServerName == "" {
 		config.ServerName, _, _ = net.SplitHostPort(address)
 	}
--- a/internal/tlsfiles/tlsfiles.go
+++ b/internal/tlsfiles/tlsfiles.go
@@ -94,36 +94,17 @@
 	return config
 }
 
-// Client returns the settings of a client that presents the certificate and
-// verifies the server by the CA in force. crypto/tls fixes its roots when the
-// settings are made, so the verification is done here, in full, against the
-// roots of the moment.
+// Client returns the settings for the next connection: they present the
+// certificate and verify the server by the authority in force now. crypto/tls
+// fixes its roots with the settings, so settings that are kept don't follow a
+// change of the authority; ask for new ones at each dial.
 func (s *Source) Client() *tls.Config {
+	id := s.latest()
 	return &tls.Config{
-		MinVersion: tls.VersionTLS13,
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			return s.latest().cert, nil
-		},
-		InsecureSkipVerify: true, // replaced by VerifyConnection, not left out
-		VerifyConnection:   func(state tls.ConnectionState) error { return s.latest().verify(state) },
-	}
-}
-
-func (id *identity) verify(state tls.ConnectionState) error {
-	if len(state.PeerCertificates) == 0 {
-		return failure.New(failure.KindForbidden, "the server presents no certificate")
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{*id.cert},
+		RootCAs:      id.roots,
 	}
-	options := x509.VerifyOptions{Roots: id.roots, DNSName: state.ServerName, Intermediates: x509.NewCertPool()}
-	for _, cert := range state.PeerCertificates[1:] {
-		options.Intermediates.AddCert(cert)
-	}
-	if state.ServerName == "" {
-		return failure.New(failure.KindForbidden, "the server's name is not known")
-	}
-	if _, err := state.PeerCertificates[0].Verify(options); err != nil {
-		return failure.Wrap(err, failure.KindForbidden, "the server's certificate is not accepted")
-	}
-	return nil
 }
 
 // latest gives the identity in force, after a look at the files when one is
