--- a/internal/decide/admission/allocator.go
+++ b/internal/decide/admission/allocator.go
@@ -1,6 +1,16 @@
 package admission
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"filbertdeck/internal/decide/fairqueue"
+	"filbertdeck/internal/decide/lengths"
+	"filbertdeck/internal/decide/memory"
+	"filbertdeck/internal/decide/slowstart"
+)
 
 // Config holds the allocator's figures; the zero value of a field means its
 // default.
@@ -8,42 +18,75 @@
 	// Owner tells whether this allocator is the pool's published owner. Only
 	// the published owner admits to cold targets.
 	Owner bool
-	// LeaseFor is the life of a lease without renewal.
+	// LeaseFor is the life of a lease without renewal. Default 3 s.
 	LeaseFor time.Duration
-	// QueueLimit bounds the asks that wait.
+	// QueueLimit bounds the asks that wait. Default 1024.
 	QueueLimit int
-	// Seed seeds the choices that are random.
+	// Seed seeds the choices that are random and the first lease's id. Draw it
+	// anew at each start of the process: an id that comes again would renew a
+	// lease of the process before.
 	Seed uint64
+	// Memory is the memory rule; the zero value is the default rule.
+	Memory memory.Rule
+	// SlowStart holds the figures for targets that have just started.
+	SlowStart slowstart.Config
 }
 
 const (
-	defaultLease  = 3 * time.Second
-	thinSlots     = 8
-	thinRetry     = time.Second
-	thinQueueSize = 256
-)
+	defaultLease      = 3 * time.Second
+	defaultQueueLimit = 1024
 
-type queued struct {
-	ask   Ask
-	until time.Duration
-}
+	// PromptCharge and OutputCharge are the service charged for a token. An
+	// output token costs a place in a batch step and a prompt token a part of
+	// one; the scheme's authors charge 1 and 2 as well.
+	PromptCharge = 1.0
+	OutputCharge = 2.0
+	// callCharge is charged for a call of a plain service, which has no tokens.
+	callCharge = 1.0
 
-type lease struct {
-	holder  Holder
-	target  string
-	expires time.Duration
-}
+	// refreshEvery bounds the age of predictions: at 25 tokens a second each
+	// of 50 generations grows by 2.5 tokens between refreshes, a thousandth of
+	// an engine's memory in all.
+	refreshEvery = 100 * time.Millisecond
+	// skipLimit bounds the asks passed over in one round because they can't
+	// use the targets that have room (Ask.Avoid, suspects).
+	skipLimit = 8
+	// hopelessChecks bounds the accounts whose newest ask is looked at again at
+	// each refresh; all 11,000 are seen within five seconds.
+	hopelessChecks = 256
+)
 
 // Allocator admits requests to the targets of one pool.
 type Allocator struct {
 	cfg     Config
-	targets map[string]Target
-	order   []string
-	running map[string]int
-	leases  map[LeaseID]*lease
-	queue   []queued
-	next    LeaseID
-	out     []Decision
+	random  *rand.Rand
+	lengths *lengths.Distribution
+	queue   *fairqueue.Queue[Ask]
+	drain   fairqueue.Drain
+	shares  map[string]Share
+
+	targets map[string]*target
+	order   []*target
+	// usable is the number of targets that aren't leaving.
+	usable  int
+	waiting map[askKey]*fairqueue.Request[Ask]
+	leases  leaseTable
+
+	suspects suspects
+	owner    ownership
+	stopping bool
+
+	refreshed time.Duration
+	round     int
+	skipped   []*fairqueue.Account[Ask]
+	// out gathers decisions; spare is the slice that the last Decide returned.
+	out, spare []Decision
+}
+
+// askKey names a waiting ask.
+type askKey struct {
+	holder  Holder
+	request uint64
 }
 
 // New returns an allocator without targets.
@@ -52,138 +95,194 @@
 		cfg.LeaseFor = defaultLease
 	}
 	if cfg.QueueLimit == 0 {
-		cfg.QueueLimit = thinQueueSize
+		cfg.QueueLimit = defaultQueueLimit
+	}
+	if cfg.Memory == (memory.Rule{}) {
+		cfg.Memory = memory.DefaultRule()
 	}
+	cfg.SlowStart.LeaseFor = cfg.LeaseFor
 	return &Allocator{
-		cfg: cfg, targets: map[string]Target{}, running: map[string]int{},
-		leases: map[LeaseID]*lease{}, next: LeaseID(cfg.Seed),
+		cfg:      cfg,
+		random:   rand.New(rand.NewPCG(cfg.Seed, firstID(cfg.Seed))),
+		lengths:  lengths.New(0),
+		queue:    fairqueue.New[Ask](cfg.QueueLimit, fairqueue.DefaultLookAhead),
+		shares:   map[string]Share{},
+		targets:  map[string]*target{},
+		waiting:  map[askKey]*fairqueue.Request[Ask]{},
+		leases:   newLeaseTable(LeaseID(firstID(cfg.Seed))),
+		suspects: newSuspects(),
+		owner:    ownership{owner: cfg.Owner, known: cfg.Owner},
 	}
 }
 
-// SetOwner says whether this allocator is the pool's published owner.
-func (a *Allocator) SetOwner(_ time.Duration, owner bool) { a.cfg.Owner = owner }
-
-// SetTargets replaces the pool's targets.
-func (a *Allocator) SetTargets(_ time.Duration, targets []Target) {
-	a.targets = map[string]Target{}
-	a.order = a.order[:0]
-	for _, t := range targets {
-		a.targets[t.Address] = t
-		a.order = append(a.order, t.Address)
+// firstID spreads seeds over all ids, so that the ids drawn after neighbouring
+// seeds don't run into each other.
+func firstID(seed uint64) uint64 {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(seed >> (8 * i))
 	}
+	return xxhash.Sum64(b[:])
 }
 
 // SetShares replaces the accounts' shares.
-func (a *Allocator) SetShares(_ time.Duration, _ []Share) {}
-
-// Report takes a target's statement of its load.
-func (a *Allocator) Report(_ time.Duration, _ Report) {}
-
-// Ask queues a request for admission; its decision comes from Decide.
-func (a *Allocator) Ask(now time.Duration, ask Ask) {
-	if len(a.queue) >= a.cfg.QueueLimit {
-		a.refuse(ask, RefusedOverloaded)
-		return
+func (a *Allocator) SetShares(now time.Duration, shares []Share) {
+	clear(a.shares)
+	for _, s := range shares {
+		a.SetShare(now, s)
 	}
-	a.queue = append(a.queue, queued{ask: ask, until: now + ask.MaxWait})
 }
 
-// Withdraw takes a waiting request back.
-func (a *Allocator) Withdraw(_ time.Duration, holder Holder, request uint64) {
-	for i, q := range a.queue {
-		if q.ask.Holder == holder && q.ask.Request == request {
-			a.queue = append(a.queue[:i], a.queue[i+1:]...)
-			return
-		}
+// SetShare replaces one account's share, as an edit of one row does.
+func (a *Allocator) SetShare(_ time.Duration, s Share) {
+	a.shares[s.Account] = s
+	if a.queue.Known(s.Account) != nil {
+		a.account(s.Account)
 	}
 }
 
-// Renew extends leases of holder, and books those that are not known here.
-func (a *Allocator) Renew(now time.Duration, holder Holder, renewals []Renewal) {
-	for _, r := range renewals {
-		l, ok := a.leases[r.Lease]
-		if !ok {
-			l = &lease{holder: holder, target: r.Target}
-			a.leases[r.Lease] = l
-			a.running[r.Target]++
-		}
-		l.expires = now + a.cfg.LeaseFor
+// RemoveShare takes an account's share away; it counts with weight 1 then.
+func (a *Allocator) RemoveShare(_ time.Duration, account string) {
+	delete(a.shares, account)
+	if a.queue.Known(account) != nil {
+		a.account(account)
 	}
 }
 
-// Settle ends a lease.
-func (a *Allocator) Settle(_ time.Duration, s Settlement) { a.drop(s.Lease) }
-
-// DropHolder ends the leases of an entry process that is known to be gone.
-func (a *Allocator) DropHolder(_ time.Duration, holder Holder) {
-	for id, l := range a.leases {
-		if l.holder == holder {
-			a.drop(id)
-		}
-	}
+func (a *Allocator) account(name string) *fairqueue.Account[Ask] {
+	s := a.shares[name]
+	return a.queue.Account(name, s.Weight, s.MaxRunning)
 }
 
-// Backlog estimates the wait of a request that would ask now.
-func (a *Allocator) Backlog() time.Duration {
-	return time.Duration(len(a.queue)) * 10 * time.Millisecond
-}
+// Stop refuses everything that waits and everything asked from now on. What
+// runs goes on, and its leases are renewed and settled as before.
+func (a *Allocator) Stop(_ time.Duration) { a.stopping = true }
 
 // Decide moves time on and returns the decisions that are due. The slice is
 // valid until the next call.
 func (a *Allocator) Decide(now time.Duration) []Decision {
-	for id, l := range a.leases {
-		if l.expires <= now {
-			a.drop(id)
-		}
-	}
-	kept := a.queue[:0]
-	for _, q := range a.queue {
-		switch target := a.pick(); {
-		case target != "":
-			a.grant(now, q.ask, target)
-		case q.until <= now:
-			a.refuse(q.ask, RefusedOverloaded)
-		default:
-			kept = append(kept, q)
-		}
-	}
-	a.queue = kept
+	a.expireLeases(now)
+	a.refresh(now)
+	a.refuseOverdue(now - 1)
+	a.admit(now)
+	a.refuseOverdue(now)
 	out := a.out
-	a.out = nil
+	a.out, a.spare = a.spare[:0], out
 	return out
 }
 
-func (a *Allocator) pick() string {
-	best := ""
+// refresh brings everything up to date that follows from the passage of time.
+func (a *Allocator) refresh(now time.Duration) {
+	if now-a.refreshed < refreshEvery && a.refreshed > 0 {
+		return
+	}
+	a.refreshed = now
+	a.lengths.Refresh()
 	for _, t := range a.order {
-		if a.targets[t].Leaving || a.running[t] >= thinSlots {
-			continue
+		t.refresh(now, a.lengths)
+	}
+	a.drain.Tick(now, a.queue.Len() > 0)
+	a.refuseHopeless(now)
+}
+
+// admit grants in the queue's order for as long as the head finds a target. A
+// head without room keeps its place and those behind it wait: passing over a
+// large prompt for small ones would starve it. Only a head whose own
+// constraints rule out the targets with room is passed over.
+func (a *Allocator) admit(now time.Duration) {
+	for len(a.skipped) < skipLimit {
+		r := a.queue.Head()
+		if r == nil {
+			break
 		}
-		if best == "" || a.running[t] < a.running[best] {
-			best = t
+		if !a.serve(now, r) {
+			break
 		}
 	}
-	return best
+	for _, s := range a.skipped {
+		a.queue.Unskip(s)
+	}
+	a.skipped = a.skipped[:0]
 }
 
-func (a *Allocator) grant(now time.Duration, ask Ask, target string) {
-	a.next++
-	a.leases[a.next] = &lease{holder: ask.Holder, target: target, expires: now + a.cfg.LeaseFor}
-	a.running[target]++
-	a.out = append(a.out, Decision{
-		Holder: ask.Holder, Request: ask.Request, Lease: a.next, Target: target, LeaseFor: a.cfg.LeaseFor,
-	})
+// serve grants, refuses or passes over the head; false ends the round.
+func (a *Allocator) serve(now time.Duration, r *fairqueue.Request[Ask]) bool {
+	ask := &r.Value
+	ruling := a.suspects.rule(now, ask.Fingerprint)
+	if ruling.guilty {
+		a.refuseWaiting(r, RefusedPoison, ruling.wait)
+		return true
+	}
+	t := a.choose(now, ask, ruling)
+	if t != nil {
+		a.grantWaiting(now, r, t, ruling)
+		return true
+	}
+	if len(ask.Avoid) == 0 && !ruling.constrained() {
+		return false
+	}
+	if ruling.alone {
+		a.suspects.reserve(a.order, r)
+	}
+	a.skipped = append(a.skipped, r.Account)
+	a.queue.Skip(r.Account)
+	return true
+}
+
+func (a *Allocator) grantWaiting(now time.Duration, r *fairqueue.Request[Ask], t *target, ruling ruling) {
+	ask := r.Value
+	delete(a.waiting, askKey{ask.Holder, ask.Request})
+	a.suspects.release(r)
+	cost := admissionCharge(ask.PromptTokens, t)
+	a.queue.Start(r, cost)
+	a.drain.Charge(cost)
+	l := a.leases.draw()
+	l.fingerprint, l.alone, l.suspect = ask.Fingerprint, ruling.alone, ruling.constrained()
+	a.book(now, l, ask.Holder, r.Account, t, memory.Generation{Prompt: ask.PromptTokens, Max: ask.MaxTokens})
+	l.charged = cost
+	t.cache.expect(ask.Prefix)
+	a.queue.Release(r)
+	a.grant(l, ask.Request, 0)
 }
 
-func (a *Allocator) refuse(ask Ask, reason RefusalReason) {
+func (a *Allocator) grant(l *lease, request uint64, attained int) {
 	a.out = append(a.out, Decision{
-		Holder: ask.Holder, Request: ask.Request, Reason: reason, RetryAfter: thinRetry,
+		Holder: l.holder, Request: request, Lease: l.id, Target: l.target.address,
+		Priority: priority(a.shares[l.account.Name].Priority, attained), LeaseFor: a.cfg.LeaseFor,
 	})
 }
 
-func (a *Allocator) drop(id LeaseID) {
-	if l, ok := a.leases[id]; ok {
-		a.running[l.target]--
-		delete(a.leases, id)
+// admissionCharge is what a request is charged before it produced anything.
+func admissionCharge(prompt int, t *target) float64 {
+	if t.report.MemoryTokens == 0 {
+		return callCharge
+	}
+	return PromptCharge * float64(prompt)
+}
+
+// Snapshot is what the allocator shows of itself for counters.
+type Snapshot struct {
+	Waiting, Running, Accounts int
+	Targets                    []TargetSnapshot
+}
+
+// TargetSnapshot shows one target.
+type TargetSnapshot struct {
+	Address string
+	State   slowstart.State
+	Running int
+	// PredictedTokens is the memory in use by our own count.
+	PredictedTokens int
+}
+
+// Snapshot returns the state for counters.
+func (a *Allocator) Snapshot(now time.Duration) Snapshot {
+	s := Snapshot{Waiting: a.queue.Len(), Running: len(a.leases.byID), Accounts: a.queue.Accounts()}
+	for _, t := range a.order {
+		s.Targets = append(s.Targets, TargetSnapshot{
+			Address: t.address, State: t.gate.State(now), Running: len(t.leases),
+			PredictedTokens: int(t.load.Now()),
+		})
 	}
+	return s
 }
--- /dev/null
+++ b/internal/decide/admission/lease.go
@@ -0,0 +1,251 @@
+package admission
+
+import (
+	"time"
+
+	"filbertdeck/internal/decide/fairqueue"
+	"filbertdeck/internal/decide/memory"
+)
+
+// lease is one admission that counts.
+type lease struct {
+	id      LeaseID
+	holder  Holder
+	account *fairqueue.Account[Ask]
+	target  *target
+	gen     memory.Generation
+	growth  memory.Growth
+	granted time.Duration
+	// heard is when gen.Produced was told.
+	heard   time.Duration
+	expires time.Duration
+	// charged is the service charged so far, in tokens.
+	charged     float64
+	fingerprint uint64
+	// alone and suspect say that the poison rules hold it apart.
+	alone, suspect bool
+	// place is its index in the target's leases.
+	place          int
+	previous, next *lease
+}
+
+// leaseTable holds the leases by id and in the order of their expiry. All live
+// equally long, so that a renewed one goes to the end and the order needs no
+// sorting.
+type leaseTable struct {
+	byID        map[LeaseID]*lease
+	first, last *lease
+	nextID      LeaseID
+	free        []*lease
+	// residence is the mean time from grant to settlement, meanCharge the mean
+	// service of a finished request.
+	residence  time.Duration
+	meanCharge float64
+}
+
+func newLeaseTable(first LeaseID) leaseTable {
+	return leaseTable{byID: map[LeaseID]*lease{}, nextID: first}
+}
+
+// draw returns a lease with an id that isn't in use. Ids of leases rebuilt from
+// renewals come from other processes and could be met by chance.
+func (t *leaseTable) draw() *lease {
+	for {
+		t.nextID++
+		if _, used := t.byID[t.nextID]; !used && t.nextID != 0 {
+			return t.make(t.nextID)
+		}
+	}
+}
+
+func (t *leaseTable) make(id LeaseID) *lease {
+	var l *lease
+	if n := len(t.free); n > 0 {
+		l = t.free[n-1]
+		t.free = t.free[:n-1]
+	} else {
+		l = &lease{}
+	}
+	*l = lease{id: id}
+	t.byID[id] = l
+	return l
+}
+
+func (t *leaseTable) append(l *lease) {
+	l.previous, l.next = t.last, nil
+	if t.last == nil {
+		t.first = l
+	} else {
+		t.last.next = l
+	}
+	t.last = l
+}
+
+func (t *leaseTable) unlink(l *lease) {
+	if l.previous == nil {
+		t.first = l.next
+	} else {
+		l.previous.next = l.next
+	}
+	if l.next == nil {
+		t.last = l.previous
+	} else {
+		l.next.previous = l.previous
+	}
+}
+
+func (t *leaseTable) remove(l *lease) {
+	t.unlink(l)
+	delete(t.byID, l.id)
+	*l = lease{}
+	t.free = append(t.free, l)
+}
+
+// settled feeds the means with a finished request.
+func (t *leaseTable) settled(residence time.Duration, charge float64) {
+	if t.meanCharge == 0 {
+		t.residence, t.meanCharge = residence, charge
+		return
+	}
+	keep := residenceMemory
+	t.residence = time.Duration(keep*float64(t.residence) + (1-keep)*float64(residence))
+	t.meanCharge = keep*t.meanCharge + (1-keep)*charge
+}
+
+// book counts a lease in at its target.
+func (a *Allocator) book(now time.Duration, l *lease, holder Holder, account *fairqueue.Account[Ask], t *target, gen memory.Generation) {
+	l.holder, l.account, l.target, l.gen = holder, account, t, gen
+	l.granted, l.heard, l.expires = now, now, now+a.cfg.LeaseFor
+	a.leases.append(l)
+	l.growth.Predict(a.lengths, gen)
+	t.add(now, l)
+}
+
+// Renew extends leases of holder, and books those that are not known here: the
+// allocator has just taken over, or they expired while the entry was cut off.
+func (a *Allocator) Renew(now time.Duration, holder Holder, renewals []Renewal) {
+	for i := range renewals {
+		r := &renewals[i]
+		l := a.leases.byID[r.Lease]
+		if l == nil {
+			a.rebuild(now, holder, r)
+			continue
+		}
+		if l.holder != holder {
+			continue
+		}
+		a.leases.unlink(l)
+		a.leases.append(l)
+		l.expires = now + a.cfg.LeaseFor
+		a.progress(now, l, r.Produced, false)
+	}
+}
+
+func (a *Allocator) rebuild(now time.Duration, holder Holder, r *Renewal) {
+	t := a.targets[r.Target]
+	if t == nil {
+		return
+	}
+	l := a.leases.make(r.Lease)
+	account := a.account(r.Account)
+	a.queue.Resume(account, 0)
+	a.book(now, l, holder, account, t, memory.Generation{Prompt: r.PromptTokens, Produced: r.Produced})
+	if r.Produced > 0 {
+		t.started(now, l)
+	}
+}
+
+// progress charges what a lease produced since it was last heard of. ended
+// tells that the last token was the output's end.
+func (a *Allocator) progress(now time.Duration, l *lease, produced int, ended bool) {
+	if produced <= l.gen.Produced {
+		return
+	}
+	if l.gen.Produced == 0 {
+		l.target.started(now, l)
+	}
+	l.target.gate.Progress(now, uint64(l.id))
+	survived := produced
+	if ended {
+		survived--
+	}
+	a.lengths.Progress(l.gen.Produced, survived)
+	a.charge(l, OutputCharge*float64(produced-l.gen.Produced))
+	l.gen.Produced, l.heard = produced, now
+}
+
+func (a *Allocator) charge(l *lease, tokens float64) {
+	l.charged += tokens
+	a.queue.Charge(l.account, tokens)
+	a.drain.Charge(tokens)
+}
+
+// Settle ends a lease.
+func (a *Allocator) Settle(now time.Duration, s Settlement) {
+	l := a.leases.byID[s.Lease]
+	if l == nil {
+		return
+	}
+	finished := s.Outcome == OutcomeDone
+	// An output that was cut by its bound says only that it is not shorter.
+	ended := finished && s.Produced > 0 && (l.gen.Max == 0 || s.Produced < l.gen.Max)
+	a.progress(now, l, s.Produced, ended)
+	if ended {
+		a.lengths.Finished(s.Produced)
+	}
+	if finished {
+		a.leases.settled(now-l.granted, l.charged)
+	}
+	// A request that did not run is given back what it was charged, once.
+	if s.Outcome == OutcomeNotRun {
+		a.charge(l, -l.charged)
+	}
+	a.observe(now, l, s)
+	a.end(now, l, finished, s.FirstToken)
+}
+
+// observe takes what a settlement says of the request and its target.
+func (a *Allocator) observe(now time.Duration, l *lease, s Settlement) {
+	switch s.Outcome {
+	case OutcomeDone:
+		a.suspects.finished(now, l.fingerprint)
+	case OutcomeTargetCrashed:
+		a.suspects.crashed(now, l.target)
+		l.target.gate.Suspect(now)
+	}
+}
+
+// end takes a lease off all counts.
+func (a *Allocator) end(now time.Duration, l *lease, finished bool, firstToken time.Duration) {
+	account, cost := l.account, 0.0
+	if finished {
+		cost = l.charged
+	}
+	l.target.gate.Ended(now, uint64(l.id), finished, firstToken)
+	l.target.remove(now, l)
+	a.leases.remove(l)
+	a.queue.Finish(account, cost)
+}
+
+// expireLeases ends leases that nobody renewed: their entry is gone or cut
+// off. What may still run at the target shows in the target's own reports.
+func (a *Allocator) expireLeases(now time.Duration) {
+	for l := a.leases.first; l != nil && l.expires <= now; l = a.leases.first {
+		a.end(now, l, false, 0)
+	}
+}
+
+// DropHolder ends the leases of an entry process that is known to be gone, and
+// takes its waiting asks out.
+func (a *Allocator) DropHolder(now time.Duration, holder Holder) {
+	for key, r := range a.waiting {
+		if key.holder == holder {
+			a.forget(r)
+		}
+	}
+	for _, l := range a.leases.byID {
+		if l.holder == holder {
+			a.end(now, l, false, 0)
+		}
+	}
+}
--- a/internal/decide/fairqueue/account.go
+++ b/internal/decide/fairqueue/account.go
@@ -20,6 +20,8 @@
 	// idle is set while the account stands in the idle list.
 	idle     bool
 	pushedAt time.Duration
+	// skipped keeps it from being picked for the moment.
+	skipped bool
 	// meanCost is the mean charge of its finished requests; 0 when unknown.
 	meanCost float64
 }
@@ -36,6 +38,12 @@
 // Served is the service charged so far over the weight, in tokens.
 func (a *Account[T]) Served() float64 { return a.served }
 
+// Limit bounds its running requests; 0 means no bound.
+func (a *Account[T]) Limit() int { return a.limit }
+
+// Newest is its waiting request that came last, nil when none waits.
+func (a *Account[T]) Newest() *Request[T] { return a.last }
+
 // Limited tells whether the account runs as many requests as it may.
 func (a *Account[T]) Limited() bool { return a.limit > 0 && a.running >= a.limit }
 
--- a/internal/decide/fairqueue/queue.go
+++ b/internal/decide/fairqueue/queue.go
@@ -173,6 +173,19 @@
 	return a.first
 }
 
+// Skip keeps an account from being picked until Unskip, because its head can't
+// use what is free at present.
+func (q *Queue[T]) Skip(a *Account[T]) {
+	a.skipped = true
+	q.place(a)
+}
+
+// Unskip undoes Skip.
+func (q *Queue[T]) Unskip(a *Account[T]) {
+	a.skipped = false
+	q.place(a)
+}
+
 // Start takes a waiting request out because it runs now, and charges its cost
 // in tokens.
 func (q *Queue[T]) Start(r *Request[T], cost float64) {
@@ -256,7 +269,7 @@
 // place puts the account where it belongs among those that may be picked.
 func (q *Queue[T]) place(a *Account[T]) {
 	p := readyPlace[T]{a}
-	switch wanted := a.waiting > 0 && !a.Limited(); {
+	switch wanted := a.waiting > 0 && !a.Limited() && !a.skipped; {
 	case wanted && a.readyAt < 0:
 		q.forfeit(a)
 		q.ready.push(p)
--- a/internal/decide/lengths/lengths.go
+++ b/internal/decide/lengths/lengths.go
@@ -38,9 +38,10 @@
 	defaultHalfLife = 400
 	// priorExposure is the weight of the prior in each bucket, in generations.
 	priorExposure = 2
-	// priorSurvival per bucket makes a doubling of the length survived by one
-	// in two: a heavy tail that errs towards long outputs, without a scale.
-	priorSurvival = 0.8408964152537145 // 2^(-1/4)
+	// priorMedian is the prior's median in tokens, the usual few hundred of
+	// chat outputs. Beyond it a doubling of the length is survived by one in
+	// two, a heavy tail that errs towards long outputs.
+	priorMedian = 256
 	// rescaleAt keeps the growing weight of new observations in range.
 	rescaleAt = 1e9
 )
@@ -114,12 +115,19 @@
 		if lower(b) == lower(b+1) {
 			continue
 		}
-		passed := d.passed[b] + prior*priorSurvival
-		reach *= passed / (passed + d.ended[b] + prior*(1-priorSurvival))
+		expected := priorSurvival(b)
+		passed := d.passed[b] + prior*expected
+		reach *= passed / (passed + d.ended[b] + prior*(1-expected))
 	}
 	d.survival[buckets] = reach
 }
 
+// priorSurvival is the prior probability to pass bucket b once it is reached:
+// a Lomax distribution of shape 1.
+func priorSurvival(b int) float64 {
+	return float64(priorMedian+lower(b)) / float64(priorMedian+lower(b+1))
+}
+
 // Beyond is the probability that an output is longer than n tokens.
 func (d *Distribution) Beyond(n int) float64 {
 	if n <= 0 {
--- a/internal/decide/memory/memory.go
+++ b/internal/decide/memory/memory.go
@@ -88,6 +88,15 @@
 	}
 }
 
+// AddAlike counts in several generations of the same growth.
+func (l *Load) AddAlike(g *Growth, count int) {
+	n := float64(count)
+	for i := range horizonCount {
+		l.sum.mean[i] += n * g.mean[i]
+		l.sum.variance[i] += n * g.variance[i]
+	}
+}
+
 // Remove takes a generation out that was added with the same growth.
 func (l *Load) Remove(g *Growth) {
 	for i := range horizonCount {
