Rest the cold bound on room for others, not on clocks

Mixing owners that leave room for others with one that leaves none is unsafe: the sole owner can use up the room while another's grant is under way. Now every owner leaves it always; only a target too small for that is left to a confirmed sole owner. Package ownership holds the confirmation rule.

--- a/internal/decide/health/doc.go
+++ b/internal/decide/health/doc.go
@@ -22,7 +22,10 @@
 // whole pool away, and the few that stay would fall over.
 package health
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Config holds the figures of a pool; the zero value of a field means its
 // default.
@@ -70,26 +73,19 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.SlowFactor, defaultSlowFactor)
-	setDefault(&c.SlowFloor, defaultSlowFloor)
-	setDefault(&c.MinSamples, defaultMinSamples)
-	setDefault(&c.Failures, defaultFailures)
-	setDefault(&c.FailureShare, defaultFailureShare)
-	setDefault(&c.OpenFor, defaultOpenFor)
-	setDefault(&c.MaxOpenFor, defaultMaxOpenFor)
-	setDefault(&c.Trials, defaultTrials)
-	setDefault(&c.TrialFor, defaultTrialFor)
-	setDefault(&c.MaxEjected, defaultMaxEjected)
+	c.SlowFactor = cmp.Or(c.SlowFactor, defaultSlowFactor)
+	c.SlowFloor = cmp.Or(c.SlowFloor, defaultSlowFloor)
+	c.MinSamples = cmp.Or(c.MinSamples, defaultMinSamples)
+	c.Failures = cmp.Or(c.Failures, defaultFailures)
+	c.FailureShare = cmp.Or(c.FailureShare, defaultFailureShare)
+	c.OpenFor = cmp.Or(c.OpenFor, defaultOpenFor)
+	c.MaxOpenFor = cmp.Or(c.MaxOpenFor, defaultMaxOpenFor)
+	c.Trials = cmp.Or(c.Trials, defaultTrials)
+	c.TrialFor = cmp.Or(c.TrialFor, defaultTrialFor)
+	c.MaxEjected = cmp.Or(c.MaxEjected, defaultMaxEjected)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Standing says what a target may be given.
 type Standing int
 
--- /dev/null
+++ b/internal/decide/ownership/tenure.go
@@ -0,0 +1,93 @@
+// Package ownership says how far a process may trust that it is the only owner
+// of something: a pool's cold targets, an account's quota, the orders to an
+// engine.
+//
+// Load pattern: hosts are replaced all day (3,200 at the target size), so the
+// published host list changes every half minute, and with it the owners. The
+// list reaches processes late, some during an outage not at all.
+//
+// What happens without it: the process that was the owner goes on as one while
+// the next begins. Both fill the same cold target, lease the same quota or
+// send orders to the same engine.
+//
+// How it works: an owner acts only for ConfirmFor after the list that names it
+// was last known to be the newest, and a new owner waits until the last act of
+// an earlier one has had its effect. Nobody writes anything and nobody votes.
+// The confirmation has to be true: a configuration service that serves an old
+// state to one side of a split fleet, and calls it current, breaks it. Users
+// of this package say what they do about that.
+package ownership
+
+import (
+	"cmp"
+	"time"
+)
+
+// Config holds the figures of a tenure; the zero value of a field means its
+// default.
+type Config struct {
+	// ConfirmFor is how long one confirmation of the host list counts. Default
+	// 2 s: two rounds of gossip at one a second.
+	ConfirmFor time.Duration
+	// ActFor is how long an owner's act may take effect after it was decided:
+	// the life of a lease. Default 3 s.
+	ActFor time.Duration
+}
+
+const (
+	defaultConfirmFor = 2 * time.Second
+	defaultActFor     = 3 * time.Second
+)
+
+// Tenure is what the published list says of this process. The zero value is
+// that of a process that owns nothing. Times count from any fixed start.
+type Tenure struct {
+	owner     bool
+	revision  uint64
+	began     time.Duration
+	confirmed time.Duration
+	ever      bool
+}
+
+// Set says whether the list of the given revision names this process. Call it
+// for each list that is read, also when the answer stays the same. A tenure
+// starts anew when a revision was skipped: another process may have been the
+// owner in it, with an act still on its way. One would notice by a cold target
+// that has one request too many after two quick changes of the list.
+func (t *Tenure) Set(now time.Duration, revision uint64, owner bool) {
+	skipped := revision != t.revision && revision != t.revision+1
+	if owner && (!t.owner || skipped) {
+		t.began = now
+	}
+	t.owner, t.revision = owner, revision
+}
+
+// Confirm says that the list in force here was the newest at the moment at: a
+// read of the configuration service that was begun then, or gossip, sent then,
+// of peers that know no newer one.
+func (t *Tenure) Confirm(at time.Duration) {
+	t.confirmed = max(t.confirmed, at)
+	t.ever = true
+}
+
+// Owner tells whether the list names this process.
+func (t *Tenure) Owner() bool { return t.owner }
+
+// Revision is the list's revision.
+func (t *Tenure) Revision() uint64 { return t.revision }
+
+// Began is when the list was first seen to name this process.
+func (t *Tenure) Began() time.Duration { return t.began }
+
+// SoleFrom is the moment from which no act of an earlier owner takes effect.
+// An earlier owner acts for ConfirmFor after its last confirmation, which came
+// before this tenure began, and its last act takes effect within ActFor.
+func (t *Tenure) SoleFrom(cfg Config) time.Duration {
+	return t.began + cmp.Or(cfg.ConfirmFor, defaultConfirmFor) + cmp.Or(cfg.ActFor, defaultActFor)
+}
+
+// Sole tells whether this process is the only one that acts as owner now.
+func (t *Tenure) Sole(now time.Duration, cfg Config) bool {
+	confirmed := t.ever && t.confirmed >= t.began && now-t.confirmed <= cmp.Or(cfg.ConfirmFor, defaultConfirmFor)
+	return t.owner && confirmed && now > t.SoleFrom(cfg)
+}
--- a/internal/decide/poison/detector.go
+++ b/internal/decide/poison/detector.go
@@ -1,6 +1,9 @@
 package poison
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Config holds the detector's figures; the zero value of a field means its
 // default.
@@ -37,22 +40,15 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Remember, defaultRemember)
-	setDefault(&c.SpreadFor, defaultSpreadFor)
-	setDefault(&c.MassTargets, defaultMassTargets)
-	setDefault(&c.MassWindow, defaultMassWindow)
-	setDefault(&c.MaxCrashes, defaultMaxCrashes)
-	setDefault(&c.MaxSuspects, defaultMaxSuspects)
+	c.Remember = cmp.Or(c.Remember, defaultRemember)
+	c.SpreadFor = cmp.Or(c.SpreadFor, defaultSpreadFor)
+	c.MassTargets = cmp.Or(c.MassTargets, defaultMassTargets)
+	c.MassWindow = cmp.Or(c.MassWindow, defaultMassWindow)
+	c.MaxCrashes = cmp.Or(c.MaxCrashes, defaultMaxCrashes)
+	c.MaxSuspects = cmp.Or(c.MaxSuspects, defaultMaxSuspects)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Verdict says how a request may run.
 type Verdict int
 
--- a/internal/decide/slowstart/config.go
+++ b/internal/decide/slowstart/config.go
@@ -1,6 +1,9 @@
 package slowstart
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Config holds the figures of a Gate; the zero value of a field means its
 // default.
@@ -50,24 +53,17 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.FreshFor, defaultFreshFor)
-	setDefault(&c.LeaseFor, defaultLeaseFor)
-	setDefault(&c.ConfirmFor, defaultConfirmFor)
-	setDefault(&c.Claimants, defaultClaimants)
-	setDefault(&c.WarmBears, defaultWarmBears)
-	setDefault(&c.SettleFor, defaultSettleFor)
-	setDefault(&c.Burst, defaultBurst)
-	setDefault(&c.JumpFactor, defaultJumpFactor)
+	c.FreshFor = cmp.Or(c.FreshFor, defaultFreshFor)
+	c.LeaseFor = cmp.Or(c.LeaseFor, defaultLeaseFor)
+	c.ConfirmFor = cmp.Or(c.ConfirmFor, defaultConfirmFor)
+	c.Claimants = cmp.Or(c.Claimants, defaultClaimants)
+	c.WarmBears = cmp.Or(c.WarmBears, defaultWarmBears)
+	c.SettleFor = cmp.Or(c.SettleFor, defaultSettleFor)
+	c.Burst = cmp.Or(c.Burst, defaultBurst)
+	c.JumpFactor = cmp.Or(c.JumpFactor, defaultJumpFactor)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Report is a target's own statement of its load.
 type Report struct {
 	// Age is the time since the target took the figures, at the most: the age
--- a/internal/decide/slowstart/doc.go
+++ b/internal/decide/slowstart/doc.go
@@ -17,15 +17,16 @@
 //     most one grant that no report covers yet (an unseen grant), and makes
 //     the next one against a report that the target took after the last grant
 //     was seen to start or to end, or after its lease ran out.
-//   - While the owner can't be sure that it is the only one (it has just
-//     become owner, or nobody confirmed the host list lately), it leaves room
-//     for one unseen grant of each possible other owner: a grant needs
-//     load + Claimants <= Bears. Take the youngest report that any grant was
-//     based on: it showed load <= Bears - Claimants, and after it at most one
-//     unseen grant of each claimant arrives. So Bears is never exceeded,
-//     whatever the lag of reports or clocks.
-//   - A confirmed owner that has waited out the confirmation and the leases of
-//     its predecessor leaves no such room.
+//   - It leaves room for one unseen grant of each possible other owner: a
+//     grant needs load + Claimants <= Bears. Take the youngest report that any
+//     grant was based on: it showed load <= Bears - Claimants, and after it at
+//     most one unseen grant of each claimant arrives. So Bears is never
+//     exceeded, whatever the lag of reports, clocks and host lists. This holds
+//     as long as no more than Claimants processes act as owner within one
+//     lease time.
+//   - A target that bears no more than Claimants leaves no such room. Only an
+//     owner that is sure to be alone (see package ownership) fills it; it has
+//     waited out its predecessor, which idles such a target for seconds.
 //   - A report counts for FreshFor. Later the target may have restarted, so it
 //     is given nothing until the next report, unless generations that this
 //     incarnation began are seen to produce tokens.
--- a/internal/decide/slowstart/gate.go
+++ b/internal/decide/slowstart/gate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"filbertdeck/internal/decide/ownership"
 )
 
 // unbounded is the room at a warm target that doesn't say what it bears.
@@ -12,7 +14,7 @@
 // concurrent use. Times count from any fixed start, the same for all calls.
 type Gate struct {
 	cfg    Config
-	owner  ownership
+	tenure ownership.Tenure
 	flight flight
 	warmth warmth
 
@@ -37,13 +39,13 @@
 // this allocator as the pool's owner. Call it for each list that is read, also
 // when the answer stays the same.
 func (g *Gate) SetOwner(now time.Duration, revision uint64, owner bool) {
-	g.owner.set(now, revision, owner)
+	g.tenure.Set(now, revision, owner)
 }
 
 // Confirm says that the host list in force here was the newest one at the
 // moment at: a read of the configuration service that was begun then, or
 // gossip, sent then, of peers that know no newer list.
-func (g *Gate) Confirm(at time.Duration) { g.owner.confirm(at) }
+func (g *Gate) Confirm(at time.Duration) { g.tenure.Confirm(at) }
 
 // Observe takes a report that was received at now. Reports may come late or
 // out of order; one that was taken before the latest is dropped.
@@ -109,7 +111,7 @@
 func (g *Gate) Room(now time.Duration) int {
 	g.flight.expire(now)
 	state := g.State(now)
-	sole := g.owner.sole(now, g.taken, g.cfg)
+	sole := g.sole(now)
 	switch {
 	case state == Warm, state == Settled && sole:
 		return g.warmRoom()
@@ -137,54 +139,28 @@
 // coldRoom gives one place, and only against a report that covers every grant
 // made here. See the package comment for why this bounds the whole fleet.
 func (g *Gate) coldRoom(now time.Duration, sole bool) int {
-	fresh := g.taken > now-g.cfg.FreshFor && g.taken > g.owner.began
-	if !g.owner.is || !fresh || len(g.flight.unseen) > 0 {
+	fresh := g.taken > now-g.cfg.FreshFor && g.taken > g.tenure.Began()
+	if !g.tenure.Owner() || !fresh || len(g.flight.unseen) > 0 {
 		return 0
 	}
+	bears := g.warmth.bears()
 	places := g.cfg.Claimants
-	if sole {
+	if bears <= g.cfg.Claimants {
+		if !sole {
+			return 0
+		}
 		places = 1
 	}
 	load := max(g.report.load(), g.flight.running())
-	if load+places > g.warmth.bears() {
+	if load+places > bears {
 		return 0
 	}
 	return 1
 }
 
-// ownership is what the host list says of this allocator.
-type ownership struct {
-	is        bool
-	revision  uint64
-	began     time.Duration
-	confirmed time.Duration
-	ever      bool
-}
-
-// set starts the ownership anew when a revision was skipped: another allocator
-// may have been the owner in it, with a grant still on its way. One would
-// notice by a cold target that has one request too many after two quick
-// changes of the list.
-func (o *ownership) set(now time.Duration, revision uint64, is bool) {
-	skipped := revision != o.revision && revision != o.revision+1
-	if is && (!o.is || skipped) {
-		o.began = now
-	}
-	o.is, o.revision = is, revision
-}
-
-func (o *ownership) confirm(at time.Duration) {
-	o.confirmed = max(o.confirmed, at)
-	o.ever = true
-}
-
-// sole tells whether no other allocator can be granting to this target, and no
-// grant of an earlier owner can arrive after the report. An earlier owner acts
-// on its last confirmation for ConfirmFor, and its last grant lives for
-// LeaseFor; both began before this ownership did.
-func (o *ownership) sole(now, reportTaken time.Duration, cfg Config) bool {
-	if !o.is || !o.ever || o.confirmed < o.began || now-o.confirmed > cfg.ConfirmFor {
-		return false
-	}
-	return reportTaken > o.began+cfg.ConfirmFor+cfg.LeaseFor
+// sole tells whether no other allocator grants to this target, and the report
+// was taken after the last grant of an earlier one arrived.
+func (g *Gate) sole(now time.Duration) bool {
+	cfg := ownership.Config{ConfirmFor: g.cfg.ConfirmFor, ActFor: g.cfg.LeaseFor}
+	return g.tenure.Sole(now, cfg) && g.taken > g.tenure.SoleFrom(cfg)
 }
