Add account limits as leased quota

Ruled out: an even split (a pool with all the demand gets an eighth), counts by gossip, giving a silent holder's part away at its lease's end (its generations still run).

--- /dev/null
+++ b/internal/decide/quota/holder.go
@@ -0,0 +1,101 @@
+package quota
+
+import "time"
+
+// Holder keeps the leases of one pool. It is not safe for concurrent use.
+type Holder struct {
+	cfg    Config
+	leases map[string]*holding
+}
+
+// holding is a lease as its holder sees it.
+type holding struct {
+	grant   Grant
+	asked   time.Duration
+	expires time.Duration
+	// tokens may be below zero: generations of unknown length overdraw.
+	tokens float64
+	filled time.Duration
+}
+
+// NewHolder returns a holder without leases.
+func NewHolder(cfg Config) *Holder {
+	return &Holder{cfg: cfg.withDefaults(), leases: map[string]*holding{}}
+}
+
+// Granted takes an answer to a demand that was sent at asked. An answer to an
+// earlier demand than the last one answered is dropped. An answer without a
+// lease, of an owner that is new, leaves the lease of the one before in force.
+func (h *Holder) Granted(asked time.Duration, g Grant) {
+	l := h.leases[g.Account]
+	if l == nil {
+		l = &holding{filled: asked}
+		h.leases[g.Account] = l
+	}
+	if asked < l.asked {
+		return
+	}
+	l.asked = asked
+	if g.LeaseFor == 0 {
+		l.grant.RetryAfter = g.RetryAfter
+		return
+	}
+	l.fill(asked, h.cfg.RateBurst)
+	l.grant, l.expires = g, asked+g.LeaseFor
+}
+
+// MayStart tells whether a request of the account may start while running of
+// its requests are in progress here.
+func (h *Holder) MayStart(now time.Duration, account string, limits Limits, running int) bool {
+	if limits == (Limits{}) {
+		return true
+	}
+	l := h.leases[account]
+	if l == nil || now >= l.expires {
+		return false
+	}
+	l.fill(now, h.cfg.RateBurst)
+	inRunning := limits.Running == 0 || running < l.grant.Running
+	inRate := limits.TokensPerSecond == 0 || (l.grant.TokensPerSecond > 0 && l.tokens >= 0)
+	return inRunning && inRate
+}
+
+// Running is the number of requests that the account's lease allows here.
+func (h *Holder) Running(now time.Duration, account string) int {
+	l := h.leases[account]
+	if l == nil || now >= l.expires {
+		return 0
+	}
+	return l.grant.Running
+}
+
+// Charge books tokens as they are produced.
+func (h *Holder) Charge(now time.Duration, account string, tokens int) {
+	if l := h.leases[account]; l != nil {
+		l.fill(now, h.cfg.RateBurst)
+		l.tokens -= float64(tokens)
+	}
+}
+
+// RenewAt is when the account's next demand should be sent.
+func (h *Holder) RenewAt(account string) time.Duration {
+	l := h.leases[account]
+	if l == nil {
+		return 0
+	}
+	return l.asked + l.grant.RetryAfter
+}
+
+// Drop forgets an account without requests; its debt is forgotten with it, so
+// call it only once the lease is over.
+func (h *Holder) Drop(account string) { delete(h.leases, account) }
+
+// fill adds what the rate gives while the lease lives, up to the burst.
+func (l *holding) fill(now, burst time.Duration) {
+	until := min(now, l.expires)
+	if until > l.filled {
+		l.tokens += l.grant.TokensPerSecond * (until - l.filled).Seconds()
+	}
+	l.tokens = min(l.tokens, l.grant.TokensPerSecond*burst.Seconds())
+	l.filled = max(l.filled, now)
+}
