--- /dev/null
+++ b/internal/decide/pools/pools_test.go
@@ -0,0 +1,271 @@
+package pools_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"filbertdeck/internal/decide/pools"
+)
+
+func TestPools(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "pools")
+}
+
+const ms = time.Millisecond
+
+func targets(n int) (out []pools.Target) {
+	for i := range n {
+		out = append(out, pools.Target{Address: fmt.Sprintf("10.0.0.%d:80", i), DataCentre: "east"})
+	}
+	return out
+}
+
+func hosts(n int) (out []pools.Host) {
+	for i := range n {
+		out = append(out, pools.Host{Control: fmt.Sprintf("10.1.0.%d:90", i), DataCentre: []string{"east", "west"}[i%2]})
+	}
+	return out
+}
+
+// members maps each target to its pool; naive pools are four in a row.
+func members(ts []pools.Target, naive bool) map[string]string {
+	out := map[string]string{}
+	for _, p := range pools.Partition("report", ts) {
+		for _, a := range p.Targets {
+			out[a] = p.ID
+		}
+	}
+	if naive {
+		for i, t := range ts {
+			out[t.Address] = fmt.Sprint(i / 4)
+		}
+	}
+	return out
+}
+
+// moved is the mean number of targets that change their pool when one leaves.
+func moved(n int, naive bool) float64 {
+	all, count := targets(n), 0
+	before := members(all, naive)
+	for i := range all {
+		for a, p := range members(slices.Delete(slices.Clone(all), i, i+1), naive) {
+			if before[a] != p {
+				count++
+			}
+		}
+	}
+	return float64(count) / float64(n)
+}
+
+var _ = Describe("a partition", func() {
+	It("covers each target once, in pools of a bounded size, in any order", func() {
+		for n := 1; n < 200; n++ {
+			ts := targets(n)
+			want := pools.Partition("report", ts)
+			rand.New(rand.NewPCG(1, uint64(n))).Shuffle(n, func(i, j int) { ts[i], ts[j] = ts[j], ts[i] })
+			Expect(pools.Partition("report", ts)).To(Equal(want))
+			Expect(members(ts, false)).To(HaveLen(n))
+			for _, p := range want {
+				Expect(len(p.Targets)).To(BeNumerically("<=", 6))
+			}
+		}
+	})
+
+	// A target is reclaimed. Each target that moves to another pool meets an
+	// allocator that knows nothing of it and has to start it carefully.
+	It("moves few targets when one leaves", func() {
+		Expect(moved(100, false)).To(BeNumerically("<", 1))
+		Expect(moved(100, true)).To(BeNumerically(">", 10))
+		for n := 90; n < 110; n++ { // where the number of pools changes, a pool's targets move and a few more
+			Expect(moved(n, false)).To(BeNumerically("<", 9), fmt.Sprint(n))
+		}
+	})
+})
+
+var _ = Describe("an owner", func() {
+	pool := pools.Pool{ID: "report/east/0", DataCentre: "east"}
+
+	It("is a live host of the pool's data centre, and its loss promotes the second", func() {
+		hs := hosts(20)
+		ranked := pools.Ranked(pool, hs)
+		first, _ := pools.Owner(pool, hs)
+		Expect(first).To(Equal(ranked[0]))
+		Expect(first.DataCentre).To(Equal("east"))
+		i := slices.Index(hs, first)
+		hs[i].Leaving = true
+		second, _ := pools.Owner(pool, hs)
+		Expect(second).To(Equal(ranked[1]))
+		Expect(pools.Ranked(pool, hs)[19].Control).To(Equal(first.Control))
+		_, ok := pools.Owner(pool, nil)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("is spread evenly, also for accounts", func() {
+		counts := map[string]int{}
+		for i := range 2000 {
+			o, _ := pools.AccountOwner(fmt.Sprint(i), hosts(20))
+			counts[o.Control]++
+		}
+		Expect(counts).To(HaveLen(20))
+		for _, n := range counts {
+			Expect(n).To(BeNumerically("~", 100, 40))
+		}
+	})
+})
+
+// views gives n pools in each data centre with news of no backlog.
+func views(n int) (out []pools.View) {
+	for _, dc := range []string{"east", "west"} {
+		for i := range n {
+			v := pools.NewView(pools.Pool{ID: fmt.Sprint(dc, i), DataCentre: dc}, "")
+			v.Heard = true
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+var _ = Describe("a choice", func() {
+	here := pools.Request{DataCentre: "east", Affinity: 42, Cached: true}
+	choose := func(vs []pools.View, r pools.Request, d pools.Draw) int {
+		return pools.Choose(0, pools.Config{}, vs, r, d)
+	}
+
+	It("stays in the data centre, with the pool of the prefix, until that is worth less", func() {
+		vs := views(8)
+		home := choose(vs, here, pools.Draw{})
+		Expect(vs[home].DataCentre).To(Equal("east"))
+		for i := range 10 {
+			Expect(choose(vs, here, pools.Draw{Other: uint64(i)})).To(Equal(home))
+		}
+		vs[home].Backlog = 150 * ms
+		Expect(choose(vs, here, pools.Draw{Other: 5})).NotTo(Equal(home))
+		for i := range 8 {
+			vs[i].Backlog = time.Second
+		}
+		Expect(vs[choose(vs, here, pools.Draw{Other: 3})].DataCentre).To(Equal("west"))
+	})
+
+	// Operators take a data centre out while an entry still hears of its short
+	// backlogs. Work sent there would be cut when its hosts go.
+	It("never takes a data centre that is out, and a returning one by its share", func() {
+		vs := views(4)
+		for i := range 4 {
+			vs[i].Share = 0
+			vs[4+i].Backlog = time.Minute
+		}
+		for i := range 100 {
+			got := choose(vs, here, pools.Draw{Other: uint64(i)})
+			Expect(vs[got].DataCentre).To(Equal("west"))
+		}
+		for i := range 4 {
+			vs[i].Share = 0.2
+		}
+		Expect(vs[choose(vs, here, pools.Draw{Share: 0.1})].DataCentre).To(Equal("east"))
+		Expect(vs[choose(vs, here, pools.Draw{Share: 0.3})].DataCentre).To(Equal("west"))
+		Expect(choose(vs[:4], here, pools.Draw{Share: 0.3})).To(BeNumerically(">=", 0), "nothing else is left")
+		for i := range vs {
+			vs[i].Share = 0
+		}
+		Expect(choose(vs, here, pools.Draw{})).To(Equal(-1))
+	})
+
+	It("avoids pools, distrusts old news, and counts what it sent itself", func() {
+		vs := views(2)[:2]
+		r := pools.Request{DataCentre: "east", Avoid: []string{"east0"}}
+		Expect(choose(vs, r, pools.Draw{})).To(Equal(1))
+		r.Avoid = nil
+		vs[0].Backlog, vs[1].Sent = 50*ms, 20
+		Expect(choose(vs, r, pools.Draw{})).To(Equal(0))
+		vs[0].NewsAt = -time.Minute
+		Expect(choose(vs, r, pools.Draw{})).To(Equal(1))
+	})
+
+	It("keeps backlogs even where the least backlog herds", func() {
+		Expect(herd(1, false)).To(BeNumerically("<", herd(1, true)/3))
+	})
+
+	It("gives each entry a few pools of its own", func() {
+		all := pools.Partition("report", targets(320))
+		a, b := pools.Subset("a", all, 8), pools.Subset("b", all, 8)
+		Expect(a).To(HaveLen(8))
+		Expect(a).NotTo(Equal(b))
+		Expect(pools.Subset("a", all[:3], 8)).To(HaveLen(3))
+	})
+})
+
+// herd lets 50 entries send 540 requests a second for a minute to 20 pools that
+// serve 30 a second each. Backlogs are a second old. It gives the p99 wait.
+func herd(seed uint64, naive bool) time.Duration {
+	rnd := rand.New(rand.NewPCG(seed, 5))
+	vs := views(20)[:20]
+	queue := make([]float64, len(vs))
+	sent := make([][]int, 50)
+	for e := range sent {
+		sent[e] = make([]int, len(vs))
+	}
+	var waits []time.Duration
+	for step := range 6000 { // of 10 ms
+		for i := range queue {
+			queue[i] = max(0, queue[i]-0.3)
+			if step%100 == 0 {
+				vs[i].Backlog, vs[i].NewsAt = wait(queue[i]), time.Duration(step)*10*ms
+			}
+		}
+		for range 4 + rnd.IntN(4) {
+			e := rnd.IntN(len(sent))
+			if step%100 == 0 {
+				clear(sent[e])
+			}
+			for i := range vs {
+				vs[i].Sent = sent[e][i]
+			}
+			r := pools.Request{DataCentre: "east", Affinity: rnd.Uint64(), Cached: rnd.IntN(2) == 0}
+			to := pools.Choose(time.Duration(step)*10*ms, pools.Config{}, vs, r, pools.Draw{Other: rnd.Uint64()})
+			if naive {
+				to = slices.IndexFunc(vs, func(v pools.View) bool { return v.Backlog == slices.MinFunc(vs, less).Backlog })
+			}
+			sent[e][to]++
+			waits = append(waits, wait(queue[to]))
+			queue[to]++
+		}
+	}
+	slices.Sort(waits)
+	return waits[len(waits)*99/100]
+}
+
+func less(a, b pools.View) int         { return int(a.Backlog - b.Backlog) }
+func wait(queue float64) time.Duration { return time.Duration(queue / 30 * float64(time.Second)) }
+
+func BenchmarkMeasure(b *testing.B) {
+	for _, naive := range []bool{false, true} {
+		b.Run(fmt.Sprint("naive=", naive), func(b *testing.B) {
+			var p99 time.Duration
+			for range b.N {
+				p99 = herd(1, naive)
+			}
+			b.ReportMetric(float64(p99.Milliseconds()), "p99-wait-ms")
+			b.ReportMetric(moved(100, naive), "targets-moved")
+		})
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{4, 83} {
+		b.Run(fmt.Sprint("pools=", n), func(b *testing.B) {
+			vs, rnd := views(n), rand.New(rand.NewPCG(1, 1))
+			b.ReportAllocs()
+			for range b.N {
+				r := pools.Request{DataCentre: "east", Affinity: rnd.Uint64(), Cached: true}
+				pools.Choose(0, pools.Config{}, vs, r, pools.Draw{Other: rnd.Uint64(), Share: 0.2})
+			}
+		})
+	}
+}
