Add drain and fencing

Drain: a data centre that is taken out gets nothing at once and returns by a ramp; a planned stop waits until the balancer heard of it.

--- /dev/null
+++ b/internal/decide/drain/drain_test.go
@@ -0,0 +1,167 @@
+package drain_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"filbertdeck/internal/decide/drain"
+)
+
+func TestDrain(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "drain")
+}
+
+var _ = Describe("data centres", func() {
+	It("leave at once, return by a ramp, and leave again in the middle of it", func() {
+		c := drain.NewCentres(drain.Config{})
+		Expect(c.Ready()).To(BeFalse())
+		for _, step := range []struct {
+			at    time.Duration
+			out   []string
+			share float64
+		}{
+			{0, nil, 1}, {time.Second, []string{"east"}, 0}, {2 * time.Second, nil, 0.05},
+			{17 * time.Second, nil, 0.5}, {18 * time.Second, []string{"west", "east"}, 0},
+			{20 * time.Second, []string{"west"}, 0.05}, {60 * time.Second, []string{"west"}, 1},
+		} {
+			c.Set(step.at, step.out)
+			Expect(c.Share(step.at, "east")).To(Equal(step.share), step.at.String())
+		}
+		Expect(c.Ready()).To(BeTrue())
+		Expect(c.MayStart("west", false)).To(BeFalse())
+		Expect(c.MayStart("east", false)).To(BeTrue())
+		Expect(c.MayStart("east", true)).To(BeFalse())
+	})
+
+	// A data centre comes back empty beside two that are full. Entries that go
+	// by backlog alone send it everything, and its cold targets fall over.
+	It("never get more than they bear on their return, unlike by backlog alone", func() {
+		Expect(comeback(true)).To(BeZero())
+		Expect(comeback(false)).To(BeNumerically(">", 1000))
+	})
+})
+
+// comeback sends 300 requests a second for a minute to three data centres that
+// serve 120 a second each. One comes back, and bears a tenth at first and all
+// of it after 25 s. It gives the requests beyond what it bore.
+func comeback(ramped bool) (over int) {
+	rnd := rand.New(rand.NewPCG(1, 6))
+	c := drain.NewCentres(drain.Config{})
+	c.Set(0, []string{"back"})
+	c.Set(0, nil)
+	for second := range 60 {
+		now := time.Duration(second) * time.Second
+		got := 0
+		for range 300 {
+			share := 1.0 / 3
+			if !ramped && second < 10 {
+				share = 1 // until backlogs are even again
+			}
+			if rnd.Float64() < share && (!ramped || rnd.Float64() < c.Share(now, "back")) {
+				got++
+			}
+		}
+		bears := int(120 * min(1, 0.1+0.9*float64(second)/25))
+		over += max(0, got-bears)
+	}
+	return over
+}
+
+var _ = Describe("a planned stop", func() {
+	It("announces, waits for quiet, refuses, finishes, lingers and ends", func() {
+		s := drain.NewStop(drain.StopConfig{})
+		Expect(s.Step(0, 3)).To(Equal(drain.Serving))
+		s.Begin(time.Second)
+		for _, step := range []struct {
+			at      time.Duration
+			arrives bool
+			running int
+			want    drain.Phase
+		}{
+			{2, false, 3, drain.Announced}, {5, true, 3, drain.Announced}, {6, false, 4, drain.Announced},
+			{7, false, 4, drain.Refusing}, {3000, false, 1, drain.Refusing}, {3001, false, 0, drain.Lingering},
+			{3001, false, 1, drain.Refusing}, {3002, false, 0, drain.Lingering}, {3003, false, 0, drain.Done},
+		} {
+			at := step.at * time.Second
+			if step.arrives {
+				s.Arrived(at)
+			}
+			Expect(s.Step(at, step.running)).To(Equal(step.want), at.String())
+			Expect(s.Ready()).To(BeFalse())
+			Expect(s.TakesNew()).To(Equal(step.want == drain.Announced))
+		}
+		Expect(s.Cut()).To(BeFalse())
+	})
+
+	It("refuses in the end what a deaf balancer sends, and cuts only by the limit that was set", func() {
+		s := drain.NewStop(drain.StopConfig{FinishLimit: time.Minute})
+		s.Begin(0)
+		s.Arrived(14 * time.Second)
+		Expect(s.Step(14*time.Second, 1)).To(Equal(drain.Announced))
+		s.Arrived(15 * time.Second)
+		Expect(s.Step(15*time.Second, 1)).To(Equal(drain.Refusing))
+		Expect(s.Step(time.Minute, 1)).To(Equal(drain.Done))
+		Expect(s.Cut()).To(BeTrue())
+	})
+
+	// A process that stops listening at once refuses what the balancer still
+	// sends; callers see their connections fail during each rolling upgrade.
+	It("refuses nothing that a working balancer sends", func() {
+		refused, naive := upgrade(drain.StopConfig{}), upgrade(drain.StopConfig{AnnounceLimit: 1})
+		Expect(refused).To(BeZero())
+		Expect(naive).To(BeNumerically(">", 100))
+	})
+})
+
+// upgrade stops a process under 100 requests a second, of which each takes up
+// to 3 s; the balancer leaves it out 4 s after the announcement. It gives the
+// requests that were refused or cut.
+func upgrade(cfg drain.StopConfig) (lost int) {
+	rnd := rand.New(rand.NewPCG(1, 7))
+	s := drain.NewStop(cfg)
+	s.Begin(0)
+	var ends []time.Duration
+	for now := time.Duration(0); s.Phase() != drain.Done; now += 10 * time.Millisecond {
+		running := 0
+		for _, end := range ends {
+			if end > now {
+				running++
+			}
+		}
+		if now < 4*time.Second {
+			s.Arrived(now)
+			if s.TakesNew() {
+				ends = append(ends, now+time.Duration(rnd.Int64N(int64(3*time.Second))))
+			} else {
+				lost++
+			}
+		}
+		if s.Step(now, running) == drain.Done {
+			lost += running
+		}
+	}
+	return lost
+}
+
+func BenchmarkMeasure(b *testing.B) {
+	for _, ours := range []bool{true, false} {
+		b.Run(fmt.Sprint("naive=", !ours), func(b *testing.B) {
+			cfg := drain.StopConfig{}
+			if !ours {
+				cfg = drain.StopConfig{AnnounceLimit: 1}
+			}
+			var over, lost int
+			for range b.N {
+				over, lost = comeback(ours), upgrade(cfg)
+			}
+			b.ReportMetric(float64(over), "overloads-at-return")
+			b.ReportMetric(float64(lost), "lost-at-stop")
+		})
+	}
+}
--- /dev/null
+++ b/internal/decide/drain/stop.go
@@ -0,0 +1,143 @@
+package drain
+
+import (
+	"cmp"
+	"time"
+)
+
+// Phase is a step of a planned stop.
+type Phase int
+
+// The steps, in their order.
+const (
+	// Serving: ready, takes work.
+	Serving Phase = iota
+	// Announced: not ready, and says so to balancer and peers, but still takes
+	// work: they have not all heard it.
+	Announced
+	// Refusing: new work is refused as not run, with the time to come back; what
+	// runs goes on.
+	Refusing
+	// Lingering: nothing runs; last answers leave the socket buffers, and
+	// callers may still resume or fetch an answer.
+	Lingering
+	// Done: the process exits.
+	Done
+)
+
+var phaseNames = [...]string{"serving", "announced", "refusing", "lingering", "done"}
+
+// String names the phase as logs show it.
+func (p Phase) String() string { return phaseNames[p] }
+
+// StopConfig holds the figures of a planned stop; the zero value of a field
+// means its default.
+type StopConfig struct {
+	// AnnounceFor is the least time between not ready and the first refusal.
+	// Default 5 s: balancers probe every 1 to 2 s and take a host out after two
+	// failed probes; the published list lags as much.
+	AnnounceFor time.Duration
+	// QuietFor is how long no new work has to have come before it is refused.
+	// Default 2 s, a probe's period.
+	QuietFor time.Duration
+	// AnnounceLimit ends the wait for quiet. Default 15 s: a balancer that
+	// ignores readiness sends for ever; its requests are refused then, which
+	// cuts nothing.
+	AnnounceLimit time.Duration
+	// LingerFor follows the end of the last request. Default 1 s.
+	LingerFor time.Duration
+	// FinishLimit bounds the wait for running work; 0, the default, means none:
+	// a report of 40,000 tokens at 61 ms runs for 41 minutes, and no planned
+	// stop cuts it. Set it below the platform's own limit, if it has one, so
+	// that callers get a typed end instead of a broken connection.
+	FinishLimit time.Duration
+}
+
+const (
+	defaultAnnounceFor   = 5 * time.Second
+	defaultQuietFor      = 2 * time.Second
+	defaultAnnounceLimit = 15 * time.Second
+	defaultStopLinger    = time.Second
+)
+
+// Stop is the planned stop of one process. It is not safe for concurrent use.
+type Stop struct {
+	cfg     StopConfig
+	phase   Phase
+	since   time.Duration
+	asked   time.Duration
+	lastNew time.Duration
+	cut     bool
+}
+
+// NewStop returns a process that serves.
+func NewStop(cfg StopConfig) *Stop {
+	cfg.AnnounceFor = cmp.Or(cfg.AnnounceFor, defaultAnnounceFor)
+	cfg.QuietFor = cmp.Or(cfg.QuietFor, defaultQuietFor)
+	cfg.AnnounceLimit = cmp.Or(cfg.AnnounceLimit, defaultAnnounceLimit)
+	cfg.LingerFor = cmp.Or(cfg.LingerFor, defaultStopLinger)
+	return &Stop{cfg: cfg}
+}
+
+// Begin starts the stop; a second call changes nothing.
+func (s *Stop) Begin(now time.Duration) {
+	if s.phase == Serving {
+		s.asked = now
+		s.enter(now, Announced)
+	}
+}
+
+// Arrived notes that new work came, whether it was taken or refused.
+func (s *Stop) Arrived(now time.Duration) { s.lastNew = now }
+
+// Step moves on. running counts the requests, streams and leases in progress.
+// Call it on each change of running and a few times a second.
+func (s *Stop) Step(now time.Duration, running int) Phase {
+	switch s.phase {
+	case Announced:
+		if s.heard(now) {
+			s.enter(now, Refusing)
+		}
+	case Refusing:
+		s.finish(now, running)
+	case Lingering:
+		if running > 0 { // a caller resumed
+			s.enter(now, Refusing)
+		} else if now-s.since >= s.cfg.LingerFor {
+			s.enter(now, Done)
+		}
+	}
+	return s.phase
+}
+
+// heard tells whether the balancer has taken the process out.
+func (s *Stop) heard(now time.Duration) bool {
+	waited := now - s.since
+	quiet := now-s.lastNew >= s.cfg.QuietFor
+	return (waited >= s.cfg.AnnounceFor && quiet) || waited >= s.cfg.AnnounceLimit
+}
+
+func (s *Stop) finish(now time.Duration, running int) {
+	if running == 0 {
+		s.enter(now, Lingering)
+		return
+	}
+	if s.cfg.FinishLimit > 0 && now-s.asked >= s.cfg.FinishLimit {
+		s.cut = true
+		s.enter(now, Done)
+	}
+}
+
+func (s *Stop) enter(now time.Duration, p Phase) { s.phase, s.since = p, now }
+
+// Phase is the step that the stop is in.
+func (s *Stop) Phase() Phase { return s.phase }
+
+// Ready is what the readiness probe answers.
+func (s *Stop) Ready() bool { return s.phase == Serving }
+
+// TakesNew tells whether new work is taken.
+func (s *Stop) TakesNew() bool { return s.phase <= Announced }
+
+// Cut tells whether the stop ended with work in progress, by FinishLimit.
+func (s *Stop) Cut() bool { return s.cut }
--- /dev/null
+++ b/internal/decide/fencing/fencing_test.go
@@ -0,0 +1,200 @@
+package fencing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"filbertdeck/internal/decide/fencing"
+	"filbertdeck/internal/decide/ownership"
+	"filbertdeck/internal/failure"
+)
+
+func TestFencing(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fencing")
+}
+
+var today = time.Date(2027, 3, 1, 0, 0, 0, 0, time.UTC)
+
+var _ = Describe("numbers", func() {
+	It("rise with the revision first, within a process, and over its restart", func() {
+		var old, later, restarted fencing.Sequence
+		last := fencing.Number(0)
+		for i := range 100 {
+			n, err := old.Next(today.Add(-time.Duration(i)*time.Hour), 7)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(n).To(BeNumerically(">", last))
+			last = n
+		}
+		n, _ := restarted.Next(today.Add(3*time.Second), 7)
+		Expect(n).To(BeNumerically(">", last))
+		m, _ := later.Next(today.Add(-1000*time.Hour), 8)
+		Expect(m).To(BeNumerically(">", n))
+		Expect(m.Revision()).To(Equal(uint64(8)))
+	})
+
+	DescribeTable("are refused", func(at time.Time, revision uint64) {
+		var s fencing.Sequence
+		_, err := s.Next(today, 5)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.Next(at, revision)
+		Expect(failure.KindOf(err)).To(Equal(failure.KindFenced))
+	},
+		Entry("restored list", today, uint64(4)),
+		Entry("too large", today, uint64(1)<<40),
+		Entry("before the epoch", today.AddDate(-5, 0, 0), uint64(6)),
+	)
+
+	It("keep an old owner out", func() {
+		var g fencing.Guard
+		Expect(g.Admit(5)).To(BeTrue())
+		Expect(g.Admit(5)).To(BeTrue())
+		Expect(g.Admit(4)).To(BeFalse())
+	})
+})
+
+// sole is the tenure of an owner that began at 0 and was confirmed at 8 s.
+func sole() *ownership.Tenure {
+	t := &ownership.Tenure{}
+	t.Set(0, 1, true)
+	t.Confirm(8 * time.Second)
+	return t
+}
+
+var _ = Describe("an order", func() {
+	It("goes out at once to an engine that checks, and ends by its answer", func() {
+		o, t := fencing.NewOrder(fencing.Config{}, true), &ownership.Tenure{}
+		Expect(o.Step(0, t)).To(Equal(fencing.Wait))
+		t.Set(0, 1, true)
+		Expect(o.Step(0, t)).To(Equal(fencing.Send))
+		o.Answered(0, fencing.Lost)
+		Expect(o.Step(time.Second, t)).To(Equal(fencing.Read))
+		o.ReadBack(time.Second, false)
+		Expect(o.Step(2*time.Second, t)).To(Equal(fencing.Send))
+		o.Answered(2*time.Second, fencing.Followed)
+		Expect(o.Step(2*time.Second, t)).To(Equal(fencing.Done))
+		fenced := fencing.NewOrder(fencing.Config{}, true)
+		fenced.Answered(0, fencing.Fenced)
+		Expect(fenced.Step(0, t)).To(Equal(fencing.GiveUp))
+	})
+
+	It("waits out the predecessor and reads back at an engine that doesn't", func() {
+		o, t := fencing.NewOrder(fencing.Config{}, false), sole()
+		Expect(o.Step(7*time.Second, t)).To(Equal(fencing.Wait))
+		Expect(o.Step(8*time.Second, t)).To(Equal(fencing.Send))
+		o.Answered(8*time.Second, fencing.Followed)
+		for i := range 3 {
+			now := time.Duration(9+i) * time.Second
+			t.Confirm(now)
+			Expect(o.Step(now, t)).To(Equal(fencing.Read))
+			o.ReadBack(now, true)
+		}
+		Expect(o.Step(11*time.Second, t)).To(Equal(fencing.Done))
+	})
+
+	// Two owners of a split fleet order different models. Each sees its order
+	// undone and gives in after some tries, instead of for ever.
+	It("gives up when it is undone again and again", func() {
+		o, t, sent := fencing.NewOrder(fencing.Config{}, false), sole(), 0
+		for now := 8 * time.Second; o.Step(now, t) != fencing.GiveUp; now += time.Second {
+			t.Confirm(now)
+			switch o.Step(now, t) {
+			case fencing.Send:
+				sent++
+				o.Answered(now, fencing.Followed)
+			case fencing.Read:
+				o.ReadBack(now, false)
+			}
+		}
+		Expect(sent).To(Equal(5))
+	})
+
+	It("leaves the last owner's state at the engine, unlike orders without numbers", func() {
+		for seed := range uint64(200) {
+			Expect(handover(seed, checking)).To(BeTrue(), fmt.Sprint(seed))
+			Expect(handover(seed, ignoring)).To(BeTrue(), fmt.Sprint(seed))
+		}
+		Expect(wrong(naive)).To(BeNumerically(">=", 10))
+	})
+})
+
+const (
+	checking = iota
+	ignoring
+	naive
+)
+
+// handover lets owner 0 be followed by owner 1 under the next list, with orders
+// up to 3 s under way. Owner 0 reads the new list late, but its confirmations
+// are true. It tells whether the engine ends as owner 1 wants.
+func handover(seed uint64, how int) bool {
+	const tick = 100 * time.Millisecond
+	rnd := rand.New(rand.NewPCG(seed, 8))
+	change := 10*time.Second + time.Duration(rnd.IntN(30))*tick
+	reads := [2]time.Duration{change + time.Duration(rnd.IntN(80))*tick, change + time.Duration(rnd.IntN(20))*tick}
+	var tenures [2]ownership.Tenure
+	var sequences [2]fencing.Sequence
+	orders := [2]*fencing.Order{fencing.NewOrder(fencing.Config{}, how != ignoring), fencing.NewOrder(fencing.Config{}, how != ignoring)}
+	begins := [2]time.Duration{change - time.Duration(rnd.IntN(20))*tick, 0}
+	tenures[0].Set(0, 1, true)
+	var guard fencing.Guard
+	state := -1
+	events := map[time.Duration][]func(){}
+	for now := time.Duration(0); now < 60*time.Second; now += tick {
+		for _, call := range events[now] {
+			call()
+		}
+		for i := range tenures {
+			t, o := &tenures[i], orders[i]
+			if now == reads[i] {
+				t.Set(now, 2, i == 1)
+			}
+			if now < change || now >= reads[i] {
+				t.Confirm(now)
+			}
+			if now < begins[i] {
+				continue
+			}
+			switch o.Step(now, t) {
+			case fencing.Send:
+				n, _ := sequences[i].Next(today.Add(now), t.Revision())
+				arrives := now + tick + time.Duration(rnd.IntN(30))*tick
+				events[arrives] = append(events[arrives], func() {
+					if how != checking || guard.Admit(n) {
+						state = i
+					}
+				})
+				o.Answered(now, fencing.Followed)
+			case fencing.Read:
+				o.ReadBack(now, state == i)
+			}
+		}
+	}
+	return state == 1
+}
+
+func wrong(how int) (n int) {
+	for seed := range uint64(200) {
+		if !handover(seed, how) {
+			n++
+		}
+	}
+	return n
+}
+
+func BenchmarkMeasure(b *testing.B) {
+	for how, name := range []string{"checking", "ignoring", "naive"} {
+		b.Run(name, func(b *testing.B) {
+			n := 0
+			for range b.N {
+				n = wrong(how)
+			}
+			b.ReportMetric(float64(n), "wrong-of-200")
+		})
+	}
+}
