--- a/internal/decide/admission/allocator.go
+++ b/internal/decide/admission/allocator.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"filbertdeck/internal/decide/fairqueue"
+	"filbertdeck/internal/decide/health"
 	"filbertdeck/internal/decide/lengths"
 	"filbertdeck/internal/decide/memory"
 	"filbertdeck/internal/decide/slowstart"
@@ -72,6 +73,7 @@
 	waiting map[askKey]*fairqueue.Request[Ask]
 	leases  leaseTable
 
+	health   *health.Pool
 	suspects suspects
 	owner    ownership
 	stopping bool
@@ -110,6 +112,7 @@
 		targets:  map[string]*target{},
 		waiting:  map[askKey]*fairqueue.Request[Ask]{},
 		leases:   newLeaseTable(LeaseID(firstID(cfg.Seed))),
+		health:   health.New(health.Config{}),
 		suspects: newSuspects(),
 		owner:    ownership{owner: cfg.Owner, known: cfg.Owner},
 	}
@@ -241,6 +244,9 @@
 	a.book(now, l, ask.Holder, r.Account, t, memory.Generation{Prompt: ask.PromptTokens, Max: ask.MaxTokens})
 	l.charged = cost
 	t.cache.expect(ask.Prefix)
+	if a.health.Standing(now, t.address) == health.Trial {
+		a.health.BeginTrial(now, t.address)
+	}
 	a.queue.Release(r)
 	a.grant(l, ask.Request, 0)
 }
--- a/internal/decide/admission/allocator_test.go
+++ b/internal/decide/admission/allocator_test.go
@@ -334,6 +334,92 @@
 	})
 })
 
+func (r *rig) renewAll() {
+	for _, d := range r.granted {
+		if r.leases.byID[d.Lease] != nil {
+			r.Renew(r.now, home, []Renewal{{Lease: d.Lease, Target: d.Target, Account: "a"}})
+		}
+	}
+}
+
+// crash settles everything that runs on a target as died with it, and starts
+// the target anew.
+func (r *rig) crash(target string) {
+	died := 0
+	for id, d := range r.granted {
+		if d.Target == target {
+			r.settle(id, OutcomeTargetCrashed, 0)
+			delete(r.granted, id)
+			died++
+		}
+	}
+	r.targets[target].report.Incarnation++
+	r.now += 500 * ms
+	r.report(target, Report{Bears: 64, MemoryTokens: 10_000, Incarnation: r.targets[target].report.Incarnation})
+}
+
+var _ = Describe("a request that kills its targets", func() {
+	// One prompt trips a fault in the engine, and its caller sends it again
+	// each time. Without evidence it would take every target down in turn, and
+	// the innocent requests in the same batches with them.
+	It("is refused after three crashes, and the innocent get through", func() {
+		r := newRig(3, Config{})
+		innocent := func() uint64 { return r.ask("b", func(a *Ask) { a.Fingerprint = 7 }) }
+		crashes, last := 0, uint64(0)
+		for range 40 {
+			id := r.ask("a", func(a *Ask) { a.Fingerprint = 666 })
+			last = innocent()
+			for range 10 {
+				r.after(500 * ms)
+				r.renewAll()
+				for i := range 3 {
+					address := fmt.Sprint("e", i)
+					r.report(address, Report{Bears: 64, MemoryTokens: 10_000, Incarnation: r.targets[address].report.Incarnation})
+				}
+			}
+			if d, ran := r.granted[id]; ran {
+				crashes++
+				r.crash(d.Target)
+			}
+			if d, ran := r.granted[last]; ran && d.Lease != 0 {
+				r.settle(last, OutcomeDone, 10)
+			}
+		}
+		Expect(crashes).To(BeNumerically("<=", 3))
+		Expect(r.refused[r.next-1].Reason).To(Equal(RefusedPoison))
+		Expect(r.granted).To(HaveKey(last))
+		heir := newRig(1, Config{})
+		Expect(heir.MergePoison(heir.now, r.PoisonEvidence(r.now, 10))).To(BeTrue())
+		id := heir.ask("a", func(a *Ask) { a.Fingerprint = 666 })
+		heir.decide()
+		Expect(heir.refused[id].Reason).To(Equal(RefusedPoison))
+	})
+})
+
+var _ = Describe("a target that fails at once", func() {
+	// Its answers come quickly because they are errors, and so it always looks
+	// free. Without a breaker it draws most of the pool's requests and loses
+	// them all.
+	It("gets trial requests only", func() {
+		r := newRig(3, Config{})
+		lost := 0
+		for range 200 {
+			id := r.ask("a", nil)
+			r.after(10 * ms)
+			if r.granted[id].Target == "e0" {
+				lost++
+				r.settle(id, OutcomeTargetFailed, 0)
+			} else if r.next > 20 {
+				r.settle(id-10, OutcomeDone, 10)
+			}
+			if r.next%50 == 0 {
+				reports(r)
+			}
+		}
+		Expect(lost).To(BeNumerically("<", 12))
+	})
+})
+
 var _ = Describe("plain services", func() {
 	It("are bounded by what they bear, and by the account's limit", func() {
 		r := newRig(0, Config{})
--- a/internal/decide/admission/choose.go
+++ b/internal/decide/admission/choose.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"filbertdeck/internal/decide/health"
 	"filbertdeck/internal/decide/memory"
 )
 
@@ -22,8 +23,8 @@
 )
 
 // choose picks the target for an ask: it filters those that may take it and
-// takes the one with the most room and the most of the prompt in its cache.
-// It returns nil when none may.
+// takes the one with the most room and the most of the prompt in its cache,
+// healthy ones first. It returns nil when none may.
 func (a *Allocator) choose(now time.Duration, ask *Ask, r ruling) *target {
 	if r.held {
 		return nil
@@ -34,14 +35,18 @@
 	var best *target
 	bestScore := 0.0
 	for _, t := range a.order {
-		if t.leaving || slices.Contains(avoid, t.address) || !t.allows(r) || t.room(now, a.owner.owner) <= 0 {
+		standing := a.health.Standing(now, t.address)
+		if standing == health.Ejected || t.leaving || slices.Contains(avoid, t.address) {
+			continue
+		}
+		if !t.allows(r) || t.room(now, a.owner.owner) <= 0 {
 			continue
 		}
 		room, fits := a.headroom(t, ask, &growth)
 		if !fits {
 			continue
 		}
-		score := room + a.affinity(t, ask) + tieBreak*a.random.Float64()
+		score := room + a.affinity(t, ask) + tieBreak*a.random.Float64() + preference(standing)
 		if best == nil || score > bestScore {
 			best, bestScore = t, score
 		}
@@ -49,6 +54,22 @@
 	return best
 }
 
+// preference puts a target's standing before its score, which lies within -2
+// and 2: one trial request goes ahead, so that a target which recovered comes
+// back, and a doubtful target is taken when no good one has room.
+func preference(s health.Standing) float64 {
+	switch s {
+	case health.Trial:
+		return standingStep
+	case health.Doubtful:
+		return -standingStep
+	default:
+		return 0
+	}
+}
+
+const standingStep = 10.0
+
 // avoided gives the targets to avoid; a list that names them all is void, for
 // else the request could never run.
 func (a *Allocator) avoided(ask *Ask) []string {
--- a/internal/decide/admission/lease.go
+++ b/internal/decide/admission/lease.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filbertdeck/internal/decide/fairqueue"
+	"filbertdeck/internal/decide/health"
 	"filbertdeck/internal/decide/memory"
 )
 
@@ -206,13 +207,19 @@
 
 // observe takes what a settlement says of the request and its target.
 func (a *Allocator) observe(now time.Duration, l *lease, s Settlement) {
+	t := l.target
 	switch s.Outcome {
 	case OutcomeDone:
 		a.suspects.finished(now, l.fingerprint)
 	case OutcomeTargetCrashed:
-		a.suspects.crashed(now, l.target)
-		l.target.gate.Suspect(now)
+		a.suspects.crashed(now, t)
+		t.gate.Suspect(now)
+	case OutcomeNotRun:
+		// Nothing reached the target, so that it says nothing of it.
+		return
 	}
+	ok := s.Outcome == OutcomeDone || s.Outcome == OutcomeCallerLeft
+	a.health.Result(now, t.address, ok, health.Sample{FirstToken: s.FirstToken}, a.random.Float64())
 }
 
 // end takes a lease off all counts.
--- a/internal/decide/admission/suspects.go
+++ b/internal/decide/admission/suspects.go
@@ -1,9 +1,12 @@
 package admission
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"filbertdeck/internal/decide/fairqueue"
+	"filbertdeck/internal/decide/poison"
 )
 
 // ruling is what the poison rules say of one request.
@@ -35,21 +38,61 @@
 	return true
 }
 
-// suspects keeps the target that is being emptied for a request which must run
-// alone. Without it such a request would never see an empty target on a busy
-// pool, and an innocent one would not get through.
+// suspects applies the evidence of crashes to this pool. It also keeps the
+// target that is being emptied for a request which must run alone: without
+// that such a request would never see an empty target on a busy pool, and an
+// innocent one would not get through.
 type suspects struct {
-	waiting *fairqueue.Request[Ask]
-	held    *target
+	detector *poison.Detector
+	waiting  *fairqueue.Request[Ask]
+	held     *target
 }
 
-func newSuspects() suspects { return suspects{} }
+func newSuspects() suspects { return suspects{detector: poison.New(poison.Config{})} }
 
-func (s *suspects) rule(_ time.Duration, _ uint64) ruling { return ruling{} }
+// rule says how a request may run now; a fingerprint of 0 says nothing.
+func (s *suspects) rule(now time.Duration, fingerprint uint64) ruling {
+	if fingerprint == 0 {
+		return ruling{}
+	}
+	r := s.detector.Rule(now, fingerprint)
+	return ruling{
+		guilty: r.Verdict == poison.Guilty, wait: r.Wait, held: r.Wait > 0,
+		alone: r.Verdict == poison.Alone, apart: r.Verdict == poison.Apart,
+	}
+}
+
+func (s *suspects) finished(now time.Duration, fingerprint uint64) {
+	if fingerprint != 0 {
+		s.detector.Finished(now, fingerprint)
+	}
+}
 
-func (s *suspects) finished(_ time.Duration, _ uint64) {}
+// crashed notes the death of a target with all that ran there, the latest
+// start first. Each lease of the target is settled so; the first tells all,
+// and the others have the same crash's id.
+func (s *suspects) crashed(now time.Duration, t *target) {
+	running := slices.Clone(t.leases)
+	slices.SortFunc(running, func(a, b *lease) int { return cmp.Compare(b.granted, a.granted) })
+	var fingerprints []uint64
+	for _, l := range running {
+		if l.fingerprint != 0 {
+			fingerprints = append(fingerprints, l.fingerprint)
+		}
+	}
+	s.detector.Crashed(now, poison.CrashID(t.address, t.report.Incarnation), fingerprints)
+}
 
-func (s *suspects) crashed(_ time.Duration, _ *target) {}
+// PoisonEvidence gives the latest crashes for gossip, at most limit of them.
+func (a *Allocator) PoisonEvidence(now time.Duration, limit int) []poison.Crash {
+	return a.suspects.detector.Export(now, limit)
+}
+
+// MergePoison takes evidence of other allocators. It tells whether any was
+// new: then pass it on at once.
+func (a *Allocator) MergePoison(now time.Duration, crashes []poison.Crash) bool {
+	return a.suspects.detector.Merge(now, crashes)
+}
 
 // reserve empties the least loaded target for the request, one at a time.
 func (s *suspects) reserve(targets []*target, r *fairqueue.Request[Ask]) {
--- a/internal/decide/admission/target.go
+++ b/internal/decide/admission/target.go
@@ -77,6 +77,11 @@
 			a.dropTarget(now, t)
 		}
 	}
+	addresses := make([]string, len(a.order))
+	for i, t := range a.order {
+		addresses[i] = t.address
+	}
+	a.health.SetTargets(addresses)
 }
 
 func (a *Allocator) newTarget(address string) *target {
@@ -111,7 +116,9 @@
 	}
 	if t.known && r.Incarnation != t.report.Incarnation {
 		t.cache.clear()
+		a.health.Restarted(t.address)
 	}
+	a.health.Observe(now, t.address, r.StepTime, a.random.Float64())
 	t.cache.update(r.CachedPrefixes, r.EvictedPrefixes)
 	r.CachedPrefixes, r.EvictedPrefixes = nil, nil
 	t.report, t.taken, t.known = r, taken, true
