--- a/internal/decide/admission/allocator.go
+++ b/internal/decide/admission/allocator.go
@@ -74,6 +74,7 @@
 	leases  leaseTable
 
 	health   *health.Pool
+	pace     pace
 	suspects suspects
 	owner    ownership
 	stopping bool
--- a/internal/decide/admission/lease.go
+++ b/internal/decide/admission/lease.go
@@ -202,7 +202,7 @@
 		a.charge(l, -l.charged)
 	}
 	a.observe(now, l, s)
-	a.end(now, l, finished, s.FirstToken)
+	a.end(now, l, finished)
 }
 
 // observe takes what a settlement says of the request and its target.
@@ -219,16 +219,29 @@
 		return
 	}
 	ok := s.Outcome == OutcomeDone || s.Outcome == OutcomeCallerLeft
-	a.health.Result(now, t.address, ok, health.Sample{FirstToken: s.FirstToken}, a.random.Float64())
+	a.health.Result(now, t.address, ok, t.sample(s), a.random.Float64())
+}
+
+// sample is what a request showed of its target's speed. Of an engine that is
+// the pace: the first token comes late after a long prompt or among many new
+// ones, on a healthy engine too.
+func (t *target) sample(s Settlement) health.Sample {
+	if t.report.MemoryTokens > 0 {
+		return health.Sample{StepTime: t.pace}
+	}
+	return health.Sample{FirstToken: s.FirstToken}
 }
 
 // end takes a lease off all counts.
-func (a *Allocator) end(now time.Duration, l *lease, finished bool, firstToken time.Duration) {
+func (a *Allocator) end(now time.Duration, l *lease, finished bool) {
 	account, cost := l.account, 0.0
 	if finished {
 		cost = l.charged
 	}
-	l.target.gate.Ended(now, uint64(l.id), finished, firstToken)
+	// No time to the first token is handed to slow start: it takes a late one
+	// for a cold start, and every long prompt or slow call would make a warm
+	// target cold for seconds.
+	l.target.gate.Ended(now, uint64(l.id), finished, 0)
 	l.target.remove(now, l)
 	a.leases.remove(l)
 	a.queue.Finish(account, cost)
@@ -238,7 +251,7 @@
 // off. What may still run at the target shows in the target's own reports.
 func (a *Allocator) expireLeases(now time.Duration) {
 	for l := a.leases.first; l != nil && l.expires <= now; l = a.leases.first {
-		a.end(now, l, false, 0)
+		a.end(now, l, false)
 	}
 }
 
@@ -252,7 +265,7 @@
 	}
 	for _, l := range a.leases.byID {
 		if l.holder == holder {
-			a.end(now, l, false, 0)
+			a.end(now, l, false)
 		}
 	}
 }
--- a/internal/decide/admission/target.go
+++ b/internal/decide/admission/target.go
@@ -35,8 +35,10 @@
 	gate    *slowstart.Gate
 	report  Report
 	// taken is when the report was taken, by our clock.
-	taken  time.Duration
-	known  bool
+	taken time.Duration
+	known bool
+	// pace is the reported step time without the effect of the batch's size.
+	pace   time.Duration
 	leases []*lease
 	load   memory.Load
 	// unexplained is memory in use, and strangers are requests, that the last
@@ -94,7 +96,7 @@
 
 func (a *Allocator) dropTarget(now time.Duration, t *target) {
 	for len(t.leases) > 0 {
-		a.end(now, t.leases[0], false, 0)
+		a.end(now, t.leases[0], false)
 	}
 	delete(a.targets, t.address)
 }
@@ -106,9 +108,10 @@
 	if t == nil {
 		return
 	}
+	step := a.pace.normal(r.StepTime, r.Running)
 	t.gate.Observe(now, slowstart.Report{
 		Age: r.Age, Incarnation: r.Incarnation, Bears: r.Bears,
-		Running: r.Running, Waiting: r.Waiting, StepTime: r.StepTime,
+		Running: r.Running, Waiting: r.Waiting, StepTime: step,
 	})
 	taken := now - r.Age
 	if t.known && taken < t.taken {
@@ -118,7 +121,8 @@
 		t.cache.clear()
 		a.health.Restarted(t.address)
 	}
-	a.health.Observe(now, t.address, r.StepTime, a.random.Float64())
+	t.pace = step
+	a.health.Observe(now, t.address, step, a.random.Float64())
 	t.cache.update(r.CachedPrefixes, r.EvictedPrefixes)
 	r.CachedPrefixes, r.EvictedPrefixes = nil, nil
 	t.report, t.taken, t.known = r, taken, true
