Add trials: a deployment of real processes under load and faults

The reader of server-sent events that stood here too is gone; internal/sse reads them. The model's prefix chain stays on its own, since a stand-in that shared the entry's code would hide a mistake in it; a spec compares the two.

--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 
 	"filbertdeck/internal/failure"
@@ -16,14 +17,16 @@
 
 const program = "filbert-load"
 
-const usage = `Usage: filbert-load {run [options] | compare A.json B.json | profiles}
+const usage = `Usage: filbert-load {run [options] | trial [options] | compare A.json B.json | profiles}
 
 Makes an open-loop load on entries and measures what callers receive:
   run        makes the load; the JSON result goes to standard output or --out
+  trial      starts a deployment on the loopback, makes the load on it, brings
+             faults about meanwhile, and ends it
   compare    prints two results side by side, with the differences
   profiles   describes the mixes of calls as JSON
 
-"filbert-load run --help" lists the options of a run. A run that saw a broken
+"filbert-load run --help" and "filbert-load trial --help" list the options. A run that saw a broken
 promise (tokens out of order, crossed answers, a call that ran twice) ends with
 exit code 3, wrong settings end with 2.`
 
@@ -36,6 +39,7 @@
 
 // Main runs the program and gives its exit code.
 func Main(args []string, out, errOut io.Writer) int {
+	errOut = &lockedWriter{out: errOut}
 	code, err := command(args, out, errOut)
 	switch {
 	case err == nil || settings.IsHelp(err):
@@ -48,6 +52,19 @@
 	return exitFailed
 }
 
+// lockedWriter takes lines of several goroutines.
+type lockedWriter struct {
+	mu  sync.Mutex
+	out io.Writer
+}
+
+// Write implements io.Writer.
+func (w *lockedWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(p)
+}
+
 func command(args []string, out, errOut io.Writer) (int, error) {
 	name := ""
 	if len(args) > 0 {
@@ -56,6 +73,8 @@
 	switch name {
 	case "run":
 		return run(args, out, errOut)
+	case "trial":
+		return trial(args, out, errOut)
 	case "compare":
 		return 0, compare(args, out)
 	case "profiles":
@@ -67,7 +86,7 @@
 		_, err := fmt.Fprintln(out, program, version.String())
 		return 0, err
 	}
-	return 0, failure.New(failure.KindSettingInvalid, "first argument is %q; allowed: run, compare, profiles", name)
+	return 0, failure.New(failure.KindSettingInvalid, "first argument is %q; allowed: run, trial, compare, profiles", name)
 }
 
 // run makes a load until it is over or the process is told to stop.
@@ -77,9 +96,18 @@
 		return 0, err
 	}
 	cfg.Progress = errOut
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilTold()
 	defer stop()
-	result := Run(ctx, cfg)
+	return finish(path, out, errOut, Run(ctx, cfg))
+}
+
+// untilTold gives a context that ends when the process is told to stop.
+func untilTold() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
+// finish saves a result and gives the exit code that it means.
+func finish(path string, out, errOut io.Writer, result *Result) (int, error) {
 	if err := save(path, out, result); err != nil {
 		return 0, err
 	}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -21,6 +21,8 @@
 	. "github.com/onsi/gomega"
 
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/fleet"
+	"filbertdeck/internal/sse"
 	"filbertdeck/internal/standin/app"
 	"filbertdeck/internal/standin/engine"
 	"filbertdeck/internal/standin/model"
@@ -328,7 +330,7 @@
 	Expect(errOut.String()).NotTo(ContainSubstring("SECRET"))
 	Expect(strings.Count(errOut.String(), "\n")).To(Equal(1))
 },
-	Entry("subcommand", "walk", `first argument is "walk"; allowed: run, compare, profiles`),
+	Entry("subcommand", "walk", `first argument is "walk"; allowed: run, trial, compare, profiles`),
 	Entry("no entry", "run --api-key a=SECRET", `--entry (FILBERT_LOAD_ENTRY) is ""; allowed: at least one ip:port`),
 	Entry("entry", "run --entry here --api-key a=SECRET", `--entry (FILBERT_LOAD_ENTRY) is "here"`),
 	Entry("entries and stand-ins", "run --entry 127.0.0.1:1 --direct-app 127.0.0.1:2", "none beside --direct-engine"),
@@ -339,6 +341,9 @@
 	Entry("rate", "run --rate 0", `--rate (FILBERT_LOAD_RATE) is "0": out of range`),
 	Entry("warm-up", "run --entry 127.0.0.1:1 --api-key a=SECRET --warmup 1m", "less than --duration, which is 30s"),
 	Entry("service", "run --entry 127.0.0.1:1 --api-key a=SECRET --service x=y", "kind among report, contract, lookup, booking"),
+	Entry("trial's entries", "trial --entry 127.0.0.1:1", "none in a trial"),
+	Entry("trial's faults", "trial --fault 5s", "as 5s@engine-1@kill"),
+	Entry("trial's size", "trial --hosts 99", `--hosts (FILBERT_LOAD_HOSTS) is "99": out of range`),
 	Entry("compare", "compare a", "two files of results"),
 	Entry("compare without files", "compare /none/a /none/b", `"/none/a" can't be read`),
 )
@@ -376,7 +381,7 @@
 	f.Fuzz(func(t *testing.T, data []byte, length int) {
 		c := &caller{client: &client{}, bound: time.Second, gap: func(Call, time.Duration) {}}
 		s := &following{caller: c, call: Call{Kind: &Kind{Type: TypeStream}, Length: length}}
-		err := s.events(newEventReader(bytes.NewReader(data), func() {}))
+		err := s.events(sse.NewReader(bytes.NewReader(data), maxEvent), func() {})
 		if err == nil && s.out.violation == "" && !s.done {
 			t.Fatal("the stream ended without a reason")
 		}
@@ -385,3 +390,24 @@
 		}
 	})
 }
+
+var _ = Describe("a trial", func() {
+	It("starts a deployment, disturbs it and compares it with its stand-ins alone", func() {
+		dir := GinkgoT().TempDir()
+		Expect(fleet.Build(dir)).To(Succeed())
+		var out, errOut bytes.Buffer
+		code := Main([]string{"trial", "--bin-dir", dir, "--hosts", "2", "--engines", "2", "--apps", "1", "--rate", "60",
+			"--duration", "700ms", "--length-scale", "0.01", "--direct", "--engine-args=--base-step 2ms",
+			"--fault", `100ms@engine-1@{"kind":"cut"}`, "--fault", `200ms@platform@{"mode":"stale"}`,
+			"--fault", "300ms@host-1-entry@odd", "--fault", "300ms@host-9@kill", "--fault", "300ms@engine-2@kill"}, &out, &errOut)
+		log := errOut.String()
+		Expect(code).To(BeZero(), log)
+		for _, line := range []string{"fault engine-1 {\"kind\":\"cut\"}: done", "platform {\"mode\":\"stale\"}: done",
+			`action "odd" is none of`, `no target or process is named "host-9"`, "fault engine-2 kill: done", "total whole"} {
+			Expect(log).To(ContainSubstring(line))
+		}
+		var r Result
+		Expect(json.Unmarshal(out.Bytes(), &r)).To(Succeed())
+		Expect(r.Total.Whole).To(BeNumerically(">", 0))
+	})
+})
--- a/internal/load/stream.go
+++ b/internal/load/stream.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"time"
 
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/sse"
 )
 
+// maxEvent bounds one event of a stream in bytes.
+const maxEvent = 1 << 20
+
 // doneData is the data of a stream's last event.
 const doneData = "[DONE]"
 
@@ -55,49 +58,53 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		body, _ := io.ReadAll(io.LimitReader(resp.Body, maxEventLine))
+		body, _ := io.ReadAll(io.LimitReader(resp.Body, maxEvent))
 		return refusal(resp, body)
 	}
-	return f.events(newEventReader(resp.Body, func() { silence.Reset(f.caller.client.target.Silence) }))
+	return f.events(sse.NewReader(resp.Body, maxEvent), func() { silence.Reset(f.caller.client.target.Silence) })
 }
 
-var errStreamEnded = errors.New("stream ended before its last event")
-
-func (f *following) events(r *eventReader) error {
+// events takes events to the end of the connection; heard is called for each,
+// comments included.
+func (f *following) events(r *sse.Reader, heard func()) error {
+	var e sse.Event
 	for !f.done && f.out.violation == "" {
-		e, ok := r.next()
-		if !ok {
-			return lost(errStreamEnded)
+		if err := r.Next(&e); err != nil {
+			return lost(err)
 		}
-		if e.name == "error" {
-			return streamFailure(e.data)
+		heard()
+		switch {
+		case e.Comment:
+		case string(e.Name) == "error":
+			return streamFailure(e.Data)
+		default:
+			f.take(&e)
 		}
-		f.take(e)
 	}
 	return nil
 }
 
-func streamFailure(data string) error {
+func streamFailure(data []byte) error {
 	var p failure.Problem
-	if json.Unmarshal([]byte(data), &p) != nil {
+	if json.Unmarshal(data, &p) != nil {
 		return failure.New(failure.KindInternal, "stream failed without a problem document").Unknown()
 	}
 	return failure.FromProblem(p)
 }
 
 // take checks one event and notes its time.
-func (f *following) take(e event) {
-	if e.data == doneData {
+func (f *following) take(e *sse.Event) {
+	if string(e.Data) == doneData {
 		f.done = true
 		return
 	}
-	a, ok := parseCompletion([]byte(e.data), f.caller.client.target.direct())
+	a, ok := parseCompletion(e.Data, f.caller.client.target.direct())
 	if !ok {
 		f.out.violation = ViolationMalformed
 		return
 	}
-	if e.id != "" && !f.caller.client.target.direct() {
-		f.handle = e.id
+	if len(e.ID) > 0 && !f.caller.client.target.direct() {
+		f.handle = string(e.ID)
 	}
 	f.out.violation = f.check.add(a.piece())
 	if f.out.violation == "" && a.Filbert.Tokens > 0 {
--- a/internal/standin/model/model_test.go
+++ b/internal/standin/model/model_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/prefix"
 	"filbertdeck/internal/standin/model"
 )
 
@@ -140,6 +141,15 @@
 })
 
 var _ = Describe("the prefix cache", func() {
+	// Engine and entry each compute the chain by the published rule. Were they
+	// to differ, no request would ever find its prefix cached.
+	It("names blocks as the entries do", func() {
+		for n := range 400 {
+			prompt := strings.Repeat("0123456789 ", 40)[:n]
+			Expect(model.PrefixChain(prompt)).To(Equal(prefix.Chain(prompt)))
+		}
+	})
+
 	It("saves the prefill of known blocks and evicts the least recently used", func() {
 		e := small(func(c *model.Config) { c.CacheLag = 50 * ms })
 		chain := model.PrefixChain(strings.Repeat("a", 3*64+5))
