--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -27,9 +27,12 @@
 	Accounts, Keys []string
 	// Services replaces a kind's service, by the kind's name.
 	Services map[string]string
-	// Timeout bounds a call with all its attempts; Silence is the time without
-	// a byte, keep-alive comments included, after which a stream counts as lost.
-	Timeout, Silence time.Duration
+	// Timeout bounds a call with all its attempts. Opening is the time in which
+	// a stream must open and a plain service must answer; a request waits for
+	// its admission that long. Whole generations have the timeout alone. Silence
+	// is the time without a byte, keep-alive comments included, after which an
+	// open stream counts as lost.
+	Timeout, Opening, Silence time.Duration
 	// Attempts bounds the tries of one call after lost connections, counted
 	// again from the start whenever tokens came. A refusal
 	// is final: an open loop that asks again would change its own rate.
@@ -136,6 +139,11 @@
 
 // answer sends a request and reads its whole answer; a refusal is an error.
 func (c *client) answer(ctx context.Context, q request) ([]byte, error) {
+	if !q.generation {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.target.Opening)
+		defer cancel()
+	}
 	resp, err := c.send(ctx, q)
 	if err != nil {
 		return nil, err
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -126,6 +126,8 @@
 	ran     map[string]int
 	minted  int
 	resumed int
+	// silenced is set once a stream has gone silent for good.
+	silenced bool
 }
 
 var tokensMark = regexp.MustCompile(`\[tokens=(\d+)\]`)
@@ -141,6 +143,8 @@
 		failure.Write(w, failure.New(failure.KindOverloaded, "full").After(time.Second))
 	case f.fault == "drop":
 		panic(http.ErrAbortHandler)
+	case f.fault == "hang plain" && !f.silenced && strings.HasPrefix(r.URL.Path, "/v1/services/"):
+		f.hang(r)
 	case r.URL.Path == "/v1/idempotency-keys":
 		f.minted++
 		fmt.Fprintf(w, `{"key":"k%d"}`, f.minted)
@@ -183,12 +187,21 @@
 	if from > 0 {
 		f.resumed++
 	}
+	if f.fault == "unopened" && !f.silenced {
+		f.hang(r)
+		return
+	}
 	fmt.Fprint(w, ": keep-alive\n\n")
 	for k := from; k < length; k++ {
 		if k == from+3 && (f.fault == "cut" || f.fault == "error") {
 			f.breakOff(w)
 			return
 		}
+		if k == 3 && f.fault == "silent" && !f.silenced {
+			_ = http.NewResponseController(w).Flush()
+			f.hang(r)
+			return
+		}
 		offset, generation := k, fakeGeneration
 		if f.fault == "reorder" && k == 1 {
 			offset = 2
@@ -202,6 +215,14 @@
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
+// hang holds a connection until its caller leaves, while others go on.
+func (f *fakeEntry) hang(r *http.Request) {
+	f.silenced = true
+	f.mu.Unlock()
+	<-r.Context().Done()
+	f.mu.Lock()
+}
+
 func (f *fakeEntry) breakOff(w http.ResponseWriter) {
 	if f.fault == "error" {
 		fmt.Fprint(w, "event: error\ndata: {\"type\":\"urn:x\",\"title\":\"target-lost\",\"executed\":\"yes\"}\n\n")
@@ -220,7 +241,7 @@
 		var out, errOut bytes.Buffer
 		code := Main([]string{"run", "--entry", site.Listener.Addr().String(), "--api-key", "a=KEY", "--api-key", "b=KEY",
 			"--rate", "400", "--duration", "250ms", "--length-scale", "0.01", "--attempts", "2", "--out", file,
-			"--timeout", "1m", "--progress-every", "100ms", "--service", "lookup=other"}, &out, &errOut)
+			"--timeout", "1m", "--opening", "2s", "--silence", "2s", "--progress-every", "100ms", "--service", "lookup=other"}, &out, &errOut)
 		r, err := Load(file)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.Broken()).To(Equal(code == exitBroken), errOut.String())
@@ -248,6 +269,19 @@
 		Expect(fake.resumed).To(BeNumerically(">", 0))
 	})
 
+	// One connection goes silent in mid-stream, another never opens; both stay
+	// up. A caller without a bound of its own would wait for ever.
+	DescribeTable("asks elsewhere when a connection is silent", func(fault string) {
+		r, fake, _ := run(fault)
+		Expect(r.Total.Whole).To(Equal(r.Total.Sent))
+		Expect(fake.silenced).To(BeTrue())
+		Expect(r.Total.Again).To(BeNumerically(">=", 1))
+	},
+		Entry("that of a plain call", "hang plain"),
+		Entry("in mid-stream", "silent"),
+		Entry("before it opens", "unopened"),
+	)
+
 	DescribeTable("sees broken promises", func(fault, kind string, want Violation) {
 		r, _, _ := run(fault)
 		Expect(r.Kinds[kind].Violations).To(HaveKey(want))
@@ -314,7 +348,7 @@
 		time.AfterFunc(300*time.Millisecond, cancel)
 		r := Run(ctx, Config{
 			Profile: p, Arrivals: Arrivals{Rate: 500, Duration: 100 * time.Millisecond, LengthScale: 1, Seed: 1},
-			Target:        Target{Entries: []string{site.Listener.Addr().String()}, Accounts: []string{"a"}, Keys: []string{"k"}, Timeout: time.Minute, Silence: time.Minute, Attempts: 1},
+			Target:        Target{Entries: []string{site.Listener.Addr().String()}, Accounts: []string{"a"}, Keys: []string{"k"}, Timeout: time.Minute, Opening: time.Minute, Silence: time.Minute, Attempts: 1},
 			MaxInProgress: 1, Progress: io.Discard, ProgressEvery: time.Second,
 		})
 		Expect(r.Total.Sent).To(Equal(1))
--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -26,7 +26,8 @@
 	LengthScale   float64       `arg:"--length-scale,env:FILBERT_LOAD_LENGTH_SCALE" check:"0.001..100" default:"1" help:"factor on the median lengths"`
 	Seed          uint64        `arg:"--seed,env:FILBERT_LOAD_SEED" default:"1" help:"seed of arrivals, kinds, accounts and lengths"`
 	Timeout       time.Duration `arg:"--timeout,env:FILBERT_LOAD_TIMEOUT" check:"1ms..24h" default:"10m" help:"bound of one call with all its attempts"`
-	Silence       time.Duration `arg:"--silence,env:FILBERT_LOAD_SILENCE" check:"1ms..1h" default:"5s" help:"time without a byte after which a stream is resumed elsewhere"`
+	Opening       time.Duration `arg:"--opening,env:FILBERT_LOAD_OPENING" check:"1ms..1h" default:"1m" help:"time in which a stream must open or a plain service answer, the wait for admission included; then it is asked for elsewhere"`
+	Silence       time.Duration `arg:"--silence,env:FILBERT_LOAD_SILENCE" check:"1ms..1h" default:"5s" help:"time without a byte after which an open stream is resumed elsewhere"`
 	Attempts      int           `arg:"--attempts,env:FILBERT_LOAD_ATTEMPTS" check:"1..1000" default:"5" help:"tries of one call after lost connections, without new tokens between them"`
 	MaxInProgress int           `arg:"--max-in-progress,env:FILBERT_LOAD_MAX_IN_PROGRESS" check:"1..1000000" default:"20000" help:"calls in progress beyond which new ones are not sent but counted"`
 	StallBound    time.Duration `arg:"--stall-bound,env:FILBERT_LOAD_STALL_BOUND" check:"1ms..1h" default:"250ms" help:"gap between tokens beyond which time counts as stall"`
@@ -67,7 +68,7 @@
 		},
 		Target: Target{
 			Entries: s.Entries, DirectEngines: s.DirectEngines, DirectApps: s.DirectApps, Accounts: accounts, Keys: keys, Services: services,
-			Timeout: s.Timeout, Silence: s.Silence, Attempts: s.Attempts,
+			Timeout: s.Timeout, Opening: s.Opening, Silence: s.Silence, Attempts: s.Attempts,
 		},
 		Warmup: s.Warmup, MaxInProgress: s.MaxInProgress, ProgressEvery: s.ProgressEvery,
 	}, err
--- a/internal/load/stream.go
+++ b/internal/load/stream.go
@@ -46,7 +46,7 @@
 func (f *following) connect(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(f.caller.client.target.Silence, cancel)
+	silence := time.AfterFunc(f.caller.client.target.Opening, cancel)
 	defer silence.Stop()
 	q := f.caller.completion(f.call, true)
 	if f.handle != "" {
@@ -61,7 +61,9 @@
 		body, _ := io.ReadAll(io.LimitReader(resp.Body, maxEvent))
 		return refusal(resp, body)
 	}
-	return f.events(sse.NewReader(resp.Body, maxEvent), func() { silence.Reset(f.caller.client.target.Silence) })
+	heard := func() { silence.Reset(f.caller.client.target.Silence) }
+	heard()
+	return f.events(sse.NewReader(resp.Body, maxEvent), heard)
 }
 
 // events takes events to the end of the connection; heard is called for each,
