Decide membership by probes on hash rings, and let gossip carry documents

Cause: the published list names the dead for a while and the new too late. Ruled out: probing random members, as plain SWIM does. Over TLS each probe would be a new connection (some 5 KB) or each node would keep 3,300 of them.

--- /dev/null
+++ b/internal/decide/membership/spread.go
@@ -0,0 +1,126 @@
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+)
+
+// tell puts news of a member up for passing on.
+func (c *Core) tell(m Member) { c.news[m.Address] = &news{Member: m} }
+
+// updates picks the news for one message: what was passed on least goes first,
+// and always what is believed of the receiver itself when that is not alive,
+// so that it can refute.
+func (c *Core) updates(to string) []Member {
+	limit := c.resendLimit()
+	pending := make([]*news, 0, len(c.news))
+	for address, n := range c.news {
+		if n.sent >= limit {
+			delete(c.news, address)
+			continue
+		}
+		pending = append(pending, n)
+	}
+	slices.SortFunc(pending, func(a, b *news) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.Address, b.Address))
+	})
+	var out []Member
+	if r := c.records[to]; r != nil && r.heard && r.State != Alive {
+		out = append(out, r.Member)
+	}
+	for _, n := range pending {
+		if len(out) >= c.cfg.MaxUpdates {
+			break
+		}
+		if n.Address == to {
+			continue
+		}
+		n.sent++
+		out = append(out, n.Member)
+	}
+	return out
+}
+
+func (c *Core) resendLimit() int {
+	return resend * int(math.Ceil(math.Log10(float64(len(c.records)+2))))
+}
+
+// refresh rebuilds neighbours and view after a change.
+func (c *Core) refresh() {
+	if !c.dirty && c.view != nil {
+		return
+	}
+	c.dirty = false
+	c.neighbours = c.pickNeighbours()
+	c.version++
+	v := &View{Version: c.version, Self: c.self, Leaving: map[string]bool{}, Neighbours: c.neighbours}
+	v.Members = append(v.Members, c.self)
+	if c.selfLeaving {
+		v.Leaving[c.self.Address] = true
+	}
+	for address, r := range c.records {
+		if r.heard {
+			v.Members = append(v.Members, r.Member)
+		}
+		if r.leaving {
+			v.Leaving[address] = true
+		}
+	}
+	slices.SortFunc(v.Members, func(a, b Member) int { return cmp.Compare(a.Address, b.Address) })
+	c.view = v
+}
+
+// pickNeighbours gives this process's successor on each ring.
+func (c *Core) pickNeighbours() []string {
+	own := ringHashes(c.self.Address, c.cfg.Rings)
+	picked := map[string]bool{}
+	for ring := range c.cfg.Rings {
+		// Distances wrap around, as on a ring.
+		if s := c.nearest(func(r *record) uint64 { return r.rings[ring] - own[ring] }, ""); s != "" {
+			picked[s] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(picked))
+}
+
+// relaysFor gives other processes that have the target as their neighbour, and
+// so a connection to it.
+func (c *Core) relaysFor(target string) []string {
+	t := c.records[target]
+	var out []string
+	for ring := range c.cfg.Rings {
+		p := c.nearest(func(r *record) uint64 { return t.rings[ring] - r.rings[ring] }, target)
+		if p != "" && !slices.Contains(out, p) {
+			out = append(out, p)
+		}
+		if len(out) == relays {
+			break
+		}
+	}
+	return out
+}
+
+// nearest gives the member at the least distance that takes part.
+func (c *Core) nearest(distance func(*record) uint64, not string) string {
+	best, at := "", uint64(math.MaxUint64)
+	for address, r := range c.records {
+		if r.gone() || address == not {
+			continue
+		}
+		if d := distance(r); d < at || best == "" {
+			best, at = address, d
+		}
+	}
+	return best
+}
+
+func ringHashes(address string, rings int) []uint64 {
+	out := make([]uint64, rings)
+	for i := range out {
+		out[i] = hash("ring"+strconv.Itoa(i), address)
+	}
+	return out
+}
