Carry members and documents between control processes over grpc

Cause: a few readers watch the configuration service, everyone else learns by gossip. An edit is pushed to the neighbours at once, with only the changed rows; what is long is announced and pulled. Each call has its own timeout and one that runs into it closes the connection, so that a silent one is replaced. Runs: all packages with -race pass.

--- a/internal/controller/configwatch/store.go
+++ b/internal/controller/configwatch/store.go
@@ -203,14 +203,22 @@
 func (s *Store) Head(name Section) rollout.Head {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.docs[name].Head()
+	doc, ok := s.docs[name]
+	if !ok {
+		return rollout.Head{}
+	}
+	return doc.Head()
 }
 
 // Refused gives the newest refusal of a document.
 func (s *Store) Refused(name Section) rollout.Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.docs[name].Refused()
+	doc, ok := s.docs[name]
+	if !ok {
+		return rollout.Refusal{}
+	}
+	return doc.Refused()
 }
 
 // Since gives what a peer at version from lacks of a document.
@@ -224,6 +232,9 @@
 	return doc.Since(from)
 }
 
+// All gives a whole document.
+func (s *Store) All(name Section) rollout.Delta { return s.Since(name, rollout.Version{}) }
+
 // Confirmed notes that the service held the host list in force at a time; an
 // earlier time than the one known is no news.
 func (s *Store) Confirmed(at time.Time) {
--- /dev/null
+++ b/internal/controller/gossip/controller.go
@@ -0,0 +1,316 @@
+// Package gossip carries what control processes tell each other: members,
+// rows of the documents in force, refusals, and what other controllers hand
+// in. The decisions are in internal/decide/membership and
+// internal/decide/rollout; this package does the I/O over grpc and is the only
+// writer of the blackboard's section of members.
+//
+// Every call has a timeout of its own. A connection that something between
+// the two hosts has lost track of stays open and answers nothing; a call that
+// runs into its timeout therefore closes its connection, and the next one
+// dials anew.
+package gossip
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc/credentials"
+
+	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/blackboard"
+	"filbertdeck/internal/controller/configwatch"
+	"filbertdeck/internal/decide/membership"
+	"filbertdeck/internal/decide/rollout"
+	"filbertdeck/internal/failure"
+)
+
+// Figures of the controller.
+const (
+	// tickEvery drives the core; five ticks fall within a probe's timeout.
+	tickEvery = 100 * time.Millisecond
+	// pushPause keeps a burst of edits from being sent one by one: edits
+	// within it go out together.
+	pushPause = 50 * time.Millisecond
+	// pullTimeout bounds the transfer of whole documents, 3 MB at the target
+	// size.
+	pullTimeout = 5 * time.Second
+	// syncTimeout bounds the exchange of member lists, 130 KB at the target
+	// size.
+	syncTimeout = 2 * time.Second
+	// maxCalls bounds calls in progress, so that a fleet of silent peers can't
+	// pile up goroutines.
+	maxCalls = 64
+)
+
+// Hooks let other controllers pass their news through gossip without this
+// package knowing what it means. Nil functions carry nothing. Supply is asked
+// for each message and must return quickly; Take gets what a peer supplied.
+type Hooks struct {
+	SupplyPools  func() []*filbertv1.PoolNews
+	TakePools    func([]*filbertv1.PoolNews)
+	SupplyPoison func() []*filbertv1.PoisonNews
+	TakePoison   func([]*filbertv1.PoisonNews)
+}
+
+// Board is this controller's part of the blackboard.
+type Board struct {
+	Members blackboard.Section[membership.View]
+}
+
+// Config holds what the controller works with; Store, Hosts and Credentials
+// are required.
+type Config struct {
+	// Membership carries this process's address, incarnation and data centre,
+	// and the figures of the probes.
+	Membership membership.Config
+	// Seeds are known from the settings, for the time before the published
+	// list was read.
+	Seeds []membership.Peer
+	// Store holds the documents in force.
+	Store *configwatch.Store
+	// Hosts is the published list.
+	Hosts *blackboard.Section[configwatch.Hosts]
+	// Credentials secure the connections to peers.
+	Credentials credentials.TransportCredentials
+	// SetReader gives or takes the role of watching the configuration service.
+	SetReader func(bool)
+	Hooks     Hooks
+	Log       *slog.Logger
+	Metrics   metrics.Registry
+}
+
+// Controller runs membership and the spreading of documents.
+type Controller struct {
+	filbertv1.UnimplementedGossipServer
+
+	cfg     Config
+	log     *slog.Logger
+	metrics counters
+	members *blackboard.Writer[membership.View]
+	start   time.Time
+	peers   *peers
+	calls   chan struct{}
+
+	mu       sync.Mutex
+	core     *membership.Core
+	heads    map[string]peerHeads
+	pulling  map[string]bool
+	version  uint64
+	known    int
+	lastPush time.Time
+}
+
+// peerHeads is what a peer was last known to hold.
+type peerHeads map[configwatch.Section]peerHead
+
+type peerHead struct {
+	rollout.Head
+	// refused is the version that the peer knows to have failed validation.
+	refused rollout.Version
+}
+
+type counters struct {
+	sent, received, probes, probesFailed, pulls, syncs, redials metrics.Counter
+}
+
+// New returns a controller and claims the section of members.
+func New(cfg Config, board *Board) (*Controller, error) {
+	if cfg.Store == nil || cfg.Hosts == nil || cfg.Credentials == nil {
+		return nil, failure.New(failure.KindInternal, "gossip needs store, hosts and credentials")
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	if cfg.SetReader == nil {
+		cfg.SetReader = func(bool) {}
+	}
+	w, err := board.Members.Claim()
+	if err != nil {
+		return nil, err
+	}
+	c := &Controller{
+		cfg: cfg, log: cfg.Log, metrics: newCounters(cfg.Metrics), members: w, start: time.Now(),
+		calls: make(chan struct{}, maxCalls), core: membership.New(cfg.Membership),
+		heads: map[string]peerHeads{}, pulling: map[string]bool{},
+	}
+	c.peers = newPeers(cfg.Credentials, c.metrics)
+	c.publishedChanged()
+	return c, nil
+}
+
+func newCounters(r metrics.Registry) counters {
+	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("gossip."+name, r) }
+	return counters{
+		sent: c("bytes_sent"), received: c("bytes_received"), probes: c("probes"),
+		probesFailed: c("probes_failed"), pulls: c("pulls"), syncs: c("syncs"), redials: c("redials"),
+	}
+}
+
+// now counts from the controller's start, on the monotonic clock.
+func (c *Controller) now() time.Duration { return time.Since(c.start) }
+
+// Run probes and spreads until ctx is done, then closes the connections.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	defer c.peers.close()
+	for {
+		news, hosts := c.cfg.Store.Changed(), c.cfg.Hosts.Changed()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.tick(ctx)
+		case <-hosts:
+			c.publishedChanged()
+			c.push(ctx)
+		case <-news:
+			c.push(ctx)
+		}
+	}
+}
+
+// Leave tells the neighbours that this process stops by plan, so that nobody
+// waits for it to be found dead.
+func (c *Controller) Leave(ctx context.Context) {
+	c.mu.Lock()
+	actions := c.core.Leave()
+	c.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, a := range actions {
+		wg.Go(func() { c.probe(ctx, a) })
+	}
+	wg.Wait()
+}
+
+func (c *Controller) tick(ctx context.Context) {
+	c.mu.Lock()
+	actions := c.core.Tick(c.now())
+	view := c.core.View()
+	changed := view.Version != c.version
+	c.version = view.Version
+	known := c.known
+	c.mu.Unlock()
+	if changed {
+		c.members.Publish(view)
+		c.peers.keep(view.Neighbours)
+		c.forgetHeads(view.Neighbours)
+		c.cfg.SetReader(view.IsReader())
+		c.cfg.Store.Peers(max(known, len(view.Live(""))-1))
+	}
+	c.cfg.Store.Ready()
+	for _, a := range actions {
+		c.spawn(func() { c.perform(ctx, a) })
+	}
+}
+
+// spawn runs a call, or drops it when too many are in progress; the core
+// notices that as a probe without an answer.
+func (c *Controller) spawn(call func()) {
+	select {
+	case c.calls <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-c.calls }()
+		call()
+	}()
+}
+
+func (c *Controller) perform(ctx context.Context, a membership.Action) {
+	switch a.Kind {
+	case membership.ActionProbe:
+		c.probe(ctx, a)
+	case membership.ActionProbeVia:
+		c.probeVia(ctx, a)
+	case membership.ActionSync:
+		c.sync(ctx, a)
+	}
+}
+
+// publishedChanged hands the published list and the seeds to the core.
+func (c *Controller) publishedChanged() {
+	list := append([]membership.Peer(nil), c.cfg.Seeds...)
+	if hosts := c.cfg.Hosts.Get(); hosts != nil {
+		// The list says more of a seed than the settings do.
+		list = list[:0]
+		for _, h := range hosts.List {
+			list = append(list, membership.Peer{
+				Address: h.Control, DataCentre: h.DataCentre, Leaving: h.State != "live",
+			})
+		}
+	}
+	others := 0
+	for _, p := range list {
+		if p.Address != c.cfg.Membership.Self.Address && !p.Leaving {
+			others++
+		}
+	}
+	c.mu.Lock()
+	c.core.Published(c.now(), list)
+	c.known = others
+	c.mu.Unlock()
+	c.cfg.Store.Peers(others)
+}
+
+// push tells the neighbours at once what has changed in the documents.
+func (c *Controller) push(ctx context.Context) {
+	if wait := pushPause - time.Since(c.lastPush); wait > 0 {
+		time.Sleep(wait)
+	}
+	c.lastPush = time.Now()
+	c.mu.Lock()
+	neighbours := c.core.View().Neighbours
+	c.mu.Unlock()
+	for _, n := range neighbours {
+		if c.lacks(n) {
+			c.spawn(func() { c.probe(ctx, membership.Action{To: n, Timeout: c.probeTimeout()}) })
+		}
+	}
+}
+
+// lacks tells whether a peer is not known to hold what is in force here.
+func (c *Controller) lacks(address string) bool {
+	c.mu.Lock()
+	theirs := c.heads[address]
+	c.mu.Unlock()
+	for _, s := range configwatch.Sections {
+		ours := c.cfg.Store.Head(s)
+		if ours.Version.After(theirs[s].Version) || ours.Version == theirs[s].Version && ours.Digest != theirs[s].Digest {
+			return true
+		}
+		if c.cfg.Store.Refused(s).Version.After(theirs[s].refused) {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetHeads keeps the memory of peers to the neighbours.
+func (c *Controller) forgetHeads(neighbours []string) {
+	keep := make(map[string]bool, len(neighbours))
+	for _, n := range neighbours {
+		keep[n] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a := range c.heads {
+		if !keep[a] {
+			delete(c.heads, a)
+		}
+	}
+}
+
+func (c *Controller) probeTimeout() time.Duration {
+	if t := c.cfg.Membership.ProbeTimeout; t > 0 {
+		return t
+	}
+	return membership.DefaultProbeTimeout
+}
--- a/internal/decide/membership/types.go
+++ b/internal/decide/membership/types.go
@@ -81,14 +81,16 @@
 	Seed uint64
 }
 
+// DefaultProbeTimeout is Config.ProbeTimeout's default.
+const DefaultProbeTimeout = 500 * time.Millisecond
+
 // Defaults of Config.
 const (
-	defaultProbeEvery   = time.Second
-	defaultProbeTimeout = 500 * time.Millisecond
-	defaultSuspectFor   = 2 * time.Second
-	defaultRings        = 6
-	defaultMaxUpdates   = 12
-	defaultForgetAfter  = 5 * time.Minute
+	defaultProbeEvery  = time.Second
+	defaultSuspectFor  = 2 * time.Second
+	defaultRings       = 6
+	defaultMaxUpdates  = 12
+	defaultForgetAfter = 5 * time.Minute
 	// relays is the number of peers asked for an indirect probe.
 	relays = 2
 	// resend times the logarithm of the fleet is how often news of a member is
@@ -116,7 +118,7 @@
 		}
 	}
 	def(&c.ProbeEvery, defaultProbeEvery)
-	def(&c.ProbeTimeout, defaultProbeTimeout)
+	def(&c.ProbeTimeout, DefaultProbeTimeout)
 	def(&c.SuspectFor, defaultSuspectFor)
 	def(&c.ForgetAfter, defaultForgetAfter)
 	if c.Rings == 0 {
