Wait for a version that a peer announced before a new process is ready

Cause: a flaky run (1 of 3 with -race on the busy machine): a new process's grace of 3 s ended while the table of 11,000 rows was still on its way. In that run it arrived just before; had it been later, the process would have served from an older table. While a newer version is announced the grace does not count, bounded by 30 s.

--- a/internal/controller/configwatch/store.go
+++ b/internal/controller/configwatch/store.go
@@ -32,6 +32,7 @@
 	service   ServiceState
 	join      *rollout.Join
 	ready     bool
+	asked     bool
 	peers     int
 	changed   chan struct{}
 	out       writers
@@ -40,6 +41,8 @@
 type document struct {
 	*rollout.Document
 	since time.Time
+	// announced is the newest version that a peer is known to hold.
+	announced rollout.Version
 }
 
 type writers struct {
@@ -263,18 +266,41 @@
 	s.peers = n
 }
 
+// Announced notes that a peer holds a version.
+func (s *Store) Announced(name Section, v rollout.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if doc, ok := s.docs[name]; ok && v.After(doc.announced) {
+		doc.announced = v
+	}
+}
+
+// lacks tells whether a peer holds a version newer than the one in force here
+// that was not refused here.
+func (s *Store) lacks() bool {
+	for _, doc := range s.docs {
+		if doc.announced.After(doc.Head().Version) && doc.announced != doc.Refused().Version {
+			return true
+		}
+	}
+	return false
+}
+
 // PeerTaken notes that everything that a ready peer holds was taken over.
 func (s *Store) PeerTaken(address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.join.Peer(address)
+	if s.join.Peer(address); s.join.Confirmed() && !s.asked {
+		s.asked = true
+		s.publishState()
+	}
 }
 
 // Ready tells whether this process may serve with the table in force.
 func (s *Store) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.ready && s.join.Ready(s.now().Sub(s.start), s.peers, s.table != nil) {
+	if !s.ready && s.join.Ready(s.now().Sub(s.start), s.peers, s.table != nil, s.lacks()) {
 		s.ready = true
 		s.log.Info("ready", "peers_asked", s.join.Confirmed())
 		s.publishState()
--- a/internal/controller/gossip/message.go
+++ b/internal/controller/gossip/message.go
@@ -79,7 +79,9 @@
 func (c *Controller) take(msg *filbertv1.GossipMessage) bool {
 	heads := peerHeads{}
 	for _, h := range msg.GetHeads() {
-		heads[configwatch.Section(h.GetSection())] = fromPeerHead(h)
+		section := configwatch.Section(h.GetSection())
+		heads[section] = fromPeerHead(h)
+		c.cfg.Store.Announced(section, heads[section].Version)
 	}
 	c.mu.Lock()
 	c.heads[msg.GetFrom().GetAddress()] = heads
--- a/internal/decide/rollout/join.go
+++ b/internal/decide/rollout/join.go
@@ -13,6 +13,9 @@
 	// waits. A whole fleet that starts at once has no peers that know more
 	// than the service; it must not wait for ever.
 	joinGrace = 3 * time.Second
+	// joinLimit bounds the wait for a version that a peer announced and that
+	// does not arrive: its only holder may have died.
+	joinLimit = 30 * time.Second
 )
 
 // Join decides when a new process is ready. Without it a host that is
@@ -32,7 +35,7 @@
 
 // Peer notes that everything a peer holds was taken over.
 func (j *Join) Peer(address string) {
-	if !j.done {
+	if len(j.asked) < joinPeers {
 		j.asked[address] = true
 	}
 }
@@ -41,11 +44,19 @@
 func (j *Join) Service() { j.service = true }
 
 // Ready tells whether the process may serve: peers is how many others there
-// are to ask, holds whether a table is in force here. Once ready it stays so.
-func (j *Join) Ready(now time.Duration, peers int, holds bool) bool {
+// are to ask, holds whether a table is in force here, behind whether a peer
+// announced a newer version than the one held. Once ready it stays so.
+//
+// While it is behind the grace does not count: a table of 11,000 rows that is
+// on its way to a busy host takes longer than that, and the host would serve
+// from the old one in the meantime.
+func (j *Join) Ready(now time.Duration, peers int, holds, behind bool) bool {
 	if j.done {
 		return true
 	}
+	if behind && now-j.started < joinLimit {
+		return false
+	}
 	// Without peers the service's word is all there is.
 	enough := len(j.asked) >= min(joinPeers, peers) && (peers > 0 || j.service)
 	waited := now-j.started >= joinGrace
