--- /dev/null
+++ b/internal/decide/pools/news.go
@@ -0,0 +1,109 @@
+package pools
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxNewsAge bounds how long a pool's news is kept without a newer one: a pool
+// whose allocator is gone is forgotten.
+const maxNewsAge = 30 * time.Second
+
+// Item is what an allocator says of its pool, as it is gossiped.
+type Item struct {
+	Pool    string
+	Control string
+	// Backlog is the wait of a request that would ask now.
+	Backlog time.Duration
+	// Version rises with each statement of one control process.
+	Version uint64
+}
+
+// News keeps the latest statement about each pool. It is not safe for
+// concurrent use; entries read the views that Fill makes.
+type News struct {
+	items map[string]heard
+}
+
+type heard struct {
+	Item
+	at time.Duration
+	// passed counts how often the item was handed on.
+	passed int
+}
+
+// NewNews returns an empty News.
+func NewNews() *News { return &News{items: map[string]heard{}} }
+
+// Hear takes an item and tells whether it is new here. An older version of the
+// same control process is dropped: gossip arrives in any order, and an old
+// short backlog would draw requests to a full pool. Another control process has
+// taken the pool over, so its item replaces the other's, but only once that is
+// older than a moment: two that both believe to own the pool would else take
+// turns in every message.
+func (n *News) Hear(now time.Duration, item Item) bool {
+	known, ok := n.items[item.Pool]
+	switch {
+	case ok && known.Control == item.Control && item.Version <= known.Version:
+		return false
+	case ok && known.Control != item.Control && now-known.at < takeoverAfter:
+		return false
+	}
+	n.items[item.Pool] = heard{Item: item, at: now}
+	return true
+}
+
+// takeoverAfter is how long a pool's allocator may be silent before another
+// one's news counts: two of its statements.
+const takeoverAfter = 2 * time.Second
+
+// Spread gives up to limit items for the next message of gossip: those that
+// were handed on least often, the latest first among them. An item that went
+// out rounds times is known to the fleet and is left out, so that gossip stays
+// quiet while little changes.
+func (n *News) Spread(now time.Duration, limit, rounds int) []Item {
+	n.forget(now)
+	var due []heard
+	for _, h := range n.items {
+		if h.passed < rounds {
+			due = append(due, h)
+		}
+	}
+	slices.SortFunc(due, func(a, b heard) int {
+		return cmp.Or(cmp.Compare(a.passed, b.passed), cmp.Compare(b.at, a.at), cmp.Compare(a.Pool, b.Pool))
+	})
+	out := make([]Item, 0, min(limit, len(due)))
+	for _, h := range due[:min(limit, len(due))] {
+		out = append(out, h.Item)
+		h.passed++
+		n.items[h.Pool] = h
+	}
+	return out
+}
+
+func (n *News) forget(now time.Duration) {
+	for pool, h := range n.items {
+		if now-h.at > maxNewsAge {
+			delete(n.items, pool)
+		}
+	}
+}
+
+// Fill makes the views of a service's pools from the news: a new slice, to be
+// published as a snapshot. share gives the part of its work that a data centre
+// takes, control the process to ask for a pool without news.
+func (n *News) Fill(pools []Pool, share func(dc string) float64, control func(Pool) string) []View {
+	views := make([]View, 0, len(pools))
+	for _, p := range pools {
+		v := NewView(p, "")
+		v.Share = share(p.DataCentre)
+		if h, ok := n.items[p.ID]; ok {
+			v.Control, v.Backlog, v.NewsAt, v.Heard = h.Control, h.Backlog, h.at, true
+		} else {
+			v.Control = control(p)
+		}
+		views = append(views, v)
+	}
+	return views
+}
--- a/internal/decide/quota/holder.go
+++ b/internal/decide/quota/holder.go
@@ -16,6 +16,8 @@
 	// tokens may be below zero: generations of unknown length overdraw.
 	tokens float64
 	filled time.Duration
+	// sent is when the last demand went out, retry the earliest next one.
+	sent, retry time.Duration
 }
 
 // NewHolder returns a holder without leases.
@@ -83,13 +85,9 @@
 	if l == nil {
 		return 0
 	}
-	return l.asked + l.grant.RetryAfter
+	return max(l.retry, l.asked+l.grant.RetryAfter)
 }
 
-// Drop forgets an account without requests; its debt is forgotten with it, so
-// call it only once the lease is over.
-func (h *Holder) Drop(account string) { delete(h.leases, account) }
-
 // fill adds what the rate gives while the lease lives, up to the burst.
 func (l *holding) fill(now, burst time.Duration) {
 	until := min(now, l.expires)
--- /dev/null
+++ b/internal/decide/quota/schedule.go
@@ -0,0 +1,106 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Use is what one account does in a pool.
+type Use struct {
+	Account string
+	// Running requests are in progress, Waiting ones in the queue.
+	Running, Waiting int
+	// TokensPerSecond is the rate of the last seconds.
+	TokensPerSecond float64
+}
+
+const (
+	// headroom is the part of its demand that a holder asks for beyond it, so
+	// that a burst need not wait for a round trip.
+	headroom = 0.25
+	// leastSpare is the least number of requests asked for beyond the demand,
+	// for accounts that use little.
+	leastSpare = 1
+	// leastRate is the least rate asked for, in tokens a second: an account
+	// that produced nothing in the last seconds may start again.
+	leastRate = 50
+)
+
+// Due gives the demands that should be sent now for the accounts that use this
+// pool, the most urgent first, at most limit of them: one message carries those
+// of an owner. An account that has nothing here, and whose lease is over, is
+// dropped; the owner's lease of it ends by itself.
+func (h *Holder) Due(now time.Duration, holder string, uses []Use, limit int) []Demand {
+	h.dropUnused(now, uses)
+	due := make([]Use, 0, len(uses))
+	for _, u := range uses {
+		if h.RenewAt(u.Account) <= now || h.starved(now, u) {
+			due = append(due, u)
+		}
+	}
+	slices.SortFunc(due, func(a, b Use) int {
+		return cmp.Or(cmp.Compare(h.expiry(a.Account), h.expiry(b.Account)), cmp.Compare(a.Account, b.Account))
+	})
+	due = due[:min(limit, len(due))]
+	out := make([]Demand, len(due))
+	for i, u := range due {
+		out[i] = u.demand(holder)
+		h.asked(now, u.Account)
+	}
+	return out
+}
+
+func (u Use) demand(holder string) Demand {
+	wanted := u.Running + u.Waiting
+	spare := max(leastSpare, int(headroom*float64(wanted)))
+	return Demand{
+		Account: u.Account, Holder: holder, Running: u.Running, Waiting: u.Waiting + spare,
+		TokensPerSecond: max(leastRate, (1+headroom)*u.TokensPerSecond),
+	}
+}
+
+// starved tells whether requests wait for more than the lease allows. Such an
+// account asks again sooner than it would renew, but not in every step: an
+// owner with nothing to give would be asked as often as requests come.
+func (h *Holder) starved(now time.Duration, u Use) bool {
+	l := h.leases[u.Account]
+	if l == nil || u.Waiting == 0 {
+		return false
+	}
+	return u.Running >= h.Running(now, u.Account) && now-l.sent >= h.cfg.LeaseFor/starvedShare
+}
+
+// starvedShare: a starved account asks ten times a lease.
+const starvedShare = 10
+
+// asked keeps a demand from being sent again before there was time for its
+// answer.
+func (h *Holder) asked(now time.Duration, account string) {
+	l := h.leases[account]
+	if l == nil {
+		l = &holding{filled: now}
+		h.leases[account] = l
+	}
+	l.sent = now
+	l.retry = max(l.retry, now+h.cfg.LeaseFor/starvedShare)
+}
+
+func (h *Holder) expiry(account string) time.Duration {
+	if l := h.leases[account]; l != nil {
+		return l.expires
+	}
+	return 0
+}
+
+func (h *Holder) dropUnused(now time.Duration, uses []Use) {
+	used := make(map[string]bool, len(uses))
+	for _, u := range uses {
+		used[u.Account] = true
+	}
+	for account, l := range h.leases {
+		if !used[account] && now >= l.expires && now >= l.retry {
+			delete(h.leases, account)
+		}
+	}
+}
