--- a/internal/decide/quota/doc.go
+++ b/internal/decide/quota/doc.go
@@ -18,7 +18,10 @@
 //     granted, so a lease ends at the holder first, whatever is lost or late.
 //   - An owner that is new or not confirmed (package ownership) leases nothing.
 //     It has learnt by then what the pools run.
-//   - What a holder had in progress when it fell silent stays counted for
+//   - A holder may have started requests up to any grant that it has received,
+//     and they run on after a smaller one. Its demands say which grant it knows;
+//     until then the largest one that is under way counts.
+//   - What a holder may have in progress when it falls silent stays counted for
 //     LingerFor: its generations are not cut, and may still run.
 //
 // What it costs: in a split, pools that can't reach the owner start nothing of
@@ -90,6 +93,8 @@
 	Running, Waiting int
 	// TokensPerSecond is the rate that it would use.
 	TokensPerSecond float64
+	// Known is the serial number of the grant that it acts on, 0 for none.
+	Known uint64
 }
 
 // Grant answers a demand: the holder's part of the limits.
@@ -101,4 +106,7 @@
 	LeaseFor time.Duration
 	// RetryAfter is when to ask again.
 	RetryAfter time.Duration
+	// Serial rises with each grant for this account and holder. A holder acts
+	// on the highest one that it has received.
+	Serial uint64
 }
--- a/internal/decide/quota/holder.go
+++ b/internal/decide/quota/holder.go
@@ -25,23 +25,24 @@
 	return &Holder{cfg: cfg.withDefaults(), leases: map[string]*holding{}}
 }
 
-// Granted takes an answer to a demand that was sent at asked. An answer to an
-// earlier demand than the last one answered is dropped. An answer without a
-// lease, of an owner that is new, leaves the lease of the one before in force.
+// Granted takes an answer to a demand that was sent at asked. An answer that was
+// given before the one in force is dropped: the owner no longer counts it. An
+// answer without a lease, of an owner that is new, leaves the lease of the one
+// before in force.
 func (h *Holder) Granted(asked time.Duration, g Grant) {
 	l := h.leases[g.Account]
 	if l == nil {
 		l = &holding{filled: asked}
 		h.leases[g.Account] = l
 	}
-	if asked < l.asked {
+	if g.LeaseFor == 0 {
+		l.retry = max(l.retry, asked+g.RetryAfter)
 		return
 	}
-	l.asked = asked
-	if g.LeaseFor == 0 {
-		l.grant.RetryAfter = g.RetryAfter
+	if g.Serial < l.grant.Serial && asked < l.expires {
 		return
 	}
+	l.asked = asked
 	l.fill(asked, h.cfg.RateBurst)
 	l.grant, l.expires = g, asked+g.LeaseFor
 }
--- a/internal/decide/quota/owner.go
+++ b/internal/decide/quota/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"filbertdeck/internal/decide/ownership"
@@ -13,23 +14,69 @@
 	cfg      Config
 	tenure   ownership.Tenure
 	accounts map[string]*account
+	serial   uint64
 }
 
+// serialBits are a serial's lower bits; the list's revision leads, so that the
+// serials of a later owner are higher.
+const serialBits = 32
+
 type account struct {
 	leases map[string]*lease
 }
 
 // lease is what one holder has and wants.
 type lease struct {
-	demand Demand
-	// running and rate are in force at the holder at most until expires. A
-	// smaller lease may not have reached the holder, so the larger one counts
-	// until its own end.
-	running, rate held
-	expires       time.Duration
+	demand  Demand
+	running issued
+	rate    held
+	expires time.Duration
+}
+
+// issued is the grants of running requests that a holder may have received.
+type issued struct {
+	grants []issue
+	last   uint64
+	// inUse is what the holder had in progress by its last demand.
+	inUse int
+}
+
+type issue struct {
+	serial  uint64
+	running int
+	// over is when even a demand that was sent before the grant's end, and was
+	// late, has arrived: what was started by the grant shows in demands.
+	over time.Duration
+}
+
+// heard drops the grants before the one that the holder acts on, and those that
+// are over. A serial that was never given here is another owner's, and says
+// nothing.
+func (g *issued) heard(now time.Duration, d Demand) {
+	g.inUse = d.Running
+	known := d.Known
+	if known > g.last {
+		known = 0
+	}
+	g.grants = slices.DeleteFunc(g.grants, func(i issue) bool { return i.serial < known || i.over <= now })
+}
+
+func (g *issued) add(i issue) {
+	g.grants = append(g.grants, i)
+	g.last = i.serial
 }
 
-// held is the largest amount that a holder may still believe to have.
+// most is the largest number that the holder may have in progress.
+func (g *issued) most() float64 {
+	most := g.inUse
+	for _, i := range g.grants {
+		most = max(most, i.running)
+	}
+	return float64(most)
+}
+
+// held is the largest rate that a holder may still believe to have. A smaller
+// lease may not reach it, so the larger one counts until its own end.
 type held struct {
 	now       float64
 	before    float64
@@ -76,12 +123,13 @@
 	end := now + o.cfg.LeaseFor + o.cfg.Margin
 	running := math.Floor(a.part(now, float64(limits.Running), l, runningOf))
 	rate := a.part(now, limits.TokensPerSecond, l, rateOf)
-	l.running.set(now, l.expires, running)
+	o.serial = max(o.serial, o.tenure.Revision()<<serialBits) + 1
+	l.running.add(issue{o.serial, int(running), end + o.cfg.LeaseFor})
 	l.rate.set(now, l.expires, rate)
 	l.expires = end
 	return Grant{
 		Account: d.Account, Running: int(running), TokensPerSecond: rate,
-		LeaseFor: o.cfg.LeaseFor, RetryAfter: o.cfg.LeaseFor / 3,
+		LeaseFor: o.cfg.LeaseFor, RetryAfter: o.cfg.LeaseFor / 3, Serial: o.serial,
 	}
 }
 
@@ -98,6 +146,7 @@
 		a.leases[d.Holder] = l
 	}
 	l.demand = d
+	l.running.heard(now, d)
 	l.expires = max(l.expires, now)
 	return l, a
 }
@@ -111,7 +160,7 @@
 	a.expire(now, o.cfg.LingerFor)
 	var sum Limits
 	for _, l := range a.leases {
-		sum.Running += int(l.running.at(now))
+		sum.Running += int(l.running.most())
 		sum.TokensPerSecond += l.rate.at(now)
 	}
 	return sum
@@ -128,61 +177,55 @@
 	}
 }
 
-// expire keeps the lease of a silent holder as what it may have in progress,
-// since it may have started all of it after its last demand, and forgets that
-// in the end.
+// expire ends the leases of silent holders. What they may have in progress
+// still counts, and is forgotten in the end.
 func (a *account) expire(now, linger time.Duration) {
 	for holder, l := range a.leases {
 		if now < l.expires {
 			continue
 		}
 		l.demand.Waiting, l.demand.TokensPerSecond = 0, 0
-		l.running, l.rate = held{now: l.running.at(l.expires - 1)}, held{}
+		l.rate = held{}
 		if now >= l.expires+linger {
 			delete(a.leases, holder)
 		}
 	}
 }
 
-// kind picks one of the two limits of a lease.
-type kind func(*lease) (wanted float64, floor float64, h *held)
+// kind picks one of the two limits of a lease: what the holder wants, and what
+// it may have.
+type kind func(l *lease, now time.Duration) (wanted, held float64)
 
-func runningOf(l *lease) (float64, float64, *held) {
-	inUse := float64(l.demand.Running)
-	return inUse + float64(l.demand.Waiting), inUse, &l.running
+func runningOf(l *lease, _ time.Duration) (float64, float64) {
+	return float64(l.demand.Running + l.demand.Waiting), l.running.most()
 }
 
-func rateOf(l *lease) (float64, float64, *held) {
-	return l.demand.TokensPerSecond, 0, &l.rate
+func rateOf(l *lease, now time.Duration) (float64, float64) {
+	return l.demand.TokensPerSecond, l.rate.at(now)
 }
 
-// part is what a holder gets: its max-min fair part of the limit by demand, no
-// less than what it has in progress, and no more than the others leave.
+// part is what a holder gets: its max-min fair part of the limit by demand, and
+// no more than the others leave.
 func (a *account) part(now time.Duration, limit float64, own *lease, of kind) float64 {
-	wanted, floor, _ := of(own)
-	if limit == 0 {
-		return 0
-	}
 	free := limit
 	for _, l := range a.leases {
 		if l != own {
-			_, inUse, h := of(l)
-			free -= max(h.at(now), inUse)
+			_, held := of(l, now)
+			free -= held
 		}
 	}
-	fair := a.fair(limit, of)
-	return max(0, min(free, max(floor, min(wanted, fair))))
+	wanted, _ := of(own, now)
+	return max(0, min(free, wanted, a.fair(now, limit, of)))
 }
 
 // fair is the level up to which demands are met when the limit is filled evenly
 // among them.
-func (a *account) fair(limit float64, of kind) float64 {
-	open, left := 0, limit
+func (a *account) fair(now time.Duration, limit float64, of kind) float64 {
 	level := 0.0
 	for range len(a.leases) + 1 {
-		open, left = 0, limit
+		open, left := 0, limit
 		for _, l := range a.leases {
-			if wanted, _, _ := of(l); wanted > level {
+			if wanted, _ := of(l, now); wanted > level {
 				open++
 			} else {
 				left -= wanted
--- a/internal/decide/quota/schedule.go
+++ b/internal/decide/quota/schedule.go
@@ -45,18 +45,27 @@
 	due = due[:min(limit, len(due))]
 	out := make([]Demand, len(due))
 	for i, u := range due {
-		out[i] = u.demand(holder)
+		out[i] = u.demand(holder, h.known(u.Account))
 		h.asked(now, u.Account)
 	}
 	return out
 }
 
-func (u Use) demand(holder string) Demand {
+// known is the serial number of the grant in force. After its end it still
+// says which earlier ones can no longer be acted on.
+func (h *Holder) known(account string) uint64 {
+	if l := h.leases[account]; l != nil {
+		return l.grant.Serial
+	}
+	return 0
+}
+
+func (u Use) demand(holder string, known uint64) Demand {
 	wanted := u.Running + u.Waiting
 	spare := max(leastSpare, int(headroom*float64(wanted)))
 	return Demand{
 		Account: u.Account, Holder: holder, Running: u.Running, Waiting: u.Waiting + spare,
-		TokensPerSecond: max(leastRate, (1+headroom)*u.TokensPerSecond),
+		TokensPerSecond: max(leastRate, (1+headroom)*u.TokensPerSecond), Known: known,
 	}
 }
 
