--- a/internal/decide/fencing/fencing_test.go
+++ b/internal/decide/fencing/fencing_test.go
@@ -127,6 +127,31 @@
 	})
 })
 
+var _ = Describe("a ledger", func() {
+	It("gives one task an engine, few at a time, and drops what is out of date", func() {
+		l, t := fencing.NewLedger(fencing.Config{}), sole()
+		a, b := fencing.Wanted{Engine: "a", Name: "m", Checks: true}, fencing.Wanted{Engine: "b", Name: "m", Checks: true}
+		l.Want([]fencing.Wanted{b, a})
+		Expect(l.Due(0, t, 1)).To(Equal([]fencing.Task{{Wanted: a, Action: fencing.Send}}))
+		Expect(l.Due(0, t, 1)).To(BeEmpty(), "a is busy")
+		l.Answered(0, a, fencing.Lost)
+		Expect(l.Due(0, t, 1)).To(Equal([]fencing.Task{{Wanted: b, Action: fencing.Send}}))
+		l.Answered(0, b, fencing.Fenced)
+		Expect(l.GivenUp()).To(Equal([]fencing.Wanted{b}))
+		Expect(l.Due(time.Second, t, 9)).To(Equal([]fencing.Task{{Wanted: a, Action: fencing.Read}}))
+		l.NotRead(time.Second, a)
+		Expect(l.Due(2*time.Second, t, 9)).To(HaveLen(1))
+		next := fencing.Wanted{Engine: "a", Name: "n", Checks: true}
+		l.Want([]fencing.Wanted{next})
+		l.ReadBack(2*time.Second, a, true)
+		Expect(l.Due(2*time.Second, t, 9)).To(Equal([]fencing.Task{{Wanted: next, Action: fencing.Send}}))
+		l.Answered(2*time.Second, next, fencing.Followed)
+		Expect(l.Due(time.Minute, t, 9)).To(BeEmpty())
+		l.Restarted("a")
+		Expect(l.Due(time.Minute, t, 9)).To(HaveLen(1))
+	})
+})
+
 const (
 	checking = iota
 	ignoring
--- a/internal/decide/hedge/hedge_test.go
+++ b/internal/decide/hedge/hedge_test.go
@@ -47,6 +47,15 @@
 		Expect(delay).To(BeNumerically("~", 4*ms, ms))
 	})
 
+	It("is kept per service, while the table has it", func() {
+		s := hedge.NewSet(hedge.Config{})
+		lookup := s.Of(0, "lookup")
+		Expect(s.Of(0, "lookup")).To(BeIdenticalTo(lookup))
+		Expect(s.Of(0, "gate")).NotTo(BeIdenticalTo(lookup))
+		s.Keep(func(service string) bool { return service == "gate" })
+		Expect(s.Of(0, "lookup")).NotTo(BeIdenticalTo(lookup))
+	})
+
 	DescribeTable("refuses", func(s hedge.Situation, want hedge.Refusal) {
 		Expect(warm().Second(0, s)).To(Equal(want))
 	},
