--- a/internal/decide/quota/holder.go
+++ b/internal/decide/quota/holder.go
@@ -16,6 +16,8 @@
 	// tokens may be below zero: generations of unknown length overdraw.
 	tokens float64
 	filled time.Duration
+	// sent is when the last demand went out, retry the earliest next one.
+	sent, retry time.Duration
 }
 
 // NewHolder returns a holder without leases.
@@ -23,23 +25,24 @@
 	return &Holder{cfg: cfg.withDefaults(), leases: map[string]*holding{}}
 }
 
-// Granted takes an answer to a demand that was sent at asked. An answer to an
-// earlier demand than the last one answered is dropped. An answer without a
-// lease, of an owner that is new, leaves the lease of the one before in force.
+// Granted takes an answer to a demand that was sent at asked. An answer that was
+// given before the one in force is dropped: the owner no longer counts it. An
+// answer without a lease, of an owner that is new, leaves the lease of the one
+// before in force.
 func (h *Holder) Granted(asked time.Duration, g Grant) {
 	l := h.leases[g.Account]
 	if l == nil {
 		l = &holding{filled: asked}
 		h.leases[g.Account] = l
 	}
-	if asked < l.asked {
+	if g.LeaseFor == 0 {
+		l.retry = max(l.retry, asked+g.RetryAfter)
 		return
 	}
-	l.asked = asked
-	if g.LeaseFor == 0 {
-		l.grant.RetryAfter = g.RetryAfter
+	if g.Serial < l.grant.Serial && asked < l.expires {
 		return
 	}
+	l.asked = asked
 	l.fill(asked, h.cfg.RateBurst)
 	l.grant, l.expires = g, asked+g.LeaseFor
 }
@@ -83,13 +86,9 @@
 	if l == nil {
 		return 0
 	}
-	return l.asked + l.grant.RetryAfter
+	return max(l.retry, l.asked+l.grant.RetryAfter)
 }
 
-// Drop forgets an account without requests; its debt is forgotten with it, so
-// call it only once the lease is over.
-func (h *Holder) Drop(account string) { delete(h.leases, account) }
-
 // fill adds what the rate gives while the lease lives, up to the burst.
 func (l *holding) fill(now, burst time.Duration) {
 	until := min(now, l.expires)
