Take finished answers for whole; start over sooner; tell when to ask a lost owner again

A cut after the last token ended as lost after 12.4 s (stream) or took 14.4 s (whole), a caller that came back with everything but the closing event waited 21.6 s and was told it had lost the report, and a target frozen before the first token held its caller 10 s although another could start over. Under a partition a minted key's caller got owner-lost for good while the owner still knew the answer. Conclusion: Order.Finished/Conclude, ResumeFinished, Handle.Finished; the relay has to use them.

--- a/internal/decide/delivery/delivery.go
+++ b/internal/decide/delivery/delivery.go
@@ -20,6 +20,11 @@
 // mean that the engine or its numbering is at fault, not the link.
 const DefaultResumes = 4
 
+// resumesBeforeRestart bounds them while the request may start over elsewhere:
+// one new connection tells a cut link from a target that is stuck. Waiting for
+// a stuck target any longer would only add to the caller's stall.
+const resumesBeforeRestart = 1
+
 // Frame is what one event of a target says.
 type Frame struct {
 	Generation string
@@ -104,6 +109,14 @@
 	}
 }
 
+// ResumeFinished is Resume for a caller that has the frame which finished the
+// generation and lacks only the closing event.
+func ResumeFinished(mode Mode, generation string, offset uint64) Order {
+	o := Resume(mode, generation, offset)
+	o.finished = true
+	return o
+}
+
 // Next is the index of the next token to ask the target for.
 func (o *Order) Next() uint64 { return o.next }
 
@@ -116,6 +129,17 @@
 // Completed tells whether the whole answer has been checked.
 func (o *Order) Completed() bool { return o.complete }
 
+// Finished tells whether all tokens and the generation's finish have passed.
+// A connection that is lost from then on has lost nothing but the closing
+// event: the answer is whole, and Conclude makes it complete.
+func (o *Order) Finished() bool { return o.finished }
+
+// Conclude completes a finished answer without its closing event.
+func (o *Order) Conclude() bool {
+	o.complete = o.complete || o.finished
+	return o.complete
+}
+
 // Check judges a frame. Tokens of a passed frame count as having reached the
 // caller in mode Stream, whether or not the write that follows succeeds: a
 // write that failed may still have left the host.
@@ -179,7 +203,11 @@
 // Reopen asks for another connection for the same generation, at Next. It is
 // false when too many in a row brought no token.
 func (o *Order) Reopen() bool {
-	if o.complete || o.resumes >= o.limit {
+	limit := o.limit
+	if o.MayRestart() {
+		limit = min(limit, resumesBeforeRestart)
+	}
+	if o.complete || o.resumes >= limit {
 		return false
 	}
 	o.resumes++
--- a/internal/decide/delivery/delivery_test.go
+++ b/internal/decide/delivery/delivery_test.go
@@ -104,7 +104,7 @@
 	// on each new connection. Without a bound the entry would reconnect for
 	// good and the caller would wait for good.
 	It("gives up resuming when connections bring nothing", func() {
-		o := delivery.New(delivery.Stream, "g")
+		o := delivery.Resume(delivery.Stream, "g", 0)
 		for range 3 {
 			for range delivery.DefaultResumes {
 				Expect(o.Reopen()).To(BeTrue())
@@ -115,6 +115,31 @@
 		Expect(o.Lost(nil).Delivered).To(Equal(3))
 	})
 
+	// The target's connection breaks after the last token, or the caller comes
+	// back with nothing missing but the closing event. To call that answer lost
+	// would make the caller pay for a report that it has.
+	It("takes a finished answer for whole without its closing event", func() {
+		o := delivery.New(delivery.Stream, "g")
+		Expect(o.Check(f("g", 0, 1))).To(Equal(pass))
+		Expect(o.Conclude()).To(BeFalse())
+		Expect(o.Check(f("g", 1, 1, true))).To(Equal(pass))
+		Expect(o.Finished()).To(BeTrue())
+		Expect(o.Conclude()).To(BeTrue())
+		Expect(o.MayRestart()).To(BeFalse())
+		back := delivery.ResumeFinished(delivery.Stream, "g", 2)
+		Expect(back.Conclude()).To(BeTrue())
+	})
+
+	// The target hangs before its first token. A second connection that stays
+	// silent shows that it is stuck; another target can start over unseen.
+	It("reconnects only once while it may start over", func() {
+		o := delivery.New(delivery.Whole, "g")
+		Expect(o.Reopen()).To(BeTrue())
+		Expect(o.Reopen()).To(BeFalse())
+		Expect(o.Restart("h")).To(BeTrue())
+		Expect(o.Reopen()).To(BeTrue())
+	})
+
 	It("names its verdicts", func() {
 		Expect([]string{gap.String(), whole.String(), delivery.Verdict(99).String()}).To(Equal([]string{"gap", "complete", "none"}))
 	})
--- a/internal/decide/once/once.go
+++ b/internal/decide/once/once.go
@@ -354,11 +354,18 @@
 }
 
 // OwnerUnreachable is the answer when the owner that Begin named does not
-// answer: it may have run the call earlier, so the outcome is unknown.
+// answer: it may have run the call earlier, so the outcome is unknown. Asking
+// again makes sense, since an owner that was paused or cut off still knows
+// once it is back.
 func OwnerUnreachable(cause error) *failure.Error {
-	return failure.Wrap(cause, failure.KindOwnerLost, "the entry that may run this call can't be reached").Unknown()
+	return failure.Wrap(cause, failure.KindOwnerLost, "the entry that may run this call can't be reached").
+		Unknown().After(ownerRetry)
 }
 
+// ownerRetry is when to ask again for an owner that did not answer. Pauses and
+// short partitions are over by then.
+const ownerRetry = 5 * time.Second
+
 func unvouched(why string) *failure.Error {
 	return failure.New(failure.KindKeyUnvouched, "%s; it may have run at another entry", why).Unknown()
 }
--- a/internal/handle/handle.go
+++ b/internal/handle/handle.go
@@ -18,6 +18,10 @@
 	Generation string
 	// Offset is the index of the next token that the caller has not received.
 	Offset uint64
+	// Finished is set on the event that finished the generation: a caller that
+	// comes back with it lacks only the closing event, and the target need not
+	// know the generation any more.
+	Finished bool
 	// Issued and Expires are kept in whole seconds.
 	Issued, Expires time.Time
 }
@@ -26,12 +30,16 @@
 // does not allocate while dst has room (some 700 bytes for usual names).
 func (r *Ring) SealTo(dst []byte, h Handle) []byte {
 	keys := r.keys.Load()
-	bound := 3*binary.MaxVarintLen64 + 3*binary.MaxVarintLen32 + len(h.Service) + len(h.Target) + len(h.Generation)
+	bound := 1 + 3*binary.MaxVarintLen64 + 3*binary.MaxVarintLen32 + len(h.Service) + len(h.Target) + len(h.Generation)
 	return r.seal(dst, keys, keys.sealHandle, h.Account, bound, h.appendTo)
 }
 
 func (h Handle) appendTo(dst []byte) []byte {
 	dst = binary.AppendUvarint(dst, h.Offset)
+	dst = append(dst, 0)
+	if h.Finished {
+		dst[len(dst)-1] = 1
+	}
 	dst = binary.AppendVarint(dst, h.Issued.Unix())
 	dst = binary.AppendVarint(dst, h.Expires.Unix())
 	dst = appendText(dst, h.Service)
@@ -49,6 +57,7 @@
 	}
 	d := decoder{rest: plain}
 	h := Handle{Account: account, Offset: d.uvarint()}
+	h.Finished = d.uvarint() == 1
 	h.Issued = time.Unix(d.varint(), 0)
 	h.Expires = time.Unix(d.varint(), 0)
 	h.Service = d.text()
--- a/internal/handle/handle_test.go
+++ b/internal/handle/handle_test.go
@@ -25,7 +25,7 @@
 func sample() handle.Handle {
 	return handle.Handle{
 		Account: "foundation", Service: "reports", Target: "10.0.0.7:9000", Generation: "g-0190a1b2",
-		Offset: 1234, Issued: start, Expires: start.Add(10 * time.Minute),
+		Offset: 1234, Finished: true, Issued: start, Expires: start.Add(10 * time.Minute),
 	}
 }
 
--- a/test/faults/serve_test.go
+++ b/test/faults/serve_test.go
@@ -78,7 +78,14 @@
 		return
 	}
 	r.order = delivery.Resume(mode, at.Generation, at.Offset)
+	if at.Finished {
+		r.order = delivery.ResumeFinished(mode, at.Generation, at.Offset)
+	}
 	r.target, r.begun = h.w.target(at.Target), true
+	if r.order.Conclude() {
+		r.complete()
+		return
+	}
 	r.reconnect()
 }
 
@@ -158,6 +165,10 @@
 		return
 	}
 	c.close(0)
+	if r.order.Conclude() {
+		r.complete()
+		return
+	}
 	if !r.order.Reopen() {
 		r.generationLost()
 		return
@@ -225,15 +236,19 @@
 	case delivery.Gap, delivery.Crossed:
 		r.targetLost(c)
 	case delivery.Complete:
-		r.order.Release()
 		c.close(0)
-		r.h.settle(r.lease, admission.OutcomeDone)
-		if len(r.held) > 0 {
-			tokens := r.held
-			r.s.conn.send(0, func() { r.s.call.take(r.s, "", tokens...) })
-		}
-		r.s.finish(nil)
+		r.complete()
+	}
+}
+
+func (r *run) complete() {
+	r.order.Release()
+	r.h.settle(r.lease, admission.OutcomeDone)
+	if len(r.held) > 0 {
+		tokens := r.held
+		r.s.conn.send(0, func() { r.s.call.take(r.s, "", tokens...) })
 	}
+	r.s.finish(nil)
 }
 
 func (r *run) pass(f delivery.Frame, text string) {
@@ -246,7 +261,7 @@
 	} else {
 		id := string(ring.SealTo(nil, handle.Handle{
 			Account: r.s.call.account, Service: "reports", Target: r.target.name, Generation: r.order.Generation(),
-			Offset: r.order.Next(), Expires: epoch.Add(r.h.w.now + time.Minute),
+			Offset: r.order.Next(), Finished: r.order.Finished(), Expires: epoch.Add(r.h.w.now + time.Minute),
 		}))
 		r.s.conn.send(0, func() { r.s.call.take(r.s, id, t) })
 	}
--- a/test/faults/targets_test.go
+++ b/test/faults/targets_test.go
@@ -131,6 +131,10 @@
 	for k := int(offset); k < g.produced; k++ {
 		e.frame(c, g, k)
 	}
+	if int(offset) == g.length {
+		c.send(0, func() { c.frame(delivery.Frame{Generation: id, Offset: offset, Finish: true}, "") })
+		c.send(0, func() { c.frame(delivery.Frame{Done: true}, "") })
+	}
 	g.conns = append(g.conns, c)
 }
 
