--- a/cmd/filbertctl/main.go
+++ b/cmd/filbertctl/main.go
@@ -2,17 +2,16 @@
 package main
 
 import (
-	"github.com/alexflint/go-arg"
+	"context"
+	"os"
+	"os/signal"
 
-	"filbertdeck/internal/version"
+	"filbertdeck/internal/ctl"
 )
 
-type args struct{}
-
-// Version implements go-arg's versioned interface.
-func (args) Version() string { return "filbertctl " + version.String() }
-
 func main() {
-	var a args
-	arg.MustParse(&a)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := ctl.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
