--- a/internal/controller/configwatch/store.go
+++ b/internal/controller/configwatch/store.go
@@ -32,6 +32,7 @@
 	service   ServiceState
 	join      *rollout.Join
 	ready     bool
+	asked     bool
 	peers     int
 	changed   chan struct{}
 	out       writers
@@ -40,6 +41,8 @@
 type document struct {
 	*rollout.Document
 	since time.Time
+	// announced is the newest version that a peer is known to hold.
+	announced rollout.Version
 }
 
 type writers struct {
@@ -203,14 +206,22 @@
 func (s *Store) Head(name Section) rollout.Head {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.docs[name].Head()
+	doc, ok := s.docs[name]
+	if !ok {
+		return rollout.Head{}
+	}
+	return doc.Head()
 }
 
 // Refused gives the newest refusal of a document.
 func (s *Store) Refused(name Section) rollout.Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.docs[name].Refused()
+	doc, ok := s.docs[name]
+	if !ok {
+		return rollout.Refusal{}
+	}
+	return doc.Refused()
 }
 
 // Since gives what a peer at version from lacks of a document.
@@ -224,6 +235,9 @@
 	return doc.Since(from)
 }
 
+// All gives a whole document.
+func (s *Store) All(name Section) rollout.Delta { return s.Since(name, rollout.Version{}) }
+
 // Confirmed notes that the service held the host list in force at a time; an
 // earlier time than the one known is no news.
 func (s *Store) Confirmed(at time.Time) {
@@ -252,18 +266,41 @@
 	s.peers = n
 }
 
+// Announced notes that a peer holds a version.
+func (s *Store) Announced(name Section, v rollout.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if doc, ok := s.docs[name]; ok && v.After(doc.announced) {
+		doc.announced = v
+	}
+}
+
+// lacks tells whether a peer holds a version newer than the one in force here
+// that was not refused here.
+func (s *Store) lacks() bool {
+	for _, doc := range s.docs {
+		if doc.announced.After(doc.Head().Version) && doc.announced != doc.Refused().Version {
+			return true
+		}
+	}
+	return false
+}
+
 // PeerTaken notes that everything that a ready peer holds was taken over.
 func (s *Store) PeerTaken(address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.join.Peer(address)
+	if s.join.Peer(address); s.join.Confirmed() && !s.asked {
+		s.asked = true
+		s.publishState()
+	}
 }
 
 // Ready tells whether this process may serve with the table in force.
 func (s *Store) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.ready && s.join.Ready(s.now().Sub(s.start), s.peers, s.table != nil) {
+	if !s.ready && s.join.Ready(s.now().Sub(s.start), s.peers, s.table != nil, s.lacks()) {
 		s.ready = true
 		s.log.Info("ready", "peers_asked", s.join.Confirmed())
 		s.publishState()
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -21,6 +21,8 @@
 	. "github.com/onsi/gomega"
 
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/fleet"
+	"filbertdeck/internal/sse"
 	"filbertdeck/internal/standin/app"
 	"filbertdeck/internal/standin/engine"
 	"filbertdeck/internal/standin/model"
@@ -124,6 +126,8 @@
 	ran     map[string]int
 	minted  int
 	resumed int
+	// silenced is set once a stream has gone silent for good.
+	silenced bool
 }
 
 var tokensMark = regexp.MustCompile(`\[tokens=(\d+)\]`)
@@ -139,6 +143,8 @@
 		failure.Write(w, failure.New(failure.KindOverloaded, "full").After(time.Second))
 	case f.fault == "drop":
 		panic(http.ErrAbortHandler)
+	case f.fault == "hang plain" && !f.silenced && strings.HasPrefix(r.URL.Path, "/v1/services/"):
+		f.hang(r)
 	case r.URL.Path == "/v1/idempotency-keys":
 		f.minted++
 		fmt.Fprintf(w, `{"key":"k%d"}`, f.minted)
@@ -181,12 +187,21 @@
 	if from > 0 {
 		f.resumed++
 	}
+	if f.fault == "unopened" && !f.silenced {
+		f.hang(r)
+		return
+	}
 	fmt.Fprint(w, ": keep-alive\n\n")
 	for k := from; k < length; k++ {
 		if k == from+3 && (f.fault == "cut" || f.fault == "error") {
 			f.breakOff(w)
 			return
 		}
+		if k == 3 && f.fault == "silent" && !f.silenced {
+			_ = http.NewResponseController(w).Flush()
+			f.hang(r)
+			return
+		}
 		offset, generation := k, fakeGeneration
 		if f.fault == "reorder" && k == 1 {
 			offset = 2
@@ -200,6 +215,14 @@
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
+// hang holds a connection until its caller leaves, while others go on.
+func (f *fakeEntry) hang(r *http.Request) {
+	f.silenced = true
+	f.mu.Unlock()
+	<-r.Context().Done()
+	f.mu.Lock()
+}
+
 func (f *fakeEntry) breakOff(w http.ResponseWriter) {
 	if f.fault == "error" {
 		fmt.Fprint(w, "event: error\ndata: {\"type\":\"urn:x\",\"title\":\"target-lost\",\"executed\":\"yes\"}\n\n")
@@ -218,7 +241,7 @@
 		var out, errOut bytes.Buffer
 		code := Main([]string{"run", "--entry", site.Listener.Addr().String(), "--api-key", "a=KEY", "--api-key", "b=KEY",
 			"--rate", "400", "--duration", "250ms", "--length-scale", "0.01", "--attempts", "2", "--out", file,
-			"--timeout", "1m", "--progress-every", "100ms", "--service", "lookup=other"}, &out, &errOut)
+			"--timeout", "1m", "--opening", "2s", "--silence", "2s", "--progress-every", "100ms", "--service", "lookup=other"}, &out, &errOut)
 		r, err := Load(file)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.Broken()).To(Equal(code == exitBroken), errOut.String())
@@ -246,6 +269,19 @@
 		Expect(fake.resumed).To(BeNumerically(">", 0))
 	})
 
+	// One connection goes silent in mid-stream, another never opens; both stay
+	// up. A caller without a bound of its own would wait for ever.
+	DescribeTable("asks elsewhere when a connection is silent", func(fault string) {
+		r, fake, _ := run(fault)
+		Expect(r.Total.Whole).To(Equal(r.Total.Sent))
+		Expect(fake.silenced).To(BeTrue())
+		Expect(r.Total.Again).To(BeNumerically(">=", 1))
+	},
+		Entry("that of a plain call", "hang plain"),
+		Entry("in mid-stream", "silent"),
+		Entry("before it opens", "unopened"),
+	)
+
 	DescribeTable("sees broken promises", func(fault, kind string, want Violation) {
 		r, _, _ := run(fault)
 		Expect(r.Kinds[kind].Violations).To(HaveKey(want))
@@ -312,7 +348,7 @@
 		time.AfterFunc(300*time.Millisecond, cancel)
 		r := Run(ctx, Config{
 			Profile: p, Arrivals: Arrivals{Rate: 500, Duration: 100 * time.Millisecond, LengthScale: 1, Seed: 1},
-			Target:        Target{Entries: []string{site.Listener.Addr().String()}, Accounts: []string{"a"}, Keys: []string{"k"}, Timeout: time.Minute, Silence: time.Minute, Attempts: 1},
+			Target:        Target{Entries: []string{site.Listener.Addr().String()}, Accounts: []string{"a"}, Keys: []string{"k"}, Timeout: time.Minute, Opening: time.Minute, Silence: time.Minute, Attempts: 1},
 			MaxInProgress: 1, Progress: io.Discard, ProgressEvery: time.Second,
 		})
 		Expect(r.Total.Sent).To(Equal(1))
@@ -328,7 +364,7 @@
 	Expect(errOut.String()).NotTo(ContainSubstring("SECRET"))
 	Expect(strings.Count(errOut.String(), "\n")).To(Equal(1))
 },
-	Entry("subcommand", "walk", `first argument is "walk"; allowed: run, compare, profiles`),
+	Entry("subcommand", "walk", `first argument is "walk"; allowed: run, trial, compare, profiles`),
 	Entry("no entry", "run --api-key a=SECRET", `--entry (FILBERT_LOAD_ENTRY) is ""; allowed: at least one ip:port`),
 	Entry("entry", "run --entry here --api-key a=SECRET", `--entry (FILBERT_LOAD_ENTRY) is "here"`),
 	Entry("entries and stand-ins", "run --entry 127.0.0.1:1 --direct-app 127.0.0.1:2", "none beside --direct-engine"),
@@ -339,6 +375,9 @@
 	Entry("rate", "run --rate 0", `--rate (FILBERT_LOAD_RATE) is "0": out of range`),
 	Entry("warm-up", "run --entry 127.0.0.1:1 --api-key a=SECRET --warmup 1m", "less than --duration, which is 30s"),
 	Entry("service", "run --entry 127.0.0.1:1 --api-key a=SECRET --service x=y", "kind among report, contract, lookup, booking"),
+	Entry("trial's entries", "trial --entry 127.0.0.1:1", "none in a trial"),
+	Entry("trial's faults", "trial --fault 5s", "as 5s@engine-1@kill"),
+	Entry("trial's size", "trial --hosts 99", `--hosts (FILBERT_LOAD_HOSTS) is "99": out of range`),
 	Entry("compare", "compare a", "two files of results"),
 	Entry("compare without files", "compare /none/a /none/b", `"/none/a" can't be read`),
 )
@@ -376,7 +415,7 @@
 	f.Fuzz(func(t *testing.T, data []byte, length int) {
 		c := &caller{client: &client{}, bound: time.Second, gap: func(Call, time.Duration) {}}
 		s := &following{caller: c, call: Call{Kind: &Kind{Type: TypeStream}, Length: length}}
-		err := s.events(newEventReader(bytes.NewReader(data), func() {}))
+		err := s.events(sse.NewReader(bytes.NewReader(data), maxEvent), func() {})
 		if err == nil && s.out.violation == "" && !s.done {
 			t.Fatal("the stream ended without a reason")
 		}
@@ -385,3 +424,24 @@
 		}
 	})
 }
+
+var _ = Describe("a trial", func() {
+	It("starts a deployment, disturbs it and compares it with its stand-ins alone", func() {
+		dir := GinkgoT().TempDir()
+		Expect(fleet.Build(dir)).To(Succeed())
+		var out, errOut bytes.Buffer
+		code := Main([]string{"trial", "--bin-dir", dir, "--hosts", "2", "--engines", "2", "--apps", "1", "--rate", "60",
+			"--duration", "700ms", "--length-scale", "0.01", "--direct", "--engine-args=--base-step 2ms",
+			"--fault", `100ms@engine-1@{"kind":"cut"}`, "--fault", `200ms@platform@{"mode":"stale"}`,
+			"--fault", "300ms@host-1-entry@odd", "--fault", "300ms@host-9@kill", "--fault", "300ms@engine-2@kill"}, &out, &errOut)
+		log := errOut.String()
+		Expect(code).To(BeZero(), log)
+		for _, line := range []string{"fault engine-1 {\"kind\":\"cut\"}: done", "platform {\"mode\":\"stale\"}: done",
+			`action "odd" is none of`, `no target or process is named "host-9"`, "fault engine-2 kill: done", "total whole"} {
+			Expect(log).To(ContainSubstring(line))
+		}
+		var r Result
+		Expect(json.Unmarshal(out.Bytes(), &r)).To(Succeed())
+		Expect(r.Total.Whole).To(BeNumerically(">", 0))
+	})
+})
