--- a/internal/decide/admission/allocator.go
+++ b/internal/decide/admission/allocator.go
@@ -293,3 +293,6 @@
 	}
 	return s
 }
+
+// Median is the median output length as learned, in tokens.
+func (a *Allocator) Median() int { return a.lengths.Median() }
--- a/internal/decide/lengths/lengths.go
+++ b/internal/decide/lengths/lengths.go
@@ -15,6 +15,13 @@
 // first; in a life table the ones that still run count for each bucket that
 // they have passed, and those cut short (caller gone, target lost) count up to
 // there and no further.
+//
+// A table made of the past is late when the mix shifts to longer outputs: by
+// the time they end, the engines are full of them. What shows at once is that
+// fewer generations end than the table expects. The ratio of endings seen to
+// endings expected scales the hazard (proportional hazards), and only down:
+// erring towards short outputs costs preemptions, the other way a little
+// throughput for a while.
 package lengths
 
 import (
@@ -38,10 +45,20 @@
 	defaultHalfLife = 400
 	// priorExposure is the weight of the prior in each bucket, in generations.
 	priorExposure = 2
-	// priorMedian is the prior's median in tokens, the usual few hundred of
-	// chat outputs. Beyond it a doubling of the length is survived by one in
-	// two, a heavy tail that errs towards long outputs.
-	priorMedian = 256
+	// priorMedian is the prior's median in tokens: long reports. Beyond it a
+	// doubling of the length is survived by one in two. A new process that
+	// takes long outputs for short ones fills an engine far beyond its memory
+	// before the first output ends; the other way about it serves below
+	// capacity until a few dozen have ended, some ten seconds.
+	priorMedian = 2048
+	// recentEndings is the span, in expected endings, over which seen and
+	// expected ones are compared: at six a second for an engine some seven
+	// seconds, short against the minute that a long report takes.
+	recentEndings = 40
+	// endingsDoubt is the number of standard deviations (of a Poisson count)
+	// granted to the endings seen before the hazard is scaled down; with two,
+	// chance alone does it one time in forty.
+	endingsDoubt = 2
 	// rescaleAt keeps the growing weight of new observations in range.
 	rescaleAt = 1e9
 )
@@ -52,11 +69,14 @@
 	// passed and ended count, per bucket, the generations that went beyond it
 	// and those that finished in it.
 	passed, ended [buckets]float64
-	// survival at b is the probability to reach bucket b's lower edge.
-	survival [buckets + 1]float64
+	// table at b is the probability to reach bucket b's lower edge by the life
+	// table, survival the same with the hazard as seen lately.
+	table, survival [buckets + 1]float64
 	// weight of the next observation; it grows, so that old ones fade.
 	weight, growth float64
 	changed        bool
+	// seen and expected count recent endings.
+	seen, expected float64
 }
 
 // New returns a distribution that holds only the prior. halfLife is in
@@ -78,15 +98,43 @@
 	}
 	for b, last := bucketOf(from+1), bucketOf(to+1); b < last; b++ {
 		d.passed[b] += d.weight
+		d.expect(d.hazard(b))
 		d.changed = true
 	}
 }
 
+// hazard is the cumulative hazard of bucket b by the table in force.
+func (d *Distribution) hazard(b int) float64 {
+	if d.table[b+1] <= 0 {
+		return 0
+	}
+	return math.Log(d.table[b] / d.table[b+1])
+}
+
+// expect counts a part of an ending as expected, and lets older ones fade.
+func (d *Distribution) expect(part float64) {
+	fade := math.Exp(-part / recentEndings)
+	d.expected = d.expected*fade + part
+	d.seen *= fade
+}
+
+// slowdown is the factor on the hazard, at most 1.
+func (d *Distribution) slowdown() float64 {
+	likely := d.seen + endingsDoubt*math.Sqrt(d.seen+1)
+	if d.expected <= likely {
+		return 1
+	}
+	return likely / d.expected
+}
+
 // Finished records that a generation ended by itself with so many tokens. Its
 // progress up to there must have been recorded.
 func (d *Distribution) Finished(tokens int) {
-	d.ended[bucketOf(tokens)] += d.weight
+	b := bucketOf(tokens)
+	d.ended[b] += d.weight
 	d.changed = true
+	d.expect(d.hazard(b) / 2)
+	d.seen++
 	d.weight *= d.growth
 	if d.weight > rescaleAt {
 		d.rescale()
@@ -111,7 +159,7 @@
 	prior := priorExposure * d.weight
 	reach := 1.0
 	for b := range buckets {
-		d.survival[b] = reach
+		d.table[b] = reach
 		if lower(b) == lower(b+1) {
 			continue
 		}
@@ -119,7 +167,11 @@
 		passed := d.passed[b] + prior*expected
 		reach *= passed / (passed + d.ended[b] + prior*(1-expected))
 	}
-	d.survival[buckets] = reach
+	d.table[buckets] = reach
+	slow := d.slowdown()
+	for b, p := range d.table {
+		d.survival[b] = math.Pow(p, slow)
+	}
 }
 
 // priorSurvival is the prior probability to pass bucket b once it is reached:
