Wire gossip, pool news, crash evidence, admin API and the real allocator into control

Cause: until now every control process watched the configuration service and knew no peers. Now readers are picked, the rest hears by gossip; pools are partitioned and ranked by internal/decide/pools; a process hands out its table only once it asked its peers for a newer one.

--- /dev/null
+++ b/internal/control/admin/admin.go
@@ -0,0 +1,147 @@
+// Package admin feeds the administration interface from this process's own
+// state.
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"filbertdeck/internal/accounting"
+	"filbertdeck/internal/adminapi"
+	"filbertdeck/internal/control/pool"
+	"filbertdeck/internal/control/pools"
+	"filbertdeck/internal/control/state"
+	"filbertdeck/internal/decide/admission"
+	"filbertdeck/internal/failure"
+)
+
+// Tokens reads the digests of the operators' and the monitor's keys.
+func Tokens(operators, monitors []string) ([]adminapi.Token, error) {
+	var tokens []adminapi.Token
+	for role, digests := range map[adminapi.Role][]string{
+		adminapi.RoleOperator: operators, adminapi.RoleMonitor: monitors,
+	} {
+		for _, digest := range digests {
+			t, err := adminapi.ParseToken(string(role) + ":" + digest)
+			if err != nil {
+				return nil, err
+			}
+			tokens = append(tokens, t)
+		}
+	}
+	return tokens, nil
+}
+
+// Router serves health and readiness without a key and everything else by the
+// administration interface.
+func Router(api http.Handler, ready func() bool) *mux.Router {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			failure.Write(w, failure.New(failure.KindNotReady, "the published documents have not been read yet"))
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	r.PathPrefix("/admin/").Handler(api)
+	return r
+}
+
+// Source gives the figures of this process.
+type Source struct {
+	Self  string
+	State *state.Service
+	Pools *pools.Manager
+}
+
+// TargetStatus implements adminapi.TargetSource.
+func (s *Source) TargetStatus(service, address string) (adminapi.TargetStatus, bool) {
+	var status adminapi.TargetStatus
+	found := false
+	for _, owned := range s.owned() {
+		if owned.plan.Service != service {
+			continue
+		}
+		for _, t := range owned.snapshot.Targets {
+			if t.Address == address {
+				status.Running, status.UsedTokens, status.Waiting = t.Running, t.PredictedTokens, owned.snapshot.Waiting
+				found = true
+			}
+		}
+	}
+	return status, found
+}
+
+// AccountStatus implements adminapi.AccountSource from the accounting of the
+// entries of this host.
+func (s *Source) AccountStatus(name string) (running, waiting int, tokens uint64) {
+	for _, snapshot := range s.snapshots() {
+		for _, l := range snapshot.Lines {
+			if l.Account == name {
+				running += int(l.InProgress)
+				tokens += l.PromptTokens + l.OutputTokens
+			}
+		}
+	}
+	return running, waiting, tokens
+}
+
+type ownedPool struct {
+	plan     pools.Plan
+	snapshot admission.Snapshot
+}
+
+// owned asks the allocators that run here for their state.
+func (s *Source) owned() []ownedPool {
+	var runners []*pool.Runner
+	var out []ownedPool
+	s.Pools.Each(func(p pools.Plan, r *pool.Runner) {
+		runners = append(runners, r)
+		out = append(out, ownedPool{plan: p})
+	})
+	for i, r := range runners {
+		out[i].snapshot = r.Snapshot()
+	}
+	return out
+}
+
+func (s *Source) snapshots() []accounting.Snapshot {
+	var out []accounting.Snapshot
+	for _, text := range s.State.Accounting() {
+		var snapshot accounting.Snapshot
+		if json.Unmarshal(text, &snapshot) == nil {
+			out = append(out, snapshot)
+		}
+	}
+	return out
+}
+
+// Accounting implements adminapi.AccountingSource.
+func (s *Source) Accounting() adminapi.AccountingDocument {
+	doc := adminapi.AccountingDocument{Self: s.Self, Rows: []adminapi.AccountingRow{}, Faults: []adminapi.AccountingRow{}}
+	for _, snapshot := range s.snapshots() {
+		doc.Entries = append(doc.Entries, adminapi.AccountingHost{
+			Entry: snapshot.Host, Incarnation: snapshot.Incarnation, Reached: true,
+		})
+		for _, l := range snapshot.Lines {
+			row := rowOf(l)
+			doc.Rows = append(doc.Rows, row)
+			if !row.Balanced() {
+				doc.Faults = append(doc.Faults, row)
+			}
+		}
+	}
+	return doc
+}
+
+func rowOf(l accounting.Line) adminapi.AccountingRow {
+	const perMilli = 1000
+	return adminapi.AccountingRow{
+		Account: l.Account, Service: l.Service, Received: l.Received, Refused: l.Refused, Ran: l.Ran,
+		Unknown: l.Unknown, InProgress: l.InProgress, WaitMS: l.WaitUS / perMilli, StallMS: l.StallUS / perMilli,
+		Tokens: l.OutputTokens, Hedges: l.Hedges, Retries: l.Retries,
+	}
+}
--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -2,20 +2,25 @@
 
 import (
 	"context"
+	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
-	"github.com/gorilla/mux"
 	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
+	"google.golang.org/grpc/credentials/insecure"
 
-	"log/slog"
-
+	"filbertdeck/internal/adminapi"
 	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/control/admin"
+	"filbertdeck/internal/control/news"
 	"filbertdeck/internal/control/pools"
 	"filbertdeck/internal/control/sessions"
 	"filbertdeck/internal/control/state"
 	"filbertdeck/internal/controller/configwatch"
+	"filbertdeck/internal/controller/gossip"
+	"filbertdeck/internal/decide/membership"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/metrics"
 	"filbertdeck/internal/platform"
@@ -29,14 +34,17 @@
 	return []fx.Option{
 		fx.Supply(s),
 		fx.Provide(
-			secure.New, (*secure.Identity).Credentials, newBoard, newStore, newWatcher, newManager, newSessions, newState,
+			secure.New, (*secure.Identity).Credentials, newBoard, newStore, newWatcher, newMembers, newGossip,
+			newManager, newNews, newSessions, newState, newAdmin,
 		),
-		fx.Invoke(serveAdmin, serveRPC, runManager, runWatcher),
+		fx.Invoke(serveAdmin, serveRPC, runManager, runWatcher, runGossip),
 	}
 }
 
 func newBoard() *configwatch.Board { return &configwatch.Board{} }
 
+func newMembers() *gossip.Board { return &gossip.Board{} }
+
 func newStore(b *configwatch.Board, log *slog.Logger, reg gometrics.Registry) (*configwatch.Store, error) {
 	return configwatch.NewStore(b, configwatch.StoreConfig{Log: log, Metrics: reg})
 }
@@ -49,20 +57,77 @@
 	return configwatch.NewWatcher(client, store), nil
 }
 
+// newGossip draws the incarnation: a process that is replaced at the same
+// address is another member.
+func newGossip(
+	s *Settings, store *configwatch.Store, b *configwatch.Board, members *gossip.Board, w *configwatch.Watcher,
+	n *news.Board, creds rpc.Credentials, log *slog.Logger, reg gometrics.Registry,
+) (*gossip.Controller, error) {
+	transport := creds.Client
+	if transport == nil {
+		transport = insecure.NewCredentials()
+	}
+	return gossip.New(gossip.Config{
+		Membership: membership.Config{
+			Self: membership.Member{
+				Address: s.Listen, Incarnation: uint64(time.Now().UnixMilli()), DataCentre: s.DataCentre,
+			},
+			Seed: rand.Uint64(),
+		},
+		Store: store, Hosts: &b.Hosts, Credentials: transport, SetReader: w.SetReader, Log: log, Metrics: reg,
+		Hooks: gossip.Hooks{
+			SupplyPools: n.SupplyPools, TakePools: n.TakePools, SupplyPoison: n.SupplyPoison, TakePoison: n.TakePoison,
+		},
+	}, members)
+}
+
 func newManager(s *Settings, b *configwatch.Board, log *slog.Logger) *pools.Manager {
 	return pools.NewManager(s.Listen, b, targetclient.New(targetclient.Settings{}), log)
 }
 
+func newNews(s *Settings, m *pools.Manager) *news.Board { return news.New(s.Listen, m) }
+
 func newSessions(m *pools.Manager) *sessions.Server {
 	server := sessions.New(m)
 	m.SetDeliver(server.Deliver)
 	return server
 }
 
-func newState(b *configwatch.Board, m *pools.Manager, server *sessions.Server) *state.Service {
-	return &state.Service{Board: b, Pools: m, Sessions: server, Backlog: m.Backlog}
+func newState(b *configwatch.Board, m *pools.Manager, server *sessions.Server, n *news.Board, members *gossip.Board, store *configwatch.Store) *state.Service {
+	return &state.Service{
+		Board: b, Pools: m, Sessions: server, Backlog: n.Backlog, Ready: store.Ready,
+		Gone: func(control string) bool { return gone(members.Members.Get(), control) },
+	}
 }
 
+// gone tells whether a member is known to be dead or to have left.
+func gone(v *membership.View, address string) bool {
+	if v == nil {
+		return false
+	}
+	for _, m := range v.Members {
+		if m.Address == address {
+			return m.State > membership.Suspect
+		}
+	}
+	return false
+}
+
+func newAdmin(
+	s *Settings, b *configwatch.Board, members *gossip.Board, service *state.Service, m *pools.Manager, reg gometrics.Registry,
+) (http.Handler, error) {
+	tokens, err := admin.Tokens(s.OperatorKeys, s.MonitorKeys)
+	if err != nil {
+		return nil, err
+	}
+	source := &admin.Source{Self: s.Listen, State: service, Pools: m}
+	return adminapi.New(adminapi.Config{
+		Self: s.Listen, Tokens: tokens, Table: &b.Table, Hosts: &b.Hosts, Targets: &b.Targets, Rollout: &b.Rollout,
+		Members: &members.Members, TargetFigures: source, AccountFigures: source, Accounting: source, Metrics: reg,
+	}), nil
+}
+
+// background runs a controller from the program's start to its stop.
 func background(lc fx.Lifecycle, run func(context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -82,6 +147,9 @@
 	})
 }
 
+// runWatcher starts as a reader of the configuration service: a process that
+// knows nobody yet has no other source. Gossip takes the role away once it
+// sees that others have it.
 func runWatcher(lc fx.Lifecycle, w *configwatch.Watcher) {
 	w.SetReader(true)
 	background(lc, w.Run)
@@ -89,9 +157,22 @@
 
 func runManager(lc fx.Lifecycle, m *pools.Manager) { background(lc, m.Run) }
 
-func serveRPC(lc fx.Lifecycle, s *Settings, id *secure.Identity, creds rpc.Credentials, service *state.Service) {
+// leaveLimit bounds telling the neighbours of a planned stop.
+const leaveLimit = time.Second
+
+func runGossip(lc fx.Lifecycle, c *gossip.Controller) {
+	background(lc, c.Run)
+	lc.Append(fx.StopHook(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, leaveLimit)
+		defer cancel()
+		c.Leave(ctx)
+	}))
+}
+
+func serveRPC(lc fx.Lifecycle, s *Settings, id *secure.Identity, creds rpc.Credentials, service *state.Service, g *gossip.Controller) {
 	server := rpc.NewServer(creds)
 	filbertv1.RegisterAdmissionServer(server, service)
+	g.Register(server)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			l, err := id.Listen(s.Listen)
@@ -107,23 +188,15 @@
 
 const adminReadLimit = 10 * time.Second
 
-func serveAdmin(lc fx.Lifecycle, s *Settings, id *secure.Identity, reg gometrics.Registry, b *configwatch.Board) {
-	r := mux.NewRouter()
-	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if b.Table.Get() == nil || b.Hosts.Get() == nil {
-			failure.Write(w, failure.New(failure.KindNotReady, "the published documents have not been read yet"))
-			return
-		}
-		w.WriteHeader(http.StatusNoContent)
-	})
+func serveAdmin(lc fx.Lifecycle, s *Settings, id *secure.Identity, reg gometrics.Registry, api http.Handler, store *configwatch.Store) {
+	r := admin.Router(api, store.Ready)
 	metrics.Mount(r, reg)
 	server := &http.Server{Handler: r, ReadHeaderTimeout: adminReadLimit}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			l, err := id.ListenHTTP(s.AdminListen)
 			if err != nil {
-				return err
+				return failure.Wrap(err, failure.KindSettingInvalid, "--admin-listen (FILBERT_CONTROL_ADMIN_LISTEN)")
 			}
 			go func() { _ = server.Serve(l) }()
 			return nil
--- a/internal/control/pool/runner.go
+++ b/internal/control/pool/runner.go
@@ -98,6 +98,23 @@
 	r.Do(func(a *admission.Allocator, now time.Duration) { a.Report(now, report) })
 }
 
+// Confirm says that the host list was the newest one at the moment at.
+func (r *Runner) Confirm(at time.Time) {
+	r.Do(func(a *admission.Allocator, _ time.Duration) { a.Confirm(at.Sub(r.start)) })
+}
+
+// Snapshot copies the allocator's state for counters.
+func (r *Runner) Snapshot() admission.Snapshot {
+	out := make(chan admission.Snapshot, 1)
+	r.Do(func(a *admission.Allocator, now time.Duration) { out <- a.Snapshot(now) })
+	select {
+	case s := <-out:
+		return s
+	case <-r.stop:
+		return admission.Snapshot{}
+	}
+}
+
 func (r *Runner) loop() {
 	defer r.stopped.Done()
 	timer := time.NewTimer(idleTick)
--- a/internal/control/pools/manager.go
+++ b/internal/control/pools/manager.go
@@ -25,6 +25,10 @@
 
 	deliver pool.Deliver
 
+	// seenTable and seenHosts are what the plans in force were made from.
+	seenTable *table.Table
+	seenHosts uint64
+
 	mu      sync.Mutex
 	running map[string]*running
 	plans   atomic.Pointer[[]Plan]
@@ -81,11 +85,22 @@
 	m.stopAll()
 }
 
+// update makes the plans anew when table or hosts changed. The host list is
+// also published at each confirmation; that alone only renews the allocators'
+// trust in it.
 func (m *Manager) update(ctx context.Context) {
 	t, hosts := m.board.Table.Get(), m.board.Hosts.Get()
 	if t == nil || hosts == nil {
 		return
 	}
+	if t != m.seenTable || hosts.Version.Revision != m.seenHosts {
+		m.seenTable, m.seenHosts = t, hosts.Version.Revision
+		m.replan(ctx, t, hosts)
+	}
+	m.confirm(hosts.ConfirmedAt)
+}
+
+func (m *Manager) replan(ctx context.Context, t *table.Table, hosts *configwatch.Hosts) {
 	plans := Plans(t, hosts.List)
 	m.fence.Store(hosts.Version.Revision)
 	m.mu.Lock()
@@ -96,16 +111,28 @@
 	m.changed = make(chan struct{})
 }
 
+func (m *Manager) confirm(at time.Time) {
+	if at.IsZero() {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.running {
+		r.runner.Confirm(at)
+	}
+}
+
 // reconcile starts, changes and stops runners to match the plans.
 func (m *Manager) reconcile(ctx context.Context, plans []Plan, t *table.Table) {
 	wanted := map[string]bool{}
+	shares := sharesOf(t)
 	for _, p := range plans {
 		rank := slices.Index(p.Owners, m.self)
 		if rank < 0 {
 			continue
 		}
-		wanted[p.Name] = true
-		m.apply(ctx, p, rank == 0, t)
+		wanted[p.ID] = true
+		m.apply(ctx, p, rank == 0, t.Services[p.Service], shares)
 	}
 	for name, r := range m.running {
 		if !wanted[name] {
@@ -114,20 +141,19 @@
 	}
 }
 
-func (m *Manager) apply(ctx context.Context, p Plan, owner bool, t *table.Table) {
-	r, ok := m.running[p.Name]
+func (m *Manager) apply(ctx context.Context, p Plan, owner bool, service *table.Service, shares []admission.Share) {
+	r, ok := m.running[p.ID]
 	if !ok {
-		cfg := admission.Config{Owner: owner, Seed: rand.Uint64() >> 1, QueueLimit: t.Services[p.Service].QueueLimit}
-		r = &running{runner: pool.NewRunner(p.Name, cfg, m.deliver), pollers: map[string]context.CancelFunc{}}
-		m.running[p.Name] = r
-		m.log.Info("pool taken up", "pool", p.Name, "owner", owner)
+		cfg := admission.Config{Seed: rand.Uint64(), QueueLimit: service.QueueLimit}
+		r = &running{runner: pool.NewRunner(p.ID, cfg, m.deliver), pollers: map[string]context.CancelFunc{}}
+		m.running[p.ID] = r
+		m.log.Info("pool taken up", "pool", p.ID, "owner", owner)
 	}
 	r.plan = p
-	shares := sharesOf(t)
-	list := p.Targets
+	backends, revision := p.Backends, m.seenHosts
 	r.runner.Do(func(a *admission.Allocator, now time.Duration) {
-		a.SetOwner(now, owner)
-		a.SetTargets(now, list)
+		a.SetOwnership(now, revision, owner)
+		a.SetTargets(now, backends)
 		a.SetShares(now, shares)
 	})
 	m.poll(ctx, r)
@@ -146,14 +172,14 @@
 // poll starts and stops pollers to match the pool's targets.
 func (m *Manager) poll(ctx context.Context, r *running) {
 	wanted := map[string]bool{}
-	for _, t := range r.plan.Targets {
-		wanted[t.Address] = true
-		if _, ok := r.pollers[t.Address]; ok {
+	for _, address := range r.plan.Targets {
+		wanted[address] = true
+		if _, ok := r.pollers[address]; ok {
 			continue
 		}
 		pollCtx, cancel := context.WithCancel(ctx)
-		r.pollers[t.Address] = cancel
-		p := &targets.Poller{Target: t.Address, Client: m.client, Sink: r.runner.Report, Generation: r.plan.Generation}
+		r.pollers[address] = cancel
+		p := &targets.Poller{Target: address, Client: m.client, Sink: r.runner.Report, Generation: r.plan.Generation}
 		go p.Run(pollCtx)
 	}
 	for address, cancel := range r.pollers {
@@ -192,11 +218,14 @@
 	return r.runner, m.fence.Load(), true
 }
 
-// Backlog is the wait in a pool that runs here.
-func (m *Manager) Backlog(name string) (time.Duration, bool) {
-	r, _, ok := m.Runner(name)
-	if !ok {
-		return 0, false
+// Each calls f with every pool that runs here.
+func (m *Manager) Each(f func(p Plan, r *pool.Runner)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.running {
+		f(r.plan, r.runner)
 	}
-	return r.Backlog(), true
 }
+
+// Owns tells whether this process is the published owner of a pool.
+func (m *Manager) Owns(p Plan) bool { return len(p.Owners) > 0 && p.Owners[0] == m.self }
--- a/internal/control/pools/plan.go
+++ b/internal/control/pools/plan.go
@@ -1,13 +1,12 @@
-// Package pools decides which pools there are and which control processes may
-// admit to each, and runs those that this process may admit to.
+// Package pools runs the allocators of the pools that this process may admit
+// to. Which pools there are, and who may admit to each, is decided in
+// internal/decide/pools from what is published, so that all processes with the
+// same view agree without a message.
 package pools
 
 import (
-	"sort"
-
-	"github.com/cespare/xxhash/v2"
-
 	"filbertdeck/internal/decide/admission"
+	decide "filbertdeck/internal/decide/pools"
 	"filbertdeck/internal/platform"
 	"filbertdeck/internal/table"
 )
@@ -19,74 +18,60 @@
 
 // Plan is one pool as every process computes it from what is published.
 type Plan struct {
-	Name       string
-	Service    string
-	DataCentre string
+	decide.Pool
+	// Generation tells model engines from plain services.
 	Generation bool
 	// Owners are control addresses in the order of their rank by the published
 	// list alone.
-	Owners  []string
-	Targets []admission.Target
+	Owners []string
+	// Backends are the pool's targets with their state.
+	Backends []admission.Target
 	// Drained is set while the pool's data centre is taken out.
 	Drained bool
 }
 
-// Name gives the name of a service's pool in a data centre.
-func Name(service, dataCentre string) string { return service + "@" + dataCentre }
-
-// Plans computes the pools. It depends on nothing but the table and the
-// published hosts, so that all processes with the same view agree.
+// Plans computes the pools.
 func Plans(t *table.Table, hosts []platform.Host) []Plan {
+	ranked := hostsOf(hosts)
 	var plans []Plan
 	for _, s := range t.Services {
-		byCentre := map[string][]admission.Target{}
+		leaving := map[string]bool{}
+		targets := make([]decide.Target, 0, len(s.Targets))
 		for _, target := range s.Targets {
-			byCentre[target.DataCentre] = append(byCentre[target.DataCentre], admission.Target{
-				Address: target.Address, Leaving: target.Leaving || t.Drained[target.DataCentre],
-			})
+			targets = append(targets, decide.Target{Address: target.Address, DataCentre: target.DataCentre})
+			leaving[target.Address] = target.Leaving || t.Drained[target.DataCentre]
 		}
-		for centre, targets := range byCentre {
-			name := Name(s.Name, centre)
+		for _, pool := range decide.Partition(s.Name, targets) {
 			plans = append(plans, Plan{
-				Name: name, Service: s.Name, DataCentre: centre, Generation: s.Type == table.ServiceGeneration,
-				Owners: rank(name, centre, hosts), Targets: targets, Drained: t.Drained[centre],
+				Pool: pool, Generation: s.Type == table.ServiceGeneration, Owners: owners(pool, ranked),
+				Backends: backends(pool, leaving), Drained: t.Drained[pool.DataCentre],
 			})
 		}
 	}
-	sort.Slice(plans, func(i, j int) bool { return plans[i].Name < plans[j].Name })
 	return plans
 }
 
-// rank orders the live hosts for a pool by rendezvous hashing, those of the
-// pool's data centre first: a change of one host moves only its own pools.
-func rank(pool, centre string, hosts []platform.Host) []string {
-	type candidate struct {
-		control string
-		near    bool
-		weight  uint64
+func hostsOf(hosts []platform.Host) []decide.Host {
+	out := make([]decide.Host, len(hosts))
+	for i, h := range hosts {
+		out[i] = decide.Host{Control: h.Control, DataCentre: h.DataCentre, Leaving: h.State != platform.StateLive}
 	}
-	var candidates []candidate
-	for _, h := range hosts {
-		if h.State != platform.StateLive {
-			continue
-		}
-		candidates = append(candidates, candidate{
-			control: h.Control, near: h.DataCentre == centre, weight: xxhash.Sum64String(pool + "\x00" + h.Control),
-		})
+	return out
+}
+
+func owners(pool decide.Pool, hosts []decide.Host) []string {
+	ranked := decide.Ranked(pool, hosts)
+	out := make([]string, 0, maxOwners)
+	for _, h := range ranked[:min(len(ranked), maxOwners)] {
+		out = append(out, h.Control)
 	}
-	sort.Slice(candidates, func(i, j int) bool {
-		a, b := candidates[i], candidates[j]
-		if a.near != b.near {
-			return a.near
-		}
-		if a.weight != b.weight {
-			return a.weight > b.weight
-		}
-		return a.control < b.control
-	})
-	owners := make([]string, 0, maxOwners)
-	for _, c := range candidates[:min(len(candidates), maxOwners)] {
-		owners = append(owners, c.control)
+	return out
+}
+
+func backends(pool decide.Pool, leaving map[string]bool) []admission.Target {
+	out := make([]admission.Target, len(pool.Targets))
+	for i, address := range pool.Targets {
+		out[i] = admission.Target{Address: address, Leaving: leaving[address]}
 	}
-	return owners
+	return out
 }
--- a/internal/control/state/service.go
+++ b/internal/control/state/service.go
@@ -24,6 +24,11 @@
 	Sessions *sessions.Server
 	// Backlog gives the wait in any pool, own or heard of; false when unknown.
 	Backlog func(pool string) (time.Duration, bool)
+	// Ready tells whether the table in force may be handed out: a process that
+	// was just started could hold an older one than its peers.
+	Ready func() bool
+	// Gone tells whether a control process is known to be gone.
+	Gone func(control string) bool
 
 	mu         sync.Mutex
 	accounting map[string][]byte
@@ -107,6 +112,9 @@
 }
 
 func (s *Service) update(sent *sentState) *filbertv1.StateUpdate {
+	if !s.Ready() {
+		return nil
+	}
 	update := &filbertv1.StateUpdate{}
 	if t := s.Board.Table.Get(); t != nil && t != sent.table {
 		sent.table = t
@@ -151,18 +159,32 @@
 		if p.Drained {
 			continue
 		}
-		wire := &filbertv1.Pool{Name: p.Name, Service: p.Service, DataCentre: p.DataCentre, Owners: p.Owners}
-		if backlog, ok := s.Backlog(p.Name); ok {
-			wire.BacklogMs = uint32(backlog.Milliseconds())
+		wire := &filbertv1.Pool{
+			Name: p.ID, Service: p.Service, DataCentre: p.DataCentre, Owners: s.reachable(p.Owners), Targets: p.Targets,
 		}
-		for _, t := range p.Targets {
-			wire.Targets = append(wire.Targets, t.Address)
+		if backlog, ok := s.Backlog(p.ID); ok {
+			wire.BacklogMs, wire.BacklogKnown = uint32(backlog.Milliseconds()), true
 		}
 		list = append(list, wire)
 	}
 	return list
 }
 
+// reachable puts the owners that are known to be gone last: they are tried
+// when all others fail, since the knowledge may be wrong.
+func (s *Service) reachable(owners []string) []string {
+	out := make([]string, 0, len(owners))
+	var gone []string
+	for _, o := range owners {
+		if s.Gone(o) {
+			gone = append(gone, o)
+			continue
+		}
+		out = append(out, o)
+	}
+	return append(out, gone...)
+}
+
 func samePools(a, b []*filbertv1.Pool) bool {
 	if len(a) != len(b) || (a == nil) != (b == nil) {
 		return false
@@ -176,6 +198,6 @@
 }
 
 func samePool(a, b *filbertv1.Pool) bool {
-	return a.Name == b.Name && a.BacklogMs == b.BacklogMs &&
+	return a.Name == b.Name && a.BacklogMs == b.BacklogMs && a.BacklogKnown == b.BacklogKnown &&
 		slices.Equal(a.Owners, b.Owners) && slices.Equal(a.Targets, b.Targets)
 }
--- a/internal/controller/gossip/gossip_test.go
+++ b/internal/controller/gossip/gossip_test.go
@@ -199,7 +199,7 @@
 		taken := make(chan string, 100)
 		one := startNode(l, a, []string{b}, gossip.Hooks{
 			SupplyPools:  func() []*filbertv1.PoolNews { return []*filbertv1.PoolNews{{Pool: "reports/0"}} },
-			SupplyPoison: func() []*filbertv1.PoisonNews { return []*filbertv1.PoisonNews{{Fingerprint: 7}} },
+			SupplyPoison: func() []*filbertv1.PoisonNews { return []*filbertv1.PoisonNews{{Id: 7}} },
 		})
 		DeferCleanup(one.stop)
 		offer := func(s string) {
@@ -210,7 +210,7 @@
 		}
 		two := startNode(m, b, []string{a}, gossip.Hooks{
 			TakePools:  func(p []*filbertv1.PoolNews) { offer(p[0].GetPool()) },
-			TakePoison: func(p []*filbertv1.PoisonNews) { offer(fmt.Sprint(p[0].GetFingerprint())) },
+			TakePoison: func(p []*filbertv1.PoisonNews) { offer(fmt.Sprint(p[0].GetId())) },
 		})
 		DeferCleanup(two.stop)
 		Eventually(taken, soon).Should(Receive(Equal("reports/0")))
--- a/internal/decide/pools/news.go
+++ b/internal/decide/pools/news.go
@@ -82,6 +82,16 @@
 	return out
 }
 
+// Backlog gives the wait that was heard of a pool; false when nothing was, or
+// only long ago.
+func (n *News) Backlog(now time.Duration, pool string) (time.Duration, bool) {
+	h, ok := n.items[pool]
+	if !ok || now-h.at > maxNewsAge {
+		return 0, false
+	}
+	return h.Backlog, true
+}
+
 func (n *News) forget(now time.Duration) {
 	for pool, h := range n.items {
 		if now-h.at > maxNewsAge {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -302,7 +302,7 @@
 
 func anySouth(pools []string) bool {
 	for _, p := range pools {
-		if strings.Contains(p, "@south") {
+		if strings.Contains(p, "/south/") {
 			return true
 		}
 	}
--- a/test/faults/host_test.go
+++ b/test/faults/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"filbertdeck/internal/control/pools"
@@ -95,17 +96,17 @@
 	h.hosts = once.HostList{Revision: s.hostsRev, Live: s.hosts, Confirmed: asked}
 	h.register.SetHosts(h.w.now, h.hosts)
 	for _, p := range h.plans() {
-		a := h.allocs[p.Name]
+		a := h.allocs[p.ID]
 		if a == nil {
 			if !slices.Contains(p.Owners, h.name) {
 				continue
 			}
 			a = admission.New(admission.Config{LeaseFor: leaseFor, Seed: h.inc<<32 | uint64(len(h.allocs)+1)<<20 + uint64(len(h.name))<<16 | uint64(h.name[1])<<8})
-			h.allocs[p.Name] = a
+			h.allocs[p.ID] = a
 		}
 		a.SetOwnership(h.w.now, s.hostsRev, len(p.Owners) > 0 && p.Owners[0] == h.name)
 		a.Confirm(asked)
-		a.SetTargets(h.w.now, p.Targets)
+		a.SetTargets(h.w.now, p.Backends)
 	}
 	h.checkReady()
 }
@@ -177,11 +178,11 @@
 // poll reads the targets' load for the pools that this host admits to.
 func (h *host) poll() {
 	for _, p := range h.plans() {
-		a := h.allocs[p.Name]
+		a := h.allocs[p.ID]
 		if a == nil {
 			continue
 		}
-		for _, t := range p.Targets {
+		for _, t := range p.Backends {
 			e := h.w.target(t.Address)
 			h.w.message(h.proc, e.proc, func() {
 				report := e.report()
@@ -263,16 +264,16 @@
 	type choice struct{ pool, owner string }
 	var choices []choice
 	for _, p := range h.plans() {
-		if p.Service != service || p.Drained || !slices.ContainsFunc(p.Targets, func(t admission.Target) bool { return !t.Leaving && !slices.Contains(avoid, t.Address) }) {
+		if p.Service != service || p.Drained || !slices.ContainsFunc(p.Backends, func(t admission.Target) bool { return !t.Leaving && !slices.Contains(avoid, t.Address) }) {
 			continue
 		}
 		for _, owner := range p.Owners {
-			choices = append(choices, choice{p.Name, owner})
+			choices = append(choices, choice{p.ID, owner})
 		}
 	}
 	slices.SortStableFunc(choices, func(a, b choice) int {
 		near := func(c choice) int {
-			if c.pool == pools.Name(service, h.centre) {
+			if strings.HasPrefix(c.pool, service+"/"+h.centre) {
 				return 0
 			}
 			return 1
@@ -343,8 +344,8 @@
 func (w *world) grantAny(owner *host, pool string, ask admission.Ask) {
 	var best *engine
 	for _, p := range owner.plans() {
-		for _, t := range p.Targets {
-			if e := w.target(t.Address); p.Name == pool && e.up && !t.Leaving && (best == nil || len(e.running) < len(best.running)) {
+		for _, t := range p.Backends {
+			if e := w.target(t.Address); p.ID == pool && e.up && !t.Leaving && (best == nil || len(e.running) < len(best.running)) {
 				best = e
 			}
 		}
