--- a/internal/decide/drain/centre.go
+++ b/internal/decide/drain/centre.go
@@ -68,7 +68,6 @@
 	}
 	for _, dc := range out {
 		c.out[dc] = true
-		delete(c.returned, dc)
 	}
 	c.known = true
 }
@@ -90,11 +89,7 @@
 		return 1
 	}
 	done := float64(now-since) / float64(c.cfg.RampFor)
-	if done >= 1 {
-		delete(c.returned, dc)
-		return 1
-	}
-	return max(c.cfg.FirstShare, done)
+	return min(max(c.cfg.FirstShare, done), 1)
 }
 
 // MayStart tells whether new work may go to a target: neither it nor its data
--- a/internal/decide/health/pool_test.go
+++ b/internal/decide/health/pool_test.go
@@ -48,7 +48,7 @@
 		Entry("all slow alike", 5000*ms, 6000*ms, 4000*ms, 5000*ms, health.Good, health.Good, health.Good, health.Good),
 		Entry("one slow", 100*ms, 500*ms, 90*ms, 100*ms, health.Good, health.Ejected, health.Good, health.Good),
 		Entry("too little to matter", 1*ms, 10*ms, 1*ms, 1*ms, health.Good, health.Good, health.Good, health.Good),
-		Entry("one fails, one slow", -ms, 500*ms, 90*ms, 100*ms, health.Ejected, health.Doubtful, health.Good, health.Good),
+		Entry("one slow, one fails", 500*ms, -ms, 90*ms, 100*ms, health.Doubtful, health.Ejected, health.Good, health.Good),
 		Entry("all fail", -ms, -ms, -ms, -ms, health.Ejected, health.Doubtful, health.Doubtful, health.Doubtful),
 	)
 
@@ -72,6 +72,19 @@
 		Expect(p.Standing(now, "a")).To(Equal(health.Good))
 	})
 
+	It("does not hold a slow past against a target that recovered", func() {
+		p := fed(100*ms, 500*ms, 90*ms, 100*ms)
+		for i := range 20 {
+			p.BeginTrial(time.Second, "b")
+			p.Result(time.Second, "b", true, health.Sample{FirstToken: 100 * ms}, 0)
+			Expect(p.Standing(time.Second, "b") == health.Good).To(Equal(i >= 2))
+		}
+		for i := range 16 {
+			p.Result(time.Second, "b", i%2 == 0, health.Sample{}, 0)
+		}
+		Expect(p.Standing(time.Second, "b")).To(Equal(health.Ejected), "every second request failed")
+	})
+
 	It("finds a slow target by its reports, and forgets it when it restarts", func() {
 		p := fed()
 		for i := range 48 {
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -58,8 +58,11 @@
 		o.Ask(now, row, demand("a", 0, 80))
 		o.Confirm(now + 20*time.Second)
 		Expect(o.Ask(now+20*time.Second, row, demand("b", 0, 80)).Running).To(Equal(20))
-		o.Release("park", "a")
-		Expect(o.Ask(now+20*time.Second, row, demand("b", 0, 80)).Running).To(Equal(80))
+		o.Confirm(now + 90*time.Second)
+		Expect(o.Ask(now+90*time.Second, row, demand("c", 0, 80)).Running).To(Equal(80))
+		o.Confirm(now + 91*time.Second)
+		o.Release("park", "c")
+		Expect(o.Ask(now+91*time.Second, row, demand("b", 0, 90)).Running).To(Equal(90))
 	})
 
 	It("leases nothing while it is new or unconfirmed", func() {
@@ -80,7 +83,10 @@
 		h.Charge(now+time.Second, "park", 150)
 		Expect(h.MayStart(now+2*time.Second, "park", rate, 0)).To(BeFalse(), "30 tokens of debt")
 		Expect(h.MayStart(now+2600*time.Millisecond, "park", rate, 0)).To(BeTrue())
+		h.Charge(now+2600*time.Millisecond, "park", 1000)
 		Expect(h.MayStart(now+3*time.Second, "park", rate, 0)).To(BeFalse(), "the lease is over")
+		h.Granted(now+20*time.Second, g)
+		Expect(h.MayStart(now+20*time.Second, "park", rate, 0)).To(BeFalse(), "nothing was gained without a lease")
 		Expect(h.MayStart(now, "other", quota.Limits{}, 1000)).To(BeTrue(), "no limits")
 	})
 
@@ -90,7 +96,9 @@
 		use := quota.Use{Account: "park", Running: 2, Waiting: 6}
 		Expect(due(0, use)).To(Equal([]quota.Demand{{Account: "park", Holder: "a", Running: 2, Waiting: 8, TokensPerSecond: 50}}))
 		Expect(due(100*time.Millisecond, use)).To(BeEmpty())
-		h.Granted(0, quota.Grant{Account: "park", Running: 2, LeaseFor: 3 * time.Second, RetryAfter: time.Second})
+		h.Granted(0, quota.Grant{Account: "park", Running: 2, LeaseFor: 3 * time.Second, RetryAfter: time.Second, Serial: 9})
+		h.Granted(1, quota.Grant{Account: "park", Running: 50, LeaseFor: 3 * time.Second, Serial: 8})
+		Expect(h.Running(1, "park")).To(Equal(2), "an answer given before")
 		Expect(due(300*time.Millisecond, use)).To(HaveLen(1), "starved")
 		use.Waiting = 0
 		Expect(due(700*time.Millisecond, use)).To(BeEmpty())
--- a/internal/decide/retrybudget/budget.go
+++ b/internal/decide/retrybudget/budget.go
@@ -154,6 +154,13 @@
 	return false
 }
 
+// Buckets is the number of buckets that are kept.
+func (b *Budget) Buckets() int {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return len(b.buckets)
+}
+
 func (b *Budget) service(now time.Duration, k Key) *Bucket {
 	return b.bucket(now, Key{Service: k.Service})
 }
--- a/internal/decide/retrybudget/budget_test.go
+++ b/internal/decide/retrybudget/budget_test.go
@@ -49,6 +49,13 @@
 			}
 		}
 		Expect(retries).To(Equal(100))
+		for range 9 { // the service's trickle; what the account didn't get is still its own
+			Expect(b.Retry(5*time.Second, retrybudget.Key{Account: "0", Service: "report"})).To(BeTrue())
+		}
+		for i := range 1000 {
+			b.First(0, retrybudget.Key{Account: fmt.Sprint(i), Service: "report"})
+		}
+		Expect(b.Buckets()).To(BeNumerically("<=", 64))
 	})
 
 	It("keeps a fault from outliving its cause, unlike retry always", func() {
--- a/internal/decide/slowstart/gate_test.go
+++ b/internal/decide/slowstart/gate_test.go
@@ -39,6 +39,10 @@
 	It("gives nothing without a report, and again once the report is old", func() {
 		Expect(g.Room(0)).To(Equal(0))
 		Expect(room(100*ms, 0, 1, 32, 0)).To(Equal(8), "a burst of a quarter of Bears")
+		Expect(room(200*ms, 0, 1, 32, 31)).To(Equal(1))
+		g.Granted(200*ms, 1)
+		Expect(g.Room(200 * ms)).To(Equal(0))
+		Expect(room(210*ms, 150*ms, 1, 32, 0)).To(Equal(0), "a report from before the last one")
 		Expect(g.Room(2200 * ms)).To(Equal(0))
 		Expect(g.State(2200 * ms)).To(Equal(slowstart.Unknown))
 	})
@@ -48,7 +52,7 @@
 	// end with target-lost for everybody in it.
 	DescribeTable("falls back to cold at once", func(turn func(now time.Duration)) {
 		for now := time.Duration(0); now < 10*sec; now += 100 * ms {
-			room(now, 0, 1, 32, 4)
+			room(now, 0, 1, 64, 4)
 		}
 		Expect(g.State(9900 * ms)).To(Equal(slowstart.Warm))
 		turn(10 * sec)
@@ -56,16 +60,16 @@
 		Expect(g.Room(10 * sec)).To(BeNumerically("<=", 1))
 	},
 		Entry("incarnation", func(now time.Duration) { room(now, 0, 2, 2, 0) }),
-		Entry("drop of Bears", func(now time.Duration) { room(now, 0, 1, 12, 0) }),
+		Entry("drop of Bears", func(now time.Duration) { room(now, 0, 1, 20, 0) }),
 		Entry("step time", func(now time.Duration) {
-			g.Observe(now, slowstart.Report{Incarnation: 1, Bears: 32, Running: 4, StepTime: 200 * ms})
+			g.Observe(now, slowstart.Report{Incarnation: 1, Bears: 64, Running: 4, StepTime: 200 * ms})
 		}),
 		Entry("first token", func(now time.Duration) {
 			for i := range uint64(20) {
 				g.Granted(now, i)
 				g.Ended(now, i, true, 100*ms+time.Duration(i/19)*sec)
 			}
-			room(now, 0, 1, 32, 0)
+			room(now, 0, 1, 64, 0)
 		}),
 		Entry("connections that broke", func(now time.Duration) { g.Suspect(now) }),
 	)
@@ -77,22 +81,25 @@
 		g.Started(6200*ms, 1)
 		Expect(room(6300*ms, 150*ms, 1, 4, 1)).To(Equal(0), "the report is older than the start")
 		Expect(room(6400*ms, 0, 1, 4, 1)).To(Equal(1))
+		g.SetOwner(6400*ms, 9, true)
+		Expect(g.Room(6400*ms)).To(Equal(0), "the report is older than the ownership")
 		Expect(room(6500*ms, 0, 1, 4, 2)).To(Equal(0), "full but for the room left for others")
 	})
 
 	DescribeTable("leaves room for other owners, unless it is sure to be the only one",
-		func(now time.Duration, owner bool, confirmed time.Duration, bears, want int) {
+		func(now, age time.Duration, owner bool, confirmed time.Duration, bears, want int) {
 			g.SetOwner(0, 2, owner)
 			g.Confirm(confirmed)
-			Expect(room(now, 0, 1, bears, 0)).To(Equal(want))
+			Expect(room(now, age, 1, bears, 0)).To(Equal(want))
 		},
-		Entry("just owner, small", sec, true, sec, 3, 0),
-		Entry("just owner", sec, true, sec, 4, 1),
-		Entry("unconfirmed, small", 9*sec, true, 6*sec, 3, 0),
-		Entry("unconfirmed", 9*sec, true, 6*sec, 4, 1),
-		Entry("confirmed, small", 9*sec, true, 8*sec, 1, 1),
-		Entry("not owner, cold", 9*sec, false, 8*sec, 8, 0),
-		Entry("not owner, warm", 9*sec, false, 8*sec, 16, 4),
+		Entry("just owner, small", sec, 0*ms, true, sec, 3, 0),
+		Entry("just owner", sec, 0*ms, true, sec, 4, 1),
+		Entry("unconfirmed, small", 9*sec, 0*ms, true, 6*sec, 3, 0),
+		Entry("unconfirmed", 9*sec, 0*ms, true, 6*sec, 4, 1),
+		Entry("confirmed, small", 9*sec, 0*ms, true, 8*sec, 1, 1),
+		Entry("confirmed, small, an earlier owner's grant may follow the report", 5100*ms, 200*ms, true, 5*sec, 1, 0),
+		Entry("not owner, cold", 9*sec, 0*ms, false, 8*sec, 8, 0),
+		Entry("not owner, warm", 9*sec, 0*ms, false, 8*sec, 16, 4),
 	)
 
 	It("fills a small target that has settled, and keeps it alive by its tokens", func() {
@@ -116,6 +123,12 @@
 	// each request that it finished while it was at least half full.
 	It("ramps a target that says nothing by what it finished", func() {
 		now := 6 * sec
+		for i := uint64(1000); i < 1030; i++ { // one by one, which says nothing of more
+			room(now, 0, 1, 0, 0)
+			g.Granted(now, i)
+			g.Ended(now, i, true, 0)
+		}
+		Expect(g.State(now)).To(Equal(slowstart.Cold))
 		for i := uint64(0); g.State(now) != slowstart.Warm && i < 500; i++ {
 			now += 100 * ms
 			room(now, 0, 1, 0, int(i%8))
