--- a/internal/decide/fencing/fencing_test.go
+++ b/internal/decide/fencing/fencing_test.go
@@ -100,8 +100,8 @@
 	// Two owners of a split fleet order different models. Each sees its order
 	// undone and gives in after some tries, instead of for ever.
 	It("gives up when it is undone again and again", func() {
-		o, t, sent := fencing.NewOrder(fencing.Config{}, false), sole(), 0
-		for now := 8 * time.Second; o.Step(now, t) != fencing.GiveUp; now += time.Second {
+		o, t, sent, now := fencing.NewOrder(fencing.Config{}, false), sole(), 0, 8*time.Second
+		for ; o.Step(now, t) != fencing.GiveUp; now += time.Second {
 			t.Confirm(now)
 			switch o.Step(now, t) {
 			case fencing.Send:
@@ -112,6 +112,7 @@
 			}
 		}
 		Expect(sent).To(Equal(5))
+		Expect(now).To(BeNumerically(">", 30*time.Second), "more slowly each time")
 	})
 
 	It("leaves the last owner's state at the engine, unlike orders without numbers", func() {
--- a/internal/decide/pools/pools_test.go
+++ b/internal/decide/pools/pools_test.go
@@ -67,7 +67,7 @@
 var _ = Describe("a partition", func() {
 	It("covers each target once, in pools of a bounded size, in any order", func() {
 		for n := 1; n < 200; n++ {
-			ts := targets(n)
+			ts := append(targets(n-1), pools.Target{Address: "10.2.0.1:80", DataCentre: "west"})
 			want := pools.Partition("report", ts)
 			rand.New(rand.NewPCG(1, uint64(n))).Shuffle(n, func(i, j int) { ts[i], ts[j] = ts[j], ts[i] })
 			Expect(pools.Partition("report", ts)).To(Equal(want))
--- a/internal/decide/slowstart/gate_test.go
+++ b/internal/decide/slowstart/gate_test.go
@@ -124,6 +124,7 @@
 	It("ramps a target that says nothing by what it finished", func() {
 		now := 6 * sec
 		for i := uint64(1000); i < 1030; i++ { // one by one, which says nothing of more
+			now += 100 * ms
 			room(now, 0, 1, 0, 0)
 			g.Granted(now, i)
 			g.Ended(now, i, true, 0)
