--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -24,6 +24,9 @@
 	list := counts("total", r.Total)
 	list = append(list, measure{"total unsent", float64(r.Unsent)},
 		measure{"total tokens/s", float64(r.Total.Tokens) / max(r.Seconds, math.SmallestNonzeroFloat64)})
+	if r.Targets != nil {
+		list = append(list, targetMeasures(r.Targets)...)
+	}
 	for _, name := range sortedNames(r.Kinds) {
 		list = append(list, groupMeasures(name, r.Kinds[name])...)
 	}
@@ -33,6 +36,18 @@
 	return list
 }
 
+func targetMeasures(t *TargetCounts) []measure {
+	e := t.Engines
+	return []measure{
+		{"engines started", float64(e.Submitted)}, {"engines finished", float64(e.Finished)},
+		{"engines cancelled", float64(e.Cancelled)}, {"engines tokens", float64(e.Tokens)},
+		{"engines preemptions", float64(e.Preemptions)}, {"engines recomputed tokens", float64(e.Recomputed)},
+		{"engines prefix hits", float64(e.PrefixHits)}, {"engines over what they bear", float64(e.OverBears)},
+		{"engines fell over", float64(e.FellOver)}, {"services calls", float64(t.Calls)},
+		{"services keys run twice", float64(t.RanTwice)}, {"targets unreachable", float64(t.Unreachable)},
+	}
+}
+
 func sortedNames(groups map[string]*Group) []string {
 	names := make([]string, 0, len(groups))
 	for name := range groups {
@@ -45,7 +60,8 @@
 func counts(name string, c Counts) []measure {
 	return []measure{
 		{name + " sent", float64(c.Sent)}, {name + " whole", float64(c.Whole)}, {name + " refused", float64(c.Refused)},
-		{name + " violated", float64(c.Violated)}, {name + " sent again", float64(c.Again)}, {name + " tokens", float64(c.Tokens)},
+		{name + " violated", float64(c.Violated)}, {name + " refused without time", float64(c.WithoutTime)},
+		{name + " sent again", float64(c.Again)}, {name + " tokens", float64(c.Tokens)},
 	}
 }
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -299,6 +299,7 @@
 	DescribeTable("counts refusals by type and outcome", func(fault, kind string, want failure.Kind, executed failure.Executed) {
 		r, _, _ := run(fault)
 		Expect(r.Kinds[kind].Whole).To(BeZero())
+		Expect(r.Kinds[kind].WithoutTime).To(BeZero())
 		Expect(r.Kinds[kind].Refusals).To(ConsistOf(Refusal{Type: want, Executed: executed, Count: r.Kinds[kind].Sent}))
 	},
 		Entry("lost each time", "drop", "lookup", kindConnectionLost, failure.ExecutedUnknown),
@@ -443,5 +444,14 @@
 		var r Result
 		Expect(json.Unmarshal(out.Bytes(), &r)).To(Succeed())
 		Expect(r.Total.Whole).To(BeNumerically(">", 0))
+		Expect(r.Targets).To(And(HaveField("Unreachable", 1), HaveField("RanTwice", 0)))
+		Expect(r.Targets.Calls).To(BeNumerically(">=", r.Kinds["booking"].Whole))
+	})
+
+	// A booking ran twice while its caller got one good answer: only the
+	// service's own count shows it.
+	It("counts a run as broken when a service ran a key twice", func() {
+		Expect((&Result{Targets: &TargetCounts{Calls: 2}}).Broken()).To(BeFalse())
+		Expect((&Result{Targets: &TargetCounts{Calls: 2, RanTwice: 1}}).Broken()).To(BeTrue())
 	})
 })
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/standin/model"
 )
 
 // The histograms' range in microseconds and their significant digits.
@@ -56,6 +57,9 @@
 	// Violated counts answers that broke a promise.
 	Violated int `json:"violated"`
 	Tokens   int `json:"tokens"`
+	// WithoutTime counts refusals of calls that did not run which do not say
+	// when to come back.
+	WithoutTime int `json:"refused_without_time"`
 	// Again counts resumes and repeated sends after lost connections.
 	Again int `json:"again"`
 }
@@ -94,10 +98,27 @@
 	Total      Counts            `json:"total"`
 	Kinds      map[string]*Group `json:"kinds"`
 	Accounts   map[string]*Group `json:"accounts"`
+	// Targets is what the stand-ins counted, in a trial.
+	Targets *TargetCounts `json:"targets,omitempty"`
+}
+
+// TargetCounts is what the stand-ins of a trial counted by themselves. Engines
+// and services that ended before the trial did are not in it.
+type TargetCounts struct {
+	// Engines sums the engines' counters; Unreachable counts the targets that
+	// could not be asked.
+	Engines     model.Stats `json:"engines"`
+	Unreachable int         `json:"unreachable"`
+	// Calls ran at plain services; RanTwice counts keys that ran more than once.
+	Calls    int `json:"calls"`
+	RanTwice int `json:"ran_twice"`
 }
 
 // Broken tells whether the run saw a broken promise.
-func (r *Result) Broken() bool { return r.Total.Violated+r.WarmupViolations > 0 }
+func (r *Result) Broken() bool {
+	twice := r.Targets != nil && r.Targets.RanTwice > 0
+	return twice || r.Total.Violated+r.WarmupViolations > 0
+}
 
 // recorder collects a group's measures.
 type recorder struct {
@@ -155,6 +176,9 @@
 	case o.err != nil:
 		f := failure.From(o.err)
 		r.counts.Refused++
+		if f.Executed == failure.ExecutedNo && f.RetryAfter == 0 {
+			r.counts.WithoutTime++
+		}
 		r.refusals[Refusal{Type: f.Kind, Executed: f.Executed}]++
 		record(r.refusalTime, end.Sub(start))
 	default:
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -58,6 +58,7 @@
 		t.Whole += c.Whole
 		t.Refused += c.Refused
 		t.Violated += c.Violated
+		t.WithoutTime += c.WithoutTime
 		t.Tokens += c.Tokens
 		t.Again += c.Again
 	}
--- a/internal/load/trial.go
+++ b/internal/load/trial.go
@@ -16,6 +16,8 @@
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/fleet"
 	"filbertdeck/internal/settings"
+	"filbertdeck/internal/standin/app"
+	"filbertdeck/internal/standin/model"
 )
 
 // TrialSettings are those of filbert-load trial: a run against a deployment of
@@ -141,17 +143,16 @@
 	cfg.Progress = errOut
 	ctx, stop := untilTold()
 	defer stop()
-	f, err := fleet.Start(ctx, s.spec(cfg.Profile))
-	if err != nil {
-		return 0, err
-	}
-	defer f.Close()
 	var direct *Result
 	if s.Direct {
-		direct = Run(ctx, directly(cfg, f))
+		if direct, err = s.deployed(ctx, cfg, true, nil, errOut); err != nil {
+			return 0, err
+		}
+	}
+	result, err := s.deployed(ctx, cfg, false, faults, errOut)
+	if err != nil {
+		return 0, err
 	}
-	cfg.Target.Entries = addresses(f.Hosts, func(h *fleet.Host) string { return h.Callers })
-	result := disturbed(ctx, cfg, f, faults, errOut)
 	if direct != nil {
 		if err := Compare(errOut, direct, result); err != nil {
 			return 0, err
@@ -160,6 +161,23 @@
 	return finish(s.Out, out, errOut, result)
 }
 
+// deployed starts a deployment of its own for one run, and ends it. A direct
+// run leaves its entries aside.
+func (s *TrialSettings) deployed(ctx context.Context, cfg Config, direct bool, faults []disturbance, log io.Writer) (*Result, error) {
+	f, err := fleet.Start(ctx, s.spec(cfg.Profile))
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	cfg.Target.Entries = addresses(f.Hosts, func(h *fleet.Host) string { return h.Callers })
+	if direct {
+		cfg = directly(cfg, f)
+	}
+	result := disturbed(ctx, cfg, f, faults, log)
+	result.Targets = count(f)
+	return result, nil
+}
+
 func addresses[T any](list []T, address func(T) string) []string {
 	out := make([]string, len(list))
 	for i, x := range list {
@@ -197,6 +215,33 @@
 	return Run(ctx, cfg)
 }
 
+// count asks the stand-ins what they did.
+func count(f *fleet.Fleet) *TargetCounts {
+	c := &TargetCounts{}
+	for _, t := range f.Engines {
+		var stats model.Stats
+		c.reached(f.GetJSON("http://"+t.Address+"/admin/stats", &stats))
+		c.Engines = c.Engines.Plus(stats)
+	}
+	for _, t := range f.Apps {
+		var ran app.Executions
+		c.reached(f.GetJSON("http://"+t.Address+"/admin/executions", &ran))
+		c.Calls += ran.Total
+		for _, n := range ran.ByKey {
+			if n > 1 {
+				c.RanTwice++
+			}
+		}
+	}
+	return c
+}
+
+func (c *TargetCounts) reached(err error) {
+	if err != nil {
+		c.Unreachable++
+	}
+}
+
 func told(err error) string {
 	if err != nil {
 		return err.Error()
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -106,6 +106,7 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/admin/fault", s.postFault).Methods(http.MethodPost)
 	r.HandleFunc("/admin/records", s.getRecords).Methods(http.MethodGet)
+	r.HandleFunc("/admin/stats", s.getStats).Methods(http.MethodGet)
 	r.HandleFunc("/admin/orders", s.getOrders).Methods(http.MethodGet)
 	p := r.NewRoute().Subrouter()
 	p.Use(s.gate)
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -274,6 +274,8 @@
 		body, _ := io.ReadAll(do("GET", "/v1/load", "").Body)
 		Expect(string(body)).To(MatchRegexp(
 			`^\{"incarnation":\d+,"age_ms":\d+,"memory_tokens":100000,"used_tokens":\d+,"running":\d,"waiting":0,"preemptions":0,"bears":3,"step_us":\d+,"stopping":false\}`))
+		body, _ = io.ReadAll(do("GET", "/admin/stats", "").Body)
+		Expect(string(body)).To(HavePrefix(`{"submitted":1,"finished":1,"cancelled":0,"tokens":1,"preemptions":0`))
 		body, _ = io.ReadAll(do("GET", "/v1/cache/events?after=0", "").Body)
 		want := fmt.Sprintf(`{"sequence":1,"gap":false,"cached":["%d"],"evicted":[]}`, model.PrefixChain(strings.Repeat("p", 64))[0])
 		Expect(strings.TrimSpace(string(body))).To(Equal(want))
--- a/internal/standin/engine/state.go
+++ b/internal/standin/engine/state.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/standin/model"
 	"filbertdeck/internal/standin/web"
 )
 
@@ -66,6 +67,17 @@
 	web.WriteJSON(w, http.StatusOK, s.Records())
 }
 
+// Stats gives the model's counters since the process started.
+func (s *Server) Stats() model.Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.model.Stats()
+}
+
+func (s *Server) getStats(w http.ResponseWriter, _ *http.Request) {
+	web.WriteJSON(w, http.StatusOK, s.Stats())
+}
+
 // Order tells an engine to load something or to change its role.
 type Order struct {
 	Kind  string `json:"kind"`
--- a/internal/standin/model/engine.go
+++ b/internal/standin/model/engine.go
@@ -45,18 +45,39 @@
 
 // Stats counts what happened since the engine was made; a restart keeps them.
 type Stats struct {
-	Submitted, Finished, Cancelled, Tokens uint64
+	Submitted uint64 `json:"submitted"`
+	Finished  uint64 `json:"finished"`
+	Cancelled uint64 `json:"cancelled"`
+	Tokens    uint64 `json:"tokens"`
 	// Preemptions counts sequences that lost their memory; Recomputed counts
 	// the tokens that were computed again for them.
-	Preemptions, Recomputed uint64
+	Preemptions uint64 `json:"preemptions"`
+	Recomputed  uint64 `json:"recomputed"`
 	// PrefixHits counts prompt tokens that the prefix cache saved.
-	PrefixHits uint64
+	PrefixHits uint64 `json:"prefix_hits"`
 	// OverBears counts jobs that came when the engine bore no more; FellOver
 	// counts the times it stalled or crashed by that.
-	OverBears, FellOver uint64
+	OverBears uint64 `json:"over_bears"`
+	FellOver  uint64 `json:"fell_over"`
 	// MaxOver is the most jobs above what it bears that the engine ever had.
-	MaxOver int
-	Crashes uint64
+	MaxOver int    `json:"max_over"`
+	Crashes uint64 `json:"crashes"`
+}
+
+// Plus adds up the counters of two engines; MaxOver is the larger one's.
+func (s Stats) Plus(o Stats) Stats {
+	s.Submitted += o.Submitted
+	s.Finished += o.Finished
+	s.Cancelled += o.Cancelled
+	s.Tokens += o.Tokens
+	s.Preemptions += o.Preemptions
+	s.Recomputed += o.Recomputed
+	s.PrefixHits += o.PrefixHits
+	s.OverBears += o.OverBears
+	s.FellOver += o.FellOver
+	s.MaxOver = max(s.MaxOver, o.MaxOver)
+	s.Crashes += o.Crashes
+	return s
 }
 
 // New returns an engine that starts at time 0, cold unless RampTime is 0.
