Keep accepted edits when the configuration service is restored and edited on

Cause: after a restore the service counts from an older revision. By order of revisions alone the operators' next edits would wait until it has caught up, and then take every edit that the restore lost back. A revision that comes back with another content proves a restore; a lagging replica can't show that. From then on versions continue in a new lineage, and rows that the restore lost stay in force until operators change them, or raise the epoch. Ruled out: merging every lower revision that changes (a lagging replica would revert newer edits); a plain stop until the epoch is raised (an accepted edit would not come into force by itself). Not recognised: an edit that falls between the restore and the first look at it, and a second restore within one lineage; there the epoch is needed.

--- a/internal/controller/configwatch/board.go
+++ b/internal/controller/configwatch/board.go
@@ -25,11 +25,15 @@
 	SectionDrain   Section = "drain"
 	SectionHosts   Section = "hosts"
 	SectionTargets Section = "targets"
+	// SectionKept holds rows of the table and the drain list that a restore of
+	// the configuration service lost and that stay in force. It is the only
+	// document that the service does not hold.
+	SectionKept Section = "kept"
 )
 
 // Sections lists them in the order in which they are put in force: who may be
 // asked comes before what is asked.
-var Sections = []Section{SectionHosts, SectionTargets, SectionDrain, SectionTable}
+var Sections = []Section{SectionHosts, SectionTargets, SectionDrain, SectionKept, SectionTable}
 
 // Board is this controller's part of the blackboard.
 type Board struct {
--- a/internal/controller/configwatch/configwatch_test.go
+++ b/internal/controller/configwatch/configwatch_test.go
@@ -119,6 +119,10 @@
 		}
 		return 0
 	}
+	tableState := func() configwatch.DocumentState {
+		docs := board.Rollout.Get().Documents
+		return docs[slices.Index(configwatch.Sections, configwatch.SectionTable)]
+	}
 	behind := func() bool { return board.Rollout.Get().Service.Behind }
 
 	BeforeEach(func() {
@@ -151,7 +155,7 @@
 
 	It("keeps the table in force when an edit has faults, and tells why", func() {
 		svc.put("table/0001", weight(-1))
-		refused := func() string { return board.Rollout.Get().Documents[3].Refused.Reason }
+		refused := func() string { return tableState().Refused.Reason }
 		Eventually(refused, "5s", "5ms").Should(ContainSubstring("weight"))
 		Expect(inForce()).To(Equal(1.0))
 		svc.put("table/0001", weight(3))
@@ -161,7 +165,7 @@
 
 	It("does not take every table away when its pages vanish", func() {
 		svc.remove("table/0001")
-		Eventually(func() uint64 { return board.Rollout.Get().Documents[3].Refused.Version.Revision }, "5s", "5ms").Should(Equal(svc.revision))
+		Eventually(func() uint64 { return tableState().Refused.Version.Revision }, "5s", "5ms").Should(Equal(svc.revision))
 		Expect(inForce()).To(Equal(1.0))
 	})
 
@@ -213,7 +217,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		for _, s := range configwatch.Sections {
 			want := rollout.VerdictTake
-			if s == configwatch.SectionDrain {
+			if s == configwatch.SectionDrain || s == configwatch.SectionKept {
 				want = rollout.VerdictKnown
 			}
 			Expect(other.Offer(s, store.Since(s, rollout.Version{}))).To(Equal(want), string(s))
--- a/internal/controller/configwatch/reading.go
+++ b/internal/controller/configwatch/reading.go
@@ -21,6 +21,9 @@
 	epoch uint64
 	// heads are the documents' versions as the service holds them.
 	heads map[Section]rollout.Head
+	// base holds the documents as they were when the service was first seen
+	// behind; nil while it is not.
+	base map[Section][]rollout.Row
 }
 
 func newReading() *reading {
@@ -33,6 +36,9 @@
 	delta   rollout.Delta
 	// fault is set when the document fails validation; delta.Version stands.
 	fault error
+	// whole is set when it was read as part of everything, removal when its
+	// version comes from a key that went.
+	whole, removal bool
 	// dropped counts entries of a list that can't be used.
 	dropped platform.Dropped
 }
@@ -62,6 +68,7 @@
 	if a.Revision < r.revision {
 		clear(r.removed)
 		clear(r.heads)
+		r.base = nil
 	}
 	for _, v := range a.Values {
 		r.values[v.Key] = v
@@ -115,11 +122,7 @@
 			out = append(out, obs)
 		}
 	}
-	out = append(out, tables...)
-	for _, obs := range out {
-		r.heads[obs.section] = obs.delta.Head
-	}
-	return out
+	return append(out, tables...)
 }
 
 // pages gives the table's pages in the order of their keys and the newest
@@ -151,6 +154,7 @@
 	version := rollout.Version{Epoch: r.epoch, Revision: max(v.Revision, r.removed[section])}
 	rows, dropped, err := rowsOf(section, v.Text)
 	obs.delta = whole(version, rows)
+	obs.removal = r.removed[section] > v.Revision
 	obs.dropped = dropped
 	obs.fault = err
 	return obs, true
@@ -158,11 +162,11 @@
 
 func (r *reading) observeTable() (observation, bool) {
 	pages, newest := r.pages()
+	obs := observation{section: SectionTable, removal: r.removed[SectionTable] > newest}
 	newest = max(newest, r.removed[SectionTable])
 	if newest == 0 {
 		return observation{}, false
 	}
-	obs := observation{section: SectionTable}
 	parsed, faults := table.Parse(newest, pages)
 	if err := faults.Err(); err != nil {
 		obs.fault = err
--- a/internal/controller/configwatch/store.go
+++ b/internal/controller/configwatch/store.go
@@ -36,6 +36,12 @@
 	peers     int
 	changed   chan struct{}
 	out       writers
+
+	history *rollout.History
+	// overlays were worked out here at a recognised restore; they count for
+	// overlayEpoch until the document of kept rows is in force in it.
+	overlays     map[string]rollout.Overlay
+	overlayEpoch uint64
 }
 
 type document struct {
@@ -79,6 +85,7 @@
 		log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now, start: cfg.Now(),
 		docs: map[Section]*document{}, hosts: map[string]platform.Host{},
 		targets: map[string]platform.Target{}, join: rollout.NewJoin(0), out: out,
+		history: rollout.NewHistory(),
 	}
 	for _, name := range Sections {
 		s.docs[name] = &document{Document: rollout.NewDocument()}
@@ -121,6 +128,10 @@
 	}
 	doc.Commit(delta, changed)
 	doc.since = s.now()
+	if s.docs[SectionKept].Len() == 0 {
+		// Rows in force are the service's rows as they are.
+		s.history.Record(string(name), delta.Head)
+	}
 	s.metrics.GetOrRegister("rollout."+string(name)+".taken", metrics.NewCounter).(metrics.Counter).Inc(1)
 	s.log.Info("revision in force", "document", name, "version", delta.Version.String(), "rows_changed", len(changed))
 	s.publish(name)
@@ -153,10 +164,11 @@
 	for i, r := range changed {
 		changes[i] = table.Change(r)
 	}
-	next, faults := base.Apply(delta.Version.Epoch, delta.Version.Revision, changes)
+	next, faults := base.Apply(delta.Version.Operators(), delta.Version.Revision, changes)
 	if err := faults.Err(); err != nil {
 		return err
 	}
+	next.Restores = delta.Version.Restores()
 	s.table = next
 	return nil
 }
@@ -332,11 +344,14 @@
 func (s *Store) behind(seen *reading) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if seen.revision < s.newestIn(s.epochFor(seen.epoch)) {
+		return true
+	}
 	for _, name := range Sections {
-		ours, theirs := s.docs[name].Head(), seen.heads[name]
-		if ours.Version.Epoch == seen.epoch && ours.Version.Revision > seen.revision {
-			return true
+		if name == SectionKept {
+			continue
 		}
+		ours, theirs := s.docs[name].Head(), seen.heads[name]
 		if ours.Version.After(theirs.Version) && ours.Digest != theirs.Digest {
 			return true
 		}
--- a/internal/controller/configwatch/watch.go
+++ b/internal/controller/configwatch/watch.go
@@ -149,27 +149,40 @@
 			return err
 		}
 	}
-	w.hand(seen, seen.take(a, whole), asked)
+	w.hand(seen, seen.take(a, whole), whole, asked)
 	return nil
 }
 
 // hand offers the touched documents and notes what the answer shows.
-func (w *Watcher) hand(seen *reading, touched []Section, asked time.Time) {
+func (w *Watcher) hand(seen *reading, touched []Section, whole bool, asked time.Time) {
+	rows := map[Section][]rollout.Row{}
 	for _, obs := range seen.observe(touched) {
-		w.offer(obs)
+		obs.whole = whole
+		rows[obs.section] = obs.delta.Rows
+		w.offer(seen, obs)
+	}
+	if whole {
+		w.store.remember(seen, rows)
+	} else {
+		w.store.remember(seen, nil)
 	}
 	w.store.answered(seen, asked)
 }
 
-func (w *Watcher) offer(obs observation) {
+func (w *Watcher) offer(seen *reading, obs observation) {
 	if obs.dropped > 0 {
 		metrics.GetOrRegisterCounter("configwatch."+string(obs.section)+".dropped_entries", w.store.metrics).Inc(int64(obs.dropped))
 	}
+	deltas := w.store.place(seen, obs)
+	seen.heads[obs.section] = deltas[len(deltas)-1].delta.Head
 	if obs.fault != nil {
-		w.store.Refuse(obs.section, rollout.Refusal{Version: obs.delta.Version, Reason: obs.fault.Error()})
+		version := deltas[0].delta.Version
+		w.store.Refuse(obs.section, rollout.Refusal{Version: version, Reason: obs.fault.Error()})
 		return
 	}
-	w.store.Offer(obs.section, obs.delta)
+	for _, d := range deltas {
+		w.store.Offer(d.section, d.delta)
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/controller/gossip/gossip_test.go
+++ b/internal/controller/gossip/gossip_test.go
@@ -49,7 +49,8 @@
 
 // startNode serves on l under an address, which differs from l's when a proxy
 // stands before it.
-func startNode(l net.Listener, address string, seeds []string, hooks gossip.Hooks) *node {
+func startNode(l net.Listener, address string, seeds []string, hooks gossip.Hooks, every ...time.Duration) *node {
+	every = append(every, probeEvery)
 	n := &node{address: address}
 	var err error
 	if n.store, err = configwatch.NewStore(&n.docs, configwatch.StoreConfig{}); err != nil {
@@ -62,7 +63,7 @@
 	n.ctl, err = gossip.New(gossip.Config{
 		Membership: membership.Config{
 			Self:       membership.Member{Address: address, Incarnation: uint64(time.Now().UnixMilli()), DataCentre: "north"},
-			ProbeEvery: probeEvery,
+			ProbeEvery: every[0],
 		},
 		Seeds: list, Store: n.store, Hosts: &n.docs.Hosts, Credentials: insecure.NewCredentials(),
 		SetReader: func(on bool) { n.reader.Store(on) }, Hooks: hooks,
@@ -84,7 +85,7 @@
 const probeEvery = 100 * time.Millisecond
 
 // startFleet starts n nodes that know each other's addresses.
-func startFleet(n int, wrap func(net.Listener) net.Listener) []*node {
+func startFleet(n int, wrap func(net.Listener) net.Listener, every time.Duration) []*node {
 	listeners, addresses := make([]net.Listener, n), make([]string, n)
 	for i := range n {
 		l, a := listen()
@@ -92,13 +93,13 @@
 	}
 	nodes := make([]*node, n)
 	for i := range n {
-		nodes[i] = startNode(listeners[i], addresses[i], addresses, gossip.Hooks{})
+		nodes[i] = startNode(listeners[i], addresses[i], addresses, gossip.Hooks{}, every)
 	}
 	return nodes
 }
 
 func fleet(n int) []*node {
-	nodes := startFleet(n, func(l net.Listener) net.Listener { return l })
+	nodes := startFleet(n, func(l net.Listener) net.Listener { return l }, probeEvery)
 	for _, x := range nodes {
 		DeferCleanup(x.stop)
 	}
--- a/internal/decide/rollout/version.go
+++ b/internal/decide/rollout/version.go
@@ -9,7 +9,8 @@
 
 // Version is a document's place in the order of edits.
 type Version struct {
-	// Epoch is the operators' number, from the table's own row.
+	// Epoch is the operators' number, from the table's own row, and the number
+	// of restores that were recognised since; see EpochOf.
 	Epoch uint64
 	// Revision is the configuration service's.
 	Revision uint64
@@ -23,8 +24,27 @@
 // After tells whether v is newer than w.
 func (v Version) After(w Version) bool { return v.Compare(w) > 0 }
 
-// String gives the version as epoch.revision.
-func (v Version) String() string { return fmt.Sprintf("%d.%d", v.Epoch, v.Revision) }
+// restoreBits is the room for recognised restores within an epoch.
+const restoreBits = 16
+
+// EpochOf puts the operators' number and the number of recognised restores
+// into one; the operators' leads.
+func EpochOf(operators, restores uint64) uint64 { return operators<<restoreBits | restores }
+
+// Operators gives the operators' part of the epoch.
+func (v Version) Operators() uint64 { return v.Epoch >> restoreBits }
+
+// Restores gives the number of restores that were recognised in this epoch.
+func (v Version) Restores() uint64 { return v.Epoch & (1<<restoreBits - 1) }
+
+// String gives the version as epoch.revision, with the recognised restores as
+// epoch+restores.revision where there are any.
+func (v Version) String() string {
+	if v.Restores() > 0 {
+		return fmt.Sprintf("%d+%d.%d", v.Operators(), v.Restores(), v.Revision)
+	}
+	return fmt.Sprintf("%d.%d", v.Operators(), v.Revision)
+}
 
 // Head is what two nodes compare to learn whether they hold the same.
 type Head struct {
--- a/internal/table/apply.go
+++ b/internal/table/apply.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"cmp"
 	"encoding/csv"
 	"maps"
 	"strings"
@@ -107,10 +108,11 @@
 }
 
 // Newer tells whether t comes after other in the order of edits: by epoch,
-// then by the configuration service's revision.
+// recognised restores, then the configuration service's revision.
 func (t *Table) Newer(other *Table) bool {
-	if other == nil || t.Epoch != other.Epoch {
-		return other == nil || t.Epoch > other.Epoch
+	if other == nil {
+		return true
 	}
-	return t.Revision > other.Revision
+	return cmp.Or(cmp.Compare(t.Epoch, other.Epoch), cmp.Compare(t.Restores, other.Restores),
+		cmp.Compare(t.Revision, other.Revision)) > 0
 }
--- a/internal/table/row.go
+++ b/internal/table/row.go
@@ -87,6 +87,10 @@
 	// Operators raise it after the configuration service was restored from a
 	// backup; it leads the order of revisions.
 	Epoch uint64
+	// Restores counts the restores of the configuration service that were
+	// recognised within the epoch; it comes second in the order. It is not part
+	// of the table's text.
+	Restores uint64
 	// Revision is the configuration service's: the newest of the pages'.
 	Revision uint64
 	Accounts map[string]*Account
