Choose pools, bound retries and hedge lookups on the request's path

Cause: the entry chose the pool with the least backlog (all entries the same one), retried without a bound and never hedged. It now uses internal/decide/{pools,retrybudget,hedge,drain}: choice with prefix affinity and its own unanswered asks, ramped return of a data centre, at most a tenth of retries, a second lookup after the running p95. Pools that are drained stay in the entry's view, so that running generations keep their leases; they only take no new work.

--- a/internal/control/state/service.go
+++ b/internal/control/state/service.go
@@ -152,15 +152,13 @@
 	return section
 }
 
-// pools lists the pools that take new work.
+// pools lists all pools with what an entry needs to choose among them.
 func (s *Service) pools() []*filbertv1.Pool {
 	var list []*filbertv1.Pool
 	for _, p := range s.Pools.Plans() {
-		if p.Drained {
-			continue
-		}
 		wire := &filbertv1.Pool{
 			Name: p.ID, Service: p.Service, DataCentre: p.DataCentre, Owners: s.reachable(p.Owners), Targets: p.Targets,
+			Drained: p.Drained,
 		}
 		if backlog, ok := s.Backlog(p.ID); ok {
 			wire.BacklogMs, wire.BacklogKnown = uint32(backlog.Milliseconds()), true
@@ -198,6 +196,6 @@
 }
 
 func samePool(a, b *filbertv1.Pool) bool {
-	return a.Name == b.Name && a.BacklogMs == b.BacklogMs && a.BacklogKnown == b.BacklogKnown &&
+	return a.Name == b.Name && a.BacklogMs == b.BacklogMs && a.BacklogKnown == b.BacklogKnown && a.Drained == b.Drained &&
 		slices.Equal(a.Owners, b.Owners) && slices.Equal(a.Targets, b.Targets)
 }
--- a/internal/entry/generation/relay.go
+++ b/internal/entry/generation/relay.go
@@ -16,7 +16,9 @@
 	"filbertdeck/internal/accounting"
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/decide/delivery"
+	"filbertdeck/internal/decide/retrybudget"
 	"filbertdeck/internal/entry/admit"
+	"filbertdeck/internal/entry/state"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/handle"
 	"filbertdeck/internal/prefix"
@@ -31,12 +33,17 @@
 	// handleLife is how long a caller may resume. Engines keep a generation
 	// without a connection for seconds; the rest is for clocks that differ.
 	handleLife = 2 * time.Minute
+	// affinityBlocks is how many blocks of a prompt decide where it goes: the
+	// length of a usual instruction before the part that differs.
+	affinityBlocks = 4
 	// reopenPause lies between two connections for one generation.
 	reopenPause = 100 * time.Millisecond
 )
 
 // Picker chooses the pool that is asked for admission.
-type Picker func(service string, chain []uint64, avoid []string) (pool string, err error)
+type Picker interface {
+	Pick(r state.Request) (state.Choice, error)
+}
 
 // PoolOf finds the pool of a target.
 type PoolOf func(service, target string) (pool string, ok bool)
@@ -48,11 +55,16 @@
 	ring      *handle.Ring
 	pick      Picker
 	poolOf    PoolOf
+	budget    *retrybudget.Budget
+	start     time.Time
 }
 
 // NewRelay returns a relay.
-func NewRelay(a *admit.Client, client Doer, ring *handle.Ring, pick Picker, poolOf PoolOf) *Relay {
-	return &Relay{admission: a, engines: engineClient{http: client}, ring: ring, pick: pick, poolOf: poolOf}
+func NewRelay(a *admit.Client, client Doer, ring *handle.Ring, pick Picker, poolOf PoolOf, budget *retrybudget.Budget) *Relay {
+	return &Relay{
+		admission: a, engines: engineClient{http: client}, ring: ring, pick: pick, poolOf: poolOf,
+		budget: budget, start: time.Now(),
+	}
 }
 
 // Request is one caller's request.
@@ -162,14 +174,18 @@
 	case x.Resume != nil:
 		return x.adopt(ctx)
 	}
+	key := retrybudget.Key{Account: x.Account.Name, Service: x.Service.Name}
+	x.budget.First(time.Since(x.start), key)
 	for attempt := 1; ; attempt++ {
 		err := x.attempt(ctx)
 		if err == nil {
 			return nil
 		}
-		if attempt == maxAttempts || !x.retryable(ctx, err) || !x.order.Restart(uuid.NewString()) {
+		again := attempt < maxAttempts && x.retryable(ctx, err) && x.order.MayRestart()
+		if !again || !x.budget.Retry(time.Since(x.start), key) {
 			return x.ended(ctx, err)
 		}
+		x.order.Restart(uuid.NewString())
 		x.quoted = `"` + x.order.Generation() + `"`
 		x.Books.Update(func(c *accounting.Counts) { c.Retries++ })
 	}
@@ -206,16 +222,17 @@
 // attempt runs one generation on one target.
 func (x *run) attempt(ctx context.Context) error {
 	chain := prefix.Chain(x.Prompt)
-	pool, err := x.pick(x.Service.Name, chain, x.avoid)
+	fingerprint := prefix.Fingerprint(x.Service.Name, x.Prompt, x.MaxTokens)
+	choice, err := x.pick.Pick(x.choose(chain, fingerprint))
 	if err != nil {
 		return err
 	}
 	lease, err := x.admission.Acquire(ctx, &filbertv1.Ask{
-		Pool: pool, Account: x.Account.Name,
+		Pool: choice.Pool, Account: x.Account.Name,
 		PromptTokens: uint32(x.PromptTokens), MaxTokens: uint32(x.MaxTokens),
-		Fingerprint: prefix.Fingerprint(x.Service.Name, x.Prompt, x.MaxTokens),
-		Prefix:      chain, WaitMs: uint32(x.Service.MaxWait.Milliseconds()), Avoid: x.avoid,
+		Fingerprint: fingerprint, Prefix: chain, WaitMs: uint32(x.Service.MaxWait.Milliseconds()), Avoid: x.avoid,
 	})
+	choice.Decided()
 	if err != nil {
 		return err
 	}
@@ -230,6 +247,17 @@
 	return err
 }
 
+// choose gives what the choice of a pool depends on: requests with the same
+// beginning go where it is cached, equal ones without a beginning of a block's
+// length to the same pools.
+func (x *run) choose(chain []uint64, fingerprint uint64) state.Request {
+	r := state.Request{Service: x.Service.Name, Affinity: fingerprint, Avoid: x.avoid}
+	if n := min(len(chain), affinityBlocks); n > 0 {
+		r.Affinity, r.Cached = chain[n-1], true
+	}
+	return r
+}
+
 func outcome(ctx context.Context, err error) filbertv1.Outcome {
 	if err == nil {
 		return filbertv1.Outcome_OUTCOME_DONE
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -17,7 +17,9 @@
 
 	"filbertdeck/internal/accounting"
 	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/decide/hedge"
 	"filbertdeck/internal/decide/once"
+	"filbertdeck/internal/decide/retrybudget"
 	"filbertdeck/internal/entry/admit"
 	"filbertdeck/internal/entry/callers"
 	"filbertdeck/internal/entry/generation"
@@ -38,7 +40,7 @@
 		fx.Supply(s),
 		fx.Provide(
 			secure.New, (*secure.Identity).Credentials, newProcess, newRing, state.NewBoard, accounting.New, newLifecycle,
-			newAdmission, newTargetClient, newRelay, newLookups, newOnce, newPeers, newAPI, newWatcher,
+			newAdmission, newTargetClient, newPicker, newBudget, newRelay, newLookups, newOnce, newPeers, newAPI, newWatcher,
 		),
 		fx.Invoke(runWatcher, servePeers, serveAdmin, serveCallers, keepRegister),
 	}
@@ -88,19 +90,23 @@
 
 func newTargetClient() *targetclient.Client { return targetclient.New(targetclient.Settings{}) }
 
-func newRelay(a *admit.Client, client *targetclient.Client, ring *handle.Ring, b *state.Board, s *Settings) *generation.Relay {
-	pick := func(service string, _ []uint64, avoid []string) (string, error) {
-		return b.Pick(service, s.DataCentre, avoid)
-	}
-	return generation.NewRelay(a, client, ring, pick, b.PoolOf)
+func newPicker(b *state.Board, self once.Process, s *Settings) *state.Picker {
+	return state.NewPicker(b, self.Address, s.DataCentre)
 }
 
-func newLookups(a *admit.Client, client *targetclient.Client, b *state.Board, s *Settings) *plain.Lookups {
-	return &plain.Lookups{Admission: a, Client: client, Pick: plainPicker(b, s)}
+func newBudget() *retrybudget.Budget { return retrybudget.New(retrybudget.Config{}) }
+
+func newRelay(
+	a *admit.Client, client *targetclient.Client, ring *handle.Ring, b *state.Board, pick *state.Picker, budget *retrybudget.Budget,
+) *generation.Relay {
+	return generation.NewRelay(a, client, ring, pick, b.PoolOf, budget)
 }
 
-func plainPicker(b *state.Board, s *Settings) plain.Picker {
-	return func(service string, avoid []string) (string, error) { return b.Pick(service, s.DataCentre, avoid) }
+func newLookups(a *admit.Client, client *targetclient.Client, b *state.Board, pick *state.Picker, budget *retrybudget.Budget) *plain.Lookups {
+	return &plain.Lookups{
+		Admission: a, Client: client, Pick: pick, Budget: budget, Hedges: hedge.NewSet(hedge.Config{}),
+		Board: b, Start: time.Now(),
+	}
 }
 
 func newPeers(lc fx.Lifecycle, creds rpc.Credentials) *plain.Peers {
@@ -109,9 +115,9 @@
 	return p
 }
 
-func newOnce(a *admit.Client, ring *handle.Ring, self once.Process, b *state.Board, p *plain.Peers, s *Settings) *plain.Once {
+func newOnce(a *admit.Client, ring *handle.Ring, self once.Process, b *state.Board, pick *state.Picker, p *plain.Peers) *plain.Once {
 	o := &plain.Once{
-		Admission: a, Client: targetclient.NewOnce(targetclient.Settings{}), Pick: plainPicker(b, s),
+		Admission: a, Client: targetclient.NewOnce(targetclient.Settings{}), Pick: pick,
 		Ring: ring, Self: self, Board: b, Forwarder: p,
 	}
 	o.Open()
--- a/internal/entry/plain/lookup.go
+++ b/internal/entry/plain/lookup.go
@@ -7,8 +7,11 @@
 
 	"filbertdeck/internal/accounting"
 	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/decide/hedge"
 	"filbertdeck/internal/decide/once"
+	"filbertdeck/internal/decide/retrybudget"
 	"filbertdeck/internal/entry/admit"
+	"filbertdeck/internal/entry/state"
 	"filbertdeck/internal/failure"
 )
 
@@ -20,7 +23,9 @@
 )
 
 // Picker chooses the pool that is asked for admission.
-type Picker func(service string, avoid []string) (pool string, err error)
+type Picker interface {
+	Pick(r state.Request) (state.Choice, error)
+}
 
 // Doer sends a request once.
 type Doer interface {
@@ -32,8 +37,14 @@
 	Admission *admit.Client
 	Client    Doer
 	Pick      Picker
+	Budget    *retrybudget.Budget
+	Hedges    *hedge.Set
+	Board     *state.Board
+	Start     time.Time
 }
 
+func (l *Lookups) now() time.Duration { return time.Since(l.Start) }
+
 // Serve answers the call; the failure it returns was told to the caller.
 func (l *Lookups) Serve(ctx context.Context, w http.ResponseWriter, call Call) error {
 	answer, err := l.run(ctx, call)
@@ -49,36 +60,108 @@
 // run tries targets until one answers. Sending the call again is safe here:
 // the service's row says that its calls may be repeated.
 func (l *Lookups) run(ctx context.Context, call Call) (*once.Answer, error) {
+	key := retrybudget.Key{Account: call.Account.Name, Service: call.Service.Name}
+	l.Budget.First(l.now(), key)
 	var avoid []string
 	var sent bool
 	for attempt := 1; ; attempt++ {
-		answer, target, err := l.attempt(ctx, call, avoid)
-		if err == nil {
-			return answer, nil
+		r := l.hedged(ctx, call, avoid, attempt == 1)
+		if r.err == nil {
+			return r.answer, nil
 		}
-		f := failure.From(err)
+		f := failure.From(r.err)
 		sent = sent || f.Executed != failure.ExecutedNo
-		if target == "" || attempt == lookupAttempts || ctx.Err() != nil {
+		over := r.target == "" || attempt == lookupAttempts || ctx.Err() != nil
+		if over || !l.Budget.Retry(l.now(), key) {
 			if sent && f.Executed == failure.ExecutedNo {
 				_ = f.Unknown()
 			}
 			return nil, f
 		}
-		avoid = append(avoid, target)
+		avoid = append(avoid, r.target)
 		call.Books.Update(func(c *accounting.Counts) { c.Retries++ })
 	}
 }
 
-func (l *Lookups) attempt(ctx context.Context, call Call, avoid []string) (*once.Answer, string, error) {
+// result is one sending's end; target is empty when none was found.
+type result struct {
+	answer *once.Answer
+	target string
+	err    error
+}
+
+// hedged sends the call, and a second time to another target when the answer
+// is late and the budget allows it. The first whole answer counts.
+func (l *Lookups) hedged(ctx context.Context, call Call, avoid []string, first bool) result {
+	hedger := l.Hedges.Of(l.now(), call.Service.Name)
+	delay, ok := hedger.Begin(first)
+	if !ok {
+		return l.observed(ctx, call, avoid, hedger)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, 2)
+	begun := time.Now()
+	sentTo := make(chan string, 1)
+	go func() { results <- l.attempt(ctx, call, avoid, sentTo) }()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	pending := 1
+	for {
+		select {
+		case r := <-results:
+			pending--
+			if r.err == nil || pending == 0 {
+				hedger.Observe(l.now(), time.Since(begun))
+				return r
+			}
+		case <-timer.C:
+			if target, ok := l.second(hedger, call, sentTo); ok {
+				pending++
+				call.Books.Update(func(c *accounting.Counts) { c.Hedges++ })
+				go func() { results <- l.attempt(ctx, call, append(avoid[:len(avoid):len(avoid)], target), nil) }()
+			}
+		}
+	}
+}
+
+// observed sends the call once and tells the hedger how long it took.
+func (l *Lookups) observed(ctx context.Context, call Call, avoid []string, hedger *hedge.Hedger) result {
+	begun := time.Now()
+	r := l.attempt(ctx, call, avoid, nil)
+	if r.err == nil {
+		hedger.Observe(l.now(), time.Since(begun))
+	}
+	return r
+}
+
+// second asks whether the call may be sent again now. A call that still waits
+// for admission is not: the pool is full, and a second one would wait as well.
+func (l *Lookups) second(hedger *hedge.Hedger, call Call, sentTo <-chan string) (target string, ok bool) {
+	select {
+	case target = <-sentTo:
+	default:
+		return "", false
+	}
+	backlog, others := l.Board.Situation(call.Service.Name, target)
+	refusal := hedger.Second(l.now(), hedge.Situation{Repeatable: true, Backlog: backlog, OtherTargets: others})
+	return target, refusal == hedge.None
+}
+
+// attempt sends the call to one target; sentTo, if given, learns which.
+func (l *Lookups) attempt(ctx context.Context, call Call, avoid []string, sentTo chan<- string) result {
 	lease, err := acquire(ctx, l.Admission, l.Pick, call, avoid)
 	if err != nil {
-		return nil, "", err
+		return result{err: err}
+	}
+	if sentTo != nil {
+		sentTo <- lease.Target
 	}
 	started := time.Now()
 	answer, err := l.send(ctx, call, lease)
 	elapsed := time.Since(started)
 	lease.Settle(outcome(ctx, err), elapsed, elapsed)
-	return answer, lease.Target, err
+	return result{answer: answer, target: lease.Target, err: err}
 }
 
 func (l *Lookups) send(ctx context.Context, call Call, lease *admit.Lease) (*once.Answer, error) {
@@ -107,14 +190,16 @@
 
 // acquire asks for admission for a call to a plain service.
 func acquire(ctx context.Context, client *admit.Client, pick Picker, call Call, avoid []string) (*admit.Lease, error) {
-	pool, err := pick(call.Service.Name, avoid)
+	fingerprint := call.fingerprint()
+	choice, err := pick.Pick(state.Request{Service: call.Service.Name, Affinity: fingerprint, Avoid: avoid})
 	if err != nil {
 		return nil, err
 	}
 	lease, err := client.Acquire(ctx, &filbertv1.Ask{
-		Pool: pool, Account: call.Account.Name, Fingerprint: call.fingerprint(),
+		Pool: choice.Pool, Account: call.Account.Name, Fingerprint: fingerprint,
 		WaitMs: uint32(call.Service.MaxWait.Milliseconds()), Avoid: avoid,
 	})
+	choice.Decided()
 	if err != nil {
 		return nil, err
 	}
@@ -123,10 +208,11 @@
 }
 
 func outcome(ctx context.Context, err error) filbertv1.Outcome {
-	switch f := failure.From(err); {
-	case err == nil:
+	if err == nil {
 		return filbertv1.Outcome_OUTCOME_DONE
-	case f.Executed == failure.ExecutedNo:
+	}
+	switch {
+	case failure.From(err).Executed == failure.ExecutedNo:
 		return filbertv1.Outcome_OUTCOME_NOT_RUN
 	case ctx.Err() != nil:
 		return filbertv1.Outcome_OUTCOME_CALLER_LEFT
--- a/internal/entry/state/board.go
+++ b/internal/entry/state/board.go
@@ -49,9 +49,6 @@
 
 const hostLive = "live"
 
-// retryNoPool is told to callers of a service without a target.
-const retryNoPool = time.Second
-
 // Confirmation tells how fresh the host list is.
 type Confirmation struct {
 	HostsRevision uint64
--- a/internal/entry/state/pick.go
+++ b/internal/entry/state/pick.go
@@ -1,29 +1,219 @@
 package state
 
 import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
 	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/decide/drain"
+	decide "filbertdeck/internal/decide/pools"
 	"filbertdeck/internal/failure"
 )
 
-// Pick chooses the pool that is asked for admission.
-func (b *Board) Pick(service, dataCentre string, avoid []string) (string, error) {
-	pools := b.Pools.Get()
-	if pools == nil {
-		return "", failure.New(failure.KindNotReady, "the pools are not known yet").After(retryNoPool)
+// retryNoPool is told to callers of a service without a target.
+const retryNoPool = time.Second
+
+// sessionsNear and sessionsFar bound the pools of one service that an entry
+// keeps to, in its own data centre and in all others together: each session
+// with a pool's owner costs a heartbeat a second.
+const (
+	sessionsNear = 8
+	sessionsFar  = 4
+)
+
+// pushedNews: the control process pushes each changed backlog and answers the
+// entry's heartbeat, so what stands on the blackboard counts as fresh.
+const pushedNews = 24 * time.Hour
+
+// Picker chooses the pool that an entry asks for admission. It is safe for
+// concurrent use.
+type Picker struct {
+	board      *Board
+	entry      string
+	dataCentre string
+	start      time.Time
+	cfg        decide.Config
+
+	// views is made anew when pools or table change; requests read it without
+	// a lock.
+	views atomic.Pointer[viewSet]
+
+	mu      sync.Mutex
+	centres *drain.Centres
+}
+
+// viewSet is one immutable state of all services' pools.
+type viewSet struct {
+	pools     *Pools
+	byService map[string][]decide.View
+	sent      map[string]*atomic.Int64
+}
+
+// NewPicker returns a picker; entry is this process's address.
+func NewPicker(b *Board, entry, dataCentre string) *Picker {
+	return &Picker{
+		board: b, entry: entry, dataCentre: dataCentre, start: time.Now(),
+		cfg: decide.Config{NewsFor: pushedNews}, centres: drain.NewCentres(drain.Config{}),
 	}
-	var best *filbertv1.Pool
-	for _, p := range pools.ByService[service] {
-		if exhausted(p, avoid) {
+}
+
+func (p *Picker) now() time.Duration { return time.Since(p.start) }
+
+// Request is what a choice depends on.
+type Request struct {
+	Service string
+	// Affinity is equal for requests that are best served by the same target.
+	Affinity uint64
+	// Cached says that Affinity stands for a prefix worth finding again.
+	Cached bool
+	// Avoid lists targets that failed the request already.
+	Avoid []string
+}
+
+// Choice is a pool that was chosen; Decided must be called once the pool's
+// owner has answered.
+type Choice struct {
+	Pool string
+	sent *atomic.Int64
+}
+
+// Decided takes the request out of those that the pool's owner has yet to
+// answer.
+func (c Choice) Decided() { c.sent.Add(-1) }
+
+// Pick chooses a pool.
+func (p *Picker) Pick(r Request) (Choice, error) {
+	set := p.current()
+	if set == nil {
+		return Choice{}, failure.New(failure.KindNotReady, "the pools are not known yet").After(retryNoPool)
+	}
+	base := set.byService[r.Service]
+	views := make([]decide.View, len(base), sessionsNear+sessionsFar)
+	copy(views, base)
+	p.fill(set, views)
+	i := decide.Choose(p.now(), p.cfg, views, decide.Request{
+		DataCentre: p.dataCentre, Affinity: r.Affinity, Cached: r.Cached, Avoid: exhausted(set.pools, views, r.Avoid),
+	}, decide.Draw{Other: rand.Uint64(), Share: rand.Float64()})
+	if i < 0 {
+		return Choice{}, failure.New(failure.KindNoTarget, "service %q has no target that takes work", r.Service).After(retryNoPool)
+	}
+	c := Choice{Pool: views[i].ID, sent: set.sent[views[i].ID]}
+	c.sent.Add(1)
+	return c, nil
+}
+
+// fill completes the views with what changes from request to request.
+func (p *Picker) fill(set *viewSet, views []decide.View) {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range views {
+		views[i].Sent = int(set.sent[views[i].ID].Load())
+		views[i].Share = p.centres.Share(now, views[i].DataCentre)
+	}
+}
+
+// current gives the views, made anew when the blackboard has changed.
+func (p *Picker) current() *viewSet {
+	pools, set := p.board.Pools.Get(), p.views.Load()
+	if pools == nil || (set != nil && set.pools == pools) {
+		return set
+	}
+	next := p.build(pools, set)
+	p.views.Store(next)
+	return next
+}
+
+// build keeps the counts of pools that stay.
+func (p *Picker) build(pools *Pools, old *viewSet) *viewSet {
+	p.followDrain()
+	next := &viewSet{pools: pools, byService: map[string][]decide.View{}, sent: map[string]*atomic.Int64{}}
+	for service, list := range pools.ByService {
+		for _, pool := range p.subset(list) {
+			next.byService[service] = append(next.byService[service], viewOf(pool))
+			next.sent[pool.Name] = &atomic.Int64{}
+			if old != nil && old.sent[pool.Name] != nil {
+				next.sent[pool.Name] = old.sent[pool.Name]
+			}
+		}
+	}
+	return next
+}
+
+// followDrain notes which data centres are out, and starts the ramp of those
+// that come back.
+func (p *Picker) followDrain() {
+	t := p.board.Table.Get()
+	if t == nil {
+		return
+	}
+	var out []string
+	for name := range t.Drained {
+		out = append(out, name)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.centres.Set(p.now(), out)
+}
+
+func viewOf(pool *filbertv1.Pool) decide.View {
+	v := decide.NewView(decide.Pool{ID: pool.Name, DataCentre: pool.DataCentre}, "")
+	v.Heard = pool.BacklogKnown
+	v.Backlog = time.Duration(pool.BacklogMs) * time.Millisecond
+	return v
+}
+
+// subset gives the pools that this entry keeps to.
+func (p *Picker) subset(list []*filbertv1.Pool) []*filbertv1.Pool {
+	byName := make(map[string]*filbertv1.Pool, len(list))
+	var near, far []decide.Pool
+	for _, pool := range list {
+		if pool.Drained {
 			continue
 		}
-		if best == nil || less(p, best, dataCentre) {
-			best = p
+		byName[pool.Name] = pool
+		one := decide.Pool{ID: pool.Name, DataCentre: pool.DataCentre}
+		if pool.DataCentre == p.dataCentre {
+			near = append(near, one)
+		} else {
+			far = append(far, one)
 		}
 	}
-	if best == nil {
-		return "", failure.New(failure.KindNoTarget, "service %q has no target that takes work", service).After(retryNoPool)
+	var out []*filbertv1.Pool
+	kept := append(decide.Subset(p.entry, near, sessionsNear), decide.Subset(p.entry, far, sessionsFar)...)
+	for _, pool := range kept {
+		out = append(out, byName[pool.ID])
+	}
+	return out
+}
+
+// exhausted lists the pools every target of which failed the request already.
+func exhausted(pools *Pools, views []decide.View, avoid []string) []string {
+	if len(avoid) == 0 {
+		return nil
+	}
+	failed := make(map[string]bool, len(avoid))
+	for _, target := range avoid {
+		failed[target] = true
+	}
+	var out []string
+	for _, v := range views {
+		if allIn(pools.ByName[v.ID].Targets, failed) {
+			out = append(out, v.ID)
+		}
 	}
-	return best.Name, nil
+	return out
+}
+
+func allIn(targets []string, failed map[string]bool) bool {
+	for _, t := range targets {
+		if !failed[t] {
+			return false
+		}
+	}
+	return true
 }
 
 // PoolOf finds the pool of a target.
@@ -39,34 +229,26 @@
 	return p.Name, true
 }
 
-// exhausted tells whether every target of a pool failed this request.
-func exhausted(p *filbertv1.Pool, avoid []string) bool {
-	if len(p.Targets) == 0 {
-		return true
-	}
-	failed := map[string]bool{}
-	for _, a := range avoid {
-		failed[a] = true
+// Situation gives the least backlog of a service's pools and the number of its
+// targets besides one.
+func (b *Board) Situation(service, besides string) (backlog time.Duration, others int) {
+	pools := b.Pools.Get()
+	if pools == nil {
+		return 0, 0
 	}
-	for _, t := range p.Targets {
-		if !failed[t] {
-			return false
+	least := time.Duration(-1)
+	for _, p := range pools.ByService[service] {
+		if p.Drained {
+			continue
+		}
+		for _, t := range p.Targets {
+			if t != besides {
+				others++
+			}
+		}
+		if wait := time.Duration(p.BacklogMs) * time.Millisecond; least < 0 || wait < least {
+			least = wait
 		}
 	}
-	return true
-}
-
-// farPenalty is what a pool of another data centre must be better by, in
-// milliseconds of backlog.
-const farPenalty = 200
-
-func less(a, b *filbertv1.Pool, dataCentre string) bool {
-	return cost(a, dataCentre) < cost(b, dataCentre)
-}
-
-func cost(p *filbertv1.Pool, dataCentre string) uint32 {
-	if p.DataCentre == dataCentre {
-		return p.BacklogMs
-	}
-	return p.BacklogMs + farPenalty
+	return max(least, 0), others
 }
--- a/internal/entry/state/summary.go
+++ b/internal/entry/state/summary.go
@@ -12,7 +12,8 @@
 	HostsRevision uint64             `json:"hosts_revision"`
 	Weights       map[string]float64 `json:"weights"`
 	Drained       []string           `json:"drained"`
-	Pools         []string           `json:"pools"`
+	// Pools lists those that take new work.
+	Pools []string `json:"pools"`
 }
 
 // Summary gives the entry's view; empty parts are not known yet.
@@ -31,8 +32,10 @@
 		s.HostsRevision = h.Revision
 	}
 	if p := b.Pools.Get(); p != nil {
-		for name := range p.ByName {
-			s.Pools = append(s.Pools, name)
+		for name, pool := range p.ByName {
+			if !pool.Drained {
+				s.Pools = append(s.Pools, name)
+			}
 		}
 	}
 	sort.Strings(s.Drained)
