--- a/internal/entry/callers/callers.go
+++ b/internal/entry/callers/callers.go
@@ -88,7 +88,12 @@
 // served counts a request in progress and finds its account.
 func (a *API) served(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		defer a.Life.Begin()()
+		end, err := a.Life.Begin()
+		if err != nil {
+			a.refuse(w, unnamed, unnamed, err)
+			return
+		}
+		defer end()
 		t := a.Board.Table.Get()
 		if t == nil || !a.Board.Ready() {
 			a.refuse(w, unnamed, unnamed, failure.New(failure.KindNotReady, "the table has not been read yet").After(retryNotReady))
--- a/internal/entry/lifecycle/lifecycle.go
+++ b/internal/entry/lifecycle/lifecycle.go
@@ -1,53 +1,68 @@
 // Package lifecycle follows an entry from its start to its stop: whether the
-// balancer may send it callers, and which requests are still in progress.
-//
-// A planned stop has an order. The process first reports "not ready" and goes
-// on serving, since the balancer notices late; a process that closed its
-// listener at once would refuse callers who were sent to it meanwhile. Only
-// then does it wait for the requests in progress, without cutting one.
+// balancer may send it callers, and which requests are still in progress. The
+// order of a stop is decided in internal/decide/drain; this package gives it a
+// clock and counts the requests.
 package lifecycle
 
 import (
 	"context"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"filbertdeck/internal/decide/drain"
 	"filbertdeck/internal/failure"
 )
 
+const (
+	// stepEvery is how often a stop looks whether it may go on.
+	stepEvery = 20 * time.Millisecond
+	// retryStopping is told to callers who still come: the balancer sends the
+	// next try elsewhere.
+	retryStopping = time.Second
+)
+
 // Lifecycle is safe for concurrent use.
 type Lifecycle struct {
-	ready    func() error
-	stopping atomic.Bool
+	ready func() error
+	start time.Time
 
-	mu       sync.Mutex
-	running  int
-	finished chan struct{}
+	mu      sync.Mutex
+	stop    *drain.Stop
+	running int
 }
 
 // New returns a lifecycle; ready tells what is missing until callers can be
-// served.
-func New(ready func() error) *Lifecycle { return &Lifecycle{ready: ready} }
+// served. notice is how long a stop stays open after it was announced, wait
+// how long it waits for requests in progress, 0 for as long as they last.
+func New(ready func() error, notice, wait time.Duration) *Lifecycle {
+	return &Lifecycle{
+		ready: ready, start: time.Now(),
+		stop: drain.NewStop(drain.StopConfig{
+			AnnounceFor: notice, QuietFor: notice, AnnounceLimit: 3 * notice, LingerFor: notice, FinishLimit: wait,
+		}),
+	}
+}
 
-// Begin counts a request in progress; the caller must call the returned
-// function when it ends.
-func (l *Lifecycle) Begin() (end func()) {
+func (l *Lifecycle) now() time.Duration { return time.Since(l.start) }
+
+// Begin counts a request in progress; the returned function must be called
+// when it ends. It fails while the process refuses new work.
+func (l *Lifecycle) Begin() (end func(), err error) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stop.Arrived(l.now())
+	if !l.stop.TakesNew() {
+		return nil, failure.New(failure.KindStopping, "the process is stopping").After(retryStopping)
+	}
 	l.running++
-	l.mu.Unlock()
-	return l.end
+	return l.end, nil
 }
 
 func (l *Lifecycle) end() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.running--
-	if l.running == 0 && l.finished != nil {
-		close(l.finished)
-		l.finished = nil
-	}
 }
 
 // Running counts the requests in progress.
@@ -59,39 +74,43 @@
 
 // Ready tells why the balancer should send no callers, nil when it may.
 func (l *Lifecycle) Ready() error {
-	if l.stopping.Load() {
+	l.mu.Lock()
+	open := l.stop.Ready()
+	l.mu.Unlock()
+	if !open {
 		return failure.New(failure.KindStopping, "the process is stopping")
 	}
 	return l.ready()
 }
 
-// Stop reports not ready, stays open for notice, and waits until no request
-// is in progress or ctx ends.
-func (l *Lifecycle) Stop(ctx context.Context, notice time.Duration) error {
-	l.stopping.Store(true)
-	select {
-	case <-time.After(notice):
-	case <-ctx.Done():
-		return ctx.Err()
+// Stop goes through the steps of a planned stop until it is done or ctx ends.
+func (l *Lifecycle) Stop(ctx context.Context) error {
+	ticker := time.NewTicker(stepEvery)
+	defer ticker.Stop()
+	for !l.step() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return failure.Wrap(ctx.Err(), failure.KindStopping, "%d requests were in progress at the end of the stop", l.Running())
+		}
 	}
-	select {
-	case <-l.idle():
-		return nil
-	case <-ctx.Done():
-		return failure.Wrap(ctx.Err(), failure.KindStopping, "%d requests were in progress at the end of the stop", l.Running())
+	if l.cut() {
+		return failure.New(failure.KindStopping, "%d requests were in progress at the end of the stop", l.Running())
 	}
+	return nil
 }
 
-func (l *Lifecycle) idle() <-chan struct{} {
+func (l *Lifecycle) step() (done bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	done := make(chan struct{})
-	if l.running == 0 {
-		close(done)
-		return done
-	}
-	l.finished = done
-	return done
+	l.stop.Begin(l.now())
+	return l.stop.Step(l.now(), l.running) == drain.Done
+}
+
+func (l *Lifecycle) cut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stop.Cut()
 }
 
 // Healthz answers that the process lives.
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -78,7 +78,7 @@
 			return failure.New(failure.KindNotReady, "data centre %s is taken out", s.DataCentre)
 		}
 		return nil
-	})
+	}, s.StopNotice, s.StopWait)
 }
 
 func newAdmission(lc fx.Lifecycle, self once.Process, s *Settings, creds rpc.Credentials, b *state.Board) *admit.Client {
@@ -236,9 +236,7 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return serveHTTP(server, id.ListenHTTP, s.Listen) },
 		OnStop: func(ctx context.Context) error {
-			ctx, cancel := context.WithTimeout(ctx, s.StopNotice+s.StopWait)
-			defer cancel()
-			err := life.Stop(ctx, s.StopNotice)
+			err := life.Stop(ctx)
 			return errors.Join(err, server.Shutdown(ctx))
 		},
 	})
--- a/internal/entry/plain/forward.go
+++ b/internal/entry/plain/forward.go
@@ -108,13 +108,17 @@
 	Once  *Once
 	Board *state.Board
 	// Begin counts a request in progress, so that a stop waits for it.
-	Begin func() (end func())
+	Begin func() (end func(), err error)
 }
 
 // RunOnce implements the Forward service. The call is booked at the entry that
 // the caller spoke to, not here.
 func (s *Server) RunOnce(ctx context.Context, r *filbertv1.RunOnceRequest) (*filbertv1.RunOnceReply, error) {
-	defer s.Begin()()
+	end, err := s.Begin()
+	if err != nil {
+		return problemReply(failure.From(err).Unknown()), nil
+	}
+	defer end()
 	call, err := s.call(r)
 	if err != nil {
 		return problemReply(err), nil
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -28,6 +28,10 @@
 // startTimeout bounds the start: listeners and first connections only.
 const startTimeout = 30 * time.Second
 
+// noticeSteps is how many notices a planned stop takes at most: three until it
+// refuses, one after the last request.
+const noticeSteps = 4
+
 // Program is one serving program.
 type Program struct {
 	Name  string
@@ -60,7 +64,7 @@
 		fx.Provide(metrics.NewRegistry),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(p.Common.StopNotice + p.Common.StopWait + startTimeout),
+		fx.StopTimeout(noticeSteps*p.Common.StopNotice + p.Common.StopWait + startTimeout),
 	}, p.Options()...)
 	app := fx.New(options...)
 	if err := app.Err(); err != nil {
