Show objectives, resumes, replays and frames out of place in the accounting

Cause: the burn report needs good and total events per objective from every host, with the life that counted them (counters start anew at a restart).

--- a/internal/accounting/accounting.go
+++ b/internal/accounting/accounting.go
@@ -60,6 +60,9 @@
 	Retries uint64 `json:"retries"`
 	Hedges  uint64 `json:"hedges"`
 	Replays uint64 `json:"replays"`
+	// OutOfPlace counts frames of targets that were not passed on, because
+	// they belong to another generation or another place.
+	OutOfPlace uint64 `json:"out_of_place"`
 
 	PromptTokens uint64 `json:"prompt_tokens"`
 	OutputTokens uint64 `json:"output_tokens"`
--- a/internal/adminapi/documents.go
+++ b/internal/adminapi/documents.go
@@ -1,6 +1,10 @@
 package adminapi
 
-import "time"
+import (
+	"time"
+
+	"filbertdeck/internal/accounting"
+)
 
 // HostsDocument answers GET /admin/v1/hosts.
 type HostsDocument struct {
@@ -127,22 +131,38 @@
 	Reached     bool   `json:"reached"`
 }
 
-// AccountingRow counts an account's requests to a service. Invariant: Received
-// is the sum of Refused, Ran, Unknown and InProgress.
+// AccountingRow counts an account's requests to a service at one entry, since
+// that process started. Invariant: Received is the sum of Refused, Ran, Unknown
+// and InProgress.
 type AccountingRow struct {
-	Account     string `json:"account"`
-	Service     string `json:"service"`
+	Account string `json:"account"`
+	Service string `json:"service"`
+	// Entry is the host of the entry process, Incarnation its life: counters
+	// start anew with it.
+	Entry       string `json:"entry"`
+	Incarnation uint64 `json:"incarnation"`
 	Received    uint64 `json:"received"`
 	Refused     uint64 `json:"refused"`
 	Ran         uint64 `json:"ran"`
 	Unknown     uint64 `json:"unknown"`
 	InProgress  uint64 `json:"in_progress"`
+	// Failed counts those among Ran that ended in an error.
+	Failed      uint64 `json:"failed"`
 	WaitMS      uint64 `json:"wait_ms"`
 	StallMS     uint64 `json:"stall_ms"`
 	Tokens      uint64 `json:"tokens"`
 	Preemptions uint64 `json:"preemptions"`
 	Hedges      uint64 `json:"hedges"`
 	Retries     uint64 `json:"retries"`
+	Resumes     uint64 `json:"resumes"`
+	Replays     uint64 `json:"replays"`
+	// OutOfPlace counts frames of targets that were not passed on.
+	OutOfPlace uint64 `json:"out_of_place"`
+	// The objectives: events within the bound among all.
+	FirstToken accounting.Ratio `json:"first_token"`
+	TokenGap   accounting.Ratio `json:"token_gap"`
+	Whole      accounting.Ratio `json:"whole"`
+	Lookup     accounting.Ratio `json:"lookup"`
 }
 
 // Balanced checks the identity. A row that fails it has lost a request or
--- a/internal/control/admin/admin.go
+++ b/internal/control/admin/admin.go
@@ -127,7 +127,7 @@
 			Entry: snapshot.Host, Incarnation: snapshot.Incarnation, Reached: true,
 		})
 		for _, l := range snapshot.Lines {
-			row := rowOf(l)
+			row := rowOf(snapshot, l)
 			doc.Rows = append(doc.Rows, row)
 			if !row.Balanced() {
 				doc.Faults = append(doc.Faults, row)
@@ -137,11 +137,13 @@
 	return doc
 }
 
-func rowOf(l accounting.Line) adminapi.AccountingRow {
+func rowOf(s accounting.Snapshot, l accounting.Line) adminapi.AccountingRow {
 	const perMilli = 1000
 	return adminapi.AccountingRow{
-		Account: l.Account, Service: l.Service, Received: l.Received, Refused: l.Refused, Ran: l.Ran,
-		Unknown: l.Unknown, InProgress: l.InProgress, WaitMS: l.WaitUS / perMilli, StallMS: l.StallUS / perMilli,
-		Tokens: l.OutputTokens, Hedges: l.Hedges, Retries: l.Retries,
+		Entry: s.Host, Incarnation: s.Incarnation, Account: l.Account, Service: l.Service,
+		Received: l.Received, Refused: l.Refused, Ran: l.Ran, Unknown: l.Unknown, InProgress: l.InProgress,
+		Failed: l.Failed, WaitMS: l.WaitUS / perMilli, StallMS: l.StallUS / perMilli, Tokens: l.OutputTokens,
+		Hedges: l.Hedges, Retries: l.Retries, Resumes: l.Resumes, Replays: l.Replays, OutOfPlace: l.OutOfPlace,
+		FirstToken: l.FirstToken, TokenGap: l.TokenGap, Whole: l.Whole, Lookup: l.Lookup,
 	}
 }
--- a/internal/entry/generation/relay.go
+++ b/internal/entry/generation/relay.go
@@ -441,6 +441,7 @@
 		return false, nil
 	case delivery.Pass:
 	default:
+		x.Books.Update(func(c *accounting.Counts) { c.OutOfPlace++ })
 		return false, failure.New(failure.KindFrameOutOfPlace, "the target sent a frame out of its place").Unknown()
 	}
 	progress()
