--- a/test/faults/world_test.go
+++ b/test/faults/world_test.go
@@ -181,6 +181,13 @@
 	}
 }
 
+// hush makes the connection silent for good without a sign.
+func (c *conn) hush() {
+	if c != nil {
+		c.silent = true
+	}
+}
+
 // close ends a connection without telling anybody at this end.
 func (c *conn) close(end int) {
 	if c != nil {
