Add filbert-burn: objectives, burn rates, shares, one line a promise

Cause: the monitor must see for itself that nobody is favoured and that the promises hold. Ruled out: a store of history (processes keep nothing; the report keeps its own samples, and saves them where the monitor wants them).

--- /dev/null
+++ b/cmd/filbert-burn/main.go
@@ -0,0 +1,23 @@
+// Filbert-burn reports service-level burn, shares and the evidence for each
+// promise.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"filbertdeck/internal/burn"
+	"filbertdeck/internal/settings"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	parse := func(s *burn.Settings) error {
+		return settings.Parse(burn.Program, burn.About, s, os.Args[1:], os.Stdout)
+	}
+	code := burn.Main(ctx, parse, settings.IsHelp, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/burn/burn_test.go
@@ -0,0 +1,135 @@
+package burn_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"filbertdeck/internal/accounting"
+	"filbertdeck/internal/adminapi"
+	"filbertdeck/internal/burn"
+)
+
+func TestBurn(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "burn report")
+}
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func host(version string, rows ...adminapi.AccountingRow) burn.Host {
+	return burn.Host{
+		Control:    "127.0.0.1:1",
+		Accounting: &adminapi.AccountingDocument{Rows: rows},
+		Accounts:   &adminapi.AccountsDocument{Accounts: []adminapi.AccountStatus{{Name: "big", Weight: 3}, {Name: "small", Weight: 1}}},
+		Rollout:    &adminapi.RolloutDocument{Documents: []adminapi.DocumentStatus{{Document: "table", Version: version}}},
+		Targets:    &adminapi.TargetsDocument{},
+	}
+}
+
+func row(life, tokens, good, total uint64) adminapi.AccountingRow {
+	return adminapi.AccountingRow{
+		Entry: "host-1", Incarnation: life, Account: "big", Service: "reports", Received: total, Ran: total,
+		Tokens: tokens, FirstToken: accounting.Ratio{Good: good, Total: total}, Whole: accounting.Ratio{Good: total, Total: total},
+	}
+}
+
+func at(seconds int, hosts ...burn.Host) burn.Sample {
+	return burn.Sample{At: start.Add(time.Duration(seconds) * time.Second), Hosts: hosts}
+}
+
+func promise(r burn.Report, part string) burn.Promise {
+	for _, p := range r.Promises {
+		if strings.Contains(p.Text, part) {
+			return p
+		}
+	}
+	Fail("no promise " + part)
+	return burn.Promise{}
+}
+
+var _ = Describe("a burn report", func() {
+	It("divides bad events by the budget, over each window", func() {
+		r := burn.Build([]burn.Sample{
+			at(0, host("1.1", row(1, 0, 100, 100))),
+			at(60, host("1.1", row(1, 0, 190, 200))),
+		}, []time.Duration{time.Minute, time.Hour})
+		o := r.Objectives[0]
+		Expect(o.Name).To(Equal("first token"))
+		Expect(o.Since.Burn).To(BeNumerically("~", 1, 1e-9)) // 5% bad, 5% allowed
+		Expect(o.Windows).To(HaveLen(1), "an hour was not observed")
+		Expect(o.Windows[0].Burn).To(BeNumerically("~", 2, 1e-9))
+	})
+
+	// A host is cut off and cannot be read. Its callers may see nothing but
+	// errors; a report that leaves it out would show the rest as perfect.
+	It("never counts missing data as good", func() {
+		s := at(0, host("1.1", row(1, 5, 9, 9)), burn.Host{Control: "127.0.0.1:2", Problem: "does not answer"})
+		r := burn.Build([]burn.Sample{s}, nil)
+		Expect(r.Complete()).To(BeFalse())
+		Expect(promise(r, "every token").Verdict).To(Equal(burn.Incomplete))
+		var text bytes.Buffer
+		Expect(burn.Text(&text, r)).To(Succeed())
+		Expect(text.String()).To(ContainSubstring("NOT READ: 127.0.0.1:2"))
+	})
+
+	// An entry is replaced and counts from zero. Taking its new counters for
+	// the old ones would make requests disappear from the account.
+	It("keeps the counts of an entry that was replaced", func() {
+		r := burn.Build([]burn.Sample{
+			at(0, host("1.1", row(1, 500, 90, 100))),
+			at(10, host("1.1", row(2, 20, 10, 10))),
+		}, nil)
+		Expect(r.Objectives[0].Since.Events).To(Equal(accounting.Ratio{Good: 100, Total: 110}))
+		Expect(r.Shares[0].Tokens).To(BeEquivalentTo(520))
+		Expect(r.Restarts).To(Equal(1))
+	})
+
+	// The configuration service is restored to yesterday and a host takes
+	// yesterday's table. An accepted edit is gone, and only the version tells.
+	It("shows an edit that was taken back", func() {
+		r := burn.Build([]burn.Sample{at(0, host("2.9", row(1, 1, 1, 1))), at(1, host("2.8", row(1, 1, 1, 1)))}, nil)
+		Expect(promise(r, "accepted edit").Verdict).To(Equal(burn.Broken))
+		Expect(r.Breach()).To(BeTrue())
+	})
+
+	It("shows a target above what it bears, and rows that do not balance", func() {
+		h := host("1.1", row(1, 1, 1, 1))
+		h.Targets.Targets = []adminapi.TargetStatus{{Address: "127.0.0.1:9", Known: true, Bears: 2, Running: 3}}
+		h.Accounting.Faults = []adminapi.AccountingRow{{Received: 1}}
+		r := burn.Build([]burn.Sample{at(0, h)}, nil)
+		Expect(promise(r, "just started").Verdict).To(Equal(burn.Broken))
+		Expect(r.Unbalanced).To(Equal(1))
+	})
+
+	It("compares service per weight", func() {
+		small := row(1, 100, 1, 1)
+		small.Account = "small"
+		r := burn.Build([]burn.Sample{at(0, host("1.1", row(1, 150, 1, 1), small))}, nil)
+		Expect(r.Shares[0].PerWeight).To(BeNumerically("~", 0.5, 1e-9))
+		Expect(r.Spread).To(BeNumerically("~", 2, 1e-9))
+	})
+
+	It("is one page that needs nothing else and escapes what hosts say", func() {
+		h := burn.Host{Control: "127.0.0.1:2", Problem: "<script>alert(1)</script>"}
+		r := burn.Build([]burn.Sample{at(0, host("1.1", row(1, 1, 1, 1))), at(1, host("1.1", row(1, 2, 1, 2)), h)}, nil)
+		var page bytes.Buffer
+		Expect(burn.HTML(&page, r)).To(Succeed())
+		Expect(page.String()).To(And(ContainSubstring("<svg"), ContainSubstring("@media print")))
+		Expect(page.String()).NotTo(Or(ContainSubstring("<script"), ContainSubstring("http://"), ContainSubstring("src=")))
+	})
+
+	It("names a control process that answers rubbish or refuses", func() {
+		bad := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{")) }))
+		defer bad.Close()
+		c := &burn.Collector{Controls: []string{bad.Listener.Addr().String()}, Scheme: "http", Client: bad.Client()}
+		Expect(c.Collect(context.Background()).Hosts[0].Problem).To(ContainSubstring("no document"))
+	})
+})
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"filbertdeck/internal/accounting"
+	"filbertdeck/internal/burn"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/fleet"
 )
@@ -85,6 +86,7 @@
 		{"an edit of the table", d.edit},
 		{"a data centre taken out and brought back", d.drain},
 		{"what each account got", d.accounts},
+		{"what the monitor sees", d.monitor},
 	}
 	for i, step := range steps {
 		d.say("\n%d. %s", i+1, step.name)
@@ -372,3 +374,22 @@
 	d.say("   received = refused + ran + unknown on every host")
 	return nil
 }
+
+// monitorLag is how long the counters of an entry take to its control process.
+const monitorLag = 1200 * time.Millisecond
+
+func (d *demo) monitor(ctx context.Context) error {
+	time.Sleep(monitorLag)
+	c := &burn.Collector{Key: fleet.MonitorKey, Scheme: "http", Client: d.village.http}
+	for _, h := range d.fleet.Hosts {
+		c.Controls = append(c.Controls, h.ControlAdmin)
+	}
+	r := burn.Build([]burn.Sample{c.Collect(ctx)}, nil)
+	for _, p := range r.Promises {
+		d.say("   %-75s %s", p.Text, p.Verdict)
+	}
+	if !r.Complete() || r.Breach() {
+		return failure.New(failure.KindInternal, "the report shows a breach, or a host could not be read")
+	}
+	return nil
+}
--- a/internal/reference/reference.go
+++ b/internal/reference/reference.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 
+	"filbertdeck/internal/burn"
 	"filbertdeck/internal/control"
 	"filbertdeck/internal/entry"
 	"filbertdeck/internal/settings"
@@ -22,6 +23,7 @@
 	return []Program{
 		{Name: entry.Program, About: entry.About, Settings: &entry.Settings{}},
 		{Name: control.Program, About: control.About, Settings: &control.Settings{}},
+		{Name: burn.Program, About: burn.About, Settings: &burn.Settings{}},
 	}
 }
 
