--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -169,6 +169,25 @@
 		Expect(base.Accounts).NotTo(HaveKey("new"))
 	})
 
+	It("carries any edit to a copy elsewhere as the rows that changed", func() {
+		base, _ := parse(sample())
+		for _, edited := range []string{
+			sample(), sample() + "epoch,4,,,,,,,,,,,\n", sample() + "account,new,,,,,,,,,,,\n",
+			strings.Replace(sample(), "account,radio,,,,,,,,,,,\n", "", 1),
+			strings.Replace(sample(), "8000,60000", "9000,60000", 1) + "service,maps,,,,,,,lookup,,,,\n",
+		} {
+			next, faults := parse(edited)
+			Expect(faults).To(BeEmpty())
+			for _, step := range [][2]*table.Table{{base, next}, {next, base}} {
+				got, faults := step[0].Apply(step[1].Epoch, 7, table.Changes(step[0], step[1]))
+				Expect(faults).To(BeEmpty())
+				Expect(got).To(Equal(step[1]))
+			}
+		}
+		shared, _ := base.Apply(0, 8, []table.Change{change("account/radio", "account,radio,3,0,0,0,,,,,,,")})
+		Expect(table.Changes(base, shared.With(nil, nil))).To(HaveLen(1))
+	})
+
 	It("lets a key move between accounts within one edit", func() {
 		base, _ := parse(sample())
 		got, faults := base.Apply(0, 8, []table.Change{
@@ -278,6 +297,17 @@
 	}
 }
 
+func BenchmarkChangesOfOneRow(b *testing.B) {
+	t := mustTable(11_000)
+	next, _ := t.Apply(0, 2, []table.Change{{Key: "account/member-00003", Text: fmt.Sprintf("account,member-00003,2,20,500,0,%064x,reports,,,,,", 4)}})
+	b.ReportAllocs()
+	for b.Loop() {
+		if n := len(table.Changes(t, next)); n != 1 {
+			b.Fatal(n)
+		}
+	}
+}
+
 func BenchmarkApplyOneRow(b *testing.B) {
 	for _, n := range []int{10, 100, 1000, 11_000} {
 		t := mustTable(n)
