--- a/internal/decide/pools/news.go
+++ b/internal/decide/pools/news.go
@@ -21,7 +21,7 @@
 }
 
 // News keeps the latest statement about each pool. It is not safe for
-// concurrent use; entries read the views that Fill makes.
+// concurrent use.
 type News struct {
 	items map[string]heard
 }
@@ -99,21 +99,3 @@
 		}
 	}
 }
-
-// Fill makes the views of a service's pools from the news: a new slice, to be
-// published as a snapshot. share gives the part of its work that a data centre
-// takes, control the process to ask for a pool without news.
-func (n *News) Fill(pools []Pool, share func(dc string) float64, control func(Pool) string) []View {
-	views := make([]View, 0, len(pools))
-	for _, p := range pools {
-		v := NewView(p, "")
-		v.Share = share(p.DataCentre)
-		if h, ok := n.items[p.ID]; ok {
-			v.Control, v.Backlog, v.NewsAt, v.Heard = h.Control, h.Backlog, h.at, true
-		} else {
-			v.Control = control(p)
-		}
-		views = append(views, v)
-	}
-	return views
-}
--- a/internal/decide/pools/pools_test.go
+++ b/internal/decide/pools/pools_test.go
@@ -210,13 +210,16 @@
 			Expect(n.Spread(0, 10, 3)).To(Equal([]pools.Item{item}))
 		}
 		Expect(n.Spread(0, 10, 3)).To(BeEmpty())
-		fill := func() []pools.View {
-			return n.Fill([]pools.Pool{{ID: "p"}}, func(string) float64 { return 0.5 }, func(pools.Pool) string { return "owner" })
+		heard := func(now time.Duration) time.Duration {
+			backlog, _ := n.Backlog(now, "p")
+			return backlog
 		}
-		Expect(fill()[0]).To(And(HaveField("Backlog", time.Second), HaveField("Control", "a"), HaveField("Share", 0.5)))
+		Expect(heard(0)).To(Equal(time.Second))
 		Expect(n.Hear(3*time.Second, rival)).To(BeTrue())
+		Expect(heard(3 * time.Second)).To(BeZero())
 		n.Spread(time.Minute, 1, 1)
-		Expect(fill()[0]).To(And(HaveField("Heard", false), HaveField("Control", "owner")))
+		_, ok := n.Backlog(time.Minute, "p")
+		Expect(ok).To(BeFalse())
 	})
 })
 
--- a/internal/decide/slowstart/gate.go
+++ b/internal/decide/slowstart/gate.go
@@ -70,7 +70,7 @@
 func (g *Gate) Started(now time.Duration, lease uint64) { g.flight.done(now, lease) }
 
 // Progress says that the target produced a token for the lease at the moment
-// at. It proves that the incarnation which began the lease still lives. A lease
+// at; of a renewal, take when the one before was sent. It proves that the incarnation which began the lease still lives. A lease
 // counts only once a report covers it: an earlier one may have begun on an
 // incarnation that is not known here yet.
 func (g *Gate) Progress(at time.Duration, lease uint64) {
@@ -80,7 +80,8 @@
 }
 
 // Ended takes a lease off. finished says that the target completed it;
-// firstToken is its time to the first token, 0 when there was none.
+// firstToken is its time to the first token, 0 when there was none or when it
+// depends on the request: a long prompt would be taken for a cold start.
 func (g *Gate) Ended(now time.Duration, lease uint64, finished bool, firstToken time.Duration) {
 	same := g.flight.grantedTo(lease, g.report.Incarnation)
 	running := g.flight.running()
