--- a/cmd/filbert-overhead/main.go
+++ b/cmd/filbert-overhead/main.go
@@ -21,6 +21,7 @@
 	Streams  int           `arg:"--streams" default:"200" help:"streams of the token measurement"`
 	Tokens   int           `arg:"--tokens" default:"1000" help:"tokens of each of them"`
 	Open     int           `arg:"--open" default:"2000" help:"streams that are held open at once"`
+	Heap     string        `arg:"--heap" help:"file for the entry's heap profile while the streams are open"`
 	Idle     time.Duration `arg:"--idle" default:"5s" help:"how long an idle control process is watched"`
 }
 
@@ -38,7 +39,7 @@
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	cfg := overhead.Config{
-		BinDir: a.BinDir, Requests: a.Requests, Streams: a.Streams, Tokens: a.Tokens, Open: a.Open, Idle: a.Idle,
+		BinDir: a.BinDir, Requests: a.Requests, Streams: a.Streams, Tokens: a.Tokens, Open: a.Open, Heap: a.Heap, Idle: a.Idle,
 	}
 	if err := overhead.Run(ctx, cfg, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "measurement failed:", err)
--- a/internal/overhead/overhead.go
+++ b/internal/overhead/overhead.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -31,6 +32,9 @@
 	Streams, Tokens int
 	// Open is the number of streams held open at once.
 	Open int
+	// Heap, if set, is the file for the entry's heap profile while the streams
+	// are open.
+	Heap string
 	// Idle is how long an idle control process is watched.
 	Idle time.Duration
 }
@@ -295,6 +299,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.saveHeap(); err != nil {
+		return err
+	}
 	cancel()
 	<-done
 	each := float64(after.resident-before.resident) / float64(r.Open) / 1024
@@ -302,5 +309,25 @@
 	return nil
 }
 
+// saveHeap keeps the entry's heap profile, to see what a stream holds.
+func (r *run) saveHeap() error {
+	if r.Heap == "" {
+		return nil
+	}
+	resp, err := r.client.Get("http://" + r.fleet.Hosts[0].EntryAdmin + "/debug/pprof/heap?gc=1")
+	if err != nil {
+		return failure.Wrap(err, failure.KindInternal, "heap profile")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	profile, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return failure.Wrap(err, failure.KindInternal, "heap profile")
+	}
+	if err := os.WriteFile(r.Heap, profile, 0o600); err != nil {
+		return failure.Wrap(err, failure.KindSettingInvalid, "--heap")
+	}
+	return nil
+}
+
 // openLimit bounds the time until all streams have begun.
 const openLimit = 90 * time.Second
