Tell requests above what a cold engine bears by engine and apart from the grace

A trial with cold engines summed its counts over all engines and mixed in the requests that come before any report can tell of lost warmth. Both stand apart.

--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -43,6 +43,7 @@
 		{"engines cancelled", float64(e.Cancelled)}, {"engines tokens", float64(e.Tokens)},
 		{"engines preemptions", float64(e.Preemptions)}, {"engines recomputed tokens", float64(e.Recomputed)},
 		{"engines prefix hits", float64(e.PrefixHits)}, {"engines over what they bear", float64(e.OverBears)},
+		{"engines over in grace", float64(e.OverInGrace)},
 		{"engines fell over", float64(e.FellOver)}, {"services calls", float64(t.Calls)},
 		{"services keys run twice", float64(t.RanTwice)}, {"targets unreachable", float64(t.Unreachable)},
 	}
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -107,8 +107,9 @@
 type TargetCounts struct {
 	// Engines sums the engines' counters; Unreachable counts the targets that
 	// could not be asked.
-	Engines     model.Stats `json:"engines"`
-	Unreachable int         `json:"unreachable"`
+	Engines     model.Stats            `json:"engines"`
+	ByEngine    map[string]model.Stats `json:"by_engine"`
+	Unreachable int                    `json:"unreachable"`
 	// Calls ran at plain services; RanTwice counts keys that ran more than once.
 	Calls    int `json:"calls"`
 	RanTwice int `json:"ran_twice"`
--- a/internal/load/trial.go
+++ b/internal/load/trial.go
@@ -217,11 +217,12 @@
 
 // count asks the stand-ins what they did.
 func count(f *fleet.Fleet) *TargetCounts {
-	c := &TargetCounts{}
+	c := &TargetCounts{ByEngine: map[string]model.Stats{}}
 	for _, t := range f.Engines {
 		var stats model.Stats
 		c.reached(f.GetJSON("http://"+t.Address+"/admin/stats", &stats))
 		c.Engines = c.Engines.Plus(stats)
+		c.ByEngine[t.Name] = stats
 	}
 	for _, t := range f.Apps {
 		var ran app.Executions
--- a/internal/standin/model/cold.go
+++ b/internal/standin/model/cold.go
@@ -22,6 +22,7 @@
 	e.stats.OverBears++
 	e.stats.MaxOver = max(e.stats.MaxOver, over)
 	if e.turnedCold && e.now < e.coldSince+e.cfg.ColdGrace {
+		e.stats.OverInGrace++
 		return
 	}
 	if e.now < e.stalledUntil {
--- a/internal/standin/model/engine.go
+++ b/internal/standin/model/engine.go
@@ -55,10 +55,12 @@
 	Recomputed  uint64 `json:"recomputed"`
 	// PrefixHits counts prompt tokens that the prefix cache saved.
 	PrefixHits uint64 `json:"prefix_hits"`
-	// OverBears counts jobs that came when the engine bore no more; FellOver
-	// counts the times it stalled or crashed by that.
-	OverBears uint64 `json:"over_bears"`
-	FellOver  uint64 `json:"fell_over"`
+	// OverBears counts jobs that came when the engine bore no more. OverInGrace
+	// is the part that came so shortly after a warm engine had turned cold that
+	// no report could tell. FellOver counts the times it stalled or crashed.
+	OverBears   uint64 `json:"over_bears"`
+	OverInGrace uint64 `json:"over_in_grace"`
+	FellOver    uint64 `json:"fell_over"`
 	// MaxOver is the most jobs above what it bears that the engine ever had.
 	MaxOver int    `json:"max_over"`
 	Crashes uint64 `json:"crashes"`
@@ -74,6 +76,7 @@
 	s.Recomputed += o.Recomputed
 	s.PrefixHits += o.PrefixHits
 	s.OverBears += o.OverBears
+	s.OverInGrace += o.OverInGrace
 	s.FellOver += o.FellOver
 	s.MaxOver = max(s.MaxOver, o.MaxOver)
 	s.Crashes += o.Crashes
--- a/internal/standin/model/model_test.go
+++ b/internal/standin/model/model_test.go
@@ -224,7 +224,7 @@
 		Expect(e.Stats().FellOver).To(BeZero())
 		submit(e, e.Now()+100*ms, job(4, 0, 0, 200))
 		Expect(e.Stats()).To(HaveField("FellOver", BeEquivalentTo(1)))
-		Expect(e.Stats()).To(HaveField("OverBears", BeEquivalentTo(2)))
+		Expect(e.Stats()).To(And(HaveField("OverBears", BeEquivalentTo(2)), HaveField("OverInGrace", BeEquivalentTo(1))))
 	})
 })
 
