--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -74,7 +74,7 @@
 
 func (c *caller) completion(call Call, stream bool) request {
 	body, _ := json.Marshal(completionBody{
-		Model: c.client.service(call.Kind), Prompt: c.prompt(call), MaxTokens: call.Kind.Output.Max, Stream: stream,
+		Model: call.Kind.Service, Prompt: c.prompt(call), MaxTokens: call.Kind.Output.Max, Stream: stream,
 	})
 	return request{method: http.MethodPost, path: "/v1/completions", body: string(body), account: call.Account, generation: true}
 }
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -25,8 +25,6 @@
 	DirectEngines, DirectApps []string
 	// Accounts and Keys go together.
 	Accounts, Keys []string
-	// Services replaces a kind's service, by the kind's name.
-	Services map[string]string
 	// Timeout bounds a call with all its attempts. Opening is the time in which
 	// a stream must open and a plain service must answer; a request waits for
 	// its admission that long. Whole generations have the timeout alone. Silence
@@ -86,13 +84,6 @@
 	return list[c.turn.Add(1)%uint64(len(list))]
 }
 
-func (c *client) service(k *Kind) string {
-	if name := c.target.Services[k.Name]; name != "" {
-		return name
-	}
-	return k.Service
-}
-
 // request is one HTTP request to whichever entry is next.
 type request struct {
 	method, path, body string
@@ -213,5 +204,5 @@
 	if c.target.direct() {
 		return "/" + rest
 	}
-	return fmt.Sprintf("/v1/services/%s/%s", c.service(k), rest)
+	return fmt.Sprintf("/v1/services/%s/%s", k.Service, rest)
 }
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -56,6 +56,14 @@
 	StallBound time.Duration `json:"stall_bound"`
 }
 
+func (p Profile) kindNames() []string {
+	names := make([]string, len(p.Kinds))
+	for i, k := range p.Kinds {
+		names[i] = k.Name
+	}
+	return names
+}
+
 // stallBound is about four times the 61 ms between tokens that the target size
 // allows 95 in 100: a reader notices that the text stopped.
 const stallBound = 250 * time.Millisecond
--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -59,7 +60,6 @@
 	if err != nil {
 		return Config{}, err
 	}
-	services, err := s.services(profile)
 	return Config{
 		Profile: profile,
 		Arrivals: Arrivals{
@@ -67,11 +67,11 @@
 			Duration: s.Duration, LengthScale: s.LengthScale, Seed: s.Seed,
 		},
 		Target: Target{
-			Entries: s.Entries, DirectEngines: s.DirectEngines, DirectApps: s.DirectApps, Accounts: accounts, Keys: keys, Services: services,
+			Entries: s.Entries, DirectEngines: s.DirectEngines, DirectApps: s.DirectApps, Accounts: accounts, Keys: keys,
 			Timeout: s.Timeout, Opening: s.Opening, Silence: s.Silence, Attempts: s.Attempts,
 		},
 		Warmup: s.Warmup, MaxInProgress: s.MaxInProgress, ProgressEvery: s.ProgressEvery,
-	}, err
+	}, s.rename(profile)
 }
 
 // checkAddresses wants either entries or both kinds of stand-ins.
@@ -108,21 +108,17 @@
 	return accounts, keys, nil
 }
 
-func (s *RunSettings) services(p Profile) (map[string]string, error) {
-	names := []string{}
-	kinds := map[string]bool{}
-	for _, k := range p.Kinds {
-		names, kinds[k.Name] = append(names, k.Name), true
-	}
-	services := map[string]string{}
+// rename gives the profile's kinds the services that the settings name.
+func (s *RunSettings) rename(p Profile) error {
 	for _, pair := range s.Services {
-		kind, service, ok := strings.Cut(pair, "=")
-		if !ok || service == "" || !kinds[kind] {
-			return nil, invalid("--service (FILBERT_LOAD_SERVICE)", pair, "kind=service with kind among "+strings.Join(names, ", "))
+		name, service, ok := strings.Cut(pair, "=")
+		kind := slices.IndexFunc(p.Kinds, func(k Kind) bool { return k.Name == name })
+		if !ok || service == "" || kind < 0 {
+			return invalid("--service (FILBERT_LOAD_SERVICE)", pair, "kind=service with kind among "+strings.Join(p.kindNames(), ", "))
 		}
-		services[kind] = service
+		p.Kinds[kind].Service = service
 	}
-	return services, nil
+	return nil
 }
 
 func invalid(setting, value, allowed string) error {
--- a/internal/load/trial.go
+++ b/internal/load/trial.go
@@ -61,7 +61,7 @@
 		BinDir: s.BinDir, Hosts: s.spread(s.Hosts), Engines: s.spread(s.Engines), Apps: s.spread(s.Apps),
 		EngineArgs: strings.Fields(s.EngineArgs), Table: s.table(p),
 	}
-	for _, k := range p.Kinds {
+	for _, k := range distinct(p.Kinds) {
 		if k.Type == TypeStream || k.Type == TypeWhole {
 			spec.EngineServices = append(spec.EngineServices, k.Service)
 		} else {
@@ -71,6 +71,28 @@
 	return spec
 }
 
+// distinct leaves one kind of each service, a streaming one if there is any: a
+// service that delivers whole answers refuses to stream.
+func distinct(kinds []Kind) []Kind {
+	streamsFirst := slices.SortedStableFunc(slices.Values(kinds), func(a, b Kind) int {
+		return cmp.Compare(rank(a), rank(b))
+	})
+	var out []Kind
+	for _, k := range streamsFirst {
+		if !slices.ContainsFunc(out, func(o Kind) bool { return o.Service == k.Service }) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+func rank(k Kind) int {
+	if k.Type == TypeStream {
+		return 0
+	}
+	return 1
+}
+
 // spread names the data centres of n hosts or targets.
 func (s *TrialSettings) spread(n int) []string {
 	out := make([]string, n)
@@ -98,7 +120,7 @@
 	for i := range s.Accounts {
 		fmt.Fprintf(&t, "account,%s,1,,,,%s,,,,,,\n", accountName(i), fleet.Digest(accountKey(i)))
 	}
-	for _, k := range p.Kinds {
+	for _, k := range distinct(p.Kinds) {
 		kind, delivery, tokens := "generation", "stream", strconv.Itoa(k.Output.Max)
 		switch k.Type {
 		case TypeWhole:
@@ -115,8 +137,8 @@
 
 // prepare checks the settings before anything starts.
 func (s *TrialSettings) prepare() (Config, []disturbance, error) {
-	if len(s.Entries)+len(s.DirectEngines)+len(s.DirectApps)+len(s.APIKeys)+len(s.Services) > 0 {
-		return Config{}, nil, invalid("--entry, --direct-engine, --direct-app, --api-key, --service", "given", "none in a trial, which makes its own")
+	if len(s.Entries)+len(s.DirectEngines)+len(s.DirectApps)+len(s.APIKeys) > 0 {
+		return Config{}, nil, invalid("--entry, --direct-engine, --direct-app, --api-key", "given", "none in a trial, which makes its own")
 	}
 	faults, err := s.disturbances()
 	if err != nil {
