--- a/internal/controller/configwatch/configwatch_test.go
+++ b/internal/controller/configwatch/configwatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -231,3 +232,64 @@
 		Expect(otherBoard.Table.Get().Accounts["clinic"].Weight).To(Equal(4.0))
 	})
 })
+
+// BenchmarkStore reports what a node holds at the target size (11,000
+// accounts, 10,000 targets, 3,300 hosts) and what one row's change costs it,
+// from the delta to the published snapshot.
+func BenchmarkStore(b *testing.B) {
+	rows := map[configwatch.Section]func(i int) rollout.Row{
+		configwatch.SectionTable: func(i int) rollout.Row {
+			return rollout.Row{Key: fmt.Sprintf("account/member-%05d", i), Text: fmt.Sprintf("account,member-%05d,1,20,500,0,%064x,,,,,,", i, i+1)}
+		},
+		configwatch.SectionTargets: func(i int) rollout.Row {
+			t := platform.Target{Service: "reports", Address: fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250), DataCentre: fmt.Sprint("dc", i%10), State: platform.StateLive}
+			return rollout.Row{Key: t.Key(), Text: t.Row()}
+		},
+		configwatch.SectionHosts: func(i int) rollout.Row {
+			a := fmt.Sprintf("10.0.%d.%d", i/250, i%250)
+			h := platform.Host{Name: fmt.Sprint("host-", i), DataCentre: fmt.Sprint("dc", i%10), Entry: a + ":80", Control: a + ":81", State: platform.StateLive}
+			return rollout.Row{Key: h.Key(), Text: h.Row()}
+		},
+	}
+	sizes := map[configwatch.Section]int{configwatch.SectionTable: 11_000, configwatch.SectionTargets: 10_000, configwatch.SectionHosts: 3300}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	store, err := configwatch.NewStore(&configwatch.Board{}, configwatch.StoreConfig{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for name, n := range sizes {
+		all := make([]rollout.Row, n)
+		for i := range all {
+			all[i] = rows[name](i)
+		}
+		store.Offer(name, rollout.Delta{Full: true, Rows: all, Head: rollout.Head{Version: rollout.Version{Revision: 1}, Digest: rollout.DigestOf(all)}})
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	for name, row := range rows {
+		b.Run("one row of "+string(name), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				head, old := store.Head(name), row(7)
+				text := old.Text + " "
+				if held := store.Since(name, rollout.Version{Revision: head.Version.Revision}); held.Full {
+					b.Fatal("the log does not reach back")
+				}
+				next := rollout.Row{Key: old.Key, Text: text}
+				if head.Version.Revision%2 == 0 {
+					next, old = old, next
+				}
+				delta := rollout.Delta{From: head.Version, Rows: []rollout.Row{next}, Head: rollout.Head{
+					Version: rollout.Version{Revision: head.Version.Revision + 1},
+					Digest:  head.Digest - rollout.DigestOf([]rollout.Row{old}) + rollout.DigestOf([]rollout.Row{next}),
+				}}
+				if v := store.Offer(name, delta); v != rollout.VerdictTake {
+					b.Fatal(v)
+				}
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1024, "KB-held")
+		})
+	}
+}
--- a/internal/controller/configwatch/publish.go
+++ b/internal/controller/configwatch/publish.go
@@ -14,7 +14,7 @@
 	case SectionHosts:
 		s.publishHosts()
 	case SectionTargets:
-		s.out.targets.Publish(s.targetsSnapshot())
+		s.publishTargets()
 		s.publishTable()
 	case SectionDrain, SectionTable:
 		s.publishTable()
@@ -33,13 +33,19 @@
 	})
 }
 
-func (s *Store) targetsSnapshot() *Targets {
+// publishTargets keeps the targets in the table's form as well, so that an
+// edit of the table does not work through 10,000 of them again.
+func (s *Store) publishTargets() {
 	by := map[string][]platform.Target{}
+	s.tableTargets = map[string][]table.Target{}
 	for _, k := range slices.Sorted(maps.Keys(s.targets)) {
 		t := s.targets[k]
 		by[t.Service] = append(by[t.Service], t)
+		s.tableTargets[t.Service] = append(s.tableTargets[t.Service], table.Target{
+			Address: t.Address, DataCentre: t.DataCentre, Leaving: t.State == platform.StateLeaving,
+		})
 	}
-	return &Targets{Version: s.docs[SectionTargets].Head().Version, ByService: by}
+	s.out.targets.Publish(&Targets{Version: s.docs[SectionTargets].Head().Version, ByService: by})
 }
 
 // publishTable merges drain list and targets into the table, so that a reader
@@ -52,14 +58,7 @@
 	for _, r := range s.docs[SectionDrain].Rows() {
 		drained = append(drained, r.Key)
 	}
-	targets := map[string][]table.Target{}
-	for _, k := range slices.Sorted(maps.Keys(s.targets)) {
-		t := s.targets[k]
-		targets[t.Service] = append(targets[t.Service], table.Target{
-			Address: t.Address, DataCentre: t.DataCentre, Leaving: t.State == platform.StateLeaving,
-		})
-	}
-	s.out.table.Publish(s.table.With(drained, targets))
+	s.out.table.Publish(s.table.With(drained, s.tableTargets))
 }
 
 func (s *Store) publishState() {
--- a/internal/controller/configwatch/store.go
+++ b/internal/controller/configwatch/store.go
@@ -23,19 +23,21 @@
 	now     func() time.Time
 	start   time.Time
 
-	mu        sync.Mutex
-	docs      map[Section]*document
-	table     *table.Table
-	hosts     map[string]platform.Host
-	targets   map[string]platform.Target
-	confirmed time.Time
-	service   ServiceState
-	join      *rollout.Join
-	ready     bool
-	asked     bool
-	peers     int
-	changed   chan struct{}
-	out       writers
+	mu      sync.Mutex
+	docs    map[Section]*document
+	table   *table.Table
+	hosts   map[string]platform.Host
+	targets map[string]platform.Target
+	// tableTargets are the targets as the table's services have them.
+	tableTargets map[string][]table.Target
+	confirmed    time.Time
+	service      ServiceState
+	join         *rollout.Join
+	ready        bool
+	asked        bool
+	peers        int
+	changed      chan struct{}
+	out          writers
 
 	history *rollout.History
 	// overlays were worked out here at a recognised restore; they count for
--- a/internal/controller/gossip/controller.go
+++ b/internal/controller/gossip/controller.go
@@ -13,8 +13,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -36,10 +34,6 @@
 	// pushPause keeps a burst of edits from being sent one by one: edits
 	// within it go out together.
 	pushPause = 50 * time.Millisecond
-	// secondWave is when the second half of the neighbours is told, if they
-	// have not shown by then that they heard it from someone else. Three links
-	// bring news to nearly all; telling all six at once sends most of it twice.
-	secondWave = 150 * time.Millisecond
 	// pullTimeout bounds the transfer of whole documents, 3 MB at the target
 	// size.
 	pullTimeout = 5 * time.Second
@@ -277,23 +271,16 @@
 	}
 	c.lastPush = time.Now()
 	c.mu.Lock()
-	neighbours := slices.Clone(c.core.View().Neighbours)
+	neighbours := c.core.View().Neighbours
 	c.mu.Unlock()
-	rand.Shuffle(len(neighbours), func(i, j int) { neighbours[i], neighbours[j] = neighbours[j], neighbours[i] })
-	first := (len(neighbours) + 1) / 2
-	for _, n := range neighbours[:first] {
+	for _, n := range neighbours {
 		c.pushTo(ctx, n)
 	}
-	time.AfterFunc(secondWave, func() {
-		for _, n := range neighbours[first:] {
-			c.pushTo(ctx, n)
-		}
-	})
 }
 
 // pushTo sends the news to a neighbour that is not known to have it.
 func (c *Controller) pushTo(ctx context.Context, address string) {
-	if ctx.Err() == nil && c.lacks(address) {
+	if c.lacks(address) {
 		c.spawn(func() { c.probe(ctx, membership.Action{To: address, Timeout: c.probeTimeout()}) })
 	}
 }
--- a/internal/controller/gossip/gossip_test.go
+++ b/internal/controller/gossip/gossip_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"filbertdeck/internal/api/filbertv1"
@@ -43,6 +44,8 @@
 type nodeConfig struct {
 	every time.Duration
 	hooks gossip.Hooks
+	// creds secure the connections; plain text without.
+	creds credentials.TransportCredentials
 	// onReader is called within a tick, when the node's role is worked out.
 	onReader func(*node)
 }
@@ -60,6 +63,9 @@
 // stands before it.
 func startNode(l net.Listener, address string, seeds []string, cfg nodeConfig) *node {
 	n := &node{address: address}
+	if cfg.creds == nil {
+		cfg.creds = insecure.NewCredentials()
+	}
 	var err error
 	if n.store, err = configwatch.NewStore(&n.docs, configwatch.StoreConfig{}); err != nil {
 		panic(err)
@@ -73,7 +79,7 @@
 			Self:       membership.Member{Address: address, Incarnation: uint64(time.Now().UnixMilli()), DataCentre: "north"},
 			ProbeEvery: cmp.Or(cfg.every, probeEvery),
 		},
-		Seeds: list, Store: n.store, Hosts: &n.docs.Hosts, Credentials: insecure.NewCredentials(),
+		Seeds: list, Store: n.store, Hosts: &n.docs.Hosts, Credentials: cfg.creds,
 		SetReader: func(on bool) {
 			n.reader.Store(on)
 			if cfg.onReader != nil {
@@ -84,7 +90,7 @@
 	if err != nil {
 		panic(err)
 	}
-	server := grpc.NewServer(gossip.ServerOptions()...)
+	server := grpc.NewServer(append(gossip.ServerOptions(), grpc.Creds(cfg.creds))...)
 	n.ctl.Register(server)
 	go func() { _ = server.Serve(l) }()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -98,7 +104,7 @@
 const probeEvery = 100 * time.Millisecond
 
 // startFleet starts n nodes that know each other's addresses.
-func startFleet(n int, wrap func(net.Listener) net.Listener, every time.Duration) []*node {
+func startFleet(n int, wrap func(net.Listener) net.Listener, cfg nodeConfig) []*node {
 	listeners, addresses := make([]net.Listener, n), make([]string, n)
 	for i := range n {
 		l, a := listen()
@@ -106,13 +112,13 @@
 	}
 	nodes := make([]*node, n)
 	for i := range n {
-		nodes[i] = startNode(listeners[i], addresses[i], addresses, nodeConfig{every: every})
+		nodes[i] = startNode(listeners[i], addresses[i], addresses, cfg)
 	}
 	return nodes
 }
 
 func fleet(n int) []*node {
-	nodes := startFleet(n, func(l net.Listener) net.Listener { return l }, probeEvery)
+	nodes := startFleet(n, func(l net.Listener) net.Listener { return l }, nodeConfig{})
 	for _, x := range nodes {
 		DeferCleanup(x.stop)
 	}
--- a/internal/controller/gossip/measure_test.go
+++ b/internal/controller/gossip/measure_test.go
@@ -1,7 +1,13 @@
 package gossip_test
 
 import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
+	"math/big"
 	"net"
 	"runtime"
 	"sync/atomic"
@@ -10,6 +16,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"google.golang.org/grpc/credentials"
 )
 
 // counter counts the bytes of TCP payload that pass a listener's connections,
@@ -69,15 +76,23 @@
 	return time.Since(start)
 }
 
-// BenchmarkFleet runs whole nodes over loopback without TLS, with the probes'
-// pace of service, and reports per node: TCP payload sent and received a
+// BenchmarkFleet runs whole nodes over loopback, plain or with mutual TLS, with the
+// probes' pace of service, and reports per node: TCP payload sent and received a
 // second, CPU and memory while nothing changes; bytes of one edit of one row;
 // and the time from an edit at one node until it is in force at all.
 func BenchmarkFleet(b *testing.B) {
-	for _, c := range []struct{ nodes, accounts int }{{8, 10}, {8, 1000}, {8, 11_000}, {32, 10}, {32, 11_000}, {100, 10}, {100, 1000}} {
-		b.Run(fmt.Sprintf("nodes=%d/accounts=%d", c.nodes, c.accounts), func(b *testing.B) {
+	plain, mutual := nodeConfig{every: time.Second}, nodeConfig{every: time.Second, creds: mutualTLS()}
+	for _, c := range []struct {
+		nodes, accounts int
+		name            string
+		cfg             nodeConfig
+	}{
+		{8, 10, "plain", plain}, {8, 10, "tls", mutual}, {8, 1000, "plain", plain}, {8, 11_000, "plain", plain},
+		{32, 10, "plain", plain}, {32, 10, "tls", mutual}, {32, 11_000, "plain", plain}, {100, 10, "plain", plain}, {100, 1000, "plain", plain},
+	} {
+		b.Run(fmt.Sprintf("nodes=%d/accounts=%d/%s", c.nodes, c.accounts, c.name), func(b *testing.B) {
 			for b.Loop() {
-				measure(b, c.nodes, c.accounts)
+				measure(b, c.nodes, c.accounts, c.cfg)
 			}
 		})
 	}
@@ -89,10 +104,10 @@
 	pace  = 250 * time.Millisecond
 )
 
-func measure(b *testing.B, count, accounts int) {
+func measure(b *testing.B, count, accounts int, cfg nodeConfig) {
 	var bytes atomic.Int64
 	before := heap()
-	nodes := startFleet(count, func(l net.Listener) net.Listener { return counter{l, &bytes} }, time.Second)
+	nodes := startFleet(count, func(l net.Listener) net.Listener { return counter{l, &bytes} }, cfg)
 	defer func() {
 		for _, n := range nodes {
 			n.stop()
@@ -132,3 +147,30 @@
 	b.ReportMetric(float64(took.ValueAtQuantile(99))/1000, "edit-p99-ms")
 	b.ReportMetric(float64(took.Max())/1000, "edit-max-ms")
 }
+
+// mutualTLS gives credentials with a certificate that both sides show and
+// check.
+func mutualTLS() credentials.TransportCredentials {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		panic(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		panic(err)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		panic(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return credentials.NewTLS(&tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		RootCAs:      pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	})
+}
