Play a fleet through a stale, dead and restored configuration service

Cause: the single rules were tested apart; here ten nodes with six readers go through edits, stale and down modes, a restore and a replaced host against the service's stand-in. Every accepted edit is in force everywhere, none goes back.

--- a/internal/controller/gossip/gossip_test.go
+++ b/internal/controller/gossip/gossip_test.go
@@ -45,7 +45,11 @@
 	every time.Duration
 	hooks gossip.Hooks
 	// creds secure the connections; plain text without.
-	creds credentials.TransportCredentials
+	creds      credentials.TransportCredentials
+	dataCentre string
+	// watch gives the node a watch of the configuration service, and returns
+	// what sets the watch's role.
+	watch func(*configwatch.Store) func(bool)
 	// onReader is called within a tick, when the node's role is worked out.
 	onReader func(*node)
 }
@@ -70,18 +74,23 @@
 	if n.store, err = configwatch.NewStore(&n.docs, configwatch.StoreConfig{}); err != nil {
 		panic(err)
 	}
+	setReader := func(bool) {}
+	if cfg.watch != nil {
+		setReader = cfg.watch(n.store)
+	}
 	var list []membership.Peer
 	for _, s := range seeds {
 		list = append(list, membership.Peer{Address: s, DataCentre: "north"})
 	}
 	n.ctl, err = gossip.New(gossip.Config{
 		Membership: membership.Config{
-			Self:       membership.Member{Address: address, Incarnation: uint64(time.Now().UnixMilli()), DataCentre: "north"},
+			Self:       membership.Member{Address: address, Incarnation: uint64(time.Now().UnixMilli()), DataCentre: cmp.Or(cfg.dataCentre, "north")},
 			ProbeEvery: cmp.Or(cfg.every, probeEvery),
 		},
 		Seeds: list, Store: n.store, Hosts: &n.docs.Hosts, Credentials: cfg.creds,
 		SetReader: func(on bool) {
 			n.reader.Store(on)
+			setReader(on)
 			if cfg.onReader != nil {
 				cfg.onReader(n)
 			}
