Leave heads out of messages to peers that hold the same

Cause: with 32 nodes an edit cost 5.7 KB a node (plain, sent and received) and an idle node 0.70 KB/s (0.89 with TLS), of which the heads of five documents in each message were about half. Now an eight-byte digest stands for them.

--- a/internal/controller/gossip/calls.go
+++ b/internal/controller/gossip/calls.go
@@ -33,37 +33,34 @@
 	c.mu.Lock()
 	c.core.Acked(c.now(), a.Probe, fromMember(reply.GetFrom()), fromMembers(reply.GetMembers()), reply.GetMemberDigest())
 	c.mu.Unlock()
-	c.takeConfirmed(reply, asked)
-	if c.take(reply) {
+	heads, behind := c.take(reply)
+	if behind {
 		c.pull(ctx, a.To)
 	}
-	c.takeJoin(reply)
+	c.takeConfirmed(reply, heads, asked)
+	c.takeJoin(reply, heads)
 }
 
 // takeConfirmed takes over when the host list was confirmed. The age in an
 // answer counts from a moment after the question was sent, so counting it
 // from the question errs towards the past. The age in a message that comes
 // unasked proves nothing: the message may have lain in a paused process.
-func (c *Controller) takeConfirmed(reply *filbertv1.GossipMessage, asked time.Time) {
+func (c *Controller) takeConfirmed(reply *filbertv1.GossipMessage, heads peerHeads, asked time.Time) {
 	ms := reply.GetHostsConfirmedMs()
-	if ms == 0 {
-		return
-	}
 	// Only a peer with the same list vouches for ours.
-	for _, h := range reply.GetHeads() {
-		if h.GetSection() == string(configwatch.SectionHosts) && fromHead(h) == c.cfg.Store.Head(configwatch.SectionHosts) {
-			c.cfg.Store.Confirmed(asked.Add(-time.Duration(ms) * time.Millisecond))
-		}
+	if ms == 0 || heads == nil || heads[configwatch.SectionHosts].Head != c.cfg.Store.Head(configwatch.SectionHosts) {
+		return
 	}
+	c.cfg.Store.Confirmed(asked.Add(-time.Duration(ms) * time.Millisecond))
 }
 
 // takeJoin notes that all that a ready peer holds is held here too.
-func (c *Controller) takeJoin(reply *filbertv1.GossipMessage) {
-	if !reply.GetReady() {
+func (c *Controller) takeJoin(reply *filbertv1.GossipMessage, heads peerHeads) {
+	if !reply.GetReady() || heads == nil {
 		return
 	}
-	for _, h := range reply.GetHeads() {
-		if fromHead(h).Version.After(c.cfg.Store.Head(configwatch.Section(h.GetSection())).Version) {
+	for s, h := range heads {
+		if h.Version.After(c.cfg.Store.Head(s).Version) {
 			return
 		}
 	}
--- a/internal/controller/gossip/convert.go
+++ b/internal/controller/gossip/convert.go
@@ -47,6 +47,12 @@
 	}
 }
 
+func toPeerHead(s configwatch.Section, h peerHead) *filbertv1.DocumentHead {
+	out := toHead(s, h.Head)
+	out.RefusedEpoch, out.RefusedRevision = h.refused.Epoch, h.refused.Revision
+	return out
+}
+
 func fromPeerHead(h *filbertv1.DocumentHead) peerHead {
 	return peerHead{
 		Head: fromHead(h), refused: rollout.Version{Epoch: h.GetRefusedEpoch(), Revision: h.GetRefusedRevision()},
--- a/internal/controller/gossip/message.go
+++ b/internal/controller/gossip/message.go
@@ -1,8 +1,11 @@
 package gossip
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/controller/configwatch"
 	"filbertdeck/internal/decide/membership"
@@ -22,7 +25,12 @@
 	store := c.cfg.Store
 	msg := &filbertv1.GossipMessage{
 		From: toMember(self), Members: toMembers(updates), MemberDigest: digest,
-		Heads: c.ownHeads(), Ready: store.Ready(),
+		Ready: store.Ready(),
+	}
+	heads := c.ownHeads()
+	msg.HeadsDigest = digestOf(heads)
+	if theirs == nil || digestOf(headsOf(theirs)) != msg.HeadsDigest {
+		msg.Heads = heads
 	}
 	if at := store.ConfirmedAt(); !at.IsZero() {
 		// Rounded up: an age cut to whole milliseconds would make the list
@@ -66,26 +74,33 @@
 func (c *Controller) ownHeads() []*filbertv1.DocumentHead {
 	heads := make([]*filbertv1.DocumentHead, 0, len(configwatch.Sections))
 	for _, s := range configwatch.Sections {
-		head := toHead(s, c.cfg.Store.Head(s))
-		refused := c.cfg.Store.Refused(s).Version
-		head.RefusedEpoch, head.RefusedRevision = refused.Epoch, refused.Revision
-		heads = append(heads, head)
+		heads = append(heads, toPeerHead(s, peerHead{c.cfg.Store.Head(s), c.cfg.Store.Refused(s).Version}))
 	}
 	return heads
 }
 
-// take works in what a peer's message says of documents, and tells whether it
-// announces more than it carries.
-func (c *Controller) take(msg *filbertv1.GossipMessage) bool {
-	heads := peerHeads{}
-	for _, h := range msg.GetHeads() {
-		section := configwatch.Section(h.GetSection())
-		heads[section] = fromPeerHead(h)
-		c.cfg.Store.Announced(section, heads[section].Version)
+// headsOf gives a peer's heads in the order of the sections.
+func headsOf(theirs peerHeads) []*filbertv1.DocumentHead {
+	heads := make([]*filbertv1.DocumentHead, 0, len(configwatch.Sections))
+	for _, s := range configwatch.Sections {
+		heads = append(heads, toPeerHead(s, theirs[s]))
+	}
+	return heads
+}
+
+// take works in what a peer's message says of documents. It gives what the
+// peer holds, nil when the message does not tell, and whether that is more than
+// what it carried.
+func (c *Controller) take(msg *filbertv1.GossipMessage) (heads peerHeads, behind bool) {
+	heads = c.headsIn(msg)
+	if heads != nil {
+		c.mu.Lock()
+		c.heads[msg.GetFrom().GetAddress()] = heads
+		c.mu.Unlock()
+		for s, h := range heads {
+			c.cfg.Store.Announced(s, h.Version)
+		}
 	}
-	c.mu.Lock()
-	c.heads[msg.GetFrom().GetAddress()] = heads
-	c.mu.Unlock()
 	for _, d := range msg.GetDeltas() {
 		c.offer(d)
 	}
@@ -98,7 +113,40 @@
 	if c.cfg.Hooks.TakePoison != nil && len(msg.GetPoison()) > 0 {
 		c.cfg.Hooks.TakePoison(msg.GetPoison())
 	}
-	return c.behind(heads)
+	return heads, c.behind(heads)
+}
+
+// headsIn gives the heads of a message. Where they are left out and the digest
+// is ours, the peer holds what is in force here. Where it is not, one of the
+// two has moved on or started anew; the answer brings the heads.
+func (c *Controller) headsIn(msg *filbertv1.GossipMessage) peerHeads {
+	list := msg.GetHeads()
+	if len(list) == 0 {
+		list = c.ownHeads()
+		if digestOf(list) != msg.GetHeadsDigest() {
+			return nil
+		}
+	}
+	heads := peerHeads{}
+	for _, h := range list {
+		heads[configwatch.Section(h.GetSection())] = fromPeerHead(h)
+	}
+	return heads
+}
+
+// digestOf sums up heads in the order of the sections.
+func digestOf(heads []*filbertv1.DocumentHead) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var buf []byte
+	for _, h := range heads {
+		buf = buf[:0]
+		for _, v := range []uint64{h.GetEpoch(), h.GetRevision(), h.GetDigest(), h.GetRefusedEpoch(), h.GetRefusedRevision()} {
+			buf = binary.LittleEndian.AppendUint64(buf, v)
+		}
+		_, _ = d.Write(buf)
+	}
+	return d.Sum64()
 }
 
 // behind tells whether a peer's documents are newer than those here, other
