Keep ownership for each account, with an index that scales

Cause: a process that owned some accounts all along took itself for the sole owner of one that a new list moved to it, and leased the whole row beside the last owner's leases; found by reading, the tests had one account. Each account has its own tenure now. Ruled out: a tenure from the first demand (each account's first use would wait 5.5 s).

--- a/internal/decide/pools/owner.go
+++ b/internal/decide/pools/owner.go
@@ -18,39 +18,30 @@
 // first: live hosts of the pool's data centre, then live hosts elsewhere, then
 // leaving ones, each group by rendezvous hash. The owner's loss makes the
 // second the owner and changes no other pool.
-func Ranked(pool Pool, hosts []Host) []Host { return rankFor(pool.ID, pool.DataCentre, hosts) }
+func Ranked(pool Pool, hosts []Host) []Host {
+	out, key := slices.Clone(hosts), hash(pool.ID)
+	slices.SortFunc(out, func(a, b Host) int { return compare(key, pool.DataCentre, a, b) })
+	return out
+}
 
 // Owner gives the first of Ranked; ok is false without hosts.
 func Owner(pool Pool, hosts []Host) (owner Host, ok bool) {
-	return firstFor(pool.ID, pool.DataCentre, hosts)
+	return firstFor(hash(pool.ID), pool.DataCentre, hosts)
 }
 
-// AccountOwner gives the control process that leases an account's limits.
+// AccountOwner gives the control process that leases an account's limits. Use
+// Accounts for many of them.
 func AccountOwner(account string, hosts []Host) (owner Host, ok bool) {
-	return firstFor("account/"+account, "", hosts)
+	return firstFor(accountKey(account), "", hosts)
 }
 
-func rankFor(key, dc string, hosts []Host) []Host {
-	out := slices.Clone(hosts)
-	k := hash(key)
-	slices.SortFunc(out, func(a, b Host) int { return compare(k, dc, a, b) })
-	return out
-}
+func accountKey(account string) uint64 { return hash("account/" + account) }
 
-// firstFor finds the first in rank without sorting: at the target size each
-// process does this for thousands of accounts when the list changes.
-func firstFor(key, dc string, hosts []Host) (Host, bool) {
+func firstFor(key uint64, dc string, hosts []Host) (Host, bool) {
 	if len(hosts) == 0 {
 		return Host{}, false
 	}
-	k := hash(key)
-	best := hosts[0]
-	for _, h := range hosts[1:] {
-		if compare(k, dc, h, best) < 0 {
-			best = h
-		}
-	}
-	return best, true
+	return slices.MinFunc(hosts, func(a, b Host) int { return compare(key, dc, a, b) }), true
 }
 
 // compare orders two hosts for a key, the better first.
--- a/internal/decide/pools/pools_test.go
+++ b/internal/decide/pools/pools_test.go
@@ -116,6 +116,32 @@
 	})
 })
 
+// FuzzAccounts changes hosts and accounts at random: the index that looks only
+// at what changed must give the owners that ranking all hosts anew gives.
+func FuzzAccounts(f *testing.F) {
+	f.Add([]byte("abcAdBeCfDgEhFaGbHc"))
+	f.Fuzz(func(t *testing.T, ops []byte) {
+		index, all, names := pools.NewAccounts(), hosts(20), []string{"a", "b", "c"}
+		for i, op := range ops {
+			h := &all[op%20]
+			h.Leaving = op >= 'a'
+			if op%5 == 0 {
+				names = append(names, fmt.Sprint(i))
+				index.SetAccounts(names)
+			}
+			listed := all[:10+op%10]
+			index.SetHosts(listed)
+			for _, name := range names[3:] {
+				got, _ := index.Owner(name)
+				want, _ := pools.AccountOwner(name, listed)
+				if got != want.Control || !slices.Contains(index.Owned(got), name) {
+					t.Fatalf("%s: %s, want %s", name, got, want.Control)
+				}
+			}
+		}
+	})
+}
+
 // views gives n pools in each data centre with news of no backlog.
 func views(n int) (out []pools.View) {
 	for _, dc := range []string{"east", "west"} {
@@ -263,6 +289,20 @@
 	return waits[len(waits)*99/100]
 }
 
+// BenchmarkAccounts replaces one host of 3,300 before 11,000 accounts.
+func BenchmarkAccounts(b *testing.B) {
+	index, all, names := pools.NewAccounts(), hosts(3300), make([]string, 11000)
+	for i := range names {
+		names[i] = fmt.Sprint(i)
+	}
+	index.SetHosts(all)
+	index.SetAccounts(names)
+	for i := range b.N {
+		all[i%3300].Control = fmt.Sprint("new", i)
+		index.SetHosts(all)
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	vs, rnd := views(8), rand.New(rand.NewPCG(1, 1))
 	b.ReportAllocs()
--- a/internal/decide/quota/doc.go
+++ b/internal/decide/quota/doc.go
@@ -104,6 +104,8 @@
 	TokensPerSecond float64
 	// LeaseFor counts from before the demand was sent; 0 means no lease.
 	LeaseFor time.Duration
+	// NotOwner says that another process owns the account.
+	NotOwner bool
 	// RetryAfter is when to ask again.
 	RetryAfter time.Duration
 	// Serial rises with each grant for this account and holder. A holder acts
--- a/internal/decide/quota/owner.go
+++ b/internal/decide/quota/owner.go
@@ -11,17 +11,22 @@
 // Owner leases the limits of the accounts that one process owns. It is not
 // safe for concurrent use. Times count from any fixed start.
 type Owner struct {
-	cfg      Config
-	tenure   ownership.Tenure
-	accounts map[string]*account
-	serial   uint64
+	cfg       Config
+	accounts  map[string]*account
+	revision  uint64
+	listSince time.Duration
+	listed    bool
+	confirmed time.Duration
+	serial    uint64
 }
 
 // serialBits are a serial's lower bits; the list's revision leads, so that the
 // serials of a later owner are higher.
 const serialBits = 32
 
+// account is one that this process owns, since its tenure began.
 type account struct {
+	tenure ownership.Tenure
 	leases map[string]*lease
 }
 
@@ -103,27 +108,50 @@
 	return &Owner{cfg: cfg.withDefaults(), accounts: map[string]*account{}}
 }
 
-// SetOwner says whether the host list of the given revision makes this process
-// an owner of accounts, and restarts its wait when that is new. A process that
-// owns some accounts under one list and others under the next calls Forget for
-// those it lost.
-func (o *Owner) SetOwner(now time.Duration, revision uint64, owner bool) {
-	o.tenure.Set(now, revision, owner)
+// SetOwned says which accounts this process owns by the host list of the given
+// revision (see pools.Accounts). Call it for each list that is read and when
+// accounts come and go. An account that is new to the table is owned since the
+// list was first seen: nobody else has leased it by this list. The leases of an
+// account that another process owns now go on at their holders; the next owner
+// waits them out.
+func (o *Owner) SetOwned(now time.Duration, revision uint64, owned []string) {
+	began := now
+	if revision == o.revision && o.listed {
+		began = o.listSince
+	} else {
+		o.revision, o.listSince, o.listed = revision, now, true
+	}
+	old := o.accounts
+	o.accounts = make(map[string]*account, len(owned))
+	for _, name := range owned {
+		a := old[name]
+		if a == nil {
+			a = &account{leases: map[string]*lease{}}
+			a.tenure.Set(began, revision, true)
+		}
+		a.tenure.Set(now, revision, true)
+		o.accounts[name] = a
+	}
 }
 
 // Confirm says that the host list was the newest at the moment at.
-func (o *Owner) Confirm(at time.Duration) { o.tenure.Confirm(at) }
+func (o *Owner) Confirm(at time.Duration) { o.confirmed = max(o.confirmed, at) }
 
 // Ask takes a demand, which also renews, and leases a part by demand.
 func (o *Owner) Ask(now time.Duration, limits Limits, d Demand) Grant {
-	l, a := o.book(now, d)
-	if !o.tenure.Sole(now, o.cfg.tenure()) {
-		return Grant{Account: d.Account, RetryAfter: max(o.tenure.SoleFrom(o.cfg.tenure())-now, o.cfg.LeaseFor/3)}
+	a := o.accounts[d.Account]
+	if a == nil {
+		return Grant{Account: d.Account, NotOwner: true, RetryAfter: o.cfg.LeaseFor / 3}
+	}
+	l := a.book(now, d, o.cfg.LingerFor)
+	a.tenure.Confirm(o.confirmed)
+	if !a.tenure.Sole(now, o.cfg.tenure()) {
+		return Grant{Account: d.Account, RetryAfter: max(a.tenure.SoleFrom(o.cfg.tenure())-now, o.cfg.LeaseFor/3)}
 	}
 	end := now + o.cfg.LeaseFor + o.cfg.Margin
 	running := math.Floor(a.part(now, float64(limits.Running), l, runningOf))
 	rate := a.part(now, limits.TokensPerSecond, l, rateOf)
-	o.serial = max(o.serial, o.tenure.Revision()<<serialBits) + 1
+	o.serial = max(o.serial, o.revision<<serialBits) + 1
 	l.running.add(issue{o.serial, int(running), end + o.cfg.LeaseFor})
 	l.rate.set(now, l.expires, rate)
 	l.expires = end
@@ -133,13 +161,8 @@
 	}
 }
 
-func (o *Owner) book(now time.Duration, d Demand) (*lease, *account) {
-	a := o.accounts[d.Account]
-	if a == nil {
-		a = &account{leases: map[string]*lease{}}
-		o.accounts[d.Account] = a
-	}
-	a.expire(now, o.cfg.LingerFor)
+func (a *account) book(now time.Duration, d Demand, linger time.Duration) *lease {
+	a.expire(now, linger)
 	l := a.leases[d.Holder]
 	if l == nil {
 		l = &lease{expires: now}
@@ -148,7 +171,7 @@
 	l.demand = d
 	l.running.heard(now, d)
 	l.expires = max(l.expires, now)
-	return l, a
+	return l
 }
 
 // Leased is the sum of what all holders may believe to have of an account.
@@ -166,10 +189,6 @@
 	return sum
 }
 
-// Forget drops an account that another process owns now. Its leases go on at
-// their holders; the next owner waits them out.
-func (o *Owner) Forget(account string) { delete(o.accounts, account) }
-
 // Release ends a holder's leases: it said that it holds and runs nothing.
 func (o *Owner) Release(name, holder string) {
 	if a := o.accounts[name]; a != nil {
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -22,7 +22,7 @@
 // soleOwner is an owner that has waited out its predecessor by ten seconds.
 func soleOwner() *quota.Owner {
 	o := quota.NewOwner(quota.Config{})
-	o.SetOwner(0, 1, true)
+	o.SetOwned(0, 1, []string{"park"})
 	o.Confirm(10 * time.Second)
 	return o
 }
@@ -70,6 +70,12 @@
 		Expect(o.Ask(5*time.Second, row, demand("a", 0, 1)).LeaseFor).To(BeZero())
 		Expect(o.Ask(13*time.Second, row, demand("a", 0, 1)).LeaseFor).To(BeZero())
 		Expect(o.Ask(5*time.Second, row, demand("a", 0, 1)).RetryAfter).To(BeNumerically(">", 0))
+		Expect(o.Ask(now, row, quota.Demand{Account: "new", Holder: "a", Waiting: 1}).NotOwner).To(BeTrue())
+		o.SetOwned(now, 1, []string{"park", "new"})
+		Expect(o.Ask(now, row, quota.Demand{Account: "new", Holder: "a", Waiting: 1}).Running).To(Equal(1), "a new row under an old list")
+		o.SetOwned(now, 2, []string{"park", "third"})
+		Expect(o.Ask(now, row, quota.Demand{Account: "third", Holder: "a", Waiting: 1}).LeaseFor).To(BeZero(), "its last owner's leases run on")
+		Expect(o.Ask(now, row, demand("a", 0, 1)).Running).To(Equal(1), "owned before, owned still")
 	})
 
 	It("leases rates, which a holder can't overdraw for long", func() {
@@ -150,7 +156,11 @@
 	return func() {
 		if w.IntN(40) == 0 {
 			list = w.published
-			o.SetOwner(w.now, uint64(list), list%2 == i)
+			var owned []string
+			if list%2 == i {
+				owned = append(owned, "park")
+			}
+			o.SetOwned(w.now, uint64(list), owned)
 		}
 		if list == w.published && w.IntN(10) == 0 {
 			o.Confirm(w.now)
