Judge a missed host list by the gap of confirmations, not by its number

Cause: the revision that control passes is the store's at the list's last write, which any other edit raises, so nearly every list counted as skipped and each change of hosts restarted every tenure: small cold targets idle for 5 s, quota not leased for 5.5 s.

--- a/internal/decide/ownership/tenure.go
+++ b/internal/decide/ownership/tenure.go
@@ -37,6 +37,8 @@
 const (
 	defaultConfirmFor = 2 * time.Second
 	defaultActFor     = 3 * time.Second
+	// maxGap has to be less than ConfirmFor and ActFor together.
+	maxGap = 2 * time.Second
 )
 
 // Tenure is what the published list says of this process. The zero value is
@@ -50,13 +52,18 @@
 }
 
 // Set says whether the list of the given revision names this process. Call it
-// for each list that is read, also when the answer stays the same. A tenure
-// starts anew when a revision was skipped: another process may have been the
-// owner in it, with an act still on its way. One would notice by a cold target
-// that has one request too many after two quick changes of the list.
+// for each list that is read, also when the answer stays the same, and before
+// that list is confirmed.
+//
+// A tenure starts anew when the list changed and the one before was not
+// confirmed lately: a list in between, that was never read here, may have named
+// another process, with an act still on its way. One would notice by a cold
+// target that has one request too many after two changes of the list. A gap
+// of less than maxGap can't hide such an owner, since it had no time to become
+// sole. Revisions can't tell: other values of the service raise them too.
 func (t *Tenure) Set(now time.Duration, revision uint64, owner bool) {
-	skipped := revision != t.revision && revision != t.revision+1
-	if owner && (!t.owner || skipped) {
+	unseen := revision != t.revision && (!t.ever || now-t.confirmed > maxGap)
+	if owner && (!t.owner || unseen) {
 		t.began = now
 	}
 	t.owner, t.revision = owner, revision
--- a/internal/decide/quota/owner.go
+++ b/internal/decide/quota/owner.go
@@ -129,6 +129,7 @@
 			a = &account{leases: map[string]*lease{}}
 			a.tenure.Set(began, revision, true)
 		}
+		a.tenure.Confirm(o.confirmed)
 		a.tenure.Set(now, revision, true)
 		o.accounts[name] = a
 	}
