Let a confirmation of the host list count for 4 s

Cause: the configuration watch waits for 1 s and counts from its beginning, so a healthy owner's confirmation is up to 2 s old; with 2 s every owner was sole only now and then. A successor now waits 7 s (7.5 s for quota) instead of 5.

--- a/internal/decide/fencing/order.go
+++ b/internal/decide/fencing/order.go
@@ -11,7 +11,7 @@
 // default.
 type Config struct {
 	// ConfirmFor is how long one confirmation of the host list counts. Default
-	// 2 s.
+	// 4 s, see package ownership.
 	ConfirmFor time.Duration
 	// ActFor is how long an order may be under way. Default 5 s, the deadline
 	// of the call that carries it.
@@ -29,7 +29,7 @@
 }
 
 const (
-	defaultConfirmFor = 2 * time.Second
+	defaultConfirmFor = 4 * time.Second
 	defaultActFor     = 5 * time.Second
 	defaultReadAfter  = time.Second
 	defaultReadsInRow = 3
--- a/internal/decide/ownership/tenure.go
+++ b/internal/decide/ownership/tenure.go
@@ -27,7 +27,10 @@
 // default.
 type Config struct {
 	// ConfirmFor is how long one confirmation of the host list counts. Default
-	// 2 s: two rounds of gossip at one a second.
+	// 4 s: a watch that waits for one second and is counted from its beginning
+	// is up to two seconds old when the next one is answered; twice that rides
+	// out one lost answer. A longer time keeps an owner through more, and lets
+	// its successor wait longer.
 	ConfirmFor time.Duration
 	// ActFor is how long an owner's act may take effect after it was decided:
 	// the life of a lease. Default 3 s.
@@ -35,10 +38,10 @@
 }
 
 const (
-	defaultConfirmFor = 2 * time.Second
+	defaultConfirmFor = 4 * time.Second
 	defaultActFor     = 3 * time.Second
 	// maxGap has to be less than ConfirmFor and ActFor together.
-	maxGap = 2 * time.Second
+	maxGap = defaultConfirmFor
 )
 
 // Tenure is what the published list says of this process. The zero value is
--- a/internal/decide/quota/doc.go
+++ b/internal/decide/quota/doc.go
@@ -48,7 +48,7 @@
 	// clocks of the two that run at rates apart by less than a tenth.
 	Margin time.Duration
 	// ConfirmFor is how long one confirmation of the host list counts. Default
-	// 2 s.
+	// 4 s, see package ownership.
 	ConfirmFor time.Duration
 	// LingerFor is how long the owner counts what a silent holder had in
 	// progress. Default 60 s, most generations of the users' reports.
@@ -60,7 +60,7 @@
 const (
 	defaultLeaseFor   = 3 * time.Second
 	defaultMargin     = 500 * time.Millisecond
-	defaultConfirmFor = 2 * time.Second
+	defaultConfirmFor = 4 * time.Second
 	defaultLingerFor  = 60 * time.Second
 	defaultRateBurst  = time.Second
 )
--- a/internal/decide/slowstart/config.go
+++ b/internal/decide/slowstart/config.go
@@ -18,7 +18,7 @@
 	// can reach the target until it ends. Default 3 s.
 	LeaseFor time.Duration
 	// ConfirmFor is how long one confirmation of the host list counts. Default
-	// 2 s: two rounds of gossip at one a second.
+	// 4 s, see package ownership.
 	ConfirmFor time.Duration
 	// Claimants bounds the processes that may believe at the same time that
 	// they own the pool. Default 3: the users have three data centres, and a
@@ -44,7 +44,7 @@
 const (
 	defaultFreshFor   = 2 * time.Second
 	defaultLeaseFor   = 3 * time.Second
-	defaultConfirmFor = 2 * time.Second
+	defaultConfirmFor = 4 * time.Second
 	defaultClaimants  = 3
 	defaultWarmBears  = 16
 	defaultSettleFor  = 5 * time.Second
