--- a/internal/decide/ownership/tenure.go
+++ b/internal/decide/ownership/tenure.go
@@ -98,6 +98,6 @@
 
 // Sole tells whether this process is the only one that acts as owner now.
 func (t *Tenure) Sole(now time.Duration, cfg Config) bool {
-	confirmed := t.ever && t.confirmed >= t.began && now-t.confirmed <= cmp.Or(cfg.ConfirmFor, defaultConfirmFor)
+	confirmed := t.ever && now-t.confirmed <= cmp.Or(cfg.ConfirmFor, defaultConfirmFor)
 	return t.owner && confirmed && now > t.SoleFrom(cfg)
 }
