--- a/internal/controller/configwatch/store.go
+++ b/internal/controller/configwatch/store.go
@@ -32,14 +32,23 @@
 	service   ServiceState
 	join      *rollout.Join
 	ready     bool
+	asked     bool
 	peers     int
 	changed   chan struct{}
 	out       writers
+
+	history *rollout.History
+	// overlays were worked out here at a recognised restore; they count for
+	// overlayEpoch until the document of kept rows is in force in it.
+	overlays     map[string]rollout.Overlay
+	overlayEpoch uint64
 }
 
 type document struct {
 	*rollout.Document
 	since time.Time
+	// announced is the newest version that a peer is known to hold.
+	announced rollout.Version
 }
 
 type writers struct {
@@ -76,6 +85,7 @@
 		log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now, start: cfg.Now(),
 		docs: map[Section]*document{}, hosts: map[string]platform.Host{},
 		targets: map[string]platform.Target{}, join: rollout.NewJoin(0), out: out,
+		history: rollout.NewHistory(),
 	}
 	for _, name := range Sections {
 		s.docs[name] = &document{Document: rollout.NewDocument()}
@@ -118,6 +128,10 @@
 	}
 	doc.Commit(delta, changed)
 	doc.since = s.now()
+	if s.docs[SectionKept].Len() == 0 {
+		// Rows in force are the service's rows as they are.
+		s.history.Record(string(name), delta.Head)
+	}
 	s.metrics.GetOrRegister("rollout."+string(name)+".taken", metrics.NewCounter).(metrics.Counter).Inc(1)
 	s.log.Info("revision in force", "document", name, "version", delta.Version.String(), "rows_changed", len(changed))
 	s.publish(name)
@@ -150,10 +164,11 @@
 	for i, r := range changed {
 		changes[i] = table.Change(r)
 	}
-	next, faults := base.Apply(delta.Version.Epoch, delta.Version.Revision, changes)
+	next, faults := base.Apply(delta.Version.Operators(), delta.Version.Revision, changes)
 	if err := faults.Err(); err != nil {
 		return err
 	}
+	next.Restores = delta.Version.Restores()
 	s.table = next
 	return nil
 }
@@ -203,14 +218,22 @@
 func (s *Store) Head(name Section) rollout.Head {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.docs[name].Head()
+	doc, ok := s.docs[name]
+	if !ok {
+		return rollout.Head{}
+	}
+	return doc.Head()
 }
 
 // Refused gives the newest refusal of a document.
 func (s *Store) Refused(name Section) rollout.Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.docs[name].Refused()
+	doc, ok := s.docs[name]
+	if !ok {
+		return rollout.Refusal{}
+	}
+	return doc.Refused()
 }
 
 // Since gives what a peer at version from lacks of a document.
@@ -224,6 +247,9 @@
 	return doc.Since(from)
 }
 
+// All gives a whole document.
+func (s *Store) All(name Section) rollout.Delta { return s.Since(name, rollout.Version{}) }
+
 // Confirmed notes that the service held the host list in force at a time; an
 // earlier time than the one known is no news.
 func (s *Store) Confirmed(at time.Time) {
@@ -252,18 +278,41 @@
 	s.peers = n
 }
 
+// Announced notes that a peer holds a version.
+func (s *Store) Announced(name Section, v rollout.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if doc, ok := s.docs[name]; ok && v.After(doc.announced) {
+		doc.announced = v
+	}
+}
+
+// lacks tells whether a peer holds a version newer than the one in force here
+// that was not refused here.
+func (s *Store) lacks() bool {
+	for _, doc := range s.docs {
+		if doc.announced.After(doc.Head().Version) && doc.announced != doc.Refused().Version {
+			return true
+		}
+	}
+	return false
+}
+
 // PeerTaken notes that everything that a ready peer holds was taken over.
 func (s *Store) PeerTaken(address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.join.Peer(address)
+	if s.join.Peer(address); s.join.Confirmed() && !s.asked {
+		s.asked = true
+		s.publishState()
+	}
 }
 
 // Ready tells whether this process may serve with the table in force.
 func (s *Store) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.ready && s.join.Ready(s.now().Sub(s.start), s.peers, s.table != nil) {
+	if !s.ready && s.join.Ready(s.now().Sub(s.start), s.peers, s.table != nil, s.lacks()) {
 		s.ready = true
 		s.log.Info("ready", "peers_asked", s.join.Confirmed())
 		s.publishState()
@@ -295,11 +344,14 @@
 func (s *Store) behind(seen *reading) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if seen.revision < s.newestIn(s.epochFor(seen.epoch)) {
+		return true
+	}
 	for _, name := range Sections {
-		ours, theirs := s.docs[name].Head(), seen.heads[name]
-		if ours.Version.Epoch == seen.epoch && ours.Version.Revision > seen.revision {
-			return true
+		if name == SectionKept {
+			continue
 		}
+		ours, theirs := s.docs[name].Head(), seen.heads[name]
 		if ours.Version.After(theirs.Version) && ours.Digest != theirs.Digest {
 			return true
 		}
--- /dev/null
+++ b/internal/decide/quota/owner.go
@@ -0,0 +1,244 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"filbertdeck/internal/decide/ownership"
+)
+
+// Owner leases the limits of the accounts that one process owns. It is not
+// safe for concurrent use. Times count from any fixed start.
+type Owner struct {
+	cfg      Config
+	tenure   ownership.Tenure
+	accounts map[string]*account
+	serial   uint64
+}
+
+// serialBits are a serial's lower bits; the list's revision leads, so that the
+// serials of a later owner are higher.
+const serialBits = 32
+
+type account struct {
+	leases map[string]*lease
+}
+
+// lease is what one holder has and wants.
+type lease struct {
+	demand  Demand
+	running issued
+	rate    held
+	expires time.Duration
+}
+
+// issued is the grants of running requests that a holder may have received.
+type issued struct {
+	grants []issue
+	last   uint64
+	// inUse is what the holder had in progress by its last demand.
+	inUse int
+}
+
+type issue struct {
+	serial  uint64
+	running int
+	// over is when even a demand that was sent before the grant's end, and was
+	// late, has arrived: what was started by the grant shows in demands.
+	over time.Duration
+}
+
+// heard drops the grants before the one that the holder acts on, and those that
+// are over. A serial that was never given here is another owner's, and says
+// nothing.
+func (g *issued) heard(now time.Duration, d Demand) {
+	g.inUse = d.Running
+	known := d.Known
+	if known > g.last {
+		known = 0
+	}
+	g.grants = slices.DeleteFunc(g.grants, func(i issue) bool { return i.serial < known || i.over <= now })
+}
+
+func (g *issued) add(i issue) {
+	g.grants = append(g.grants, i)
+	g.last = i.serial
+}
+
+// most is the largest number that the holder may have in progress.
+func (g *issued) most() float64 {
+	most := g.inUse
+	for _, i := range g.grants {
+		most = max(most, i.running)
+	}
+	return float64(most)
+}
+
+// held is the largest rate that a holder may still believe to have. A smaller
+// lease may not reach it, so the larger one counts until its own end.
+type held struct {
+	now       float64
+	before    float64
+	beforeEnd time.Duration
+}
+
+func (h *held) set(now, oldEnd time.Duration, amount float64) {
+	if past := h.at(now); past > amount {
+		h.before = past
+		h.beforeEnd = max(h.beforeEnd, oldEnd)
+	}
+	h.now = amount
+}
+
+func (h *held) at(now time.Duration) float64 {
+	if now < h.beforeEnd {
+		return max(h.now, h.before)
+	}
+	return h.now
+}
+
+// NewOwner returns an owner of nothing.
+func NewOwner(cfg Config) *Owner {
+	return &Owner{cfg: cfg.withDefaults(), accounts: map[string]*account{}}
+}
+
+// SetOwner says whether the host list of the given revision makes this process
+// an owner of accounts, and restarts its wait when that is new. A process that
+// owns some accounts under one list and others under the next calls Forget for
+// those it lost.
+func (o *Owner) SetOwner(now time.Duration, revision uint64, owner bool) {
+	o.tenure.Set(now, revision, owner)
+}
+
+// Confirm says that the host list was the newest at the moment at.
+func (o *Owner) Confirm(at time.Duration) { o.tenure.Confirm(at) }
+
+// Ask takes a demand, which also renews, and leases a part by demand.
+func (o *Owner) Ask(now time.Duration, limits Limits, d Demand) Grant {
+	l, a := o.book(now, d)
+	if !o.tenure.Sole(now, o.cfg.tenure()) {
+		return Grant{Account: d.Account, RetryAfter: max(o.tenure.SoleFrom(o.cfg.tenure())-now, o.cfg.LeaseFor/3)}
+	}
+	end := now + o.cfg.LeaseFor + o.cfg.Margin
+	running := math.Floor(a.part(now, float64(limits.Running), l, runningOf))
+	rate := a.part(now, limits.TokensPerSecond, l, rateOf)
+	o.serial = max(o.serial, o.tenure.Revision()<<serialBits) + 1
+	l.running.add(issue{o.serial, int(running), end + o.cfg.LeaseFor})
+	l.rate.set(now, l.expires, rate)
+	l.expires = end
+	return Grant{
+		Account: d.Account, Running: int(running), TokensPerSecond: rate,
+		LeaseFor: o.cfg.LeaseFor, RetryAfter: o.cfg.LeaseFor / 3, Serial: o.serial,
+	}
+}
+
+func (o *Owner) book(now time.Duration, d Demand) (*lease, *account) {
+	a := o.accounts[d.Account]
+	if a == nil {
+		a = &account{leases: map[string]*lease{}}
+		o.accounts[d.Account] = a
+	}
+	a.expire(now, o.cfg.LingerFor)
+	l := a.leases[d.Holder]
+	if l == nil {
+		l = &lease{expires: now}
+		a.leases[d.Holder] = l
+	}
+	l.demand = d
+	l.running.heard(now, d)
+	l.expires = max(l.expires, now)
+	return l, a
+}
+
+// Leased is the sum of what all holders may believe to have of an account.
+func (o *Owner) Leased(now time.Duration, name string) Limits {
+	a := o.accounts[name]
+	if a == nil {
+		return Limits{}
+	}
+	a.expire(now, o.cfg.LingerFor)
+	var sum Limits
+	for _, l := range a.leases {
+		sum.Running += int(l.running.most())
+		sum.TokensPerSecond += l.rate.at(now)
+	}
+	return sum
+}
+
+// Forget drops an account that another process owns now. Its leases go on at
+// their holders; the next owner waits them out.
+func (o *Owner) Forget(account string) { delete(o.accounts, account) }
+
+// Release ends a holder's leases: it said that it holds and runs nothing.
+func (o *Owner) Release(name, holder string) {
+	if a := o.accounts[name]; a != nil {
+		delete(a.leases, holder)
+	}
+}
+
+// expire ends the leases of silent holders. What they may have in progress
+// still counts, and is forgotten in the end.
+func (a *account) expire(now, linger time.Duration) {
+	for holder, l := range a.leases {
+		if now < l.expires {
+			continue
+		}
+		l.demand.Waiting, l.demand.TokensPerSecond = 0, 0
+		l.rate = held{}
+		if now >= l.expires+linger {
+			delete(a.leases, holder)
+		}
+	}
+}
+
+// kind picks one of the two limits of a lease: what the holder wants, and what
+// it may have.
+type kind func(l *lease, now time.Duration) (wanted, held float64)
+
+func runningOf(l *lease, _ time.Duration) (float64, float64) {
+	return float64(l.demand.Running + l.demand.Waiting), l.running.most()
+}
+
+func rateOf(l *lease, now time.Duration) (float64, float64) {
+	return l.demand.TokensPerSecond, l.rate.at(now)
+}
+
+// part is what a holder gets: its max-min fair part of the limit by demand, and
+// no more than the others leave.
+func (a *account) part(now time.Duration, limit float64, own *lease, of kind) float64 {
+	free := limit
+	for _, l := range a.leases {
+		if l != own {
+			_, held := of(l, now)
+			free -= held
+		}
+	}
+	wanted, _ := of(own, now)
+	return max(0, min(free, wanted, a.fair(now, limit, of)))
+}
+
+// fair is the level up to which demands are met when the limit is filled evenly
+// among them.
+func (a *account) fair(now time.Duration, limit float64, of kind) float64 {
+	level := 0.0
+	for range len(a.leases) + 1 {
+		open, left := 0, limit
+		for _, l := range a.leases {
+			if wanted, _ := of(l, now); wanted > level {
+				open++
+			} else {
+				left -= wanted
+			}
+		}
+		if open == 0 {
+			return limit
+		}
+		next := left / float64(open)
+		if next <= level {
+			return level
+		}
+		level = next
+	}
+	return level
+}
