--- a/test/faults/matrix_test.go
+++ b/test/faults/matrix_test.go
@@ -412,7 +412,7 @@
 			_, bad := play(n, k, &trigger{step: s, strike: f.strike})
 			Expect(bad.broken[promise]).NotTo(BeEmpty(), checks[promise].promise)
 		},
-		Entry("starts over after delivered tokens", 0, naive{restart: true}, "kill the target", kindStream, stepMiddle),
+		Entry("starts over after delivered tokens", 0, naive{restart: true}, "cut entry-target", kindStream, stepMiddle),
 		Entry("fills a cold target", 1, naive{noSlowStart: true}, "kill the target", kindStream, stepAccepted),
 		Entry("goes on in a drained data centre", 2, naive{ignoreDrain: true}, "kill the entry", kindStream, stepAccepted),
 		Entry("passes crossed frames", 3, naive{unchecked: true}, "crossed frames", kindStream, stepMiddle),
--- a/test/faults/serve_test.go
+++ b/test/faults/serve_test.go
@@ -177,6 +177,11 @@
 		r.complete()
 		return
 	}
+	if r.h.w.naive.restart { // a broken connection is a failed request: run it again
+		r.h.settle(r.lease, admission.OutcomeTargetFailed)
+		r.again(r.order.Lost(nil))
+		return
+	}
 	if !r.order.Reopen() {
 		r.generationLost()
 		return
