Mend the fault driver: a lost connection was taken for lost twice

Cause: after a new connection was on its way the old one's watch could end the generation a second time; its lease was then renewed for good. The allocator was right to wait for it. Conclusion: the leak was the driver's.

--- a/test/faults/serve_test.go
+++ b/test/faults/serve_test.go
@@ -164,7 +164,14 @@
 func (r *run) reconnect() {
 	r.connect(func(c *conn) {
 		id, offset := r.order.Generation(), r.order.Next()
-		c.send(1, func() { r.target.resume(id, offset, c, r.generationLost) })
+		c.send(1, func() {
+			r.target.resume(id, offset, c, func() {
+				if r.conn == c {
+					c.close(0)
+					r.generationLost()
+				}
+			})
+		})
 	})
 }
 
@@ -173,6 +180,7 @@
 		return
 	}
 	c.close(0)
+	r.conn = nil
 	if r.order.Conclude() {
 		r.complete()
 		return
@@ -197,6 +205,7 @@
 	if r.s.over {
 		return
 	}
+	r.conn = nil
 	outcome := admission.OutcomeTargetCrashed
 	if !r.begun {
 		outcome = admission.OutcomeNotRun
