Give each target to one pool, whatever services share it

Ruled out: the slow start rule itself (one service on the engines: none over). Also: the return of a data centre is followed when the table comes after the pools, and a crash that brings more suspects is not dropped.

--- a/internal/control/admin/admin.go
+++ b/internal/control/admin/admin.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 
 	"github.com/gorilla/mux"
 
@@ -62,7 +63,7 @@
 	var status adminapi.TargetStatus
 	found := false
 	for _, owned := range s.owned() {
-		if owned.plan.Service != service {
+		if !slices.Contains(owned.plan.Services, service) {
 			continue
 		}
 		for _, t := range owned.snapshot.Targets {
--- a/internal/control/news/news.go
+++ b/internal/control/news/news.go
@@ -185,7 +185,7 @@
 	fresh := make([]poison.Crash, 0, len(list))
 	b.mu.Lock()
 	for _, n := range list {
-		if _, known := b.crashes[n.Id]; known {
+		if known, ok := b.crashes[n.Id]; ok && len(known.news.Fingerprints) >= len(n.Fingerprints) {
 			continue
 		}
 		age := time.Duration(n.AgeMs) * time.Millisecond
--- a/internal/control/pools/manager.go
+++ b/internal/control/pools/manager.go
@@ -132,7 +132,7 @@
 			continue
 		}
 		wanted[p.ID] = true
-		m.apply(ctx, p, rank == 0, t.Services[p.Service], shares)
+		m.apply(ctx, p, rank == 0, shares)
 	}
 	for name, r := range m.running {
 		if !wanted[name] {
@@ -141,10 +141,10 @@
 	}
 }
 
-func (m *Manager) apply(ctx context.Context, p Plan, owner bool, service *table.Service, shares []admission.Share) {
+func (m *Manager) apply(ctx context.Context, p Plan, owner bool, shares []admission.Share) {
 	r, ok := m.running[p.ID]
 	if !ok {
-		cfg := admission.Config{Seed: rand.Uint64(), QueueLimit: service.QueueLimit}
+		cfg := admission.Config{Seed: rand.Uint64(), QueueLimit: p.QueueLimit}
 		r = &running{runner: pool.NewRunner(p.ID, cfg, m.deliver), pollers: map[string]context.CancelFunc{}}
 		m.running[p.ID] = r
 		m.log.Info("pool taken up", "pool", p.ID, "owner", owner)
--- a/internal/control/pools/plan.go
+++ b/internal/control/pools/plan.go
@@ -19,8 +19,12 @@
 // Plan is one pool as every process computes it from what is published.
 type Plan struct {
 	decide.Pool
+	// Services are those that the pool's targets serve.
+	Services []string
 	// Generation tells model engines from plain services.
 	Generation bool
+	// QueueLimit bounds the asks that wait, of all its services together.
+	QueueLimit int
 	// Owners are control addresses in the order of their rank by the published
 	// list alone.
 	Owners []string
@@ -30,21 +34,17 @@
 	Drained bool
 }
 
-// Plans computes the pools.
+// Plans computes the pools. Services that share targets share pools: with an
+// allocator for each service, every one of them would give a cold target the
+// one request that it bears.
 func Plans(t *table.Table, hosts []platform.Host) []Plan {
 	ranked := hostsOf(hosts)
 	var plans []Plan
-	for _, s := range t.Services {
-		leaving := map[string]bool{}
-		targets := make([]decide.Target, 0, len(s.Targets))
-		for _, target := range s.Targets {
-			targets = append(targets, decide.Target{Address: target.Address, DataCentre: target.DataCentre})
-			leaving[target.Address] = target.Leaving || t.Drained[target.DataCentre]
-		}
-		for _, pool := range decide.Partition(s.Name, targets) {
+	for _, g := range groups(t) {
+		for _, pool := range decide.Partition(g.name(), g.targets) {
 			plans = append(plans, Plan{
-				Pool: pool, Generation: s.Type == table.ServiceGeneration, Owners: owners(pool, ranked),
-				Backends: backends(pool, leaving), Drained: t.Drained[pool.DataCentre],
+				Pool: pool, Services: g.services, Generation: g.generation, QueueLimit: g.queueLimit,
+				Owners: owners(pool, ranked), Backends: backends(pool, g.leaving), Drained: t.Drained[pool.DataCentre],
 			})
 		}
 	}
--- a/internal/control/state/service.go
+++ b/internal/control/state/service.go
@@ -157,7 +157,7 @@
 	var list []*filbertv1.Pool
 	for _, p := range s.Pools.Plans() {
 		wire := &filbertv1.Pool{
-			Name: p.ID, Service: p.Service, DataCentre: p.DataCentre, Owners: s.reachable(p.Owners), Targets: p.Targets,
+			Name: p.ID, Services: p.Services, DataCentre: p.DataCentre, Owners: s.reachable(p.Owners), Targets: p.Targets,
 			Drained: p.Drained,
 		}
 		if backlog, ok := s.Backlog(p.ID); ok {
@@ -197,5 +197,5 @@
 
 func samePool(a, b *filbertv1.Pool) bool {
 	return a.Name == b.Name && a.BacklogMs == b.BacklogMs && a.BacklogKnown == b.BacklogKnown && a.Drained == b.Drained &&
-		slices.Equal(a.Owners, b.Owners) && slices.Equal(a.Targets, b.Targets)
+		slices.Equal(a.Services, b.Services) && slices.Equal(a.Owners, b.Owners) && slices.Equal(a.Targets, b.Targets)
 }
--- a/internal/entry/state/board.go
+++ b/internal/entry/state/board.go
@@ -75,10 +75,12 @@
 		ByTarget:  map[TargetKey]*filbertv1.Pool{},
 	}
 	for _, pool := range list {
-		p.ByService[pool.Service] = append(p.ByService[pool.Service], pool)
 		p.ByName[pool.Name] = pool
-		for _, target := range pool.Targets {
-			p.ByTarget[TargetKey{pool.Service, target}] = pool
+		for _, service := range pool.Services {
+			p.ByService[service] = append(p.ByService[service], pool)
+			for _, target := range pool.Targets {
+				p.ByTarget[TargetKey{service, target}] = pool
+			}
 		}
 	}
 	return p
--- a/internal/entry/state/pick.go
+++ b/internal/entry/state/pick.go
@@ -10,6 +10,7 @@
 	"filbertdeck/internal/decide/drain"
 	decide "filbertdeck/internal/decide/pools"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/table"
 )
 
 // retryNoPool is told to callers of a service without a target.
@@ -47,6 +48,7 @@
 // viewSet is one immutable state of all services' pools.
 type viewSet struct {
 	pools     *Pools
+	table     *table.Table
 	byService map[string][]decide.View
 	sent      map[string]*atomic.Int64
 }
@@ -117,35 +119,43 @@
 
 // current gives the views, made anew when the blackboard has changed.
 func (p *Picker) current() *viewSet {
-	pools, set := p.board.Pools.Get(), p.views.Load()
-	if pools == nil || (set != nil && set.pools == pools) {
+	pools, t, set := p.board.Pools.Get(), p.board.Table.Get(), p.views.Load()
+	if pools == nil || (set != nil && set.pools == pools && set.table == t) {
 		return set
 	}
-	next := p.build(pools, set)
+	next := p.build(pools, t, set)
 	p.views.Store(next)
 	return next
 }
 
 // build keeps the counts of pools that stay.
-func (p *Picker) build(pools *Pools, old *viewSet) *viewSet {
-	p.followDrain()
-	next := &viewSet{pools: pools, byService: map[string][]decide.View{}, sent: map[string]*atomic.Int64{}}
+func (p *Picker) build(pools *Pools, t *table.Table, old *viewSet) *viewSet {
+	p.followDrain(t)
+	next := &viewSet{pools: pools, table: t, byService: map[string][]decide.View{}, sent: map[string]*atomic.Int64{}}
 	for service, list := range pools.ByService {
 		for _, pool := range p.subset(list) {
 			next.byService[service] = append(next.byService[service], viewOf(pool))
-			next.sent[pool.Name] = &atomic.Int64{}
-			if old != nil && old.sent[pool.Name] != nil {
-				next.sent[pool.Name] = old.sent[pool.Name]
-			}
+			next.sent[pool.Name] = counterOf(next, old, pool.Name)
 		}
 	}
 	return next
 }
 
+// counterOf keeps the count of a pool that stays, and of one that another of
+// its services brought in already.
+func counterOf(next, old *viewSet, pool string) *atomic.Int64 {
+	if c := next.sent[pool]; c != nil {
+		return c
+	}
+	if old != nil && old.sent[pool] != nil {
+		return old.sent[pool]
+	}
+	return &atomic.Int64{}
+}
+
 // followDrain notes which data centres are out, and starts the ramp of those
 // that come back.
-func (p *Picker) followDrain() {
-	t := p.board.Table.Get()
+func (p *Picker) followDrain(t *table.Table) {
 	if t == nil {
 		return
 	}
--- a/test/faults/host_test.go
+++ b/test/faults/host_test.go
@@ -302,7 +302,7 @@
 	type choice struct{ pool, owner string }
 	var choices []choice
 	for _, p := range h.plans() {
-		if p.Service != service || p.Drained || !slices.ContainsFunc(p.Backends, func(t admission.Target) bool { return !t.Leaving && !slices.Contains(avoid, t.Address) }) {
+		if !slices.Contains(p.Services, service) || p.Drained || !slices.ContainsFunc(p.Backends, func(t admission.Target) bool { return !t.Leaving && !slices.Contains(avoid, t.Address) }) {
 			continue
 		}
 		for _, owner := range p.Owners {
@@ -311,7 +311,7 @@
 	}
 	slices.SortStableFunc(choices, func(a, b choice) int {
 		near := func(c choice) int {
-			if strings.HasPrefix(c.pool, service+"/"+h.centre) {
+			if strings.Contains(c.pool, "/"+h.centre+"/") {
 				return 0
 			}
 			return 1
