--- a/internal/control/pools/group.go
+++ b/internal/control/pools/group.go
@@ -47,6 +47,7 @@
 	for _, g := range all {
 		slices.Sort(g.services)
 	}
+	slices.SortFunc(all, func(a, b *group) int { return strings.Compare(a.name(), b.name()) })
 	return all
 }
 
