State the drain list anew when operators raise the epoch

Cause: after a recognised restore and a raised epoch a data centre stayed drained that the service no longer named: its list was taken for the old lineage's, and a list that is not there was no statement at all. The test fails before and passes after. The platform's lists of hosts and targets are left as they are then, since a restored service's are older than those in force.

--- a/internal/controller/configwatch/lineage.go
+++ b/internal/controller/configwatch/lineage.go
@@ -1,6 +1,8 @@
 package configwatch
 
 import (
+	"slices"
+
 	"github.com/rcrowley/go-metrics"
 
 	"filbertdeck/internal/decide/rollout"
@@ -17,15 +19,19 @@
 func (s *Store) place(seen *reading, obs observation) []placed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	epoch := s.epochFor(obs.delta.Version.Epoch)
+	operators := obs.delta.Version.Epoch
+	epoch := s.epochFor(operators)
 	obs.delta.Version.Epoch = epoch
 	if obs.fault != nil {
 		return []placed{{obs.section, obs.delta}}
 	}
 	raw := obs.delta.Head
 	lineage, known := s.history.Lineage(string(obs.section), raw)
-	if known && lineage < epoch {
-		// A replica that still shows the lineage from before a restore.
+	restated := slices.Contains(protected, obs.section) && rollout.Version{Epoch: lineage}.Operators() < operators
+	if known && lineage < epoch && !restated {
+		// A replica that still shows the lineage from before a restore. What
+		// operators keep is stated anew by raising the epoch; the platform's
+		// lists are not, a restored service's are older than those in force.
 		obs.delta.Version.Epoch = lineage
 		return []placed{{obs.section, obs.delta}}
 	}
--- a/internal/controller/configwatch/reading.go
+++ b/internal/controller/configwatch/reading.go
@@ -147,7 +147,9 @@
 // observeList gives a document other than the table; its epoch is the table's.
 func (r *reading) observeList(section Section) (observation, bool) {
 	v, ok := r.values[string(section)]
-	if !ok && r.removed[section] == 0 {
+	if !ok && r.removed[section] == 0 && (section != SectionDrain || r.epoch == 0) {
+		// Nothing was said. Only under an epoch of the operators does a drain
+		// list that is not there mean that nothing is drained.
 		return observation{}, false
 	}
 	obs := observation{section: section}
--- a/internal/controller/configwatch/restore_test.go
+++ b/internal/controller/configwatch/restore_test.go
@@ -120,6 +120,7 @@
 		r.step()
 		Expect(r.weights()).To(Equal(weights{"clinic": 1, "radio": 4}))
 		Expect(r.store.Since(configwatch.SectionKept, rollout.Version{}).Rows).To(BeEmpty())
+		Expect(r.board.Table.Get().Drained).To(BeEmpty(), "the drain list goes by the service as well")
 	})
 
 	// A replica of the service lags and replays old edits one by one. It looks
