--- a/internal/controller/gossip/message.go
+++ b/internal/controller/gossip/message.go
@@ -29,8 +29,10 @@
 	}
 	heads := c.ownHeads()
 	msg.HeadsDigest = digestOf(heads)
-	if theirs == nil || digestOf(headsOf(theirs)) != msg.HeadsDigest {
-		msg.Heads = heads
+	for _, h := range heads {
+		if theirs == nil || fromPeerHead(h) != theirs[configwatch.Section(h.GetSection())] {
+			msg.Heads = append(msg.Heads, h)
+		}
 	}
 	if at := store.ConfirmedAt(); !at.IsZero() {
 		// Rounded up: an age cut to whole milliseconds would make the list
@@ -79,27 +81,14 @@
 	return heads
 }
 
-// headsOf gives a peer's heads in the order of the sections.
-func headsOf(theirs peerHeads) []*filbertv1.DocumentHead {
-	heads := make([]*filbertv1.DocumentHead, 0, len(configwatch.Sections))
-	for _, s := range configwatch.Sections {
-		heads = append(heads, toPeerHead(s, theirs[s]))
-	}
-	return heads
-}
-
 // take works in what a peer's message says of documents. It gives what the
-// peer holds, nil when the message does not tell, and whether that is more than
-// what it carried.
-func (c *Controller) take(msg *filbertv1.GossipMessage) (heads peerHeads, behind bool) {
-	heads = c.headsIn(msg)
-	if heads != nil {
-		c.mu.Lock()
-		c.heads[msg.GetFrom().GetAddress()] = heads
-		c.mu.Unlock()
-		for s, h := range heads {
-			c.cfg.Store.Announced(s, h.Version)
-		}
+// peer holds, nil when the message does not tell all of it, and whether it
+// announces more than it carries.
+func (c *Controller) take(msg *filbertv1.GossipMessage) (held peerHeads, behind bool) {
+	stated, held := c.headsIn(msg)
+	c.remember(msg.GetFrom().GetAddress(), held)
+	for s, h := range stated {
+		c.cfg.Store.Announced(s, h.Version)
 	}
 	for _, d := range msg.GetDeltas() {
 		c.offer(d)
@@ -113,25 +102,43 @@
 	if c.cfg.Hooks.TakePoison != nil && len(msg.GetPoison()) > 0 {
 		c.cfg.Hooks.TakePoison(msg.GetPoison())
 	}
-	return heads, c.behind(heads)
+	return held, c.behind(stated)
 }
 
-// headsIn gives the heads of a message. Where they are left out and the digest
-// is ours, the peer holds what is in force here. Where it is not, one of the
-// two has moved on or started anew; the answer brings the heads.
-func (c *Controller) headsIn(msg *filbertv1.GossipMessage) peerHeads {
-	list := msg.GetHeads()
-	if len(list) == 0 {
-		list = c.ownHeads()
-		if digestOf(list) != msg.GetHeadsDigest() {
-			return nil
+// remember keeps what a peer holds. Of a peer whose message does not tell all,
+// nothing is kept: the next message to it then states all heads, so that two
+// processes with wrong beliefs of each other find out.
+func (c *Controller) remember(peer string, held peerHeads) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held == nil {
+		delete(c.heads, peer)
+		return
+	}
+	c.heads[peer] = held
+}
+
+// headsIn gives the heads that a message states, and all that the peer holds:
+// those stated, and for the rest what is in force here. The digest tells
+// whether that is so. Where it is not, one of the two has moved on or started
+// anew; the answer then states all heads.
+func (c *Controller) headsIn(msg *filbertv1.GossipMessage) (stated, held peerHeads) {
+	stated, held = peerHeads{}, peerHeads{}
+	for _, h := range msg.GetHeads() {
+		stated[configwatch.Section(h.GetSection())] = fromPeerHead(h)
+	}
+	all := c.ownHeads()
+	for i, own := range all {
+		s := configwatch.Section(own.GetSection())
+		if h, ok := stated[s]; ok {
+			all[i] = toPeerHead(s, h)
 		}
+		held[s] = fromPeerHead(all[i])
 	}
-	heads := peerHeads{}
-	for _, h := range list {
-		heads[configwatch.Section(h.GetSection())] = fromPeerHead(h)
+	if digestOf(all) != msg.GetHeadsDigest() {
+		return stated, nil
 	}
-	return heads
+	return stated, held
 }
 
 // digestOf sums up heads in the order of the sections.
