Write a comment to a caller's stream whenever it is quiet for two seconds

Engines' comments are passed on only once they run. Ruled out: sending headers at once, which would take every refusal its status.

--- a/internal/entry/generation/held.go
+++ b/internal/entry/generation/held.go
@@ -10,6 +10,8 @@
 	stream *streamSink
 }
 
+func (s *heldStreamSink) close() { s.stream.close() }
+
 func (s *heldStreamSink) alive() error { return s.stream.alive() }
 
 func (s *heldStreamSink) restart(generation, target string) {
--- a/internal/entry/generation/relay.go
+++ b/internal/entry/generation/relay.go
@@ -106,6 +106,7 @@
 func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, req Request) error {
 	x := &run{Relay: r, Request: req}
 	x.prepare(w)
+	defer x.out.close()
 	err := x.serve(ctx)
 	if req.Service.Type == table.ServiceGeneration {
 		req.Books.Whole(err == nil)
--- a/internal/entry/generation/sink.go
+++ b/internal/entry/generation/sink.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"filbertdeck/internal/failure"
@@ -19,6 +20,10 @@
 	// deadlineEvery is how often the limit is moved on. Doing so for each token
 	// would cost a timer each.
 	deadlineEvery = time.Second
+	// quietLimit is the longest time without a byte on a caller's stream. A
+	// caller that hears nothing cannot tell a queue, or an engine that is busy
+	// recomputing, from a dead link.
+	quietLimit = 2 * time.Second
 	// eventRoom is the room for one event; usual ones have some 500 bytes.
 	eventRoom = 1024
 )
@@ -35,6 +40,8 @@
 	finish() error
 	// fail ends the answer with a failure.
 	fail(err error)
+	// close must follow the end of the answer.
+	close()
 }
 
 // shape is what the events of one answer have in common.
@@ -45,8 +52,13 @@
 	created int64
 }
 
-// streamSink writes server-sent events.
+// streamSink writes server-sent events. Its timer writes a comment whenever
+// nothing else was written for quietLimit, also while the request waits for
+// admission; the mutex keeps the two apart.
 type streamSink struct {
+	mu       sync.Mutex
+	quiet    *time.Timer
+	closed   bool
 	w        http.ResponseWriter
 	control  *http.ResponseController
 	ring     *handle.Ring
@@ -58,10 +70,20 @@
 }
 
 func newStreamSink(w http.ResponseWriter, ring *handle.Ring, h handle.Handle, s shape) *streamSink {
-	return &streamSink{
+	sink := &streamSink{
 		w: w, control: http.NewResponseController(w), ring: ring, handle: h,
 		buf: make([]byte, 0, eventRoom), head: eventHead(s),
 	}
+	sink.quiet = time.AfterFunc(quietLimit, func() { _ = sink.alive() })
+	return sink
+}
+
+// close ends the sink: no comment is written after the answer.
+func (s *streamSink) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.quiet.Stop()
 }
 
 // eventHead is the part of an event's data that stays the same.
@@ -106,6 +128,8 @@
 }
 
 func (s *streamSink) token(f *engineFrame, next uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.handle.Offset, s.handle.Finished = next, f.finished()
 	s.buf = append(s.buf[:0], "id: "...)
 	s.buf = s.ring.SealTo(s.buf, s.handle)
@@ -141,11 +165,18 @@
 }
 
 func (s *streamSink) alive() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
 	s.buf = append(s.buf[:0], sse.KeepAlive...)
 	return s.flush()
 }
 
 func (s *streamSink) finish() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.buf = append(s.buf[:0], "data: [DONE]\n\n"...)
 	return s.flush()
 }
@@ -153,6 +184,8 @@
 // fail ends the answer: with a status while nothing was sent, else with an
 // event, since the status is gone.
 func (s *streamSink) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !s.begun {
 		failure.Write(s.w, err)
 		return
@@ -177,5 +210,6 @@
 	if err := s.control.Flush(); err != nil {
 		return failure.Wrap(err, failure.KindDeadline, "the caller takes no more of the answer")
 	}
+	s.quiet.Reset(quietLimit)
 	return nil
 }
--- a/internal/entry/generation/whole.go
+++ b/internal/entry/generation/whole.go
@@ -46,6 +46,8 @@
 
 func (s *wholeSink) alive() error { return nil }
 
+func (s *wholeSink) close() {}
+
 type usage struct {
 	PromptTokens     int    `json:"prompt_tokens"`
 	CompletionTokens uint64 `json:"completion_tokens"`
