Smaller buffers towards targets; show how the entry's runtime divides its memory

Cause: 62 KB a stream against an aim of 20. Profile at 1,500 streams: 39.7 MB stacks (four goroutines a stream, 26 KB), 59 MB heap, bufio the largest part. Tried: GOGC 100, 50, 30 give 61.6, 59.6, 59.6 KB a stream (no effect: nothing is garbage while streams are held); left at Go's default. Conclusion: the aim is missed; net/http's goroutines on both sides are the cause, and only another HTTP server would change it.

--- a/internal/overhead/overhead.go
+++ b/internal/overhead/overhead.go
@@ -302,6 +302,9 @@
 	if err := r.saveHeap(); err != nil {
 		return err
 	}
+	if err := r.goFigures(); err != nil {
+		return err
+	}
 	cancel()
 	<-done
 	each := float64(after.resident-before.resident) / float64(r.Open) / 1024
@@ -309,6 +312,20 @@
 	return nil
 }
 
+// goFigures says how Go's runtime divides the entry's memory.
+func (r *run) goFigures() error {
+	var all map[string]struct {
+		Value float64 `json:"value"`
+	}
+	if err := r.fleet.GetJSON("http://"+r.fleet.Hosts[0].EntryAdmin+"/metrics", &all); err != nil {
+		return err
+	}
+	of := func(name string) float64 { return all["runtime."+name].Value }
+	r.say("entry's runtime: %.1f MB heap in use, %.1f MB stacks, %.0f goroutines",
+		of("MemStats.HeapInuse")/(1<<20), of("MemStats.StackInuse")/(1<<20), of("NumGoroutine"))
+	return nil
+}
+
 // saveHeap keeps the entry's heap profile, to see what a stream holds.
 func (r *run) saveHeap() error {
 	if r.Heap == "" {
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -51,6 +51,11 @@
 	DefaultIdlePerTarget = 16
 )
 
+// bufferSize is that of a connection's two buffers, in bytes. A stream brings
+// events of some hundred bytes and holds its connection for minutes; Go's
+// default of 4 KiB each was the largest part of a stream's memory.
+const bufferSize = 1 << 10
+
 // maxHeaderBytes bounds the header of a target's answer.
 const maxHeaderBytes = 64 << 10
 
@@ -109,6 +114,8 @@
 		IdleConnTimeout:        30 * time.Second,
 		ResponseHeaderTimeout:  s.Header,
 		MaxResponseHeaderBytes: maxHeaderBytes,
+		ReadBufferSize:         bufferSize,
+		WriteBufferSize:        bufferSize,
 	}
 }
 
