--- a/internal/controller/configwatch/store.go
+++ b/internal/controller/configwatch/store.go
@@ -131,8 +131,9 @@
 	}
 	doc.Commit(delta, changed)
 	doc.since = s.now()
-	if s.docs[SectionKept].Len() == 0 {
-		// Rows in force are the service's rows as they are.
+	if name != SectionKept && s.docs[SectionKept].Len() == 0 {
+		// Rows in force are the service's rows as they are. Kept rows have no
+		// revision of the service's own and prove nothing.
 		s.history.Record(string(name), delta.Head)
 	}
 	s.metrics.GetOrRegister("rollout."+string(name)+".taken", metrics.NewCounter).(metrics.Counter).Inc(1)
