--- a/internal/controller/configwatch/store.go
+++ b/internal/controller/configwatch/store.go
@@ -23,11 +23,12 @@
 	now     func() time.Time
 	start   time.Time
 
-	mu      sync.Mutex
-	docs    map[Section]*document
-	table   *table.Table
-	hosts   map[string]platform.Host
-	targets map[string]platform.Target
+	mu       sync.Mutex
+	docs     map[Section]*document
+	table    *table.Table
+	hosts    map[string]platform.Host
+	hostList []platform.Host
+	targets  map[string]platform.Target
 	// tableTargets are the targets as the table's services have them.
 	tableTargets map[string][]table.Target
 	confirmed    time.Time
@@ -130,8 +131,9 @@
 	}
 	doc.Commit(delta, changed)
 	doc.since = s.now()
-	if s.docs[SectionKept].Len() == 0 {
-		// Rows in force are the service's rows as they are.
+	if name != SectionKept && s.docs[SectionKept].Len() == 0 {
+		// Rows in force are the service's rows as they are. Kept rows have no
+		// revision of the service's own and prove nothing.
 		s.history.Record(string(name), delta.Head)
 	}
 	s.metrics.GetOrRegister("rollout."+string(name)+".taken", metrics.NewCounter).(metrics.Counter).Inc(1)
