--- /dev/null
+++ b/cmd/filbert-experiment/main.go
@@ -0,0 +1,43 @@
+// Command filbert-experiment measures the admission decisions against naive
+// ones, without network and with a fake clock, and prints one table a
+// scenario.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"filbertdeck/internal/experiment"
+	"filbertdeck/internal/version"
+)
+
+type settings struct {
+	Names []string `arg:"positional" help:"scenarios to run; all when none is given"`
+	Seed  uint64   `arg:"--seed,env:FILBERT_SEED" default:"1" help:"seed of arrivals, lengths and choices"`
+	List  bool     `arg:"--list" help:"list the scenarios and end"`
+}
+
+// Version is what --version prints.
+func (settings) Version() string { return "filbert-experiment " + version.String() }
+
+func main() {
+	var s settings
+	arg.MustParse(&s)
+	if s.List {
+		for _, name := range experiment.Names() {
+			fmt.Println(name)
+		}
+		return
+	}
+	if len(s.Names) == 0 {
+		s.Names = experiment.Names()
+	}
+	for _, name := range s.Names {
+		if err := experiment.Run(name, s.Seed, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+}
