--- a/internal/control/admin/admin.go
+++ b/internal/control/admin/admin.go
@@ -68,14 +68,21 @@
 		}
 		for _, t := range owned.snapshot.Targets {
 			if t.Address == address {
-				status.Running, status.UsedTokens, status.Waiting = t.Running, t.PredictedTokens, owned.snapshot.Waiting
-				found = true
+				status, found = statusOf(t, owned.snapshot.Waiting), true
 			}
 		}
 	}
 	return status, found
 }
 
+func statusOf(t admission.TargetSnapshot, waiting int) adminapi.TargetStatus {
+	return adminapi.TargetStatus{
+		Known: true, Running: t.Running, Waiting: waiting, Bears: t.Report.Bears,
+		MemoryTokens: t.Report.MemoryTokens, UsedTokens: t.Report.UsedTokens, Preemptions: t.Report.Preemptions,
+		ReportAgeMS: t.Report.Age.Milliseconds(),
+	}
+}
+
 // AccountStatus implements adminapi.AccountSource from the accounting of the
 // entries of this host.
 func (s *Source) AccountStatus(name string) (running, waiting int, tokens uint64) {
--- a/internal/decide/admission/allocator.go
+++ b/internal/decide/admission/allocator.go
@@ -280,6 +280,9 @@
 	Running int
 	// PredictedTokens is the memory in use by our own count.
 	PredictedTokens int
+	// Report is the target's last statement; its Age counts from when it was
+	// made to when it was read.
+	Report Report
 }
 
 // Snapshot returns the state for counters.
@@ -288,7 +291,7 @@
 	for _, t := range a.order {
 		s.Targets = append(s.Targets, TargetSnapshot{
 			Address: t.address, State: t.gate.State(now), Running: len(t.leases),
-			PredictedTokens: int(t.load.Now()),
+			PredictedTokens: int(t.load.Now()), Report: t.report,
 		})
 	}
 	return s
