--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,8 @@
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
@@ -17,6 +19,7 @@
 
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/platform"
+	"filbertdeck/internal/tlsfiles"
 )
 
 // Spec describes a deployment.
@@ -34,8 +37,10 @@
 	// EngineServices and AppServices name the services that all engines and
 	// all plain stand-ins serve.
 	EngineServices, AppServices []string
-	// HostArgs are further options of entries and controls.
+	// EntryArgs and ControlArgs are further options of entries and controls.
 	EntryArgs, ControlArgs []string
+	// TLS names the files of the hosts' identity; nil means plain text.
+	TLS *tlsfiles.Files
 }
 
 // Host is one entry host.
@@ -98,6 +103,9 @@
 }
 
 func (f *Fleet) start(ctx context.Context) error {
+	if err := f.trust(); err != nil {
+		return err
+	}
 	if err := f.writeRing(); err != nil {
 		return err
 	}
@@ -198,7 +206,7 @@
 }
 
 func (f *Fleet) planCommands(h *Host) {
-	common := []string{"--plain-text", "--host", h.Name, "--data-centre", h.DataCentre, "--stop-notice", "200ms"}
+	common := append(f.transportArgs(), "--host", h.Name, "--data-centre", h.DataCentre, "--stop-notice", "200ms")
 	h.controlCommand = append(append(append([]string{}, common...),
 		"--listen", h.Control, "--admin-listen", h.ControlAdmin, "--platform", f.Platform.Address,
 		"--operator-key-sha256", Digest(OperatorKey), "--monitor-key-sha256", Digest(MonitorKey)), f.spec.ControlArgs...)
@@ -213,6 +221,39 @@
 	h.entryCommand = append(h.entryCommand, f.spec.EntryArgs...)
 }
 
+func (f *Fleet) transportArgs() []string {
+	if t := f.spec.TLS; t != nil {
+		return []string{"--tls-cert", t.Cert, "--tls-key", t.Key, "--tls-ca", t.CA}
+	}
+	return []string{"--plain-text"}
+}
+
+// scheme is that of callers and of the administration.
+func (f *Fleet) scheme() string {
+	if f.spec.TLS != nil {
+		return "https"
+	}
+	return "http"
+}
+
+// trust makes the client of this package trust the deployment's authority.
+func (f *Fleet) trust() error {
+	if f.spec.TLS == nil {
+		return nil
+	}
+	pem, err := os.ReadFile(f.spec.TLS.CA)
+	if err != nil {
+		return failure.Wrap(err, failure.KindInternal, "the authority cannot be read")
+	}
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(pem)
+	f.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13}}
+	return nil
+}
+
+// HTTP is a client that reaches the deployment's interfaces.
+func (f *Fleet) HTTP() *http.Client { return f.http }
+
 // StartHost starts both processes of a host, again if they ended.
 func (f *Fleet) StartHost(h *Host) error {
 	if err := f.StartControl(h); err != nil {
@@ -258,7 +299,7 @@
 
 func (f *Fleet) waitEntry(ctx context.Context, h *Host) error {
 	for {
-		resp, err := f.http.Get("http://" + h.Callers + "/readyz")
+		resp, err := f.http.Get(f.scheme() + "://" + h.Callers + "/readyz")
 		if err == nil {
 			_ = resp.Body.Close()
 			if resp.StatusCode == http.StatusNoContent {
