--- a/test/faults/host_test.go
+++ b/test/faults/host_test.go
@@ -211,9 +211,14 @@
 		}
 		for _, t := range p.Backends {
 			e := h.w.target(t.Address)
+			asked := h.w.now
 			h.w.message(h.proc, e.proc, func() {
 				report := e.report()
-				h.w.message(e.proc, h.proc, func() { a.Report(h.w.now, report) }, nil)
+				h.w.message(e.proc, h.proc, func() {
+					// A report that waited for a sleeper to wake is old.
+					report.Age = h.w.now - asked
+					a.Report(h.w.now, report)
+				}, nil)
 			}, nil)
 		}
 	}
