--- a/internal/decide/once/hosts.go
+++ b/internal/decide/once/hosts.go
@@ -53,10 +53,14 @@
 	selfLive  bool
 	selfSince time.Duration
 	confirmed time.Duration
-	hosts     map[string]*hostSpan
+	// hosts is a slice, since each call with a caller's own key looks at all
+	// of it; index finds a host by its name.
+	hosts []hostSpan
+	index map[string]int
 }
 
 type hostSpan struct {
+	name string
 	hash uint64
 	live bool
 	// last is when a host that is not live any more was last known live.
@@ -64,7 +68,7 @@
 }
 
 func newOwnership(self string) ownership {
-	return ownership{self: xxhash.Sum64String(self), selfName: self, hosts: map[string]*hostSpan{}}
+	return ownership{self: xxhash.Sum64String(self), selfName: self, index: map[string]int{}}
 }
 
 // weight ranks a host for a key (rendezvous hashing): the host with the
@@ -125,8 +129,8 @@
 }
 
 func (o *ownership) replace(now time.Duration, list HostList, broken bool) {
-	for _, h := range o.hosts {
-		if h.live {
+	for i := range o.hosts {
+		if h := &o.hosts[i]; h.live {
 			h.live, h.last = false, now
 		}
 	}
@@ -137,12 +141,13 @@
 			o.selfLive = true
 			continue
 		}
-		h := o.hosts[name]
-		if h == nil {
-			h = &hostSpan{hash: xxhash.Sum64String(name)}
-			o.hosts[name] = h
+		i, known := o.index[name]
+		if !known {
+			i = len(o.hosts)
+			o.index[name] = i
+			o.hosts = append(o.hosts, hostSpan{name: name, hash: xxhash.Sum64String(name)})
 		}
-		h.live = true
+		o.hosts[i].live = true
 	}
 	if o.selfLive && (!wasLive || broken) {
 		o.selfSince = now
@@ -151,11 +156,17 @@
 
 // forget drops hosts that left so long ago that no living key can be theirs.
 func (o *ownership) forget(before time.Duration) {
-	for name, h := range o.hosts {
-		if !h.live && h.last < before {
-			delete(o.hosts, name)
+	kept := o.hosts[:0]
+	for _, h := range o.hosts {
+		if h.live || h.last >= before {
+			o.index[h.name] = len(kept)
+			kept = append(kept, h)
+		} else {
+			delete(o.index, h.name)
 		}
 	}
+	clear(o.hosts[len(kept):])
+	o.hosts = kept
 }
 
 // owner names the key's owner in the list in force, "" when there is none.
@@ -164,13 +175,14 @@
 	if o.selfLive {
 		best, bestWeight = o.selfName, weight(o.self, key)
 	}
-	for name, h := range o.hosts {
+	for i := range o.hosts {
+		h := &o.hosts[i]
 		if !h.live {
 			continue
 		}
 		w := weight(h.hash, key)
-		if best == "" || w > bestWeight || (w == bestWeight && name < best) {
-			best, bestWeight = name, w
+		if best == "" || w > bestWeight || (w == bestWeight && h.name < best) {
+			best, bestWeight = h.name, w
 		}
 	}
 	return best
@@ -184,9 +196,10 @@
 	}
 	mine := weight(o.self, key)
 	since = o.selfSince
-	for name, h := range o.hosts {
+	for i := range o.hosts {
+		h := &o.hosts[i]
 		w := weight(h.hash, key)
-		if w < mine || (w == mine && o.selfName < name) {
+		if w < mine || (w == mine && o.selfName < h.name) {
 			continue
 		}
 		if h.live {
