--- a/internal/controller/configwatch/publish.go
+++ b/internal/controller/configwatch/publish.go
@@ -12,9 +12,10 @@
 func (s *Store) publish(name Section) {
 	switch name {
 	case SectionHosts:
+		s.listHosts()
 		s.publishHosts()
 	case SectionTargets:
-		s.out.targets.Publish(s.targetsSnapshot())
+		s.publishTargets()
 		s.publishTable()
 	case SectionDrain, SectionTable:
 		s.publishTable()
@@ -23,23 +24,35 @@
 	s.wake()
 }
 
-func (s *Store) publishHosts() {
-	list := make([]platform.Host, 0, len(s.hosts))
+// listHosts puts the list of hosts in order after a change.
+func (s *Store) listHosts() {
+	s.hostList = make([]platform.Host, 0, len(s.hosts))
 	for _, k := range slices.Sorted(maps.Keys(s.hosts)) {
-		list = append(list, s.hosts[k])
+		s.hostList = append(s.hostList, s.hosts[k])
 	}
+}
+
+// publishHosts is called with each confirmation, about once a second; the list
+// itself is shared between snapshots.
+func (s *Store) publishHosts() {
 	s.out.hosts.Publish(&Hosts{
-		Version: s.docs[SectionHosts].Head().Version, List: list, ConfirmedAt: s.confirmed,
+		Version: s.docs[SectionHosts].Head().Version, List: s.hostList, ConfirmedAt: s.confirmed,
 	})
 }
 
-func (s *Store) targetsSnapshot() *Targets {
+// publishTargets keeps the targets in the table's form as well, so that an
+// edit of the table does not work through 10,000 of them again.
+func (s *Store) publishTargets() {
 	by := map[string][]platform.Target{}
+	s.tableTargets = map[string][]table.Target{}
 	for _, k := range slices.Sorted(maps.Keys(s.targets)) {
 		t := s.targets[k]
 		by[t.Service] = append(by[t.Service], t)
+		s.tableTargets[t.Service] = append(s.tableTargets[t.Service], table.Target{
+			Address: t.Address, DataCentre: t.DataCentre, Leaving: t.State == platform.StateLeaving,
+		})
 	}
-	return &Targets{Version: s.docs[SectionTargets].Head().Version, ByService: by}
+	s.out.targets.Publish(&Targets{Version: s.docs[SectionTargets].Head().Version, ByService: by})
 }
 
 // publishTable merges drain list and targets into the table, so that a reader
@@ -52,14 +65,7 @@
 	for _, r := range s.docs[SectionDrain].Rows() {
 		drained = append(drained, r.Key)
 	}
-	targets := map[string][]table.Target{}
-	for _, k := range slices.Sorted(maps.Keys(s.targets)) {
-		t := s.targets[k]
-		targets[t.Service] = append(targets[t.Service], table.Target{
-			Address: t.Address, DataCentre: t.DataCentre, Leaving: t.State == platform.StateLeaving,
-		})
-	}
-	s.out.table.Publish(s.table.With(drained, targets))
+	s.out.table.Publish(s.table.With(drained, s.tableTargets))
 }
 
 func (s *Store) publishState() {
--- a/internal/controller/gossip/controller.go
+++ b/internal/controller/gossip/controller.go
@@ -13,7 +13,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -36,10 +35,6 @@
 	// pushPause keeps a burst of edits from being sent one by one: edits
 	// within it go out together.
 	pushPause = 50 * time.Millisecond
-	// secondWave is when the second half of the neighbours is told, if they
-	// have not shown by then that they heard it from someone else. Three links
-	// bring news to nearly all; telling all six at once sends most of it twice.
-	secondWave = 150 * time.Millisecond
 	// pullTimeout bounds the transfer of whole documents, 3 MB at the target
 	// size.
 	pullTimeout = 5 * time.Second
@@ -107,6 +102,8 @@
 	version  uint64
 	known    int
 	lastPush time.Time
+	// published is the list that the core was last given; Run alone uses it.
+	published *configwatch.Hosts
 }
 
 // peerHeads is what a peer was last known to hold.
@@ -245,10 +242,16 @@
 	}
 }
 
-// publishedChanged hands the published list and the seeds to the core.
+// publishedChanged hands the published list and the seeds to the core. A
+// snapshot that only confirms the list again, as one does each second, is
+// passed over: working out neighbours for 3,300 members takes milliseconds.
 func (c *Controller) publishedChanged() {
 	list := append([]membership.Peer(nil), c.cfg.Seeds...)
 	if hosts := c.cfg.Hosts.Get(); hosts != nil {
+		if c.published != nil && c.published.Version == hosts.Version && slices.Equal(c.published.List, hosts.List) {
+			return
+		}
+		c.published = hosts
 		// The list says more of a seed than the settings do.
 		list = list[:0]
 		for _, h := range hosts.List {
@@ -277,23 +280,16 @@
 	}
 	c.lastPush = time.Now()
 	c.mu.Lock()
-	neighbours := slices.Clone(c.core.View().Neighbours)
+	neighbours := c.core.View().Neighbours
 	c.mu.Unlock()
-	rand.Shuffle(len(neighbours), func(i, j int) { neighbours[i], neighbours[j] = neighbours[j], neighbours[i] })
-	first := (len(neighbours) + 1) / 2
-	for _, n := range neighbours[:first] {
+	for _, n := range neighbours {
 		c.pushTo(ctx, n)
 	}
-	time.AfterFunc(secondWave, func() {
-		for _, n := range neighbours[first:] {
-			c.pushTo(ctx, n)
-		}
-	})
 }
 
 // pushTo sends the news to a neighbour that is not known to have it.
 func (c *Controller) pushTo(ctx context.Context, address string) {
-	if ctx.Err() == nil && c.lacks(address) {
+	if c.lacks(address) {
 		c.spawn(func() { c.probe(ctx, membership.Action{To: address, Timeout: c.probeTimeout()}) })
 	}
 }
--- a/internal/controller/gossip/gossip_test.go
+++ b/internal/controller/gossip/gossip_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"filbertdeck/internal/api/filbertv1"
@@ -43,6 +44,12 @@
 type nodeConfig struct {
 	every time.Duration
 	hooks gossip.Hooks
+	// creds secure the connections; plain text without.
+	creds      credentials.TransportCredentials
+	dataCentre string
+	// watch gives the node a watch of the configuration service, and returns
+	// what sets the watch's role.
+	watch func(*configwatch.Store) func(bool)
 	// onReader is called within a tick, when the node's role is worked out.
 	onReader func(*node)
 }
@@ -60,22 +67,30 @@
 // stands before it.
 func startNode(l net.Listener, address string, seeds []string, cfg nodeConfig) *node {
 	n := &node{address: address}
+	if cfg.creds == nil {
+		cfg.creds = insecure.NewCredentials()
+	}
 	var err error
 	if n.store, err = configwatch.NewStore(&n.docs, configwatch.StoreConfig{}); err != nil {
 		panic(err)
 	}
+	setReader := func(bool) {}
+	if cfg.watch != nil {
+		setReader = cfg.watch(n.store)
+	}
 	var list []membership.Peer
 	for _, s := range seeds {
 		list = append(list, membership.Peer{Address: s, DataCentre: "north"})
 	}
 	n.ctl, err = gossip.New(gossip.Config{
 		Membership: membership.Config{
-			Self:       membership.Member{Address: address, Incarnation: uint64(time.Now().UnixMilli()), DataCentre: "north"},
+			Self:       membership.Member{Address: address, Incarnation: uint64(time.Now().UnixMilli()), DataCentre: cmp.Or(cfg.dataCentre, "north")},
 			ProbeEvery: cmp.Or(cfg.every, probeEvery),
 		},
-		Seeds: list, Store: n.store, Hosts: &n.docs.Hosts, Credentials: insecure.NewCredentials(),
+		Seeds: list, Store: n.store, Hosts: &n.docs.Hosts, Credentials: cfg.creds,
 		SetReader: func(on bool) {
 			n.reader.Store(on)
+			setReader(on)
 			if cfg.onReader != nil {
 				cfg.onReader(n)
 			}
@@ -84,7 +99,7 @@
 	if err != nil {
 		panic(err)
 	}
-	server := grpc.NewServer(gossip.ServerOptions()...)
+	server := grpc.NewServer(append(gossip.ServerOptions(), grpc.Creds(cfg.creds))...)
 	n.ctl.Register(server)
 	go func() { _ = server.Serve(l) }()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -98,7 +113,7 @@
 const probeEvery = 100 * time.Millisecond
 
 // startFleet starts n nodes that know each other's addresses.
-func startFleet(n int, wrap func(net.Listener) net.Listener, every time.Duration) []*node {
+func startFleet(n int, wrap func(net.Listener) net.Listener, cfg nodeConfig) []*node {
 	listeners, addresses := make([]net.Listener, n), make([]string, n)
 	for i := range n {
 		l, a := listen()
@@ -106,13 +121,13 @@
 	}
 	nodes := make([]*node, n)
 	for i := range n {
-		nodes[i] = startNode(listeners[i], addresses[i], addresses, nodeConfig{every: every})
+		nodes[i] = startNode(listeners[i], addresses[i], addresses, cfg)
 	}
 	return nodes
 }
 
 func fleet(n int) []*node {
-	nodes := startFleet(n, func(l net.Listener) net.Listener { return l }, probeEvery)
+	nodes := startFleet(n, func(l net.Listener) net.Listener { return l }, nodeConfig{})
 	for _, x := range nodes {
 		DeferCleanup(x.stop)
 	}
--- a/internal/controller/gossip/message.go
+++ b/internal/controller/gossip/message.go
@@ -1,8 +1,11 @@
 package gossip
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/controller/configwatch"
 	"filbertdeck/internal/decide/membership"
@@ -22,7 +25,14 @@
 	store := c.cfg.Store
 	msg := &filbertv1.GossipMessage{
 		From: toMember(self), Members: toMembers(updates), MemberDigest: digest,
-		Heads: c.ownHeads(), Ready: store.Ready(),
+		Ready: store.Ready(),
+	}
+	heads := c.ownHeads()
+	msg.HeadsDigest = digestOf(heads)
+	for _, h := range heads {
+		if theirs == nil || fromPeerHead(h) != theirs[configwatch.Section(h.GetSection())] {
+			msg.Heads = append(msg.Heads, h)
+		}
 	}
 	if at := store.ConfirmedAt(); !at.IsZero() {
 		// Rounded up: an age cut to whole milliseconds would make the list
@@ -66,26 +76,20 @@
 func (c *Controller) ownHeads() []*filbertv1.DocumentHead {
 	heads := make([]*filbertv1.DocumentHead, 0, len(configwatch.Sections))
 	for _, s := range configwatch.Sections {
-		head := toHead(s, c.cfg.Store.Head(s))
-		refused := c.cfg.Store.Refused(s).Version
-		head.RefusedEpoch, head.RefusedRevision = refused.Epoch, refused.Revision
-		heads = append(heads, head)
+		heads = append(heads, toPeerHead(s, peerHead{c.cfg.Store.Head(s), c.cfg.Store.Refused(s).Version}))
 	}
 	return heads
 }
 
-// take works in what a peer's message says of documents, and tells whether it
+// take works in what a peer's message says of documents. It gives what the
+// peer holds, nil when the message does not tell all of it, and whether it
 // announces more than it carries.
-func (c *Controller) take(msg *filbertv1.GossipMessage) bool {
-	heads := peerHeads{}
-	for _, h := range msg.GetHeads() {
-		section := configwatch.Section(h.GetSection())
-		heads[section] = fromPeerHead(h)
-		c.cfg.Store.Announced(section, heads[section].Version)
+func (c *Controller) take(msg *filbertv1.GossipMessage) (held peerHeads, behind bool) {
+	stated, held := c.headsIn(msg)
+	c.remember(msg.GetFrom().GetAddress(), held)
+	for s, h := range stated {
+		c.cfg.Store.Announced(s, h.Version)
 	}
-	c.mu.Lock()
-	c.heads[msg.GetFrom().GetAddress()] = heads
-	c.mu.Unlock()
 	for _, d := range msg.GetDeltas() {
 		c.offer(d)
 	}
@@ -98,7 +102,58 @@
 	if c.cfg.Hooks.TakePoison != nil && len(msg.GetPoison()) > 0 {
 		c.cfg.Hooks.TakePoison(msg.GetPoison())
 	}
-	return c.behind(heads)
+	return held, c.behind(stated)
+}
+
+// remember keeps what a peer holds. Of a peer whose message does not tell all,
+// nothing is kept: the next message to it then states all heads, so that two
+// processes with wrong beliefs of each other find out.
+func (c *Controller) remember(peer string, held peerHeads) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held == nil {
+		delete(c.heads, peer)
+		return
+	}
+	c.heads[peer] = held
+}
+
+// headsIn gives the heads that a message states, and all that the peer holds:
+// those stated, and for the rest what is in force here. The digest tells
+// whether that is so. Where it is not, one of the two has moved on or started
+// anew; the answer then states all heads.
+func (c *Controller) headsIn(msg *filbertv1.GossipMessage) (stated, held peerHeads) {
+	stated, held = peerHeads{}, peerHeads{}
+	for _, h := range msg.GetHeads() {
+		stated[configwatch.Section(h.GetSection())] = fromPeerHead(h)
+	}
+	all := c.ownHeads()
+	for i, own := range all {
+		s := configwatch.Section(own.GetSection())
+		if h, ok := stated[s]; ok {
+			all[i] = toPeerHead(s, h)
+		}
+		held[s] = fromPeerHead(all[i])
+	}
+	if digestOf(all) != msg.GetHeadsDigest() {
+		return stated, nil
+	}
+	return stated, held
+}
+
+// digestOf sums up heads in the order of the sections.
+func digestOf(heads []*filbertv1.DocumentHead) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var buf []byte
+	for _, h := range heads {
+		buf = buf[:0]
+		for _, v := range []uint64{h.GetEpoch(), h.GetRevision(), h.GetDigest(), h.GetRefusedEpoch(), h.GetRefusedRevision()} {
+			buf = binary.LittleEndian.AppendUint64(buf, v)
+		}
+		_, _ = d.Write(buf)
+	}
+	return d.Sum64()
 }
 
 // behind tells whether a peer's documents are newer than those here, other
--- a/internal/decide/membership/graph_test.go
+++ b/internal/decide/membership/graph_test.go
@@ -15,9 +15,21 @@
 	"filbertdeck/internal/decide/membership"
 )
 
-// graph gives the neighbours of n members as the cores pick them, both ways:
-// an exchange carries news in both directions.
+// graph gives the neighbours of n members both ways: an exchange carries news
+// in both directions.
 func graph(n, rings int) [][]int {
+	out := make([][]int, n)
+	for i, next := range successors(n, rings) {
+		for _, j := range next {
+			out[i] = append(out[i], j)
+			out[j] = append(out[j], i)
+		}
+	}
+	return out
+}
+
+// successors gives each member's neighbours as the cores pick them.
+func successors(n, rings int) [][]int {
 	hashes := make([][]uint64, n)
 	for i := range n {
 		hashes[i] = membership.RingHashes(address(i), rings)
@@ -30,9 +42,9 @@
 		}
 		slices.SortFunc(order, func(a, b int) int { return cmp.Compare(hashes[a][ring], hashes[b][ring]) })
 		for k, i := range order {
-			next := order[(k+1)%n]
-			out[i] = append(out[i], next)
-			out[next] = append(out[next], i)
+			if next := order[(k+1)%n]; !slices.Contains(out[i], next) {
+				out[i] = append(out[i], next)
+			}
 		}
 	}
 	return out
@@ -77,9 +89,12 @@
 	})
 
 	It("carries news through the target size in a few hops", func() {
-		count, hops := reached(graph(target, 6), 0, make([]bool, target))
-		Expect(count).To(Equal(target))
-		Expect(hops).To(BeNumerically("<=", 6))
+		for _, n := range []int{8, 32, 100, 300, 1000, target} {
+			count, hops := reached(successors(n, 6), 0, make([]bool, n))
+			Expect(count).To(Equal(n))
+			Expect(hops).To(BeNumerically("<=", 6))
+			AddReportEntry(fmt.Sprintf("hops among %d members", n), hops)
+		}
 	})
 
 	// A data centre and a good deal more go at once, before any process has
