Refuse at once under steady overload; let suspects not block their account

Each request served since a report makes room for another, so that short calls use all a target bears. A constrained head goes behind its account's others; by skipping whole accounts innocents were refused. A test asked for more memory than the burst let through before; it now does.

--- a/internal/decide/admission/allocator.go
+++ b/internal/decide/admission/allocator.go
@@ -49,9 +49,9 @@
 	// of 50 generations grows by 2.5 tokens between refreshes, a thousandth of
 	// an engine's memory in all.
 	refreshEvery = 100 * time.Millisecond
-	// skipLimit bounds the asks passed over in one round because they can't
-	// use the targets that have room (Ask.Avoid, suspects).
-	skipLimit = 8
+	// deferLimit bounds the asks put behind in one round because they can't use
+	// the targets that have room (Ask.Avoid, suspects).
+	deferLimit = 16
 	// hopelessChecks bounds the accounts whose newest ask is looked at again at
 	// each refresh; all 11,000 are seen within five seconds.
 	hopelessChecks = 256
@@ -79,9 +79,9 @@
 	owner    ownership
 	stopping bool
 
+	skipped   []*fairqueue.Account[Ask]
 	refreshed time.Duration
 	round     int
-	skipped   []*fairqueue.Account[Ask]
 	// out gathers decisions; spare is the slice that the last Decide returned.
 	out, spare []Decision
 }
@@ -192,15 +192,16 @@
 // admit grants in the queue's order for as long as the head finds a target. A
 // head without room keeps its place and those behind it wait: passing over a
 // large prompt for small ones would starve it. Only a head whose own
-// constraints rule out the targets with room is passed over.
+// constraints rule out the targets with room goes behind its account's others.
 func (a *Allocator) admit(now time.Duration) {
-	for len(a.skipped) < skipLimit {
+	fate := headAnswered
+	for deferred := 0; fate != headBlocked && deferred < deferLimit; {
 		r := a.queue.Head()
 		if r == nil {
 			break
 		}
-		if !a.serve(now, r) {
-			break
+		if fate = a.serve(now, r); fate == headDeferred {
+			deferred++
 		}
 	}
 	for _, s := range a.skipped {
@@ -209,28 +210,39 @@
 	a.skipped = a.skipped[:0]
 }
 
-// serve grants, refuses or passes over the head; false ends the round.
-func (a *Allocator) serve(now time.Duration, r *fairqueue.Request[Ask]) bool {
+// headFate says what became of the request at the head.
+type headFate int
+
+const (
+	headAnswered headFate = iota
+	headDeferred
+	headBlocked
+)
+
+// serve grants, refuses or defers the head.
+func (a *Allocator) serve(now time.Duration, r *fairqueue.Request[Ask]) headFate {
 	ask := &r.Value
 	ruling := a.suspects.rule(now, ask.Fingerprint)
 	if ruling.guilty {
 		a.refuseWaiting(r, RefusedPoison, ruling.wait)
-		return true
+		return headAnswered
 	}
 	t := a.choose(now, ask, ruling)
 	if t != nil {
 		a.grantWaiting(now, r, t, ruling)
-		return true
+		return headAnswered
 	}
 	if len(ask.Avoid) == 0 && !ruling.constrained() {
-		return false
+		return headBlocked
 	}
 	if ruling.alone {
 		a.suspects.reserve(a.order, r)
 	}
-	a.skipped = append(a.skipped, r.Account)
-	a.queue.Skip(r.Account)
-	return true
+	if !a.queue.Defer(r) {
+		a.skipped = append(a.skipped, r.Account)
+		a.queue.Skip(r.Account)
+	}
+	return headDeferred
 }
 
 func (a *Allocator) grantWaiting(now time.Duration, r *fairqueue.Request[Ask], t *target, ruling ruling) {
--- a/internal/decide/admission/ask.go
+++ b/internal/decide/admission/ask.go
@@ -12,7 +12,11 @@
 	// predicted wait may take. The rest is for the error of the prediction: a
 	// request that is turned away at once can go elsewhere, one that waits in
 	// vain has lost its time.
-	hopelessShare = 0.8
+	hopelessShare = 0.5
+	// hopelessMargin is how far the predicted wait of a queued request may go
+	// beyond the time it has left. A swing of the estimate must not turn away
+	// what has waited already.
+	hopelessMargin = 1.5
 	// retryFloor and retryCeiling bound the time to come back. Below the floor
 	// a refused client costs more than a served one; beyond the ceiling the
 	// estimate is worth nothing.
@@ -191,7 +195,8 @@
 // when all its time is over.
 func (a *Allocator) hopeless(now time.Duration, r *fairqueue.Request[Ask]) bool {
 	ahead := r.Account.Waiting() - 1
-	return ahead > 0 && a.predict(r.Account, ahead-1) > r.Deadline-now
+	left := time.Duration(hopelessMargin * float64(r.Deadline-now))
+	return ahead > 0 && a.predict(r.Account, ahead-1) > left
 }
 
 func (a *Allocator) refuseAll() {
--- a/internal/decide/admission/lease.go
+++ b/internal/decide/admission/lease.go
@@ -242,7 +242,7 @@
 	// for a cold start, and every long prompt or slow call would make a warm
 	// target cold for seconds.
 	l.target.gate.Ended(now, uint64(l.id), finished, 0)
-	l.target.remove(now, l)
+	l.target.remove(now, l, finished)
 	a.leases.remove(l)
 	a.queue.Finish(account, cost)
 }
--- a/internal/decide/admission/target.go
+++ b/internal/decide/admission/target.go
@@ -17,7 +17,9 @@
 	silentSlots = 16
 	// burstLeast and burstShare bound the grants to a warm target that neither
 	// a report nor a first token has confirmed: what it receives at most when
-	// it turned cold a moment ago and nobody can know yet.
+	// it turned cold a moment ago and nobody can know yet. Each request that it
+	// serves meanwhile makes room for two, so that short calls, of which
+	// hundreds come and go between two reports, soon use all it bears.
 	burstLeast = 4
 	burstShare = 4
 )
@@ -48,8 +50,11 @@
 	// unconfirmed counts our leases that were granted after the report was
 	// taken and have produced nothing yet.
 	unconfirmed int
-	ended       []released
-	cache       prefixCache
+	// confirmed counts those granted after the report that have produced
+	// something or ended well since.
+	confirmed int
+	ended     []released
+	cache     prefixCache
 	// alone and suspects count leases that the poison rules hold apart.
 	alone, suspects int
 	reserved        bool
@@ -125,6 +130,9 @@
 	a.health.Observe(now, t.address, step, a.random.Float64())
 	t.cache.update(r.CachedPrefixes, r.EvictedPrefixes)
 	r.CachedPrefixes, r.EvictedPrefixes = nil, nil
+	if taken > t.taken {
+		t.confirmed = 0
+	}
 	t.report, t.taken, t.known = r, taken, true
 	t.refresh(now, a.lengths)
 }
@@ -145,7 +153,7 @@
 	t.gate.Granted(now, uint64(l.id))
 }
 
-func (t *target) remove(now time.Duration, l *lease) {
+func (t *target) remove(now time.Duration, l *lease, finished bool) {
 	last := len(t.leases) - 1
 	t.leases[l.place] = t.leases[last]
 	t.leases[l.place].place = l.place
@@ -159,7 +167,7 @@
 		t.suspects--
 	}
 	if t.isUnconfirmed(l) {
-		t.unconfirmed--
+		t.confirm(finished)
 	}
 	if t.report.MemoryTokens > 0 {
 		t.ended = append(t.ended, released{granted: l.granted, ended: now, tokens: l.gen.Prompt + l.gen.Produced})
@@ -169,11 +177,20 @@
 // started notes the first token of a lease.
 func (t *target) started(now time.Duration, l *lease) {
 	if t.isUnconfirmed(l) {
-		t.unconfirmed--
+		t.confirm(true)
 	}
 	t.gate.Started(now, uint64(l.id))
 }
 
+// confirm takes a lease off the unconfirmed ones; well says that the target
+// was seen to serve it.
+func (t *target) confirm(well bool) {
+	t.unconfirmed--
+	if well {
+		t.confirmed++
+	}
+}
+
 func (t *target) isUnconfirmed(l *lease) bool {
 	return l.gen.Produced == 0 && l.granted >= t.taken
 }
@@ -268,5 +285,5 @@
 	}
 	bears := t.bears()
 	free := bears - len(t.leases) - t.strangers
-	return min(free, max(burstLeast, bears/burstShare)-t.unconfirmed)
+	return min(free, max(burstLeast, bears/burstShare)+t.confirmed-t.unconfirmed)
 }
--- a/internal/decide/fairqueue/account.go
+++ b/internal/decide/fairqueue/account.go
@@ -22,6 +22,8 @@
 	pushedAt time.Duration
 	// skipped keeps it from being picked for the moment.
 	skipped bool
+	// drain measures its own service while it is backlogged.
+	drain Drain
 	// meanCost is the mean charge of its finished requests; 0 when unknown.
 	meanCost float64
 }
--- a/internal/decide/fairqueue/drain.go
+++ b/internal/decide/fairqueue/drain.go
@@ -68,7 +68,13 @@
 	if a.waiting == 0 {
 		total += a.weight
 	}
-	seconds := float64(ahead+1) * cost * total / (rate * a.weight)
+	share := rate * a.weight / total
+	// Accounts that are served without waiting take part of the rate and don't
+	// show among those that wait: what this account really got says so.
+	if own, known := a.drain.Rate(); known {
+		share = min(share, own)
+	}
+	seconds := float64(ahead+1) * cost / share
 	return time.Duration(min(seconds, maxWaitSeconds) * float64(time.Second))
 }
 
--- a/internal/decide/fairqueue/queue.go
+++ b/internal/decide/fairqueue/queue.go
@@ -31,7 +31,7 @@
 	// swing is in docs/measurements.
 	DefaultLookAhead = 256
 	// costMemory is the part of the old mean kept at each finished request.
-	costMemory = 0.9
+	costMemory = 0.97
 	// sweepPerPush idle accounts are looked at whenever a request arrives, so
 	// that forgetting accounts costs a constant each time.
 	sweepPerPush = 4
@@ -136,6 +136,7 @@
 
 // Push queues a request.
 func (q *Queue[T]) Push(a *Account[T], now, deadline time.Duration, value T) *Request[T] {
+	a.drain.Tick(now, a.waiting > 0)
 	r := q.take()
 	*r = Request[T]{Value: value, Account: a, Arrived: now, Deadline: deadline}
 	q.deadlines.push(r)
@@ -173,8 +174,8 @@
 	return a.first
 }
 
-// Skip keeps an account from being picked until Unskip, because its head can't
-// use what is free at present.
+// Skip keeps an account from being picked until Unskip, because nothing of it
+// can use what is free at present.
 func (q *Queue[T]) Skip(a *Account[T]) {
 	a.skipped = true
 	q.place(a)
@@ -186,6 +187,17 @@
 	q.place(a)
 }
 
+// Defer puts a waiting request behind the others of its account, because it
+// can't use what is free at present and they may. It returns false when there are no others.
+func (q *Queue[T]) Defer(r *Request[T]) bool {
+	if r.Account.waiting == 1 {
+		return false
+	}
+	r.Account.unlink(r)
+	r.Account.append(r)
+	return true
+}
+
 // Start takes a waiting request out because it runs now, and charges its cost
 // in tokens.
 func (q *Queue[T]) Start(r *Request[T], cost float64) {
@@ -228,6 +240,7 @@
 // Charge adds service in tokens to an account.
 func (q *Queue[T]) Charge(a *Account[T], tokens float64) {
 	a.served += tokens / a.weight
+	a.drain.Charge(tokens)
 	q.place(a)
 }
 
--- a/internal/experiment/callers.go
+++ b/internal/experiment/callers.go
@@ -14,7 +14,7 @@
 	c := &w.s.Classes[i]
 	w.at(c.From, func() {
 		if c.Rate > 0 {
-			w.arrive(c)
+			w.arrive(c, c.From)
 			return
 		}
 		w.refill(c)
@@ -25,14 +25,16 @@
 	return now >= c.From && (c.To == 0 || now < c.To)
 }
 
-// arrive sends a request of an open class and books the next.
-func (w *world) arrive(c *Class) {
+// arrive sends a request of an open class and books the next, counted from the
+// time at which this one was due: counted from the tick, arrivals would be held
+// to one a millisecond.
+func (w *world) arrive(c *Class, due time.Duration) {
 	if !c.sends(w.now) {
 		return
 	}
 	w.send(w.draw(c))
 	gap := time.Duration(w.streams[c].ExpFloat64() / c.Rate * float64(time.Second))
-	w.after(gap, func() { w.arrive(c) })
+	w.at(due+gap, func() { w.arrive(c, due+gap) })
 }
 
 // refill keeps a closed class at its backlog.
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -254,7 +254,9 @@
 	if err != nil {
 		w.result.lost(r, w.now)
 		w.end(r, admission.OutcomeTargetFailed)
-		w.resend(r, r.engine)
+		if w.spec.retryAlways || w.engines[r.engine].Crashed() {
+			w.resend(r, r.engine)
+		}
 	}
 }
 
