--- a/internal/decide/admission/target.go
+++ b/internal/decide/admission/target.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// releasedFor is how long ended leases are remembered, to compare a report
-	// with what ran when it was taken: the longest lag that reports have.
-	releasedFor = 3 * time.Second
 	// silentSlots bounds a plain service that does not say what it bears. It is
 	// the load at which slow start takes a target for warm.
 	silentSlots = 16
@@ -24,7 +21,8 @@
 	burstShare = 4
 )
 
-// released is a lease that ended.
+// released is a lease that ended after the last report was taken, which may
+// still count it.
 type released struct {
 	granted, ended time.Duration
 	tokens         int
@@ -169,9 +167,7 @@
 	if t.isUnconfirmed(l) {
 		t.confirm(finished)
 	}
-	if t.report.MemoryTokens > 0 {
-		t.ended = append(t.ended, released{granted: l.granted, ended: now, tokens: l.gen.Prompt + l.gen.Produced})
-	}
+	t.ended = append(t.ended, released{granted: l.granted, ended: now, tokens: l.gen.Prompt + l.gen.Produced})
 }
 
 // started notes the first token of a lease.
@@ -217,11 +213,11 @@
 	}
 	kept := t.ended[:0]
 	for _, r := range t.ended {
-		if now-r.ended > releasedFor {
+		if r.ended < t.taken {
 			continue
 		}
 		kept = append(kept, r)
-		if r.granted < t.taken && r.ended >= t.taken {
+		if r.granted < t.taken {
 			usedThen += r.tokens
 			runningThen++
 		}
