Lease account limits between running control processes

Now internal/control/quota runs a holder a pool and an owner a process, over the gRPC service Quota. The allocator starts of a leased account only what its part allows, and ends parts by its own clock. An owner's leases are rounded in turns: rounded down, a limit of three among four pools was nobody's. Idle holders release what they held instead of being counted for a minute.

Ruled out: parts as SetShare with MaxRunning; a replan of the pools would put the row's limit back in force, and a paused process would go on by it.

--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -16,6 +16,7 @@
 	"filbertdeck/internal/control/admin"
 	"filbertdeck/internal/control/news"
 	"filbertdeck/internal/control/pools"
+	"filbertdeck/internal/control/quota"
 	"filbertdeck/internal/control/sessions"
 	"filbertdeck/internal/control/state"
 	"filbertdeck/internal/controller/configwatch"
@@ -35,9 +36,9 @@
 		fx.Supply(s),
 		fx.Provide(
 			secure.New, (*secure.Identity).Credentials, newBoard, newStore, newWatcher, newMembers, newGossip,
-			newManager, newNews, newSessions, newState, newAdmin,
+			newManager, newNews, newSessions, newState, newAdmin, newQuotaPeers, newQuota,
 		),
-		fx.Invoke(serveAdmin, serveRPC, runManager, runWatcher, runGossip),
+		fx.Invoke(serveAdmin, serveRPC, runManager, runWatcher, runGossip, runQuota),
 	}
 }
 
@@ -85,6 +86,17 @@
 	return pools.NewManager(s.Listen, b, targetclient.New(targetclient.Settings{}), log)
 }
 
+func newQuotaPeers(creds rpc.Credentials) *quota.Peers { return quota.NewPeers(creds) }
+
+func newQuota(
+	s *Settings, b *configwatch.Board, m *pools.Manager, peers *quota.Peers, reg gometrics.Registry,
+) *quota.Controller {
+	return quota.New(quota.Config{
+		Self: s.Listen, Incarnation: uint64(time.Now().UnixMilli()), Table: &b.Table, Hosts: &b.Hosts,
+		Pools: quota.Running(m), Transport: peers, Metrics: reg,
+	})
+}
+
 func newNews(s *Settings, m *pools.Manager) *news.Board { return news.New(s.Listen, m) }
 
 func newSessions(m *pools.Manager) *sessions.Server {
@@ -155,6 +167,13 @@
 	background(lc, w.Run)
 }
 
+func runQuota(lc fx.Lifecycle, c *quota.Controller, peers *quota.Peers) {
+	background(lc, func(ctx context.Context) {
+		defer peers.Close()
+		c.Run(ctx)
+	})
+}
+
 func runManager(lc fx.Lifecycle, m *pools.Manager) { background(lc, m.Run) }
 
 // leaveLimit bounds telling the neighbours of a planned stop.
@@ -169,9 +188,10 @@
 	}))
 }
 
-func serveRPC(lc fx.Lifecycle, s *Settings, id *secure.Identity, creds rpc.Credentials, service *state.Service, g *gossip.Controller) {
+func serveRPC(lc fx.Lifecycle, s *Settings, id *secure.Identity, creds rpc.Credentials, service *state.Service, g *gossip.Controller, q *quota.Controller) {
 	server := rpc.NewServer(creds)
 	filbertv1.RegisterAdmissionServer(server, service)
+	filbertv1.RegisterQuotaServer(server, q)
 	g.Register(server)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/internal/control/pool/runner.go
+++ b/internal/control/pool/runner.go
@@ -115,6 +115,18 @@
 	}
 }
 
+// QuotaUses tells what the accounts with leased limits do.
+func (r *Runner) QuotaUses() []admission.QuotaUse {
+	out := make(chan []admission.QuotaUse, 1)
+	r.Do(func(a *admission.Allocator, now time.Duration) { out <- a.QuotaUses(now) })
+	select {
+	case uses := <-out:
+		return uses
+	case <-r.stop:
+		return nil
+	}
+}
+
 func (r *Runner) loop() {
 	defer r.stopped.Done()
 	timer := time.NewTimer(idleTick)
--- /dev/null
+++ b/internal/control/quota/holder.go
@@ -0,0 +1,135 @@
+package quota
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"filbertdeck/internal/decide/admission"
+	"filbertdeck/internal/decide/quota"
+)
+
+// rateMemory is the time constant of an account's measured rate: output comes
+// in lumps with the entries' renewals, one a second.
+const rateMemory = 2 * time.Second
+
+// holder is one pool that runs here, with its leases.
+type holder struct {
+	pool   Pool
+	leases *quota.Holder
+	taken  time.Duration
+	seen   time.Duration
+	uses   []quota.Use
+	rates  map[string]float64
+	// inForce is what the allocator was told last.
+	inForce map[string]admission.Part
+}
+
+func newHolder(now time.Duration, p Pool) *holder {
+	return &holder{
+		pool: p, leases: quota.NewHolder(quota.Config{}), taken: now, seen: now,
+		rates: map[string]float64{}, inForce: map[string]admission.Part{},
+	}
+}
+
+// syncHolders matches the holders to the pools that run here.
+func (c *Controller) syncHolders(now time.Duration) {
+	running := c.cfg.Pools()
+	for name, h := range c.holders {
+		if running[name] != h.pool {
+			delete(c.holders, name)
+		}
+	}
+	for name, p := range running {
+		if c.holders[name] == nil {
+			c.holders[name] = newHolder(now, p)
+		}
+	}
+}
+
+// look reads what the pool does, and books its tokens.
+func (h *holder) look(now time.Duration, limits map[string]quota.Limits) {
+	elapsed := now - h.seen
+	h.seen = now
+	h.uses = h.uses[:0]
+	rates := map[string]float64{}
+	for _, u := range h.pool.Uses() {
+		limit, limited := limits[u.Account]
+		if !limited {
+			continue
+		}
+		h.leases.Charge(now, u.Account, u.Produced)
+		rates[u.Account] = smooth(h.rates[u.Account], u.Produced, elapsed)
+		use := quota.Use{Account: u.Account, Running: u.Running, Waiting: u.Waiting, TokensPerSecond: rates[u.Account]}
+		if use.Waiting > 0 {
+			// How much the waiting requests will produce isn't known: the owner
+			// shares the row's rate evenly among the pools that want it all.
+			use.TokensPerSecond = limit.TokensPerSecond
+		}
+		h.uses = append(h.uses, use)
+	}
+	h.rates = rates
+}
+
+func smooth(rate float64, produced int, elapsed time.Duration) float64 {
+	if elapsed <= 0 {
+		return rate
+	}
+	part := 1 - math.Exp(-elapsed.Seconds()/rateMemory.Seconds())
+	return rate + part*(float64(produced)/elapsed.Seconds()-rate)
+}
+
+// urgent tells whether requests wait that a demand could let start.
+func (h *holder) urgent(now time.Duration, limits map[string]quota.Limits) bool {
+	return slices.ContainsFunc(h.uses, func(u quota.Use) bool {
+		if u.Waiting == 0 {
+			return false
+		}
+		full := limits[u.Account].Running > 0 && u.Running >= h.leases.Running(now, u.Account)
+		return full || h.leases.RenewAt(u.Account) <= now
+	})
+}
+
+// parts gives what changed since the allocator was told last.
+func (h *holder) parts(now time.Duration, limits map[string]quota.Limits) []admission.Part {
+	next := make(map[string]admission.Part, len(h.uses))
+	var changed []admission.Part
+	for _, u := range h.uses {
+		p := h.part(now, u.Account, limits[u.Account])
+		next[u.Account] = p
+		if h.inForce[u.Account] != p {
+			changed = append(changed, p)
+		}
+	}
+	// An account that does nothing here just now keeps what is in force, until
+	// the lease is over.
+	for account, p := range h.inForce {
+		if _, used := next[account]; !used && now < p.Until {
+			next[account] = p
+		}
+	}
+	h.inForce = next
+	return changed
+}
+
+func (h *holder) part(now time.Duration, account string, limits quota.Limits) admission.Part {
+	rate := quota.Limits{TokensPerSecond: limits.TokensPerSecond}
+	p := admission.Part{Account: account, Until: h.leases.Expires(account)}
+	p.MayStart = now < p.Until && h.leases.MayStart(now, account, rate, 0)
+	if limits.Running > 0 {
+		p.Running = h.leases.Running(now, account)
+		p.MayStart = p.MayStart && p.Running > 0
+	}
+	return p
+}
+
+// putInForce tells the allocators what changed.
+func (c *Controller) putInForce(now time.Duration) {
+	for _, name := range slices.Sorted(maps.Keys(c.holders)) {
+		h := c.holders[name]
+		if changed := h.parts(now, c.limits); len(changed) > 0 {
+			h.pool.SetParts(c.start, changed)
+		}
+	}
+}
--- a/internal/decide/admission/allocator.go
+++ b/internal/decide/admission/allocator.go
@@ -65,6 +65,7 @@
 	queue   *fairqueue.Queue[Ask]
 	drain   fairqueue.Drain
 	shares  map[string]Share
+	parts   partTable
 
 	targets map[string]*target
 	order   []*target
@@ -110,6 +111,7 @@
 		lengths:  lengths.New(0),
 		queue:    fairqueue.New[Ask](cfg.QueueLimit, fairqueue.DefaultLookAhead),
 		shares:   map[string]Share{},
+		parts:    partTable{byAccount: map[string]*part{}},
 		targets:  map[string]*target{},
 		waiting:  map[askKey]*fairqueue.Request[Ask]{},
 		leases:   newLeaseTable(LeaseID(firstID(cfg.Seed))),
@@ -155,7 +157,7 @@
 
 func (a *Allocator) account(name string) *fairqueue.Account[Ask] {
 	s := a.shares[name]
-	return a.queue.Account(name, s.Weight, s.MaxRunning)
+	return a.queue.Account(name, s.Weight, a.limit(name, s))
 }
 
 // Stop refuses everything that waits and everything asked from now on. What
@@ -166,6 +168,7 @@
 // valid until the next call.
 func (a *Allocator) Decide(now time.Duration) []Decision {
 	a.expireLeases(now)
+	a.lapseParts(now)
 	a.refresh(now)
 	a.refuseOverdue(now - 1)
 	a.admit(now)
@@ -185,7 +188,9 @@
 	for _, t := range a.order {
 		t.refresh(now, a.lengths)
 	}
-	a.drain.Tick(now, a.queue.Len() > 0)
+	// Requests that only their account's limit holds back say nothing of how
+	// fast the pool serves: it may be idle, and others would be turned away.
+	a.drain.Tick(now, a.queue.Head() != nil)
 	a.refuseHopeless(now)
 }
 
--- a/internal/decide/admission/lease.go
+++ b/internal/decide/admission/lease.go
@@ -171,6 +171,7 @@
 		survived--
 	}
 	a.lengths.Progress(l.gen.Produced, survived)
+	a.parts.produced(l.account.Name, produced-l.gen.Produced)
 	a.charge(l, OutputCharge*float64(produced-l.gen.Produced))
 	l.gen.Produced, l.heard = produced, now
 }
--- a/internal/decide/admission/types.go
+++ b/internal/decide/admission/types.go
@@ -106,6 +106,9 @@
 	Weight  float64
 	// MaxRunning bounds the account's leases in this pool; 0 means no bound.
 	MaxRunning int
+	// Leased accounts share their limits with other pools: only what SetPart
+	// gave may start here, never more than MaxRunning.
+	Leased bool
 	// Priority is handed to engines; higher goes first.
 	Priority int
 }
--- a/internal/decide/fairqueue/account.go
+++ b/internal/decide/fairqueue/account.go
@@ -8,7 +8,7 @@
 type Account[T any] struct {
 	Name   string
 	weight float64
-	// limit bounds running; 0 means no bound.
+	// limit bounds running; 0 means no bound, NoneMayRun that none may start.
 	limit   int
 	running int
 	waiting int
@@ -38,6 +38,10 @@
 // Served is the service charged so far over the weight, in tokens.
 func (a *Account[T]) Served() float64 { return a.served }
 
+// NoneMayRun is the limit of an account that may start nothing at present. Its
+// requests keep their places.
+const NoneMayRun = -1
+
 // Limit bounds its running requests; 0 means no bound.
 func (a *Account[T]) Limit() int { return a.limit }
 
@@ -45,7 +49,7 @@
 func (a *Account[T]) Newest() *Request[T] { return a.last }
 
 // Limited tells whether the account runs as many requests as it may.
-func (a *Account[T]) Limited() bool { return a.limit > 0 && a.running >= a.limit }
+func (a *Account[T]) Limited() bool { return a.limit != 0 && a.running >= a.limit }
 
 // key orders the accounts that could be picked; the least goes first.
 func (a *Account[T]) key(ahead float64) float64 {
--- a/internal/decide/fairqueue/queue.go
+++ b/internal/decide/fairqueue/queue.go
@@ -283,7 +283,7 @@
 // forfeit takes the credit of an account that its own limit held back, so that
 // raising the limit doesn't give it the pool for as long as it was held back.
 func (q *Queue[T]) forfeit(a *Account[T]) {
-	if a.limit > 0 {
+	if a.limit != 0 {
 		a.served = max(a.served, q.virtual)
 	}
 }
--- a/internal/decide/quota/doc.go
+++ b/internal/decide/quota/doc.go
@@ -97,6 +97,14 @@
 	Known uint64
 }
 
+// Release tells the owner that a holder's lease of an account is over and that
+// it runs nothing of it.
+type Release struct {
+	Account, Holder string
+	// Known is the serial number of the last grant that the holder received.
+	Known uint64
+}
+
 // Grant answers a demand: the holder's part of the limits.
 type Grant struct {
 	Account         string
--- a/internal/decide/quota/owner.go
+++ b/internal/decide/quota/owner.go
@@ -150,14 +150,14 @@
 		return Grant{Account: d.Account, RetryAfter: max(a.tenure.SoleFrom(o.cfg.tenure())-now, o.cfg.LeaseFor/3)}
 	}
 	end := now + o.cfg.LeaseFor + o.cfg.Margin
-	running := math.Floor(a.part(now, float64(limits.Running), l, runningOf))
+	running := a.runningPart(now, limits.Running, l)
 	rate := a.part(now, limits.TokensPerSecond, l, rateOf)
 	o.serial = max(o.serial, o.revision<<serialBits) + 1
-	l.running.add(issue{o.serial, int(running), end + o.cfg.LeaseFor})
+	l.running.add(issue{o.serial, running, end + o.cfg.LeaseFor})
 	l.rate.set(now, l.expires, rate)
 	l.expires = end
 	return Grant{
-		Account: d.Account, Running: int(running), TokensPerSecond: rate,
+		Account: d.Account, Running: running, TokensPerSecond: rate,
 		LeaseFor: o.cfg.LeaseFor, RetryAfter: o.cfg.LeaseFor / 3, Serial: o.serial,
 	}
 }
@@ -190,10 +190,16 @@
 	return sum
 }
 
-// Release ends a holder's leases: it said that it holds and runs nothing.
-func (o *Owner) Release(name, holder string) {
-	if a := o.accounts[name]; a != nil {
-		delete(a.leases, holder)
+// Release ends a holder's leases: it said that it holds and runs nothing, and
+// which grant it knew then. A release that was overtaken by a later demand of
+// the same holder says nothing of the lease that this one was given.
+func (o *Owner) Release(r Release) {
+	a := o.accounts[r.Account]
+	if a == nil {
+		return
+	}
+	if l := a.leases[r.Holder]; l != nil && l.running.last == r.Known {
+		delete(a.leases, r.Holder)
 	}
 }
 
@@ -238,6 +244,41 @@
 	return max(0, min(free, wanted, a.fair(now, limit, of)))
 }
 
+// runningPart is part for whole requests. Fair parts of a limit of three among
+// four pools are below one each: rounded down, nobody ever runs anything, and
+// the account waits for ever below its limit. What rounding down leaves goes in
+// ones to the pools that want more, by turns.
+func (a *account) runningPart(now time.Duration, limit int, own *lease) int {
+	level := math.Floor(a.fair(now, float64(limit), runningOf))
+	left, open := float64(limit), []string(nil)
+	for holder, l := range a.leases {
+		wanted, _ := runningOf(l, now)
+		left -= min(wanted, level)
+		if wanted > level {
+			open = append(open, holder)
+		}
+	}
+	slices.Sort(open)
+	if at := slices.Index(open, own.demand.Holder); at >= 0 {
+		turn := int(now/turnFor) % len(open)
+		if float64((at-turn+len(open))%len(open)) < left {
+			level++
+		}
+	}
+	free := float64(limit)
+	for _, l := range a.leases {
+		if l != own {
+			free -= l.running.most()
+		}
+	}
+	wanted, _ := runningOf(own, now)
+	return int(max(0, min(free, wanted, level)))
+}
+
+// turnFor is how long a pool keeps a place that is too small to be shared: some
+// generations, so that the next pool's wait is short against what callers wait.
+const turnFor = 5 * time.Second
+
 // fair is the level up to which demands are met when the limit is filled evenly
 // among them.
 func (a *account) fair(now time.Duration, limit float64, of kind) float64 {
--- a/internal/decide/quota/schedule.go
+++ b/internal/decide/quota/schedule.go
@@ -32,7 +32,7 @@
 // of an owner. An account that has nothing here, and whose lease is over, is
 // dropped; the owner's lease of it ends by itself.
 func (h *Holder) Due(now time.Duration, holder string, uses []Use, limit int) []Demand {
-	h.dropUnused(now, uses)
+	h.Drop(now, holder, uses)
 	due := make([]Use, 0, len(uses))
 	for _, u := range uses {
 		if h.RenewAt(u.Account) <= now || h.starved(now, u) {
@@ -102,14 +102,35 @@
 	return 0
 }
 
-func (h *Holder) dropUnused(now time.Duration, uses []Use) {
+// debtLife is how long a debt of tokens is remembered after the lease's end: an
+// account must not shed it by pausing for a moment.
+const debtLife = time.Minute
+
+// Drop forgets the accounts that have nothing here and whose lease is over, and
+// gives the releases that their owners should hear. Without them an owner takes
+// such a holder for one that fell silent, and counts for a minute what it could
+// have had: a small limit would be used up by pools that do nothing.
+func (h *Holder) Drop(now time.Duration, holder string, uses []Use) []Release {
 	used := make(map[string]bool, len(uses))
 	for _, u := range uses {
 		used[u.Account] = true
 	}
+	var out []Release
 	for account, l := range h.leases {
-		if !used[account] && now >= l.expires && now >= l.retry {
+		if used[account] || now < l.expires || now < l.retry {
+			continue
+		}
+		if l.grant.Serial > 0 {
+			out = append(out, Release{Account: account, Holder: holder, Known: l.grant.Serial})
+		}
+		l.grant = Grant{}
+		if l.tokens >= 0 || now >= l.expires+debtLife {
 			delete(h.leases, account)
 		}
 	}
+	slices.SortFunc(out, func(a, b Release) int { return cmp.Compare(a.Account, b.Account) })
+	return out
 }
+
+// Expires is the end of the account's lease; 0 without one.
+func (h *Holder) Expires(account string) time.Duration { return h.expiry(account) }
--- a/internal/table/row.go
+++ b/internal/table/row.go
@@ -58,6 +58,9 @@
 	Services []string
 }
 
+// Limited tells whether the row bounds what the account may use over the fleet.
+func (a *Account) Limited() bool { return a.MaxRunning > 0 || a.TokensPerSecond > 0 }
+
 // Service is a service's row.
 type Service struct {
 	Name     string
