--- /dev/null
+++ b/internal/slopes/inputs.go
@@ -0,0 +1,95 @@
+package slopes
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"filbertdeck/internal/platform"
+	"filbertdeck/internal/table"
+)
+
+const header = "kind,name,weight,max_running,tokens_per_second,priority,key_sha256,services,type,delivery,max_tokens,max_wait_ms,queue_limit\n"
+
+// service is the service that all targets of a measurement serve.
+const service = "reports"
+
+// pageRows keeps a page of the table below the platform's megabyte per value.
+const pageRows = 5000
+
+// tablePages writes a table of so many accounts; edit goes into the first
+// account's limit, so that two edits differ in one row.
+func tablePages(accounts, edit int) [][]byte {
+	var pages [][]byte
+	var page strings.Builder
+	page.WriteString(header + "service," + service + ",,,,,,,generation,stream,100000,60000,20000\n")
+	for i := range accounts {
+		if i > 0 && i%pageRows == 0 {
+			pages = append(pages, []byte(page.String()))
+			page.Reset()
+		}
+		rate := 1000
+		if i == 0 {
+			rate += edit
+		}
+		key := sha256.Sum256([]byte(strconv.Itoa(i)))
+		fmt.Fprintf(&page, "account,account-%05d,1,100,%d,0,%s,,,,,,\n", i, rate, hex.EncodeToString(key[:]))
+	}
+	return append(pages, []byte(page.String()))
+}
+
+func centre(i int) string { return fmt.Sprintf("dc-%02d", i%TargetCentres) }
+
+// hostList makes hosts with loopback addresses at which nothing listens: a
+// process that calls them is refused at once, and nothing leaves the machine.
+func hostList(count int) []platform.Host {
+	hosts := make([]platform.Host, count)
+	for i := range hosts {
+		ip := fmt.Sprintf("127.1.%d.%d", i/250, i%250+1)
+		hosts[i] = platform.Host{
+			Name: fmt.Sprintf("host-%04d", i), DataCentre: centre(i),
+			Entry: ip + ":8081", Control: ip + ":8090", State: platform.StateLive,
+		}
+	}
+	return hosts
+}
+
+// targetList makes targets of the service, spread over the data centres.
+func targetList(count int) []platform.Target {
+	targets := make([]platform.Target, count)
+	for i := range targets {
+		targets[i] = platform.Target{
+			Service: service, Address: fmt.Sprintf("127.2.%d.%d:8000", i/250, i%250+1),
+			DataCentre: centre(i), State: platform.StateLive,
+		}
+	}
+	return targets
+}
+
+// targetsDocument and hostsDocument are the platform's documents.
+type targetsDocument struct {
+	Revision uint64            `json:"revision"`
+	Targets  []platform.Target `json:"targets"`
+}
+
+type hostsDocument struct {
+	Revision uint64          `json:"revision"`
+	Hosts    []platform.Host `json:"hosts"`
+}
+
+func jsonText(document any) string {
+	text, _ := json.Marshal(document)
+	return string(text)
+}
+
+// withTargets gives a table in which the service has these targets.
+func withTargets(t *table.Table, targets []platform.Target) *table.Table {
+	list := make([]table.Target, len(targets))
+	for i, target := range targets {
+		list[i] = table.Target{Address: target.Address, DataCentre: target.DataCentre}
+	}
+	return t.With(nil, map[string][]table.Target{service: list})
+}
