--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Packages whose tests run with the race detector.
 RACE_PACKAGES ?= ./internal/... ./cmd/...
 
-.PHONY: build test fmt-check vet lint generate generate-check reference reference-check unit demo
+.PHONY: build test fmt-check vet lint generate generate-check reference reference-check unit demo faults
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -48,3 +48,8 @@
 # The main job on one machine; every process ends with it.
 demo: build
 	$(BIN)/filbert-demo --bin-dir $(BIN)
+
+# The fault matrix with its table and total; FAULTS_ARGS='-pairs 2000'
+# and the like search longer.
+faults:
+	$(GO) test -count=1 -v -timeout 30m ./test/faults $(if $(FAULTS_ARGS),-args $(FAULTS_ARGS))
