--- a/internal/decide/admission/allocator.go
+++ b/internal/decide/admission/allocator.go
@@ -49,9 +49,9 @@
 	// of 50 generations grows by 2.5 tokens between refreshes, a thousandth of
 	// an engine's memory in all.
 	refreshEvery = 100 * time.Millisecond
-	// skipLimit bounds the asks passed over in one round because they can't
-	// use the targets that have room (Ask.Avoid, suspects).
-	skipLimit = 8
+	// deferLimit bounds the asks put behind in one round because they can't use
+	// the targets that have room (Ask.Avoid, suspects).
+	deferLimit = 16
 	// hopelessChecks bounds the accounts whose newest ask is looked at again at
 	// each refresh; all 11,000 are seen within five seconds.
 	hopelessChecks = 256
@@ -65,6 +65,7 @@
 	queue   *fairqueue.Queue[Ask]
 	drain   fairqueue.Drain
 	shares  map[string]Share
+	parts   partTable
 
 	targets map[string]*target
 	order   []*target
@@ -79,9 +80,9 @@
 	owner    ownership
 	stopping bool
 
+	skipped   []*fairqueue.Account[Ask]
 	refreshed time.Duration
 	round     int
-	skipped   []*fairqueue.Account[Ask]
 	// out gathers decisions; spare is the slice that the last Decide returned.
 	out, spare []Decision
 }
@@ -110,6 +111,7 @@
 		lengths:  lengths.New(0),
 		queue:    fairqueue.New[Ask](cfg.QueueLimit, fairqueue.DefaultLookAhead),
 		shares:   map[string]Share{},
+		parts:    partTable{byAccount: map[string]*part{}},
 		targets:  map[string]*target{},
 		waiting:  map[askKey]*fairqueue.Request[Ask]{},
 		leases:   newLeaseTable(LeaseID(firstID(cfg.Seed))),
@@ -155,7 +157,7 @@
 
 func (a *Allocator) account(name string) *fairqueue.Account[Ask] {
 	s := a.shares[name]
-	return a.queue.Account(name, s.Weight, s.MaxRunning)
+	return a.queue.Account(name, s.Weight, a.limit(name, s))
 }
 
 // Stop refuses everything that waits and everything asked from now on. What
@@ -166,6 +168,7 @@
 // valid until the next call.
 func (a *Allocator) Decide(now time.Duration) []Decision {
 	a.expireLeases(now)
+	a.lapseParts(now)
 	a.refresh(now)
 	a.refuseOverdue(now - 1)
 	a.admit(now)
@@ -185,22 +188,25 @@
 	for _, t := range a.order {
 		t.refresh(now, a.lengths)
 	}
-	a.drain.Tick(now, a.queue.Len() > 0)
+	// Requests that only their account's limit holds back say nothing of how
+	// fast the pool serves: it may be idle, and others would be turned away.
+	a.drain.Tick(now, a.queue.Head() != nil)
 	a.refuseHopeless(now)
 }
 
 // admit grants in the queue's order for as long as the head finds a target. A
 // head without room keeps its place and those behind it wait: passing over a
 // large prompt for small ones would starve it. Only a head whose own
-// constraints rule out the targets with room is passed over.
+// constraints rule out the targets with room goes behind its account's others.
 func (a *Allocator) admit(now time.Duration) {
-	for len(a.skipped) < skipLimit {
+	fate := headAnswered
+	for deferred := 0; fate != headBlocked && deferred < deferLimit; {
 		r := a.queue.Head()
 		if r == nil {
 			break
 		}
-		if !a.serve(now, r) {
-			break
+		if fate = a.serve(now, r); fate == headDeferred {
+			deferred++
 		}
 	}
 	for _, s := range a.skipped {
@@ -209,28 +215,39 @@
 	a.skipped = a.skipped[:0]
 }
 
-// serve grants, refuses or passes over the head; false ends the round.
-func (a *Allocator) serve(now time.Duration, r *fairqueue.Request[Ask]) bool {
+// headFate says what became of the request at the head.
+type headFate int
+
+const (
+	headAnswered headFate = iota
+	headDeferred
+	headBlocked
+)
+
+// serve grants, refuses or defers the head.
+func (a *Allocator) serve(now time.Duration, r *fairqueue.Request[Ask]) headFate {
 	ask := &r.Value
 	ruling := a.suspects.rule(now, ask.Fingerprint)
 	if ruling.guilty {
 		a.refuseWaiting(r, RefusedPoison, ruling.wait)
-		return true
+		return headAnswered
 	}
 	t := a.choose(now, ask, ruling)
 	if t != nil {
 		a.grantWaiting(now, r, t, ruling)
-		return true
+		return headAnswered
 	}
 	if len(ask.Avoid) == 0 && !ruling.constrained() {
-		return false
+		return headBlocked
 	}
 	if ruling.alone {
 		a.suspects.reserve(a.order, r)
 	}
-	a.skipped = append(a.skipped, r.Account)
-	a.queue.Skip(r.Account)
-	return true
+	if !a.queue.Defer(r) {
+		a.skipped = append(a.skipped, r.Account)
+		a.queue.Skip(r.Account)
+	}
+	return headDeferred
 }
 
 func (a *Allocator) grantWaiting(now time.Duration, r *fairqueue.Request[Ask], t *target, ruling ruling) {
@@ -280,6 +297,9 @@
 	Running int
 	// PredictedTokens is the memory in use by our own count.
 	PredictedTokens int
+	// Report is the target's last statement; its Age counts from when it was
+	// made to when it was read.
+	Report Report
 }
 
 // Snapshot returns the state for counters.
@@ -288,7 +308,7 @@
 	for _, t := range a.order {
 		s.Targets = append(s.Targets, TargetSnapshot{
 			Address: t.address, State: t.gate.State(now), Running: len(t.leases),
-			PredictedTokens: int(t.load.Now()),
+			PredictedTokens: int(t.load.Now()), Report: t.report,
 		})
 	}
 	return s
--- a/internal/decide/admission/lease.go
+++ b/internal/decide/admission/lease.go
@@ -171,6 +171,7 @@
 		survived--
 	}
 	a.lengths.Progress(l.gen.Produced, survived)
+	a.parts.produced(l.account.Name, produced-l.gen.Produced)
 	a.charge(l, OutputCharge*float64(produced-l.gen.Produced))
 	l.gen.Produced, l.heard = produced, now
 }
@@ -242,7 +243,7 @@
 	// for a cold start, and every long prompt or slow call would make a warm
 	// target cold for seconds.
 	l.target.gate.Ended(now, uint64(l.id), finished, 0)
-	l.target.remove(now, l)
+	l.target.remove(now, l, finished)
 	a.leases.remove(l)
 	a.queue.Finish(account, cost)
 }
