--- a/internal/handle/handle_test.go
+++ b/internal/handle/handle_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/base64"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -164,6 +166,30 @@
 		Entry(nil, "", "no key"), Entry(nil, "\nSECRET", "line 2"), Entry(nil, "x:SECRET", "line 1"),
 		Entry(nil, "1:SECRET", "line 1"), Entry(nil, "1:"+good+"\n1:"+good, "twice"), Entry(nil, "5000000000:"+good, "line 1"),
 	)
+	// Operators rotate the keys while reports run. The file is caught while it
+	// is half written; taking it over would cut every caller off from its
+	// report.
+	It("is followed while processes run, and only whole", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "ring")
+		write := func(text string) { Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed()) }
+		write("1:" + good)
+		file, err := handle.OpenFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		text := string(file.SealTo(nil, sample()))
+		Expect(file.Refresh()).To(BeFalse())
+		write("2:" + good[:10])
+		_, err = file.Refresh()
+		Expect(failure.KindOf(err)).To(Equal(failure.KindSettingInvalid))
+		Expect(file.Open(text, "foundation", start)).To(Equal(sample()))
+		write("2:" + good + "\n1:" + good)
+		Expect(file.Refresh()).To(BeTrue())
+		Expect(file.Open(text, "foundation", start)).To(Equal(sample()))
+		Expect(os.Remove(path)).To(Succeed())
+		_, err = file.Refresh()
+		Expect(failure.KindOf(err)).To(Equal(failure.KindSettingInvalid))
+		_, err = handle.OpenFile(path)
+		Expect(failure.KindOf(err)).To(Equal(failure.KindSettingInvalid))
+	})
 	It("is not empty and has whole keys", func() {
 		_, err := handle.NewRing([]handle.Secret{{ID: 1, Bytes: []byte("short")}})
 		Expect(failure.KindOf(err)).To(Equal(failure.KindSettingInvalid))
