--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -184,12 +184,12 @@
 func fairness(name string, warmup time.Duration) Scenario {
 	return Scenario{
 		Name: name, About: "four backlogged accounts of weights 4, 2, 1, 1 and unlike lengths",
-		Engines: 2, Engine: warm(), Duration: warmup + 4*minute, Warmup: warmup,
+		Engines: 4, Engine: warm(), Duration: warmup + 4*minute, Warmup: warmup,
 		Classes: []Class{
-			saturated("a", 4, mixedPrompt, mixedOutput, 200),
-			saturated("b", 2, longPrompt, longOutput, 200),
-			saturated("c", 1, mixedPrompt, Lengths{50, 0.8}, 200),
-			saturated("d", 1, Lengths{1000, 0.8}, mixedOutput, 200),
+			saturated("a", 4, mixedPrompt, mixedOutput, 240),
+			saturated("b", 2, longPrompt, longOutput, 240),
+			saturated("c", 1, mixedPrompt, Lengths{50, 0.8}, 240),
+			saturated("d", 1, Lengths{1000, 0.8}, mixedOutput, 240),
 		},
 		Policies: queuePolicies(),
 	}
