--- a/internal/decide/quota/owner.go
+++ b/internal/decide/quota/owner.go
@@ -80,27 +80,30 @@
 	return float64(most)
 }
 
-// held is the largest rate that a holder may still believe to have. A smaller
-// lease may not reach it, so the larger one counts until its own end.
-type held struct {
-	now       float64
-	before    float64
-	beforeEnd time.Duration
+// held is the rates that a holder may still believe to have. A smaller lease may
+// not reach it, so a larger one counts until its own end, and no longer: were
+// the end moved on with each renewal, a pool that once had the whole rate would
+// be counted with it for as long as it asks, and the others would get nothing.
+type held struct{ grants []rateGrant }
+
+type rateGrant struct {
+	amount float64
+	end    time.Duration
 }
 
-func (h *held) set(now, oldEnd time.Duration, amount float64) {
-	if past := h.at(now); past > amount {
-		h.before = past
-		h.beforeEnd = max(h.beforeEnd, oldEnd)
-	}
-	h.now = amount
+func (h *held) set(now, end time.Duration, amount float64) {
+	h.grants = slices.DeleteFunc(h.grants, func(g rateGrant) bool { return g.end <= now || g.amount <= amount })
+	h.grants = append(h.grants, rateGrant{amount, end})
 }
 
 func (h *held) at(now time.Duration) float64 {
-	if now < h.beforeEnd {
-		return max(h.now, h.before)
+	most := 0.0
+	for _, g := range h.grants {
+		if now < g.end {
+			most = max(most, g.amount)
+		}
 	}
-	return h.now
+	return most
 }
 
 // NewOwner returns an owner of nothing.
@@ -154,7 +157,7 @@
 	rate := a.part(now, limits.TokensPerSecond, l, rateOf)
 	o.serial = max(o.serial, o.revision<<serialBits) + 1
 	l.running.add(issue{o.serial, running, end + o.cfg.LeaseFor})
-	l.rate.set(now, l.expires, rate)
+	l.rate.set(now, end, rate)
 	l.expires = end
 	return Grant{
 		Account: d.Account, Running: running, TokensPerSecond: rate,
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -99,6 +99,43 @@
 		Expect(h.MayStart(now, "other", quota.Limits{}, 1000)).To(BeTrue(), "no limits")
 	})
 
+	// The first pool to ask is given the whole rate. When others want a part it
+	// keeps on renewing; if it were counted with the whole for as long as it
+	// does, the account would get a third of its rate.
+	It("shares a rate out again once the larger lease is over", func() {
+		o, rate := soleOwner(), quota.Limits{TokensPerSecond: 90}
+		got := map[string]float64{}
+		for at := range 10 {
+			t := now + time.Duration(at)*time.Second
+			o.Confirm(t)
+			for _, holder := range []string{"a", "b", "c"} {
+				got[holder] = o.Ask(t, rate, quota.Demand{Account: "park", Holder: holder, TokensPerSecond: 90}).TokensPerSecond
+			}
+			Expect(o.Leased(t, "park").TokensPerSecond).To(BeNumerically("<=", 90))
+		}
+		Expect(got).To(Equal(map[string]float64{"a": 30, "b": 30, "c": 30}))
+	})
+
+	// Four pools want three places: a fair part of less than one, rounded down,
+	// would be nobody's, and the account would wait below its limit for ever.
+	It("gives a limit below the number of pools away by turns", func() {
+		o, small, turns := soleOwner(), quota.Limits{Running: 3}, map[string]int{}
+		known := map[string]uint64{}
+		for at := range 40 {
+			t := now + time.Duration(at)*time.Second
+			o.Confirm(t)
+			for _, holder := range []string{"a", "b", "c", "d"} {
+				d := demand(holder, 0, 5)
+				d.Known = known[holder]
+				g := o.Ask(t, small, d)
+				known[holder] = g.Serial
+				turns[holder] += g.Running
+			}
+			Expect(o.Leased(t, "park").Running).To(BeNumerically("<=", 3))
+		}
+		Expect(turns).To(HaveEach(BeNumerically(">=", 20)))
+	})
+
 	It("asks in time, sooner when starved, and forgets what it no longer uses", func() {
 		h := quota.NewHolder(quota.Config{})
 		due := func(now time.Duration, uses ...quota.Use) []quota.Demand { return h.Due(now, "a", uses, 10) }
@@ -117,9 +154,12 @@
 	})
 
 	It("never leases more than the row, in any seed, unlike counting by gossip", func() {
-		used, most, naive := 0.0, [2]int{}, simulate(1, true)
+		used, most, naive := 0.0, [2]int{}, simulate(1, true, false)
 		for seed := range uint64(100) {
-			r := simulate(seed, false)
+			idle := simulate(seed, false, true)
+			Expect(idle.leased).To(BeNumerically("<=", row.Running), fmt.Sprint("seed ", seed))
+			Expect(seed%2 == 1 || idle.running <= row.Running).To(BeTrue(), fmt.Sprint("seed ", seed))
+			r := simulate(seed, false, false)
 			Expect(r.leased).To(BeNumerically("<=", row.Running), fmt.Sprint("seed ", seed))
 			used += r.used / 100
 			most[seed%2] = max(most[seed%2], r.running)
@@ -142,6 +182,8 @@
 	owners    [2]*quota.Owner
 	running   [8]int
 	leased    int
+	// idles lets pools have nothing to do for a while, and release their parts.
+	idles bool
 }
 
 const tick = 50 * time.Millisecond
@@ -179,12 +221,24 @@
 	return func() {
 		if w.IntN(100) == 0 {
 			want = w.IntN(80)
+			if w.idles {
+				want = max(0, want-10)
+			}
 		}
 		if w.IntN(1000) == 0 {
 			cut = w.now + 10*time.Second
 		}
-		for _, d := range h.Due(w.now, fmt.Sprint(i), []quota.Use{{Account: "park", Running: w.running[i], Waiting: max(0, want-w.running[i])}}, 1) {
-			o, asked := w.owners[w.published%2], w.now
+		o, asked := w.owners[w.published%2], w.now
+		uses := []quota.Use{{Account: "park", Running: w.running[i], Waiting: max(0, want-w.running[i])}}
+		if w.idles && want == 0 && w.running[i] == 0 {
+			uses = nil
+		}
+		for _, r := range h.Drop(w.now, fmt.Sprint(i), uses) {
+			if w.now >= cut {
+				w.send(func() { o.Release(r) })
+			}
+		}
+		for _, d := range h.Due(w.now, fmt.Sprint(i), uses, 1) {
 			if w.now < cut {
 				continue
 			}
@@ -220,8 +274,8 @@
 	used            float64
 }
 
-func simulate(seed uint64, naive bool) (f figures) {
-	w := &world{Rand: rand.New(rand.NewPCG(seed, 4)), events: map[time.Duration][]func(){}}
+func simulate(seed uint64, naive, idles bool) (f figures) {
+	w := &world{Rand: rand.New(rand.NewPCG(seed, 4)), events: map[time.Duration][]func(){}, idles: idles}
 	steps := []func(){w.owner(0), w.owner(1)}
 	for i := range w.running {
 		steps = append(steps, w.pool(i, naive))
@@ -251,9 +305,11 @@
 	f.Add(uint64(1))
 	f.Add(uint64(772)) // what was started before a smaller lease came ran on, uncounted
 	f.Fuzz(func(t *testing.T, seed uint64) {
-		r := simulate(seed, false)
-		if r.leased > row.Running || (seed%2 == 0 && r.running > row.Running) {
-			t.Fatalf("seed %d: %d leased, %d running of %d", seed, r.leased, r.running, row.Running)
+		for _, idles := range []bool{false, true} {
+			r := simulate(seed, false, idles)
+			if r.leased > row.Running || (seed%2 == 0 && r.running > row.Running) {
+				t.Fatalf("seed %d, idle %v: %d leased, %d running of %d", seed, idles, r.leased, r.running, row.Running)
+			}
 		}
 	})
 }
