Test an allocator's parts of leased limits

Cause: parts stood without tests of their own. Switching off the end of a part by the allocator's clock, or measuring the pool's pace while only a limited account waits, makes one of them fail each (tried and put back). A replaced process in the quota world now learns its leases two seconds late; with settleFor at 0 it then exceeds the limit, which the test shows.

--- a/internal/control/quota/quota_test.go
+++ b/internal/control/quota/quota_test.go
@@ -109,10 +109,15 @@
 		// A control process is replaced at the same address. It knows of nothing
 		// that runs until the entries have renewed their leases.
 		Entry("when a holder is replaced", func(w *world) {
+			for _, n := range w.nodes[2:] {
+				n.pool.want = 0
+				n.pool.empty("park")
+			}
 			w.run(20 * time.Second)
 			n, old := w.nodes[1], w.nodes[1].pool
+			Expect(old.running("park")).To(Equal(3))
 			n.pool = newMemoryPool(w, 99)
-			n.pool.jobs = old.jobs
+			n.pool.jobs, n.pool.starts, n.pool.renewsFrom = old.jobs, old.starts, w.now+2*time.Second
 			w.publishRow(w.row)
 		}),
 	)
--- a/internal/control/quota/world_test.go
+++ b/internal/control/quota/world_test.go
@@ -199,6 +199,8 @@
 	starts map[string]int
 	// waits counts the requests without a decision.
 	waits map[string]int
+	// renewsFrom is when entries have found a new allocator.
+	renewsFrom time.Duration
 	// want is how many requests of the account wait or run here.
 	want int
 }
@@ -283,6 +285,9 @@
 			}
 			continue
 		}
+		if now < p.renewsFrom {
+			continue
+		}
 		p.alloc.Renew(now, admission.Holder{}, []admission.Renewal{{Lease: j.lease, Target: "t", Account: j.account, Produced: made}})
 	}
 	p.jobs = slices.DeleteFunc(p.jobs, func(j *job) bool { return now >= j.ends })
