--- a/cmd/filbert-slopes/main.go
+++ b/cmd/filbert-slopes/main.go
@@ -19,24 +19,19 @@
 	Over time.Duration `arg:"--over" default:"10s" help:"how long each state is watched"`
 }
 
-type controlArgs struct {
+type processArgs struct {
 	timed
-	BinDir string `arg:"--bin-dir" default:"bin" help:"folder of the programs"`
-	Edits  int    `arg:"--edits" default:"2" help:"edits of one row a second"`
-}
-
-type fleetArgs struct {
-	timed
-	BinDir string `arg:"--bin-dir" default:"bin" help:"folder of the programs"`
-	Sizes  []int  `arg:"--hosts" help:"numbers of hosts, each with two processes; 8 and 32 by default"`
+	BinDir string   `arg:"--bin-dir" default:"bin" help:"folder of the programs"`
+	Edits  int      `arg:"--edits" default:"2" help:"edits of one row a second"`
+	Points []string `arg:"positional" help:"accounts, targets, fleet, published, all; each without a name"`
 }
 
 type args struct {
-	Plan      *struct{}    `arg:"subcommand:plan" help:"the plan of pools, in this process"`
-	Table     *struct{}    `arg:"subcommand:table" help:"the table in force and its push to an entry, in this process"`
-	Admission *timed       `arg:"subcommand:admission" help:"the session between an entry and an allocator, on loopback"`
-	Control   *controlArgs `arg:"subcommand:control" help:"one host's processes against accounts, targets and edits"`
-	Fleet     *fleetArgs   `arg:"subcommand:fleet" help:"fleets of real processes"`
+	Plan       *struct{}    `arg:"subcommand:plan" help:"the plan of pools, in this process"`
+	Table      *struct{}    `arg:"subcommand:table" help:"the table in force and its push to an entry, in this process"`
+	Accounting *struct{}    `arg:"subcommand:accounting" help:"the counters that an entry hands to its control process, in this process"`
+	Admission  *timed       `arg:"subcommand:admission" help:"the session between an entry and an allocator, on loopback"`
+	Processes  *processArgs `arg:"subcommand:processes" help:"real processes against accounts, targets, hosts and edits"`
 }
 
 // Version implements go-arg's versioned interface.
@@ -69,16 +64,13 @@
 		r.Plan()
 	case a.Table != nil:
 		r.Table()
+	case a.Accounting != nil:
+		r.Accounting()
 	case a.Admission != nil:
 		return r.Admission(ctx, a.Admission.Over)
-	case a.Control != nil:
-		return r.Control(ctx, slopes.Processes{BinDir: a.Control.BinDir, Over: a.Control.Over, EditsPerSecond: a.Control.Edits})
-	case a.Fleet != nil:
-		sizes := a.Fleet.Sizes
-		if len(sizes) == 0 {
-			sizes = []int{8, 32}
-		}
-		return r.Fleet(ctx, slopes.Processes{BinDir: a.Fleet.BinDir, Over: a.Fleet.Over}, sizes)
+	case a.Processes != nil:
+		p := slopes.Processes{BinDir: a.Processes.BinDir, Over: a.Processes.Over, EditsPerSecond: a.Processes.Edits}
+		return p.Run(ctx, r, a.Processes.Points)
 	}
 	return nil
 }
--- a/internal/slopes/admission.go
+++ b/internal/slopes/admission.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"fmt"
-	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/control/pool"
 	"filbertdeck/internal/control/sessions"
@@ -25,6 +25,8 @@
 	// nodeRate is the requests that a node asks for a second at the target
 	// size: 52,000 over 3,300 nodes.
 	nodeRate = 16
+	// nodeRun is how long a request runs there: 230 tokens, 61 ms apart.
+	nodeRun = 14 * time.Second
 )
 
 // bench is one pool served over gRPC on loopback.
@@ -81,7 +83,7 @@
 // one is a request from its ask to its settlement; run is how long it runs.
 func (b *bench) one(ctx context.Context, i int, run time.Duration) error {
 	lease, err := b.client.Acquire(ctx, &filbertv1.Ask{
-		Pool: poolName, Account: fmt.Sprintf("account-%05d", i%8), PromptTokens: 400, MaxTokens: 2000,
+		Pool: poolName, Account: accountName(i % 8), PromptTokens: 400, MaxTokens: 2000,
 		Fingerprint: uint64(i) * 0x9e3779b97f4a7c15, Prefix: []uint64{uint64(i) << 40, uint64(i) << 41, uint64(i) << 42, uint64(i) << 43},
 		WaitMs: 60_000,
 	})
@@ -96,28 +98,36 @@
 
 // paced asks rate times a second for a while; each request runs so long.
 func (b *bench) paced(ctx context.Context, rate int, run, over time.Duration) error {
-	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	ticker := time.NewTicker(time.Second / time.Duration(max(rate, 1)))
 	defer ticker.Stop()
-	var wg sync.WaitGroup
-	var once sync.Once
-	var failed error
+	group, ctx := errgroup.WithContext(ctx)
 	for i := range rate * int(over/time.Second) {
 		<-ticker.C
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			if err := b.one(ctx, i, run); err != nil {
-				once.Do(func() { failed = err })
-			}
-		}()
+		group.Go(func() error { return b.one(ctx, i, run) })
 	}
-	wg.Wait()
-	return failed
+	return group.Wait()
+}
+
+// steady watches a pace after as many requests run as ever will, until the
+// last begins.
+func (b *bench) steady(ctx context.Context, r Report, rate int, run, over time.Duration) error {
+	done := make(chan error, 1)
+	go func() { done <- b.paced(ctx, rate, run, run+over+time.Second) }()
+	time.Sleep(run)
+	payload, segments := b.wire.sample()
+	cpu, begun := ownCPU(), time.Now()
+	time.Sleep(over)
+	used, took := ownCPU()-cpu, time.Since(begun).Seconds()
+	endPayload, endSegments := b.wire.sample()
+	bytes, packets := float64(endPayload-payload)/took, float64(endSegments-segments)/took
+	r.line("admission: %d requests/s that run %v: %.0f payload bytes/s and %.1f segments/s both ways, with headers %.0f (all acknowledgements ride along) to %.0f bytes/s (none does); %.3f%% of a core, both sides and load together",
+		rate, run, bytes, packets, bytes+packets*segmentHeader, bytes+2*packets*segmentHeader, share(used, over))
+	return <-done
 }
 
 // Admission measures the session between an entry and an allocator: bytes at a
 // node's own pace, with requests that run for a while, and processor time of
-// both sides together at a pace that shows it.
+// both sides together at paces that show it.
 func (r Report) Admission(ctx context.Context, over time.Duration) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -132,20 +142,10 @@
 	for _, c := range []struct {
 		rate int
 		run  time.Duration
-	}{{1, 0}, {nodeRate, 0}, {nodeRate, 4 * time.Second}, {200, 0}, {1000, 0}} {
-		payload, segments := b.wire.sample()
-		cpu, begun := ownCPU(), time.Now()
-		if err := b.paced(ctx, c.rate, c.run, over); err != nil {
+	}{{0, 0}, {1, 0}, {nodeRate, 0}, {nodeRate, 4 * time.Second}, {nodeRate, nodeRun}, {200, 0}, {1000, 0}} {
+		if err := b.steady(ctx, r, c.rate, c.run, over); err != nil {
 			return err
 		}
-		took, used := time.Since(begun), ownCPU()-cpu
-		endPayload, endSegments := b.wire.sample()
-		bytes, packets := float64(endPayload-payload)/took.Seconds(), float64(endSegments-segments)/took.Seconds()
-		requests := float64(c.rate) * over.Seconds() / took.Seconds()
-		r.line("admission: %.1f requests/s that run %v: %.0f payload bytes/s and %.1f segments/s both ways; with headers %.0f to %.0f bytes/s, %.0f to %.0f a request; cpu %.0f us a request, both sides and load together",
-			requests, c.run, bytes, packets, bytes+packets*segmentHeader, bytes+2*packets*segmentHeader,
-			(bytes+packets*segmentHeader)/requests, (bytes+2*packets*segmentHeader)/requests,
-			float64(used.Microseconds())/took.Seconds()/requests)
 	}
 	return nil
 }
--- a/internal/slopes/inputs.go
+++ b/internal/slopes/inputs.go
@@ -36,11 +36,13 @@
 			rate += edit
 		}
 		key := sha256.Sum256([]byte(strconv.Itoa(i)))
-		fmt.Fprintf(&page, "account,account-%05d,1,100,%d,0,%s,,,,,,\n", i, rate, hex.EncodeToString(key[:]))
+		fmt.Fprintf(&page, "account,%s,1,100,%d,0,%s,,,,,,\n", accountName(i), rate, hex.EncodeToString(key[:]))
 	}
 	return append(pages, []byte(page.String()))
 }
 
+func accountName(i int) string { return fmt.Sprintf("account-%05d", i) }
+
 func centre(i int) string { return fmt.Sprintf("dc-%02d", i%TargetCentres) }
 
 // hostList makes hosts with loopback addresses at which nothing listens: a
--- a/internal/slopes/process.go
+++ b/internal/slopes/process.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -26,41 +27,52 @@
 // settle is left to the processes after a change before they are watched.
 const settle = 4 * time.Second
 
-// A point is one state in which a control process is watched.
-type point struct {
-	name string
-	// accounts stand in the table, polled targets answer, and otherHosts and
-	// otherTargets are published though nothing listens there.
-	accounts, polled, otherHosts, otherTargets int
+// A Point is one state in which the processes of hosts are watched.
+type Point struct {
+	Name string
+	// Hosts run with two processes each; Accounts stand in the table, Polled
+	// targets answer, and OtherHosts and OtherTargets are published though
+	// nothing listens there.
+	Hosts, Accounts, Polled, OtherHosts, OtherTargets int
 }
 
-// controlPoints vary one size at a time; the last has the target size of
-// everything that is published.
-var controlPoints = []point{
-	{"accounts", 10, 4, 0, 0}, {"accounts", 100, 4, 0, 0}, {"accounts", 1000, 4, 0, 0}, {"accounts", TargetAccounts, 4, 0, 0},
-	{"polled targets", 10, 12, 0, 0}, {"polled targets", 10, 100, 0, 0}, {"polled targets", 10, 1000, 0, 0},
-	{"published hosts", 10, 4, 330, 0}, {"published targets", 10, 4, 330, 1000},
-	{"target size", TargetAccounts, 4, TargetHosts - 1, TargetServers - 4},
+// Points vary one size at a time; the last has the target size of everything
+// that is published.
+var Points = []Point{
+	{"accounts", 1, 10, 4, 0, 0}, {"accounts", 1, 100, 4, 0, 0}, {"accounts", 1, 1000, 4, 0, 0}, {"accounts", 1, TargetAccounts, 4, 0, 0},
+	{"targets", 1, 10, 10, 0, 0}, {"targets", 1, 10, 100, 0, 0}, {"targets", 1, 10, 1000, 0, 0},
+	{"fleet", 8, 10, 4, 0, 0}, {"fleet", 32, 10, 4, 0, 0},
+	{"published", 1, 10, 4, 330, 1000}, {"all", 1, TargetAccounts, 4, TargetHosts - 1, TargetServers - 4},
 }
 
-// Control watches a control process and the entry of its host at each point:
+// Run watches the processes at each point that is named (all without a name):
 // first without a change, then under edits of one row.
-func (r Report) Control(ctx context.Context, p Processes) error {
-	for _, at := range controlPoints {
-		if err := r.controlPoint(ctx, p, at); err != nil {
+func (p Processes) Run(ctx context.Context, r Report, names []string) error {
+	for _, at := range Points {
+		if len(names) > 0 && !slices.Contains(names, at.Name) {
+			continue
+		}
+		if err := p.point(ctx, r, at); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (r Report) controlPoint(ctx context.Context, p Processes, at point) error {
-	f, err := fleet.Start(ctx, fleet.Spec{BinDir: p.BinDir, Table: string(tablePages(1, 0)[0]), Hosts: []string{centre(0)}})
+func (p Processes) point(ctx context.Context, r Report, at Point) error {
+	hosts := make([]string, at.Hosts)
+	for i := range hosts {
+		hosts[i] = centre(0)
+	}
+	f, err := fleet.Start(ctx, fleet.Spec{
+		BinDir: p.BinDir, Table: string(tablePages(1, 0)[0]), Hosts: hosts,
+		Engines: hosts[:1], EngineServices: []string{service},
+	})
 	if err != nil {
 		return err
 	}
 	defer f.Close()
-	loads, err := serveLoads(at.polled)
+	loads, err := serveLoads(at.Polled)
 	if err != nil {
 		return err
 	}
@@ -73,40 +85,51 @@
 	if err != nil {
 		return err
 	}
-	edits := 0
-	busy, err := watch(f, loads, func() (err error) { edits, err = edit(f, at, p); return err })
+	edits := int(p.Over.Seconds()) * p.EditsPerSecond
+	busy, err := watch(f, loads, func() error { return edit(f, at, edits, p.EditsPerSecond) })
 	if err != nil {
 		return err
 	}
-	r.line("control, %s: %d accounts, %d targets polled, %d hosts and %d targets published", at.name, at.accounts, at.polled, at.otherHosts+1, at.otherTargets+at.polled)
-	r.line("  unchanged: control %.2f%% of a core, %.1f MB resident, %.1f MB heap; entry %.2f%%, %.1f MB; polls %.1f/s, %.0f payload bytes and %.1f segments a poll",
-		share(idle.control.cpu, idle.over), megabytes(idle.control.resident), idle.heap, share(idle.entry.cpu, idle.over), megabytes(idle.entry.resident),
-		idle.polls/idle.over.Seconds(), idle.payload/max(idle.polls, 1), idle.segments/max(idle.polls, 1))
-	r.line("  %d edits in %v: control %.2f ms and entry %.2f ms processor time an edit above that; control %.1f MB, entry %.1f MB resident",
-		edits, busy.over.Round(time.Second), perEdit(busy.control.cpu, idle.control.cpu, busy.over, idle.over, edits),
-		perEdit(busy.entry.cpu, idle.entry.cpu, busy.over, idle.over, edits), megabytes(busy.control.resident), megabytes(busy.entry.resident))
+	r.states(at, edits, idle, busy)
 	return nil
 }
 
-// perEdit is the processor time of an edit above the idle state's, in ms.
-func perEdit(busy, idle, busyOver, idleOver time.Duration, edits int) float64 {
-	above := busy.Seconds() - idle.Seconds()*busyOver.Seconds()/idleOver.Seconds()
-	return 1000 * above / float64(max(edits, 1))
+// states prints what a host used on average.
+func (r Report) states(at Point, edits int, idle, busy seen) {
+	n, span := float64(at.Hosts), idle.over.Seconds()
+	r.line("%s: %d hosts run, %d accounts, %d targets polled, %d hosts and %d targets published",
+		at.Name, at.Hosts, at.Accounts, at.Polled, at.OtherHosts+at.Hosts, at.OtherTargets+at.Polled)
+	r.line("  unchanged: control %.2f%% of a core, %.1f MB resident, %.1f MB heap; entry %.2f%%, %.1f MB resident",
+		share(idle.control.cpu, idle.over)/n, megabytes(idle.control.resident)/n, idle.counters["runtime.MemStats.HeapAlloc"]/n/(1<<20),
+		share(idle.entry.cpu, idle.over)/n, megabytes(idle.entry.resident)/n)
+	r.line("  gossip %.0f bytes/s a host, sent and received; configuration %.1f calls/s in all; %.1f polls/s in all, %.0f payload bytes and %.1f segments a poll",
+		(idle.counters["gossip.bytes_sent"]+idle.counters["gossip.bytes_received"])/n/span, idle.counters["configwatch.calls"]/span,
+		idle.polls/span, idle.payload/max(idle.polls, 1), idle.segments/max(idle.polls, 1))
+	above := func(busy, idle time.Duration, over float64) float64 {
+		return 1000 * (busy.Seconds() - idle.Seconds()*over/span) / float64(edits) / n
+	}
+	over := busy.over.Seconds()
+	r.line("  %d edits in %.1fs: control %.2f ms and entry %.2f ms processor time an edit and host above that (control %.1f%% of a core); %.1f and %.1f MB resident; gossip %.0f bytes/s a host",
+		edits, over, above(busy.control.cpu, idle.control.cpu, over), above(busy.entry.cpu, idle.entry.cpu, over), share(busy.control.cpu, busy.over)/n,
+		megabytes(busy.control.resident)/n, megabytes(busy.entry.resident)/n,
+		(busy.counters["gossip.bytes_sent"]+busy.counters["gossip.bytes_received"])/n/over)
 }
 
-func publish(f *fleet.Fleet, at point, polled []platform.Target) error {
-	h := f.Hosts[0]
-	hosts := append(hostList(at.otherHosts), platform.Host{
-		Name: h.Name, DataCentre: h.DataCentre, Entry: h.Peer, Control: h.Control, State: platform.StateLive,
-	})
+func publish(f *fleet.Fleet, at Point, polled []platform.Target) error {
+	hosts := hostList(at.OtherHosts)
+	for _, h := range f.Hosts {
+		hosts = append(hosts, platform.Host{
+			Name: h.Name, DataCentre: h.DataCentre, Entry: h.Peer, Control: h.Control, State: platform.StateLive,
+		})
+	}
 	if err := f.Put(platform.KeyHosts, jsonText(hostsDocument{2, hosts})); err != nil {
 		return err
 	}
-	targets := append(targetList(at.otherTargets), polled...)
+	targets := append(targetList(at.OtherTargets), polled...)
 	if err := f.Put(platform.KeyTargets, jsonText(targetsDocument{2, targets})); err != nil {
 		return err
 	}
-	for i, page := range tablePages(at.accounts, 0) {
+	for i, page := range tablePages(at.Accounts, 0) {
 		if err := f.Put(fmt.Sprintf("table/%04d", i+1), string(page)); err != nil {
 			return err
 		}
@@ -114,137 +137,77 @@
 	return nil
 }
 
-// edit changes one row again and again until the time is over.
-func edit(f *fleet.Fleet, at point, p Processes) (int, error) {
-	count := int(p.Over.Seconds()) * p.EditsPerSecond
-	ticker := time.NewTicker(time.Second / time.Duration(p.EditsPerSecond))
+// edit changes one row count times at a steady pace.
+func edit(f *fleet.Fleet, at Point, count, rate int) error {
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
 	defer ticker.Stop()
 	for i := range count {
 		<-ticker.C
-		if err := f.Put("table/0001", string(tablePages(at.accounts, i+1)[0])); err != nil {
-			return i, err
+		if err := f.Put("table/0001", string(tablePages(at.Accounts, i+1)[0])); err != nil {
+			return err
 		}
 	}
 	time.Sleep(time.Second)
-	return count, nil
+	return nil
 }
 
-// seen is what a host's processes used over a span.
+// seen is what the processes of all hosts used over a span.
 type seen struct {
 	over                     time.Duration
 	control, entry           usage
-	heap                     float64
 	polls, payload, segments float64
+	// counters are the control processes' together: counts as they rose, other
+	// values as they stood at the end.
+	counters map[string]float64
 }
 
 // watch runs during and gives what was used meanwhile; memory is as it is
 // at the end.
 func watch(f *fleet.Fleet, loads *loadServers, during func() error) (seen, error) {
-	h := f.Hosts[0]
-	begun := time.Now()
-	controlBefore, entryBefore, err := usages(h)
+	before, err := total(f, loads)
 	if err != nil {
 		return seen{}, err
 	}
-	payload, segments := loads.wire.sample()
-	polls := loads.polls.Load()
+	begun := time.Now()
 	if err := during(); err != nil {
 		return seen{}, err
 	}
-	control, entry, err := usages(h)
+	s, err := total(f, loads)
 	if err != nil {
 		return seen{}, err
 	}
-	control.cpu -= controlBefore.cpu
-	entry.cpu -= entryBefore.cpu
-	endPayload, endSegments := loads.wire.sample()
-	s := seen{over: time.Since(begun), control: control, entry: entry, polls: float64(loads.polls.Load() - polls),
-		payload: float64(endPayload - payload), segments: float64(endSegments - segments)}
-	counters, err := readCounters(f, h)
-	s.heap = counters.value("runtime.MemStats.HeapAlloc") / (1 << 20)
-	return s, err
-}
-
-func usages(h *fleet.Host) (control, entry usage, err error) {
-	if control, err = usageOf(h.ControlProcess.Pid()); err != nil {
-		return control, entry, err
-	}
-	entry, err = usageOf(h.Entry.Pid())
-	return control, entry, err
-}
-
-// counters are a process's metrics as its administration interface shows them.
-type counters map[string]struct {
-	Count float64 `json:"count"`
-	Value float64 `json:"value"`
-}
-
-func (c counters) value(name string) float64 { return c[name].Value + c[name].Count }
-
-func readCounters(f *fleet.Fleet, h *fleet.Host) (counters, error) {
-	var c counters
-	err := f.GetJSON("http://"+h.ControlAdmin+"/metrics", &c)
-	return c, err
-}
-
-// Fleet watches fleets of real processes of several sizes on this machine.
-func (r Report) Fleet(ctx context.Context, p Processes, sizes []int) error {
-	for _, size := range sizes {
-		if err := r.fleetOf(ctx, p, size); err != nil {
-			return err
-		}
+	s.over = time.Since(begun)
+	s.control.cpu -= before.control.cpu
+	s.entry.cpu -= before.entry.cpu
+	s.polls -= before.polls
+	s.payload -= before.payload
+	s.segments -= before.segments
+	for _, name := range []string{"gossip.bytes_sent", "gossip.bytes_received", "configwatch.calls"} {
+		s.counters[name] -= before.counters[name]
 	}
-	return nil
+	return s, nil
 }
 
-func (r Report) fleetOf(ctx context.Context, p Processes, size int) error {
-	hosts := make([]string, size)
-	for i := range hosts {
-		hosts[i] = centre(i)
-	}
-	f, err := fleet.Start(ctx, fleet.Spec{BinDir: p.BinDir, Table: string(tablePages(10, 0)[0]), Hosts: hosts})
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	time.Sleep(settle)
-	before, err := total(f)
-	if err != nil {
-		return err
-	}
-	time.Sleep(p.Over)
-	after, err := total(f)
-	if err != nil {
-		return err
+func total(f *fleet.Fleet, loads *loadServers) (seen, error) {
+	payload, segments := loads.wire.sample()
+	s := seen{
+		counters: map[string]float64{}, polls: float64(loads.polls.Load()),
+		payload: float64(payload), segments: float64(segments),
 	}
-	n, span := float64(size), p.Over.Seconds()
-	r.line("fleet: %d hosts: control %.2f%% of a core, %.1f MB resident; gossip %.0f bytes/s sent and received; entry %.2f%%, %.1f MB; all readers together %.1f calls/s",
-		size, share(after.control.cpu-before.control.cpu, p.Over)/n, megabytes(after.control.resident)/n, (after.gossip-before.gossip)/n/span,
-		share(after.entry.cpu-before.entry.cpu, p.Over)/n, megabytes(after.entry.resident)/n, (after.calls-before.calls)/span)
-	return nil
-}
-
-// sum adds up a fleet's processes.
-type sum struct {
-	control, entry usage
-	gossip, calls  float64
-}
-
-func total(f *fleet.Fleet) (sum, error) {
-	var s sum
 	for _, h := range f.Hosts {
-		control, entry, err := usages(h)
-		if err != nil {
+		if err := s.control.add(h.ControlProcess.Pid()); err != nil {
 			return s, err
 		}
-		c, err := readCounters(f, h)
-		if err != nil {
+		if err := s.entry.add(h.Entry.Pid()); err != nil {
 			return s, err
 		}
-		s.control = usage{s.control.cpu + control.cpu, s.control.resident + control.resident}
-		s.entry = usage{s.entry.cpu + entry.cpu, s.entry.resident + entry.resident}
-		s.gossip += c.value("gossip.bytes_sent") + c.value("gossip.bytes_received")
-		s.calls += c.value("configwatch.calls")
+		var metrics map[string]struct{ Count, Value float64 }
+		if err := f.GetJSON("http://"+h.ControlAdmin+"/metrics", &metrics); err != nil {
+			return s, err
+		}
+		for name, m := range metrics {
+			s.counters[name] += m.Count + m.Value
+		}
 	}
 	return s, nil
 }
--- a/internal/slopes/table.go
+++ b/internal/slopes/table.go
@@ -39,7 +39,7 @@
 func changedRow(accounts int) []table.Change {
 	edited, _ := table.Parse(2, tablePages(accounts, 1))
 	for _, l := range edited.Lines() {
-		if l.Key == table.AccountKey("account-00000") {
+		if l.Key == table.AccountKey(accountName(0)) {
 			return []table.Change{table.Change(l)}
 		}
 	}
--- a/internal/slopes/usage.go
+++ b/internal/slopes/usage.go
@@ -28,17 +28,19 @@
 	fieldResident = 21
 )
 
-// usageOf reads a process's usage from /proc.
-func usageOf(pid int) (usage, error) {
+// add reads a process's usage from /proc and adds it.
+func (u *usage) add(pid int) error {
 	stat, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
 	if err != nil {
-		return usage{}, failure.Wrap(err, failure.KindInternal, "usage of process %d", pid)
+		return failure.Wrap(err, failure.KindInternal, "usage of process %d", pid)
 	}
-	u, ok := parseStat(string(stat))
+	one, ok := parseStat(string(stat))
 	if !ok {
-		return usage{}, failure.New(failure.KindInternal, "usage of process %d cannot be read", pid)
+		return failure.New(failure.KindInternal, "usage of process %d cannot be read", pid)
 	}
-	return u, nil
+	u.cpu += one.cpu
+	u.resident += one.resident
+	return nil
 }
 
 func parseStat(stat string) (usage, bool) {
