--- a/internal/entry/admit/client.go
+++ b/internal/entry/admit/client.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/rpc"
@@ -17,6 +19,8 @@
 
 // Client asks for admission and keeps leases alive.
 type Client struct {
+	count counters
+
 	hello  *filbertv1.Hello
 	creds  rpc.Credentials
 	owners Owners
@@ -41,9 +45,20 @@
 // process can be reached: their restart takes about as long.
 const retryLost = time.Second
 
+// counters are the client's figures.
+type counters struct {
+	asks, grants, refusals, lost, sessions gometrics.Counter
+}
+
+func newCounters(r gometrics.Registry) counters {
+	c := func(name string) gometrics.Counter { return gometrics.GetOrRegisterCounter("admit."+name, r) }
+	return counters{asks: c("asks"), grants: c("grants"), refusals: c("refusals"), lost: c("control_lost"), sessions: c("sessions_opened")}
+}
+
 // New returns a client that renews its leases until Close.
-func New(hello *filbertv1.Hello, creds rpc.Credentials, owners Owners) *Client {
+func New(hello *filbertv1.Hello, creds rpc.Credentials, owners Owners, reg gometrics.Registry) *Client {
 	c := &Client{
+		count: newCounters(reg),
 		hello: hello, creds: creds, owners: owners,
 		sessions: map[string]*session{}, leases: map[*Lease]struct{}{}, skip: map[string]time.Time{},
 		stop: make(chan struct{}),
@@ -101,6 +116,7 @@
 }
 
 func (c *Client) avoid(control string) {
+	c.count.lost.Inc(1)
 	c.mu.Lock()
 	c.skip[control] = time.Now().Add(skipFor)
 	c.mu.Unlock()
@@ -112,6 +128,7 @@
 		return nil, err
 	}
 	ask.Request = c.nextRequest.Add(1)
+	c.count.asks.Inc(1)
 	answer := s.expect(ask.Request)
 	asked := time.Now()
 	if err := s.send(&filbertv1.EntryMessage{Body: &filbertv1.EntryMessage_Ask{Ask: ask}}); err != nil {
@@ -147,8 +164,10 @@
 
 func (c *Client) decided(d decision, ask *filbertv1.Ask, asked time.Time) (*Lease, error) {
 	if r := d.message.GetRefusal(); r != nil {
+		c.count.refusals.Inc(1)
 		return nil, refusal(r)
 	}
+	c.count.grants.Inc(1)
 	g := d.message.GetGrant()
 	begun := d.notBefore
 	if asked.After(begun) {
@@ -198,6 +217,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.count.sessions.Inc(1)
 	c.sessions[control] = s
 	return s, nil
 }
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -42,7 +42,7 @@
 			secure.New, (*secure.Identity).Credentials, newProcess, newRing, state.NewBoard, accounting.New, newLifecycle,
 			newAdmission, newTargetClient, newPicker, newBudget, newRelay, newLookups, newOnce, newPeers, newAPI, newWatcher,
 		),
-		fx.Invoke(runWatcher, servePeers, serveAdmin, serveCallers, keepRegister),
+		fx.Invoke(registerGauges, runWatcher, servePeers, serveAdmin, serveCallers, keepRegister),
 	}
 }
 
@@ -81,9 +81,9 @@
 	}, s.StopNotice, s.StopWait)
 }
 
-func newAdmission(lc fx.Lifecycle, self once.Process, s *Settings, creds rpc.Credentials, b *state.Board) *admit.Client {
+func newAdmission(lc fx.Lifecycle, self once.Process, s *Settings, creds rpc.Credentials, b *state.Board, reg gometrics.Registry) *admit.Client {
 	hello := &filbertv1.Hello{Entry: self.Address, Incarnation: self.Incarnation, DataCentre: s.DataCentre}
-	c := admit.New(hello, creds, b.Owners)
+	c := admit.New(hello, creds, b.Owners, reg)
 	lc.Append(fx.StopHook(c.Close))
 	return c
 }
@@ -185,6 +185,13 @@
 	})
 }
 
+// registerGauges shows what the entry holds.
+func registerGauges(reg gometrics.Registry, o *plain.Once, life *lifecycle.Lifecycle) {
+	gometrics.NewRegisteredFunctionalGauge("entry.in_progress", reg, func() int64 { return int64(life.Running()) })
+	gometrics.NewRegisteredFunctionalGauge("once.keys", reg, func() int64 { keys, _ := o.Size(); return int64(keys) })
+	gometrics.NewRegisteredFunctionalGauge("once.answer_bytes", reg, func() int64 { _, bytes := o.Size(); return int64(bytes) })
+}
+
 func servePeers(lc fx.Lifecycle, id *secure.Identity, creds rpc.Credentials, o *plain.Once, b *state.Board, life *lifecycle.Lifecycle, s *Settings) {
 	server := rpc.NewServer(creds)
 	filbertv1.RegisterForwardServer(server, &plain.Server{Once: o, Board: b, Begin: life.Begin})
--- a/internal/entry/plain/once.go
+++ b/internal/entry/plain/once.go
@@ -69,6 +69,13 @@
 	})
 }
 
+// Size gives the keys on record and the bytes of their answers, for gauges.
+func (o *Once) Size() (keys, bytes int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.register.Len(), o.register.Bytes()
+}
+
 // parseKey reads the caller's key, minted or of its own making.
 func (o *Once) parseKey(text, account string) (once.Key, error) {
 	if text == "" {
--- a/internal/slopes/admission.go
+++ b/internal/slopes/admission.go
@@ -6,6 +6,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/control/pool"
 	"filbertdeck/internal/control/sessions"
@@ -54,7 +56,7 @@
 	go func() { _ = grpcServer.Serve(l) }()
 	owner := l.Addr().String()
 	b.client = admit.New(&filbertv1.Hello{Entry: "10.1.0.1:8081", Incarnation: 1_800_000_000_000, DataCentre: "dc-01"},
-		rpc.Credentials{}, func(string) []string { return []string{owner} })
+		rpc.Credentials{}, func(string) []string { return []string{owner} }, gometrics.NewRegistry())
 	b.close = func() { b.client.Close(); grpcServer.Stop(); b.runner.Close() }
 	go b.report(ctx)
 	return b, nil
