--- a/internal/entry/generation/relay.go
+++ b/internal/entry/generation/relay.go
@@ -268,8 +268,12 @@
 	}
 	f := failure.From(err)
 	switch {
-	case f.Kind == failure.KindTargetLost, f.Kind == failure.KindGenerationGone:
+	case f.Kind == failure.KindTargetLost:
 		return filbertv1.Outcome_OUTCOME_TARGET_CRASHED
+	case f.Kind == failure.KindGenerationGone:
+		// The target answers, so it lives: the link was cut before it began.
+		// Called a crash this would hold the request back as a suspect.
+		return filbertv1.Outcome_OUTCOME_TARGET_FAILED
 	case f.Executed == failure.ExecutedNo:
 		return filbertv1.Outcome_OUTCOME_NOT_RUN
 	case f.Kind == failure.KindDeadline:
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -52,20 +51,50 @@
 	return once.Process{Address: s.PeerListen, Incarnation: rand.Uint64() | 1}
 }
 
-func newRing(s *Settings, log *slog.Logger) (*handle.Ring, error) {
+// ringEvery is how often the key ring's file is looked at.
+const ringEvery = 2 * time.Second
+
+func newRing(lc fx.Lifecycle, s *Settings, log *slog.Logger) (*handle.Ring, error) {
 	if s.KeyRing == "" {
 		log.Warn("no key ring is set; handles open in this process only")
 		return handle.NewRing(handle.RandomSecrets())
 	}
-	text, err := os.ReadFile(s.KeyRing)
+	file, err := handle.OpenFile(s.KeyRing)
 	if err != nil {
-		return nil, failure.Wrap(err, failure.KindSettingInvalid, "--key-ring (FILBERT_ENTRY_KEY_RING) cannot be read")
+		return nil, failure.Wrap(err, failure.KindSettingInvalid, "--key-ring (FILBERT_ENTRY_KEY_RING) is %q", s.KeyRing)
 	}
-	secrets, err := handle.ParseSecrets(text)
-	if err != nil {
-		return nil, err
+	every(lc, ringEvery, func() { followRing(file, log) })
+	return file.Ring, nil
+}
+
+func followRing(file *handle.File, log *slog.Logger) {
+	switch changed, err := file.Refresh(); {
+	case err != nil:
+		log.Warn("key ring refused; the one in force stays", "error", err)
+	case changed:
+		log.Info("key ring taken over")
+	}
+}
+
+// every runs a job at an interval from the program's start to its stop.
+func every(lc fx.Lifecycle, interval time.Duration, job func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	loop := func() {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				job()
+			case <-ctx.Done():
+				return
+			}
+		}
 	}
-	return handle.NewRing(secrets)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { go loop(); return nil },
+		OnStop:  func(context.Context) error { cancel(); return nil },
+	})
 }
 
 func newLifecycle(b *state.Board, s *Settings) *lifecycle.Lifecycle {
@@ -164,26 +193,7 @@
 // host list; it is well below the list's freshness bound.
 const registerEvery = 500 * time.Millisecond
 
-func keepRegister(lc fx.Lifecycle, o *plain.Once) {
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go func() {
-				ticker := time.NewTicker(registerEvery)
-				defer ticker.Stop()
-				for ctx.Err() == nil {
-					select {
-					case <-ticker.C:
-						o.Refresh()
-					case <-ctx.Done():
-					}
-				}
-			}()
-			return nil
-		},
-		OnStop: func(context.Context) error { cancel(); return nil },
-	})
-}
+func keepRegister(lc fx.Lifecycle, o *plain.Once) { every(lc, registerEvery, o.Refresh) }
 
 // registerGauges shows what the entry holds.
 func registerGauges(reg gometrics.Registry, o *plain.Once, life *lifecycle.Lifecycle) {
