--- a/internal/burn/command.go
+++ b/internal/burn/command.go
@@ -18,12 +18,12 @@
 
 // Settings of filbert-burn.
 type Settings struct {
-	Control []string        `arg:"--control,env:FILBERT_CONTROL" check:"hostport" help:"administration addresses of the control processes, all of them"`
+	Control []string        `arg:"--control,separate,env:FILBERT_CONTROL" check:"hostport" help:"administration address of a control process; repeat the flag for all of them"`
 	KeyFile string          `arg:"--key-file,env:FILBERT_KEY_FILE" check:"file?" help:"file with the key of operator or monitor"`
 	CA      string          `arg:"--ca,env:FILBERT_CA" check:"file?" help:"authority (PEM) of the control processes' certificates; empty means plain text"`
 	For     time.Duration   `arg:"--for,env:FILBERT_BURN_FOR" check:"0s..168h" default:"0s" help:"how long to watch; 0 takes one sample"`
 	Every   time.Duration   `arg:"--every,env:FILBERT_BURN_EVERY" check:"100ms..1h" default:"10s" help:"time between two samples"`
-	Windows []time.Duration `arg:"--window,env:FILBERT_BURN_WINDOWS" check:"1s..168h" help:"windows of the burn rates (default 1m 5m 1h 6h, those that fit)"`
+	Windows []time.Duration `arg:"--window,separate,env:FILBERT_BURN_WINDOWS" check:"1s..168h" help:"windows of the burn rates (default 1m 5m 1h 6h, those that fit)"`
 	From    string          `arg:"--from,env:FILBERT_BURN_FROM" check:"file?" help:"samples saved earlier; they come before the new ones"`
 	Save    string          `arg:"--save,env:FILBERT_BURN_SAVE" help:"file to save the samples to, one JSON document a line"`
 	JSON    bool            `arg:"--json,env:FILBERT_BURN_JSON" help:"write JSON in place of text"`
@@ -39,7 +39,7 @@
 	About   = `filbert-burn reports service-level burn, shares and the evidence for each promise.
 It reads the administration interface of every control process and needs the monitor's key.
 
-Example: filbert-burn --control 10.0.0.1:8091 10.0.0.2:8091 --key-file monitor.key --for 5m --html burn.html
+Example: filbert-burn --control 10.0.0.1:8091 --control 10.0.0.2:8091 --key-file monitor.key --for 5m --html burn.html
 
 Exit codes: 0 no breach seen, 1 a promise is broken or a row does not balance, 2 usage, 3 hosts could not be read.`
 )
--- a/internal/entry/callers/request.go
+++ b/internal/entry/callers/request.go
@@ -104,6 +104,14 @@
 	return b.String()
 }
 
+// replaced lists the fields that the entry sets itself or that mean nothing to
+// the engine, in lower case: the entry reads names in any case, as Go does, and
+// an engine that read a second spelling would follow another limit than the one
+// that admission counts with.
+var replaced = map[string]bool{
+	"prompt": true, "max_tokens": true, "stream": true, "messages": true, "max_completion_tokens": true, "n": true,
+}
+
 // engineBody is the request that goes to the engine: the caller's fields with
 // the prompt as text, the limit in force, and streaming always on, since a
 // stream tells a dead engine from a slow one.
@@ -112,8 +120,10 @@
 	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, failure.Wrap(err, failure.KindBadRequest, "the body is not a JSON object")
 	}
-	for _, name := range []string{"messages", "max_completion_tokens", "n"} {
-		delete(fields, name)
+	for name := range fields {
+		if replaced[strings.ToLower(name)] {
+			delete(fields, name)
+		}
 	}
 	for name, value := range map[string]any{"prompt": c.text(), "max_tokens": maxTokens, "stream": true} {
 		encoded, err := json.Marshal(value)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -215,7 +215,7 @@
 		"--control", h.Control)
 	for _, other := range f.Hosts {
 		if other != h && other.DataCentre == h.DataCentre {
-			h.entryCommand = append(h.entryCommand, other.Control)
+			h.entryCommand = append(h.entryCommand, "--control", other.Control)
 		}
 	}
 	h.entryCommand = append(h.entryCommand, f.spec.EntryArgs...)
