--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
@@ -9,7 +8,6 @@
 	"crypto/x509"
 	"encoding/base64"
 	"encoding/hex"
-	"encoding/json"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -18,7 +16,6 @@
 	"time"
 
 	"filbertdeck/internal/failure"
-	"filbertdeck/internal/platform"
 	"filbertdeck/internal/tlsfiles"
 )
 
@@ -43,15 +40,6 @@
 	TLS *tlsfiles.Files
 }
 
-// Host is one entry host.
-type Host struct {
-	Name, DataCentre             string
-	Callers, Peer, EntryAdmin    string
-	Control, ControlAdmin        string
-	Entry, ControlProcess        *Process
-	entryCommand, controlCommand []string
-}
-
 // Target is one stand-in of a target.
 type Target struct {
 	Name, DataCentre, Address string
@@ -187,47 +175,6 @@
 	return nil
 }
 
-func (f *Fleet) planHosts() error {
-	for i, centre := range f.spec.Hosts {
-		h := &Host{Name: "host-" + strconv.Itoa(i+1), DataCentre: centre}
-		for _, address := range []*string{&h.Callers, &h.Peer, &h.EntryAdmin, &h.Control, &h.ControlAdmin} {
-			free, err := freeAddress()
-			if err != nil {
-				return err
-			}
-			*address = free
-		}
-		f.Hosts = append(f.Hosts, h)
-	}
-	for _, h := range f.Hosts {
-		f.planCommands(h)
-	}
-	return nil
-}
-
-func (f *Fleet) planCommands(h *Host) {
-	common := append(f.transportArgs(), "--host", h.Name, "--data-centre", h.DataCentre, "--stop-notice", "200ms")
-	h.controlCommand = append(append(append([]string{}, common...),
-		"--listen", h.Control, "--admin-listen", h.ControlAdmin, "--platform", f.Platform.Address,
-		"--operator-key-sha256", Digest(OperatorKey), "--monitor-key-sha256", Digest(MonitorKey)), f.spec.ControlArgs...)
-	h.entryCommand = append(append([]string{}, common...),
-		"--listen", h.Callers, "--peer-listen", h.Peer, "--admin-listen", h.EntryAdmin, "--key-ring", f.ring,
-		"--control", h.Control)
-	for _, other := range f.Hosts {
-		if other != h && other.DataCentre == h.DataCentre {
-			h.entryCommand = append(h.entryCommand, "--control", other.Control)
-		}
-	}
-	h.entryCommand = append(h.entryCommand, f.spec.EntryArgs...)
-}
-
-func (f *Fleet) transportArgs() []string {
-	if t := f.spec.TLS; t != nil {
-		return []string{"--tls-cert", t.Cert, "--tls-key", t.Key, "--tls-ca", t.CA}
-	}
-	return []string{"--plain-text"}
-}
-
 // scheme is that of callers and of the administration.
 func (f *Fleet) scheme() string {
 	if f.spec.TLS != nil {
@@ -254,178 +201,6 @@
 // HTTP is a client that reaches the deployment's interfaces.
 func (f *Fleet) HTTP() *http.Client { return f.http }
 
-// StartHost starts both processes of a host, again if they ended.
-func (f *Fleet) StartHost(h *Host) error {
-	if err := f.StartControl(h); err != nil {
-		return err
-	}
-	return f.StartEntry(h)
-}
-
-// StartControl starts the host's control process.
-func (f *Fleet) StartControl(h *Host) error {
-	p, err := serving(f.spec.BinDir, "filbert-control", h.Name+"-control", h.controlCommand...)
-	if err != nil {
-		return err
-	}
-	f.keep(p)
-	h.ControlProcess = p
-	return nil
-}
-
-// StartEntry starts the host's entry process.
-func (f *Fleet) StartEntry(h *Host) error {
-	p, err := serving(f.spec.BinDir, "filbert-entry", h.Name+"-entry", h.entryCommand...)
-	if err != nil {
-		return err
-	}
-	f.keep(p)
-	h.Entry = p
-	return nil
-}
-
-// readyEvery is how often a process that starts is asked for its readiness.
-const readyEvery = 20 * time.Millisecond
-
-// WaitReady waits until every entry that runs is ready.
-func (f *Fleet) WaitReady(ctx context.Context) error {
-	for _, h := range f.Hosts {
-		if err := f.waitEntry(ctx, h); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (f *Fleet) waitEntry(ctx context.Context, h *Host) error {
-	for {
-		resp, err := f.http.Get(f.scheme() + "://" + h.Callers + "/readyz")
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusNoContent {
-				return nil
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return failure.New(failure.KindNotReady, "%s is not ready in time\nentry: %s\ncontrol: %s", h.Name, h.Entry.Log(), h.ControlProcess.Log())
-		case <-h.Entry.Done():
-			return failure.New(failure.KindInternal, "entry of %s ended: %s", h.Name, h.Entry.Log())
-		case <-time.After(readyEvery):
-		}
-	}
-}
-
-// Publish writes the documents of the platform that describe the deployment.
-func (f *Fleet) Publish() error {
-	if err := f.Put("table/0001", f.spec.Table); err != nil {
-		return err
-	}
-	if err := f.PublishHosts(nil); err != nil {
-		return err
-	}
-	return f.PublishTargets(nil)
-}
-
-type hostsDocument struct {
-	Revision uint64          `json:"revision"`
-	Hosts    []platform.Host `json:"hosts"`
-}
-
-type targetsDocument struct {
-	Revision uint64            `json:"revision"`
-	Targets  []platform.Target `json:"targets"`
-}
-
-// PublishHosts writes the host list; hosts in leaving are marked so.
-func (f *Fleet) PublishHosts(leaving map[string]bool) error {
-	f.edits++
-	doc := hostsDocument{Revision: f.edits}
-	for _, h := range f.Hosts {
-		doc.Hosts = append(doc.Hosts, platform.Host{
-			Name: h.Name, DataCentre: h.DataCentre, Entry: h.Peer, Control: h.Control, State: stateOf(leaving[h.Name]),
-		})
-	}
-	return f.putJSON(platform.KeyHosts, doc)
-}
-
-// PublishTargets writes the target list; targets in leaving are marked so.
-func (f *Fleet) PublishTargets(leaving map[string]bool) error {
-	f.edits++
-	doc := targetsDocument{Revision: f.edits}
-	add := func(targets []*Target, services []string) {
-		for _, t := range targets {
-			for _, s := range services {
-				doc.Targets = append(doc.Targets, platform.Target{
-					Service: s, Address: t.Address, DataCentre: t.DataCentre, State: stateOf(leaving[t.Name]),
-				})
-			}
-		}
-	}
-	add(f.Engines, f.spec.EngineServices)
-	add(f.Apps, f.spec.AppServices)
-	return f.putJSON(platform.KeyTargets, doc)
-}
-
-func stateOf(leaving bool) platform.State {
-	if leaving {
-		return platform.StateLeaving
-	}
-	return platform.StateLive
-}
-
-func (f *Fleet) putJSON(key string, doc any) error {
-	body, err := json.Marshal(doc)
-	if err != nil {
-		return failure.Wrap(err, failure.KindInternal, "document %s cannot be written", key)
-	}
-	return f.Put(key, string(body))
-}
-
-// Put writes a value of the platform stand-in, as an operator would.
-func (f *Fleet) Put(key, value string) error {
-	return f.send(http.MethodPut, "http://"+f.Platform.Address+"/admin/values/"+key, []byte(value))
-}
-
-// Fault sets a fault of a stand-in.
-func (f *Fleet) Fault(t *Target, body string) error {
-	return f.send(http.MethodPost, "http://"+t.Address+"/admin/fault", []byte(body))
-}
-
-// PlatformMode sets the mode of the platform stand-in.
-func (f *Fleet) PlatformMode(body string) error {
-	return f.send(http.MethodPost, "http://"+f.Platform.Address+"/admin/mode", []byte(body))
-}
-
-func (f *Fleet) send(method, url string, body []byte) error {
-	req, err := http.NewRequest(method, url, bytes.NewReader(body))
-	if err != nil {
-		return failure.Wrap(err, failure.KindInternal, "request to a stand-in")
-	}
-	resp, err := f.http.Do(req)
-	if err != nil {
-		return failure.Wrap(err, failure.KindInternal, "request to a stand-in")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode >= http.StatusMultipleChoices {
-		return failure.New(failure.KindInternal, "the stand-in answered %d to %s %s", resp.StatusCode, method, url)
-	}
-	return nil
-}
-
-// GetJSON reads a document of one of the deployment's HTTP interfaces.
-func (f *Fleet) GetJSON(url string, into any) error {
-	resp, err := f.http.Get(url)
-	if err != nil {
-		return failure.Wrap(err, failure.KindInternal, "reading %s", url)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
-		return failure.Wrap(err, failure.KindInternal, "reading %s", url)
-	}
-	return nil
-}
-
 // stopLimit is how long processes may take to stop in order at the end.
 const stopLimit = 10 * time.Second
 
