--- a/test/faults/process_test.go
+++ b/test/faults/process_test.go
@@ -349,6 +349,25 @@
 		Expect(d.booked()).To(BeZero())
 	})
 
+	// The owner of a minted key is asleep. Its caller must not wait for it, nor
+	// may another process run the booking; when the owner is awake it knows.
+	It("answer unknown while a minted key's owner sleeps, and run it once afterwards", func() {
+		d := newDeck()
+		key := d.mint(0)
+		d.Hosts[0].Entry.Signal(syscall.SIGSTOP)
+		_, problem, _ := d.post(1, orders, "order", "Idempotency-Key", key)
+		Expect(problem.Title).To(Equal(string(failure.KindOwnerLost)))
+		Expect(problem.Executed).To(Equal(failure.ExecutedUnknown))
+		Expect(problem.RetryAfterMS).To(BeNumerically(">", 0))
+		Expect(d.booked()).To(BeZero())
+		d.Hosts[0].Entry.Signal(syscall.SIGCONT)
+		Eventually(func() int {
+			status, _, _ := d.post(1, orders, "order", "Idempotency-Key", key)
+			return status
+		}, "20s", "500ms").Should(Equal(200))
+		Expect(d.booked()).To(Equal(1))
+	})
+
 	// The configuration service is down for longer than the list of hosts may
 	// go without confirmation. Reports and minted keys go on; a caller's own
 	// key can't be vouched for and is refused rather than guessed.
