Run equal suspects one at a time and let others pass them

Cause: after a crash the innocents that shared the target stood at the heads of their accounts; putting them behind went round one account until the turn was used up, and warm engines idled beside 30 waiting requests.

--- a/internal/decide/admission/allocator.go
+++ b/internal/decide/admission/allocator.go
@@ -50,8 +50,9 @@
 	// an engine's memory in all.
 	refreshEvery = 100 * time.Millisecond
 	// deferLimit bounds the asks put behind in one round because they can't use
-	// the targets that have room (Ask.Avoid, suspects).
-	deferLimit = 16
+	// the targets that have room (Ask.Avoid, suspects): two batches' worth of
+	// innocents that shared a target with a poison request.
+	deferLimit = 64
 	// hopelessChecks bounds the accounts whose newest ask is looked at again at
 	// each refresh; all 11,000 are seen within five seconds.
 	hopelessChecks = 256
@@ -80,7 +81,9 @@
 	owner    ownership
 	stopping bool
 
-	skipped   []*fairqueue.Account[Ask]
+	skipped []*fairqueue.Account[Ask]
+	// turn counts calls of admit.
+	turn      uint64
 	refreshed time.Duration
 	round     int
 	// out gathers decisions; spare is the slice that the last Decide returned.
@@ -199,6 +202,7 @@
 // large prompt for small ones would starve it. Only a head whose own
 // constraints rule out the targets with room goes behind its account's others.
 func (a *Allocator) admit(now time.Duration) {
+	a.turn++
 	fate := headAnswered
 	for deferred := 0; fate != headBlocked && deferred < deferLimit; {
 		r := a.queue.Head()
@@ -243,10 +247,16 @@
 	if ruling.alone {
 		a.suspects.reserve(a.order, r)
 	}
-	if !a.queue.Defer(r) {
+	// Back at a request that was deferred in this turn, nothing of its account
+	// can run. Going round it again would use up the turn, and everybody
+	// else's requests would wait beside idle targets.
+	if r.Turn == a.turn {
 		a.skipped = append(a.skipped, r.Account)
 		a.queue.Skip(r.Account)
+		return headDeferred
 	}
+	r.Turn = a.turn
+	a.queue.Defer(r)
 	return headDeferred
 }
 
--- a/internal/decide/admission/allocator_test.go
+++ b/internal/decide/admission/allocator_test.go
@@ -231,6 +231,19 @@
 		Expect(r.granted).To(HaveKey(other))
 	})
 
+	// A target died, and the requests it ran are held apart as suspects. Several
+	// of one account must not use up the turn in which others could start.
+	It("lets other accounts pass several constrained heads", func() {
+		r := newRig(2, Config{})
+		r.report("e1", Report{Bears: 64, MemoryTokens: 10_000, UsedTokens: 9_990, Running: 3})
+		r.asks(3, "a", func(a *Ask) { a.Avoid = []string{"e0"} })
+		r.asks(3, "b", func(a *Ask) { a.Avoid = []string{"e0"} })
+		others := r.asks(3, "c", nil)
+		r.decide()
+		Expect(r.granted).To(HaveLen(3))
+		Expect(r.granted).To(HaveKey(others[2]))
+	})
+
 	It("gives a leaving target nothing new and keeps its leases", func() {
 		r := newRig(2, Config{})
 		r.asks(4, "a", nil)
--- a/internal/decide/admission/lease.go
+++ b/internal/decide/admission/lease.go
@@ -120,6 +120,7 @@
 	a.leases.append(l)
 	l.growth.Predict(a.lengths, gen)
 	t.add(now, l)
+	a.suspects.began(l.fingerprint)
 }
 
 // Renew extends leases of holder, and books those that are not known here: the
@@ -244,6 +245,7 @@
 	// target cold for seconds.
 	l.target.gate.Ended(now, uint64(l.id), finished, 0)
 	l.target.remove(now, l, finished)
+	a.suspects.ended(l.fingerprint)
 	a.leases.remove(l)
 	a.queue.Finish(account, cost)
 }
--- a/internal/decide/admission/suspects.go
+++ b/internal/decide/admission/suspects.go
@@ -44,11 +44,15 @@
 // innocent one would not get through.
 type suspects struct {
 	detector *poison.Detector
-	waiting  *fairqueue.Request[Ask]
-	held     *target
+	// running counts the leases of each fingerprint.
+	running map[uint64]int
+	waiting *fairqueue.Request[Ask]
+	held    *target
 }
 
-func newSuspects() suspects { return suspects{detector: poison.New(poison.Config{})} }
+func newSuspects() suspects {
+	return suspects{detector: poison.New(poison.Config{}), running: map[uint64]int{}}
+}
 
 // rule says how a request may run now; a fingerprint of 0 says nothing.
 func (s *suspects) rule(now time.Duration, fingerprint uint64) ruling {
@@ -56,12 +60,32 @@
 		return ruling{}
 	}
 	r := s.detector.Rule(now, fingerprint)
+	suspected := r.Verdict == poison.Apart || r.Verdict == poison.Alone
+	// Of equal suspects one runs at a time: two on two targets would cost both
+	// before the first crash is known.
+	twin := suspected && s.running[fingerprint] > 0
 	return ruling{
-		guilty: r.Verdict == poison.Guilty, wait: r.Wait, held: r.Wait > 0,
+		guilty: r.Verdict == poison.Guilty, wait: r.Wait, held: r.Wait > 0 || twin,
 		alone: r.Verdict == poison.Alone, apart: r.Verdict == poison.Apart,
 	}
 }
 
+// began and ended count a lease's fingerprint.
+func (s *suspects) began(fingerprint uint64) {
+	if fingerprint != 0 {
+		s.running[fingerprint]++
+	}
+}
+
+func (s *suspects) ended(fingerprint uint64) {
+	if fingerprint == 0 {
+		return
+	}
+	if s.running[fingerprint]--; s.running[fingerprint] == 0 {
+		delete(s.running, fingerprint)
+	}
+}
+
 func (s *suspects) finished(now time.Duration, fingerprint uint64) {
 	if fingerprint != 0 {
 		s.detector.Finished(now, fingerprint)
--- a/internal/decide/fairqueue/queue.go
+++ b/internal/decide/fairqueue/queue.go
@@ -47,6 +47,8 @@
 	Account  *Account[T]
 	Arrived  time.Duration
 	Deadline time.Duration
+	// Turn is the caller's: the turn in which it deferred the request last.
+	Turn uint64
 
 	previous, next *Request[T]
 	deadlineAt     int
@@ -188,14 +190,10 @@
 }
 
 // Defer puts a waiting request behind the others of its account, because it
-// can't use what is free at present and they may. It returns false when there are no others.
-func (q *Queue[T]) Defer(r *Request[T]) bool {
-	if r.Account.waiting == 1 {
-		return false
-	}
+// can't use what is free at present and they may.
+func (q *Queue[T]) Defer(r *Request[T]) {
 	r.Account.unlink(r)
 	r.Account.append(r)
-	return true
 }
 
 // Start takes a waiting request out because it runs now, and charges its cost
