--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -51,7 +51,6 @@
 const (
 	FaultSlow FaultKind = iota + 1
 	FaultCrash
-	FaultRestart
 	FaultCold
 	FaultLeave
 	FaultReturn
@@ -294,11 +293,10 @@
 func coldTarget() Scenario {
 	cfg := model.DefaultConfig()
 	return Scenario{
-		Name: "cold-target", About: "all four start cold; one crashes and restarts, one turns cold in place; load 0.5",
+		Name: "cold-target", About: "all four start cold; one crashes and is back after 5 s, one turns cold in place; load 0.5",
 		Engines: 4, Engine: cfg, Duration: 4 * minute, Warmup: 90 * time.Second, Classes: crowd(0.5, 4),
 		Faults: []Fault{
 			{At: 100 * time.Second, Engine: 1, Kind: FaultCrash},
-			{At: 105 * time.Second, Engine: 1, Kind: FaultRestart},
 			{At: 160 * time.Second, Engine: 2, Kind: FaultCold},
 		},
 		Policies: spreadPolicies(),
@@ -330,12 +328,11 @@
 
 func twoFaults() Scenario {
 	return Scenario{
-		Name: "two-faults", About: "load 0.8; one engine slows to a fifth at 60 s, another crashes at 70 s and restarts at 80 s",
+		Name: "two-faults", About: "load 0.8; one engine slows to a fifth at 60 s, another crashes at 70 s and is back at 75 s",
 		Engines: 4, Engine: warm(), Duration: 4 * minute, Warmup: 30 * time.Second, Classes: crowd(0.8, 4),
 		Faults: []Fault{
 			{At: 60 * time.Second, Engine: 1, Kind: FaultSlow, Factor: 5},
 			{At: 70 * time.Second, Engine: 2, Kind: FaultCrash},
-			{At: 80 * time.Second, Engine: 2, Kind: FaultRestart},
 			{At: 120 * time.Second, Engine: 1, Kind: FaultSlow, Factor: 1},
 		},
 		Policies: overloadPolicies(),
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -126,8 +126,6 @@
 		e.Slow(w.now, f.Factor)
 	case FaultCrash:
 		e.Crash(w.now)
-	case FaultRestart:
-		e.Restart(w.now)
 	case FaultCold:
 		e.Cold(w.now)
 	case FaultLeave, FaultReturn:
@@ -186,8 +184,7 @@
 }
 
 // crashed ends all that ran on an engine; their callers send again, since what
-// was delivered can't be continued. Crashed engines without a scripted restart
-// come back after five seconds.
+// was delivered can't be continued. The engine is back after five seconds.
 func (w *world) crashed(i int) {
 	var lost []*request
 	for _, r := range w.requests {
@@ -202,11 +199,7 @@
 		w.resend(r, i)
 	}
 	const restartAfter = 5 * time.Second
-	w.after(restartAfter, func() {
-		if w.engines[i].Crashed() {
-			w.engines[i].Restart(w.now)
-		}
-	})
+	w.after(restartAfter, func() { w.engines[i].Restart(w.now) })
 }
 
 func (w *world) resend(r *request, avoid int) {
