Renew leases over one stream an owner

Cause: a unary call for each round's demands.

Ruled out: keeping a stream after a request that got no answer; a late reply would be taken for the next request's.

--- a/internal/control/quota/demands.go
+++ b/internal/control/quota/demands.go
@@ -117,7 +117,7 @@
 
 func (c *Controller) ask(ctx context.Context, to *call) (*filbertv1.RenewQuotaReply, error) {
 	if to.owner == c.cfg.Self {
-		return c.Renew(ctx, to.req)
+		return c.Lease(to.req), nil
 	}
 	c.metrics.sent.Inc(int64(proto.Size(to.req)))
 	reply, err := c.cfg.Transport.Renew(ctx, to.owner, to.req)
--- a/internal/control/quota/owner.go
+++ b/internal/control/quota/owner.go
@@ -1,16 +1,37 @@
 package quota
 
 import (
-	"context"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/decide/quota"
 )
 
-// Renew implements the Quota service: it leases parts of the accounts that this
-// process owns.
-func (c *Controller) Renew(_ context.Context, req *filbertv1.RenewQuotaRequest) (*filbertv1.RenewQuotaReply, error) {
+type renewals = grpc.BidiStreamingServer[filbertv1.RenewQuotaRequest, filbertv1.RenewQuotaReply]
+
+// Renew implements the Quota service.
+func (c *Controller) Renew(stream renewals) error {
+	var first *filbertv1.RenewQuotaRequest
+	for {
+		req, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if first == nil {
+			first = &filbertv1.RenewQuotaRequest{From: req.From, Incarnation: req.Incarnation}
+		}
+		req.From, req.Incarnation = first.From, first.Incarnation
+		if err := stream.Send(c.Lease(req)); err != nil {
+			return err
+		}
+	}
+}
+
+// Lease answers one request: it leases parts of the accounts that this process
+// owns.
+func (c *Controller) Lease(req *filbertv1.RenewQuotaRequest) *filbertv1.RenewQuotaReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.follow()
@@ -18,7 +39,7 @@
 	sent := time.Duration(req.SentUs) * time.Microsecond
 	if !c.arrivals.take(now, req.From, req.Incarnation, sent) {
 		c.metrics.late.Inc(int64(len(req.Demands)))
-		return &filbertv1.RenewQuotaReply{}, nil
+		return &filbertv1.RenewQuotaReply{}
 	}
 	for _, r := range req.Releases {
 		c.owner.Release(quota.Release{Account: r.Account, Holder: holderName(req.From, r.Pool), Known: r.Known})
@@ -27,7 +48,7 @@
 	for i, d := range req.Demands {
 		reply.Grants[i] = c.lease(now, req.From, d)
 	}
-	return reply, nil
+	return reply
 }
 
 // holderName names a pool at a process. A process that was replaced at the same
--- a/internal/control/quota/peers.go
+++ b/internal/control/quota/peers.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/failure"
@@ -15,7 +13,7 @@
 )
 
 const (
-	// callTimeout bounds a call: several fit into the life of a lease.
+	// callTimeout bounds a request: several fit into the life of a lease.
 	callTimeout = 500 * time.Millisecond
 	// idleAfter is when a connection that nobody uses is closed. Owners change
 	// with the accounts that are active.
@@ -32,9 +30,15 @@
 	closed bool
 }
 
+// peer is one owner. Its stream carries one request at a time, so that a reply
+// can't be taken for that of another request.
 type peer struct {
 	conn *grpc.ClientConn
 	used time.Time
+
+	mu     sync.Mutex
+	stream filbertv1.Quota_RenewClient
+	cancel context.CancelFunc
 }
 
 // NewPeers returns a transport without connections.
@@ -44,24 +48,62 @@
 
 // Renew implements Transport.
 func (p *Peers) Renew(ctx context.Context, owner string, req *filbertv1.RenewQuotaRequest) (*filbertv1.RenewQuotaReply, error) {
-	conn, err := p.get(owner)
+	to, err := p.get(owner)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	reply, err := filbertv1.NewQuotaClient(conn).Renew(ctx, req)
+	reply, late, err := to.renew(ctx, req)
 	if err == nil {
 		return reply, nil
 	}
 	// The connection may be silent for good while a new one would work.
-	if status.Code(err) == codes.DeadlineExceeded {
-		p.drop(owner, conn)
+	if late {
+		p.drop(owner, to)
 	}
 	return nil, failure.Wrap(err, failure.KindControlLost, "owner %s of an account did not answer", owner)
 }
 
-func (p *Peers) get(owner string) (*grpc.ClientConn, error) {
+// renew sends one request and waits for its reply; late says that it ran into
+// its timeout. After a failure the next request opens a new stream: on the old
+// one the reply to this request could still come.
+func (t *peer) renew(ctx context.Context, req *filbertv1.RenewQuotaRequest) (reply *filbertv1.RenewQuotaReply, late bool, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stream == nil {
+		var streamCtx context.Context
+		streamCtx, t.cancel = context.WithCancel(ctx)
+		stop := time.AfterFunc(callTimeout, t.cancel)
+		t.stream, err = filbertv1.NewQuotaClient(t.conn).Renew(streamCtx)
+		if err != nil {
+			t.reset()
+			return nil, !stop.Stop(), err
+		}
+		stop.Stop()
+	} else {
+		req.From, req.Incarnation = "", 0
+	}
+	stop := time.AfterFunc(callTimeout, t.cancel)
+	reply, err = exchange(t.stream, req)
+	late = !stop.Stop()
+	if err != nil || late {
+		t.reset()
+	}
+	return reply, late, err
+}
+
+func exchange(stream filbertv1.Quota_RenewClient, req *filbertv1.RenewQuotaRequest) (*filbertv1.RenewQuotaReply, error) {
+	if err := stream.Send(req); err != nil {
+		return nil, err
+	}
+	return stream.Recv()
+}
+
+func (t *peer) reset() {
+	t.cancel()
+	t.stream = nil
+}
+
+func (p *Peers) get(owner string) (*peer, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -70,14 +112,15 @@
 	p.sweep(time.Now())
 	if c := p.conns[owner]; c != nil {
 		c.used = time.Now()
-		return c.conn, nil
+		return c, nil
 	}
 	conn, err := rpc.Dial(owner, p.creds)
 	if err != nil {
 		return nil, err
 	}
-	p.conns[owner] = &peer{conn: conn, used: time.Now()}
-	return conn, nil
+	c := &peer{conn: conn, used: time.Now()}
+	p.conns[owner] = c
+	return c, nil
 }
 
 func (p *Peers) sweep(now time.Time) {
@@ -93,13 +136,13 @@
 	}
 }
 
-func (p *Peers) drop(owner string, conn *grpc.ClientConn) {
+func (p *Peers) drop(owner string, to *peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c := p.conns[owner]; c != nil && c.conn == conn {
+	if p.conns[owner] == to {
 		delete(p.conns, owner)
-		_ = conn.Close()
 	}
+	_ = to.conn.Close()
 }
 
 // Close closes all connections.
--- a/internal/control/quota/world_test.go
+++ b/internal/control/quota/world_test.go
@@ -135,7 +135,7 @@
 }
 
 // Renew is the transport: one answer in ten is lost.
-func (n *node) Renew(ctx context.Context, owner string, req *filbertv1.RenewQuotaRequest) (*filbertv1.RenewQuotaReply, error) {
+func (n *node) Renew(_ context.Context, owner string, req *filbertv1.RenewQuotaRequest) (*filbertv1.RenewQuotaReply, error) {
 	lost := failure.New(failure.KindControlLost, "no answer")
 	to := n.w.nodes[slices.IndexFunc(n.w.nodes, func(o *node) bool { return o.name == owner })]
 	if to.dead || to.cut != n.cut {
@@ -145,11 +145,11 @@
 		to.inbox = append(to.inbox, req)
 		return nil, lost
 	}
-	reply, err := to.ctl.Renew(ctx, req)
+	reply := to.ctl.Lease(req)
 	if n.w.IntN(10) == 0 {
 		return nil, lost
 	}
-	return reply, err
+	return reply, nil
 }
 
 // run moves the clock on by d.
@@ -177,7 +177,7 @@
 func (n *node) wake() {
 	n.paused = false
 	for _, req := range n.inbox {
-		_, _ = n.ctl.Renew(context.Background(), req)
+		n.ctl.Lease(req)
 	}
 	n.inbox = nil
 }
