--- a/cmd/filbert-slopes/main.go
+++ b/cmd/filbert-slopes/main.go
@@ -58,7 +58,7 @@
 }
 
 func run(ctx context.Context, a args) error {
-	r := slopes.Report{Out: os.Stdout}
+	r := slopes.Printer{Out: os.Stdout}
 	switch {
 	case a.Plan != nil:
 		r.Plan()
--- a/internal/slopes/accounting.go
+++ b/internal/slopes/accounting.go
@@ -12,7 +12,7 @@
 
 // Accounting measures the counters of an entry: their memory, and the snapshot
 // of all of them that it hands to the control process of its host.
-func (r Report) Accounting() {
+func (out Printer) Accounting() {
 	for _, rows := range []int{10, 100, 1000, TargetAccounts, 3 * TargetAccounts} {
 		before := ownHeap()
 		book := accounting.New()
@@ -26,6 +26,6 @@
 		held := ownHeap() - before
 		var text []byte
 		cpu := cpuOf(accountingRounds, func() { text, _ = json.Marshal(book.Snapshot("host-0001", centre(0), 1)) })
-		r.line("accounting: %d rows of an account and a service: %.2f MB held; snapshot %d bytes, cpu %v", rows, megabytes(held), len(text), cpu)
+		out.line("accounting: %d rows of an account and a service: %.2f MB held; snapshot %d bytes, cpu %v", rows, megabytes(held), len(text), cpu)
 	}
 }
--- a/internal/slopes/admission.go
+++ b/internal/slopes/admission.go
@@ -110,7 +110,7 @@
 
 // steady watches a pace after as many requests run as ever will, until the
 // last begins.
-func (b *bench) steady(ctx context.Context, r Report, rate int, run, over time.Duration) error {
+func (b *bench) steady(ctx context.Context, out Printer, rate int, run, over time.Duration) error {
 	done := make(chan error, 1)
 	go func() { done <- b.paced(ctx, rate, run, run+over+time.Second) }()
 	time.Sleep(run)
@@ -120,7 +120,7 @@
 	used, took := ownCPU()-cpu, time.Since(begun).Seconds()
 	endPayload, endSegments := b.wire.sample()
 	bytes, packets := float64(endPayload-payload)/took, float64(endSegments-segments)/took
-	r.line("admission: %d requests/s that run %v: %.0f payload bytes/s and %.1f segments/s both ways, with headers %.0f (all acknowledgements ride along) to %.0f bytes/s (none does); %.3f%% of a core, both sides and load together",
+	out.line("admission: %d requests/s that run %v: %.0f payload bytes/s and %.1f segments/s both ways, with headers %.0f (all acknowledgements ride along) to %.0f bytes/s (none does); %.3f%% of a core, both sides and load together",
 		rate, run, bytes, packets, bytes+packets*segmentHeader, bytes+2*packets*segmentHeader, share(used, over))
 	return <-done
 }
@@ -128,7 +128,7 @@
 // Admission measures the session between an entry and an allocator: bytes at a
 // node's own pace, with requests that run for a while, and processor time of
 // both sides together at paces that show it.
-func (r Report) Admission(ctx context.Context, over time.Duration) error {
+func (out Printer) Admission(ctx context.Context, over time.Duration) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	b, err := newBench(ctx)
@@ -143,7 +143,7 @@
 		rate int
 		run  time.Duration
 	}{{0, 0}, {1, 0}, {nodeRate, 0}, {nodeRate, 4 * time.Second}, {nodeRate, nodeRun}, {200, 0}, {1000, 0}} {
-		if err := b.steady(ctx, r, c.rate, c.run, over); err != nil {
+		if err := b.steady(ctx, out, c.rate, c.run, over); err != nil {
 			return err
 		}
 	}
--- a/internal/slopes/doc.go
+++ b/internal/slopes/doc.go
@@ -21,7 +21,7 @@
 	TargetCentres = 10
 )
 
-// Report prints the points of a measurement.
-type Report struct{ Out io.Writer }
+// Printer prints the points of a measurement.
+type Printer struct{ Out io.Writer }
 
-func (r Report) line(format string, args ...any) { fmt.Fprintf(r.Out, format+"\n", args...) }
+func (out Printer) line(format string, args ...any) { fmt.Fprintf(out.Out, format+"\n", args...) }
--- a/internal/slopes/plan.go
+++ b/internal/slopes/plan.go
@@ -16,7 +16,7 @@
 // Plan measures the plan of pools that every control process makes anew at
 // each edit of the table or the lists, and the list of pools that it sends to
 // the entry of its host.
-func (r Report) Plan() {
+func (out Printer) Plan() {
 	for _, size := range []struct{ targets, hosts int }{
 		{100, 33}, {1000, 33}, {1000, 330}, {TargetServers, 330}, {TargetServers, TargetHosts},
 	} {
@@ -31,7 +31,7 @@
 		text, _ := proto.Marshal(section)
 		encode := cpuOf(planRounds, func() { _, _ = proto.Marshal(poolsSection(plans)) })
 		decode := cpuOf(planRounds, func() { _ = proto.Unmarshal(text, &filbertv1.PoolsSection{}) })
-		r.line("plan: %d targets, %d hosts: %d pools, cpu %v a plan, %.2f MB held; list to the entry %d bytes, cpu %v to build and encode, %v to decode",
+		out.line("plan: %d targets, %d hosts: %d pools, cpu %v a plan, %.2f MB held; list to the entry %d bytes, cpu %v to build and encode, %v to decode",
 			size.targets, size.hosts, len(plans), cpu, megabytes(held), len(text), encode, decode)
 		runtime.KeepAlive(plans)
 	}
--- a/internal/slopes/process.go
+++ b/internal/slopes/process.go
@@ -47,19 +47,19 @@
 
 // Run watches the processes at each point that is named (all without a name):
 // first without a change, then under edits of one row.
-func (p Processes) Run(ctx context.Context, r Report, names []string) error {
+func (p Processes) Run(ctx context.Context, out Printer, names []string) error {
 	for _, at := range Points {
 		if len(names) > 0 && !slices.Contains(names, at.Name) {
 			continue
 		}
-		if err := p.point(ctx, r, at); err != nil {
+		if err := p.point(ctx, out, at); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (p Processes) point(ctx context.Context, r Report, at Point) error {
+func (p Processes) point(ctx context.Context, out Printer, at Point) error {
 	hosts := make([]string, at.Hosts)
 	for i := range hosts {
 		hosts[i] = centre(0)
@@ -90,26 +90,26 @@
 	if err != nil {
 		return err
 	}
-	r.states(at, edits, idle, busy)
+	out.states(at, edits, idle, busy)
 	return nil
 }
 
 // states prints what a host used on average.
-func (r Report) states(at Point, edits int, idle, busy seen) {
+func (out Printer) states(at Point, edits int, idle, busy seen) {
 	n, span := float64(at.Hosts), idle.over.Seconds()
-	r.line("%s: %d hosts run, %d accounts, %d targets polled, %d hosts and %d targets published",
+	out.line("%s: %d hosts run, %d accounts, %d targets polled, %d hosts and %d targets published",
 		at.Name, at.Hosts, at.Accounts, at.Polled, at.OtherHosts+at.Hosts, at.OtherTargets+at.Polled)
-	r.line("  unchanged: control %.2f%% of a core, %.1f MB resident, %.1f MB heap; entry %.2f%%, %.1f MB resident",
+	out.line("  unchanged: control %.2f%% of a core, %.1f MB resident, %.1f MB heap; entry %.2f%%, %.1f MB resident",
 		share(idle.control.cpu, idle.over)/n, megabytes(idle.control.resident)/n, idle.counters["runtime.MemStats.HeapAlloc"]/n/(1<<20),
 		share(idle.entry.cpu, idle.over)/n, megabytes(idle.entry.resident)/n)
-	r.line("  gossip %.0f bytes/s a host, sent and received; configuration %.1f calls/s in all; %.1f polls/s in all, %.0f payload bytes and %.1f segments a poll",
+	out.line("  gossip %.0f bytes/s a host, sent and received; configuration %.1f calls/s in all; %.1f polls/s in all, %.0f payload bytes and %.1f segments a poll",
 		(idle.counters["gossip.bytes_sent"]+idle.counters["gossip.bytes_received"])/n/span, idle.counters["configwatch.calls"]/span,
 		idle.polls/span, idle.payload/max(idle.polls, 1), idle.segments/max(idle.polls, 1))
 	above := func(busy, idle time.Duration, over float64) float64 {
 		return 1000 * (busy.Seconds() - idle.Seconds()*over/span) / float64(edits) / n
 	}
 	over := busy.over.Seconds()
-	r.line("  %d edits in %.1fs: control %.2f ms and entry %.2f ms processor time an edit and host above that (control %.1f%% of a core); %.1f and %.1f MB resident; gossip %.0f bytes/s a host",
+	out.line("  %d edits in %.1fs: control %.2f ms and entry %.2f ms processor time an edit and host above that (control %.1f%% of a core); %.1f and %.1f MB resident; gossip %.0f bytes/s a host",
 		edits, over, above(busy.control.cpu, idle.control.cpu, over), above(busy.entry.cpu, idle.entry.cpu, over), share(busy.control.cpu, busy.over)/n,
 		megabytes(busy.control.resident)/n, megabytes(busy.entry.resident)/n,
 		(busy.counters["gossip.bytes_sent"]+busy.counters["gossip.bytes_received"])/n/over)
--- a/internal/slopes/table.go
+++ b/internal/slopes/table.go
@@ -16,7 +16,7 @@
 // Table measures the table in force: its memory, a changed row's way into it,
 // and the whole table's way to the entry of the host, which a changed row
 // takes today.
-func (r Report) Table() {
+func (out Printer) Table() {
 	for _, accounts := range []int{10, 100, 1000, TargetAccounts} {
 		pages := tablePages(accounts, 0)
 		before := ownHeap()
@@ -29,7 +29,7 @@
 		text, _ := proto.Marshal(section(t))
 		send := cpuOf(tableRounds, func() { _, _ = proto.Marshal(section(t)) })
 		take := cpuOf(tableRounds, func() { receive(text) })
-		r.line("table: %d accounts: %.2f MB held, cpu %v to parse, %v to apply a row, %v to write and digest all rows; push to the entry %d bytes, cpu %v to send, %v to take",
+		out.line("table: %d accounts: %.2f MB held, cpu %v to parse, %v to apply a row, %v to write and digest all rows; push to the entry %d bytes, cpu %v to send, %v to take",
 			accounts, megabytes(held), parse, apply, digest, len(text), send, take)
 		runtime.KeepAlive(t)
 	}
