--- a/internal/demo/calls.go
+++ b/internal/demo/calls.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"filbertdeck/internal/failure"
-	"filbertdeck/internal/fleet"
 )
 
 type completion struct {
