--- a/internal/decide/once/schedule_test.go
+++ b/internal/decide/once/schedule_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"filbertdeck/internal/decide/once"
+	"filbertdeck/internal/failure"
 )
 
 // A schedule drives a few entries, a configuration service that can be
@@ -58,10 +59,15 @@
 	entries  []*simEntry
 	keys     []*simKey
 	vouching bool // false: the naive version, which trusts the list it has
+	// refused counts by reason the calls that one process with perfect
+	// knowledge would have run or answered; wrong lists answers that it would
+	// not have given.
+	refused map[failure.Kind]int
+	wrong   []string
 }
 
 func newWorld(vouching bool) *world {
-	w := &world{now: time.Hour, vouching: vouching}
+	w := &world{now: time.Hour, vouching: vouching, refused: map[failure.Kind]int{}}
 	var all []string
 	for i := range 3 {
 		all = append(all, fmt.Sprint("e", i))
@@ -178,6 +184,28 @@
 	if d.Action == once.Run {
 		e.tries = append(e.tries, attempt{key: n})
 	}
+	w.compare(k, d)
+}
+
+// compare sets a decision against that of a single process that never dies and
+// knows all: it runs a new key, repeats an answer, and says no only of a key
+// that did not run.
+func (w *world) compare(k *simKey, d once.Decision) {
+	switch {
+	case d.Action == once.Replay && k.runs == 0:
+		w.wrong = append(w.wrong, "an answer to a call that never ran: "+k.key.ID)
+	case d.Action == once.Refuse && d.Err.Executed == failure.ExecutedNo && k.runs > 0:
+		w.wrong = append(w.wrong, "no to a call that ran: "+k.key.ID)
+	case d.Action == once.Refuse:
+		w.refused[d.Err.Kind]++
+	}
+}
+
+// explained are the reasons for which the fleet may refuse what a single
+// process would not.
+var explained = []failure.Kind{
+	failure.KindKeyUnvouched, failure.KindOwnerLost, failure.KindInProgress, failure.KindOutcomeUnknown,
+	failure.KindKeyExpired, failure.KindKeyInvalid, failure.KindOverloaded,
 }
 
 func (w *world) begin(e *simEntry, k *simKey, call once.Call) once.Decision {
@@ -290,9 +318,13 @@
 		f.Add(randomSchedule(seed, 200))
 	}
 	f.Fuzz(func(t *testing.T, ops []byte) {
-		if k := runSchedule(ops, true).twice(); k != nil {
+		w := runSchedule(ops, true)
+		if k := w.twice(); k != nil {
 			t.Fatalf("%+v ran %d times", k.key, k.runs)
 		}
+		if len(w.wrong) > 0 {
+			t.Fatal(w.wrong)
+		}
 	})
 }
 
@@ -303,10 +335,16 @@
 	It("run each key at most once, where the naive version runs some twice", func() {
 		ran := map[once.KeyKind]int{}
 		naive := 0
+		refused := map[failure.Kind]int{}
 		for seed := range uint64(1000) {
 			ops := randomSchedule(seed, 600)
 			w := runSchedule(ops, true)
 			Expect(w.twice()).To(BeNil(), "seed %d", seed)
+			Expect(w.wrong).To(BeEmpty(), "seed %d", seed)
+			for kind, n := range w.refused {
+				Expect(explained).To(ContainElement(kind))
+				refused[kind] += n
+			}
 			w.ran(ran)
 			if runSchedule(ops, false).twice() != nil {
 				naive++
@@ -316,6 +354,6 @@
 		for _, kind := range []once.KeyKind{once.KeyMinted, once.KeyOrdered, once.KeyOpaque} {
 			Expect(ran[kind]).To(BeNumerically(">", 100), "kind %d", kind)
 		}
-		AddReportEntry("schedules", fmt.Sprintf("ran %v, naive broke %d of 1000", ran, naive))
+		AddReportEntry("schedules", fmt.Sprintf("ran %v, naive broke %d of 1000, refused %v", ran, naive, refused))
 	})
 })
