Hold pools back until ready; credentials that follow renewed files; a paused call is unknown

A control process that started while the configuration service was restored admitted to a leaving target; gRPC kept the old certificate; a call stopped by a pause said 'not run' although another owner may have run it.

--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -82,8 +82,8 @@
 	}, members)
 }
 
-func newManager(s *Settings, b *configwatch.Board, log *slog.Logger) *pools.Manager {
-	return pools.NewManager(s.Listen, b, targetclient.New(targetclient.Settings{}), log)
+func newManager(s *Settings, b *configwatch.Board, store *configwatch.Store, log *slog.Logger) *pools.Manager {
+	return pools.NewManager(s.Listen, b, store.Ready, targetclient.New(targetclient.Settings{}), log)
 }
 
 func newQuotaPeers(creds rpc.Credentials) *quota.Peers { return quota.NewPeers(creds) }
--- a/internal/control/pools/manager.go
+++ b/internal/control/pools/manager.go
@@ -20,6 +20,7 @@
 type Manager struct {
 	self   string
 	board  *configwatch.Board
+	ready  func() bool
 	client targets.Doer
 	log    *slog.Logger
 
@@ -45,10 +46,11 @@
 }
 
 // NewManager returns a manager without pools. self is this process's address
-// in the published list.
-func NewManager(self string, board *configwatch.Board, client targets.Doer, log *slog.Logger) *Manager {
+// in the published list; ready tells whether the documents in force may be
+// acted on.
+func NewManager(self string, board *configwatch.Board, ready func() bool, client targets.Doer, log *slog.Logger) *Manager {
 	return &Manager{
-		self: self, board: board, client: client, log: log,
+		self: self, board: board, ready: ready, client: client, log: log,
 		running: map[string]*running{}, changed: make(chan struct{}),
 	}
 }
@@ -71,8 +73,27 @@
 	return m.changed
 }
 
+// lookAgain is how often a process that is not ready yet looks again.
+const lookAgain = 50 * time.Millisecond
+
+// waitReady holds pools back until this process has asked its peers for newer
+// documents. One that was started while the configuration service was restored
+// would otherwise admit by an old list, to targets that are leaving.
+func (m *Manager) waitReady(ctx context.Context) {
+	ticker := time.NewTicker(lookAgain)
+	defer ticker.Stop()
+	for !m.ready() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Run follows the blackboard until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
+	m.waitReady(ctx)
 	for ctx.Err() == nil {
 		tables, hosts := m.board.Table.Changed(), m.board.Hosts.Changed()
 		m.update(ctx)
--- a/internal/entry/plain/once.go
+++ b/internal/entry/plain/once.go
@@ -222,7 +222,7 @@
 		return err
 	}
 	if o.now() >= until {
-		return failure.New(failure.KindKeyUnvouched, "the process was paused before the call was sent")
+		return failure.New(failure.KindKeyUnvouched, "the process was paused before the call was sent").Unknown()
 	}
 	return nil
 }
--- a/internal/secure/secure.go
+++ b/internal/secure/secure.go
@@ -6,8 +6,6 @@
 	"crypto/tls"
 	"net"
 
-	"google.golang.org/grpc/credentials"
-
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/rpc"
 	"filbertdeck/internal/settings"
@@ -78,7 +76,7 @@
 		return rpc.Credentials{}
 	}
 	return rpc.Credentials{
-		Client: credentials.NewTLS(i.source.Client()),
-		Server: credentials.NewTLS(i.source.Server()),
+		Client: i.source.GRPCClient(),
+		Server: i.source.GRPCServer(),
 	}
 }
