--- a/internal/accounting/accounting.go
+++ b/internal/accounting/accounting.go
@@ -71,8 +71,10 @@
 
 	FirstToken Ratio `json:"first_token"`
 	TokenGap   Ratio `json:"token_gap"`
-	Whole      Ratio `json:"whole"`
-	Lookup     Ratio `json:"lookup"`
+	// NoStall counts the gaps that were no stall.
+	NoStall Ratio `json:"no_stall"`
+	Whole   Ratio `json:"whole"`
+	Lookup  Ratio `json:"lookup"`
 
 	RefusedBy map[failure.Kind]uint64 `json:"refused_by,omitempty"`
 }
@@ -174,6 +176,7 @@
 	c := &e.row.counts
 	c.OutputTokens += uint64(n)
 	c.TokenGap.add(gap <= TokenGapObjective)
+	c.NoStall.add(gap <= StallBound)
 	if gap > StallBound {
 		c.StallUS += uint64(gap.Microseconds())
 	}
--- a/internal/adminapi/documents.go
+++ b/internal/adminapi/documents.go
@@ -161,6 +161,7 @@
 	// The objectives: events within the bound among all.
 	FirstToken accounting.Ratio `json:"first_token"`
 	TokenGap   accounting.Ratio `json:"token_gap"`
+	NoStall    accounting.Ratio `json:"no_stall"`
 	Whole      accounting.Ratio `json:"whole"`
 	Lookup     accounting.Ratio `json:"lookup"`
 }
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -45,6 +45,16 @@
 	return burn.Sample{At: start.Add(time.Duration(seconds) * time.Second), Hosts: hosts}
 }
 
+func objective(r burn.Report, name string) burn.ServiceObjective {
+	for _, o := range r.Objectives {
+		if o.Name == name {
+			return o
+		}
+	}
+	Fail("no objective " + name)
+	return burn.ServiceObjective{}
+}
+
 func promise(r burn.Report, part string) burn.Promise {
 	for _, p := range r.Promises {
 		if strings.Contains(p.Text, part) {
@@ -61,8 +71,7 @@
 			at(0, host("1.1", row(1, 0, 100, 100))),
 			at(60, host("1.1", row(1, 0, 190, 200))),
 		}, []time.Duration{time.Minute, time.Hour})
-		o := r.Objectives[0]
-		Expect(o.Name).To(Equal("first token"))
+		o := objective(r, "first token")
 		Expect(o.Since.Burn).To(BeNumerically("~", 1, 1e-9)) // 5% bad, 5% allowed
 		Expect(o.Windows).To(HaveLen(1), "an hour was not observed")
 		Expect(o.Windows[0].Burn).To(BeNumerically("~", 2, 1e-9))
@@ -87,7 +96,7 @@
 			at(0, host("1.1", row(1, 500, 90, 100))),
 			at(10, host("1.1", row(2, 20, 10, 10))),
 		}, nil)
-		Expect(r.Objectives[0].Since.Events).To(Equal(accounting.Ratio{Good: 100, Total: 110}))
+		Expect(objective(r, "first token").Since.Events).To(Equal(accounting.Ratio{Good: 100, Total: 110}))
 		Expect(r.Shares[0].Tokens).To(BeEquivalentTo(520))
 		Expect(r.Restarts).To(Equal(1))
 	})
@@ -100,6 +109,13 @@
 		Expect(r.Breach()).To(BeTrue())
 	})
 
+	// An edit reaches two of three hosts. The third serves by the old weights,
+	// and one that cannot be read must not pass for one that holds the edit.
+	It("counts hosts without the newest table, and hosts that were not read, as bad", func() {
+		r := burn.Build([]burn.Sample{at(0, host("1.2"), host("1.1"), burn.Host{Control: "127.0.0.1:2", Problem: "gone"})}, nil)
+		Expect(objective(r, "edits in force").Since.Events).To(Equal(accounting.Ratio{Good: 1, Total: 3}))
+	})
+
 	It("shows a target above what it bears, and rows that do not balance", func() {
 		h := host("1.1", row(1, 1, 1, 1))
 		h.Targets.Targets = []adminapi.TargetStatus{{Address: "127.0.0.1:9", Known: true, Bears: 2, Running: 3}}
--- a/internal/burn/objective.go
+++ b/internal/burn/objective.go
@@ -23,6 +23,7 @@
 var Objectives = []Objective{
 	{"first token", "within 550 ms", 0.95, func(r adminapi.AccountingRow) accounting.Ratio { return r.FirstToken }},
 	{"between tokens", "within 61 ms", 0.95, func(r adminapi.AccountingRow) accounting.Ratio { return r.TokenGap }},
+	{"no stall", "a gap between tokens below 1 s", 0.999, func(r adminapi.AccountingRow) accounting.Ratio { return r.NoStall }},
 	{"whole answers", "a generation that ended whole", 0.999, func(r adminapi.AccountingRow) accounting.Ratio { return r.Whole }},
 	{"lookups", "within 250 ms", 0.99, func(r adminapi.AccountingRow) accounting.Ratio { return r.Lookup }},
 	{"known outcomes", "a request whose outcome is known", 0.9999, knownOutcomes},
@@ -63,10 +64,20 @@
 	return bad / (1 - target)
 }
 
+// editsInForce is judged by samples, not by requests: a good event is a host
+// that holds the newest table seen so far.
+var editsInForce = Objective{Name: "edits in force", Meaning: "a host, at a sample, with the newest table", Target: 0.99}
+
+// fleetWide stands in the report for what belongs to no service.
+const fleetWide = "(all hosts)"
+
 // point is the state of all rows at one time.
 type point struct {
 	at   time.Time
 	rows map[key]adminapi.AccountingRow
+	// inForce counts up from sample to sample; a host that was not read is no
+	// good event.
+	inForce accounting.Ratio
 }
 
 // ofService adds an objective's events of a service's rows.
@@ -87,9 +98,11 @@
 	}
 	last := points[len(points)-1]
 	var out []ServiceObjective
+	edits := serviceObjective(points, windows, fleetWide, editsInForce, func(p point) accounting.Ratio { return p.inForce })
+	out = append(out, edits)
 	for _, service := range services(last) {
 		for _, o := range Objectives {
-			so := serviceObjective(points, windows, service, o)
+			so := serviceObjective(points, windows, service, o, func(p point) accounting.Ratio { return p.ofService(service, o.count) })
 			if so.Since.Events.Total > 0 {
 				out = append(out, so)
 			}
@@ -98,9 +111,11 @@
 	return out
 }
 
-func serviceObjective(points []point, windows []time.Duration, service string, o Objective) ServiceObjective {
+func serviceObjective(
+	points []point, windows []time.Duration, service string, o Objective, events func(point) accounting.Ratio,
+) ServiceObjective {
 	last := points[len(points)-1]
-	now := last.ofService(service, o.count)
+	now := events(last)
 	so := ServiceObjective{Service: service, Objective: o}
 	so.Since = Window{Events: now, Burn: burnOf(now, o.Target)}
 	for _, length := range windows {
@@ -108,12 +123,12 @@
 		if begin == nil {
 			continue
 		}
-		events := minus(now, begin.ofService(service, o.count))
-		so.Windows = append(so.Windows, Window{Length: length, Events: events, Burn: burnOf(events, o.Target)})
+		part := minus(now, events(*begin))
+		so.Windows = append(so.Windows, Window{Length: length, Events: part, Burn: burnOf(part, o.Target)})
 	}
 	for i := 1; i < len(points); i++ {
-		events := minus(points[i].ofService(service, o.count), points[i-1].ofService(service, o.count))
-		so.Series = append(so.Series, burnOf(events, o.Target))
+		part := minus(events(points[i]), events(points[i-1]))
+		so.Series = append(so.Series, burnOf(part, o.Target))
 	}
 	return so
 }
--- a/internal/burn/promises.go
+++ b/internal/burn/promises.go
@@ -187,7 +187,12 @@
 			}
 		}
 	}
-	text := fmt.Sprintf("versions in force by number of hosts: %v", versions)
+	var counts []string
+	for version, hosts := range versions {
+		counts = append(counts, fmt.Sprintf("version %s on %d hosts", version, hosts))
+	}
+	sort.Strings(counts)
+	text := strings.Join(counts, ", ")
 	if len(refused) > 0 {
 		text += fmt.Sprintf("; refused: %s", strings.Join(sorted(refused), "; "))
 	}
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -1,6 +1,10 @@
 package burn
 
-import "time"
+import (
+	"time"
+
+	"filbertdeck/internal/accounting"
+)
 
 // Report is the whole report.
 type Report struct {
@@ -29,9 +33,10 @@
 	}
 	t := newTotals()
 	points := make([]point, 0, len(samples))
+	var versions newestTable
 	for _, s := range samples {
 		t.take(s)
-		points = append(points, point{at: s.At, rows: t.rows()})
+		points = append(points, point{at: s.At, rows: t.rows(), inForce: versions.take(s)})
 		r.Gaps += len(missing(s))
 	}
 	first, last := samples[0], samples[len(samples)-1]
@@ -49,6 +54,28 @@
 	return r
 }
 
+// newestTable follows the newest version of the table that any host showed.
+type newestTable struct {
+	version string
+	events  accounting.Ratio
+}
+
+// take counts a sample's hosts and gives the sum so far.
+func (n *newestTable) take(s Sample) accounting.Ratio {
+	for _, h := range s.Hosts {
+		if d := tableOf(h); d != nil && (n.version == "" || older(n.version, d.Version)) {
+			n.version = d.Version
+		}
+	}
+	for _, h := range s.Hosts {
+		n.events.Total++
+		if d := tableOf(h); d != nil && d.Version == n.version {
+			n.events.Good++
+		}
+	}
+	return n.events
+}
+
 func missing(s Sample) []Host {
 	var out []Host
 	for _, h := range s.Hosts {
--- a/internal/burn/totals.go
+++ b/internal/burn/totals.go
@@ -82,6 +82,7 @@
 	a.OutOfPlace += b.OutOfPlace
 	a.FirstToken = sum(a.FirstToken, b.FirstToken)
 	a.TokenGap = sum(a.TokenGap, b.TokenGap)
+	a.NoStall = sum(a.NoStall, b.NoStall)
 	a.Whole = sum(a.Whole, b.Whole)
 	a.Lookup = sum(a.Lookup, b.Lookup)
 	return a
--- a/internal/control/admin/admin.go
+++ b/internal/control/admin/admin.go
@@ -152,6 +152,6 @@
 		Received: l.Received, Refused: l.Refused, Ran: l.Ran, Unknown: l.Unknown, InProgress: l.InProgress,
 		Failed: l.Failed, WaitMS: l.WaitUS / perMilli, StallMS: l.StallUS / perMilli, Tokens: l.OutputTokens,
 		Hedges: l.Hedges, Retries: l.Retries, Resumes: l.Resumes, Replays: l.Replays, OutOfPlace: l.OutOfPlace,
-		FirstToken: l.FirstToken, TokenGap: l.TokenGap, Whole: l.Whole, Lookup: l.Lookup,
+		FirstToken: l.FirstToken, TokenGap: l.TokenGap, NoStall: l.NoStall, Whole: l.Whole, Lookup: l.Lookup,
 	}
 }
