Tell peers and sibling pools of a crash at once

Cause: evidence of a crash waited for the next probe of gossip, and an allocator was only asked for it then, so that it left with the probe after; a pool of the same process never heard of it, since what peers echo is known and passed over. Now the allocators are asked every 200 ms, news is pushed to all neighbours at once and on at each hop, and to the other pools of the process. A crash is handed on eight times, not four: six neighbours at once use four up.

--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -38,7 +38,7 @@
 			secure.New, (*secure.Identity).Credentials, newBoard, newStore, newWatcher, newMembers, newGossip,
 			newManager, newNews, newSessions, newState, newAdmin, newQuotaPeers, newQuota,
 		),
-		fx.Invoke(serveAdmin, serveRPC, runManager, runWatcher, runGossip, runQuota),
+		fx.Invoke(serveAdmin, serveRPC, runManager, runWatcher, runGossip, runQuota, runNews),
 	}
 }
 
@@ -78,6 +78,7 @@
 		Store: store, Hosts: &b.Hosts, Credentials: transport, SetReader: w.SetReader, Log: log, Metrics: reg,
 		Hooks: gossip.Hooks{
 			SupplyPools: n.SupplyPools, TakePools: n.TakePools, SupplyPoison: n.SupplyPoison, TakePoison: n.TakePoison,
+			Urgent: n.Urgent(),
 		},
 	}, members)
 }
@@ -176,6 +177,8 @@
 
 func runManager(lc fx.Lifecycle, m *pools.Manager) { background(lc, m.Run) }
 
+func runNews(lc fx.Lifecycle, n *news.Board) { background(lc, n.Run) }
+
 // leaveLimit bounds telling the neighbours of a planned stop.
 const leaveLimit = time.Second
 
--- a/internal/control/news/news.go
+++ b/internal/control/news/news.go
@@ -3,6 +3,7 @@
 package news
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -21,6 +22,13 @@
 	// poolRounds is how often an item is handed on. Each process talks to six
 	// neighbours; four rounds reach 3,300 nodes several times over.
 	poolRounds = 4
+	// crashRounds is how often a crash is handed on: to the six neighbours at
+	// once, and in two answers to probes of others.
+	crashRounds = 8
+	// collectEvery is how often the allocators are asked for crashes: short
+	// against the second after which a client sends a request again that got no
+	// answer, which then meets the next target.
+	collectEvery = 200 * time.Millisecond
 	// stepBacklog is the change of a backlog that is worth telling: half the
 	// bonus that an entry gives its own data centre.
 	stepBacklog = 25 * time.Millisecond
@@ -41,6 +49,9 @@
 	told    map[string]told
 	version uint64
 	crashes map[uint64]crash
+	// siblings are crashes of a pool here that the other pools don't know yet.
+	siblings []poison.Crash
+	urgent   chan struct{}
 }
 
 type told struct {
@@ -59,7 +70,7 @@
 	return &Board{
 		self: self, pools: m, start: time.Now(), heard: decide.NewNews(),
 		told: map[string]told{}, crashes: map[uint64]crash{},
-		version: uint64(time.Now().UnixMilli()),
+		version: uint64(time.Now().UnixMilli()), urgent: make(chan struct{}, 1),
 	}
 }
 
@@ -129,7 +140,6 @@
 // SupplyPoison gives the crashes for the next message of gossip: those of the
 // pools that run here, and those that were heard of.
 func (b *Board) SupplyPoison() []*filbertv1.PoisonNews {
-	b.collect()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []*filbertv1.PoisonNews
@@ -139,7 +149,7 @@
 			delete(b.crashes, id)
 			continue
 		}
-		if c.passed >= poolRounds || len(out) == messageItems {
+		if c.passed >= crashRounds || len(out) == messageItems {
 			continue
 		}
 		c.passed++
@@ -154,8 +164,36 @@
 // crashLife is how long a crash is handed on; the detectors keep it longer.
 const crashLife = time.Minute
 
+// Urgent is received from once there are crashes that peers should hear of at
+// once. Were they left to the next probes, a caller that sends its request again
+// each second would be a hop ahead of the news, and each pool that it reaches
+// would lose a target.
+func (b *Board) Urgent() <-chan struct{} { return b.urgent }
+
+func (b *Board) hurry() {
+	select {
+	case b.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// Run collects the crashes of the pools that run here until ctx ends.
+func (b *Board) Run(ctx context.Context) {
+	ticker := time.NewTicker(collectEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			b.tellSiblings()
+			b.collect()
+		}
+	}
+}
+
 // collect asks each allocator for its evidence. The answers come on the
-// allocators' goroutines, after this message has gone; the next one has them.
+// allocators' goroutines.
 func (b *Board) collect() {
 	b.pools.Each(func(_ pools.Plan, r *pool.Runner) {
 		r.Do(func(a *admission.Allocator, now time.Duration) {
@@ -171,12 +209,36 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range list {
-		if _, known := b.crashes[c.ID]; !known && c.Age < crashLife {
-			b.crashes[c.ID] = crash{
-				at: b.now() - c.Age, news: &filbertv1.PoisonNews{Id: c.ID, Fingerprints: c.Fingerprints},
-			}
+		if _, known := b.crashes[c.ID]; known || c.Age >= crashLife {
+			continue
 		}
+		b.crashes[c.ID] = crash{
+			at: b.now() - c.Age, news: &filbertv1.PoisonNews{Id: c.ID, Fingerprints: c.Fingerprints},
+		}
+		b.siblings = append(b.siblings, c)
+		b.hurry()
+	}
+}
+
+// tellSiblings hands the crashes of one pool to the other pools of this process.
+// Peers don't do it: what they echo is known here. It is not done where a crash
+// is collected, on the goroutine of an allocator: two that hand to each other
+// while their queues are full would wait for ever.
+func (b *Board) tellSiblings() {
+	b.mu.Lock()
+	crashes := b.siblings
+	b.siblings = nil
+	b.mu.Unlock()
+	b.merge(crashes)
+}
+
+func (b *Board) merge(crashes []poison.Crash) {
+	if len(crashes) == 0 {
+		return
 	}
+	b.pools.Each(func(_ pools.Plan, r *pool.Runner) {
+		r.Do(func(a *admission.Allocator, now time.Duration) { a.MergePoison(now, crashes) })
+	})
 }
 
 // TakePoison takes the crashes that a peer supplied and hands them to every
@@ -196,7 +258,6 @@
 	if len(fresh) == 0 {
 		return
 	}
-	b.pools.Each(func(_ pools.Plan, r *pool.Runner) {
-		r.Do(func(a *admission.Allocator, now time.Duration) { a.MergePoison(now, fresh) })
-	})
+	b.hurry()
+	b.merge(fresh)
 }
--- a/internal/controller/gossip/controller.go
+++ b/internal/controller/gossip/controller.go
@@ -54,6 +54,9 @@
 	TakePools    func([]*filbertv1.PoolNews)
 	SupplyPoison func() []*filbertv1.PoisonNews
 	TakePoison   func([]*filbertv1.PoisonNews)
+	// Urgent is received from when there is news to supply that shouldn't wait
+	// for the next probes.
+	Urgent <-chan struct{}
 }
 
 // Board is this controller's part of the blackboard.
@@ -179,6 +182,8 @@
 		case <-news:
 			news = c.cfg.Store.Changed()
 			c.push(ctx)
+		case <-c.cfg.Hooks.Urgent:
+			c.pushNews(ctx)
 		}
 	}
 }
@@ -294,6 +299,16 @@
 	}
 }
 
+// pushNews probes all neighbours at once, which carries the hooks' news.
+func (c *Controller) pushNews(ctx context.Context) {
+	c.mu.Lock()
+	neighbours := c.core.View().Neighbours
+	c.mu.Unlock()
+	for _, n := range neighbours {
+		c.spawn(func() { c.probe(ctx, membership.Action{To: n, Timeout: c.probeTimeout()}) })
+	}
+}
+
 // lacks tells whether a peer is not known to hold what is in force here.
 func (c *Controller) lacks(address string) bool {
 	c.mu.Lock()
--- a/internal/controller/gossip/gossip_test.go
+++ b/internal/controller/gossip/gossip_test.go
@@ -265,6 +265,24 @@
 		Eventually(taken, soon).Should(Receive(Equal("7")))
 	})
 
+	// A request crashes a target and its caller sends it again within a second.
+	// Were the news to wait for the next probe, it would meet the next target.
+	It("tells neighbours urgent news without waiting for a probe", func() {
+		l, a := listen()
+		m, b := listen()
+		urgent, taken := make(chan struct{}), make(chan uint64, 100)
+		one := startNode(l, a, []string{b}, nodeConfig{every: time.Hour, hooks: gossip.Hooks{
+			SupplyPoison: func() []*filbertv1.PoisonNews { return []*filbertv1.PoisonNews{{Id: 7}} }, Urgent: urgent,
+		}})
+		DeferCleanup(one.stop)
+		two := startNode(m, b, []string{a}, nodeConfig{every: time.Hour, hooks: gossip.Hooks{
+			TakePoison: func(p []*filbertv1.PoisonNews) { taken <- p[0].GetId() },
+		}})
+		DeferCleanup(two.stop)
+		Eventually(urgent, soon).Should(BeSent(struct{}{}))
+		Eventually(taken, soon).Should(Receive(Equal(uint64(7))))
+	})
+
 	It("tells a planned stop, and finds a crash out", func() {
 		nodes := fleet(5)
 		Eventually(everyone(nodes, live(5)), soon, often).Should(BeTrue())
