--- a/internal/slopes/admission.go
+++ b/internal/slopes/admission.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	poolName = "reports/dc-01/0123456789abcdef"
+	poolName = "reports/dc-01/123"
 	// bearsAll lets every request start at once.
 	bearsAll = 1 << 16
 	// reportEvery is the pace of the target's reports.
