--- a/internal/decide/admission/allocator_test.go
+++ b/internal/decide/admission/allocator_test.go
@@ -103,7 +103,7 @@
 var _ = Describe("the allocator", func() {
 	It("grants what fits, no more, and goes on when something ends", func() {
 		r := newRig(1, Config{})
-		ids := r.asks(64, "a", nil)
+		ids := r.asks(64, "a", func(a *Ask) { a.PromptTokens = 600 })
 		r.decide()
 		first := len(r.granted)
 		Expect(first).To(And(BeNumerically(">", 10), BeNumerically("<", 64)))
@@ -231,6 +231,19 @@
 		Expect(r.granted).To(HaveKey(other))
 	})
 
+	// A target died, and the requests it ran are held apart as suspects. Several
+	// of one account must not use up the turn in which others could start.
+	It("lets other accounts pass several constrained heads", func() {
+		r := newRig(2, Config{})
+		r.report("e1", Report{Bears: 64, MemoryTokens: 10_000, UsedTokens: 9_990, Running: 3})
+		r.asks(3, "a", func(a *Ask) { a.Avoid = []string{"e0"} })
+		r.asks(3, "b", func(a *Ask) { a.Avoid = []string{"e0"} })
+		others := r.asks(3, "c", nil)
+		r.decide()
+		Expect(r.granted).To(HaveLen(3))
+		Expect(r.granted).To(HaveKey(others[2]))
+	})
+
 	It("gives a leaving target nothing new and keeps its leases", func() {
 		r := newRig(2, Config{})
 		r.asks(4, "a", nil)
--- a/internal/decide/admission/lease.go
+++ b/internal/decide/admission/lease.go
@@ -120,6 +120,7 @@
 	a.leases.append(l)
 	l.growth.Predict(a.lengths, gen)
 	t.add(now, l)
+	a.suspects.began(l.fingerprint)
 }
 
 // Renew extends leases of holder, and books those that are not known here: the
@@ -171,6 +172,7 @@
 		survived--
 	}
 	a.lengths.Progress(l.gen.Produced, survived)
+	a.parts.produced(l.account.Name, produced-l.gen.Produced)
 	a.charge(l, OutputCharge*float64(produced-l.gen.Produced))
 	l.gen.Produced, l.heard = produced, now
 }
@@ -242,7 +244,8 @@
 	// for a cold start, and every long prompt or slow call would make a warm
 	// target cold for seconds.
 	l.target.gate.Ended(now, uint64(l.id), finished, 0)
-	l.target.remove(now, l)
+	l.target.remove(now, l, finished)
+	a.suspects.ended(l.fingerprint)
 	a.leases.remove(l)
 	a.queue.Finish(account, cost)
 }
--- a/internal/decide/fairqueue/queue.go
+++ b/internal/decide/fairqueue/queue.go
@@ -31,7 +31,7 @@
 	// swing is in docs/measurements.
 	DefaultLookAhead = 256
 	// costMemory is the part of the old mean kept at each finished request.
-	costMemory = 0.9
+	costMemory = 0.97
 	// sweepPerPush idle accounts are looked at whenever a request arrives, so
 	// that forgetting accounts costs a constant each time.
 	sweepPerPush = 4
@@ -47,6 +47,8 @@
 	Account  *Account[T]
 	Arrived  time.Duration
 	Deadline time.Duration
+	// Turn is the caller's: the turn in which it deferred the request last.
+	Turn uint64
 
 	previous, next *Request[T]
 	deadlineAt     int
@@ -136,6 +138,7 @@
 
 // Push queues a request.
 func (q *Queue[T]) Push(a *Account[T], now, deadline time.Duration, value T) *Request[T] {
+	a.drain.Tick(now, a.waiting > 0)
 	r := q.take()
 	*r = Request[T]{Value: value, Account: a, Arrived: now, Deadline: deadline}
 	q.deadlines.push(r)
@@ -173,8 +176,8 @@
 	return a.first
 }
 
-// Skip keeps an account from being picked until Unskip, because its head can't
-// use what is free at present.
+// Skip keeps an account from being picked until Unskip, because nothing of it
+// can use what is free at present.
 func (q *Queue[T]) Skip(a *Account[T]) {
 	a.skipped = true
 	q.place(a)
@@ -186,6 +189,13 @@
 	q.place(a)
 }
 
+// Defer puts a waiting request behind the others of its account, because it
+// can't use what is free at present and they may.
+func (q *Queue[T]) Defer(r *Request[T]) {
+	r.Account.unlink(r)
+	r.Account.append(r)
+}
+
 // Start takes a waiting request out because it runs now, and charges its cost
 // in tokens.
 func (q *Queue[T]) Start(r *Request[T], cost float64) {
@@ -228,6 +238,7 @@
 // Charge adds service in tokens to an account.
 func (q *Queue[T]) Charge(a *Account[T], tokens float64) {
 	a.served += tokens / a.weight
+	a.drain.Charge(tokens)
 	q.place(a)
 }
 
@@ -283,7 +294,7 @@
 // forfeit takes the credit of an account that its own limit held back, so that
 // raising the limit doesn't give it the pool for as long as it was held back.
 func (q *Queue[T]) forfeit(a *Account[T]) {
-	if a.limit > 0 {
+	if a.limit != 0 {
 		a.served = max(a.served, q.virtual)
 	}
 }
