--- a/internal/control/news/news_test.go
+++ b/internal/control/news/news_test.go
@@ -53,7 +53,7 @@
 		Version: rollout.Version{Revision: 1}, ConfirmedAt: time.Now(),
 		List: []platform.Host{{Name: "h", DataCentre: "north", Control: self, State: platform.StateLive}},
 	})
-	m := pools.NewManager(self, board, nobody{}, slog.New(slog.DiscardHandler))
+	m := pools.NewManager(self, board, func() bool { return true }, nobody{}, slog.New(slog.DiscardHandler))
 	decisions := make(chan admission.Decision, 10)
 	m.SetDeliver(func(_ string, d admission.Decision) { decisions <- d })
 	b := news.New(self, m)
