--- a/internal/slopes/process.go
+++ b/internal/slopes/process.go
@@ -24,8 +24,13 @@
 	EditsPerSecond int
 }
 
-// settle is left to the processes after a change before they are watched.
-const settle = 4 * time.Second
+// What is left to the processes after a change before they are watched: a plan
+// of pools takes seconds of processor time at the target size, and two follow
+// each other when the lists are published one by one.
+const (
+	settle          = 4 * time.Second
+	settlePerTarget = 3 * time.Millisecond
+)
 
 // A Point is one state in which the processes of hosts are watched.
 type Point struct {
@@ -80,7 +85,7 @@
 	if err := publish(f, at, loads.targets); err != nil {
 		return err
 	}
-	time.Sleep(settle)
+	time.Sleep(settle + time.Duration(at.OtherTargets)*settlePerTarget)
 	idle, err := watch(f, loads, func() error { time.Sleep(p.Over); return nil })
 	if err != nil {
 		return err
