--- a/internal/decide/admission/allocator.go
+++ b/internal/decide/admission/allocator.go
@@ -82,6 +82,9 @@
 	stopping bool
 
 	skipped []*fairqueue.Account[Ask]
+	// held are the waiting suspects, in the order in which they became so.
+	held     []*fairqueue.Request[Ask]
+	heldGrew bool
 	// turn counts calls of admit.
 	turn      uint64
 	refreshed time.Duration
@@ -175,6 +178,9 @@
 	a.refresh(now)
 	a.refuseOverdue(now - 1)
 	a.admit(now)
+	if a.heldGrew {
+		a.refuseHeld(now)
+	}
 	a.refuseOverdue(now)
 	out := a.out
 	a.out, a.spare = a.spare[:0], out
@@ -196,6 +202,7 @@
 	// would be turned away.
 	a.drain.Tick(now, a.queue.Blocked())
 	a.refuseHopeless(now)
+	a.refuseHeld(now)
 }
 
 // admit grants in the queue's order for as long as the head finds a target. A
@@ -246,6 +253,9 @@
 	if len(ask.Avoid) == 0 && !ruling.constrained() {
 		return headBlocked
 	}
+	if ruling.constrained() {
+		a.hold(r)
+	}
 	if ruling.alone {
 		a.suspects.reserve(a.order, r)
 	}
@@ -266,6 +276,7 @@
 	ask := r.Value
 	delete(a.waiting, askKey{ask.Holder, ask.Request})
 	a.suspects.release(r)
+	a.unhold(r)
 	cost := admissionCharge(ask.PromptTokens, t)
 	a.queue.Start(r, cost)
 	a.drain.Charge(cost)
--- a/internal/decide/admission/allocator_test.go
+++ b/internal/decide/admission/allocator_test.go
@@ -438,6 +438,31 @@
 var _ = Describe("equal suspects", func() {
 	// A caller sends its poison request through two entries. Run at the same
 	// time, it takes two targets down before anyone knows of the first.
+	// A target dies with a dozen requests. Each must run apart from the others,
+	// which takes longer than most of their callers wait.
+	It("hear at once when too many wait before them", func() {
+		r := newRig(2, Config{})
+		r.leases.settled(10*sec, 100)
+		innocent := func(print uint64) {
+			r.ask("a", func(a *Ask) { a.Fingerprint, a.MaxWait = print, 20*sec })
+			r.after(10 * ms)
+		}
+		for print := range uint64(12) {
+			innocent(print + 1)
+		}
+		r.crash("e0")
+		r.crash("e1")
+		for print := range uint64(12) {
+			innocent(print + 1)
+		}
+		r.after(150 * ms)
+		Expect(len(r.refused)).To(BeNumerically(">", 3))
+		for _, d := range r.refused {
+			Expect(d.RetryAfter).To(BeNumerically(">=", 10*sec))
+		}
+		Expect(r.held).NotTo(BeEmpty())
+	})
+
 	It("run one at a time", func() {
 		r := newRig(4, Config{})
 		poisonous := func(a *Ask) { a.Fingerprint = 666 }
--- a/internal/decide/admission/ask.go
+++ b/internal/decide/admission/ask.go
@@ -160,6 +160,7 @@
 func (a *Allocator) forget(r *fairqueue.Request[Ask]) {
 	delete(a.waiting, askKey{r.Value.Holder, r.Value.Request})
 	a.suspects.release(r)
+	a.unhold(r)
 	a.queue.Remove(r)
 	a.queue.Release(r)
 }
--- a/internal/decide/fairqueue/queue.go
+++ b/internal/decide/fairqueue/queue.go
@@ -49,6 +49,8 @@
 	Deadline time.Duration
 	// Turn is the caller's: the turn in which it deferred the request last.
 	Turn uint64
+	// Held is the caller's: it counts the request among those held apart.
+	Held bool
 
 	previous, next *Request[T]
 	deadlineAt     int
