--- a/internal/decide/admission/allocator_test.go
+++ b/internal/decide/admission/allocator_test.go
@@ -18,6 +18,8 @@
 	DescribeTable = ginkgo.DescribeTable
 	Entry         = ginkgo.Entry
 	It            = ginkgo.It
+
+	AddReportEntry = ginkgo.AddReportEntry
 )
 
 func TestAdmission(t *testing.T) {
