--- a/internal/slopes/process.go
+++ b/internal/slopes/process.go
@@ -3,14 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"net/http"
 	"slices"
-	"strings"
-	"sync/atomic"
 	"time"
 
-	"filbertdeck/internal/failure"
 	"filbertdeck/internal/fleet"
 	"filbertdeck/internal/platform"
 )
@@ -46,7 +41,7 @@
 var Points = []Point{
 	{"accounts", 1, 10, 4, 0, 0}, {"accounts", 1, 100, 4, 0, 0}, {"accounts", 1, 1000, 4, 0, 0}, {"accounts", 1, TargetAccounts, 4, 0, 0},
 	{"targets", 1, 10, 10, 0, 0}, {"targets", 1, 10, 100, 0, 0}, {"targets", 1, 10, 1000, 0, 0},
-	{"fleet", 8, 10, 4, 0, 0}, {"fleet", 32, 10, 4, 0, 0},
+	{"fleet", 8, 10, 4, 0, 0}, {"fleet", 32, 10, 4, 0, 0}, {"fleet", 64, 10, 4, 0, 0},
 	{"published", 1, 10, 4, 330, 1000}, {"all", 1, TargetAccounts, 4, TargetHosts - 1, TargetServers - 4},
 }
 
@@ -155,117 +150,3 @@
 	time.Sleep(time.Second)
 	return nil
 }
-
-// seen is what the processes of all hosts used over a span.
-type seen struct {
-	over                     time.Duration
-	control, entry           usage
-	polls, payload, segments float64
-	// counters are the control processes' together: counts as they rose, other
-	// values as they stood at the end.
-	counters map[string]float64
-}
-
-// watch runs during and gives what was used meanwhile; memory is as it is
-// at the end.
-func watch(f *fleet.Fleet, loads *loadServers, during func() error) (seen, error) {
-	before, err := total(f, loads)
-	if err != nil {
-		return seen{}, err
-	}
-	begun := time.Now()
-	if err := during(); err != nil {
-		return seen{}, err
-	}
-	s, err := total(f, loads)
-	if err != nil {
-		return seen{}, err
-	}
-	s.over = time.Since(begun)
-	s.control.cpu -= before.control.cpu
-	s.entry.cpu -= before.entry.cpu
-	s.polls -= before.polls
-	s.payload -= before.payload
-	s.segments -= before.segments
-	for _, name := range []string{"gossip.bytes_sent", "gossip.bytes_received", "configwatch.calls"} {
-		s.counters[name] -= before.counters[name]
-	}
-	return s, nil
-}
-
-func total(f *fleet.Fleet, loads *loadServers) (seen, error) {
-	payload, segments := loads.wire.sample()
-	s := seen{
-		counters: map[string]float64{}, polls: float64(loads.polls.Load()),
-		payload: float64(payload), segments: float64(segments),
-	}
-	for _, h := range f.Hosts {
-		if err := s.control.add(h.ControlProcess.Pid()); err != nil {
-			return s, err
-		}
-		if err := s.entry.add(h.Entry.Pid()); err != nil {
-			return s, err
-		}
-		var metrics map[string]struct{ Count, Value float64 }
-		if err := f.GetJSON("http://"+h.ControlAdmin+"/metrics", &metrics); err != nil {
-			return s, err
-		}
-		for name, m := range metrics {
-			s.counters[name] += m.Count + m.Value
-		}
-	}
-	return s, nil
-}
-
-// loadServers answer the reading of a target's load, and of its cache events.
-type loadServers struct {
-	wire      wire
-	polls     atomic.Int64
-	targets   []platform.Target
-	listeners []net.Listener
-	server    *http.Server
-}
-
-// loadReport is a busy engine's report as docs/protocols.md has it.
-const loadReport = `{"incarnation":1800000000000,"age_ms":250,"memory_tokens":4000000,"used_tokens":3600000,"running":220,"waiting":0,` +
-	`"preemptions":12,"bears":256,"step_us":48000,"stopping":false}`
-
-// cacheReport has eight blocks cached and eight evicted.
-var cacheReport = `{"sequence":123456,"gap":false,"cached":[` + hashes() + `],"evicted":[` + hashes() + `]}`
-
-func hashes() string { return strings.TrimSuffix(strings.Repeat(`"12345678901234567890",`, 8), ",") }
-
-func serveLoads(count int) (*loadServers, error) {
-	s := &loadServers{}
-	s.server = &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(s.answer)}
-	for range count {
-		l, err := s.wire.listen()
-		if err != nil {
-			s.close()
-			return nil, failure.Wrap(err, failure.KindInternal, "no free port")
-		}
-		s.listeners = append(s.listeners, l)
-		s.targets = append(s.targets, platform.Target{
-			Service: service, Address: l.Addr().String(), DataCentre: centre(0), State: platform.StateLive,
-		})
-		go func() { _ = s.server.Serve(l) }()
-	}
-	return s, nil
-}
-
-func (s *loadServers) answer(w http.ResponseWriter, req *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	if req.URL.Path != "/v1/load" {
-		_, _ = w.Write([]byte(cacheReport))
-		return
-	}
-	s.polls.Add(1)
-	_, _ = w.Write([]byte(loadReport))
-}
-
-func (s *loadServers) close() {
-	for _, l := range s.listeners {
-		_ = l.Close()
-	}
-	_ = s.server.Close()
-}
