--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -38,7 +39,16 @@
 			secure.New, (*secure.Identity).Credentials, newBoard, newStore, newWatcher, newMembers, newGossip,
 			newManager, newNews, newSessions, newState, newAdmin, newQuotaPeers, newQuota,
 		),
-		fx.Invoke(serveAdmin, serveRPC, runManager, runWatcher, runGossip, runQuota),
+		fx.Invoke(limitMemory, serveAdmin, serveRPC, runManager, runWatcher, runGossip, runQuota, runNews),
+	}
+}
+
+// limitMemory lets the collector run earlier as the process comes near its
+// budget of 32 MB a node: the live heap may otherwise double between two
+// collections. The limit is soft; a process that needs more gets it.
+func limitMemory(s *Settings) {
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(s.MemoryLimit << 20)
 	}
 }
 
@@ -78,6 +88,7 @@
 		Store: store, Hosts: &b.Hosts, Credentials: transport, SetReader: w.SetReader, Log: log, Metrics: reg,
 		Hooks: gossip.Hooks{
 			SupplyPools: n.SupplyPools, TakePools: n.TakePools, SupplyPoison: n.SupplyPoison, TakePoison: n.TakePoison,
+			Urgent: n.Urgent(),
 		},
 	}, members)
 }
@@ -176,6 +187,8 @@
 
 func runManager(lc fx.Lifecycle, m *pools.Manager) { background(lc, m.Run) }
 
+func runNews(lc fx.Lifecycle, n *news.Board) { background(lc, n.Run) }
+
 // leaveLimit bounds telling the neighbours of a planned stop.
 const leaveLimit = time.Second
 
