Release the parts of a pool that moves to another process

Cause: a pool that the host list gave to another process was counted at both for a minute, and its accounts started nothing meanwhile when they were at their limits. The old process now releases after ten seconds. Released at once, or not at all, the new test fails (tried): the first exceeds the limit.

--- a/internal/control/quota/controller.go
+++ b/internal/control/quota/controller.go
@@ -28,6 +28,10 @@
 	// limited accounts. Entries renew their leases within it, so that what runs
 	// is counted; before that the pool looks idle, and would start as much again.
 	settleFor = 3 * time.Second
+	// releaseAfter is how long the parts of a pool that was given up still count.
+	// What ran by them is counted at the pool's next allocator, once entries have
+	// found it and it has settled: before that neither would count it.
+	releaseAfter = 10 * time.Second
 	// maxDemands bounds the demands of one pool in one round, 15 KB.
 	maxDemands = 256
 )
@@ -81,6 +85,7 @@
 	owner    *quota.Owner
 	arrivals arrivals
 	holders  map[string]*holder
+	retired  []retired
 	// busy names the owners with a call in progress.
 	busy  map[string]bool
 	round time.Duration
--- a/internal/control/quota/demands.go
+++ b/internal/control/quota/demands.go
@@ -32,6 +32,9 @@
 		c.round = now
 	}
 	calls := map[string]*call{}
+	for _, r := range c.dueReleases(now) {
+		c.addRelease(calls, r)
+	}
 	for _, name := range slices.Sorted(maps.Keys(c.holders)) {
 		h := c.holders[name]
 		h.look(now, c.limits)
--- a/internal/control/quota/holder.go
+++ b/internal/control/quota/holder.go
@@ -38,7 +38,7 @@
 	running := c.cfg.Pools()
 	for name, h := range c.holders {
 		if running[name] != h.pool {
-			delete(c.holders, name)
+			c.retire(now, name, h)
 		}
 	}
 	for name, p := range running {
@@ -48,6 +48,33 @@
 	}
 }
 
+// retired is a part of a pool that was given up.
+type retired struct {
+	release quota.Release
+	at      time.Duration
+}
+
+// retire gives a pool's parts up. Without it their owners take the pool for one
+// that fell silent, and the account misses them for a minute each time that a
+// pool moves with the host list.
+func (c *Controller) retire(now time.Duration, name string, h *holder) {
+	delete(c.holders, name)
+	for _, r := range h.leases.Drop(math.MaxInt64, name, nil) {
+		c.retired = append(c.retired, retired{r, now + releaseAfter})
+	}
+}
+
+// dueReleases takes out the retired parts whose time has come.
+func (c *Controller) dueReleases(now time.Duration) (due []quota.Release) {
+	c.retired = slices.DeleteFunc(c.retired, func(r retired) bool {
+		if now >= r.at {
+			due = append(due, r.release)
+		}
+		return now >= r.at
+	})
+	return due
+}
+
 // look reads what the pool does, and books its tokens.
 func (h *holder) look(now time.Duration, limits map[string]quota.Limits) {
 	elapsed := now - h.seen
--- a/internal/control/quota/quota_test.go
+++ b/internal/control/quota/quota_test.go
@@ -152,6 +152,28 @@
 		Expect(w.most).To(Equal(3))
 	})
 
+	// The host list gives a pool to another process, as it does all day. The
+	// entries follow with what runs. Counted at both, it would keep the account
+	// from starting anything for a minute each time.
+	It("follows a pool that moves to another process", func() {
+		w := newWorld(10, 4, park)
+		w.nodes[2].pool.want, w.nodes[3].pool.want = 0, 0
+		w.run(settled + 20*time.Second)
+		old := w.nodes[1].pool
+		// One may have ended in the last tick.
+		Expect(old.running("park")).To(BeNumerically(">=", 2))
+		w.nodes[1].pool = nil
+		next := newMemoryPool(w, 98)
+		next.jobs, next.renewsFrom = old.jobs, w.now+time.Second
+		w.nodes[2].pool = next
+		w.publishRow(w.row)
+		w.nodes[3].pool.want = 20
+		w.run(20 * time.Second)
+		Expect(w.running()).To(BeNumerically(">=", 2))
+		Expect(w.nodes[3].pool.starts["park"]).To(BeNumerically(">", 0))
+		Expect(w.most).To(Equal(3), "also while other pools want what it gives up")
+	})
+
 	// A rate can't cut a generation, so starts are held back until what was
 	// produced is paid for.
 	It("bounds the tokens of a second", func() {
