--- a/internal/decide/admission/allocator.go
+++ b/internal/decide/admission/allocator.go
@@ -8,7 +8,6 @@
 
 	"filbertdeck/internal/decide/fairqueue"
 	"filbertdeck/internal/decide/health"
-	"filbertdeck/internal/decide/lengths"
 	"filbertdeck/internal/decide/memory"
 	"filbertdeck/internal/decide/slowstart"
 )
@@ -50,8 +49,9 @@
 	// an engine's memory in all.
 	refreshEvery = 100 * time.Millisecond
 	// deferLimit bounds the asks put behind in one round because they can't use
-	// the targets that have room (Ask.Avoid, suspects).
-	deferLimit = 16
+	// the targets that have room (Ask.Avoid, suspects): two batches' worth of
+	// innocents that shared a target with a poison request.
+	deferLimit = 64
 	// hopelessChecks bounds the accounts whose newest ask is looked at again at
 	// each refresh; all 11,000 are seen within five seconds.
 	hopelessChecks = 256
@@ -61,7 +61,7 @@
 type Allocator struct {
 	cfg     Config
 	random  *rand.Rand
-	lengths *lengths.Distribution
+	outputs outputs
 	queue   *fairqueue.Queue[Ask]
 	drain   fairqueue.Drain
 	shares  map[string]Share
@@ -80,7 +80,9 @@
 	owner    ownership
 	stopping bool
 
-	skipped   []*fairqueue.Account[Ask]
+	skipped []*fairqueue.Account[Ask]
+	// turn counts calls of admit.
+	turn      uint64
 	refreshed time.Duration
 	round     int
 	// out gathers decisions; spare is the slice that the last Decide returned.
@@ -108,7 +110,7 @@
 	return &Allocator{
 		cfg:      cfg,
 		random:   rand.New(rand.NewPCG(cfg.Seed, firstID(cfg.Seed))),
-		lengths:  lengths.New(0),
+		outputs:  newOutputs(),
 		queue:    fairqueue.New[Ask](cfg.QueueLimit, fairqueue.DefaultLookAhead),
 		shares:   map[string]Share{},
 		parts:    partTable{byAccount: map[string]*part{}},
@@ -184,13 +186,14 @@
 		return
 	}
 	a.refreshed = now
-	a.lengths.Refresh()
+	a.outputs.refresh()
 	for _, t := range a.order {
-		t.refresh(now, a.lengths)
+		t.refresh(now, &a.outputs)
 	}
-	// Requests that only their account's limit holds back say nothing of how
-	// fast the pool serves: it may be idle, and others would be turned away.
-	a.drain.Tick(now, a.queue.Head() != nil)
+	// Requests that only their account's limit or their own constraints hold
+	// back say nothing of how fast the pool serves: it may be idle, and others
+	// would be turned away.
+	a.drain.Tick(now, a.queue.Blocked())
 	a.refuseHopeless(now)
 }
 
@@ -199,6 +202,7 @@
 // large prompt for small ones would starve it. Only a head whose own
 // constraints rule out the targets with room goes behind its account's others.
 func (a *Allocator) admit(now time.Duration) {
+	a.turn++
 	fate := headAnswered
 	for deferred := 0; fate != headBlocked && deferred < deferLimit; {
 		r := a.queue.Head()
@@ -209,6 +213,7 @@
 			deferred++
 		}
 	}
+	a.queue.SetBlocked(fate == headBlocked)
 	for _, s := range a.skipped {
 		a.queue.Unskip(s)
 	}
@@ -243,10 +248,16 @@
 	if ruling.alone {
 		a.suspects.reserve(a.order, r)
 	}
-	if !a.queue.Defer(r) {
+	// Back at a request that was deferred in this turn, nothing of its account
+	// can run. Going round it again would use up the turn, and everybody
+	// else's requests would wait beside idle targets.
+	if r.Turn == a.turn {
 		a.skipped = append(a.skipped, r.Account)
 		a.queue.Skip(r.Account)
+		return headDeferred
 	}
+	r.Turn = a.turn
+	a.queue.Defer(r)
 	return headDeferred
 }
 
@@ -258,6 +269,7 @@
 	a.queue.Start(r, cost)
 	a.drain.Charge(cost)
 	l := a.leases.draw()
+	l.service = ask.Service
 	l.fingerprint, l.alone, l.suspect = ask.Fingerprint, ruling.alone, ruling.constrained()
 	a.book(now, l, ask.Holder, r.Account, t, memory.Generation{Prompt: ask.PromptTokens, Max: ask.MaxTokens})
 	l.charged = cost
@@ -313,6 +325,3 @@
 	}
 	return s
 }
-
-// Median is the median output length as learned, in tokens.
-func (a *Allocator) Median() int { return a.lengths.Median() }
--- a/internal/decide/fairqueue/queue.go
+++ b/internal/decide/fairqueue/queue.go
@@ -47,6 +47,8 @@
 	Account  *Account[T]
 	Arrived  time.Duration
 	Deadline time.Duration
+	// Turn is the caller's: the turn in which it deferred the request last.
+	Turn uint64
 
 	previous, next *Request[T]
 	deadlineAt     int
@@ -65,6 +67,8 @@
 	idle      []*Account[T]
 	sweep     int
 	free      []*Request[T]
+	// blocked is set while requests wait for want of room.
+	blocked bool
 	// virtual is the counter of the last account picked.
 	virtual float64
 	// backlogged is the sum of the weights of accounts with waiting requests.
@@ -136,7 +140,7 @@
 
 // Push queues a request.
 func (q *Queue[T]) Push(a *Account[T], now, deadline time.Duration, value T) *Request[T] {
-	a.drain.Tick(now, a.waiting > 0)
+	a.drain.Tick(now, q.blocked && a.waiting > 0)
 	r := q.take()
 	*r = Request[T]{Value: value, Account: a, Arrived: now, Deadline: deadline}
 	q.deadlines.push(r)
@@ -174,6 +178,13 @@
 	return a.first
 }
 
+// SetBlocked says whether requests wait for want of room. Those that wait for
+// reasons of their own say nothing of how fast the pool can serve.
+func (q *Queue[T]) SetBlocked(blocked bool) { q.blocked = blocked }
+
+// Blocked tells whether requests wait for want of room.
+func (q *Queue[T]) Blocked() bool { return q.blocked }
+
 // Skip keeps an account from being picked until Unskip, because nothing of it
 // can use what is free at present.
 func (q *Queue[T]) Skip(a *Account[T]) {
@@ -188,14 +199,10 @@
 }
 
 // Defer puts a waiting request behind the others of its account, because it
-// can't use what is free at present and they may. It returns false when there are no others.
-func (q *Queue[T]) Defer(r *Request[T]) bool {
-	if r.Account.waiting == 1 {
-		return false
-	}
+// can't use what is free at present and they may.
+func (q *Queue[T]) Defer(r *Request[T]) {
 	r.Account.unlink(r)
 	r.Account.append(r)
-	return true
 }
 
 // Start takes a waiting request out because it runs now, and charges its cost
