--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -119,16 +118,6 @@
 	return p, nil
 }
 
-// freeAddress gives a loopback address whose port was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", failure.Wrap(err, failure.KindInternal, "no free port")
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 // tailSize bounds the log that is kept of each process, in bytes.
 const tailSize = 64 << 10
 
