--- a/internal/control/quota/doc.go
+++ b/internal/control/quota/doc.go
@@ -18,7 +18,7 @@
 // account's requests wait in the pool's queue.
 //
 // What isn't kept: a generation whose entry died runs on at its engine for the
-// engine's grace time, uncounted; a pool whose allocator moved to another
-// process is counted at both for up to a minute, so that the account gets less
-// than its row meanwhile.
+// engine's grace time, uncounted. A pool that moved to another process is counted
+// at both for ten seconds, for a minute when its process died, so that the
+// account gets less than its row meanwhile.
 package quota
