No memory limit for control by default

Cause: measured at the target size, a limit of 28 MiB costs 56% of a core at rest against 2.3% without one (docs/CAPACITY.md): the live heap does not fit, and the collector runs all the time. It stays a setting.

--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -13,7 +13,7 @@
 	Platform     string   `arg:"--platform,env:FILBERT_CONTROL_PLATFORM" check:"hostport" default:"127.0.0.1:7000" help:"address of the platform's configuration service"`
 	OperatorKeys []string `arg:"--operator-key-sha256,separate,env:FILBERT_CONTROL_OPERATOR_KEYS" check:"text" help:"SHA-256 digests (hex) of the operators' keys to the administration interface"`
 	MonitorKeys  []string `arg:"--monitor-key-sha256,separate,env:FILBERT_CONTROL_MONITOR_KEYS" check:"text" help:"SHA-256 digests (hex) of the monitor's keys to the administration interface"`
-	MemoryLimit  int64    `arg:"--memory-limit,env:FILBERT_CONTROL_MEMORY_LIMIT" check:"0..4096" default:"28" help:"memory in MiB that the garbage collector keeps the process below if it can; 0 means none"`
+	MemoryLimit  int64    `arg:"--memory-limit,env:FILBERT_CONTROL_MEMORY_LIMIT" check:"0..65536" default:"0" help:"memory in MiB that the garbage collector keeps the process below if it can; 0 means none"`
 }
 
 // Program and About name the program.
