--- a/internal/accounting/accounting_test.go
+++ b/internal/accounting/accounting_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -76,3 +77,22 @@
 		Expect(book.Changed()).To(BeEmpty())
 	})
 })
+
+// BenchmarkChanged measures the handing over of a few changed rows among many.
+func BenchmarkChanged(b *testing.B) {
+	book := accounting.New()
+	entries := make([]*accounting.Entry, 11_000)
+	for i := range entries {
+		entries[i] = book.Begin("account-"+strconv.Itoa(i), "reports")
+	}
+	_ = book.Changed()
+	b.ReportAllocs()
+	for b.Loop() {
+		for i := range 8 {
+			entries[i*1000].Tokens(1, time.Millisecond)
+		}
+		if text, err := json.Marshal(book.ChangedSnapshot("h", "d", 1)); err != nil || len(text) == 0 {
+			b.Fatal(err)
+		}
+	}
+}
