Give both programs one way to run controllers and listeners; bound the time without a token

An engine that shows itself to be alive but has lost a request kept its place for good (named by the admission's author, not brought about).

--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -23,9 +23,9 @@
 	"filbertdeck/internal/controller/configwatch"
 	"filbertdeck/internal/controller/gossip"
 	"filbertdeck/internal/decide/membership"
-	"filbertdeck/internal/failure"
 	"filbertdeck/internal/metrics"
 	"filbertdeck/internal/platform"
+	"filbertdeck/internal/process"
 	"filbertdeck/internal/rpc"
 	"filbertdeck/internal/secure"
 	"filbertdeck/internal/targetclient"
@@ -151,50 +151,30 @@
 	}), nil
 }
 
-// background runs a controller from the program's start to its stop.
-func background(lc fx.Lifecycle, run func(context.Context)) {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go func() { defer close(done); run(ctx) }()
-			return nil
-		},
-		OnStop: func(stop context.Context) error {
-			cancel()
-			select {
-			case <-done:
-			case <-stop.Done():
-			}
-			return nil
-		},
-	})
-}
-
 // runWatcher starts as a reader of the configuration service: a process that
 // knows nobody yet has no other source. Gossip takes the role away once it
 // sees that others have it.
 func runWatcher(lc fx.Lifecycle, w *configwatch.Watcher) {
 	w.SetReader(true)
-	background(lc, w.Run)
+	process.Background(lc, w.Run)
 }
 
 func runQuota(lc fx.Lifecycle, c *quota.Controller, peers *quota.Peers) {
-	background(lc, func(ctx context.Context) {
+	process.Background(lc, func(ctx context.Context) {
 		defer peers.Close()
 		c.Run(ctx)
 	})
 }
 
-func runManager(lc fx.Lifecycle, m *pools.Manager) { background(lc, m.Run) }
+func runManager(lc fx.Lifecycle, m *pools.Manager) { process.Background(lc, m.Run) }
 
-func runNews(lc fx.Lifecycle, n *news.Board) { background(lc, n.Run) }
+func runNews(lc fx.Lifecycle, n *news.Board) { process.Background(lc, n.Run) }
 
 // leaveLimit bounds telling the neighbours of a planned stop.
 const leaveLimit = time.Second
 
 func runGossip(lc fx.Lifecycle, c *gossip.Controller) {
-	background(lc, c.Run)
+	process.Background(lc, c.Run)
 	lc.Append(fx.StopHook(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, leaveLimit)
 		defer cancel()
@@ -207,34 +187,11 @@
 	filbertv1.RegisterAdmissionServer(server, service)
 	filbertv1.RegisterQuotaServer(server, q)
 	g.Register(server)
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			l, err := id.Listen(s.Listen)
-			if err != nil {
-				return err
-			}
-			go func() { _ = server.Serve(l) }()
-			return nil
-		},
-		OnStop: func(context.Context) error { server.Stop(); return nil },
-	})
+	process.ServeRPC(lc, server, id.Listen, s.Listen)
 }
 
-const adminReadLimit = 10 * time.Second
-
 func serveAdmin(lc fx.Lifecycle, s *Settings, id *secure.Identity, reg gometrics.Registry, api http.Handler, store *configwatch.Store) {
 	r := admin.Router(api, store.Ready)
 	metrics.Mount(r, reg)
-	server := &http.Server{Handler: r, ReadHeaderTimeout: adminReadLimit}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			l, err := id.ListenHTTP(s.AdminListen)
-			if err != nil {
-				return failure.Wrap(err, failure.KindSettingInvalid, "--admin-listen (FILBERT_CONTROL_ADMIN_LISTEN)")
-			}
-			go func() { _ = server.Serve(l) }()
-			return nil
-		},
-		OnStop: func(context.Context) error { return server.Close() },
-	})
+	process.ServeAdmin(lc, r, id.ListenHTTP, s.AdminListen)
 }
--- a/internal/entry/generation/attempt.go
+++ b/internal/entry/generation/attempt.go
@@ -134,6 +134,7 @@
 		return err
 	}
 	generation := x.order.Generation()
+	x.progressed = started
 	x.out.restart(generation, lease.Target)
 	s, err := x.engines.start(ctx, lease, generation, x.Body)
 	if err != nil && failure.From(err).Executed == failure.ExecutedNo {
--- a/internal/entry/generation/follow.go
+++ b/internal/entry/generation/follow.go
@@ -67,7 +67,7 @@
 			return lostStream(err)
 		}
 		if x.event.Comment {
-			if err := x.out.alive(); err != nil {
+			if err := x.stillAlive(); err != nil {
 				return err
 			}
 			continue
@@ -79,6 +79,16 @@
 	}
 }
 
+// stillAlive passes a sign of life on. An engine that shows itself to be alive
+// without a token for too long has lost the request: its lease would otherwise
+// be renewed, and its place kept, for good.
+func (x *run) stillAlive() error {
+	if time.Since(x.progressed) > tokenLimit {
+		return failure.New(failure.KindTargetTimeout, "the target produced no token for %v", tokenLimit).Unknown()
+	}
+	return x.out.alive()
+}
+
 // lostStream types the end of a connection before the end of its answer.
 func lostStream(err error) error {
 	if errors.Is(err, io.EOF) {
@@ -128,6 +138,7 @@
 		return
 	}
 	now := time.Now()
+	x.progressed = now
 	if x.order.Next() == uint64(tokens) {
 		x.Books.FirstToken(now.Sub(x.Begun))
 	}
--- a/internal/entry/generation/relay.go
+++ b/internal/entry/generation/relay.go
@@ -31,6 +31,10 @@
 	// affinityBlocks is how many blocks of a prompt decide where it goes: the
 	// length of a usual instruction before the part that differs.
 	affinityBlocks = 4
+	// tokenLimit is the longest time without a token while the engine shows
+	// itself to be alive. Preemption and recomputation take seconds; the figure
+	// is an assumption far above that, not a measurement.
+	tokenLimit = 2 * time.Minute
 	// reopenPause lies between two connections for one generation.
 	reopenPause = 100 * time.Millisecond
 )
@@ -91,8 +95,10 @@
 	event  sse.Event
 	avoid  []string
 	// begun tells whether any target may have started a generation.
-	begun      bool
-	lastToken  time.Time
+	begun     bool
+	lastToken time.Time
+	// progressed is when the generation last began or brought a token.
+	progressed time.Time
 	firstToken time.Duration
 }
 
@@ -130,7 +136,7 @@
 	}
 	x.quoted = `"` + id + `"`
 	x.out = x.newSink(w, mode, id)
-	x.lastToken = x.Begun
+	x.lastToken, x.progressed = x.Begun, x.Begun
 }
 
 func (x *run) newSink(w http.ResponseWriter, mode delivery.Mode, id string) sink {
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -6,7 +6,6 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
@@ -28,6 +27,7 @@
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/handle"
 	"filbertdeck/internal/metrics"
+	"filbertdeck/internal/process"
 	"filbertdeck/internal/rpc"
 	"filbertdeck/internal/secure"
 	"filbertdeck/internal/targetclient"
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.KindSettingInvalid, "--key-ring (FILBERT_ENTRY_KEY_RING) is %q", s.KeyRing)
 	}
-	every(lc, ringEvery, func() { followRing(file, log) })
+	process.Every(lc, ringEvery, func() { followRing(file, log) })
 	return file.Ring, nil
 }
 
@@ -76,27 +76,6 @@
 	}
 }
 
-// every runs a job at an interval from the program's start to its stop.
-func every(lc fx.Lifecycle, interval time.Duration, job func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	loop := func() {
-		ticker := time.NewTicker(interval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ticker.C:
-				job()
-			case <-ctx.Done():
-				return
-			}
-		}
-	}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { go loop(); return nil },
-		OnStop:  func(context.Context) error { cancel(); return nil },
-	})
-}
-
 func newLifecycle(b *state.Board, s *Settings) *lifecycle.Lifecycle {
 	return lifecycle.New(func() error {
 		t := b.Table.Get()
@@ -186,19 +165,13 @@
 	return body
 }
 
-func runWatcher(lc fx.Lifecycle, w *state.Watcher) {
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { go w.Run(ctx); return nil },
-		OnStop:  func(context.Context) error { cancel(); return nil },
-	})
-}
+func runWatcher(lc fx.Lifecycle, w *state.Watcher) { process.Background(lc, w.Run) }
 
 // registerEvery is how often the register of idempotency keys looks at the
 // host list; it is well below the list's freshness bound.
 const registerEvery = 500 * time.Millisecond
 
-func keepRegister(lc fx.Lifecycle, o *plain.Once) { every(lc, registerEvery, o.Refresh) }
+func keepRegister(lc fx.Lifecycle, o *plain.Once) { process.Every(lc, registerEvery, o.Refresh) }
 
 // registerGauges shows what the entry holds.
 func registerGauges(reg gometrics.Registry, o *plain.Once, life *lifecycle.Lifecycle) {
@@ -210,17 +183,7 @@
 func servePeers(lc fx.Lifecycle, id *secure.Identity, creds rpc.Credentials, o *plain.Once, b *state.Board, life *lifecycle.Lifecycle, s *Settings) {
 	server := rpc.NewServer(creds)
 	filbertv1.RegisterForwardServer(server, &plain.Server{Once: o, Board: b, Begin: life.Begin})
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			l, err := id.Listen(s.PeerListen)
-			if err != nil {
-				return err
-			}
-			go func() { _ = server.Serve(l) }()
-			return nil
-		},
-		OnStop: func(context.Context) error { server.Stop(); return nil },
-	})
+	process.ServeRPC(lc, server, id.Listen, s.PeerListen)
 }
 
 func serveAdmin(lc fx.Lifecycle, id *secure.Identity, reg gometrics.Registry, books *accounting.Book, b *state.Board, self once.Process, life *lifecycle.Lifecycle, s *Settings) {
@@ -233,22 +196,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(encode(books.Snapshot(s.Host, s.DataCentre, self.Incarnation)))
 	})
-	server := &http.Server{Handler: r, ReadHeaderTimeout: adminReadLimit}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { return serveHTTP(server, id.ListenHTTP, s.AdminListen) },
-		OnStop:  func(context.Context) error { return server.Close() },
-	})
-}
-
-const adminReadLimit = 10 * time.Second
-
-func serveHTTP(server *http.Server, listen func(string) (net.Listener, error), address string) error {
-	l, err := listen(address)
-	if err != nil {
-		return err
-	}
-	go func() { _ = server.Serve(l) }()
-	return nil
+	process.ServeAdmin(lc, r, id.ListenHTTP, s.AdminListen)
 }
 
 // serveCallers is the last to start and the first to stop. Its stop reports
@@ -256,7 +204,7 @@
 func serveCallers(lc fx.Lifecycle, id *secure.Identity, api *callers.API, life *lifecycle.Lifecycle, s *Settings) {
 	server := callers.NewServer(api.Handler())
 	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { return serveHTTP(server, id.ListenHTTP, s.Listen) },
+		OnStart: func(context.Context) error { return process.StartHTTP(server, id.ListenHTTP, s.Listen) },
 		OnStop: func(ctx context.Context) error {
 			err := life.Stop(ctx)
 			return errors.Join(err, server.Shutdown(ctx))
