--- a/internal/control/pools/manager.go
+++ b/internal/control/pools/manager.go
@@ -187,10 +187,10 @@
 	}
 	r.plan = p
 	r.owner.Store(owner)
-	backends, revision := p.Backends, m.seenHosts
+	targetStates, revision := p.TargetStates, m.seenHosts
 	r.runner.Do(func(a *admission.Allocator, now time.Duration) {
 		a.SetOwnership(now, revision, owner)
-		a.SetTargets(now, backends)
+		a.SetTargets(now, targetStates)
 		a.SetShares(now, shares)
 	})
 	m.poll(ctx, r)
--- a/internal/control/pools/plan.go
+++ b/internal/control/pools/plan.go
@@ -34,8 +34,8 @@
 	// Owners are control addresses in the order of their rank by the published
 	// list alone.
 	Owners []string
-	// Backends are the pool's targets with their state.
-	Backends []admission.Target
+	// TargetStates are the pool's targets with their state.
+	TargetStates []admission.Target
 	// Drained is set while the pool's data centre is taken out.
 	Drained bool
 }
@@ -50,7 +50,7 @@
 		for _, pool := range decide.Partition(g.name(), g.targets) {
 			plans = append(plans, Plan{
 				Pool: pool, Services: g.services, Generation: g.generation, QueueLimit: g.queueLimit,
-				Owners: owners(pool, ranking), Backends: backends(pool, g.leaving), Drained: t.Drained[pool.DataCentre],
+				Owners: owners(pool, ranking), TargetStates: targetStates(pool, g.leaving), Drained: t.Drained[pool.DataCentre],
 			})
 		}
 	}
@@ -73,7 +73,7 @@
 	return out
 }
 
-func backends(pool decide.Pool, leaving map[string]bool) []admission.Target {
+func targetStates(pool decide.Pool, leaving map[string]bool) []admission.Target {
 	out := make([]admission.Target, len(pool.Targets))
 	for i, address := range pool.Targets {
 		out[i] = admission.Target{Address: address, Leaving: leaving[address]}
--- a/internal/control/pools/plan_test.go
+++ b/internal/control/pools/plan_test.go
@@ -65,10 +65,10 @@
 	It("marks targets that leave, by themselves or with their data centre", func() {
 		t := tableOf(service("reports", table.ServiceGeneration, "127.0.0.1:11", "127.0.0.1:12"))
 		t.Services["reports"].Targets[0].Leaving = true
-		Expect(pools.Plans(t, hosts)[0].Backends).To(ContainElement(HaveField("Leaving", true)))
+		Expect(pools.Plans(t, hosts)[0].TargetStates).To(ContainElement(HaveField("Leaving", true)))
 		t.Drained["north"] = true
 		plan := pools.Plans(t, hosts)[0]
 		Expect(plan.Drained).To(BeTrue())
-		Expect(plan.Backends).To(HaveEach(HaveField("Leaving", true)))
+		Expect(plan.TargetStates).To(HaveEach(HaveField("Leaving", true)))
 	})
 })
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -106,10 +106,17 @@
 
 // Error implements error.
 func (e *Error) Error() string {
-	if e.cause != nil {
-		return fmt.Sprintf("%s: %s: %v", e.Kind, e.Detail, rootCause(e.cause))
+	text := fmt.Sprintf("%s: %s", e.Kind, e.Detail)
+	if e.cause == nil {
+		return text
 	}
-	return fmt.Sprintf("%s: %s", e.Kind, e.Detail)
+	// A failure within this one has its own details, such as the line of a file
+	// that is at fault; an error without a type has only its last word.
+	var inner *Error
+	if errors.As(e.cause, &inner) {
+		return text + ": " + inner.Error()
+	}
+	return text + ": " + eris.Cause(e.cause).Error()
 }
 
 // Unwrap gives the cause.
@@ -140,8 +147,6 @@
 	return Wrap(err, KindInternal, "unexpected error").Unknown()
 }
 
-func rootCause(err error) error { return eris.Cause(err) }
-
 var statuses = map[Kind]int{
 	KindBadRequest:       http.StatusBadRequest,
 	KindUnauthorized:     http.StatusUnauthorized,
--- a/internal/failure/failure_test.go
+++ b/internal/failure/failure_test.go
@@ -26,6 +26,12 @@
 		Expect(rec.Body.String()).To(ContainSubstring(`"executed":"no"`))
 	})
 
+	It("keeps the details of each failure on the way", func() {
+		inner := failure.Wrap(errors.New("no number"), failure.KindTableInvalid, "row 7")
+		outer := failure.Wrap(failure.Wrap(inner, failure.KindConfigUnreadable, "page 2"), failure.KindNotReady, "no table")
+		Expect(outer.Error()).To(Equal("not-ready: no table: configuration-unreadable: page 2: table-invalid: row 7: no number"))
+	})
+
 	// An error that nobody gave a type could stem from any step, also from one
 	// after the call went out. Calling it "not run" would make the caller book
 	// a second time.
--- a/test/faults/host_test.go
+++ b/test/faults/host_test.go
@@ -116,7 +116,7 @@
 		}
 		a.SetOwnership(h.w.now, s.hostsRev, len(p.Owners) > 0 && p.Owners[0] == h.name)
 		a.Confirm(asked)
-		a.SetTargets(h.w.now, p.Backends)
+		a.SetTargets(h.w.now, p.TargetStates)
 	}
 }
 
@@ -209,7 +209,7 @@
 		if a == nil {
 			continue
 		}
-		for _, t := range p.Backends {
+		for _, t := range p.TargetStates {
 			e := h.w.target(t.Address)
 			asked := h.w.now
 			h.w.message(h.proc, e.proc, func() {
@@ -307,7 +307,7 @@
 	type choice struct{ pool, owner string }
 	var choices []choice
 	for _, p := range h.plans() {
-		if !slices.Contains(p.Services, service) || p.Drained || !slices.ContainsFunc(p.Backends, func(t admission.Target) bool { return !t.Leaving && !slices.Contains(avoid, t.Address) }) {
+		if !slices.Contains(p.Services, service) || p.Drained || !slices.ContainsFunc(p.TargetStates, func(t admission.Target) bool { return !t.Leaving && !slices.Contains(avoid, t.Address) }) {
 			continue
 		}
 		for _, owner := range p.Owners {
@@ -388,7 +388,7 @@
 func (w *world) grantAny(owner *host, pool string, ask admission.Ask) {
 	var best *engine
 	for _, p := range owner.plans() {
-		for _, t := range p.Backends {
+		for _, t := range p.TargetStates {
 			if e := w.target(t.Address); p.ID == pool && e.up && !t.Leaving && (best == nil || len(e.running) < len(best.running)) {
 				best = e
 			}
