--- a/internal/targetclient/targetclient_test.go
+++ b/internal/targetclient/targetclient_test.go
@@ -150,7 +150,7 @@
 	// client that follows it books at the second place too.
 	It("hands a redirect back", func() {
 		redirect := func(conn net.Conn) {
-			_, _ = io.WriteString(conn, "HTTP/1.1 307 Temporary Redirect\r\nLocation: /book\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.WriteString(conn, "HTTP/1.1 307 Temporary Redirect\r\nLocation: /book\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 		}
 		target := newRecorder(0, redirect)
 		_ = drain((&http.Client{}).Do(target.request("POST", "naive", "")))
