--- a/internal/overhead/overhead.go
+++ b/internal/overhead/overhead.go
@@ -21,6 +21,7 @@
 
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/fleet"
+	"filbertdeck/internal/usage"
 )
 
 // Config bounds the measurement.
@@ -83,8 +84,10 @@
 
 func (r *run) say(format string, args ...any) { fmt.Fprintf(r.out, format+"\n", args...) }
 
-func (r *run) entryUsage() (usage, error)   { return usageOf(r.fleet.Hosts[0].Entry.Pid()) }
-func (r *run) controlUsage() (usage, error) { return usageOf(r.fleet.Hosts[0].ControlProcess.Pid()) }
+func (r *run) entryUsage() (usage.Usage, error) { return usage.Of(r.fleet.Hosts[0].Entry.Pid()) }
+func (r *run) controlUsage() (usage.Usage, error) {
+	return usage.Of(r.fleet.Hosts[0].ControlProcess.Pid())
+}
 
 // idle watches the control process while nothing happens.
 func (r *run) idle(ctx context.Context) error {
@@ -101,8 +104,8 @@
 	if err != nil {
 		return err
 	}
-	share := float64(after.cpu-before.cpu) / float64(r.Idle) * 100
-	r.say("idle control process: %.2f%% of a core over %v, %.1f MB resident", share, r.Idle, mb(after.resident))
+	share := float64(after.CPU-before.CPU) / float64(r.Idle) * 100
+	r.say("idle control process: %.2f%% of a core over %v, %.1f MB resident", share, r.Idle, mb(after.Resident))
 	return nil
 }
 
@@ -174,7 +177,7 @@
 	if err != nil {
 		return err
 	}
-	cpu := (after.cpu - before.cpu) / time.Duration(r.Requests)
+	cpu := (after.CPU - before.CPU) / time.Duration(r.Requests)
 	r.say("%s: direct p50 %d us, p99 %d us; through the entry p50 %d us, p99 %d us; entry processor time %v a request (%d requests, one at a time)",
 		what, d.ValueAtQuantile(50), d.ValueAtQuantile(99), t.ValueAtQuantile(50), t.ValueAtQuantile(99), cpu, r.Requests)
 	return nil
@@ -263,7 +266,7 @@
 	if err != nil {
 		return err
 	}
-	cpu := after.cpu - before.cpu
+	cpu := after.CPU - before.CPU
 	r.say("relay: %d streams of %d tokens in %v (%.0f events/s); entry processor time %.2f us an event: %.0f events/s on a core",
 		r.Streams, r.Tokens, took.Round(time.Millisecond), float64(events)/took.Seconds(),
 		float64(cpu.Microseconds())/float64(events), float64(events)/cpu.Seconds())
@@ -307,8 +310,8 @@
 	}
 	cancel()
 	<-done
-	each := float64(after.resident-before.resident) / float64(r.Open) / 1024
-	r.say("open streams: %d at once; entry memory %.1f MB before, %.1f MB with them: %.1f KB a stream", r.Open, mb(before.resident), mb(after.resident), each)
+	each := float64(after.Resident-before.Resident) / float64(r.Open) / 1024
+	r.say("open streams: %d at once; entry memory %.1f MB before, %.1f MB with them: %.1f KB a stream", r.Open, mb(before.Resident), mb(after.Resident), each)
 	return nil
 }
 
--- a/internal/slopes/slopes_test.go
+++ b/internal/slopes/slopes_test.go
@@ -13,6 +13,7 @@
 
 	"filbertdeck/internal/platform"
 	"filbertdeck/internal/table"
+	"filbertdeck/internal/usage"
 )
 
 func TestSlopes(t *testing.T) {
@@ -64,16 +65,16 @@
 })
 
 var _ = Describe("what is read", func() {
-	DescribeTable("a process's usage", func(stat string, want usage, ok bool) {
-		got, read := parseStat(stat)
+	DescribeTable("a process's usage", func(stat string, want usage.Usage, ok bool) {
+		got, read := usage.Parse(stat)
 		Expect(read).To(Equal(ok))
 		Expect(got).To(Equal(want))
 	},
 		Entry("a name with a bracket", "7 (a) b) S 1 1 1 0 -1 0 0 0 0 0 250 50 0 0 20 0 9 0 99 1000 3 0",
-			usage{cpu: 3 * time.Second, resident: 3 * int64(os.Getpagesize())}, true),
-		Entry("no name", "7", usage{}, false),
-		Entry("cut off", "7 (a) S 1 1", usage{}, false),
-		Entry("no number", "7 (a) "+strings.Repeat("x ", 23), usage{}, false),
+			usage.Usage{CPU: 3 * time.Second, Resident: 3 * int64(os.Getpagesize())}, true),
+		Entry("no name", "7", usage.Usage{}, false),
+		Entry("cut off", "7 (a) S 1 1", usage.Usage{}, false),
+		Entry("no number", "7 (a) "+strings.Repeat("x ", 23), usage.Usage{}, false),
 	)
 
 	It("bytes and segments of both directions", func() {
--- a/internal/slopes/watch.go
+++ b/internal/slopes/watch.go
@@ -4,12 +4,13 @@
 	"time"
 
 	"filbertdeck/internal/fleet"
+	"filbertdeck/internal/usage"
 )
 
 // seen is what the processes of all hosts used over a span.
 type seen struct {
 	over                     time.Duration
-	control, entry           usage
+	control, entry           usage.Usage
 	polls, payload, segments float64
 	// counters are the control processes' together: counts as they rose, other
 	// values as they stood at the end.
@@ -32,8 +33,8 @@
 		return seen{}, err
 	}
 	s.over = time.Since(begun)
-	s.control.cpu -= before.control.cpu
-	s.entry.cpu -= before.entry.cpu
+	s.control.CPU -= before.control.CPU
+	s.entry.CPU -= before.entry.CPU
 	s.polls -= before.polls
 	s.payload -= before.payload
 	s.segments -= before.segments
@@ -50,10 +51,10 @@
 		payload: float64(payload), segments: float64(segments),
 	}
 	for _, h := range f.Hosts {
-		if err := s.control.add(h.ControlProcess.Pid()); err != nil {
+		if err := addUsage(&s.control, h.ControlProcess.Pid()); err != nil {
 			return s, err
 		}
-		if err := s.entry.add(h.Entry.Pid()); err != nil {
+		if err := addUsage(&s.entry, h.Entry.Pid()); err != nil {
 			return s, err
 		}
 		var metrics map[string]struct{ Count, Value float64 }
@@ -66,3 +67,13 @@
 	}
 	return s, nil
 }
+
+// addUsage adds a process's usage to a sum.
+func addUsage(sum *usage.Usage, pid int) error {
+	one, err := usage.Of(pid)
+	if err != nil {
+		return err
+	}
+	*sum = sum.Add(one)
+	return nil
+}
