--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/alexflint/go-arg"
+	"go.uber.org/fx"
 
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/version"
@@ -87,8 +88,18 @@
 		p.WriteUsage(errs)
 		return fail(errs, failure.Wrap(err, failure.KindSettingInvalid, "command line"))
 	}
-	c := command{settings: s, out: out, errs: errs}
-	return c.run(ctx, p)
+	return invoke(ctx, p, command{settings: s, out: out, errs: errs})
+}
+
+// invoke builds the command with fx, as the serving programs are built, and
+// runs it; there is nothing to start or stop.
+func invoke(ctx context.Context, p *arg.Parser, c command) int {
+	code := ExitOK
+	app := fx.New(fx.NopLogger, fx.Supply(&c, p), fx.Invoke(func(c *command, p *arg.Parser) { code = c.run(ctx, p) }))
+	if err := app.Err(); err != nil {
+		return fail(c.errs, failure.Wrap(err, failure.KindInternal, "the command cannot be built"))
+	}
+	return code
 }
 
 type command struct {
