Open sessions beside the lock, and never wait for one while renewing

Cause (read, then shown): sessions were opened under the client's lock. A control host that is gone without a word made every request of the entry wait for the dial's bound of a second, once a second, until membership named it; and renewals of other pools waited with it. Ruled out: a shorter bound (a busy host under TLS needs it).

--- a/internal/entry/admit/client.go
+++ b/internal/entry/admit/client.go
@@ -29,7 +29,11 @@
 
 	mu       sync.Mutex
 	sessions map[string]*session
-	leases   map[*Lease]struct{}
+	// opening holds the connections that are being made. A control host that
+	// is gone without a word makes its caller wait for the dial's bound; made
+	// under the lock, that wait would be everybody's.
+	opening map[string]*opening
+	leases  map[*Lease]struct{}
 	// skip holds control processes that could not be reached, until when.
 	skip map[string]time.Time
 
@@ -60,7 +64,7 @@
 	c := &Client{
 		count: newCounters(reg),
 		hello: hello, creds: creds, owners: owners,
-		sessions: map[string]*session{}, leases: map[*Lease]struct{}{}, skip: map[string]time.Time{},
+		sessions: map[string]*session{}, opening: map[string]*opening{}, leases: map[*Lease]struct{}{}, skip: map[string]time.Time{},
 		stop: make(chan struct{}),
 	}
 	go c.renewLoop()
@@ -203,23 +207,58 @@
 	return failure.New(kind, "admission was refused").After(time.Duration(r.RetryAfterMs) * time.Millisecond)
 }
 
+// opening is a connection that is being made; the fields are valid after done.
+type opening struct {
+	done    chan struct{}
+	session *session
+	err     error
+}
+
+// session gives the open session with a control process, or opens one; calls
+// for the same process share the attempt.
 func (c *Client) session(control string) (*session, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if s, ok := c.sessions[control]; ok {
-		select {
-		case <-s.done:
-		default:
-			return s, nil
-		}
+	if s := c.live(control); s != nil {
+		c.mu.Unlock()
+		return s, nil
 	}
-	s, err := openSession(control, c.creds, c.hello)
-	if err != nil {
-		return nil, err
+	o, running := c.opening[control]
+	if !running {
+		o = &opening{done: make(chan struct{})}
+		c.opening[control] = o
+	}
+	c.mu.Unlock()
+	if !running {
+		c.open(control, o)
+	}
+	<-o.done
+	return o.session, o.err
+}
+
+// live gives the open session with a control process; the lock is held.
+func (c *Client) live(control string) *session {
+	s, ok := c.sessions[control]
+	if !ok {
+		return nil
 	}
-	c.count.sessions.Inc(1)
-	c.sessions[control] = s
-	return s, nil
+	select {
+	case <-s.done:
+		return nil
+	default:
+		return s
+	}
+}
+
+func (c *Client) open(control string, o *opening) {
+	o.session, o.err = openSession(control, c.creds, c.hello)
+	c.mu.Lock()
+	delete(c.opening, control)
+	if o.err == nil {
+		c.count.sessions.Inc(1)
+		c.sessions[control] = o.session
+	}
+	c.mu.Unlock()
+	close(o.done)
 }
 
 func settleMessage(m *filbertv1.Settle) *filbertv1.EntryMessage {
@@ -237,15 +276,31 @@
 	}
 }
 
+// ownerSession gives an open session with the first of a pool's owners that has
+// one. It never waits: the renewals of all other pools would wait with it, and
+// their leases end. Where none is open one is opened for the next round.
 func (c *Client) ownerSession(pool string) *session {
-	for _, control := range c.reachable(pool) {
-		if s, err := c.session(control); err == nil {
+	owners := c.reachable(pool)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, control := range owners {
+		if s := c.live(control); s != nil {
 			return s
 		}
 	}
+	for _, control := range owners {
+		go c.try(control)
+	}
 	return nil
 }
 
+// try opens a session in the background.
+func (c *Client) try(control string) {
+	if _, err := c.session(control); err != nil {
+		c.avoid(control)
+	}
+}
+
 func (c *Client) renewLoop() {
 	ticker := time.NewTicker(heartbeat)
 	defer ticker.Stop()
