Refuse a stop without notice in place of taking the default for it

Red: the new entry of the settings' table did not end within 60 s, since the program started. Green with the least value at 50 ms.

--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -13,7 +13,7 @@
 	LogFormat  string        `arg:"--log-format,env:FILBERT_LOG_FORMAT" check:"text|json" default:"text" help:"form of the log lines"`
 	LogLevel   string        `arg:"--log-level,env:FILBERT_LOG_LEVEL" check:"debug|info|warn|error" default:"info" help:"least level that is logged"`
 	StopWait   time.Duration `arg:"--stop-wait,env:FILBERT_STOP_WAIT" check:"0s..24h" default:"1h" help:"how long a graceful stop waits for requests in progress"`
-	StopNotice time.Duration `arg:"--stop-notice,env:FILBERT_STOP_NOTICE" check:"0s..5m" default:"3s" help:"how long a stopping process stays open after it reports not ready, so that the balancer notices"`
+	StopNotice time.Duration `arg:"--stop-notice,env:FILBERT_STOP_NOTICE" check:"50ms..5m" default:"3s" help:"how long a stopping process stays open after it reports not ready, so that the balancer notices"`
 
 	TLSCert   string `arg:"--tls-cert,env:FILBERT_TLS_CERT" check:"file?" help:"certificate file for all listeners (PEM), reloaded when it changes"`
 	TLSKey    string `arg:"--tls-key,env:FILBERT_TLS_KEY" check:"file?" help:"private key file of the certificate (PEM)"`
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -150,6 +150,7 @@
 		Entry("plain text that nobody asked for", "filbert-entry", []string{"--listen", "127.0.0.1:0"}, "plain text"),
 		Entry("plain text beyond loopback", "filbert-control", []string{"--plain-text", "--listen", "0.0.0.0:0"}, "loopback"),
 		Entry("a certificate without its key", "filbert-control", []string{"--tls-cert", "/dev/null"}, "--tls-key"),
+		Entry("a stop without notice", "filbert-entry", []string{"--plain-text", "--stop-notice", "0s", "--listen", "127.0.0.1:1"}, "--stop-notice", "FILBERT_STOP_NOTICE", "0s"),
 		Entry("a key ring that is none", "filbert-entry", []string{"--plain-text", "--key-ring", "/dev/null"}, "key"),
 	)
 })
