Name the client of the product's own configuration service after it

Cause: the adapter to the users' platform lives in a folder of its own, platform/; two folders of one name would be mixed up by every reader. The move is mechanical: package internal/platform becomes internal/configservice; no behaviour changes. go build and go vet are clean.

--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -18,11 +18,11 @@
 	. "github.com/onsi/gomega"
 
 	"filbertdeck/internal/adminapi"
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/controller/configwatch"
 	"filbertdeck/internal/decide/membership"
 	"filbertdeck/internal/decide/rollout"
 	"filbertdeck/internal/failure"
-	"filbertdeck/internal/platform"
 	"filbertdeck/internal/table"
 )
 
@@ -62,12 +62,12 @@
 		Self:   "10.0.0.1:81",
 		Tokens: []adminapi.Token{token("operator:", "op"), token("monitor:", "mon")},
 		Table:  fixed[table.Table]{t},
-		Hosts: fixed[configwatch.Hosts]{&configwatch.Hosts{ConfirmedAt: time.Now(), List: []platform.Host{
-			{Name: "h1", DataCentre: "north", Entry: "10.0.0.1:80", Control: "10.0.0.1:81", State: platform.StateLive},
-			{Name: "h2", DataCentre: "north", Entry: "10.0.0.2:80", Control: "10.0.0.2:81", State: platform.StateLeaving}}}},
-		Targets: fixed[configwatch.Targets]{&configwatch.Targets{ByService: map[string][]platform.Target{"reports": {
-			{Service: "reports", Address: "10.1.0.1:1", DataCentre: "south", State: platform.StateLive},
-			{Service: "reports", Address: "10.1.0.2:1", DataCentre: "north", State: platform.StateLeaving}}}}},
+		Hosts: fixed[configwatch.Hosts]{&configwatch.Hosts{ConfirmedAt: time.Now(), List: []configservice.Host{
+			{Name: "h1", DataCentre: "north", Entry: "10.0.0.1:80", Control: "10.0.0.1:81", State: configservice.StateLive},
+			{Name: "h2", DataCentre: "north", Entry: "10.0.0.2:80", Control: "10.0.0.2:81", State: configservice.StateLeaving}}}},
+		Targets: fixed[configwatch.Targets]{&configwatch.Targets{ByService: map[string][]configservice.Target{"reports": {
+			{Service: "reports", Address: "10.1.0.1:1", DataCentre: "south", State: configservice.StateLive},
+			{Service: "reports", Address: "10.1.0.2:1", DataCentre: "north", State: configservice.StateLeaving}}}}},
 		Members: fixed[membership.View]{&membership.View{Members: []membership.Member{
 			{Address: "10.0.0.1:81", Incarnation: 4}, {Address: "10.0.0.3:81", Incarnation: 9, State: membership.Dead}}}},
 		Rollout: fixed[configwatch.State]{&configwatch.State{Ready: true, Documents: []configwatch.DocumentState{{
--- a/internal/adminapi/answers.go
+++ b/internal/adminapi/answers.go
@@ -7,9 +7,9 @@
 	"strconv"
 	"time"
 
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/controller/configwatch"
 	"filbertdeck/internal/decide/membership"
-	"filbertdeck/internal/platform"
 	"filbertdeck/internal/table"
 )
 
@@ -52,7 +52,7 @@
 	return doc, nil
 }
 
-func hostStatus(host platform.Host, members map[string]membership.Member) HostStatus {
+func hostStatus(host configservice.Host, members map[string]membership.Member) HostStatus {
 	s := HostStatus{
 		Name: host.Name, DataCentre: host.DataCentre, Entry: host.Entry, Control: host.Control,
 		Published: string(host.State), Member: unknown,
@@ -81,7 +81,7 @@
 	return doc, nil
 }
 
-func (h *handler) targetStatus(t platform.Target, drained bool) TargetStatus {
+func (h *handler) targetStatus(t configservice.Target, drained bool) TargetStatus {
 	var s TargetStatus
 	if h.TargetFigures != nil {
 		s, s.Known = h.TargetFigures.TargetStatus(t.Service, t.Address)
--- a/internal/platform/client.go
+++ b/internal/configservice/client.go
@@ -1,7 +1,7 @@
-// Package platform is the client of the platform's configuration service,
+// Package configservice is the client of the platform's configuration service,
 // which can only be read and watched, and the reader of the documents kept
 // there. The protocol is in docs/protocols.md.
-package platform
+package configservice
 
 import (
 	"context"
--- a/internal/platform/platform_test.go
+++ b/internal/configservice/configservice_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configservice_test
 
 import (
 	"context"
@@ -13,19 +13,19 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/failure"
-	"filbertdeck/internal/platform"
 )
 
-func TestPlatform(t *testing.T) {
+func TestConfigService(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "platform")
+	RunSpecs(t, "configservice")
 }
 
-func client(handler http.HandlerFunc) *platform.Client {
+func client(handler http.HandlerFunc) *configservice.Client {
 	server := httptest.NewServer(handler)
 	DeferCleanup(server.Close)
-	c, err := platform.New(server.Listener.Addr().String(), nil)
+	c, err := configservice.New(server.Listener.Addr().String(), nil)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(c.Close)
 	return c
@@ -39,8 +39,8 @@
 		})
 		a, err := c.Watch(context.Background(), "table/", 4, 250*time.Millisecond)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(a).To(Equal(platform.Answer{Revision: 5, Keys: []string{"table/0001"},
-			Values: []platform.Value{{Key: "table/0001", Revision: 5, Text: "x"}}}))
+		Expect(a).To(Equal(configservice.Answer{Revision: 5, Keys: []string{"table/0001"},
+			Values: []configservice.Value{{Key: "table/0001", Revision: 5, Text: "x"}}}))
 	})
 
 	DescribeTable("gives each failure a type", func(handler http.HandlerFunc, kind failure.Kind, after time.Duration) {
@@ -72,14 +72,14 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(l.Close)
-		c, err := platform.New(l.Addr().String(), nil)
+		c, err := configservice.New(l.Addr().String(), nil)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = c.Read(context.Background(), "", 0)
 		Expect(failure.KindOf(err)).To(Equal(failure.KindConfigUnreadable))
 	})
 
 	It("takes only an address by number", func() {
-		_, err := platform.New("config.example:80", nil)
+		_, err := configservice.New("config.example:80", nil)
 		Expect(failure.KindOf(err)).To(Equal(failure.KindSettingInvalid))
 	})
 })
@@ -101,46 +101,46 @@
 	const host = `{"name":"h1","data_centre":"north","entry":"10.0.0.1:80","control":"10.0.0.1:81","state":"live"}`
 
 	It("keeps usable entries and counts the others", func() {
-		hosts, dropped, err := platform.ParseHosts(`{"hosts":[` + strings.Join([]string{host, host,
+		hosts, dropped, err := configservice.ParseHosts(`{"hosts":[` + strings.Join([]string{host, host,
 			strings.Replace(host, "10.0.0.1:80", "h1:80", 1), strings.Replace(host, "live", "gone", 1),
 			strings.Replace(host, "north", "a\\tb", 1)}, ",") + `]}`)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(dropped).To(Equal(platform.Dropped(4)))
-		back, ok := platform.HostFromRow(hosts[0].Row())
+		Expect(dropped).To(Equal(configservice.Dropped(4)))
+		back, ok := configservice.HostFromRow(hosts[0].Row())
 		Expect(ok).To(BeTrue())
 		Expect(back).To(Equal(hosts[0]))
 	})
 
 	It("refuses a host list that would take every host away", func() {
 		for _, text := range []string{`{"hosts":[]}`, `{}`, `x`} {
-			_, _, err := platform.ParseHosts(text)
+			_, _, err := configservice.ParseHosts(text)
 			Expect(failure.KindOf(err)).To(Equal(failure.KindConfigUnreadable))
 		}
 	})
 
 	It("reads targets and the drain list", func() {
-		targets, dropped, err := platform.ParseTargets(`{"targets":[{"service":"s","address":"10.0.0.2:1","data_centre":"north","state":"leaving"},{"service":"s","address":"x"}]}`)
+		targets, dropped, err := configservice.ParseTargets(`{"targets":[{"service":"s","address":"10.0.0.2:1","data_centre":"north","state":"leaving"},{"service":"s","address":"x"}]}`)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(dropped).To(Equal(platform.Dropped(1)))
-		back, ok := platform.TargetFromRow(targets[0].Row())
+		Expect(dropped).To(Equal(configservice.Dropped(1)))
+		back, ok := configservice.TargetFromRow(targets[0].Row())
 		Expect(ok).To(BeTrue())
 		Expect(back).To(Equal(targets[0]))
-		Expect(platform.ParseDrain("\ufeffnorth\r\n\r\n south \n")).To(Equal([]string{"north", "south"}))
+		Expect(configservice.ParseDrain("\ufeffnorth\r\n\r\n south \n")).To(Equal([]string{"north", "south"}))
 	})
 })
 
 func FuzzDocuments(f *testing.F) {
 	f.Add(`{"hosts":[{"name":"h","data_centre":"d","entry":"1.1.1.1:1","control":"1.1.1.1:2","state":"live"}]}`)
 	f.Fuzz(func(t *testing.T, text string) {
-		hosts, _, _ := platform.ParseHosts(text)
+		hosts, _, _ := configservice.ParseHosts(text)
 		for _, h := range hosts {
-			if back, ok := platform.HostFromRow(h.Row()); !ok || back != h {
+			if back, ok := configservice.HostFromRow(h.Row()); !ok || back != h {
 				t.Fatalf("%+v came back as %+v", h, back)
 			}
 		}
-		targets, _, _ := platform.ParseTargets(text)
+		targets, _, _ := configservice.ParseTargets(text)
 		for _, x := range targets {
-			if back, ok := platform.TargetFromRow(x.Row()); !ok || back != x {
+			if back, ok := configservice.TargetFromRow(x.Row()); !ok || back != x {
 				t.Fatalf("%+v came back as %+v", x, back)
 			}
 		}
--- a/internal/platform/documents.go
+++ b/internal/configservice/documents.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import (
 	"encoding/json"
--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -14,6 +14,7 @@
 
 	"filbertdeck/internal/adminapi"
 	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/control/admin"
 	"filbertdeck/internal/control/news"
 	"filbertdeck/internal/control/pools"
@@ -24,7 +25,6 @@
 	"filbertdeck/internal/controller/gossip"
 	"filbertdeck/internal/decide/membership"
 	"filbertdeck/internal/metrics"
-	"filbertdeck/internal/platform"
 	"filbertdeck/internal/process"
 	"filbertdeck/internal/rpc"
 	"filbertdeck/internal/secure"
@@ -61,7 +61,7 @@
 }
 
 func newWatcher(s *Settings, store *configwatch.Store) (*configwatch.Watcher, error) {
-	client, err := platform.New(s.Platform, nil)
+	client, err := configservice.New(s.Platform, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/news/news_test.go
+++ b/internal/control/news/news_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/control/news"
 	"filbertdeck/internal/control/pool"
 	"filbertdeck/internal/control/pools"
@@ -19,7 +20,6 @@
 	"filbertdeck/internal/decide/poison"
 	"filbertdeck/internal/decide/rollout"
 	"filbertdeck/internal/failure"
-	"filbertdeck/internal/platform"
 	"filbertdeck/internal/table"
 )
 
@@ -51,7 +51,7 @@
 	tables.Publish(t)
 	hosts.Publish(&configwatch.Hosts{
 		Version: rollout.Version{Revision: 1}, ConfirmedAt: time.Now(),
-		List: []platform.Host{{Name: "h", DataCentre: "north", Control: self, State: platform.StateLive}},
+		List: []configservice.Host{{Name: "h", DataCentre: "north", Control: self, State: configservice.StateLive}},
 	})
 	m := pools.NewManager(self, board, func() bool { return true }, nobody{}, slog.New(slog.DiscardHandler))
 	decisions := make(chan admission.Decision, 10)
--- a/internal/control/pools/plan.go
+++ b/internal/control/pools/plan.go
@@ -11,9 +11,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/decide/admission"
 	decide "filbertdeck/internal/decide/pools"
-	"filbertdeck/internal/platform"
 	"filbertdeck/internal/table"
 )
 
@@ -43,7 +43,7 @@
 // Plans computes the pools. Services that share targets share pools: with an
 // allocator for each service, every one of them would give a cold target the
 // one request that it bears.
-func Plans(t *table.Table, hosts []platform.Host) []Plan {
+func Plans(t *table.Table, hosts []configservice.Host) []Plan {
 	ranking := decide.NewRanking(hostsOf(hosts))
 	var plans []Plan
 	for _, g := range groups(t) {
@@ -57,10 +57,10 @@
 	return plans
 }
 
-func hostsOf(hosts []platform.Host) []decide.Host {
+func hostsOf(hosts []configservice.Host) []decide.Host {
 	out := make([]decide.Host, len(hosts))
 	for i, h := range hosts {
-		out[i] = decide.Host{Control: h.Control, DataCentre: h.DataCentre, Leaving: h.State != platform.StateLive}
+		out[i] = decide.Host{Control: h.Control, DataCentre: h.DataCentre, Leaving: h.State != configservice.StateLive}
 	}
 	return out
 }
--- a/internal/control/pools/plan_test.go
+++ b/internal/control/pools/plan_test.go
@@ -6,8 +6,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/control/pools"
-	"filbertdeck/internal/platform"
 	"filbertdeck/internal/table"
 )
 
@@ -32,7 +32,7 @@
 	return t
 }
 
-var hosts = []platform.Host{{Name: "h", DataCentre: "north", Control: "127.0.0.1:1", State: platform.StateLive}}
+var hosts = []configservice.Host{{Name: "h", DataCentre: "north", Control: "127.0.0.1:1", State: configservice.StateLive}}
 
 var _ = Describe("the plan of pools", func() {
 	// Reports and summaries run on the same engines. With a pool for each, two
--- a/internal/control/quota/controller.go
+++ b/internal/control/quota/controller.go
@@ -9,11 +9,11 @@
 
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/blackboard"
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/controller/configwatch"
 	"filbertdeck/internal/decide/admission"
 	"filbertdeck/internal/decide/pools"
 	"filbertdeck/internal/decide/quota"
-	"filbertdeck/internal/platform"
 	"filbertdeck/internal/table"
 )
 
@@ -188,10 +188,10 @@
 	c.accounts.SetAccounts(names)
 }
 
-func hostsOf(list []platform.Host) []pools.Host {
+func hostsOf(list []configservice.Host) []pools.Host {
 	out := make([]pools.Host, len(list))
 	for i, h := range list {
-		out[i] = pools.Host{Control: h.Control, DataCentre: h.DataCentre, Leaving: h.State != platform.StateLive}
+		out[i] = pools.Host{Control: h.Control, DataCentre: h.DataCentre, Leaving: h.State != configservice.StateLive}
 	}
 	return out
 }
--- a/internal/control/quota/measure_test.go
+++ b/internal/control/quota/measure_test.go
@@ -17,11 +17,11 @@
 
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/blackboard"
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/control/quota"
 	"filbertdeck/internal/controller/configwatch"
 	"filbertdeck/internal/decide/admission"
 	"filbertdeck/internal/decide/rollout"
-	"filbertdeck/internal/platform"
 	"filbertdeck/internal/rpc"
 	"filbertdeck/internal/table"
 )
@@ -96,7 +96,7 @@
 	list := &configwatch.Hosts{Version: rollout.Version{Revision: 1}, ConfirmedAt: time.Now().Add(time.Hour)}
 	for i := range listeners {
 		listeners[i], _ = net.Listen("tcp", "127.0.0.1:0")
-		list.List = append(list.List, platform.Host{Control: listeners[i].Addr().String(), State: platform.StateLive})
+		list.List = append(list.List, configservice.Host{Control: listeners[i].Addr().String(), State: configservice.StateLive})
 	}
 	counts = metrics.NewRegistry()
 	var all []func(context.Context)
--- a/internal/control/quota/world_test.go
+++ b/internal/control/quota/world_test.go
@@ -11,13 +11,13 @@
 
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/blackboard"
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/control/quota"
 	"filbertdeck/internal/controller/configwatch"
 	"filbertdeck/internal/decide/admission"
 	"filbertdeck/internal/decide/pools"
 	"filbertdeck/internal/decide/rollout"
 	"filbertdeck/internal/failure"
-	"filbertdeck/internal/platform"
 	"filbertdeck/internal/table"
 )
 
@@ -117,7 +117,7 @@
 	w.revision++
 	list := &configwatch.Hosts{Version: rollout.Version{Revision: w.revision}}
 	for _, n := range live {
-		list.List = append(list.List, platform.Host{Control: n.name, State: platform.StateLive})
+		list.List = append(list.List, configservice.Host{Control: n.name, State: configservice.StateLive})
 	}
 	for _, n := range w.nodes {
 		if !n.cut {
--- a/internal/controller/configwatch/board.go
+++ b/internal/controller/configwatch/board.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"filbertdeck/internal/blackboard"
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/decide/rollout"
-	"filbertdeck/internal/platform"
 	"filbertdeck/internal/table"
 )
 
@@ -52,7 +52,7 @@
 	Version rollout.Version
 	// List is in the order of control addresses. Snapshots that differ only in
 	// ConfirmedAt share it.
-	List []platform.Host
+	List []configservice.Host
 	// ConfirmedAt is a time (with its monotonic part) at which the
 	// configuration service certainly held this list; zero when it never was
 	// confirmed. It is taken before the question was sent, so it errs only
@@ -64,7 +64,7 @@
 // Targets is the published list of targets.
 type Targets struct {
 	Version   rollout.Version
-	ByService map[string][]platform.Target
+	ByService map[string][]configservice.Target
 }
 
 // State tells operators what is in force here and why something is not.
--- a/internal/controller/configwatch/configwatch_test.go
+++ b/internal/controller/configwatch/configwatch_test.go
@@ -14,10 +14,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/controller/configwatch"
 	"filbertdeck/internal/decide/rollout"
 	"filbertdeck/internal/failure"
-	"filbertdeck/internal/platform"
 )
 
 func TestConfigwatch(t *testing.T) {
@@ -29,14 +29,14 @@
 type service struct {
 	mu       sync.Mutex
 	revision uint64
-	values   map[string]platform.Value
+	values   map[string]configservice.Value
 	err      error
 	calls    int
 	changed  chan struct{}
 }
 
 func newService() *service {
-	return &service{values: map[string]platform.Value{}, changed: make(chan struct{})}
+	return &service{values: map[string]configservice.Value{}, changed: make(chan struct{})}
 }
 
 func (s *service) set(change func()) {
@@ -50,7 +50,7 @@
 func (s *service) put(key, text string) {
 	s.set(func() {
 		s.revision++
-		s.values[key] = platform.Value{Key: key, Revision: s.revision, Text: text}
+		s.values[key] = configservice.Value{Key: key, Revision: s.revision, Text: text}
 	})
 }
 
@@ -66,7 +66,7 @@
 
 func (s *service) fail(err error) { s.set(func() { s.err = err }) }
 
-func (s *service) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.Answer, error) {
+func (s *service) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (configservice.Answer, error) {
 	s.mu.Lock()
 	changed := s.changed
 	if s.revision == after && s.err == nil && wait > 0 {
@@ -75,16 +75,16 @@
 		case <-changed:
 		case <-time.After(min(wait, 50*time.Millisecond)):
 		case <-ctx.Done():
-			return platform.Answer{}, failure.Wrap(ctx.Err(), failure.KindConfigUnreadable, "cut")
+			return configservice.Answer{}, failure.Wrap(ctx.Err(), failure.KindConfigUnreadable, "cut")
 		}
 		s.mu.Lock()
 	}
 	defer s.mu.Unlock()
 	s.calls++
 	if s.err != nil {
-		return platform.Answer{}, s.err
+		return configservice.Answer{}, s.err
 	}
-	a := platform.Answer{Revision: s.revision, Keys: slices.Sorted(maps.Keys(s.values))}
+	a := configservice.Answer{Revision: s.revision, Keys: slices.Sorted(maps.Keys(s.values))}
 	for _, v := range s.values {
 		if v.Revision > after && strings.HasPrefix(v.Key, prefix) {
 			a.Values = append(a.Values, v)
@@ -242,12 +242,12 @@
 			return rollout.Row{Key: fmt.Sprintf("account/member-%05d", i), Text: fmt.Sprintf("account,member-%05d,1,20,500,0,%064x,,,,,,", i, i+1)}
 		},
 		configwatch.SectionTargets: func(i int) rollout.Row {
-			t := platform.Target{Service: "reports", Address: fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250), DataCentre: fmt.Sprint("dc", i%10), State: platform.StateLive}
+			t := configservice.Target{Service: "reports", Address: fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250), DataCentre: fmt.Sprint("dc", i%10), State: configservice.StateLive}
 			return rollout.Row{Key: t.Key(), Text: t.Row()}
 		},
 		configwatch.SectionHosts: func(i int) rollout.Row {
 			a := fmt.Sprintf("10.0.%d.%d", i/250, i%250)
-			h := platform.Host{Name: fmt.Sprint("host-", i), DataCentre: fmt.Sprint("dc", i%10), Entry: a + ":80", Control: a + ":81", State: platform.StateLive}
+			h := configservice.Host{Name: fmt.Sprint("host-", i), DataCentre: fmt.Sprint("dc", i%10), Entry: a + ":80", Control: a + ":81", State: configservice.StateLive}
 			return rollout.Row{Key: h.Key(), Text: h.Row()}
 		},
 	}
--- a/internal/controller/configwatch/publish.go
+++ b/internal/controller/configwatch/publish.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"filbertdeck/internal/platform"
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/table"
 )
 
@@ -26,7 +26,7 @@
 
 // listHosts puts the list of hosts in order after a change.
 func (s *Store) listHosts() {
-	s.hostList = make([]platform.Host, 0, len(s.hosts))
+	s.hostList = make([]configservice.Host, 0, len(s.hosts))
 	for _, k := range slices.Sorted(maps.Keys(s.hosts)) {
 		s.hostList = append(s.hostList, s.hosts[k])
 	}
@@ -43,13 +43,13 @@
 // publishTargets keeps the targets in the table's form as well, so that an
 // edit of the table does not work through 10,000 of them again.
 func (s *Store) publishTargets() {
-	by := map[string][]platform.Target{}
+	by := map[string][]configservice.Target{}
 	s.tableTargets = map[string][]table.Target{}
 	for _, k := range slices.Sorted(maps.Keys(s.targets)) {
 		t := s.targets[k]
 		by[t.Service] = append(by[t.Service], t)
 		s.tableTargets[t.Service] = append(s.tableTargets[t.Service], table.Target{
-			Address: t.Address, DataCentre: t.DataCentre, Leaving: t.State == platform.StateLeaving,
+			Address: t.Address, DataCentre: t.DataCentre, Leaving: t.State == configservice.StateLeaving,
 		})
 	}
 	s.out.targets.Publish(&Targets{Version: s.docs[SectionTargets].Head().Version, ByService: by})
--- a/internal/controller/configwatch/reading.go
+++ b/internal/controller/configwatch/reading.go
@@ -4,8 +4,8 @@
 	"slices"
 	"strings"
 
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/decide/rollout"
-	"filbertdeck/internal/platform"
 	"filbertdeck/internal/table"
 )
 
@@ -13,7 +13,7 @@
 // values, and from them the documents with their versions.
 type reading struct {
 	revision uint64
-	values   map[string]platform.Value
+	values   map[string]configservice.Value
 	// removed is the store's revision at which a document last lost a key. A
 	// key that goes leaves no revision of its own behind.
 	removed map[Section]uint64
@@ -27,7 +27,7 @@
 }
 
 func newReading() *reading {
-	return &reading{values: map[string]platform.Value{}, removed: map[Section]uint64{}, heads: map[Section]rollout.Head{}}
+	return &reading{values: map[string]configservice.Value{}, removed: map[Section]uint64{}, heads: map[Section]rollout.Head{}}
 }
 
 // observation is one document as the service holds it.
@@ -40,12 +40,12 @@
 	// version comes from a key that went.
 	whole, removal bool
 	// dropped counts entries of a list that can't be used.
-	dropped platform.Dropped
+	dropped configservice.Dropped
 }
 
 // take works an answer in. A whole answer (asked for after 0) replaces what
 // was seen; it tells which documents are touched.
-func (r *reading) take(a platform.Answer, whole bool) []Section {
+func (r *reading) take(a configservice.Answer, whole bool) []Section {
 	touched := map[Section]bool{}
 	present := make(map[string]bool, len(a.Keys))
 	for _, k := range a.Keys {
@@ -88,13 +88,13 @@
 
 func sectionOf(key string) (Section, bool) {
 	switch {
-	case strings.HasPrefix(key, platform.KeyTablePrefix):
+	case strings.HasPrefix(key, configservice.KeyTablePrefix):
 		return SectionTable, true
-	case key == platform.KeyDrain:
+	case key == configservice.KeyDrain:
 		return SectionDrain, true
-	case key == platform.KeyHosts:
+	case key == configservice.KeyHosts:
 		return SectionHosts, true
-	case key == platform.KeyTargets:
+	case key == configservice.KeyTargets:
 		return SectionTargets, true
 	}
 	return "", false
@@ -131,7 +131,7 @@
 	var keys []string
 	var newest uint64
 	for k, v := range r.values {
-		if strings.HasPrefix(k, platform.KeyTablePrefix) {
+		if strings.HasPrefix(k, configservice.KeyTablePrefix) {
 			keys = append(keys, k)
 			newest = max(newest, v.Revision)
 		}
@@ -190,15 +190,15 @@
 	}
 }
 
-func rowsOf(section Section, text string) ([]rollout.Row, platform.Dropped, error) {
+func rowsOf(section Section, text string) ([]rollout.Row, configservice.Dropped, error) {
 	switch section {
 	case SectionDrain:
-		return drainRows(platform.ParseDrain(text)), 0, nil
+		return drainRows(configservice.ParseDrain(text)), 0, nil
 	case SectionHosts:
-		hosts, dropped, err := platform.ParseHosts(text)
+		hosts, dropped, err := configservice.ParseHosts(text)
 		return keyed(hosts), dropped, err
 	default:
-		targets, dropped, err := platform.ParseTargets(text)
+		targets, dropped, err := configservice.ParseTargets(text)
 		return keyed(targets), dropped, err
 	}
 }
--- a/internal/controller/configwatch/store.go
+++ b/internal/controller/configwatch/store.go
@@ -7,9 +7,9 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/decide/rollout"
 	"filbertdeck/internal/failure"
-	"filbertdeck/internal/platform"
 	"filbertdeck/internal/table"
 
 	"filbertdeck/internal/blackboard"
@@ -26,9 +26,9 @@
 	mu       sync.Mutex
 	docs     map[Section]*document
 	table    *table.Table
-	hosts    map[string]platform.Host
-	hostList []platform.Host
-	targets  map[string]platform.Target
+	hosts    map[string]configservice.Host
+	hostList []configservice.Host
+	targets  map[string]configservice.Target
 	// tableTargets are the targets as the table's services have them.
 	tableTargets map[string][]table.Target
 	confirmed    time.Time
@@ -86,8 +86,8 @@
 	}
 	s := &Store{
 		log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now, start: cfg.Now(),
-		docs: map[Section]*document{}, hosts: map[string]platform.Host{},
-		targets: map[string]platform.Target{}, join: rollout.NewJoin(0), out: out,
+		docs: map[Section]*document{}, hosts: map[string]configservice.Host{},
+		targets: map[string]configservice.Target{}, join: rollout.NewJoin(0), out: out,
 		history: rollout.NewHistory(),
 	}
 	for _, name := range Sections {
@@ -149,9 +149,9 @@
 	case SectionTable:
 		return s.prepareTable(delta, changed)
 	case SectionHosts:
-		return prepareRows(s.hosts, changed, platform.HostFromRow)
+		return prepareRows(s.hosts, changed, configservice.HostFromRow)
 	case SectionTargets:
-		return prepareRows(s.targets, changed, platform.TargetFromRow)
+		return prepareRows(s.targets, changed, configservice.TargetFromRow)
 	}
 	return nil
 }
--- a/internal/controller/configwatch/watch.go
+++ b/internal/controller/configwatch/watch.go
@@ -8,9 +8,9 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/decide/rollout"
 	"filbertdeck/internal/failure"
-	"filbertdeck/internal/platform"
 )
 
 // Figures of the watch.
@@ -29,9 +29,9 @@
 	breather = 20 * time.Millisecond
 )
 
-// Source is the configuration service; *platform.Client is one.
+// Source is the configuration service; *configservice.Client is one.
 type Source interface {
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.Answer, error)
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (configservice.Answer, error)
 }
 
 // Watcher reads the configuration service into the store while this process
--- a/internal/controller/gossip/fleet_test.go
+++ b/internal/controller/gossip/fleet_test.go
@@ -15,8 +15,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/controller/configwatch"
-	"filbertdeck/internal/platform"
 	standin "filbertdeck/internal/standin/platform"
 )
 
@@ -47,7 +47,7 @@
 
 // startNode starts a node with a watch of its own, as filbert-control does.
 func (s *site) startNode(l net.Listener, address string, seeds []string, dataCentre string, every time.Duration) *node {
-	client, err := platform.New(s.http.Listener.Addr().String(), nil)
+	client, err := configservice.New(s.http.Listener.Addr().String(), nil)
 	if err != nil {
 		panic(err)
 	}
@@ -94,7 +94,7 @@
 	resp, err := http.Get(s.http.URL + "/v1/values")
 	Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = resp.Body.Close() }()
-	var a platform.Answer
+	var a configservice.Answer
 	Expect(json.NewDecoder(resp.Body).Decode(&a)).To(Succeed())
 	return a.Revision
 }
--- a/internal/fleet/documents.go
+++ b/internal/fleet/documents.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"net/http"
 
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/failure"
-	"filbertdeck/internal/platform"
 )
 
 // Publish writes the documents of the platform that describe the deployment.
@@ -21,13 +21,13 @@
 }
 
 type hostsDocument struct {
-	Revision uint64          `json:"revision"`
-	Hosts    []platform.Host `json:"hosts"`
+	Revision uint64               `json:"revision"`
+	Hosts    []configservice.Host `json:"hosts"`
 }
 
 type targetsDocument struct {
-	Revision uint64            `json:"revision"`
-	Targets  []platform.Target `json:"targets"`
+	Revision uint64                 `json:"revision"`
+	Targets  []configservice.Target `json:"targets"`
 }
 
 // PublishHosts writes the host list; hosts in leaving are marked so.
@@ -35,11 +35,11 @@
 	f.edits++
 	doc := hostsDocument{Revision: f.edits}
 	for _, h := range f.Hosts {
-		doc.Hosts = append(doc.Hosts, platform.Host{
+		doc.Hosts = append(doc.Hosts, configservice.Host{
 			Name: h.Name, DataCentre: h.DataCentre, Entry: h.Peer, Control: h.Control, State: stateOf(leaving[h.Name]),
 		})
 	}
-	return f.putJSON(platform.KeyHosts, doc)
+	return f.putJSON(configservice.KeyHosts, doc)
 }
 
 // PublishTargets writes the target list; targets in leaving are marked so.
@@ -49,7 +49,7 @@
 	add := func(targets []*Target, services []string) {
 		for _, t := range targets {
 			for _, s := range services {
-				doc.Targets = append(doc.Targets, platform.Target{
+				doc.Targets = append(doc.Targets, configservice.Target{
 					Service: s, Address: t.Address, DataCentre: t.DataCentre, State: stateOf(leaving[t.Name]),
 				})
 			}
@@ -57,14 +57,14 @@
 	}
 	add(f.Engines, f.spec.EngineServices)
 	add(f.Apps, f.spec.AppServices)
-	return f.putJSON(platform.KeyTargets, doc)
+	return f.putJSON(configservice.KeyTargets, doc)
 }
 
-func stateOf(leaving bool) platform.State {
+func stateOf(leaving bool) configservice.State {
 	if leaving {
-		return platform.StateLeaving
+		return configservice.StateLeaving
 	}
-	return platform.StateLive
+	return configservice.StateLive
 }
 
 func (f *Fleet) putJSON(key string, doc any) error {
--- a/internal/slopes/inputs.go
+++ b/internal/slopes/inputs.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"filbertdeck/internal/platform"
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/table"
 )
 
@@ -47,25 +47,25 @@
 
 // hostList makes hosts with loopback addresses at which nothing listens: a
 // process that calls them is refused at once, and nothing leaves the machine.
-func hostList(count int) []platform.Host {
-	hosts := make([]platform.Host, count)
+func hostList(count int) []configservice.Host {
+	hosts := make([]configservice.Host, count)
 	for i := range hosts {
 		ip := fmt.Sprintf("127.1.%d.%d", i/250, i%250+1)
-		hosts[i] = platform.Host{
+		hosts[i] = configservice.Host{
 			Name: fmt.Sprintf("host-%04d", i), DataCentre: centre(i),
-			Entry: ip + ":8081", Control: ip + ":8090", State: platform.StateLive,
+			Entry: ip + ":8081", Control: ip + ":8090", State: configservice.StateLive,
 		}
 	}
 	return hosts
 }
 
 // targetList makes targets of the service, spread over the data centres.
-func targetList(count int) []platform.Target {
-	targets := make([]platform.Target, count)
+func targetList(count int) []configservice.Target {
+	targets := make([]configservice.Target, count)
 	for i := range targets {
-		targets[i] = platform.Target{
+		targets[i] = configservice.Target{
 			Service: service, Address: fmt.Sprintf("127.2.%d.%d:8000", i/250, i%250+1),
-			DataCentre: centre(i), State: platform.StateLive,
+			DataCentre: centre(i), State: configservice.StateLive,
 		}
 	}
 	return targets
@@ -73,13 +73,13 @@
 
 // targetsDocument and hostsDocument are the platform's documents.
 type targetsDocument struct {
-	Revision uint64            `json:"revision"`
-	Targets  []platform.Target `json:"targets"`
+	Revision uint64                 `json:"revision"`
+	Targets  []configservice.Target `json:"targets"`
 }
 
 type hostsDocument struct {
-	Revision uint64          `json:"revision"`
-	Hosts    []platform.Host `json:"hosts"`
+	Revision uint64               `json:"revision"`
+	Hosts    []configservice.Host `json:"hosts"`
 }
 
 func jsonText(document any) string {
@@ -88,7 +88,7 @@
 }
 
 // withTargets gives a table in which the service has these targets.
-func withTargets(t *table.Table, targets []platform.Target) *table.Table {
+func withTargets(t *table.Table, targets []configservice.Target) *table.Table {
 	list := make([]table.Target, len(targets))
 	for i, target := range targets {
 		list[i] = table.Target{Address: target.Address, DataCentre: target.DataCentre}
--- a/internal/slopes/loads.go
+++ b/internal/slopes/loads.go
@@ -7,15 +7,15 @@
 	"sync/atomic"
 	"time"
 
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/failure"
-	"filbertdeck/internal/platform"
 )
 
 // loadServers answer the reading of a target's load, and of its cache events.
 type loadServers struct {
 	wire      wire
 	polls     atomic.Int64
-	targets   []platform.Target
+	targets   []configservice.Target
 	listeners []net.Listener
 	server    *http.Server
 }
@@ -39,8 +39,8 @@
 			return nil, failure.Wrap(err, failure.KindInternal, "no free port")
 		}
 		s.listeners = append(s.listeners, l)
-		s.targets = append(s.targets, platform.Target{
-			Service: service, Address: l.Addr().String(), DataCentre: centre(0), State: platform.StateLive,
+		s.targets = append(s.targets, configservice.Target{
+			Service: service, Address: l.Addr().String(), DataCentre: centre(0), State: configservice.StateLive,
 		})
 		go func() { _ = s.server.Serve(l) }()
 	}
--- a/internal/slopes/process.go
+++ b/internal/slopes/process.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/fleet"
-	"filbertdeck/internal/platform"
 )
 
 // Processes bounds the measurements with real processes.
@@ -115,18 +115,18 @@
 		(busy.counters["gossip.bytes_sent"]+busy.counters["gossip.bytes_received"])/n/over)
 }
 
-func publish(f *fleet.Fleet, at Point, polled []platform.Target) error {
+func publish(f *fleet.Fleet, at Point, polled []configservice.Target) error {
 	hosts := hostList(at.OtherHosts)
 	for _, h := range f.Hosts {
-		hosts = append(hosts, platform.Host{
-			Name: h.Name, DataCentre: h.DataCentre, Entry: h.Peer, Control: h.Control, State: platform.StateLive,
+		hosts = append(hosts, configservice.Host{
+			Name: h.Name, DataCentre: h.DataCentre, Entry: h.Peer, Control: h.Control, State: configservice.StateLive,
 		})
 	}
-	if err := f.Put(platform.KeyHosts, jsonText(hostsDocument{2, hosts})); err != nil {
+	if err := f.Put(configservice.KeyHosts, jsonText(hostsDocument{2, hosts})); err != nil {
 		return err
 	}
 	targets := append(targetList(at.OtherTargets), polled...)
-	if err := f.Put(platform.KeyTargets, jsonText(targetsDocument{2, targets})); err != nil {
+	if err := f.Put(configservice.KeyTargets, jsonText(targetsDocument{2, targets})); err != nil {
 		return err
 	}
 	for i, page := range tablePages(at.Accounts, 0) {
--- a/internal/slopes/slopes_test.go
+++ b/internal/slopes/slopes_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"filbertdeck/internal/platform"
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/table"
 	"filbertdeck/internal/usage"
 )
@@ -46,10 +46,10 @@
 	)
 
 	It("lists are readable, and every host and target has an address of its own", func() {
-		hosts, dropped, err := platform.ParseHosts(jsonText(hostsDocument{1, hostList(TargetHosts)}))
+		hosts, dropped, err := configservice.ParseHosts(jsonText(hostsDocument{1, hostList(TargetHosts)}))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(dropped).To(BeZero())
-		targets, dropped, err := platform.ParseTargets(jsonText(targetsDocument{1, targetList(TargetServers)}))
+		targets, dropped, err := configservice.ParseTargets(jsonText(targetsDocument{1, targetList(TargetServers)}))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(dropped).To(BeZero())
 		seen := map[string]bool{}
--- a/test/faults/host_test.go
+++ b/test/faults/host_test.go
@@ -8,11 +8,11 @@
 	"strings"
 	"time"
 
+	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/control/pools"
 	"filbertdeck/internal/decide/admission"
 	"filbertdeck/internal/decide/once"
 	"filbertdeck/internal/decide/rollout"
-	"filbertdeck/internal/platform"
 	"filbertdeck/internal/table"
 )
 
@@ -191,10 +191,10 @@
 	if !w.naive.ignoreDrain {
 		t.Drained[h.row("drain")] = true
 	}
-	var live []platform.Host
+	var live []configservice.Host
 	for _, name := range h.hosts.Live {
 		if i := slices.IndexFunc(w.hosts, func(o *host) bool { return o.name == name }); i >= 0 {
-			live = append(live, platform.Host{DataCentre: w.hosts[i].centre, Control: name, State: platform.StateLive})
+			live = append(live, configservice.Host{DataCentre: w.hosts[i].centre, Control: name, State: configservice.StateLive})
 		}
 	}
 	plans := pools.Plans(t, live)
