--- a/internal/blackboard/section.go
+++ b/internal/blackboard/section.go
@@ -48,6 +48,9 @@
 // Writer publishes snapshots of one section.
 type Writer[T any] struct{ section *Section[T] }
 
+// Get returns the snapshot in force, nil before the first write.
+func (w *Writer[T]) Get() *T { return w.section.Get() }
+
 // Publish makes value the snapshot in force and wakes those who wait. The
 // value must not change afterwards.
 func (w *Writer[T]) Publish(value *T) {
--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,146 @@
+// Package call holds the requests that the gateway relays and what targets
+// answer, in the product's types. How they look on the wire is the business
+// of a Dialect.
+package call
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"filbertdeck/internal/directory"
+)
+
+// Request is a caller's request.
+type Request struct {
+	// ID names one attempt of the client.
+	ID string
+	// Key is the client account's key, empty when there is none.
+	Key    string
+	Method string
+	Host   string
+	// Path selects the route; URI is the request target as it was sent.
+	Path, URI string
+	// Header holds what is passed on as it came.
+	Header http.Header
+	Body   []byte
+	// Patience is how long the client waits, counted from Arrived; 0 when it
+	// doesn't say.
+	Patience time.Duration
+	Arrived  time.Time
+	Prompt   Prompt
+	// ResumeAfter is the id of the last event that the client has of an
+	// earlier attempt; empty when it starts anew.
+	ResumeAfter string
+}
+
+// Prompt is what a request says of its prompt; zero when it has none.
+type Prompt struct {
+	Model string
+	// Tokens are read, at most MaxOutput are made.
+	Tokens, MaxOutput int
+	// LengthHint is the client's estimate of the tokens that will be made, 0
+	// when it gives none. It is right at the median and often far off.
+	LengthHint int
+	// Parts are shared with other prompts, in their order.
+	Parts []Part
+}
+
+// Part is a piece of a prompt that targets may have in their caches.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Handoff says where the memory of a moved generation lies.
+type Handoff struct {
+	// From is the target (ip:port) that made the copy.
+	From   string
+	Handle string
+}
+
+// Send is one sending of a request to a target.
+type Send struct {
+	*Request
+	Target  directory.Target
+	Account string
+	// Left is how long the target may work.
+	Left time.Duration
+	// Priority from 0 (first) to 9; negative when none is set.
+	Priority int
+	// Resume is set to go on with a generation at another target, behind the
+	// event After.
+	Resume *Handoff
+	After  string
+}
+
+// Load is what a target says of its load.
+type Load struct{ Running, Waiting, Slots int }
+
+// Answer is what the header of a target's answer says.
+type Answer struct {
+	Status int
+	// Echo is the id of the request that this answers.
+	Echo string
+	// Sealed answers carry the target's mark; a success without it is not one.
+	Sealed bool
+	// NotRun is the target's own word that it did not run the request and
+	// never will. No other failure proves that.
+	NotRun bool
+	// OtherTarget says that another target has the address by now.
+	OtherTarget bool
+	// Leaving says that the target may be about to stop.
+	Leaving bool
+	Load    *Load
+	// RetryAfter is 0 when the target names no time.
+	RetryAfter time.Duration
+}
+
+// MoveResult says what a copy of a generation's memory brought.
+type MoveResult struct {
+	Handle string
+	// Events are those made so far.
+	Events int
+}
+
+// Run is one generation that an engine reports.
+type Run struct {
+	ID     string
+	Tokens int
+	Events int
+}
+
+// Report is what an engine says of itself, a few hundred milliseconds old.
+type Report struct {
+	Running, Waiting       int
+	MemoryUsed, MemorySize int
+	Leaving                bool
+	// LeavesIn is 0 when the engine does not say when it leaves.
+	LeavesIn time.Duration
+	Runs     []Run
+}
+
+// Dialect translates between the wire and these types. It decides nothing.
+type Dialect interface {
+	// ReadRequest reads what a caller's request says; the body was read before.
+	ReadRequest(r *http.Request, body []byte, arrived time.Time) (*Request, error)
+	// WriteSend makes the request for a target.
+	WriteSend(ctx context.Context, s *Send) (*http.Request, error)
+	// ReadAnswer reads the header of a target's answer.
+	ReadAnswer(resp *http.Response) Answer
+	// CopyHeader copies what a caller gets of an answer's header.
+	CopyHeader(to, from http.Header)
+	// WriteFailure answers a request that the system itself ends.
+	WriteFailure(w http.ResponseWriter, id string, err error)
+}
+
+// Engines calls model engines beside the requests themselves.
+type Engines interface {
+	// Move copies a generation's memory from one engine to another. With last,
+	// the generation stops first and its stream ends without its end.
+	Move(ctx context.Context, from string, id, to string, last bool) (MoveResult, error)
+	// Drop frees the copy of a move.
+	Drop(ctx context.Context, from string, handle string) error
+	// Report asks an engine for its state.
+	Report(ctx context.Context, at string) (Report, error)
+}
--- /dev/null
+++ b/internal/controller/published/controller.go
@@ -0,0 +1,197 @@
+// Package published keeps the picture of what operators and targets publish
+// up to date: it reads the store and puts the newest records on the
+// blackboard. What to believe is decided in internal/decide/mirror.
+package published
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"filbertdeck/internal/blackboard"
+	"filbertdeck/internal/decide/mirror"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/failure"
+)
+
+// Figures of the reading.
+const (
+	// watchWait is how long a watch waits. Every live target writes more often
+	// than once in two seconds, so a watch that hears nothing for as long has
+	// most likely lost its connection.
+	watchWait = time.Second
+	// callEvery is the least time between two calls. What operators publish
+	// must be in force within two seconds and an engine that is taken away
+	// leaves after one and a half; each call costs the store its time.
+	callEvery = 250 * time.Millisecond
+	// Retries double from the first to the last pause, each drawn at random
+	// from half of it up, so that hosts don't come back in step.
+	firstPause = 100 * time.Millisecond
+	lastPause  = time.Second
+)
+
+// Source is the store that operators and targets publish in.
+type Source interface {
+	// ReadAll gives all records and the revision at which the reading began.
+	ReadAll(ctx context.Context) ([]directory.Record, uint64, error)
+	// Watch gives the changes after a revision and the revision to go on from;
+	// KindHistoryGone when they are no longer known.
+	Watch(ctx context.Context, after uint64, wait time.Duration) ([]directory.Record, uint64, error)
+}
+
+// Board is this controller's part of the blackboard.
+type Board struct {
+	View blackboard.Section[directory.View]
+}
+
+// Config holds what the controller works with.
+type Config struct {
+	Source  Source
+	Log     *slog.Logger
+	Metrics metrics.Registry
+	// Now is the steady clock of the process.
+	Now func() time.Duration
+}
+
+// Controller reads the store into the mirror.
+type Controller struct {
+	cfg   Config
+	out   *blackboard.Writer[directory.View]
+	calls metrics.Counter
+
+	mu     sync.Mutex
+	mirror *mirror.Mirror
+	// currentAt is the latest moment of which it is known that nothing newer
+	// had been published than is believed here.
+	currentAt time.Duration
+	known     bool
+	lost      bool
+}
+
+// New returns a controller and claims the section of the view.
+func New(cfg Config, board *Board) (*Controller, error) {
+	out, err := board.View.Claim()
+	if err != nil {
+		return nil, err
+	}
+	return &Controller{
+		cfg: cfg, out: out, mirror: mirror.New(mirror.Config{}),
+		calls: metrics.GetOrRegisterCounter("published.calls", cfg.Metrics),
+	}, nil
+}
+
+// Run reads until ctx is done.
+func (c *Controller) Run(ctx context.Context) {
+	pause := firstPause
+	whole := true
+	for ctx.Err() == nil {
+		begun := c.cfg.Now()
+		err := c.step(ctx, whole)
+		if ctx.Err() != nil {
+			return
+		}
+		c.note(err)
+		whole = err != nil && (whole || failure.KindOf(err) == failure.KindHistoryGone)
+		switch {
+		case err == nil:
+			pause = firstPause
+			sleep(ctx, callEvery-(c.cfg.Now()-begun))
+		case failure.KindOf(err) == failure.KindHistoryGone:
+		default:
+			sleep(ctx, max(pause/2+rand.N(pause/2), min(failure.From(err).RetryAfter, lastPause)))
+			pause = min(2*pause, lastPause)
+		}
+	}
+}
+
+func (c *Controller) step(ctx context.Context, whole bool) error {
+	c.calls.Inc(1)
+	begun := c.cfg.Now()
+	if whole {
+		records, at, err := c.cfg.Source.ReadAll(ctx)
+		if err != nil {
+			return err
+		}
+		c.take(begun, func(m *mirror.Mirror, now time.Duration) bool { return m.Whole(now, records, at) })
+		return nil
+	}
+	records, at, err := c.cfg.Source.Watch(ctx, c.Revision(), watchWait)
+	if err != nil {
+		return err
+	}
+	c.take(begun, func(m *mirror.Mirror, now time.Duration) bool { return m.Changes(now, records, at) })
+	return nil
+}
+
+// take works news in and publishes a view when they matter.
+func (c *Controller) take(currentAt time.Duration, apply func(*mirror.Mirror, time.Duration) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Now()
+	c.mirror.StoreAnswered(now)
+	c.currentAt = max(c.currentAt, currentAt)
+	due := c.mirror.NextChange(now) > 0
+	if apply(c.mirror, now) || due || !c.known {
+		c.known = true
+		c.publish(now)
+	}
+}
+
+func (c *Controller) publish(now time.Duration) {
+	view := c.mirror.View(now)
+	before := c.out.Get()
+	if view.Config != nil && (before == nil || before.Config == nil || before.Config.Version != view.Config.Version) {
+		c.cfg.Log.Info("configuration in force", "version", view.Config.Version, "revision", view.Revision, "routes", len(view.Config.Routes))
+	}
+	c.out.Publish(view)
+}
+
+// note logs when the store is lost and when it is back.
+func (c *Controller) note(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	gone := err != nil && failure.KindOf(err) != failure.KindHistoryGone
+	if gone {
+		c.mirror.StoreLost()
+	}
+	if gone == c.lost {
+		return
+	}
+	c.lost = gone
+	if gone {
+		c.cfg.Log.Warn("store lost", "error", err, "revision", c.mirror.Revision())
+		return
+	}
+	c.cfg.Log.Info("store back", "revision", c.mirror.Revision())
+}
+
+// Revision is the store's revision up to which all changes are known here.
+func (c *Controller) Revision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mirror.Revision()
+}
+
+// CurrentAt gives the latest moment, on the steady clock, of which it is known
+// that nothing newer had been published than is believed here.
+func (c *Controller) CurrentAt() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.currentAt
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/decide/mirror/mirror.go
@@ -0,0 +1,246 @@
+// Package mirror keeps what is published as this process believes it: the
+// newest record of each key, put together from the store and from other
+// processes.
+//
+// Load pattern: the store turns some hosts away, or is down, while keys of
+// client accounts are taken back and targets leave; every host reads the same
+// records at the same time.
+//
+// What happens without it: a host that the store refuses acts on an old
+// version while its neighbours hold the new one. One sees requests refused or
+// served against an edit that has been in force elsewhere for seconds.
+//
+// How it works: the store numbers all its changes with one counter, so the
+// record with the higher revision is the newer one wherever it was heard. A
+// removal is a record as well. Merging is then the same in any order and any
+// number of times, and needs neither clocks nor agreement.
+//
+// It is not safe for concurrent use.
+package mirror
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"filbertdeck/internal/directory"
+)
+
+// Config holds the figures; both are times on the steady clock.
+type Config struct {
+	// ReturnGrace is how long after the store's return a target whose entry is
+	// gone is still taken for alive: entries lapse with the store and come
+	// back within about two seconds.
+	ReturnGrace time.Duration
+	// KeepGone is how long a removal is remembered. It must be longer than a
+	// process can go on telling the removed record to others.
+	KeepGone time.Duration
+}
+
+// Defaults of Config.
+const (
+	// DefaultReturnGrace: entries are back within about two seconds.
+	DefaultReturnGrace = 2200 * time.Millisecond
+	// DefaultKeepGone covers any partition after which hosts rejoin by gossip
+	// alone; the reader's whole readings cover the rest.
+	DefaultKeepGone = 5 * time.Minute
+)
+
+// Mirror holds the newest records.
+type Mirror struct {
+	cfg     Config
+	records map[string]entry
+	// revision is the newest revision up to which everything is known.
+	revision uint64
+	config   *directory.Config
+	seen     map[string]*directory.Seen
+	// returned is when the store last answered after it had been away.
+	returned time.Duration
+	away     bool
+}
+
+type entry struct {
+	directory.Record
+	heard time.Duration
+}
+
+// New returns an empty mirror.
+func New(cfg Config) *Mirror {
+	if cfg.ReturnGrace == 0 {
+		cfg.ReturnGrace = DefaultReturnGrace
+	}
+	if cfg.KeepGone == 0 {
+		cfg.KeepGone = DefaultKeepGone
+	}
+	return &Mirror{cfg: cfg, records: map[string]entry{}, seen: map[string]*directory.Seen{}, returned: -cfg.ReturnGrace}
+}
+
+// Revision is the store's revision up to which all changes are known here.
+func (m *Mirror) Revision() uint64 { return m.revision }
+
+// StoreLost notes that the store did not answer.
+func (m *Mirror) StoreLost() { m.away = true }
+
+// StoreAnswered notes that the store answered; it starts the grace for lapsed
+// entries when the store had been away.
+func (m *Mirror) StoreAnswered(now time.Duration) {
+	if m.away {
+		m.away = false
+		m.returned = now
+	}
+}
+
+// Whole takes a complete reading that was begun at a revision: what it lacks
+// was removed by then. It tells whether anything changed that matters to
+// requests.
+func (m *Mirror) Whole(now time.Duration, records []directory.Record, at uint64) bool {
+	named := make(map[string]bool, len(records))
+	for _, r := range records {
+		named[r.Key] = true
+	}
+	changed := false
+	for key, e := range m.records {
+		if !named[key] && !e.Gone && e.Revision <= at {
+			changed = m.put(now, directory.Record{Key: key, Revision: at, Gone: true}) || changed
+		}
+	}
+	return m.Changes(now, records, at) || changed
+}
+
+// Changes takes records; at is the revision up to which they complete what was
+// known, 0 when they don't say.
+func (m *Mirror) Changes(now time.Duration, records []directory.Record, at uint64) bool {
+	changed := false
+	for _, r := range records {
+		changed = m.put(now, r) || changed
+	}
+	m.revision = max(m.revision, at)
+	return changed
+}
+
+// put keeps a record that is newer than the one known and tells whether it
+// matters to requests: a heartbeat that only counts up does not.
+func (m *Mirror) put(now time.Duration, r directory.Record) bool {
+	old, known := m.records[r.Key]
+	if known && old.Revision >= r.Revision {
+		return false
+	}
+	if r.Fault != "" && old.Config != nil {
+		// An unreadable configuration takes nothing away: the last one holds.
+		r.Config = old.Config
+	}
+	m.records[r.Key] = entry{r, now}
+	switch {
+	case r.Config != nil:
+		return m.takeConfig(r.Config)
+	case r.Target != nil:
+		return m.takeTarget(now, r.Target)
+	case old.Target != nil:
+		return true
+	}
+	return r.DrainedOut != "" || old.DrainedOut != ""
+}
+
+// takeConfig never goes back: versions only rise.
+func (m *Mirror) takeConfig(c *directory.Config) bool {
+	if m.config != nil && m.config.Version >= c.Version {
+		return false
+	}
+	m.config = c
+	return true
+}
+
+// takeTarget follows a target's lives: one that started anew is another one,
+// also under the same id.
+func (m *Mirror) takeTarget(now time.Duration, t *directory.Target) bool {
+	old := m.seen[t.ID]
+	next := &directory.Seen{Target: *t, Since: now, Listed: true}
+	if t.ColdFor > 0 {
+		next.ColdUntil = now + t.ColdFor
+	}
+	if old != nil && old.Started == t.Started {
+		next.Since = old.Since
+		if t.ColdFor > 0 && old.ColdUntil > 0 {
+			next.ColdUntil = min(old.ColdUntil, next.ColdUntil)
+		}
+	}
+	m.seen[t.ID] = next
+	return old == nil || old.Target != *t && !sameStanding(old, next) || !old.Listed
+}
+
+// sameStanding tells whether two records of a target mean the same to
+// requests.
+func sameStanding(a, b *directory.Seen) bool {
+	x, y := a.Target, b.Target
+	x.ColdFor, y.ColdFor = 0, 0
+	return x == y && (a.ColdUntil > 0) == (b.ColdUntil > 0)
+}
+
+// Since gives the records that are newer than a revision, removals included,
+// in the order of their revisions.
+func (m *Mirror) Since(revision uint64) []directory.Record {
+	var out []directory.Record
+	for _, e := range m.records {
+		if e.Revision > revision {
+			out = append(out, e.Record)
+		}
+	}
+	slices.SortFunc(out, func(a, b directory.Record) int { return int(int64(a.Revision - b.Revision)) })
+	return out
+}
+
+// View builds the picture that requests are decided with.
+func (m *Mirror) View(now time.Duration) *directory.View {
+	m.forget(now)
+	targets := map[string]*directory.Seen{}
+	var drained []string
+	for _, e := range m.records {
+		switch {
+		case e.Gone:
+		case e.DrainedOut != "":
+			drained = append(drained, e.DrainedOut)
+		}
+	}
+	for id, s := range m.seen {
+		targets[id] = m.standing(now, s)
+	}
+	slices.SortFunc(drained, strings.Compare)
+	return directory.NewView(m.revision, m.config, targets, drained)
+}
+
+// standing gives a target with whether its entry stands. An entry that went
+// while the store was away counts as standing for the grace after its return.
+func (m *Mirror) standing(now time.Duration, s *directory.Seen) *directory.Seen {
+	e := m.records[TargetKey(s.ID)]
+	if e.Target != nil && !e.Gone {
+		return s
+	}
+	out := *s
+	lapsed := e.Gone && e.heard >= m.returned && e.heard < m.returned+m.cfg.ReturnGrace
+	out.Listed = lapsed && now < m.returned+m.cfg.ReturnGrace
+	return &out
+}
+
+// NextChange is the time at which the view changes by itself, 0 when it does
+// not.
+func (m *Mirror) NextChange(now time.Duration) time.Duration {
+	if end := m.returned + m.cfg.ReturnGrace; now < end {
+		return end
+	}
+	return 0
+}
+
+// forget drops removals and targets that nobody can bring back any more.
+func (m *Mirror) forget(now time.Duration) {
+	for key, e := range m.records {
+		if e.Gone && now-e.heard > m.cfg.KeepGone {
+			delete(m.records, key)
+			delete(m.seen, strings.TrimPrefix(key, targetPrefix))
+		}
+	}
+}
+
+const targetPrefix = "target/"
+
+// TargetKey is the key of a target's record.
+func TargetKey(id string) string { return targetPrefix + id }
--- /dev/null
+++ b/internal/decide/placement/placement.go
@@ -0,0 +1,71 @@
+// Package placement chooses the target of a request among those that may take
+// it.
+//
+// Load pattern: prompts of some thousand tokens arrive at a few engines whose
+// memory holds about eight of them, beside short lookups at plain services
+// with six places each; several hosts choose at the same time.
+//
+// What happens without it: with a random choice one engine in nine soon holds
+// twice the mean, its memory runs out and generations are preempted in the
+// middle of their streams. One sees pauses of seconds at one engine while
+// others have half of their memory free.
+//
+// How it works: the target with the largest share of free memory, or of free
+// places where there is no memory to fill, as this host knows it: what it has
+// running there itself and what other hosts told. Targets in the own data
+// centre win among about equals, since bytes between data centres cost.
+//
+// The functions are pure.
+package placement
+
+// Candidate is a target that may take the request.
+type Candidate struct {
+	ID string
+	// Local targets are in the own data centre.
+	Local bool
+	// Running requests of all hosts, as far as is known.
+	Running int
+	Slots   int
+	// Tokens are in the target's memory or will be, of all hosts; Memory is
+	// its size, 0 for plain services.
+	Tokens, Memory int
+	// Penalty is added to the load: a target that failed lately is taken only
+	// when the others are that much fuller.
+	Penalty float64
+}
+
+// remoteCharge is the share of fullness by which a local target may be worse
+// than a remote one. A generation's events are some 75 KB, small against its
+// worth; a few hundredths only decide among equals.
+const remoteCharge = 0.03
+
+// Load is a target's fullness once it has the request: 1 is full.
+func Load(c Candidate, tokens int) float64 {
+	load := float64(c.Running+1) / float64(max(c.Slots, 1))
+	if c.Memory > 0 {
+		load = max(load, float64(c.Tokens+tokens)/float64(c.Memory))
+	}
+	if !c.Local {
+		load += remoteCharge
+	}
+	return load + c.Penalty
+}
+
+// Choose gives the index of the least loaded candidate for a request of so
+// many tokens, -1 when there is none. draw in [0, 1) breaks ties, so that
+// hosts that know the same don't all choose the same.
+func Choose(candidates []Candidate, tokens int, draw float64) int {
+	if len(candidates) == 0 {
+		return -1
+	}
+	best, bestLoad := -1, 0.0
+	first := int(draw * float64(len(candidates)))
+	for i := range candidates {
+		at := (first + i) % len(candidates)
+		load := Load(candidates[at], tokens)
+		if best < 0 || load < bestLoad {
+			best, bestLoad = at, load
+		}
+	}
+	return best
+}
--- a/internal/decide/retrybudget/budget.go
+++ b/internal/decide/retrybudget/budget.go
@@ -49,14 +49,16 @@
 	defaultBurst      = 10
 	defaultTrickle    = 0.2
 	defaultMaxBuckets = 4096
-	// serviceBurst is a service's burst in units of an account's.
-	serviceBurst = 10
+	// ServiceBurst is a service's burst in units of an account's.
+	ServiceBurst = 10
+	// NoTrickle, as a Config's Trickle, adds nothing with time.
+	NoTrickle = -1
 )
 
 func (c Config) withDefaults() Config {
 	c.Share = cmp.Or(c.Share, defaultShare)
 	c.Burst = cmp.Or(c.Burst, defaultBurst)
-	c.Trickle = cmp.Or(c.Trickle, defaultTrickle)
+	c.Trickle = max(cmp.Or(c.Trickle, defaultTrickle), 0)
 	c.MaxBuckets = cmp.Or(c.MaxBuckets, defaultMaxBuckets)
 	return c
 }
@@ -186,7 +188,7 @@
 	}
 	burst, trickle := b.cfg.Burst, b.cfg.Trickle
 	if k.Account == "" {
-		burst, trickle = burst*serviceBurst, trickle*serviceBurst
+		burst, trickle = burst*ServiceBurst, trickle*ServiceBurst
 	}
 	bucket := NewBucket(now, burst, trickle)
 	b.buckets[k] = bucket
--- /dev/null
+++ b/internal/directory/view.go
@@ -0,0 +1,133 @@
+package directory
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// View is an immutable picture of everything published.
+type View struct {
+	// Revision is the store's newest revision that the view covers.
+	Revision uint64
+	// Config is nil until a configuration is known.
+	Config   *Config
+	services map[string]*Service
+	accounts map[string]*Account
+	routes   map[string][]*Route
+	targets  map[string]*Seen
+	pools    map[string][]*Seen
+	drained  map[string]bool
+}
+
+// Seen is a target with the moment at which this process first saw it in its
+// present life, on the process's steady clock.
+type Seen struct {
+	Target
+	Since time.Duration
+	// ColdUntil is when the target says it is warm, on the steady clock.
+	ColdUntil time.Duration
+	// Listed is false once the target's item is gone; it is kept for those
+	// requests that still run there.
+	Listed bool
+}
+
+// NewView builds a view. Targets are keyed by id.
+func NewView(revision uint64, cfg *Config, targets map[string]*Seen, drained []string) *View {
+	v := &View{
+		Revision: revision, Config: cfg, targets: targets, services: map[string]*Service{},
+		accounts: map[string]*Account{}, routes: map[string][]*Route{}, pools: map[string][]*Seen{},
+		drained: map[string]bool{},
+	}
+	for _, dc := range drained {
+		v.drained[dc] = true
+	}
+	for _, t := range targets {
+		v.pools[t.Service] = append(v.pools[t.Service], t)
+	}
+	for _, pool := range v.pools {
+		slices.SortFunc(pool, func(a, b *Seen) int { return strings.Compare(a.ID, b.ID) })
+	}
+	if cfg != nil {
+		v.index(cfg)
+	}
+	return v
+}
+
+func (v *View) index(cfg *Config) {
+	for i := range cfg.Services {
+		v.services[cfg.Services[i].Name] = &cfg.Services[i]
+	}
+	for i := range cfg.Accounts {
+		for _, key := range cfg.Accounts[i].Keys {
+			v.accounts[key] = &cfg.Accounts[i]
+		}
+	}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		v.routes[r.Host] = append(v.routes[r.Host], r)
+	}
+	for _, routes := range v.routes {
+		// The longest prefix that fits wins, so it has to be met first.
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+}
+
+// Route gives the route of a host and path: the longest prefix that fits.
+func (v *View) Route(host, path string) (*Route, bool) {
+	for _, r := range v.routes[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// NeedsKey tells whether the requests of a route need a client account's key.
+func (v *View) NeedsKey(r *Route) bool { return v.Config.Accounts != nil && !r.Public }
+
+// Account gives the client account that holds a key.
+func (v *View) Account(key string) (*Account, bool) {
+	a, ok := v.accounts[key]
+	return a, ok
+}
+
+// Service gives a service by name.
+func (v *View) Service(name string) (*Service, bool) {
+	s, ok := v.services[name]
+	return s, ok
+}
+
+// Target gives a target by id.
+func (v *View) Target(id string) (*Seen, bool) {
+	t, ok := v.targets[id]
+	return t, ok
+}
+
+// Pool gives a service's targets, leaving and drained ones included, in the
+// order of their ids. The caller must not change it.
+func (v *View) Pool(service string) []*Seen { return v.pools[service] }
+
+// Drained tells whether operators have taken a data centre out.
+func (v *View) Drained(dataCentre string) bool { return v.drained[dataCentre] }
+
+// TakesNew tells whether a target may get new work as far as is published.
+func (v *View) TakesNew(t *Seen) bool {
+	return t.Listed && !t.Leaving && !v.drained[t.DataCentre]
+}
+
+// Pick chooses one of a route's backends by weight; draw is in [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, b := range r.Backends {
+		total += b.Weight
+	}
+	left := draw * float64(total)
+	for _, b := range r.Backends {
+		left -= float64(b.Weight)
+		if left < 0 {
+			return b.Service
+		}
+	}
+	return r.Backends[len(r.Backends)-1].Service
+}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -57,7 +57,10 @@
 	KindTableInvalid     Kind = "table-invalid"
 	KindSettingInvalid   Kind = "setting-invalid"
 	KindConfigUnreadable Kind = "configuration-unreadable"
-	KindInternal         Kind = "internal"
+	// KindHistoryGone: the configuration service no longer knows the changes
+	// that were asked for; read it whole.
+	KindHistoryGone Kind = "history-gone"
+	KindInternal    Kind = "internal"
 )
 
 // Executed says whether the request ran at a target.
@@ -185,6 +188,7 @@
 	KindTableInvalid:     http.StatusUnprocessableEntity,
 	KindSettingInvalid:   http.StatusBadRequest,
 	KindConfigUnreadable: http.StatusServiceUnavailable,
+	KindHistoryGone:      http.StatusServiceUnavailable,
 	KindInternal:         http.StatusInternalServerError,
 }
 
--- a/internal/failure/problem.go
+++ b/internal/failure/problem.go
@@ -43,6 +43,14 @@
 // Write answers a request with the failure's problem document.
 func Write(w http.ResponseWriter, err error) {
 	e := From(err)
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	WriteProblem(w, e)
+}
+
+// WriteProblem is Write for callers that set Retry-After themselves.
+func WriteProblem(w http.ResponseWriter, e *Error) {
 	body, marshalErr := json.Marshal(e.Problem())
 	if marshalErr != nil {
 		body = []byte(`{"type":"` + typePrefix + string(KindInternal) + `","executed":"unknown"}`)
@@ -50,9 +58,6 @@
 	h := w.Header()
 	h.Set("Content-Type", ProblemType)
 	h.Set("Cache-Control", "no-store")
-	if e.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
-	}
 	w.WriteHeader(e.Status())
 	_, _ = w.Write(append(body, '\n'))
 }
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,225 @@
+// Package gateway relays callers' requests to targets as operators route them:
+// byte for byte, each at most as often as its route allows, and with one
+// honest answer.
+//
+// It serves deployments whose callers speak to targets directly, through
+// routes by host and path prefix; internal/entry serves the product's own
+// completions interface.
+package gateway
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/controller/published"
+	"filbertdeck/internal/decide/retrybudget"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/failure"
+	"filbertdeck/internal/targetclient"
+)
+
+// Figures of the relaying.
+const (
+	// notReadyRetry is told to callers of a process that knows no
+	// configuration yet: it takes a reading of the store, some milliseconds,
+	// and the balancer sends the next try elsewhere.
+	notReadyRetry = 300 * time.Millisecond
+	// noTargetRetry is told when no target may get the request: entries that
+	// lapsed are back within about two seconds, an engine that left is
+	// replaced within a few.
+	noTargetRetry = time.Second
+	// answerMargin is kept of a client's patience for the way back.
+	answerMargin = 10 * time.Millisecond
+	// defaultPatience stands in for clients that name no time to wait on
+	// routes without a timeout.
+	defaultPatience = time.Minute
+)
+
+// Config holds what a gateway works with.
+type Config struct {
+	Dialect call.Dialect
+	Engines call.Engines
+	Board   *published.Board
+	Loads   *Loads
+	Budget  *retrybudget.Budget
+	Client  *targetclient.Once
+	Log     *slog.Logger
+	Metrics gometrics.Registry
+	// Now is the steady clock of the process.
+	Now func() time.Duration
+}
+
+// Gateway answers callers. It is an http.Handler, safe for concurrent use.
+type Gateway struct {
+	cfg  Config
+	runs *runs
+}
+
+// New returns a gateway.
+func New(cfg Config) *Gateway { return &Gateway{cfg: cfg, runs: newRuns()} }
+
+// exchange is one caller's request on its way.
+type exchange struct {
+	*call.Request
+	w       http.ResponseWriter
+	view    *directory.View
+	route   *directory.Route
+	service *directory.Service
+	account *directory.Account
+	// deadline is when the caller gets its final answer at the latest.
+	deadline time.Time
+	tokens   int
+}
+
+// ServeHTTP relays one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	view := g.cfg.Board.View.Get()
+	if view == nil || view.Config == nil {
+		g.refuse(w, "", failure.New(failure.KindNotReady, "no configuration is known yet").After(notReadyRetry))
+		return
+	}
+	body, err := readBody(r, view.Config.Limits.BodyBytes)
+	if err != nil {
+		g.refuse(w, "", err)
+		return
+	}
+	req, err := g.cfg.Dialect.ReadRequest(r, body, arrived)
+	if err != nil {
+		g.refuse(w, "", err)
+		return
+	}
+	x := &exchange{Request: req, w: w, view: view}
+	if err := g.admit(x); err != nil {
+		g.refuse(w, req.ID, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	if x.route.Kind == directory.Generation {
+		g.generate(ctx, x)
+		return
+	}
+	g.plain(ctx, x)
+}
+
+// readBody reads all of a body: it may have to be sent again, and a target
+// must never get less of it than the caller sent.
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	if limit <= 0 {
+		limit = defaultBodyLimit
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.KindBadRequest, "the request's body was cut")
+	}
+	if int64(len(body)) > limit {
+		return nil, failure.New(failure.KindBodyTooLarge, "the request's body is longer than %d bytes", limit)
+	}
+	return body, nil
+}
+
+// defaultBodyLimit holds while operators name none.
+const defaultBodyLimit = 4 << 20
+
+// admit finds the request's route and account.
+func (g *Gateway) admit(x *exchange) error {
+	var found bool
+	if x.route, found = x.view.Route(x.Host, x.Path); !found {
+		return failure.New(failure.KindNotFound, "no route for this host and path")
+	}
+	if x.view.NeedsKey(x.route) {
+		if x.account, found = x.view.Account(x.Key); !found {
+			return failure.New(failure.KindUnauthorized, "unknown key")
+		}
+	}
+	name := x.route.Pick(rand.Float64())
+	if x.service, found = x.view.Service(name); !found {
+		return failure.New(failure.KindNoTarget, "service %q of the route is not configured", name).After(noTargetRetry)
+	}
+	patience := x.Patience
+	if patience == 0 {
+		patience = defaultPatience
+	}
+	if x.route.Timeout > 0 {
+		patience = min(patience, x.route.Timeout)
+	}
+	x.deadline = x.Arrived.Add(patience - answerMargin)
+	x.tokens = tokensOf(x.Prompt)
+	return nil
+}
+
+// send makes a sending of the request to a target.
+func (x *exchange) send(target *directory.Seen) *call.Send {
+	s := &call.Send{Request: x.Request, Target: target.Target, Left: time.Until(x.deadline), Priority: -1}
+	if x.account != nil {
+		s.Account = x.account.Name
+	}
+	if x.service.Engine != nil {
+		s.Priority = x.priority()
+	}
+	return s
+}
+
+// priority is the account's where it has one, else the route's.
+func (x *exchange) priority() int {
+	p := x.route.Priority
+	if x.account != nil && x.account.Priority != nil {
+		p = *x.account.Priority
+	}
+	return min(max(p, 0), mostPriority)
+}
+
+// mostPriority is the least urgent rank that targets know.
+const mostPriority = 9
+
+// budgetKey names the service alone: the bound on sending again is a
+// service's.
+func (x *exchange) budgetKey() retrybudget.Key {
+	return retrybudget.Key{Account: accountName(x.account), Service: x.service.Name}
+}
+
+func accountName(a *directory.Account) string {
+	if a == nil {
+		return "-"
+	}
+	return a.Name
+}
+
+// Refuse answers a request that was not begun, such as while the process
+// stops.
+func (g *Gateway) Refuse(w http.ResponseWriter, r *http.Request, err error) {
+	id := ""
+	if req, readErr := g.cfg.Dialect.ReadRequest(r, nil, time.Now()); readErr == nil {
+		id = req.ID
+	}
+	g.refuse(w, id, err)
+}
+
+// refuse answers a request that the system itself ends. A status that promises
+// that the request has not run is only given where that is certain.
+func (g *Gateway) refuse(w http.ResponseWriter, id string, err error) {
+	f := failure.From(err)
+	if promises(f.Status()) && f.Executed != failure.ExecutedNo {
+		f = failure.Wrap(f, failure.KindOutcomeUnknown, "the request may have run").Unknown()
+	}
+	gometrics.GetOrRegisterCounter("gateway.refused."+string(f.Kind), g.cfg.Metrics).Inc(1)
+	g.cfg.Log.Info("request refused", "request", id, "kind", f.Kind, "executed", f.Executed, "retry_after", f.RetryAfter, "cause", f.Error())
+	g.cfg.Dialect.WriteFailure(w, id, f)
+}
+
+// promises tells whether a status says that the request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/gateway/generation.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/failure"
+	"filbertdeck/internal/sse"
+)
+
+// fullRetry is told when an engine is full: a generation ends there every few
+// hundred milliseconds.
+const fullRetry = 300 * time.Millisecond
+
+// generation is one stream on its way from an engine to its caller.
+type generation struct {
+	*exchange
+	g *Gateway
+	// begun is set once the caller has the header of the answer.
+	begun bool
+	// lastID is the id of the last whole event that the caller got.
+	lastID string
+	events int
+
+	mu sync.Mutex
+	// at is the target where the generation runs.
+	at *directory.Seen
+	// move is the move away from there, in progress or done; nil when there is
+	// none.
+	move *move
+}
+
+// leg is one engine's part of a stream.
+type leg struct {
+	target  *directory.Seen
+	resp    *http.Response
+	release func()
+	cancel  context.CancelFunc
+}
+
+// errEnded marks the regular end of a stream.
+var errEnded = failure.New(failure.KindInternal, "the stream has ended")
+
+// generate relays a generation.
+func (g *Gateway) generate(ctx context.Context, x *exchange) {
+	gen := &generation{exchange: x, g: g}
+	g.cfg.Budget.First(g.cfg.Now(), x.budgetKey())
+	g.runs.add(gen)
+	defer g.runs.remove(gen)
+	l, err := gen.start(ctx)
+	for l != nil {
+		err = gen.relay(l)
+		l.close()
+		if err == errEnded || ctx.Err() != nil {
+			break
+		}
+		l, err = gen.goOn(ctx, err)
+	}
+	gen.finish(ctx, err)
+}
+
+func (l *leg) close() {
+	l.cancel()
+	_ = l.resp.Body.Close()
+	l.release()
+}
+
+// start sends the request to an engine, to another one when the first did not
+// run it and the route allows that.
+func (gen *generation) start(ctx context.Context) (*leg, error) {
+	var avoid []string
+	var last error
+	for attempt := 1; ; attempt++ {
+		target, release, ok := gen.g.cfg.Loads.Acquire(gen.view, gen.service.Name, gen.tokens, avoid)
+		if !ok {
+			break
+		}
+		l, err := gen.open(ctx, gen.send(target), target, release)
+		if err == nil {
+			return l, nil
+		}
+		if moved, moveErr := gen.goOn(ctx, err); moved != nil {
+			return moved, moveErr
+		}
+		last = err
+		if errors.Is(err, errAnswered) || !gen.g.again(ctx, gen.exchange, true, err, attempt) {
+			break
+		}
+		avoid = append(avoid, target.ID)
+	}
+	if last == nil {
+		last = failure.New(failure.KindNoTarget, "no engine of %s may get work", gen.service.Name).After(noTargetRetry)
+	}
+	return nil, last
+}
+
+// open sends the request to an engine and waits for the answer's header.
+func (gen *generation) open(ctx context.Context, s *call.Send, target *directory.Seen, release func()) (*leg, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	gen.mu.Lock()
+	gen.at, gen.move = target, nil
+	gen.mu.Unlock()
+	resp, answer, err := gen.g.open(ctx, s)
+	if err == nil && answer.Status != http.StatusOK {
+		gen.pass(resp)
+		err = errAnswered
+	}
+	if err != nil {
+		gen.g.blame(ctx, target.ID, err)
+		cancel()
+		release()
+		return nil, err
+	}
+	return &leg{target: target, resp: resp, release: release, cancel: cancel}, nil
+}
+
+// errAnswered says that the engine's own failure is the answer.
+var errAnswered = failure.New(failure.KindTargetFailed, "the engine answered with a failure").Ran()
+
+// pass hands an engine's own failure to the caller, if nothing was sent yet.
+func (gen *generation) pass(resp *http.Response) {
+	defer func() { _ = resp.Body.Close() }()
+	if gen.begun {
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainAnswer))
+	if err != nil {
+		return
+	}
+	gen.begun = true
+	gen.g.answer(gen.exchange, &whole{Answer: call.Answer{Status: resp.StatusCode}, header: resp.Header, body: body})
+}
+
+// relay passes events on, whole ones only, until the engine's part ends.
+func (gen *generation) relay(l *leg) error {
+	gen.begin(l.resp)
+	split := sse.NewSplitter(l.resp.Body, 0)
+	var block sse.Block
+	for {
+		if err := split.Next(&block); err != nil {
+			if errors.Is(err, io.EOF) {
+				return errEnded
+			}
+			return err
+		}
+		if _, err := gen.w.Write(block.Raw); err != nil {
+			return failure.Wrap(err, failure.KindTargetLost, "the caller is gone")
+		}
+		if f, ok := gen.w.(http.Flusher); ok {
+			f.Flush()
+		}
+		if block.ID != nil {
+			gen.lastID = string(block.ID)
+		}
+		gen.events++
+	}
+}
+
+// begin gives the caller the header of the first engine's answer.
+func (gen *generation) begin(resp *http.Response) {
+	if gen.begun {
+		return
+	}
+	gen.begun = true
+	h := gen.w.Header()
+	gen.g.cfg.Dialect.CopyHeader(h, resp.Header)
+	h.Del("Content-Length")
+	gen.w.WriteHeader(resp.StatusCode)
+}
+
+// finish ends the answer: whole, or so that it can't be taken for whole.
+func (gen *generation) finish(ctx context.Context, err error) {
+	if err == errEnded || errors.Is(err, errAnswered) {
+		return
+	}
+	if !gen.begun {
+		gen.g.refuse(gen.w, gen.ID, err)
+		return
+	}
+	gen.g.cfg.Log.Info("generation broke", "request", gen.ID, "target", gen.at.ID, "events", gen.events, "caller_left", ctx.Err() != nil, "cause", err)
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/gateway/plain.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/failure"
+)
+
+// maxPlainAnswer bounds an answer that is held until it is whole, in bytes.
+const maxPlainAnswer = 8 << 20
+
+// whole is a target's complete answer.
+type whole struct {
+	call.Answer
+	header http.Header
+	body   []byte
+}
+
+// plain relays a request of a plain service. The answer is passed on once it
+// is whole: one that breaks off must not look complete, and a repeatable
+// request may be sent elsewhere instead.
+func (g *Gateway) plain(ctx context.Context, x *exchange) {
+	g.cfg.Budget.First(g.cfg.Now(), x.budgetKey())
+	var avoid []string
+	var last error
+	var answer *whole
+	for attempt := 1; ; attempt++ {
+		target, release, ok := g.cfg.Loads.Acquire(x.view, x.service.Name, 0, avoid)
+		if !ok {
+			break
+		}
+		answer, last = g.try(ctx, x, target)
+		release()
+		if !g.again(ctx, x, failed(answer, last), last, attempt) {
+			break
+		}
+		avoid = append(avoid, target.ID)
+	}
+	switch {
+	case answer != nil:
+		g.answer(x, answer)
+	case last != nil:
+		g.refuse(x.w, x.ID, last)
+	default:
+		g.refuse(x.w, x.ID, failure.New(failure.KindNoTarget, "no target of %s may get work", x.service.Name).After(noTargetRetry))
+	}
+}
+
+// failed tells whether asking another target may bring a better answer.
+func failed(answer *whole, err error) bool {
+	return err != nil || answer.Status >= http.StatusInternalServerError
+}
+
+// again decides whether a request is sent to another target: only if it has
+// certainly not run or may be repeated, the route allows another target, and
+// the budget of such sends has one left.
+func (g *Gateway) again(ctx context.Context, x *exchange, failed bool, err error, attempt int) bool {
+	if !failed || ctx.Err() != nil || attempt >= x.route.Attempts {
+		return false
+	}
+	notRun := err != nil && failure.From(err).Executed == failure.ExecutedNo
+	repeatable := x.route.Kind == directory.Repeatable || x.route.Resumable
+	if !notRun && !repeatable {
+		return false
+	}
+	return g.cfg.Budget.Retry(g.cfg.Now(), x.budgetKey())
+}
+
+// try sends a request to one target. The error says whether it ran; an answer
+// without error is the target's own, also when it is a failure.
+func (g *Gateway) try(ctx context.Context, x *exchange, target *directory.Seen) (*whole, error) {
+	resp, answer, err := g.open(ctx, x.send(target))
+	if err != nil {
+		g.blame(ctx, target.ID, err)
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainAnswer+1))
+	if err != nil {
+		err = failure.Wrap(err, failure.KindTargetLost, "the answer broke off").Unknown()
+	} else if len(body) > maxPlainAnswer {
+		err = failure.New(failure.KindTargetFailed, "the answer is longer than %d bytes", maxPlainAnswer).Unknown()
+	}
+	if err != nil {
+		g.blame(ctx, target.ID, err)
+		return nil, err
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		g.cfg.Loads.Failed(target.ID)
+	}
+	return &whole{Answer: answer, header: resp.Header, body: body}, nil
+}
+
+// open sends a request and checks the header of its answer. A target that says
+// that it did not run the request gives a failure that says so.
+func (g *Gateway) open(ctx context.Context, s *call.Send) (*http.Response, call.Answer, error) {
+	req, err := g.cfg.Dialect.WriteSend(ctx, s)
+	if err != nil {
+		return nil, call.Answer{}, err
+	}
+	resp, err := g.cfg.Client.Do(req, ctx.Err)
+	if err != nil {
+		return nil, call.Answer{}, err
+	}
+	answer := g.cfg.Dialect.ReadAnswer(resp)
+	if err := check(s, answer); err != nil {
+		_ = resp.Body.Close()
+		return nil, answer, err
+	}
+	return resp, answer, nil
+}
+
+// check tells what is wrong with an answer's header, nil when it is the
+// target's answer to this request.
+func check(s *call.Send, a call.Answer) error {
+	switch {
+	case a.NotRun && a.Status >= http.StatusBadRequest:
+		return failure.New(failure.KindOverloaded, "target %s did not run the request (status %d)", s.Target.ID, a.Status).After(max(a.RetryAfter, fullRetry))
+	case a.Echo != s.ID:
+		return failure.New(failure.KindFrameOutOfPlace, "target %s answered another request", s.Target.ID).Unknown()
+	case a.Status < http.StatusMultipleChoices && !a.Sealed:
+		return failure.New(failure.KindTargetFailed, "target %s answered without its mark", s.Target.ID).Unknown()
+	}
+	return nil
+}
+
+// blame counts a failure against a target, unless the caller's leaving or
+// deadline caused it.
+func (g *Gateway) blame(ctx context.Context, target string, err error) {
+	if ctx.Err() == nil {
+		g.cfg.Loads.Failed(target)
+		g.cfg.Log.Debug("target failed", "target", target, "cause", err)
+	}
+}
+
+// answer passes a target's answer on.
+func (g *Gateway) answer(x *exchange, a *whole) {
+	h := x.w.Header()
+	g.cfg.Dialect.CopyHeader(h, a.header)
+	if x.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+	x.w.WriteHeader(a.Status)
+	_, _ = x.w.Write(a.body)
+}
--- /dev/null
+++ b/internal/gatewayhost/module.go
@@ -0,0 +1,157 @@
+package gatewayhost
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"filbertdeck/internal/controller/published"
+	"filbertdeck/internal/decide/retrybudget"
+	"filbertdeck/internal/entry/lifecycle"
+	"filbertdeck/internal/failure"
+	"filbertdeck/internal/gateway"
+	"filbertdeck/internal/metrics"
+	"filbertdeck/internal/process"
+	"filbertdeck/internal/targetclient"
+)
+
+// Figures of the process.
+const (
+	// stopMargin is kept of the grace between the signal and the kill, for the
+	// last bytes and the exit.
+	stopMargin = 400 * time.Millisecond
+	// stopNotice is how long a stopping process goes on taking callers after
+	// it says that it isn't ready: the balancer asks once a second.
+	stopNotice = time.Second
+	// answerLimit bounds a target's answer; the caller's own patience is
+	// shorter and ends the request first.
+	answerLimit = 10 * time.Minute
+	// targetDial bounds a new connection to a target: links take a few
+	// milliseconds, a lost packet is sent again after about a second.
+	targetDial = 700 * time.Millisecond
+	// idleLimit closes callers' connections that bring nothing. Callers reuse
+	// them up to four fifths of what operators publish, at most a minute.
+	idleLimit = 2 * time.Minute
+	// headerLimit bounds a caller's sending of a request's header.
+	headerLimit = 10 * time.Second
+	// maxHeader bounds a request's header in bytes.
+	maxHeader = 64 << 10
+	// assumedHosts share the bounds that hold over all hosts while nobody
+	// knows how many there are: shares that are too small only cost a few
+	// sends, shares that are too large break the bound.
+	assumedHosts = 8
+)
+
+// Clock is the steady clock of the process, from its start.
+type Clock func() time.Duration
+
+// Options build the program from its settings.
+func (s *Settings) Options() []fx.Option {
+	return []fx.Option{
+		fx.Supply(s),
+		fx.Provide(newClock, newBoard, newPublished, newLoads, newBudget, newGateway, newLifecycle),
+		fx.Invoke(runPublished, runGateway, serveMetrics, serveReady, serveCallers),
+	}
+}
+
+func newClock() Clock {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
+
+func newBoard() *published.Board { return &published.Board{} }
+
+func newPublished(s *Settings, b *published.Board, now Clock, log *slog.Logger, reg gometrics.Registry) (*published.Controller, error) {
+	return published.New(published.Config{Source: s.Deployment.Source, Log: log, Metrics: reg, Now: now}, b)
+}
+
+func newLoads(s *Settings, now Clock) *gateway.Loads { return gateway.NewLoads(s.DataCentre, now) }
+
+// newBudget gives this host its part of the bound on repeated sends.
+func newBudget(s *Settings) *retrybudget.Budget {
+	r := s.Deployment.Retry
+	return retrybudget.New(retrybudget.Config{
+		Share: r.Share, Burst: max(r.Extra/assumedHosts/retrybudget.ServiceBurst, 1), Trickle: retrybudget.NoTrickle,
+	})
+}
+
+func newGateway(
+	s *Settings, b *published.Board, loads *gateway.Loads, budget *retrybudget.Budget, now Clock,
+	log *slog.Logger, reg gometrics.Registry,
+) *gateway.Gateway {
+	client := targetclient.NewOnce(targetclient.Settings{Dial: targetDial, Header: answerLimit, Silence: answerLimit})
+	return gateway.New(gateway.Config{
+		Dialect: s.Deployment.Dialect, Engines: s.Deployment.Engines, Board: b, Loads: loads, Budget: budget,
+		Client: client, Log: log, Metrics: reg, Now: now,
+	})
+}
+
+func newLifecycle(s *Settings, b *published.Board) *lifecycle.Lifecycle {
+	return lifecycle.New(func() error {
+		if view := b.View.Get(); view == nil || view.Config == nil {
+			return failure.New(failure.KindNotReady, "no configuration is known yet")
+		}
+		return nil
+	}, stopNotice, s.Deployment.StopGrace)
+}
+
+func runPublished(lc fx.Lifecycle, c *published.Controller) { process.Background(lc, c.Run) }
+
+func runGateway(lc fx.Lifecycle, g *gateway.Gateway) { process.Background(lc, g.Run) }
+
+func serveMetrics(lc fx.Lifecycle, s *Settings, reg gometrics.Registry) {
+	r := mux.NewRouter()
+	metrics.Mount(r, reg)
+	process.ServeAdmin(lc, r, listen, s.MetricsListen)
+}
+
+func serveReady(lc fx.Lifecycle, s *Settings, life *lifecycle.Lifecycle) {
+	process.ServeAdmin(lc, http.HandlerFunc(life.Readyz), listen, s.Deployment.ListenReady)
+}
+
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.KindSettingInvalid, "address %s can't be listened on", address)
+	}
+	return l, nil
+}
+
+// serveCallers is the last to start and the first to stop. Its stop says "not
+// ready" at once, goes on taking callers until the balancer has noticed, waits
+// for the requests in progress and only then closes.
+func serveCallers(lc fx.Lifecycle, s *Settings, g *gateway.Gateway, life *lifecycle.Lifecycle) {
+	server := &http.Server{
+		Handler: counted(g, life), ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeader,
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return process.StartHTTP(server, listen, s.Deployment.ListenCallers) },
+		OnStop: func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, s.Deployment.StopGrace-stopMargin)
+			defer cancel()
+			server.SetKeepAlivesEnabled(false)
+			err := life.Stop(ctx)
+			return errors.Join(err, server.Close())
+		},
+	})
+}
+
+// counted counts requests in progress, so that a stop waits for them.
+func counted(g *gateway.Gateway, life *lifecycle.Lifecycle) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		end, err := life.Begin()
+		if err != nil {
+			g.Refuse(w, r, err)
+			return
+		}
+		defer end()
+		g.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/gatewayhost/settings.go
@@ -0,0 +1,51 @@
+// Package gatewayhost composes the gateway, the reading of what is published
+// and the exchange with other hosts into one process a host.
+package gatewayhost
+
+import (
+	"time"
+
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/controller/published"
+	"filbertdeck/internal/settings"
+)
+
+// Program and About describe the binary.
+const (
+	Program = "filbert-gateway"
+	About   = "Relays callers' requests to targets on an entry host, by the routes that operators publish."
+)
+
+// Settings are the process's own; the deployment's come with Deployment.
+type Settings struct {
+	settings.Common
+
+	MetricsListen string `arg:"--metrics-listen,env:FILBERT_GATEWAY_METRICS" check:"hostport?" help:"ip:port of the counters; the deployment's first free port when empty"`
+
+	// Deployment is filled in from what the platform tells the process.
+	Deployment Deployment `arg:"-"`
+}
+
+// Deployment is what a process learns of its place.
+type Deployment struct {
+	// ListenCallers, ListenReady and ListenPeers are ip:port.
+	ListenCallers, ListenReady, ListenPeers string
+	// Seeds are peers' addresses; they may be out of date.
+	Seeds []string
+	// StopGrace is the time from the signal to stop to the kill.
+	StopGrace time.Duration
+	// Retry bounds sends beyond the first to a service, over all hosts.
+	Retry RetryBound
+	// Dialect, Engines and Source speak to the deployment's callers, targets
+	// and store.
+	Dialect call.Dialect
+	Engines call.Engines
+	Source  published.Source
+}
+
+// RetryBound allows, in any window, a share of a service's requests and a
+// fixed number of sends beyond the first.
+type RetryBound struct {
+	Share, Extra float64
+	Window       time.Duration
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -40,6 +40,11 @@
 	// all programs share.
 	Settings any
 	Common   *settings.Common
+	// Prepare, if given, completes the settings after they were parsed, such as
+	// from a file that the deployment writes.
+	Prepare func() error
+	// LogTo receives the log lines; standard error by default.
+	LogTo io.Writer
 	// Options build the application from the settings.
 	Options func() []fx.Option
 }
@@ -50,11 +55,17 @@
 	if settings.IsHelp(err) {
 		return ExitOK
 	}
+	if err == nil && p.Prepare != nil {
+		err = p.Prepare()
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return settings.ExitUsage
 	}
-	log := NewLogger(os.Stderr, p.Common).With("program", p.Name, "host", p.Common.Host)
+	if p.LogTo == nil {
+		p.LogTo = os.Stderr
+	}
+	log := NewLogger(p.LogTo, p.Common).With("program", p.Name, "host", p.Common.Host)
 	return run(p, log)
 }
 
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -84,8 +84,7 @@
 func (s Settings) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.Dial)
 	defer cancel()
-	dialer := net.Dialer{KeepAliveConfig: keepAlive}
-	raw, err := dialer.DialContext(ctx, network, address)
+	raw, err := Dial(ctx, network, address, s.Dial)
 	if err != nil || s.TLS == nil {
 		return raw, err
 	}
