--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -113,7 +113,18 @@
 }
 
 func serveReady(lc fx.Lifecycle, s *Settings, life *lifecycle.Lifecycle) {
-	process.ServeAdmin(lc, http.HandlerFunc(life.Readyz), listen, s.Deployment.ListenReady)
+	process.ServeAdmin(lc, ready(life), listen, s.Deployment.ListenReady)
+}
+
+// ready answers the balancer, which takes nothing but status 200 for "yes".
+func ready(life *lifecycle.Lifecycle) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if err := life.Ready(); err != nil {
+			failure.Write(w, err)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
 }
 
 func listen(address string) (net.Listener, error) {
