Never turn an engine's broken failure into an empty success

A failure in place of going on with a stream ended the stream as if whole. Now a failure is held whole, tried elsewhere where the route allows it, and given only before any event.

--- /dev/null
+++ b/internal/gateway/answers_test.go
@@ -0,0 +1,102 @@
+package gateway_test
+
+import (
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	goodPlain  = "HTTP/1.1 200 OK\n" + requestID + ": ID\n" + seal + ": s1\nContent-Length: 2\n\nok"
+	goodStream = "HTTP/1.1 200 OK\n" + requestID + ": ID\n" + seal + ": s1\nContent-Type: text/event-stream\n" +
+		"Transfer-Encoding: chunked\n\n14\nid: 1\ndata: one\n\n\n0\n\n"
+	ownFailure = "HTTP/1.1 500 Internal Server Error\n" + requestID + ": ID\n" + seal + ": s1\nContent-Length: 4\n\noops"
+	notRun     = "HTTP/1.1 503 Service Unavailable\n" + requestID + ": ID\nX-Filbertdeck-Not-Executed: 1\nContent-Length: 0\n\n"
+)
+
+var _ = Describe("answers", func() {
+	It("come back as the target gave them, and the request as the caller sent it", func() {
+		t := startTarget("i-1", say(goodPlain))
+		d := startDeck(t.entry("app", "dc-1"))
+		got := d.do(d.request("POST", "/book/a%2Fb//c?x=1&&y"))
+		Expect(got.status).To(Equal(200))
+		Expect(got.body).To(Equal("ok"))
+		Expect(got.header.Get(seal)).To(Equal("s1"))
+		sent := t.requests()[0]
+		Expect(sent.RequestURI).To(Equal("/book/a%2Fb//c?x=1&&y"))
+		Expect(sent.Host).To(Equal("a.example"))
+		Expect(sent.Header.Get("Authorization")).To(BeEmpty())
+		Expect(sent.Header.Get("X-Filbertdeck-Tenant")).To(Equal("clinic"))
+		Expect(sent.Header.Get("X-Filbertdeck-Expect-Instance")).To(Equal("i-1"))
+		Expect(t.body[0]).To(Equal("hello"))
+	})
+
+	It("of a generation come event by event", func() {
+		t := startTarget("i-1", say(goodStream))
+		d := startDeck(t.entry("llm", "dc-1"))
+		got := d.do(d.request("POST", "/report/"))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal("id: 1\r\ndata: one\r\n\r\n"))
+	})
+
+	// An engine answers a generation with a failure and the failure's body
+	// breaks off. Taken for an answer that was passed on already, it reached
+	// the clerk as an empty success: a summary that looks whole and says
+	// nothing.
+	It("that break off never become an empty success", func() {
+		t := startTarget("i-1", say("HTTP/1.1 500 Internal Server Error\n"+requestID+": ID\n"+seal+": s1\nContent-Length: 400\n\noo"))
+		d := startDeck(t.entry("llm", "dc-1"))
+		got := d.do(d.request("POST", "/report/"))
+		Expect(got.err == nil && got.status == http.StatusOK).To(BeFalse())
+		Expect(got.status).To(Equal(http.StatusBadGateway))
+	})
+
+	// Broken off, unmarked or crossed answers: a caller who took one for whole
+	// would act on half a summary, or on another one's.
+	DescribeTable("that are not the target's whole answer to this request are no success",
+		func(path, answer string) {
+			t := startTarget("i-1", say(answer))
+			d := startDeck(t.entry("app", "dc-1"), t.entry("llm", "dc-1"))
+			d.publish(t.entry("app", "dc-1"))
+			got := d.do(d.request("POST", path))
+			Expect(got.err == nil && got.status < 300).To(BeFalse())
+		},
+		Entry("no mark", "/book/", "HTTP/1.1 200 OK\n"+requestID+": ID\nContent-Length: 2\n\nok"),
+		Entry("another request's id", "/book/", "HTTP/1.1 200 OK\n"+requestID+": r-9\n"+seal+": s\nContent-Length: 2\n\nok"),
+		Entry("too short", "/book/", "HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s\nContent-Length: 20\n\nok"),
+		Entry("no HTTP", "/book/", "GARBAGE GARBAGE\n\n"),
+	)
+
+	// The only target is full and says that it did not run the booking. The
+	// technician may come back at once and is told so truthfully.
+	It("say that nothing ran only when the target said so", func() {
+		t := startTarget("i-1", say(notRun))
+		d := startDeck(t.entry("app", "dc-1"))
+		got := d.do(d.request("POST", "/book/"))
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	// The target takes the booking and the connection dies. Nobody knows
+	// whether the crew was booked, so it is not sent again and no "not run" is
+	// promised.
+	It("promise nothing about a booking whose answer was lost", func() {
+		t := startTarget("i-1", say(""))
+		other := startTarget("i-2", say(""))
+		d := startDeck(t.entry("app", "dc-1"), other.entry("app", "dc-1"))
+		got := d.do(d.request("POST", "/book/"))
+		Expect(got.status).To(Equal(http.StatusBadGateway))
+		Expect(len(t.requests()) + len(other.requests())).To(Equal(1))
+	})
+
+	// A lookup meets a target's own failure; another target answers it.
+	It("of lookups come from another target when the first fails", func() {
+		bad := startTarget("i-1", say(ownFailure))
+		good := startTarget("i-2", say(goodPlain))
+		d := startDeck(bad.entry("app", "dc-1"), good.entry("app", "dc-1"))
+		for range 8 {
+			Expect(d.do(d.request("GET", "/look/")).status).To(Equal(200))
+		}
+	})
+})
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -27,6 +27,8 @@
 	// lastID is the id of the last whole event that the caller got.
 	lastID string
 	events int
+	// failed is an engine's own failure, nil when there is none.
+	failed *whole
 
 	mu sync.Mutex
 	// at is the target where the generation runs.
@@ -89,7 +91,7 @@
 			return moved, moveErr
 		}
 		last = err
-		if errors.Is(err, errAnswered) || !gen.g.again(ctx, gen.exchange, true, err, attempt) {
+		if !gen.g.again(ctx, gen.exchange, true, err, attempt) {
 			break
 		}
 		avoid = append(avoid, target.ID)
@@ -108,8 +110,7 @@
 	gen.mu.Unlock()
 	resp, answer, err := gen.g.open(ctx, s)
 	if err == nil && answer.Status != http.StatusOK {
-		gen.pass(resp)
-		err = errAnswered
+		err = gen.failedAnswer(resp, answer)
 	}
 	if err != nil {
 		gen.g.blame(ctx, target.ID, err)
@@ -123,18 +124,20 @@
 // errAnswered says that the engine's own failure is the answer.
 var errAnswered = failure.New(failure.KindTargetFailed, "the engine answered with a failure").Ran()
 
-// pass hands an engine's own failure to the caller, if nothing was sent yet.
-func (gen *generation) pass(resp *http.Response) {
+// failedAnswer reads an engine's own failure, to be handed to the caller when
+// no other engine makes it good. Once a caller has events, no other answer can
+// follow them.
+func (gen *generation) failedAnswer(resp *http.Response, answer call.Answer) error {
 	defer func() { _ = resp.Body.Close() }()
-	if gen.begun {
-		return
-	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainAnswer))
 	if err != nil {
-		return
+		return failure.Wrap(err, failure.KindTargetLost, "the engine's answer broke off").Unknown()
 	}
-	gen.begun = true
-	gen.g.answer(gen.exchange, &whole{Answer: call.Answer{Status: resp.StatusCode}, header: resp.Header, body: body})
+	if gen.begun {
+		return failure.New(failure.KindTargetFailed, "the engine answered %d in place of going on", resp.StatusCode).Unknown()
+	}
+	gen.failed = &whole{Answer: answer, header: resp.Header, body: body}
+	return errAnswered
 }
 
 // relay passes events on, whole ones only, until the engine's part ends.
@@ -176,10 +179,13 @@
 
 // finish ends the answer: whole, or so that it can't be taken for whole.
 func (gen *generation) finish(ctx context.Context, err error) {
-	if err == errEnded || errors.Is(err, errAnswered) {
+	switch {
+	case err == errEnded:
 		return
-	}
-	if !gen.begun {
+	case !gen.begun && gen.failed != nil:
+		gen.g.answer(gen.exchange, gen.failed)
+		return
+	case !gen.begun:
 		gen.g.refuse(gen.w, gen.ID, err)
 		return
 	}
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,193 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"filbertdeck/internal/blackboard"
+	"filbertdeck/internal/controller/published"
+	"filbertdeck/internal/decide/retrybudget"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/gateway"
+	"filbertdeck/internal/targetclient"
+	"filbertdeck/platform"
+)
+
+func TestGateway(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gateway")
+}
+
+const (
+	requestID = "X-Filbertdeck-Request-Id"
+	seal      = "X-Filbertdeck-Response-Seal"
+)
+
+// script is what a target does with a request that it was sent; the connection
+// is closed when it returns.
+type script func(conn net.Conn, r *http.Request)
+
+// target is a stand-in for one target on loopback.
+type target struct {
+	id, address string
+
+	mu   sync.Mutex
+	got  []*http.Request
+	body []string
+}
+
+// startTarget runs a target that follows a script.
+func startTarget(id string, do script) *target {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	t := &target{id: id, address: l.Addr().String()}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go t.serve(conn, do)
+		}
+	}()
+	return t
+}
+
+func (t *target) serve(conn net.Conn, do script) {
+	defer func() { _ = conn.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	t.mu.Lock()
+	t.got = append(t.got, r)
+	t.body = append(t.body, string(body))
+	t.mu.Unlock()
+	do(conn, r)
+}
+
+func (t *target) requests() []*http.Request {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]*http.Request(nil), t.got...)
+}
+
+func (t *target) entry(service, dataCentre string) *directory.Seen {
+	return &directory.Seen{Listed: true, Target: directory.Target{
+		ID: t.id, Service: service, Address: t.address, DataCentre: dataCentre, Slots: 6,
+	}}
+}
+
+// say writes an answer as it is given, with the request's id put in for ID.
+func say(text string) script {
+	return func(conn net.Conn, r *http.Request) {
+		text := strings.ReplaceAll(text, "ID", r.Header.Get(requestID))
+		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "\n", "\r\n"))
+	}
+}
+
+// deck is a gateway before some targets.
+type deck struct {
+	url   string
+	out   *blackboard.Writer[directory.View]
+	cfg   *directory.Config
+	calls *http.Client
+}
+
+// startDeck runs a gateway with one service "llm" or "app" and a route to each.
+func startDeck(targets ...*directory.Seen) *deck {
+	board := &published.Board{}
+	out, err := board.View.Claim()
+	Expect(err).NotTo(HaveOccurred())
+	start := time.Now()
+	now := func() time.Duration { return time.Since(start) }
+	g := gateway.New(gateway.Config{
+		Dialect: platform.Dialect{}, Engines: platform.NewEngines(), Board: board,
+		Loads: gateway.NewLoads("dc-1", now), Budget: retrybudget.New(retrybudget.Config{}),
+		Client: targetclient.NewOnce(targetclient.Settings{Header: time.Minute, Silence: time.Minute}),
+		Log:    slog.New(slog.DiscardHandler), Metrics: gometrics.NewRegistry(), Now: now,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go g.Run(ctx)
+	server := httptest.NewServer(g)
+	DeferCleanup(func() { cancel(); server.CloseClientConnections(); server.Close() })
+	d := &deck{url: server.URL, out: out, cfg: testConfig(), calls: server.Client()}
+	d.publish(targets...)
+	return d
+}
+
+func testConfig() *directory.Config {
+	route := func(prefix, service string, kind directory.RequestKind, attempts int) directory.Route {
+		return directory.Route{
+			Name: prefix, Host: "a.example", Prefix: prefix, Kind: kind, Timeout: 5 * time.Second, Attempts: attempts,
+			Backends: []directory.Backend{{Service: service, Weight: 1}},
+		}
+	}
+	resumable := route("/brief/", "llm", directory.Generation, 2)
+	resumable.Resumable = true
+	return &directory.Config{
+		Version: 1,
+		Routes: []directory.Route{
+			route("/book/", "app", directory.Once, 2), route("/look/", "app", directory.Repeatable, 2),
+			route("/report/", "llm", directory.Generation, 1), resumable,
+		},
+		Services: []directory.Service{{Name: "app"}, {Name: "llm", Engine: &directory.Engine{
+			Slots: 6, MemoryTokens: 10000, Moves: true, TokensPerEvent: 1,
+		}}},
+		Accounts: []directory.Account{{Name: "clinic", Keys: []string{"key-1"}}},
+	}
+}
+
+func (d *deck) publish(targets ...*directory.Seen) {
+	seen := map[string]*directory.Seen{}
+	for _, t := range targets {
+		seen[t.ID] = t
+	}
+	d.out.Publish(directory.NewView(1, d.cfg, seen, nil))
+}
+
+func (d *deck) request(method, path string) *http.Request {
+	req, err := http.NewRequest(method, d.url+path, strings.NewReader("hello"))
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "a.example"
+	req.Header.Set("Authorization", "Bearer key-1")
+	req.Header.Set(requestID, "r-1")
+	return req
+}
+
+// result is what a caller got.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	// err is set when the answer broke off.
+	err error
+}
+
+func (d *deck) do(req *http.Request) result {
+	resp, err := d.calls.Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return result{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
