Copy a leaving generation until the link is free before stopping it

Copies to another data centre took twice as long. Now a generation is stopped only after a short copy or when the notice runs out, its copy goes to the leaving engine's data centre, and one that ends in time by itself stays.

--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -21,23 +21,27 @@
 // Candidate is a target that may take the request.
 type Candidate struct {
 	ID string
-	// Local targets are in the own data centre.
-	Local bool
 	// Running requests of all hosts, as far as is known.
 	Running int
 	Slots   int
 	// Tokens are in the target's memory or will be, of all hosts; Memory is
 	// its size, 0 for plain services.
 	Tokens, Memory int
-	// Penalty is added to the load: a target that failed lately is taken only
-	// when the others are that much fuller.
+	// Penalty is added to the load: a target that failed lately, or lies in
+	// another data centre, is taken only when the others are that much fuller.
 	Penalty float64
 }
 
-// remoteCharge is the share of fullness by which a local target may be worse
-// than a remote one. A generation's events are some 75 KB, small against its
-// worth; a few hundredths only decide among equals.
-const remoteCharge = 0.03
+// Penalties of targets in another data centre, in shares of fullness.
+const (
+	// RemoteCharge: a generation's events are some 75 KB, small against its
+	// worth; a few hundredths only decide among equals.
+	RemoteCharge = 0.03
+	// RemoteCopyCharge is for generations that are moved: a copy within the
+	// data centre takes half the time, and an engine a quarter fuller costs
+	// less than a pause that comes too late.
+	RemoteCopyCharge = 0.25
+)
 
 // Load is a target's fullness once it has the request: 1 is full.
 func Load(c Candidate, tokens int) float64 {
@@ -45,9 +49,6 @@
 	if c.Memory > 0 {
 		load = max(load, float64(c.Tokens+tokens)/float64(c.Memory))
 	}
-	if !c.Local {
-		load += remoteCharge
-	}
 	return load + c.Penalty
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/controller/published"
+	"filbertdeck/internal/decide/migration"
 	"filbertdeck/internal/decide/retrybudget"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
@@ -50,8 +51,10 @@
 	Loads   *Loads
 	Budget  *retrybudget.Budget
 	Client  *targetclient.Once
-	Log     *slog.Logger
-	Metrics gometrics.Registry
+	// Migration decides how generations leave an engine.
+	Migration migration.Config
+	Log       *slog.Logger
+	Metrics   gometrics.Registry
 	// Now is the steady clock of the process.
 	Now func() time.Duration
 }
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"filbertdeck/internal/call"
@@ -26,7 +27,11 @@
 	begun bool
 	// lastID is the id of the last whole event that the caller got.
 	lastID string
-	events int
+	pauses pauses
+	// progress is a copy of pauses for the mover.
+	progress atomic.Pointer[pauses]
+	// moves counts the engines that the generation went on at.
+	moves int
 	// failed is an engine's own failure, nil when there is none.
 	failed *whole
 
@@ -79,7 +84,7 @@
 	var avoid []string
 	var last error
 	for attempt := 1; ; attempt++ {
-		target, release, ok := gen.g.cfg.Loads.Acquire(gen.view, gen.service.Name, gen.tokens, avoid)
+		target, release, ok := gen.g.cfg.Loads.Acquire(gen.view, gen.service.Name, gen.tokens, Anywhere, avoid)
 		if !ok {
 			break
 		}
@@ -158,10 +163,12 @@
 		if f, ok := gen.w.(http.Flusher); ok {
 			f.Flush()
 		}
+		gen.pauses.event(time.Since(gen.Arrived))
+		now := gen.pauses
+		gen.progress.Store(&now)
 		if block.ID != nil {
 			gen.lastID = string(block.ID)
 		}
-		gen.events++
 	}
 }
 
@@ -181,6 +188,8 @@
 func (gen *generation) finish(ctx context.Context, err error) {
 	switch {
 	case err == errEnded:
+		gen.g.cfg.Log.Info("generation served", "request", gen.ID, "target", gen.at.ID, "route", gen.route.Name, "events", gen.pauses.events,
+			"moves", gen.moves, "first", gen.pauses.first, "longest_pause", gen.pauses.longest, "pause_at", gen.pauses.longestAt, "took", gen.pauses.last)
 		return
 	case !gen.begun && gen.failed != nil:
 		gen.g.answer(gen.exchange, gen.failed)
@@ -189,6 +198,6 @@
 		gen.g.refuse(gen.w, gen.ID, err)
 		return
 	}
-	gen.g.cfg.Log.Info("generation broke", "request", gen.ID, "target", gen.at.ID, "events", gen.events, "caller_left", ctx.Err() != nil, "cause", err)
+	gen.g.cfg.Log.Info("generation broke", "request", gen.ID, "target", gen.at.ID, "events", gen.pauses.events, "caller_left", ctx.Err() != nil, "cause", err)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -19,6 +19,7 @@
 
 	"filbertdeck/internal/blackboard"
 	"filbertdeck/internal/controller/published"
+	"filbertdeck/internal/decide/migration"
 	"filbertdeck/internal/decide/retrybudget"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/gateway"
@@ -122,8 +123,8 @@
 	g := gateway.New(gateway.Config{
 		Dialect: platform.Dialect{}, Engines: platform.NewEngines(), Board: board,
 		Loads: gateway.NewLoads("dc-1", now), Budget: retrybudget.New(retrybudget.Config{}),
-		Client: targetclient.NewOnce(targetclient.Settings{Header: time.Minute, Silence: time.Minute}),
-		Log:    slog.New(slog.DiscardHandler), Metrics: gometrics.NewRegistry(), Now: now,
+		Client: targetclient.NewOnce(targetclient.Settings{Header: time.Minute, Silence: time.Minute}), Migration: migration.Default(),
+		Log: slog.New(slog.DiscardHandler), Metrics: gometrics.NewRegistry(), Now: now,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go g.Run(ctx)
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -55,13 +56,29 @@
 	return t
 }
 
+// Nearness says how much being near weighs in a choice.
+type Nearness struct {
+	// dataCentre is where the work comes from; empty means this host's.
+	dataCentre string
+	remote     float64
+}
+
+// Anywhere prefers the own data centre among about equals only.
+var Anywhere = Nearness{remote: placement.RemoteCharge}
+
+// Near prefers a data centre unless its targets are much fuller: copies to
+// another one take twice as long.
+func Near(dataCentre string) Nearness {
+	return Nearness{dataCentre: dataCentre, remote: placement.RemoteCopyCharge}
+}
+
 // Acquire chooses a target of a service for a request of so many tokens and
 // counts it there until release is called; false when there is none. Targets
 // in avoid are left out.
-func (l *Loads) Acquire(view *directory.View, service string, tokens int, avoid []string) (target *directory.Seen, release func(), ok bool) {
+func (l *Loads) Acquire(view *directory.View, service string, tokens int, near Nearness, avoid []string) (target *directory.Seen, release func(), ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	candidates, targets := l.candidates(view, service, avoid)
+	candidates, targets := l.candidates(view, service, near, avoid)
 	i := placement.Choose(candidates, tokens, rand.Float64())
 	if i < 0 {
 		return nil, nil, false
@@ -102,7 +119,7 @@
 	t.failedAt = l.now()
 }
 
-func (l *Loads) candidates(view *directory.View, service string, avoid []string) ([]placement.Candidate, []*directory.Seen) {
+func (l *Loads) candidates(view *directory.View, service string, near Nearness, avoid []string) ([]placement.Candidate, []*directory.Seen) {
 	var candidates []placement.Candidate
 	var targets []*directory.Seen
 	memory := 0
@@ -116,12 +133,15 @@
 		own := l.of(t.ID)
 		running, tokens := l.other(t.ID)
 		c := placement.Candidate{
-			ID: t.ID, Local: t.DataCentre == l.dataCentre, Running: own.running + running, Slots: t.Slots,
+			ID: t.ID, Running: own.running + running, Slots: t.Slots,
 			Tokens: own.tokens + tokens, Memory: memory,
 		}
 		if l.now()-own.failedAt < penaltyFor {
 			c.Penalty = min(float64(own.failures)*penaltyEach, penaltyMost)
 		}
+		if t.DataCentre != cmp.Or(near.dataCentre, l.dataCentre) {
+			c.Penalty += near.remote
+		}
 		candidates = append(candidates, c)
 		targets = append(targets, t)
 	}
--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filbertdeck/internal/call"
+	"filbertdeck/internal/decide/migration"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
 )
@@ -16,6 +17,8 @@
 	// idle link, twice that across data centres, and wait behind the copies of
 	// other generations.
 	copyLimit = 3 * time.Second
+	// reportLimit bounds the question when an engine stops.
+	reportLimit = 100 * time.Millisecond
 	// moveTries bounds the destinations that one move asks.
 	moveTries = 3
 )
@@ -106,16 +109,24 @@
 // then stops it and copies the rest, so that the pause is a few milliseconds.
 func (gen *generation) leave(ctx context.Context, view *directory.View, from *directory.Seen, m *move) {
 	defer close(m.done)
+	ctx, cancel := context.WithTimeout(ctx, copyLimit)
+	defer cancel()
 	begun := time.Now()
+	stops := begun.Add(gen.leavesIn(ctx, from))
+	if gen.stays(time.Until(stops)) {
+		gen.g.cfg.Log.Info("generation stays", "request", gen.ID, "target", from.ID, "leaves_in", time.Until(stops))
+		return
+	}
 	avoid := []string{from.ID}
 	for range moveTries {
-		to, release, ok := gen.g.cfg.Loads.Acquire(view, from.Service, gen.tokens, avoid)
+		to, release, ok := gen.g.cfg.Loads.Acquire(view, from.Service, gen.tokens, Near(from.DataCentre), avoid)
 		if !ok {
 			break
 		}
-		err := gen.copyTo(ctx, from, to, m)
+		copies, err := gen.copyTo(ctx, from, to, stops, m)
 		release()
-		gen.g.cfg.Log.Info("generation moved", "request", gen.ID, "from", from.ID, "to", to.ID, "took", time.Since(begun), "stopped", m.stopped, "error", err)
+		gen.g.cfg.Log.Info("generation moved", "request", gen.ID, "from", from.ID, "to", to.ID, "took", time.Since(begun),
+			"leaves_in", time.Until(stops), "copies", copies, "stopped", m.stopped, "error", err)
 		if m.stopped || failure.KindOf(err) == failure.KindNotFound {
 			return
 		}
@@ -123,17 +134,48 @@
 	}
 }
 
-func (gen *generation) copyTo(ctx context.Context, from, to *directory.Seen, m *move) error {
-	ctx, cancel := context.WithTimeout(ctx, copyLimit)
+// leavesIn asks the engine when it stops.
+func (gen *generation) leavesIn(ctx context.Context, from *directory.Seen) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, reportLimit)
 	defer cancel()
-	first, err := gen.g.cfg.Engines.Move(ctx, from.Address, gen.ID, to.Address, false)
-	if err != nil {
-		return err
+	report, err := gen.g.cfg.Engines.Report(ctx, from.Address)
+	if err != nil || report.LeavesIn <= 0 {
+		return gen.g.cfg.Migration.Notice
+	}
+	return report.LeavesIn
+}
+
+// stays tells whether the generation will most likely end by itself in time.
+func (gen *generation) stays(leavesIn time.Duration) bool {
+	p := gen.progress.Load()
+	if p == nil || gen.Prompt.LengthHint == 0 {
+		return false
 	}
-	m.to, m.handoff = to, &call.Handoff{From: from.Address, Handle: first.Handle}
-	last, err := gen.g.cfg.Engines.Move(ctx, from.Address, gen.ID, to.Address, true)
-	if last.Handle != "" {
-		m.handoff.Handle = last.Handle
+	expected := gen.Prompt.LengthHint / max(gen.service.Engine.TokensPerEvent, 1)
+	return gen.g.cfg.Migration.Stays(migration.TimeLeft(expected, p.events, p.last-p.first), leavesIn)
+}
+
+// copyTo copies until the link is free or time is short, then stops the
+// generation. It gives the number of copies.
+func (gen *generation) copyTo(ctx context.Context, from, to *directory.Seen, stops time.Time, m *move) (int, error) {
+	for copies := 1; ; copies++ {
+		begun := time.Now()
+		result, err := gen.g.cfg.Engines.Move(ctx, from.Address, gen.ID, to.Address, false)
+		if err != nil {
+			return copies, err
+		}
+		m.to, m.handoff = to, &call.Handoff{From: from.Address, Handle: result.Handle}
+		if gen.g.cfg.Migration.Next(time.Since(begun), time.Until(stops)) == migration.Stop {
+			return copies + 1, gen.stop(ctx, from, to, m)
+		}
+	}
+}
+
+// stop stops the generation for good and copies the rest.
+func (gen *generation) stop(ctx context.Context, from, to *directory.Seen, m *move) error {
+	result, err := gen.g.cfg.Engines.Move(ctx, from.Address, gen.ID, to.Address, true)
+	if result.Handle != "" {
+		m.handoff = &call.Handoff{From: from.Address, Handle: result.Handle}
 		m.stopped = true
 	}
 	return err
@@ -176,6 +218,7 @@
 		s.Resume, s.After = m.handoff, gen.lastID
 		l, err := gen.open(ctx, s, t, gen.g.cfg.Loads.Hold(t.ID, gen.tokens))
 		if err == nil {
+			gen.moves++
 			return l, nil
 		}
 		last = err
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -30,7 +30,7 @@
 	var last error
 	var answer *whole
 	for attempt := 1; ; attempt++ {
-		target, release, ok := g.cfg.Loads.Acquire(x.view, x.service.Name, 0, avoid)
+		target, release, ok := g.cfg.Loads.Acquire(x.view, x.service.Name, 0, Anywhere, avoid)
 		if !ok {
 			break
 		}
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -13,6 +13,7 @@
 	"go.uber.org/fx"
 
 	"filbertdeck/internal/controller/published"
+	"filbertdeck/internal/decide/migration"
 	"filbertdeck/internal/decide/retrybudget"
 	"filbertdeck/internal/entry/lifecycle"
 	"filbertdeck/internal/failure"
@@ -89,7 +90,7 @@
 	client := targetclient.NewOnce(targetclient.Settings{Dial: targetDial, Header: answerLimit, Silence: answerLimit})
 	return gateway.New(gateway.Config{
 		Dialect: s.Deployment.Dialect, Engines: s.Deployment.Engines, Board: b, Loads: loads, Budget: budget,
-		Client: client, Log: log, Metrics: reg, Now: now,
+		Client: client, Migration: migration.Default(), Log: log, Metrics: reg, Now: now,
 	})
 }
 
