Try another target when one can't be reached, and say so when none can

A target that can't be reached, or whose address another one has, doesn't count as one that a request was sent to.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,9 @@
 	// lapsed are back within about two seconds, an engine that left is
 	// replaced within a few.
 	noTargetRetry = time.Second
+	// unreachedRetry is told when no target could be reached: the targets'
+	// entries are replaced within a second, and the next try meets another host.
+	unreachedRetry = 500 * time.Millisecond
 	// answerMargin is kept of a client's patience for the way back.
 	answerMargin = 10 * time.Millisecond
 	// defaultPatience stands in for clients that name no time to wait on
@@ -207,15 +210,25 @@
 // refuse answers a request that the system itself ends. A status that promises
 // that the request has not run is only given where that is certain.
 func (g *Gateway) refuse(w http.ResponseWriter, id string, err error) {
-	f := failure.From(err)
-	if promises(f.Status()) && f.Executed != failure.ExecutedNo {
-		f = failure.Wrap(f, failure.KindOutcomeUnknown, "the request may have run").Unknown()
-	}
+	f := honest(failure.From(err))
 	gometrics.GetOrRegisterCounter("gateway.refused."+string(f.Kind), g.cfg.Metrics).Inc(1)
 	g.cfg.Log.Info("request refused", "request", id, "kind", f.Kind, "executed", f.Executed, "retry_after", f.RetryAfter, "cause", f.Error())
 	g.cfg.Dialect.WriteFailure(w, id, f)
 }
 
+// honest gives a failure whose status says what is known: one that promises
+// that the request has not run only where that is certain, and where it is
+// certain one that says so, since callers may then come again.
+func honest(f *failure.Error) *failure.Error {
+	switch {
+	case promises(f.Status()) && f.Executed != failure.ExecutedNo:
+		return failure.Wrap(f, failure.KindOutcomeUnknown, "the request may have run").Unknown()
+	case f.Status() >= http.StatusInternalServerError && !promises(f.Status()) && f.Executed == failure.ExecutedNo:
+		return failure.Wrap(f, failure.KindNoTarget, "the request did not run").After(unreachedRetry)
+	}
+	return f
+}
+
 // promises tells whether a status says that the request has not run.
 func promises(status int) bool {
 	switch status {
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -89,7 +89,8 @@
 func (gen *generation) start(ctx context.Context) (*leg, error) {
 	var avoid []string
 	var last error
-	for attempt := 1; ; attempt++ {
+	var t tries
+	for {
 		target, place, ok := gen.g.cfg.Loads.Acquire(gen.view, gen.service.Name, gen.Prompt, Anywhere, avoid)
 		if !ok {
 			break
@@ -102,7 +103,8 @@
 			return moved, moveErr
 		}
 		last = err
-		if !gen.g.again(ctx, gen.exchange, true, err, attempt) {
+		t.add(err)
+		if !gen.g.again(ctx, gen.exchange, true, err, t) {
 			break
 		}
 		avoid = append(avoid, target.ID)
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -31,6 +31,8 @@
 	// failedAt is when a request last failed there by the target's fault.
 	failedAt time.Duration
 	failures int
+	// unreachableAt is when it could last not be reached.
+	unreachableAt time.Duration
 }
 
 const (
@@ -40,6 +42,12 @@
 	penaltyFor = 4 * time.Second
 	// penaltyEach is added to the fullness for each failure, up to penaltyMost.
 	penaltyEach, penaltyMost = 0.25, 1.0
+	// unreachableFor is how long a target that could not be reached is passed
+	// over while there are others: one that left while the store was away is
+	// listed for seconds, one that crashed is back after some.
+	unreachableFor = 2 * time.Second
+	// unreachablePenalty is above what any other target's load comes to.
+	unreachablePenalty = 100
 )
 
 // NewLoads returns empty counts of a host, which is named by its address for
@@ -95,7 +103,7 @@
 func (l *Loads) of(target string) *targetLoad {
 	t := l.own[target]
 	if t == nil {
-		t = &targetLoad{failedAt: -penaltyFor}
+		t = &targetLoad{failedAt: -penaltyFor, unreachableAt: -unreachableFor}
 		l.own[target] = t
 	}
 	return t
@@ -179,6 +187,13 @@
 	t.failedAt = l.now()
 }
 
+// Unreachable notes that a target could not be reached.
+func (l *Loads) Unreachable(target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.of(target).unreachableAt = l.now()
+}
+
 func (l *Loads) candidates(view *directory.View, service string, near Nearness, avoid []string) ([]placement.Candidate, []*directory.Seen) {
 	var candidates []placement.Candidate
 	var targets []*directory.Seen
@@ -198,6 +213,9 @@
 		if l.now()-own.failedAt < penaltyFor {
 			c.Penalty = min(float64(own.failures)*penaltyEach, penaltyMost)
 		}
+		if l.now()-own.unreachableAt < unreachableFor {
+			c.Penalty += unreachablePenalty
+		}
 		if t.DataCentre != cmp.Or(near.dataCentre, l.dataCentre) {
 			c.Penalty += near.remote
 		}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -29,14 +30,16 @@
 	var avoid []string
 	var last error
 	var answer *whole
-	for attempt := 1; ; attempt++ {
+	var t tries
+	for {
 		target, place, ok := g.cfg.Loads.Acquire(x.view, x.service.Name, call.Prompt{}, Anywhere, avoid)
 		if !ok {
 			break
 		}
 		answer, last = g.try(ctx, x, target)
 		place.Release()
-		if !g.again(ctx, x, failed(answer, last), last, attempt) {
+		t.add(last)
+		if !g.again(ctx, x, failed(answer, last), last, t) {
 			break
 		}
 		avoid = append(avoid, target.ID)
@@ -56,11 +59,46 @@
 	return err != nil || answer.Status >= http.StatusInternalServerError
 }
 
-// again decides whether a request is sent to another target: only if it has
-// certainly not run or may be repeated, the route allows another target, and
-// the budget of such sends has one left.
-func (g *Gateway) again(ctx context.Context, x *exchange, failed bool, err error, attempt int) bool {
-	if !failed || ctx.Err() != nil || attempt >= x.route.Attempts {
+// unsentTries bounds the targets that are dialled in vain for one request: one
+// that left, one that crashed and one that is cut off, and a spare.
+const unsentTries = 4
+
+// tries counts the targets that a request was tried at.
+type tries struct {
+	// sent counts those that it was sent to, unsent those that could not be
+	// reached or whose address another target has by now.
+	sent, unsent int
+}
+
+func (t *tries) add(err error) {
+	if unsent(err) {
+		t.unsent++
+		return
+	}
+	t.sent++
+}
+
+// unsent tells whether a request never got to a target of its service.
+func unsent(err error) bool {
+	var f *failure.Error
+	if !errors.As(err, &f) || f.Executed != failure.ExecutedNo {
+		return false
+	}
+	return f.Kind == failure.KindTargetFailed || f.Kind == failure.KindTargetTimeout || f.Kind == failure.KindFenced
+}
+
+// again decides whether a request is tried at another target. One that never
+// got to a target may always be; else it must certainly not have run or be
+// repeatable, the route must allow another target, and the budget of such
+// sends must have one left.
+func (g *Gateway) again(ctx context.Context, x *exchange, failed bool, err error, t tries) bool {
+	if !failed || ctx.Err() != nil {
+		return false
+	}
+	if unsent(err) {
+		return t.unsent < unsentTries
+	}
+	if t.sent >= x.route.Attempts {
 		return false
 	}
 	notRun := err != nil && failure.From(err).Executed == failure.ExecutedNo
@@ -119,6 +157,8 @@
 // target's answer to this request.
 func check(s *call.Send, a call.Answer) error {
 	switch {
+	case a.OtherTarget:
+		return failure.New(failure.KindFenced, "another target has the address of %s", s.Target.ID)
 	case a.NotRun && a.Status >= http.StatusBadRequest:
 		return failure.New(failure.KindOverloaded, "target %s did not run the request (status %d)", s.Target.ID, a.Status).After(max(a.RetryAfter, fullRetry))
 	case a.Echo != s.ID:
@@ -133,6 +173,9 @@
 // deadline caused it.
 func (g *Gateway) blame(ctx context.Context, target string, err error) {
 	if ctx.Err() == nil {
+		if unsent(err) {
+			g.cfg.Loads.Unreachable(target)
+		}
 		g.cfg.Loads.Failed(target)
 		g.cfg.Log.Debug("target failed", "target", target, "cause", err)
 	}
