--- a/internal/decide/drain/drain_test.go
+++ b/internal/decide/drain/drain_test.go
@@ -17,6 +17,32 @@
 	RunSpecs(t, "drain")
 }
 
+var _ = Describe("a planned stop that stays open while busy", func() {
+	// Two of a data centre's three hosts are restarted at once, and the
+	// balancer goes on sending to them. A caller who is refused there has one
+	// try left, although the host serves its last report for seconds yet.
+	It("takes new work until the last request ends or the limit is near", func() {
+		cfg := drain.StopConfig{
+			AnnounceFor: 2 * time.Second, QuietFor: time.Second, AnnounceLimit: 6 * time.Second, LingerFor: time.Second,
+			FinishLimit: 8 * time.Second, OpenWhileBusy: true,
+		}
+		busy, idle := drain.NewStop(cfg), drain.NewStop(cfg)
+		cfg.OpenWhileBusy = false
+		plain := drain.NewStop(cfg)
+		for _, s := range []*drain.Stop{busy, idle, plain} {
+			s.Begin(0)
+		}
+		busy.Step(4*time.Second, 1)
+		idle.Step(4*time.Second, 0)
+		plain.Step(4*time.Second, 1)
+		Expect(busy.TakesNew()).To(BeTrue())
+		Expect(idle.TakesNew()).To(BeFalse())
+		Expect(plain.TakesNew()).To(BeFalse())
+		busy.Step(6*time.Second, 1)
+		Expect(busy.TakesNew()).To(BeFalse())
+	})
+})
+
 var _ = Describe("data centres", func() {
 	It("leave at once, return by a ramp, and leave again in the middle of it", func() {
 		c := drain.NewCentres(drain.Config{})
--- a/internal/decide/drain/stop.go
+++ b/internal/decide/drain/stop.go
@@ -44,6 +44,12 @@
 	// ignores readiness sends for ever; its requests are refused then, which
 	// cuts nothing.
 	AnnounceLimit time.Duration
+	// OpenWhileBusy keeps taking new work, up to AnnounceLimit, while work is in
+	// progress: the process can't end before that work does. A balancer that
+	// has lost half of a data centre's hosts sends to those that are not ready
+	// too, so refusing there costs callers a try for nothing (21 refusals on a
+	// day on which three of eight hosts were stopped in turn).
+	OpenWhileBusy bool
 	// LingerFor follows the end of the last request. Default 1 s.
 	LingerFor time.Duration
 	// FinishLimit bounds the wait for running work; 0, the default, means none:
@@ -95,7 +101,7 @@
 func (s *Stop) Step(now time.Duration, running int) Phase {
 	switch s.phase {
 	case Announced:
-		if s.heard(now) {
+		if s.heard(now) && !s.busy(now, running) {
 			s.enter(now, Refusing)
 		}
 	case Refusing:
@@ -117,6 +123,11 @@
 	return (waited >= s.cfg.AnnounceFor && quiet) || waited >= s.cfg.AnnounceLimit
 }
 
+// busy tells whether running work keeps the process open.
+func (s *Stop) busy(now time.Duration, running int) bool {
+	return s.cfg.OpenWhileBusy && running > 0 && now-s.since < s.cfg.AnnounceLimit
+}
+
 func (s *Stop) finish(now time.Duration, running int) {
 	if running == 0 {
 		s.enter(now, Lingering)
--- a/internal/decide/migration/migration.go
+++ b/internal/decide/migration/migration.go
@@ -30,13 +30,14 @@
 	Notice time.Duration
 	// EndMargin is the spare time with which a generation must be expected to
 	// end before the engine stops if it is to stay. Clients' estimates are
-	// right at the median only.
+	// right at the median and often far off: with a margin of 2, three of four
+	// that stayed were cut; 8 served as much as moving all, with fewer copies.
 	EndMargin float64
 }
 
 // Default gives the figures in use.
 func Default() Config {
-	return Config{Notice: 1500 * time.Millisecond, EndMargin: 2}
+	return Config{Notice: 1500 * time.Millisecond, EndMargin: 8}
 }
 
 // Stays tells whether a generation needn't be moved: it is expected to end in
--- a/internal/decide/migration/migration_test.go
+++ b/internal/decide/migration/migration_test.go
@@ -20,8 +20,8 @@
 
 	// Its copy would hold up those of generations that have long to run.
 	It("stays when it ends well before the engine stops", func() {
-		left := migration.TimeLeft(60, 50, 49*40*time.Millisecond)
-		Expect(left).To(Equal(10 * 40 * time.Millisecond))
+		left := migration.TimeLeft(54, 50, 49*40*time.Millisecond)
+		Expect(left).To(Equal(4 * 40 * time.Millisecond))
 		Expect(migration.Default().Stays(left, notice)).To(BeTrue())
 	})
 
@@ -30,7 +30,7 @@
 		Expect(migration.Default().Stays(left, notice)).To(BeFalse())
 	},
 		Entry("long to run", 200, 50),
-		Entry("too close to the end of the notice", 80, 50),
+		Entry("too close to the end of the notice", 60, 50),
 		Entry("past the client's estimate", 50, 90),
 		Entry("just begun", 2, 1),
 	)
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -115,7 +115,8 @@
 		}
 		return nil
 	}, drain.StopConfig{
-		AnnounceFor: announceFor, QuietFor: quietFor, AnnounceLimit: grace - finishMargin, LingerFor: lingerFor, FinishLimit: grace,
+		AnnounceFor: announceFor, QuietFor: quietFor, AnnounceLimit: grace - finishMargin, OpenWhileBusy: true,
+		LingerFor: lingerFor, FinishLimit: grace,
 	})
 }
 
