--- a/internal/controller/published/controller.go
+++ b/internal/controller/published/controller.go
@@ -23,7 +23,8 @@
 	// watchWait is how long a watch waits. It bounds how long this host takes to
 	// notice that the store is gone, or that the connection has gone silent;
 	// engines that are taken away meanwhile leave after one and a half seconds.
-	watchWait = 400 * time.Millisecond
+	// Each watch is a call of the store's, and changes are seconds apart.
+	watchWait = 700 * time.Millisecond
 	// callEvery is the least time between two calls. What operators publish
 	// must be in force within two seconds and an engine that is taken away
 	// leaves after one and a half; each call costs the store its time.
@@ -166,14 +167,20 @@
 		c.publish(now)
 	}
 	if news {
-		select {
-		case c.news <- struct{}{}:
-		default:
-		}
+		c.tell()
+	}
+}
+
+// tell has other hosts told what is new here.
+func (c *Controller) tell() {
+	select {
+	case c.news <- struct{}{}:
+	default:
 	}
 }
 
-// News is received from when the store told something that other hosts need.
+// News is received from when other hosts should hear at once: something was
+// published, or the store was lost or is back.
 func (c *Controller) News() <-chan struct{} { return c.news }
 
 func (c *Controller) publish(now time.Duration) {
@@ -197,6 +204,7 @@
 		return
 	}
 	c.lost = gone
+	c.tell()
 	if gone {
 		c.cfg.Log.Warn("store lost", "error", err, "revision", c.mirror.Revision())
 		return
--- a/internal/decide/readers/readers.go
+++ b/internal/decide/readers/readers.go
@@ -22,8 +22,8 @@
 type Config struct {
 	// Want is the number of readers. With two, the loss of one costs nothing.
 	Want int
-	// HeardFor is how long a host's word holds. Hosts ask readers every 300 ms
-	// in turn; three questions may fail.
+	// HeardFor is how long a host's word holds. Hosts ask readers every 200 ms
+	// in turn; two questions to each may fail.
 	HeardFor time.Duration
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,9 +62,8 @@
 	Migration migration.Config
 	Log       *slog.Logger
 	Metrics   gometrics.Registry
-	// Age tells how long ago it was known that what is on the board is the
-	// newest that was published; false when it never was.
-	Age func() (time.Duration, bool)
+	// Blind tells whether this host can't know what is published by now.
+	Blind func() bool
 	// Now is the steady clock of the process.
 	Now func() time.Duration
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,8 +112,8 @@
 	out   *blackboard.Writer[directory.View]
 	cfg   *directory.Config
 	calls *http.Client
-	// age is that of what is published; set it before requests are sent.
-	age time.Duration
+	// blind is set while nobody can say what is published.
+	blind atomic.Bool
 }
 
 // startDeck runs a gateway with one service "llm" or "app" and a route to each.
@@ -126,7 +127,7 @@
 	g := gateway.New(gateway.Config{
 		Dialect: platform.Dialect{}, Engines: platform.NewEngines(), Board: board,
 		Loads: gateway.NewLoads("host-1", "dc-1", now), Budget: retrybudget.New(retrybudget.Config{}),
-		Client: targetclient.NewOnce(targetclient.Settings{Header: time.Minute, Silence: time.Minute}), Migration: migration.Default(), Age: func() (time.Duration, bool) { return d.age, true },
+		Client: targetclient.NewOnce(targetclient.Settings{Header: time.Minute, Silence: time.Minute}), Migration: migration.Default(), Blind: d.blind.Load,
 		Log: slog.New(slog.DiscardHandler), Metrics: gometrics.NewRegistry(), Now: now,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -21,8 +21,9 @@
 	mu    sync.Mutex
 	own   map[string]*targetLoad
 	share *loadshare.Board
-	// changed is signalled when there are counts to tell other hosts.
-	changed chan struct{}
+	// changed is signalled when there are counts to tell other hosts, leaving
+	// when a target was heard to leave.
+	changed, leaving chan struct{}
 }
 
 // targetLoad is what runs at one target from this host.
@@ -56,6 +57,7 @@
 	return &Loads{
 		dataCentre: dataCentre, now: now, own: map[string]*targetLoad{},
 		share: loadshare.New(host, uint64(time.Now().UnixMicro())), changed: make(chan struct{}, 1),
+		leaving: make(chan struct{}, 1),
 	}
 }
 
@@ -74,6 +76,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.share.Take(l.now(), host, counts)
+	for _, c := range counts {
+		if c.Leaving {
+			signal(l.leaving)
+		}
+	}
 }
 
 // DropHost forgets the counts of a host that is gone.
@@ -94,7 +101,7 @@
 		// told of them is out of date when it arrives.
 		return
 	}
-	l.signal()
+	signal(l.changed)
 }
 
 func (l *Loads) of(target string) *targetLoad {
@@ -189,7 +196,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.share.SetLeaving(l.now(), target)
-	l.signal()
+	signal(l.changed)
+	signal(l.leaving)
 }
 
 // Leaving tells whether a target told any host that it is about to stop.
@@ -206,9 +214,9 @@
 	return l.share.Hosts(l.now(), target)
 }
 
-func (l *Loads) signal() {
+func signal(c chan struct{}) {
 	select {
-	case l.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -25,12 +25,9 @@
 	runPause = 20 * time.Millisecond
 	// reportLimit bounds the question when an engine stops.
 	reportLimit = 100 * time.Millisecond
-	// askEvery is how often targets are asked whether they are about to stop;
-	// askAfter is the age of what is published from which they are asked: a
-	// notice is one and a half seconds, of which copies need most. While the
-	// store answers, the age stays below 660 ms at readers and 960 ms at others.
+	// askEvery is how often targets are asked whether they are about to stop: a
+	// notice is one and a half seconds, of which copies need most.
 	askEvery = 200 * time.Millisecond
-	askAfter = time.Second
 	// moveTries bounds the destinations that one move asks.
 	moveTries = 3
 )
@@ -102,6 +99,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-g.cfg.Loads.leaving:
 		case <-ask.C:
 			g.askTargets(ctx)
 		}
@@ -109,13 +107,13 @@
 }
 
 // askTargets asks the engines of this host's generations whether they are
-// about to stop, while what is published is too old to tell: an engine that is
+// about to stop, while nobody can say what is published: an engine that is
 // taken away while the store is down is gone two seconds later, with all its
 // generations. Each question costs a call of the engine's, so nobody asks while
 // the store or a peer answers, and the hosts of an engine take turns by chance:
 // what one hears the others know a tenth of a second later.
 func (g *Gateway) askTargets(ctx context.Context) {
-	if age, known := g.cfg.Age(); known && age < askAfter {
+	if !g.cfg.Blind() {
 		return
 	}
 	for _, t := range g.runs.targets() {
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -31,7 +31,7 @@
 	// askEvery is how often a host that does not read the store itself asks one
 	// that does: an engine that is taken away leaves after one and a half
 	// seconds, what operators publish must be in force within two.
-	askEvery = 300 * time.Millisecond
+	askEvery = 200 * time.Millisecond
 )
 
 // fleet carries news between this host and the others.
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -97,16 +97,31 @@
 }
 
 func newGateway(
-	s *Settings, b *published.Board, c *published.Controller, loads *gateway.Loads, budget *retrybudget.Budget, now Clock,
+	s *Settings, b *published.Board, roles *roles, c *published.Controller, loads *gateway.Loads, budget *retrybudget.Budget, now Clock,
 	log *slog.Logger, reg gometrics.Registry,
 ) *gateway.Gateway {
 	client := targetclient.NewOnce(targetclient.Settings{Dial: targetDial, Header: answerLimit, Silence: answerLimit})
 	return gateway.New(gateway.Config{
 		Dialect: s.Deployment.Dialect, Engines: s.Deployment.Engines, Board: b, Loads: loads, Budget: budget,
-		Client: client, Migration: migration.Default(), Age: c.Age, Log: log, Metrics: reg, Now: now,
+		Client: client, Migration: migration.Default(), Blind: func() bool { return blind(c, roles) }, Log: log, Metrics: reg, Now: now,
 	})
 }
 
+// staleAfter is the age of what is known from which a host counts as blind.
+// While the store answers, the age stays below 0.9 s at hosts that read it and
+// 1.1 s at those that ask these.
+const staleAfter = 1300 * time.Millisecond
+
+// blind tells whether this host can't know what is published by now: it can't
+// read it, and no other host that reads it is known.
+func blind(c *published.Controller, r *roles) bool {
+	age, known := c.Age()
+	if !known || age > staleAfter {
+		return true
+	}
+	return c.Asks() && len(r.known()) == 0
+}
+
 func newLifecycle(s *Settings, b *published.Board) *lifecycle.Lifecycle {
 	grace := s.Deployment.StopGrace
 	return lifecycle.NewWithStop(func() error {
--- a/internal/gatewayhost/roles.go
+++ b/internal/gatewayhost/roles.go
@@ -64,13 +64,20 @@
 
 // next gives the reader to ask, each in turn; false when none is known.
 func (r *roles) next() (string, bool) {
-	ranked := r.ranked()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	known := r.readers.Known(r.now(), r.self, ranked)
+	known := r.known()
 	if len(known) == 0 {
 		return "", false
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.turn++
 	return known[r.turn%len(known)], true
 }
+
+// known gives the other hosts that are known to read the store.
+func (r *roles) known() []string {
+	ranked := r.ranked()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readers.Known(r.now(), r.self, ranked)
+}
