--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -54,8 +54,10 @@
 
 // Handoff says where the memory of a moved generation lies.
 type Handoff struct {
-	// From is the target (ip:port) that made the copy.
-	From   string
+	// From is the target (ip:port) that made the copy, or the one that keeps it
+	// where it is a backup.
+	From string
+	// Handle names the copy; of a backup it is the request's id.
 	Handle string
 }
 
@@ -72,6 +74,9 @@
 	// event After.
 	Resume *Handoff
 	After  string
+	// Backup is the target (ip:port) that keeps a copy of the generation's
+	// memory as it grows; empty for none.
+	Backup string
 }
 
 // Load is what a target says of its load.
--- a/internal/decide/loadshare/loadshare.go
+++ b/internal/decide/loadshare/loadshare.go
@@ -46,16 +46,19 @@
 	// Tokens are in memory or will be; Unread are those of prompts that have
 	// no first event yet.
 	Tokens, Unread int
+	// Uncovered are the tokens of generations that no other target has a copy
+	// of: they have to be copied when the target leaves.
+	Uncovered int
 }
 
 // Plus adds two loads.
 func (l Load) Plus(o Load) Load {
-	return Load{l.Running + o.Running, l.Tokens + o.Tokens, l.Unread + o.Unread}
+	return Load{l.Running + o.Running, l.Tokens + o.Tokens, l.Unread + o.Unread, l.Uncovered + o.Uncovered}
 }
 
 // Minus takes a load off.
 func (l Load) Minus(o Load) Load {
-	return Load{l.Running - o.Running, l.Tokens - o.Tokens, l.Unread - o.Unread}
+	return Load{l.Running - o.Running, l.Tokens - o.Tokens, l.Unread - o.Unread, l.Uncovered - o.Uncovered}
 }
 
 type key struct{ host, target string }
--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -60,8 +60,10 @@
 type Engine struct {
 	Slots        int `json:"slots"`
 	MemoryTokens int `json:"memory_tokens"`
-	// Moves says that engines copy running generations to each other.
-	Moves bool `json:"moves"`
+	// Moves says that engines copy running generations to each other, Backups
+	// that they keep copies of each other's as these grow.
+	Moves   bool `json:"moves"`
+	Backups bool `json:"backups"`
 	// TokensPerEvent is the number of tokens in one event of a stream.
 	TokensPerEvent int `json:"tokens_per_event"`
 	// BytesPerToken and LinkMbps give the time that a copy takes.
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -22,27 +22,35 @@
 // generation is one stream on its way from an engine to its caller.
 type generation struct {
 	*exchange
-	g *Gateway
+	g   *Gateway
+	ctx context.Context
 	// begun is set once the caller has the header of the answer.
 	begun bool
-	// lastID is the id of the last whole event that the caller got.
-	lastID string
-	pauses pauses
-	// progress is a copy of pauses for the mover.
-	progress atomic.Pointer[pauses]
 	// moves counts the engines that the generation went on at.
 	moves int
 	// failed is an engine's own failure, nil when there is none.
 	failed *whole
-
+	// progress is a copy of pauses for the mover.
+	progress atomic.Pointer[pauses]
 	// ended is closed when the caller has its answer.
 	ended chan struct{}
 
+	// flow is held while an event is delivered, and while the generation goes
+	// over to another engine: no event of the old one may follow.
+	flow   sync.Mutex
+	pauses pauses
+	// lastID is the id of the last whole event that the caller got.
+	lastID string
+	// next is where the generation goes on once the current leg ends.
+	next *leg
+
 	mu sync.Mutex
-	// cancelLeg ends the stream from the engine where the generation runs.
-	cancelLeg context.CancelFunc
 	// at is the target where the generation runs.
 	at *directory.Seen
+	// cancelLeg ends the stream from there.
+	cancelLeg context.CancelFunc
+	// backup keeps a copy of the generation's memory, nil when none does.
+	backup *backup
 	// move is the move away from there, in progress or done; nil when there is
 	// none.
 	move *move
@@ -54,39 +62,49 @@
 	resp   *http.Response
 	place  *Place
 	cancel context.CancelFunc
+	backup *backup
 }
 
-// errEnded marks the regular end of a stream.
-var errEnded = failure.New(failure.KindInternal, "the stream has ended")
+func (l *leg) close() {
+	l.cancel()
+	_ = l.resp.Body.Close()
+	l.place.Release()
+	l.backup.release()
+}
+
+// The ends of a leg that are no failures.
+var (
+	// errEnded marks the regular end of a stream.
+	errEnded = failure.New(failure.KindInternal, "the stream has ended")
+	// errMoved marks the end of a leg whose generation goes on elsewhere.
+	errMoved = failure.New(failure.KindInternal, "the generation has moved")
+	// errAnswered says that the engine's own failure is the answer.
+	errAnswered = failure.New(failure.KindTargetFailed, "the engine answered with a failure").Ran()
+)
 
 // generate relays a generation.
 func (g *Gateway) generate(ctx context.Context, x *exchange) {
-	gen := &generation{exchange: x, g: g, ended: make(chan struct{})}
+	gen := &generation{exchange: x, g: g, ctx: ctx, ended: make(chan struct{})}
 	defer close(gen.ended)
 	g.cfg.Budget.First(g.cfg.Now(), x.budgetKey())
 	g.runs.add(gen)
 	defer g.runs.remove(gen)
-	l, err := gen.start(ctx)
+	l, err := gen.start()
 	for l != nil {
 		err = gen.relay(l)
 		l.close()
 		if err == errEnded || ctx.Err() != nil {
 			break
 		}
-		l, err = gen.goOn(ctx, err)
+		l, err = gen.goOn(err)
 	}
-	gen.finish(ctx, err)
-}
-
-func (l *leg) close() {
-	l.cancel()
-	_ = l.resp.Body.Close()
-	l.place.Release()
+	gen.dropNext()
+	gen.finish(err)
 }
 
 // start sends the request to an engine, to another one when the first did not
 // run it and the route allows that.
-func (gen *generation) start(ctx context.Context) (*leg, error) {
+func (gen *generation) start() (*leg, error) {
 	var avoid []string
 	var last error
 	var t tries
@@ -95,16 +113,15 @@
 		if !ok {
 			break
 		}
-		l, err := gen.open(ctx, gen.send(target), target, place)
+		gen.enter(target, nil, nil)
+		l, err := gen.open(gen.send(target), target, place)
 		if err == nil {
+			gen.enter(target, l.cancel, l.backup)
 			return l, nil
 		}
-		if moved, moveErr := gen.goOn(ctx, err); moved != nil {
-			return moved, moveErr
-		}
 		last = err
 		t.add(err)
-		if !gen.g.again(ctx, gen.exchange, true, err, t) {
+		if !gen.g.again(gen.ctx, gen.exchange, true, err, t) {
 			break
 		}
 		avoid = append(avoid, target.ID)
@@ -115,12 +132,26 @@
 	return nil, last
 }
 
-// open sends the request to an engine and waits for the answer's header.
-func (gen *generation) open(ctx context.Context, s *call.Send, target *directory.Seen, place *Place) (*leg, error) {
-	ctx, cancel := context.WithCancel(ctx)
+// enter notes where the generation runs; a move away from there is not begun.
+func (gen *generation) enter(target *directory.Seen, cancel context.CancelFunc, b *backup) {
 	gen.mu.Lock()
-	gen.at, gen.move, gen.cancelLeg = target, nil, cancel
-	gen.mu.Unlock()
+	defer gen.mu.Unlock()
+	gen.at, gen.cancelLeg, gen.backup, gen.move = target, cancel, b, nil
+}
+
+// open sends the request to an engine and waits for the answer's header.
+func (gen *generation) open(s *call.Send, target *directory.Seen, place *Place) (*leg, error) {
+	return gen.openWithin(0, s, target, place)
+}
+
+// openWithin is open that waits no longer than a limit; 0 means none.
+func (gen *generation) openWithin(limit time.Duration, s *call.Send, target *directory.Seen, place *Place) (*leg, error) {
+	ctx, cancel := context.WithCancel(gen.ctx)
+	if limit > 0 {
+		timer := time.AfterFunc(limit, cancel)
+		defer timer.Stop()
+	}
+	b := gen.cover(s, target, place)
 	resp, answer, err := gen.g.open(ctx, s)
 	if err == nil && answer.Status != http.StatusOK {
 		err = gen.failedAnswer(resp, answer)
@@ -129,14 +160,12 @@
 		gen.g.blame(ctx, target.ID, err)
 		cancel()
 		place.Release()
+		b.release()
 		return nil, err
 	}
-	return &leg{target: target, resp: resp, place: place, cancel: cancel}, nil
+	return &leg{target: target, resp: resp, place: place, cancel: cancel, backup: b}, nil
 }
 
-// errAnswered says that the engine's own failure is the answer.
-var errAnswered = failure.New(failure.KindTargetFailed, "the engine answered with a failure").Ran()
-
 // failedAnswer reads an engine's own failure, to be handed to the caller when
 // no other engine makes it good. Once a caller has events, no other answer can
 // follow them.
@@ -166,21 +195,35 @@
 			return err
 		}
 		l.place.Started()
-		if _, err := gen.w.Write(block.Raw); err != nil {
-			return failure.Wrap(err, failure.KindTargetLost, "the caller is gone")
-		}
-		if f, ok := gen.w.(http.Flusher); ok {
-			f.Flush()
-		}
-		gen.pauses.event(time.Since(gen.Arrived))
-		now := gen.pauses
-		gen.progress.Store(&now)
-		if block.ID != nil {
-			gen.lastID = string(block.ID)
+		if err := gen.deliver(&block); err != nil {
+			return err
 		}
 	}
 }
 
+// deliver hands one event to the caller, unless the generation went over to
+// another engine, which makes the event again.
+func (gen *generation) deliver(block *sse.Block) error {
+	gen.flow.Lock()
+	defer gen.flow.Unlock()
+	if gen.next != nil {
+		return errMoved
+	}
+	if _, err := gen.w.Write(block.Raw); err != nil {
+		return failure.Wrap(err, failure.KindTargetLost, "the caller is gone")
+	}
+	if f, ok := gen.w.(http.Flusher); ok {
+		f.Flush()
+	}
+	gen.pauses.event(time.Since(gen.Arrived))
+	now := gen.pauses
+	gen.progress.Store(&now)
+	if block.ID != nil {
+		gen.lastID = string(block.ID)
+	}
+	return nil
+}
+
 // begin gives the caller the header of the first engine's answer.
 func (gen *generation) begin(resp *http.Response) {
 	if gen.begun {
@@ -194,7 +237,7 @@
 }
 
 // finish ends the answer: whole, or so that it can't be taken for whole.
-func (gen *generation) finish(ctx context.Context, err error) {
+func (gen *generation) finish(err error) {
 	switch {
 	case err == errEnded:
 		gen.g.pace.add(gen.pauses)
@@ -208,6 +251,6 @@
 		gen.g.refuse(gen.w, gen.ID, err)
 		return
 	}
-	gen.g.cfg.Log.Info("generation broke", "request", gen.ID, "target", gen.at.ID, "events", gen.pauses.events, "caller_left", ctx.Err() != nil, "cause", err)
+	gen.g.cfg.Log.Info("generation broke", "request", gen.ID, "target", gen.at.ID, "events", gen.pauses.events, "caller_left", gen.ctx.Err() != nil, "cause", err)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -19,6 +19,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"filbertdeck/internal/blackboard"
+	"filbertdeck/internal/call"
 	"filbertdeck/internal/controller/published"
 	"filbertdeck/internal/decide/migration"
 	"filbertdeck/internal/decide/retrybudget"
@@ -112,6 +113,7 @@
 	out   *blackboard.Writer[directory.View]
 	cfg   *directory.Config
 	calls *http.Client
+	loads *gateway.Loads
 	// blind is set while nobody can say what is published.
 	blind atomic.Bool
 }
@@ -122,11 +124,11 @@
 	out, err := board.View.Claim()
 	Expect(err).NotTo(HaveOccurred())
 	start := time.Now()
-	d := &deck{out: out, cfg: testConfig()}
 	now := func() time.Duration { return time.Since(start) }
+	d := &deck{out: out, cfg: testConfig(), loads: gateway.NewLoads("host-1", "dc-1", now)}
 	g := gateway.New(gateway.Config{
 		Dialect: platform.Dialect{}, Engines: platform.NewEngines(), Board: board,
-		Loads: gateway.NewLoads("host-1", "dc-1", now), Budget: retrybudget.New(retrybudget.Config{}),
+		Loads: d.loads, Budget: retrybudget.New(retrybudget.Config{}),
 		Client: targetclient.NewOnce(targetclient.Settings{Header: time.Minute, Silence: time.Minute}), Migration: migration.Default(), Blind: d.blind.Load,
 		Log: slog.New(slog.DiscardHandler), Metrics: gometrics.NewRegistry(), Now: now,
 	})
@@ -155,7 +157,9 @@
 			route("/report/", "llm", directory.Generation, 1), resumable,
 		},
 		Services: []directory.Service{{Name: "app"}, {Name: "llm", Engine: &directory.Engine{
-			Slots: 6, MemoryTokens: 10000, Moves: true, TokensPerEvent: 1,
+			Slots: 6, MemoryTokens: 10000, Moves: true, Backups: true, TokensPerEvent: 1,
+			// The link carries 14 tokens in the time that a notice leaves for copies.
+			BytesPerToken: 1e6, LinkMbps: 160,
 		}}},
 		Accounts: []directory.Account{{Name: "clinic", Keys: []string{"key-1"}}},
 	}
@@ -169,6 +173,13 @@
 	d.out.Publish(directory.NewView(1, d.cfg, seen, nil))
 }
 
+// crowd has every engine hold more than its link carries off in a notice.
+func (d *deck) crowd() {
+	for _, id := range []string{"i-1", "i-2"} {
+		d.loads.Hold(id, call.Prompt{Tokens: 20})
+	}
+}
+
 func (d *deck) request(method, path string) *http.Request {
 	req, err := http.NewRequest(method, d.url+path, strings.NewReader("hello"))
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -150,6 +150,31 @@
 	return targets[i], l.place(targets[i].ID, p), true
 }
 
+// Keep chooses a target that keeps a backup of a generation, and counts its
+// memory there.
+func (l *Loads) Keep(view *directory.View, service string, p call.Prompt, avoid []string) (*directory.Seen, *Place, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	candidates, targets := l.candidates(view, service, Anywhere, avoid)
+	i := placement.Choose(candidates, tokensOf(p), rand.Float64())
+	if i < 0 || placement.Load(candidates[i], tokensOf(p)) > fullestKeeper {
+		return nil, nil, false
+	}
+	return targets[i], l.count(targets[i].ID, loadshare.Load{Tokens: tokensOf(p)}), true
+}
+
+// fullestKeeper is the fullness up to which an engine keeps backups: the rest
+// of its memory is for generations that run there.
+const fullestKeeper = 0.7
+
+// Uncovered gives the tokens of generations at a target that no other target
+// has a copy of.
+func (l *Loads) Uncovered(target string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.of(target).Plus(l.share.Others(l.now(), target)).Uncovered
+}
+
 // Hold counts a request at a target that was chosen before.
 func (l *Loads) Hold(target string, p call.Prompt) *Place {
 	l.mu.Lock()
@@ -158,16 +183,34 @@
 }
 
 func (l *Loads) place(target string, p call.Prompt) *Place {
-	load := loadshare.Load{Running: 1, Tokens: tokensOf(p), Unread: p.Tokens}
+	return l.count(target, loadshare.Load{Running: 1, Tokens: tokensOf(p), Unread: p.Tokens, Uncovered: tokensOf(p)})
+}
+
+func (l *Loads) count(target string, load loadshare.Load) *Place {
 	l.set(target, l.of(target).Plus(load))
 	return &Place{loads: l, target: target, load: load}
 }
 
+// Covered notes that another target keeps a backup.
+func (p *Place) Covered() {
+	load := p.load
+	load.Uncovered = 0
+	p.change(load)
+}
+
 // Started notes that the prompt has been read.
-func (p *Place) Started() { p.change(loadshare.Load{Running: p.load.Running, Tokens: p.load.Tokens}) }
+func (p *Place) Started() {
+	load := p.load
+	load.Unread = 0
+	p.change(load)
+}
 
-// Release gives the place up; it may be called more than once.
-func (p *Place) Release() { p.change(loadshare.Load{}) }
+// Release gives the place up; it may be called more than once, and on nil.
+func (p *Place) Release() {
+	if p != nil {
+		p.change(loadshare.Load{})
+	}
+}
 
 func (p *Place) change(to loadshare.Load) {
 	p.loads.mu.Lock()
--- a/internal/gateway/migrate_test.go
+++ b/internal/gateway/migrate_test.go
@@ -153,3 +153,56 @@
 		Expect(other.requests()).To(BeEmpty())
 	})
 })
+
+var _ = Describe("generations with a backup", func() {
+	const events = 40
+
+	// The engine's link could not carry off all that it holds, so another one
+	// keeps a copy as it grows. When the engine leaves, the report goes on
+	// there at once, and nothing has to be copied in the notice.
+	It("go on there when their engine leaves", func() {
+		first := startEngine("i-1", events, 5*time.Millisecond)
+		second := startEngine("i-2", events, 5*time.Millisecond)
+		d := startDeck(first.entry("llm", "dc-1"), second.entry("llm", "dc-2"))
+		d.crowd()
+		done := make(chan result, 1)
+		go func() { done <- d.do(d.request("POST", "/report/")) }()
+		Eventually(func() int64 { return first.made.Load() + second.made.Load() }).Should(BeNumerically(">", 5))
+		from, to := first, second
+		if second.made.Load() > 0 {
+			from, to = second, first
+		}
+		Expect(from.requests()[0].Header.Get("X-Filbertdeck-Kv-Backup")).To(Equal(to.address))
+		d.publish(leaving(from.entry("llm", "dc-1")), to.entry("llm", "dc-1"))
+		var got result
+		Eventually(done, "5s").Should(Receive(&got))
+		Expect(got.body).To(Equal(wanted(events)))
+		Expect(from.moves.Load()).To(BeZero())
+		Expect(to.requests()[0].Header.Get("Kv-From")).To(Equal(to.address + "/r-1"))
+	})
+})
+
+var _ = Describe("summaries that another run may go on with", func() {
+	// The engine dies after a piece of a summary whose route lets another run
+	// go on behind it. The clerk gets the rest from another engine, each piece
+	// once.
+	It("are resumed at another engine behind the last whole event", func() {
+		const events = 10
+		other := startEngine("i-2", events, time.Millisecond)
+		half := event(1) + event(2) + "id: 3\nda"
+		dying := startTarget("i-1", func(conn net.Conn, r *http.Request) {
+			say("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\nTransfer-Encoding: chunked\n\n")(conn, r)
+			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(half), half)
+		})
+		d := startDeck(dying.entry("llm", "dc-1"), other.entry("llm", "dc-2"))
+		for range 20 {
+			got := d.do(d.request("POST", "/brief/"))
+			Expect(got.err).NotTo(HaveOccurred())
+			Expect(got.body).To(Equal(wanted(events)))
+			if len(dying.requests()) > 0 {
+				break
+			}
+		}
+		Expect(dying.requests()).NotTo(BeEmpty())
+	})
+})
--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -28,6 +28,10 @@
 	// askEvery is how often targets are asked whether they are about to stop: a
 	// notice is one and a half seconds, of which copies need most.
 	askEvery = 200 * time.Millisecond
+	// switchLimit bounds the wait for the engine that a generation goes over
+	// to: a few hops and the reading of some ten tokens take a few hundredths
+	// of a second; both engines must not work on it for 0.4 s.
+	switchLimit = 300 * time.Millisecond
 	// moveTries bounds the destinations that one move asks.
 	moveTries = 3
 )
@@ -36,9 +40,8 @@
 type move struct {
 	// done is closed when nothing more will come of it.
 	done chan struct{}
-	// The fields below are set before done is closed.
-
-	// to holds the copy, nil when there is none.
+	// to holds a copy that the generation did not go over to yet, nil when
+	// there is none. It is set before done is closed.
 	to      *directory.Seen
 	handoff *call.Handoff
 }
@@ -157,12 +160,15 @@
 	return gen.at, gen.move, true
 }
 
-// leave copies the generation's memory to another engine while it runs on, and
-// lets it go on there as soon as the copy is whole.
+// leave lets the generation go on at another engine: where its backup lies, or
+// where its memory was copied while it ran on.
 func (gen *generation) leave(ctx context.Context, view *directory.View, from *directory.Seen, m *move) {
 	defer close(m.done)
 	ctx, cancel := context.WithTimeout(ctx, copyLimit)
 	defer cancel()
+	if !gen.started(ctx) || gen.useBackup(view) {
+		return
+	}
 	begun := time.Now()
 	stops := begun.Add(gen.leavesIn(ctx, from))
 	if gen.stays(time.Until(stops)) {
@@ -170,35 +176,106 @@
 		return
 	}
 	avoid := []string{from.ID}
-	for tries := 0; tries < moveTries && gen.started(ctx, m); {
+	for tries := 0; tries < moveTries && gen.started(ctx); {
 		to, place, ok := gen.g.cfg.Loads.Acquire(view, from.Service, gen.Prompt, Near(from.DataCentre), avoid)
 		if !ok {
 			break
 		}
 		result, err := gen.g.cfg.Engines.Move(ctx, from.Address, gen.ID, to.Address, false)
-		place.Release()
-		gen.g.cfg.Log.Info("generation moved", "request", gen.ID, "from", from.ID, "to", to.ID, "took", time.Since(begun),
+		gen.g.cfg.Log.Info("generation copied", "request", gen.ID, "from", from.ID, "to", to.ID, "took", time.Since(begun),
 			"leaves_in", time.Until(stops), "events", result.Events, "error", err)
-		switch failure.KindOf(err) {
-		case failure.KindNotFound:
+		if err == nil {
+			m.to, m.handoff = to, &call.Handoff{From: from.Address, Handle: result.Handle}
+			err = gen.switchTo(to, m.handoff, place)
+			if err == nil {
+				return
+			}
+			gen.g.cfg.Log.Info("copy not taken", "request", gen.ID, "to", to.ID, "error", err)
+			gen.dropCopy(from, m)
+		}
+		place.Release()
+		if failure.KindOf(err) == failure.KindNotFound {
 			// The run has not begun yet, or it has ended; both show soon.
 			sleep(ctx, runPause)
 			continue
-		case failure.KindOverloaded:
-			avoid = append(avoid, to.ID)
 		}
+		avoid = append(avoid, to.ID)
 		tries++
-		if err == nil {
-			m.to, m.handoff = to, &call.Handoff{From: from.Address, Handle: result.Handle}
-			gen.leaveLeg()
-			return
-		}
 	}
 }
 
+// dropCopy frees a copy that the generation won't go over to any more, since
+// it has ended: the copy would hold memory at an engine for seconds.
+func (gen *generation) dropCopy(from *directory.Seen, m *move) {
+	select {
+	case <-gen.ended:
+	default:
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
+	defer cancel()
+	if err := gen.g.cfg.Engines.Drop(ctx, from.Address, m.handoff.Handle); err != nil {
+		gen.g.cfg.Log.Debug("copy not dropped", "request", gen.ID, "error", err)
+	}
+}
+
+// useBackup goes over to the generation's backup, if it has one at an engine
+// that stays.
+func (gen *generation) useBackup(view *directory.View) bool {
+	gen.mu.Lock()
+	b := gen.backup
+	gen.mu.Unlock()
+	if b == nil {
+		return false
+	}
+	keeper, known := view.Target(b.target.ID)
+	if !known || !view.TakesNew(keeper) || gen.g.cfg.Loads.Leaving(keeper.ID) {
+		return false
+	}
+	begun := time.Now()
+	err := gen.switchTo(keeper, b.handoff(gen.ID), gen.g.cfg.Loads.Hold(keeper.ID, gen.Prompt))
+	gen.g.cfg.Log.Info("generation goes on at its backup", "request", gen.ID, "to", keeper.ID, "took", time.Since(begun), "error", err)
+	return err == nil
+}
+
+// switchTo sends the request to an engine that holds a copy and, when that
+// takes it, ends the stream from the engine before: closing the connection is
+// what makes an engine drop the run. Meanwhile no event is delivered; a refusal
+// leaves all as it was.
+func (gen *generation) switchTo(to *directory.Seen, handoff *call.Handoff, place *Place) error {
+	gen.flow.Lock()
+	defer gen.flow.Unlock()
+	l, err := gen.resume(to, handoff, place)
+	if err != nil {
+		return err
+	}
+	gen.mu.Lock()
+	cancelOld := gen.cancelLeg
+	gen.mu.Unlock()
+	if cancelOld != nil {
+		cancelOld()
+	}
+	gen.next = l
+	gen.enter(to, l.cancel, l.backup)
+	return nil
+}
+
+// resume sends the request to an engine that holds a copy, to go on behind the
+// last event that the caller has. The engine before still runs, so the answer
+// must come soon or not at all.
+func (gen *generation) resume(to *directory.Seen, handoff *call.Handoff, place *Place) (*leg, error) {
+	s := gen.send(to)
+	s.Resume, s.After = handoff, gen.lastID
+	l, err := gen.openWithin(switchLimit, s, to, place)
+	if err == nil {
+		gen.moves++
+	}
+	return l, err
+}
+
 // started waits until the generation has made its first event: before, the
 // engine has no run to copy. False when it ended instead.
-func (gen *generation) started(ctx context.Context, m *move) bool {
+func (gen *generation) started(ctx context.Context) bool {
 	for gen.progress.Load() == nil {
 		select {
 		case <-gen.ended:
@@ -216,16 +293,6 @@
 	}
 }
 
-// leaveLeg ends the stream from the engine where the generation runs; closing
-// the connection is what makes an engine drop the run.
-func (gen *generation) leaveLeg() {
-	gen.mu.Lock()
-	defer gen.mu.Unlock()
-	if gen.cancelLeg != nil {
-		gen.cancelLeg()
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -256,37 +323,87 @@
 	return gen.g.cfg.Migration.Stays(migration.TimeLeft(expected, p.events, p.last-p.first), leavesIn)
 }
 
-// goOn continues a generation whose stream ended early with why: from the copy
-// of a move, else at another engine where the route allows it.
-func (gen *generation) goOn(ctx context.Context, why error) (*leg, error) {
+// goOn finds where a generation goes on whose stream ended early with why: at
+// the engine that it went over to, from a copy or a backup, or, where the route
+// allows another run to go on, at any other engine.
+func (gen *generation) goOn(why error) (*leg, error) {
+	if l := gen.takeNext(); l != nil {
+		return l, nil
+	}
 	gen.mu.Lock()
-	m := gen.move
+	m, b, from := gen.move, gen.backup, gen.at
 	gen.mu.Unlock()
 	if m != nil {
 		select {
 		case <-m.done:
-		case <-ctx.Done():
+		case <-gen.ctx.Done():
 			return nil, why
 		}
-		if l, err := gen.takeOver(ctx, m); err == nil {
+		if l := gen.takeNext(); l != nil {
+			return l, nil
+		}
+		if m.handoff != nil {
+			if l, err := gen.comeBack(m.to, m.handoff); err == nil {
+				return l, nil
+			}
+		}
+	}
+	if b != nil {
+		if l, err := gen.comeBack(b.target, b.handoff(gen.ID)); err == nil {
 			return l, nil
-		} else if m.handoff != nil {
-			why = err
 		}
 	}
+	if gen.route.Resumable {
+		return gen.anew(from, why)
+	}
 	return nil, why
 }
 
-// takeOver sends the request to the engine that holds the copy.
-func (gen *generation) takeOver(ctx context.Context, m *move) (*leg, error) {
-	if m.handoff == nil {
-		return nil, failure.New(failure.KindGenerationGone, "no copy of the generation")
-	}
-	s := gen.send(m.to)
-	s.Resume, s.After = m.handoff, gen.lastID
-	l, err := gen.open(ctx, s, m.to, gen.g.cfg.Loads.Hold(m.to.ID, gen.Prompt))
+// takeNext gives the leg that the generation went over to, nil when there is
+// none.
+func (gen *generation) takeNext() *leg {
+	gen.flow.Lock()
+	defer gen.flow.Unlock()
+	l := gen.next
+	gen.next = nil
+	return l
+}
+
+// dropNext ends a leg that nobody will relay.
+func (gen *generation) dropNext() {
+	if l := gen.takeNext(); l != nil {
+		l.close()
+	}
+}
+
+// comeBack goes on from a copy after the engine before has ended.
+func (gen *generation) comeBack(to *directory.Seen, handoff *call.Handoff) (*leg, error) {
+	l, err := gen.resume(to, handoff, gen.g.cfg.Loads.Hold(to.ID, gen.Prompt))
 	if err == nil {
-		gen.moves++
+		gen.enter(to, l.cancel, l.backup)
+		gen.g.cfg.Log.Info("generation came back from a copy", "request", gen.ID, "to", to.ID, "events", gen.pauses.events)
 	}
 	return l, err
 }
+
+// anew has another engine go on with a generation of a route that allows it,
+// behind the last event that the caller has.
+func (gen *generation) anew(from *directory.Seen, why error) (*leg, error) {
+	if !gen.g.cfg.Budget.Retry(gen.g.cfg.Now(), gen.budgetKey()) {
+		return nil, why
+	}
+	target, place, ok := gen.g.cfg.Loads.Acquire(gen.view, gen.service.Name, gen.Prompt, Anywhere, []string{from.ID})
+	if !ok {
+		return nil, why
+	}
+	s := gen.send(target)
+	s.After = gen.lastID
+	l, err := gen.open(s, target, place)
+	if err != nil {
+		return nil, why
+	}
+	gen.enter(target, l.cancel, l.backup)
+	gen.moves++
+	gen.g.cfg.Log.Info("generation resumed by another run", "request", gen.ID, "from", from.ID, "to", target.ID, "events", gen.pauses.events)
+	return l, nil
+}
