Begin no generation late in a planned stop

Ruled out: refusing all new work early, which costs callers a try while the balancer still sends. Now no generation begins more than 2.5 s after the signal.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,25 +73,31 @@
 	cfg  Config
 	runs *runs
 	pace pace
-	// stopBy is when the process will be gone, nil while it isn't stopping.
-	stopBy atomic.Pointer[time.Time]
+	// stop is set once the process stops.
+	stop atomic.Pointer[stopTimes]
 }
 
 // New returns a gateway.
 func New(cfg Config) *Gateway { return &Gateway{cfg: cfg, runs: newRuns()} }
 
-// StopBy says that the process stops and will be gone at a time.
-func (g *Gateway) StopBy(at time.Time) { g.stopBy.Store(&at) }
+// stopTimes say how a process stops.
+type stopTimes struct{ lastRun, gone time.Time }
 
-// stoppingBefore tells whether the process will be gone before a generation is
-// expected to have ended. It would be cut, and may run only once: better that
-// its caller tries another host at once.
+// StopBy says that the process stops: it begins no generation after lastRun
+// and will be gone at a time.
+func (g *Gateway) StopBy(lastRun, gone time.Time) { g.stop.Store(&stopTimes{lastRun, gone}) }
+
+// stoppingBefore tells whether the process will most likely be gone before a
+// generation has ended. It would be cut, and may run only once: better that
+// its caller tries another host at once. Estimates of lengths are far off now
+// and then, so late in a stop no generation is begun at all.
 func (g *Gateway) stoppingBefore(x *exchange) bool {
-	stop := g.stopBy.Load()
+	stop := g.stop.Load()
 	if stop == nil || x.service.Engine == nil {
 		return false
 	}
-	return time.Now().Add(g.pace.expect(x.Prompt, x.service.Engine.TokensPerEvent)).After(*stop)
+	now := time.Now()
+	return now.After(stop.lastRun) || now.Add(g.pace.expect(x.Prompt, x.service.Engine.TokensPerEvent)).After(stop.gone)
 }
 
 // exchange is one caller's request on its way.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -109,11 +109,12 @@
 
 // deck is a gateway before some targets.
 type deck struct {
-	url   string
-	out   *blackboard.Writer[directory.View]
-	cfg   *directory.Config
-	calls *http.Client
-	loads *gateway.Loads
+	url     string
+	out     *blackboard.Writer[directory.View]
+	cfg     *directory.Config
+	calls   *http.Client
+	loads   *gateway.Loads
+	gateway *gateway.Gateway
 	// blind is set while nobody can say what is published.
 	blind atomic.Bool
 }
@@ -132,6 +133,7 @@
 		Client: targetclient.NewOnce(targetclient.Settings{Header: time.Minute, Silence: time.Minute}), Migration: migration.Default(), Blind: d.blind.Load,
 		Log: slog.New(slog.DiscardHandler), Metrics: gometrics.NewRegistry(), Now: now,
 	})
+	d.gateway = g
 	ctx, cancel := context.WithCancel(context.Background())
 	go g.Run(ctx)
 	server := httptest.NewServer(g)
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -33,6 +33,10 @@
 	// it says that it isn't ready: the balancer asks once a second and believes
 	// the second answer.
 	announceFor = 2200 * time.Millisecond
+	// runsFor is how long a stopping process begins generations that are
+	// expected to end in time: the platform takes it for an honest try up to
+	// three seconds after the signal.
+	runsFor = 2500 * time.Millisecond
 	// quietFor without a caller shows that the balancer has noticed.
 	quietFor = 500 * time.Millisecond
 	// finishMargin before the end of the grace nothing new is taken any more:
@@ -181,7 +185,7 @@
 			left := s.Deployment.StopGrace - stopMargin
 			ctx, cancel := context.WithTimeout(ctx, left)
 			defer cancel()
-			g.StopBy(time.Now().Add(left))
+			g.StopBy(time.Now().Add(runsFor), time.Now().Add(left))
 			server.SetKeepAlivesEnabled(false)
 			err := life.Stop(ctx)
 			return errors.Join(err, server.Close())
