Bound what all hosts send to a cold target; deny only what is surely not there

Cause: nothing kept hosts that act alone from overwhelming a cold target together, a host with an old configuration denied new routes and keys for good, and the fixed part of the retry bound was dealt among eight hosts whatever their number.

--- a/internal/decide/retrybudget/budget.go
+++ b/internal/decide/retrybudget/budget.go
@@ -33,9 +33,10 @@
 	// loss of one target of ten at once, and adds at most a tenth to an
 	// overload.
 	Share float64
-	// Burst is the most tokens that a bucket of an account holds; a service's
-	// holds ten times as many. Default 10.
+	// Burst is the most tokens that a bucket of an account holds. Default 10.
 	Burst float64
+	// ServiceBurst is the most that a service's holds. Default ten times Burst.
+	ServiceBurst float64
 	// Trickle is added per second, used or not. Default 0.2: an account that
 	// sends a request a minute may always retry it.
 	Trickle float64
@@ -49,8 +50,8 @@
 	defaultBurst      = 10
 	defaultTrickle    = 0.2
 	defaultMaxBuckets = 4096
-	// ServiceBurst is a service's burst in units of an account's.
-	ServiceBurst = 10
+	// serviceBurst is a service's burst in units of an account's.
+	serviceBurst = 10
 	// NoTrickle, as a Config's Trickle, adds nothing with time.
 	NoTrickle = -1
 )
@@ -58,6 +59,7 @@
 func (c Config) withDefaults() Config {
 	c.Share = cmp.Or(c.Share, defaultShare)
 	c.Burst = cmp.Or(c.Burst, defaultBurst)
+	c.ServiceBurst = cmp.Or(c.ServiceBurst, serviceBurst*c.Burst)
 	c.Trickle = max(cmp.Or(c.Trickle, defaultTrickle), 0)
 	c.MaxBuckets = cmp.Or(c.MaxBuckets, defaultMaxBuckets)
 	return c
@@ -70,8 +72,9 @@
 // Bucket is a token bucket that fills by events and by time. Safe for
 // concurrent use.
 type Bucket struct {
-	burst, trickle int64 // milli tokens, milli tokens a second
-	level          atomic.Int64
+	burst   atomic.Int64 // milli tokens
+	trickle int64        // milli tokens a second
+	level   atomic.Int64
 	// filled is the time up to which the trickle was added.
 	filled atomic.Int64
 }
@@ -79,8 +82,9 @@
 // NewBucket returns a full bucket of burst tokens that gains trickle tokens a
 // second.
 func NewBucket(now time.Duration, burst, trickle float64) *Bucket {
-	b := &Bucket{burst: int64(burst * milli), trickle: int64(trickle * milli)}
-	b.level.Store(b.burst)
+	b := &Bucket{trickle: int64(trickle * milli)}
+	b.burst.Store(int64(burst * milli))
+	b.level.Store(b.burst.Load())
 	b.filled.Store(int64(now))
 	return b
 }
@@ -91,13 +95,19 @@
 func (b *Bucket) deposit(amount int64) {
 	for {
 		level := b.level.Load()
-		next := min(level+amount, b.burst)
+		next := min(level+amount, b.burst.Load())
 		if next == level || b.level.CompareAndSwap(level, next) {
 			return
 		}
 	}
 }
 
+// scale changes the burst by a factor; what is above it is lost.
+func (b *Bucket) scale(factor float64) {
+	b.burst.Store(int64(float64(b.burst.Load()) * factor))
+	b.deposit(0)
+}
+
 // Take takes one token, or tells that there is none.
 func (b *Bucket) Take(now time.Duration) bool {
 	b.fill(now)
@@ -129,11 +139,28 @@
 	cfg     Config
 	mu      sync.RWMutex
 	buckets map[Key]*Bucket
+	// hosts share the bursts.
+	hosts float64
 }
 
 // New returns a budget in which every bucket starts full.
 func New(cfg Config) *Budget {
-	return &Budget{cfg: cfg.withDefaults(), buckets: map[Key]*Bucket{}}
+	return &Budget{cfg: cfg.withDefaults(), buckets: map[Key]*Bucket{}, hosts: 1}
+}
+
+// ShareAmong says how many hosts share the bursts, so that all hosts' retries
+// keep to one bound. Buckets that hold more are emptied to their part.
+func (b *Budget) ShareAmong(hosts int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := float64(max(hosts, 1))
+	if next == b.hosts {
+		return
+	}
+	for _, bucket := range b.buckets {
+		bucket.scale(b.hosts / next)
+	}
+	b.hosts = next
 }
 
 // First books a first try.
@@ -188,9 +215,9 @@
 	}
 	burst, trickle := b.cfg.Burst, b.cfg.Trickle
 	if k.Account == "" {
-		burst, trickle = burst*ServiceBurst, trickle*ServiceBurst
+		burst, trickle = b.cfg.ServiceBurst, trickle*serviceBurst
 	}
-	bucket := NewBucket(now, burst, trickle)
+	bucket := NewBucket(now, burst/b.hosts, trickle)
 	b.buckets[k] = bucket
 	return bucket
 }
@@ -201,7 +228,7 @@
 func (b *Budget) evict(now time.Duration) {
 	for k, bucket := range b.buckets {
 		bucket.fill(now)
-		if bucket.level.Load() >= bucket.burst {
+		if bucket.level.Load() >= bucket.burst.Load() {
 			delete(b.buckets, k)
 		}
 	}
--- /dev/null
+++ b/internal/gateway/cold_test.go
@@ -0,0 +1,59 @@
+package gateway_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/gateway"
+)
+
+var _ = Describe("cold targets", func() {
+	view := func(coldUntil time.Duration) *directory.View {
+		cfg := testConfig()
+		cfg.Services[1].ColdRate = 4
+		targets := map[string]*directory.Seen{}
+		for _, id := range []string{"cold", "warm"} {
+			targets[id] = &directory.Seen{Listed: true, Target: directory.Target{ID: id, Service: "llm", DataCentre: "dc-1", Slots: 24}}
+		}
+		targets["cold"].ColdUntil = coldUntil
+		return directory.NewView(1, cfg, targets, nil)
+	}
+
+	// An engine joins cold and empty beside one that is half full. All hosts
+	// send it what they have, it falls over and joins again.
+	It("get this host's part of what they bear in a second, however empty they are", func() {
+		now := time.Duration(0)
+		loads := gateway.NewLoads("host-1", "dc-1", func() time.Duration { return now })
+		loads.BoundCold(gateway.ColdBound{Factor: 1.5, Extra: 2, Rank: func(string) (int, int) { return 0, 4 }})
+		for range 10 {
+			loads.Hold("warm", call.Prompt{Tokens: 600})
+		}
+		sent := map[string]int{}
+		for range 20 {
+			t, _, ok := loads.Acquire(view(time.Minute), "llm", call.Prompt{Tokens: 10}, gateway.Anywhere, nil)
+			Expect(ok).To(BeTrue())
+			sent[t.ID]++
+		}
+		Expect(sent["cold"]).To(Equal(2))
+		now = 2 * time.Second
+		t, _, _ := loads.Acquire(view(time.Minute), "llm", call.Prompt{Tokens: 10}, gateway.Anywhere, nil)
+		Expect(t.ID).To(Equal("cold"))
+		t, _, _ = loads.Acquire(view(time.Second), "llm", call.Prompt{Tokens: 10}, gateway.Anywhere, nil)
+		Expect(t.ID).To(Equal("cold"))
+	})
+
+	It("are passed over while others are about as empty", func() {
+		loads := gateway.NewLoads("host-1", "dc-1", func() time.Duration { return 0 })
+		loads.BoundCold(gateway.ColdBound{Factor: 1.5, Extra: 2, Rank: func(string) (int, int) { return 0, 4 }})
+		loads.Hold("warm", call.Prompt{Tokens: 100}).Started()
+		for range 10 {
+			t, place, _ := loads.Acquire(view(time.Minute), "llm", call.Prompt{Tokens: 10}, gateway.Anywhere, nil)
+			Expect(t.ID).To(Equal("warm"))
+			place.Release()
+		}
+	})
+})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,9 @@
 	Migration migration.Config
 	Log       *slog.Logger
 	Metrics   gometrics.Registry
+	// Current tells whether what is on the board is new enough to say that
+	// something does not exist.
+	Current func() bool
 	// Blind tells whether this host can't know what is published by now.
 	Blind func() bool
 	// Now is the steady clock of the process.
@@ -171,11 +174,11 @@
 func (g *Gateway) admit(x *exchange) error {
 	var found bool
 	if x.route, found = x.view.Route(x.Host, x.Path); !found {
-		return failure.New(failure.KindNotFound, "no route for this host and path")
+		return g.deny(failure.New(failure.KindNotFound, "no route for this host and path"))
 	}
 	if x.view.NeedsKey(x.route) {
 		if x.account, found = x.view.Account(x.Key); !found {
-			return failure.New(failure.KindUnauthorized, "unknown key")
+			return g.deny(failure.New(failure.KindUnauthorized, "unknown key"))
 		}
 	}
 	name := x.route.Pick(rand.Float64())
@@ -193,6 +196,16 @@
 	return nil
 }
 
+// deny gives a denial where it is certain. A host that the store turns away
+// holds an old configuration while others serve a route or key that is new:
+// its caller may try those instead of being told for good that there is none.
+func (g *Gateway) deny(denial *failure.Error) error {
+	if g.cfg.Current() {
+		return denial
+	}
+	return failure.Wrap(denial, failure.KindNotReady, "the configuration held here may be out of date").After(notReadyRetry)
+}
+
 // send makes a sending of the request to a target.
 func (x *exchange) send(target *directory.Seen) *call.Send {
 	s := &call.Send{Request: x.Request, Target: target.Target, Left: time.Until(x.deadline), Priority: -1}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -130,7 +130,7 @@
 	g := gateway.New(gateway.Config{
 		Dialect: platform.Dialect{}, Engines: platform.NewEngines(), Board: board,
 		Loads: d.loads, Budget: retrybudget.New(retrybudget.Config{}),
-		Client: targetclient.NewOnce(targetclient.Settings{Header: time.Minute, Silence: time.Minute}), Migration: migration.Default(), Blind: d.blind.Load,
+		Client: targetclient.NewOnce(targetclient.Settings{Header: time.Minute, Silence: time.Minute}), Migration: migration.Default(), Blind: d.blind.Load, Current: func() bool { return !d.blind.Load() },
 		Log: slog.New(slog.DiscardHandler), Metrics: gometrics.NewRegistry(), Now: now,
 	})
 	d.gateway = g
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"filbertdeck/internal/call"
+	"filbertdeck/internal/decide/coldshare"
 	"filbertdeck/internal/decide/loadshare"
 	"filbertdeck/internal/decide/placement"
 	"filbertdeck/internal/directory"
@@ -21,6 +22,7 @@
 	mu    sync.Mutex
 	own   map[string]*targetLoad
 	share *loadshare.Board
+	cold  ColdBound
 	// changed is signalled when there are counts to tell other hosts, leaving
 	// when a target was heard to leave.
 	changed, leaving chan struct{}
@@ -34,8 +36,23 @@
 	failures int
 	// unreachableAt is when it could last not be reached.
 	unreachableAt time.Duration
+	// gate counts the sends while the target is cold.
+	gate coldshare.Gate
 }
 
+// ColdBound bounds what all hosts send to a cold target in a second: its own
+// rate times Factor, plus Extra.
+type ColdBound struct {
+	Factor, Extra float64
+	// Rank gives this host's rank among the hosts for a target, and how many
+	// hosts there are.
+	Rank func(target string) (rank, hosts int)
+}
+
+// BoundCold sets the bound; without one cold targets are treated like warm
+// ones.
+func (l *Loads) BoundCold(b ColdBound) { l.cold = b }
+
 const (
 	// penaltyFor is how long a failure counts against a target. Grey targets
 	// fail two in five of their requests; at one request a second to each
@@ -47,6 +64,12 @@
 	// over while there are others: one that left while the store was away is
 	// listed for seconds, one that crashed is back after some.
 	unreachableFor = 2 * time.Second
+	// coldPenalty keeps work off a cold target unless others are that much
+	// fuller: it is slow, and joins empty.
+	coldPenalty = 0.2
+	// coldAgain is how long a target counts as cold after it could not be
+	// reached: it may have started anew while nobody could publish that.
+	coldAgain = 5 * time.Second
 	// unreachablePenalty is above what any other target's load comes to.
 	unreachablePenalty = 100
 )
@@ -107,7 +130,7 @@
 func (l *Loads) of(target string) *targetLoad {
 	t := l.own[target]
 	if t == nil {
-		t = &targetLoad{failedAt: -penaltyFor, unreachableAt: -unreachableFor}
+		t = &targetLoad{failedAt: -penaltyFor, unreachableAt: -coldAgain}
 		l.own[target] = t
 	}
 	return t
@@ -187,6 +210,9 @@
 }
 
 func (l *Loads) count(target string, load loadshare.Load) *Place {
+	if load.Running > 0 {
+		l.of(target).gate.Send(l.now())
+	}
 	l.set(target, l.of(target).Plus(load))
 	return &Place{loads: l, target: target, load: load}
 }
@@ -222,6 +248,24 @@
 	p.load = to
 }
 
+// coldRate is the rate that a target bears while it is cold, 0 when it is not.
+func (l *Loads) coldRate(view *directory.View, t *directory.Seen) float64 {
+	s, ok := view.Service(t.Service)
+	if !ok || s.ColdRate <= 0 || l.cold.Rank == nil {
+		return 0
+	}
+	if l.now() < t.ColdUntil || l.now()-l.of(t.ID).unreachableAt < coldAgain {
+		return s.ColdRate
+	}
+	return 0
+}
+
+// coldPart is this host's part of the sends a second to a cold target.
+func (l *Loads) coldPart(target string, rate float64) int {
+	rank, hosts := l.cold.Rank(target)
+	return coldshare.Part(rate*l.cold.Factor+l.cold.Extra, rank, hosts)
+}
+
 // Failed notes that a target failed a request by its own fault.
 func (l *Loads) Failed(target string) {
 	l.mu.Lock()
@@ -283,6 +327,10 @@
 			continue
 		}
 		own := l.of(t.ID)
+		cold := l.coldRate(view, t)
+		if cold > 0 && !own.gate.Open(l.now(), l.coldPart(t.ID, cold)) {
+			continue
+		}
 		all := own.Plus(l.share.Others(l.now(), t.ID))
 		c := placement.Candidate{
 			ID: t.ID, Running: all.Running, Slots: t.Slots, Tokens: all.Tokens, Unread: all.Unread, Memory: memory,
@@ -290,6 +338,9 @@
 		if l.now()-own.failedAt < penaltyFor {
 			c.Penalty = min(float64(own.failures)*penaltyEach, penaltyMost)
 		}
+		if cold > 0 {
+			c.Penalty += coldPenalty
+		}
 		if l.now()-own.unreachableAt < unreachableFor {
 			c.Penalty += unreachablePenalty
 		}
--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -264,6 +264,10 @@
 // last event that the caller has. The engine before still runs, so the answer
 // must come soon or not at all.
 func (gen *generation) resume(to *directory.Seen, handoff *call.Handoff, place *Place) (*leg, error) {
+	if view := gen.g.cfg.Board.View.Get(); !takesNew(view, to) {
+		place.Release()
+		return nil, failure.New(failure.KindNoTarget, "engine %s may get no more work", to.ID)
+	}
 	s := gen.send(to)
 	s.Resume, s.After = handoff, gen.lastID
 	l, err := gen.openWithin(switchLimit, s, to, place)
@@ -323,6 +327,12 @@
 	return gen.g.cfg.Migration.Stays(migration.TimeLeft(expected, p.events, p.last-p.first), leavesIn)
 }
 
+// takesNew tells whether a target of an earlier view may get work by now.
+func takesNew(view *directory.View, t *directory.Seen) bool {
+	now, known := view.Target(t.ID)
+	return known && now.Started == t.Started && view.TakesNew(now)
+}
+
 // goOn finds where a generation goes on whose stream ended early with why: at
 // the engine that it went over to, from a copy or a backup, or, where the route
 // allows another run to go on, at any other engine.
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -58,10 +58,6 @@
 	headerLimit = 10 * time.Second
 	// maxHeader bounds a request's header in bytes.
 	maxHeader = 64 << 10
-	// assumedHosts share the bounds that hold over all hosts while nobody
-	// knows how many there are: shares that are too small only cost a few
-	// sends, shares that are too large break the bound.
-	assumedHosts = 8
 )
 
 // Clock is the steady clock of the process, from its start.
@@ -71,7 +67,7 @@
 func (s *Settings) Options() []fx.Option {
 	return []fx.Option{
 		fx.Supply(s),
-		fx.Provide(newClock, newBoard, newPublished, newLoads, newBudget, newGateway, newLifecycle, newFleet, newRoles,
+		fx.Provide(newClock, newBoard, newPublished, newLoads, newBudget, newGateway, newLifecycle, newFleet, newRoles, newFleetSize,
 			newMembers, newGossip),
 		fx.Invoke(runPublished, runFleet, runGateway, serveMetrics, serveReady, serveCallers),
 	}
@@ -88,16 +84,26 @@
 	return published.New(published.Config{Source: s.Deployment.Source, Log: log, Metrics: reg, Now: now, Reads: roles.reads}, b)
 }
 
-func newLoads(s *Settings, now Clock) *gateway.Loads {
-	return gateway.NewLoads(s.Deployment.ListenPeers, s.DataCentre, now)
+func newLoads(s *Settings, now Clock, size *fleetSize) *gateway.Loads {
+	loads := gateway.NewLoads(s.Deployment.ListenPeers, s.DataCentre, now)
+	c := s.Deployment.Cold
+	loads.BoundCold(gateway.ColdBound{Factor: c.Factor, Extra: c.Extra, Rank: size.rank})
+	return loads
 }
 
+// accountShare is the part of the fixed number of repeated sends that one
+// client account may use up by itself.
+const accountShare = 0.5
+
 // newBudget gives this host its part of the bound on repeated sends.
-func newBudget(s *Settings) *retrybudget.Budget {
+func newBudget(lc fx.Lifecycle, s *Settings, size *fleetSize) *retrybudget.Budget {
 	r := s.Deployment.Retry
-	return retrybudget.New(retrybudget.Config{
-		Share: r.Share, Burst: max(r.Extra/assumedHosts/retrybudget.ServiceBurst, 1), Trickle: retrybudget.NoTrickle,
+	budget := retrybudget.New(retrybudget.Config{
+		Share: r.Share, Burst: r.Extra * accountShare, ServiceBurst: r.Extra, Trickle: retrybudget.NoTrickle,
 	})
+	budget.ShareAmong(size.hosts())
+	process.Every(lc, sizeEvery, func() { budget.ShareAmong(size.hosts()) })
+	return budget
 }
 
 func newGateway(
@@ -107,7 +113,8 @@
 	client := targetclient.NewOnce(targetclient.Settings{Dial: targetDial, Header: answerLimit, Silence: answerLimit})
 	return gateway.New(gateway.Config{
 		Dialect: s.Deployment.Dialect, Engines: s.Deployment.Engines, Board: b, Loads: loads, Budget: budget,
-		Client: client, Migration: migration.Default(), Blind: func() bool { return blind(c, roles) }, Log: log, Metrics: reg, Now: now,
+		Client: client, Migration: migration.Default(), Blind: func() bool { return blind(c, roles) },
+		Current: func() bool { return current(c, s.Deployment.EditWithin) }, Log: log, Metrics: reg, Now: now,
 	})
 }
 
@@ -126,6 +133,16 @@
 	return c.Asks() && len(r.known()) == 0
 }
 
+// currentMargin is kept of the time in which an edit must be in force, for the
+// request's own way.
+const currentMargin = 500 * time.Millisecond
+
+// current tells whether what is known is new enough to deny what it lacks.
+func current(c *published.Controller, editWithin time.Duration) bool {
+	age, known := c.Age()
+	return known && age < editWithin-currentMargin
+}
+
 func newLifecycle(s *Settings, b *published.Board) *lifecycle.Lifecycle {
 	grace := s.Deployment.StopGrace
 	return lifecycle.NewWithStop(func() error {
--- a/internal/gatewayhost/settings.go
+++ b/internal/gatewayhost/settings.go
@@ -36,6 +36,10 @@
 	StopGrace time.Duration
 	// Retry bounds sends beyond the first to a service, over all hosts.
 	Retry RetryBound
+	// Cold stretches the rate that a cold target bears, over all hosts.
+	Cold ColdBound
+	// EditWithin is how soon what operators publish must be in force.
+	EditWithin time.Duration
 	// Dialect, Engines and Source speak to the deployment's callers, targets
 	// and store.
 	Dialect call.Dialect
@@ -49,3 +53,6 @@
 	Share, Extra float64
 	Window       time.Duration
 }
+
+// ColdBound allows a cold target its rate times Factor plus Extra a second.
+type ColdBound struct{ Factor, Extra float64 }
