--- a/internal/controller/gossip/controller.go
+++ b/internal/controller/gossip/controller.go
@@ -104,6 +104,8 @@
 	start   time.Time
 	peers   *peers
 	calls   chan struct{}
+	// seeds is received from when the seeds were replaced.
+	seeds chan struct{}
 
 	mu       sync.Mutex
 	core     *membership.Core
@@ -149,7 +151,7 @@
 	}
 	c := &Controller{
 		cfg: cfg, log: cfg.Log, metrics: newCounters(cfg.Metrics), members: w, start: time.Now(),
-		calls: make(chan struct{}, maxCalls), core: membership.New(cfg.Membership),
+		calls: make(chan struct{}, maxCalls), seeds: make(chan struct{}, 1), core: membership.New(cfg.Membership),
 		heads: map[string]peerHeads{}, pulling: map[string]bool{},
 	}
 	c.peers = newPeers(cfg.Credentials, c.metrics)
@@ -186,6 +188,8 @@
 			// that comes meanwhile must not be missed.
 			hosts = c.cfg.Hosts.Changed()
 			c.publishedChanged()
+		case <-c.seeds:
+			c.publishedChanged()
 		case <-news:
 			news = c.cfg.Store.Changed()
 			c.push(ctx)
@@ -254,11 +258,24 @@
 	}
 }
 
+// SetSeeds replaces the seeds of the settings.
+func (c *Controller) SetSeeds(seeds []membership.Peer) {
+	c.mu.Lock()
+	c.cfg.Seeds = seeds
+	c.mu.Unlock()
+	select {
+	case c.seeds <- struct{}{}:
+	default:
+	}
+}
+
 // publishedChanged hands the published list and the seeds to the core. A
 // snapshot that only confirms the list again, as one does each second, is
 // passed over: working out neighbours for 3,300 members takes milliseconds.
 func (c *Controller) publishedChanged() {
+	c.mu.Lock()
 	list := append([]membership.Peer(nil), c.cfg.Seeds...)
+	c.mu.Unlock()
 	if hosts := c.cfg.Hosts.Get(); hosts != nil {
 		if c.published != nil && c.published.Version == hosts.Version && slices.Equal(c.published.List, hosts.List) {
 			return
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -187,10 +187,6 @@
 	if err != nil {
 		return nil, err
 	}
-	seeds := make([]membership.Peer, len(s.Deployment.Seeds))
-	for i, a := range s.Deployment.Seeds {
-		seeds[i] = membership.Peer{Address: a}
-	}
 	return gossip.New(gossip.Config{
 		Membership: membership.Config{
 			Self: membership.Member{
@@ -198,11 +194,19 @@
 			},
 			Seed: rand.Uint64(),
 		},
-		Seeds: seeds, Store: store, Hosts: &documents.Hosts, Credentials: insecure.NewCredentials(),
+		Seeds: toPeers(s.Deployment.Seeds), Store: store, Hosts: &documents.Hosts, Credentials: insecure.NewCredentials(),
 		Hooks: f.hooks(), Log: log, Metrics: reg,
 	}, members)
 }
 
+func toPeers(addresses []string) []membership.Peer {
+	peers := make([]membership.Peer, len(addresses))
+	for i, a := range addresses {
+		peers[i] = membership.Peer{Address: a}
+	}
+	return peers
+}
+
 func newMembers() *gossip.Board { return &gossip.Board{} }
 
 // leaveLimit bounds telling the neighbours of a planned stop.
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -69,7 +69,7 @@
 		fx.Supply(s),
 		fx.Provide(newClock, newBoard, newPublished, newLoads, newBudget, newGateway, newLifecycle, newFleet, newRoles, newFleetSize,
 			newMembers, newGossip),
-		fx.Invoke(runPublished, runFleet, runGateway, serveMetrics, serveReady, serveCallers),
+		fx.Invoke(runReload, runPublished, runFleet, runGateway, serveMetrics, serveReady, serveCallers),
 	}
 }
 
--- a/internal/gatewayhost/settings.go
+++ b/internal/gatewayhost/settings.go
@@ -24,6 +24,8 @@
 
 	// Deployment is filled in from what the platform tells the process.
 	Deployment Deployment `arg:"-"`
+	// Reread gives the deployment as the platform describes it by now.
+	Reread func() (Deployment, error) `arg:"-"`
 }
 
 // Deployment is what a process learns of its place.
