--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -22,7 +22,7 @@
 	for i, centre := range f.spec.Hosts {
 		h := &Host{Name: "host-" + strconv.Itoa(i+1), DataCentre: centre}
 		for _, address := range []*string{&h.Callers, &h.Peer, &h.EntryAdmin, &h.Control, &h.ControlAdmin} {
-			free, err := freeAddress()
+			free, err := FreeAddress()
 			if err != nil {
 				return err
 			}
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -25,8 +25,8 @@
 // nextPort counts the ports that this process has looked at.
 var nextPort atomic.Int64
 
-// freeAddress gives a loopback address on which nobody listens.
-func freeAddress() (string, error) {
+// FreeAddress gives a loopback address on which nobody listens.
+func FreeAddress() (string, error) {
 	begin := os.Getpid() * block
 	for range ports {
 		port := firstPort + (begin+int(nextPort.Add(1)))%ports
