Refuse a request that crashed three targets, wherever it comes in

Cause: nothing in the gateway knew that a request crashes each target that runs it; its caller may come back at any host. A broken connection whose target then has no listener is a crash; the evidence goes by gossip to all hosts, and after three crashes the request is refused unrun. Ends of leaving targets don't count.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,7 +64,9 @@
 	Board   *published.Board
 	Loads   *Loads
 	Budget  *retrybudget.Budget
-	Client  *targetclient.Once
+	// Suspects are requests that crash targets.
+	Suspects *Suspects
+	Client   *targetclient.Once
 	// Migration decides how generations leave an engine.
 	Migration migration.Config
 	Log       *slog.Logger
@@ -120,6 +122,8 @@
 	account *directory.Account
 	// deadline is when the caller gets its final answer at the latest.
 	deadline time.Time
+	// fingerprint names the request over its attempts.
+	fingerprint uint64
 }
 
 // ServeHTTP relays one request.
@@ -196,6 +200,10 @@
 		patience = min(patience, x.route.Timeout)
 	}
 	x.deadline = x.Arrived.Add(patience - answerMargin)
+	x.fingerprint = fingerprint(x)
+	if g.cfg.Suspects.guilty(x.fingerprint) {
+		return failure.New(failure.KindOverloaded, "the request crashed each target that ran it").After(guiltyRetry)
+	}
 	if x.route.Kind == directory.Generation && g.stoppingBefore(x) {
 		return failure.New(failure.KindStopping, "the process stops before the generation would end").After(stoppingRetry)
 	}
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -63,9 +63,12 @@
 	place  *Place
 	cancel context.CancelFunc
 	backup *backup
+	// end says whether the engine's part came to its end.
+	end func(finished bool)
 }
 
-func (l *leg) close() {
+func (l *leg) close(finished bool) {
+	l.end(finished)
 	l.cancel()
 	_ = l.resp.Body.Close()
 	l.place.Release()
@@ -92,7 +95,10 @@
 	l, err := gen.start()
 	for l != nil {
 		err = gen.relay(l)
-		l.close()
+		if err != errEnded && err != errMoved {
+			gen.g.blame(gen.ctx, l.target, err)
+		}
+		l.close(err == errEnded)
 		if err == errEnded || ctx.Err() != nil {
 			break
 		}
@@ -152,18 +158,20 @@
 		defer timer.Stop()
 	}
 	b := gen.cover(s, target)
+	end := gen.g.cfg.Suspects.begin(target, gen.fingerprint)
 	resp, answer, err := gen.g.open(ctx, s)
 	if err == nil && answer.Status != http.StatusOK {
 		err = gen.failedAnswer(resp, answer)
 	}
 	if err != nil {
-		gen.g.blame(ctx, target.ID, err)
+		gen.g.blame(ctx, target, err)
+		end(false)
 		cancel()
 		place.Release()
 		b.release()
 		return nil, err
 	}
-	return &leg{target: target, resp: resp, place: place, cancel: cancel, backup: b}, nil
+	return &leg{target: target, resp: resp, place: place, cancel: cancel, backup: b, end: end}, nil
 }
 
 // failedAnswer reads an engine's own failure, to be handed to the caller when
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -108,12 +108,13 @@
 
 // deck is a gateway before some targets.
 type deck struct {
-	url     string
-	out     *blackboard.Writer[directory.View]
-	cfg     *directory.Config
-	calls   *http.Client
-	loads   *gateway.Loads
-	gateway *gateway.Gateway
+	url      string
+	out      *blackboard.Writer[directory.View]
+	cfg      *directory.Config
+	calls    *http.Client
+	loads    *gateway.Loads
+	gateway  *gateway.Gateway
+	suspects *gateway.Suspects
 	// blind is set while nobody can say what is published.
 	blind atomic.Bool
 }
@@ -125,10 +126,10 @@
 	Expect(err).NotTo(HaveOccurred())
 	start := time.Now()
 	now := func() time.Duration { return time.Since(start) }
-	d := &deck{out: out, cfg: testConfig(), loads: gateway.NewLoads("host-1", "dc-1", now)}
+	d := &deck{out: out, cfg: testConfig(), loads: gateway.NewLoads("host-1", "dc-1", now), suspects: gateway.NewSuspects(now)}
 	g := gateway.New(gateway.Config{
 		Dialect: platform.Dialect{}, Engines: platform.NewEngines(), Board: board,
-		Loads: d.loads, Budget: retrybudget.New(retrybudget.Config{}),
+		Loads: d.loads, Suspects: d.suspects, Budget: retrybudget.New(retrybudget.Config{}),
 		Client: targetclient.NewOnce(targetclient.Settings{Header: time.Minute, Silence: time.Minute}), Migration: migration.Default(), Blind: d.blind.Load, Current: func() bool { return !d.blind.Load() },
 		Log: slog.New(slog.DiscardHandler), Metrics: gometrics.NewRegistry(), Now: now,
 	})
@@ -172,6 +173,9 @@
 	d.out.Publish(directory.NewView(1, d.cfg, seen, nil))
 }
 
+// crashes counts the crashes of targets that the gateway knows of.
+func (d *deck) crashes() int { return len(d.suspects.Export()) }
+
 func (d *deck) request(method, path string) *http.Request {
 	req, err := http.NewRequest(method, d.url+path, strings.NewReader("hello"))
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -382,7 +382,7 @@
 // dropNext ends a leg that nobody will relay.
 func (gen *generation) dropNext() {
 	if l := gen.takeNext(); l != nil {
-		l.close()
+		l.close(false)
 	}
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -6,10 +6,12 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/targetclient"
 )
 
 // maxPlainAnswer bounds an answer that is held until it is whole, in bytes.
@@ -112,9 +114,17 @@
 // try sends a request to one target. The error says whether it ran; an answer
 // without error is the target's own, also when it is a failure.
 func (g *Gateway) try(ctx context.Context, x *exchange, target *directory.Seen) (*whole, error) {
+	end := g.cfg.Suspects.begin(target, x.fingerprint)
+	answer, err := g.fetch(ctx, x, target)
+	g.blame(ctx, target, err)
+	end(err == nil)
+	return answer, err
+}
+
+// fetch sends a request to one target and reads its whole answer.
+func (g *Gateway) fetch(ctx context.Context, x *exchange, target *directory.Seen) (*whole, error) {
 	resp, answer, err := g.open(ctx, x.send(target))
 	if err != nil {
-		g.blame(ctx, target.ID, err)
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -125,7 +135,6 @@
 		err = failure.New(failure.KindTargetFailed, "the answer is longer than %d bytes", maxPlainAnswer).Unknown()
 	}
 	if err != nil {
-		g.blame(ctx, target.ID, err)
 		return nil, err
 	}
 	if answer.Status >= http.StatusInternalServerError {
@@ -171,14 +180,36 @@
 
 // blame counts a failure against a target, unless the caller's leaving or
 // deadline caused it.
-func (g *Gateway) blame(ctx context.Context, target string, err error) {
-	if ctx.Err() == nil {
-		if unsent(err) {
-			g.cfg.Loads.Unreachable(target)
-		}
-		g.cfg.Loads.Failed(target)
-		g.cfg.Log.Debug("target failed", "target", target, "cause", err)
+func (g *Gateway) blame(ctx context.Context, target *directory.Seen, err error) {
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	if unsent(err) {
+		g.cfg.Loads.Unreachable(target.ID)
+	}
+	if failure.KindOf(err) == failure.KindTargetLost && g.stays(target) {
+		g.cfg.Suspects.broke(target, g.dial)
+	}
+	g.cfg.Loads.Failed(target.ID)
+	g.cfg.Log.Debug("target failed", "target", target.ID, "cause", err)
+}
+
+// stays tells whether a target is not known to be stopping by plan: the end of
+// one that is says nothing of its requests.
+func (g *Gateway) stays(target *directory.Seen) bool {
+	return takesNew(g.cfg.Board.View.Get(), target) && !g.cfg.Loads.Leaving(target.ID)
+}
+
+// dial tells whether somebody listens at an address.
+func (g *Gateway) dial(ctx context.Context, address string) error {
+	conn, err := targetclient.Dial(ctx, "tcp", address, crashDial)
+	if err == nil {
+		return conn.Close()
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return failure.Wrap(err, failure.KindTargetFailed, "nobody listens at %s", address)
 	}
+	return failure.Wrap(err, failure.KindTargetTimeout, "%s does not answer", address)
 }
 
 // answer passes a target's answer on.
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -18,6 +18,7 @@
 	"filbertdeck/internal/controller/published"
 	"filbertdeck/internal/decide/loadshare"
 	"filbertdeck/internal/decide/membership"
+	"filbertdeck/internal/decide/poison"
 	"filbertdeck/internal/gateway"
 	"filbertdeck/internal/process"
 	"filbertdeck/internal/rpc"
@@ -39,6 +40,7 @@
 	published *published.Controller
 	roles     *roles
 	loads     *gateway.Loads
+	suspects  *gateway.Suspects
 	now       Clock
 	urgent    chan struct{}
 
@@ -46,8 +48,8 @@
 	behind bool
 }
 
-func newFleet(p *published.Controller, roles *roles, loads *gateway.Loads, now Clock) *fleet {
-	return &fleet{published: p, roles: roles, loads: loads, now: now, urgent: make(chan struct{}, 1)}
+func newFleet(p *published.Controller, roles *roles, loads *gateway.Loads, suspects *gateway.Suspects, now Clock) *fleet {
+	return &fleet{published: p, roles: roles, loads: loads, suspects: suspects, now: now, urgent: make(chan struct{}, 1)}
 }
 
 // run tells neighbours what is new here.
@@ -58,6 +60,7 @@
 			return
 		case <-f.loads.Changed():
 		case <-f.published.News():
+		case <-f.suspects.News():
 		}
 		f.hurry()
 		pause(ctx, tellEvery)
@@ -116,6 +119,7 @@
 func (f *fleet) hooks() gossip.Hooks {
 	return gossip.Hooks{
 		SupplyLoads: f.supplyLoads, TakeLoads: f.takeLoads,
+		SupplyPoison: f.supplyPoison, TakePoison: f.takePoison,
 		SupplyPublished: f.supplyPublished, TakePublished: f.takePublished, Urgent: f.urgent,
 	}
 }
@@ -144,6 +148,25 @@
 	f.loads.Take(peer, counts)
 }
 
+func (f *fleet) supplyPoison() []*filbertv1.PoisonNews {
+	crashes := f.suspects.Export()
+	out := make([]*filbertv1.PoisonNews, len(crashes))
+	for i, c := range crashes {
+		out[i] = &filbertv1.PoisonNews{Id: c.ID, AgeMs: uint32(c.Age.Milliseconds()), Fingerprints: c.Fingerprints}
+	}
+	return out
+}
+
+func (f *fleet) takePoison(list []*filbertv1.PoisonNews) {
+	crashes := make([]poison.Crash, len(list))
+	for i, n := range list {
+		crashes[i] = poison.Crash{
+			ID: n.GetId(), Age: time.Duration(n.GetAgeMs()) * time.Millisecond, Fingerprints: n.GetFingerprints(),
+		}
+	}
+	f.suspects.Merge(crashes)
+}
+
 func (f *fleet) supplyPublished(peer string) *filbertv1.PublishedNews {
 	n := f.published.NewsFor(peer)
 	out := &filbertv1.PublishedNews{From: n.From, Revision: n.Revision, Reading: n.Reading}
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -67,7 +67,7 @@
 func (s *Settings) Options() []fx.Option {
 	return []fx.Option{
 		fx.Supply(s),
-		fx.Provide(newClock, newBoard, newPublished, newLoads, newBudget, newGateway, newLifecycle, newFleet, newRoles, newFleetSize,
+		fx.Provide(newClock, newBoard, newPublished, newLoads, newSuspects, newBudget, newGateway, newLifecycle, newFleet, newRoles, newFleetSize,
 			newMembers, newGossip),
 		fx.Invoke(runReload, runPublished, runFleet, runGateway, serveMetrics, serveReady, serveCallers),
 	}
@@ -91,6 +91,8 @@
 	return loads
 }
 
+func newSuspects(now Clock) *gateway.Suspects { return gateway.NewSuspects(now) }
+
 // accountShare is the part of the fixed number of repeated sends that one
 // client account may use up by itself.
 const accountShare = 0.5
@@ -107,12 +109,13 @@
 }
 
 func newGateway(
-	s *Settings, b *published.Board, roles *roles, c *published.Controller, loads *gateway.Loads, budget *retrybudget.Budget, now Clock,
+	s *Settings, b *published.Board, roles *roles, c *published.Controller, loads *gateway.Loads, suspects *gateway.Suspects,
+	budget *retrybudget.Budget, now Clock,
 	log *slog.Logger, reg gometrics.Registry,
 ) *gateway.Gateway {
 	client := targetclient.NewOnce(targetclient.Settings{Dial: targetDial, Header: answerLimit, Silence: answerLimit})
 	return gateway.New(gateway.Config{
-		Dialect: s.Deployment.Dialect, Engines: s.Deployment.Engines, Board: b, Loads: loads, Budget: budget,
+		Dialect: s.Deployment.Dialect, Engines: s.Deployment.Engines, Board: b, Loads: loads, Suspects: suspects, Budget: budget,
 		Client: client, Migration: migration.Default(), Blind: func() bool { return blind(c, roles) },
 		Current: func() bool { return current(c, s.Deployment.EditWithin) }, Log: log, Metrics: reg, Now: now,
 	})
