--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -120,6 +120,8 @@
 			break
 		}
 		gen.enter(target, nil, nil)
+		gen.g.cfg.Log.Info("generation placed", "request", gen.ID, "route", gen.route.Name, "target", target.ID,
+			"tokens", tokensOf(gen.Prompt), "revision", gen.view.Revision, "tries", t.sent+t.unsent+1)
 		l, err := gen.open(gen.send(target), target, place)
 		if err == nil {
 			gen.enter(target, l.cancel, l.backup)
@@ -249,7 +251,8 @@
 	switch {
 	case err == errEnded:
 		gen.g.pace.add(gen.pauses)
-		gen.g.cfg.Log.Info("generation served", "request", gen.ID, "target", gen.at.ID, "route", gen.route.Name, "events", gen.pauses.events,
+		gen.g.cfg.Log.Info("generation served", "request", gen.ID, "target", gen.at.ID, "route", gen.route.Name, "account", accountName(gen.account),
+			"config", gen.view.Config.Version, "events", gen.pauses.events,
 			"moves", gen.moves, "first", gen.pauses.first, "longest_pause", gen.pauses.longest, "pause_at", gen.pauses.longestAt, "took", gen.pauses.last)
 		return
 	case !gen.begun && gen.failed != nil:
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"syscall"
+	"time"
 
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/directory"
@@ -33,11 +34,13 @@
 	var last error
 	var answer *whole
 	var t tries
+	var tried string
 	for {
 		target, place, ok := g.cfg.Loads.Acquire(x.view, x.service.Name, call.Prompt{}, Anywhere, avoid)
 		if !ok {
 			break
 		}
+		tried = target.ID
 		answer, last = g.try(ctx, x, target)
 		place.Release()
 		t.add(last)
@@ -48,6 +51,8 @@
 	}
 	switch {
 	case answer != nil:
+		g.cfg.Log.Info("request answered", "request", x.ID, "route", x.route.Name, "account", accountName(x.account),
+			"config", x.view.Config.Version, "target", tried, "status", answer.Status, "sends", t.sent, "unreached", t.unsent, "took", time.Since(x.Arrived))
 		g.answer(x, answer)
 	case last != nil:
 		g.refuse(x.w, x.Request, last)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -65,7 +65,9 @@
 	if p.LogTo == nil {
 		p.LogTo = os.Stderr
 	}
-	log := NewLogger(p.LogTo, p.Common).With("program", p.Name, "host", p.Common.Host)
+	out := NewLogWriter(p.LogTo)
+	defer func() { _ = out.Close() }()
+	log := NewLogger(out, p.Common).With("program", p.Name, "host", p.Common.Host)
 	return run(p, log)
 }
 
