--- a/internal/reference/reference.go
+++ b/internal/reference/reference.go
@@ -9,6 +9,7 @@
 	"filbertdeck/internal/burn"
 	"filbertdeck/internal/control"
 	"filbertdeck/internal/entry"
+	"filbertdeck/internal/gatewayhost"
 	"filbertdeck/internal/settings"
 )
 
@@ -23,6 +24,7 @@
 	return []Program{
 		{Name: entry.Program, About: entry.About, Settings: &entry.Settings{}},
 		{Name: control.Program, About: control.About, Settings: &control.Settings{}},
+		{Name: gatewayhost.Program, About: gatewayhost.About, Settings: &gatewayhost.Settings{}},
 		{Name: burn.Program, About: burn.About, Settings: &burn.Settings{}},
 	}
 }
