Part the gateway's files by job; survive a stream from a plain service

Cause: a generation route on a service without engines ended the process when its target left (nil engine); the spec 'run on where they are' panics on the code before.

--- a/internal/decide/loadshare/loadshare.go
+++ b/internal/decide/loadshare/loadshare.go
@@ -167,16 +167,6 @@
 	return n
 }
 
-// DropHost forgets the counts of a host that is known to be gone.
-func (b *Board) DropHost(host string) {
-	for k := range b.counts {
-		if k.host == host {
-			delete(b.counts, k)
-		}
-	}
-	delete(b.told, host)
-}
-
 func (b *Board) tell(peer string, k key, version uint64) {
 	if b.told[peer] == nil {
 		b.told[peer] = map[key]uint64{}
@@ -202,8 +192,11 @@
 			continue
 		}
 		delete(b.counts, k)
-		for _, told := range b.told {
+		for peer, told := range b.told {
 			delete(told, k)
+			if len(told) == 0 {
+				delete(b.told, peer)
+			}
 		}
 	}
 }
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -40,40 +39,6 @@
 	gate coldshare.Gate
 }
 
-// ColdBound bounds what all hosts send to a cold target in a second: its own
-// rate times Factor, plus Extra.
-type ColdBound struct {
-	Factor, Extra float64
-	// Rank gives this host's rank among the hosts for a target, and how many
-	// hosts there are.
-	Rank func(target string) (rank, hosts int)
-}
-
-// BoundCold sets the bound; without one cold targets are treated like warm
-// ones.
-func (l *Loads) BoundCold(b ColdBound) { l.cold = b }
-
-const (
-	// penaltyFor is how long a failure counts against a target. Grey targets
-	// fail two in five of their requests; at one request a second to each
-	// target the next failure comes within this time.
-	penaltyFor = 4 * time.Second
-	// penaltyEach is added to the fullness for each failure, up to penaltyMost.
-	penaltyEach, penaltyMost = 0.25, 1.0
-	// unreachableFor is how long a target that could not be reached is passed
-	// over while there are others: one that left while the store was away is
-	// listed for seconds, one that crashed is back after some.
-	unreachableFor = 2 * time.Second
-	// coldPenalty keeps work off a cold target unless others are that much
-	// fuller: it is slow, and joins empty.
-	coldPenalty = 0.2
-	// coldAgain is how long a target counts as cold after it could not be
-	// reached: it may have started anew while nobody could publish that.
-	coldAgain = 5 * time.Second
-	// unreachablePenalty is above what any other target's load comes to.
-	unreachablePenalty = 100
-)
-
 // NewLoads returns empty counts of a host, which is named by its address for
 // other hosts.
 func NewLoads(host, dataCentre string, now func() time.Duration) *Loads {
@@ -106,11 +71,16 @@
 	}
 }
 
-// DropHost forgets the counts of a host that is gone.
-func (l *Loads) DropHost(host string) {
+// Prune forgets targets that are gone and have nothing running from here;
+// engines come and go by the dozen an hour, each under an id of its own.
+func (l *Loads) Prune(view *directory.View) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.share.DropHost(host)
+	for id, t := range l.own {
+		if _, known := view.Target(id); !known && t.Running == 0 && t.Tokens == 0 {
+			delete(l.own, id)
+		}
+	}
 }
 
 // set changes the count at a target.
@@ -136,32 +106,6 @@
 	return t
 }
 
-// Nearness says how much being near weighs in a choice.
-type Nearness struct {
-	// dataCentre is where the work comes from; empty means this host's.
-	dataCentre string
-	remote     float64
-	// away is added for targets in a data centre that a copy should not lie in;
-	// awayFrom is empty for none.
-	awayFrom string
-	away     float64
-}
-
-// Away prefers another data centre than one, so that its loss takes no copy
-// with it.
-func Away(dataCentre string) Nearness {
-	return Nearness{remote: placement.RemoteCharge, awayFrom: dataCentre, away: placement.RemoteCopyCharge}
-}
-
-// Anywhere prefers the own data centre among about equals only.
-var Anywhere = Nearness{remote: placement.RemoteCharge}
-
-// Near prefers a data centre unless its targets are much fuller: copies to
-// another one take twice as long.
-func Near(dataCentre string) Nearness {
-	return Nearness{dataCentre: dataCentre, remote: placement.RemoteCopyCharge}
-}
-
 // Place is a request's place at a target.
 type Place struct {
 	loads  *Loads
@@ -246,36 +190,6 @@
 	p.load = to
 }
 
-// coldRate is the rate that a target bears while it is cold, 0 when it is not.
-func (l *Loads) coldRate(view *directory.View, t *directory.Seen) float64 {
-	s, ok := view.Service(t.Service)
-	if !ok || s.ColdRate <= 0 || l.cold.Rank == nil {
-		return 0
-	}
-	if l.now() < t.ColdUntil || l.now()-l.of(t.ID).unreachableAt < coldAgain {
-		return s.ColdRate
-	}
-	return 0
-}
-
-// coldPart is this host's part of the sends a second to a cold target.
-func (l *Loads) coldPart(target string, rate float64) int {
-	rank, hosts := l.cold.Rank(target)
-	return coldshare.Part(rate*l.cold.Factor+l.cold.Extra, rank, hosts)
-}
-
-// Failed notes that a target failed a request by its own fault.
-func (l *Loads) Failed(target string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	t := l.of(target)
-	if l.now()-t.failedAt > penaltyFor {
-		t.failures = 0
-	}
-	t.failures++
-	t.failedAt = l.now()
-}
-
 // SetLeaving notes that a target told this host that it is about to stop.
 func (l *Loads) SetLeaving(target string) {
 	l.mu.Lock()
@@ -306,63 +220,6 @@
 	}
 }
 
-// Unreachable notes that a target could not be reached.
-func (l *Loads) Unreachable(target string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.of(target).unreachableAt = l.now()
-}
-
-func (l *Loads) candidates(view *directory.View, service string, near Nearness, avoid []string) ([]placement.Candidate, []*directory.Seen) {
-	var candidates []placement.Candidate
-	var targets []*directory.Seen
-	memory := 0
-	if s, ok := view.Service(service); ok && s.Engine != nil {
-		memory = s.Engine.MemoryTokens
-	}
-	for _, t := range view.Pool(service) {
-		if !view.TakesNew(t) || contains(avoid, t.ID) || l.share.Leaving(l.now(), t.ID) {
-			continue
-		}
-		own := l.of(t.ID)
-		cold := l.coldRate(view, t)
-		if cold > 0 && !own.gate.Open(l.now(), l.coldPart(t.ID, cold)) {
-			continue
-		}
-		all := own.Plus(l.share.Others(l.now(), t.ID))
-		c := placement.Candidate{
-			ID: t.ID, Running: all.Running, Slots: t.Slots, Tokens: all.Tokens, Unread: all.Unread, Memory: memory,
-		}
-		if l.now()-own.failedAt < penaltyFor {
-			c.Penalty = min(float64(own.failures)*penaltyEach, penaltyMost)
-		}
-		if cold > 0 {
-			c.Penalty += coldPenalty
-		}
-		if l.now()-own.unreachableAt < unreachableFor {
-			c.Penalty += unreachablePenalty
-		}
-		if t.DataCentre != cmp.Or(near.dataCentre, l.dataCentre) {
-			c.Penalty += near.remote
-		}
-		if t.DataCentre == near.awayFrom {
-			c.Penalty += near.away
-		}
-		candidates = append(candidates, c)
-		targets = append(targets, t)
-	}
-	return candidates, targets
-}
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // outputShare is the part of a generation's possible output that is counted
 // when the client gives no estimate.
 const outputShare = 0.5
--- a/internal/gateway/migrate_test.go
+++ b/internal/gateway/migrate_test.go
@@ -141,6 +141,26 @@
 		Expect(got.body).To(Equal(wanted(events)))
 	})
 
+	// A route streams from a plain service, which knows no moves. Its target
+	// leaves, and the process must not fall over for it.
+	It("of targets that can't move them run on where they are", func() {
+		first := startEngine("i-1", 10, 5*time.Millisecond)
+		d := startDeck(first.entry("app", "dc-1"))
+		d.cfg.Routes = append(d.cfg.Routes, directory.Route{
+			Name: "feed", Host: "a.example", Prefix: "/feed/", Kind: directory.Generation, Attempts: 1,
+			Backends: []directory.Backend{{Service: "app", Weight: 1}},
+		})
+		d.publish(first.entry("app", "dc-1"))
+		done := make(chan result, 1)
+		go func() { done <- d.do(d.request("POST", "/feed/")) }()
+		Eventually(first.made.Load).Should(BeNumerically(">", 2))
+		d.blind.Store(true)
+		d.publish(leaving(first.entry("app", "dc-1")))
+		var got result
+		Eventually(done, "5s").Should(Receive(&got))
+		Expect(got.body).To(Equal(wanted(10)))
+	})
+
 	// The engine dies in the middle of a report that may run only once. What
 	// the technician has must not look like a whole report, and no second run
 	// may be joined to it.
--- /dev/null
+++ b/internal/gateway/resume.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"time"
+
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/failure"
+)
+
+// useBackup goes over to the generation's backup, if it has one at an engine
+// that stays.
+func (gen *generation) useBackup(view *directory.View) bool {
+	gen.mu.Lock()
+	b := gen.backup
+	gen.mu.Unlock()
+	if b == nil {
+		return false
+	}
+	keeper, known := view.Target(b.target.ID)
+	if !known || !view.TakesNew(keeper) || gen.g.cfg.Loads.Leaving(keeper.ID) {
+		return false
+	}
+	begun := time.Now()
+	err := gen.switchTo(keeper, b.handoff(gen.ID), gen.g.cfg.Loads.Hold(keeper.ID, gen.Prompt))
+	gen.g.cfg.Log.Info("generation goes on at its backup", "request", gen.ID, "to", keeper.ID, "took", time.Since(begun), "error", err)
+	return err == nil
+}
+
+// switchTo sends the request to an engine that holds a copy and, when that
+// takes it, ends the stream from the engine before: closing the connection is
+// what makes an engine drop the run. Meanwhile no event is delivered; a refusal
+// leaves all as it was.
+func (gen *generation) switchTo(to *directory.Seen, handoff *call.Handoff, place *Place) error {
+	gen.flow.Lock()
+	defer gen.flow.Unlock()
+	l, err := gen.resume(to, handoff, place)
+	if err != nil {
+		return err
+	}
+	gen.mu.Lock()
+	cancelOld := gen.cancelLeg
+	gen.mu.Unlock()
+	if cancelOld != nil {
+		cancelOld()
+	}
+	gen.next = l
+	gen.enter(to, l.cancel, l.backup)
+	return nil
+}
+
+// resume sends the request to an engine that holds a copy, to go on behind the
+// last event that the caller has. The engine before still runs, so the answer
+// must come soon or not at all.
+func (gen *generation) resume(to *directory.Seen, handoff *call.Handoff, place *Place) (*leg, error) {
+	if view := gen.g.cfg.Board.View.Get(); !takesNew(view, to) {
+		place.Release()
+		return nil, failure.New(failure.KindNoTarget, "engine %s may get no more work", to.ID)
+	}
+	s := gen.send(to)
+	s.Resume, s.After = handoff, gen.lastID
+	l, err := gen.openWithin(switchLimit, s, to, place)
+	if err == nil {
+		gen.moves++
+	}
+	return l, err
+}
+
+// takesNew tells whether a target of an earlier view may get work by now.
+func takesNew(view *directory.View, t *directory.Seen) bool {
+	now, known := view.Target(t.ID)
+	return known && now.Started == t.Started && view.TakesNew(now)
+}
+
+// goOn finds where a generation goes on whose stream ended early with why: at
+// the engine that it went over to, from a copy or a backup, or, where the route
+// allows another run to go on, at any other engine.
+func (gen *generation) goOn(why error) (*leg, error) {
+	if l := gen.takeNext(); l != nil {
+		return l, nil
+	}
+	gen.mu.Lock()
+	m, b, from := gen.move, gen.backup, gen.at
+	gen.mu.Unlock()
+	if m != nil {
+		select {
+		case <-m.done:
+		case <-gen.ctx.Done():
+			return nil, why
+		}
+		if l := gen.takeNext(); l != nil {
+			return l, nil
+		}
+		if m.handoff != nil {
+			if l, err := gen.comeBack(m.to, m.handoff); err == nil {
+				return l, nil
+			}
+		}
+	}
+	if b != nil {
+		if l, err := gen.comeBack(b.target, b.handoff(gen.ID)); err == nil {
+			return l, nil
+		}
+	}
+	if gen.route.Resumable {
+		return gen.anew(from, why)
+	}
+	return nil, why
+}
+
+// takeNext gives the leg that the generation went over to, nil when there is
+// none.
+func (gen *generation) takeNext() *leg {
+	gen.flow.Lock()
+	defer gen.flow.Unlock()
+	l := gen.next
+	gen.next = nil
+	return l
+}
+
+// dropNext ends a leg that nobody will relay.
+func (gen *generation) dropNext() {
+	if l := gen.takeNext(); l != nil {
+		l.close(false)
+	}
+}
+
+// comeBack goes on from a copy after the engine before has ended.
+func (gen *generation) comeBack(to *directory.Seen, handoff *call.Handoff) (*leg, error) {
+	l, err := gen.resume(to, handoff, gen.g.cfg.Loads.Hold(to.ID, gen.Prompt))
+	if err == nil {
+		gen.enter(to, l.cancel, l.backup)
+		gen.g.cfg.Log.Info("generation came back from a copy", "request", gen.ID, "to", to.ID, "events", gen.pauses.events)
+	}
+	return l, err
+}
+
+// anew has another engine go on with a generation of a route that allows it,
+// behind the last event that the caller has.
+func (gen *generation) anew(from *directory.Seen, why error) (*leg, error) {
+	if !gen.g.cfg.Budget.Retry(gen.g.cfg.Now(), gen.budgetKey()) {
+		return nil, why
+	}
+	target, place, ok := gen.g.cfg.Loads.Acquire(gen.view, gen.service.Name, gen.Prompt, Anywhere, []string{from.ID})
+	if !ok {
+		return nil, why
+	}
+	s := gen.send(target)
+	s.After = gen.lastID
+	l, err := gen.open(s, target, place)
+	if err != nil {
+		return nil, why
+	}
+	gen.enter(target, l.cancel, l.backup)
+	gen.moves++
+	gen.g.cfg.Log.Info("generation resumed by another run", "request", gen.ID, "from", from.ID, "to", target.ID, "events", gen.pauses.events)
+	return l, nil
+}
--- /dev/null
+++ b/internal/gateway/runs.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"filbertdeck/internal/directory"
+)
+
+// runs are the generations in progress on this host.
+type runs struct {
+	mu  sync.Mutex
+	all map[*generation]struct{}
+}
+
+func newRuns() *runs { return &runs{all: map[*generation]struct{}{}} }
+
+func (r *runs) add(gen *generation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all[gen] = struct{}{}
+}
+
+func (r *runs) remove(gen *generation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.all, gen)
+}
+
+func (r *runs) list() []*generation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]*generation, 0, len(r.all))
+	for gen := range r.all {
+		out = append(out, gen)
+	}
+	return out
+}
+
+// targets gives the engines at which generations of this host run.
+func (r *runs) targets() []*directory.Seen {
+	seen := map[string]*directory.Seen{}
+	for _, gen := range r.list() {
+		gen.mu.Lock()
+		if gen.at != nil && gen.movable() {
+			seen[gen.at.ID] = gen.at
+		}
+		gen.mu.Unlock()
+	}
+	return slices.Collect(maps.Values(seen))
+}
+
+// Run moves generations off leaving targets until ctx is done.
+func (g *Gateway) Run(ctx context.Context) {
+	ask := time.NewTicker(askEvery)
+	defer ask.Stop()
+	for {
+		changed := g.cfg.Board.View.Changed()
+		if view := g.cfg.Board.View.Get(); view != nil {
+			g.leaveTargets(ctx, view)
+			g.cfg.Loads.Prune(view)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-g.cfg.Loads.leaving:
+		case <-ask.C:
+			g.askTargets(ctx)
+		}
+	}
+}
+
+// askTargets asks the engines of this host's generations whether they are
+// about to stop, while nobody can say what is published: an engine that is
+// taken away while the store is down is gone two seconds later, with all its
+// generations. Each question costs a call of the engine's, so nobody asks while
+// the store or a peer answers, and the hosts of an engine take turns by chance:
+// what one hears the others know a tenth of a second later.
+func (g *Gateway) askTargets(ctx context.Context) {
+	if !g.cfg.Blind() {
+		return
+	}
+	for _, t := range g.runs.targets() {
+		if rand.IntN(max(g.cfg.Loads.Hosts(t.ID), 1)) > 0 {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, reportLimit)
+			defer cancel()
+			report, err := g.cfg.Engines.Report(ctx, t.Address)
+			if err != nil || !report.Leaving && report.LeavesIn <= 0 || g.cfg.Loads.Leaving(t.ID) {
+				return
+			}
+			g.cfg.Log.Info("target says that it leaves", "target", t.ID, "leaves_in", report.LeavesIn)
+			g.cfg.Loads.SetLeaving(t.ID)
+		}()
+	}
+}
+
+// leaveTargets begins to move each generation whose target leaves.
+func (g *Gateway) leaveTargets(ctx context.Context, view *directory.View) {
+	for _, gen := range g.runs.list() {
+		if at, m, ok := gen.beginMove(view, g.cfg.Loads); ok {
+			go gen.leave(ctx, view, at, m)
+		}
+	}
+}
+
+// movable tells whether the service's targets copy running generations to each
+// other; those of plain services that answer with a stream don't.
+func (gen *generation) movable() bool {
+	e := gen.service.Engine
+	return e != nil && e.Moves
+}
+
+// beginMove begins a move if the generation's target leaves and none was begun.
+func (gen *generation) beginMove(view *directory.View, loads *Loads) (*directory.Seen, *move, bool) {
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	if gen.at == nil || gen.move != nil || !gen.movable() {
+		return nil, nil, false
+	}
+	now, known := view.Target(gen.at.ID)
+	if known && now.Listed && !now.Leaving && !loads.Leaving(gen.at.ID) {
+		return nil, nil, false
+	}
+	gen.move = &move{done: make(chan struct{})}
+	return gen.at, gen.move, true
+}
