Find the readers of a large fleet; rank hosts once a view

A host that knows no reader asks those that should read by their rank; one that reads in their place asks them too.

--- a/internal/decide/readers/readers.go
+++ b/internal/decide/readers/readers.go
@@ -16,7 +16,10 @@
 // It is not safe for concurrent use; times are on the steady clock.
 package readers
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Config holds the figures.
 type Config struct {
@@ -64,6 +67,11 @@
 	return better < r.cfg.Want
 }
 
+// Among tells whether self is among those that read when all is well.
+func (r *Readers) Among(self string, ranked []string) bool {
+	return slices.Contains(ranked[:min(len(ranked), r.cfg.Want)], self)
+}
+
 // Known gives the hosts that are known to read, in the order of ranked.
 func (r *Readers) Known(now time.Duration, self string, ranked []string) []string {
 	var out []string
--- /dev/null
+++ b/internal/decide/readers/readers_test.go
@@ -0,0 +1,47 @@
+package readers_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"filbertdeck/internal/decide/readers"
+)
+
+func TestReaders(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "readers")
+}
+
+var _ = Describe("the readers of the store", func() {
+	ranked := []string{"a", "b", "c", "d"}
+
+	It("are the best two that say that they read", func() {
+		r := readers.New(readers.Default())
+		Expect(r.Read(0, "c", ranked)).To(BeTrue())
+		r.Heard(0, "a", true)
+		Expect(r.Read(0, "c", ranked)).To(BeTrue())
+		r.Heard(0, "b", true)
+		Expect(r.Read(0, "c", ranked)).To(BeFalse())
+		Expect(r.Read(0, "a", ranked)).To(BeTrue())
+		Expect(r.Known(0, "c", ranked)).To(Equal([]string{"a", "b"}))
+		Expect(r.Among("b", ranked)).To(BeTrue())
+		Expect(r.Among("c", ranked)).To(BeFalse())
+	})
+
+	// The store turns away just the hosts that read it. If they kept the role,
+	// the whole fleet would act on old news while the store answers everyone
+	// else.
+	It("are replaced when they can't read or aren't heard of", func() {
+		r := readers.New(readers.Default())
+		r.Heard(0, "a", true)
+		r.Heard(0, "b", true)
+		r.Heard(time.Second, "b", false)
+		Expect(r.Read(time.Second, "c", ranked)).To(BeTrue())
+		r.Heard(time.Second, "b", true)
+		Expect(r.Read(time.Second, "c", ranked)).To(BeFalse())
+		Expect(r.Read(2*time.Second, "c", ranked)).To(BeTrue())
+	})
+})
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -74,8 +74,9 @@
 	}
 }
 
-// ask asks a reader of the store what is new, or all neighbours when none is
-// known, while this host does not hear from the store itself.
+// ask asks a reader of the store what is new, one that should read when none
+// is known, and all neighbours when there is nobody else, while this host does
+// not hear from the store itself. A host that reads for want of others asks too.
 func (f *fleet) ask(ctx context.Context, c *gossip.Controller) {
 	tick := time.NewTicker(askEvery)
 	defer tick.Stop()
@@ -85,14 +86,16 @@
 			return
 		case <-tick.C:
 		}
-		reader, known := f.roles.next()
-		switch {
-		case f.takeBehind():
+		if f.takeBehind() {
 			f.hurry()
-		case !f.published.Asks():
-		case known:
-			c.Ask(ctx, reader)
-		default:
+			continue
+		}
+		if !f.published.Asks() && !f.roles.unsure() {
+			continue
+		}
+		if host, ok := f.roles.next(); ok {
+			c.Ask(ctx, host)
+		} else {
 			f.hurry()
 		}
 	}
--- a/internal/gatewayhost/roles.go
+++ b/internal/gatewayhost/roles.go
@@ -1,6 +1,7 @@
 package gatewayhost
 
 import (
+	"slices"
 	"sync"
 
 	"filbertdeck/internal/controller/gossip"
@@ -25,6 +26,9 @@
 	mu      sync.Mutex
 	readers *readers.Readers
 	turn    int
+	// rank is the order of the live hosts in the view of a version.
+	rank    []string
+	version uint64
 }
 
 func newRoles(s *Settings, members *gossip.Board, now Clock) *roles {
@@ -40,11 +44,16 @@
 	if view == nil {
 		return nil
 	}
-	live := view.Live("")
-	if len(live) > smallFleet {
-		live = view.Live(r.dataCentre)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.rank == nil || r.version != view.Version {
+		live := view.Live("")
+		if len(live) > smallFleet {
+			live = view.Live(r.dataCentre)
+		}
+		r.rank, r.version = membership.Rank(rankKey, live), view.Version
 	}
-	return membership.Rank(rankKey, live)
+	return r.rank
 }
 
 // reads tells whether this host is to read the store.
@@ -62,16 +71,41 @@
 	r.readers.Heard(r.now(), host, reading)
 }
 
-// next gives the reader to ask, each in turn; false when none is known.
+// next gives a host to ask, each in turn: those known to read, or those that
+// should by their rank. The latter matter in a fleet where a host has only a
+// few neighbours and hears from no reader unasked; it would read for itself
+// for good. False when there is no other host.
 func (r *roles) next() (string, bool) {
-	known := r.known()
-	if len(known) == 0 {
+	hosts := r.known()
+	if len(hosts) == 0 {
+		hosts = r.best()
+	}
+	if len(hosts) == 0 {
 		return "", false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.turn++
-	return known[r.turn%len(known)], true
+	return hosts[r.turn%len(hosts)], true
+}
+
+// bestAsked is the number of hosts, by rank, that are asked while none is
+// known to read: the readers, and the next in line should one of them be gone.
+const bestAsked = 3
+
+// best gives the other hosts that should read by their rank.
+func (r *roles) best() []string {
+	others := slices.DeleteFunc(slices.Clone(r.ranked()), func(host string) bool { return host == r.self })
+	return others[:min(len(others), bestAsked)]
+}
+
+// unsure tells whether this host reads although others should by their rank:
+// they may read already, and not be heard of.
+func (r *roles) unsure() bool {
+	ranked := r.ranked()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readers.Read(r.now(), r.self, ranked) && !r.readers.Among(r.self, ranked)
 }
 
 // known gives the other hosts that are known to read the store.
