Ask those that should read while too few are known to; small mendings

An answer without a body carried a length. The lifecycle of a serving process stands beside its two users.

--- a/internal/entry/callers/callers.go
+++ b/internal/entry/callers/callers.go
@@ -11,7 +11,7 @@
 
 	"filbertdeck/internal/accounting"
 	"filbertdeck/internal/entry/generation"
-	"filbertdeck/internal/entry/lifecycle"
+	"filbertdeck/internal/lifecycle"
 	"filbertdeck/internal/entry/plain"
 	"filbertdeck/internal/entry/state"
 	"filbertdeck/internal/failure"
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -21,7 +21,7 @@
 	"filbertdeck/internal/entry/admit"
 	"filbertdeck/internal/entry/callers"
 	"filbertdeck/internal/entry/generation"
-	"filbertdeck/internal/entry/lifecycle"
+	"filbertdeck/internal/lifecycle"
 	"filbertdeck/internal/entry/plain"
 	"filbertdeck/internal/entry/state"
 	"filbertdeck/internal/failure"
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -100,3 +100,17 @@
 		}
 	})
 })
+
+var _ = Describe("answers without a body", func() {
+	// A target answers 204. With a length in the header the caller's
+	// connection would wait for bytes that never come, or take the next answer
+	// for them.
+	It("carry no length", func() {
+		t := startTarget("i-1", say("HTTP/1.1 204 No Content\n"+requestID+": ID\n"+seal+": s1\n\n"))
+		d := startDeck(t.entry("app", "dc-1"))
+		got := d.do(d.request("POST", "/book/"))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.status).To(Equal(204))
+		Expect(got.header).NotTo(HaveKey("Content-Length"))
+	})
+})
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -221,9 +221,17 @@
 func (g *Gateway) answer(x *exchange, a *whole) {
 	h := x.w.Header()
 	g.cfg.Dialect.CopyHeader(h, a.header)
-	if x.Method != http.MethodHead {
+	if mayHaveBody(x.Method, a.Status) {
 		h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	x.w.WriteHeader(a.Status)
-	_, _ = x.w.Write(a.body)
+	if _, err := x.w.Write(a.body); err != nil && len(a.body) > 0 {
+		g.cfg.Log.Debug("answer not taken", "request", x.ID, "error", err)
+	}
+}
+
+// mayHaveBody tells whether an answer's length stands in its header (RFC 9110,
+// section 8.6): it does not where no body can follow.
+func mayHaveBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -16,7 +16,7 @@
 	"filbertdeck/internal/decide/drain"
 	"filbertdeck/internal/decide/migration"
 	"filbertdeck/internal/decide/retrybudget"
-	"filbertdeck/internal/entry/lifecycle"
+	"filbertdeck/internal/lifecycle"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/gateway"
 	"filbertdeck/internal/metrics"
@@ -67,8 +67,10 @@
 func (s *Settings) Options() []fx.Option {
 	return []fx.Option{
 		fx.Supply(s),
-		fx.Provide(newClock, newBoard, newPublished, newLoads, newSuspects, newBudget, newGateway, newLifecycle, newFleet, newRoles, newFleetSize,
-			newMembers, newGossip),
+		fx.Provide(
+			newClock, newBoard, newPublished, newLoads, newSuspects, newBudget, newGateway, newLifecycle,
+			newFleet, newRoles, newFleetSize, newMembers, newGossip,
+		),
 		fx.Invoke(runReload, runPublished, runFleet, runGateway, serveMetrics, serveReady, serveCallers),
 	}
 }
@@ -109,9 +111,8 @@
 }
 
 func newGateway(
-	s *Settings, b *published.Board, roles *roles, c *published.Controller, loads *gateway.Loads, suspects *gateway.Suspects,
-	budget *retrybudget.Budget, now Clock,
-	log *slog.Logger, reg gometrics.Registry,
+	s *Settings, b *published.Board, roles *roles, c *published.Controller, loads *gateway.Loads,
+	suspects *gateway.Suspects, budget *retrybudget.Budget, now Clock, log *slog.Logger, reg gometrics.Registry,
 ) *gateway.Gateway {
 	client := targetclient.NewOnce(targetclient.Settings{Dial: targetDial, Header: answerLimit, Silence: answerLimit})
 	return gateway.New(gateway.Config{
--- a/internal/gatewayhost/roles.go
+++ b/internal/gatewayhost/roles.go
@@ -71,13 +71,13 @@
 	r.readers.Heard(r.now(), host, reading)
 }
 
-// next gives a host to ask, each in turn: those known to read, or those that
-// should by their rank. The latter matter in a fleet where a host has only a
-// few neighbours and hears from no reader unasked; it would read for itself
-// for good. False when there is no other host.
+// next gives a host to ask, each in turn: those known to read or, when fewer
+// are known than there should be, those that should read by their rank. In a
+// fleet where a host has only a few neighbours it hears from no reader unasked,
+// and would read for itself for good. False when there is no other host.
 func (r *roles) next() (string, bool) {
 	hosts := r.known()
-	if len(hosts) == 0 {
+	if len(hosts) < readers.Default().Want {
 		hosts = r.best()
 	}
 	if len(hosts) == 0 {
@@ -89,7 +89,7 @@
 	return hosts[r.turn%len(hosts)], true
 }
 
-// bestAsked is the number of hosts, by rank, that are asked while none is
+// bestAsked is the number of hosts, by rank, that are asked while too few are
 // known to read: the readers, and the next in line should one of them be gone.
 const bestAsked = 3
 
--- a/internal/entry/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -1,4 +1,4 @@
-// Package lifecycle follows an entry from its start to its stop: whether the
+// Package lifecycle follows a serving process from its start to its stop: whether the
 // balancer may send it callers, and which requests are still in progress. The
 // order of a stop is decided in internal/decide/drain; this package gives it a
 // clock and counts the requests.
