--- a/internal/entry/callers/callers.go
+++ b/internal/entry/callers/callers.go
@@ -11,11 +11,11 @@
 
 	"filbertdeck/internal/accounting"
 	"filbertdeck/internal/entry/generation"
-	"filbertdeck/internal/lifecycle"
 	"filbertdeck/internal/entry/plain"
 	"filbertdeck/internal/entry/state"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/handle"
+	"filbertdeck/internal/lifecycle"
 	"filbertdeck/internal/table"
 )
 
