--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -78,6 +78,17 @@
 		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
 	})
 
+	// The target's address belongs to another one by now, which says so. The
+	// booking did not run, and its caller may come again: a status of our own
+	// that callers take for final would lose it.
+	It("let the caller come again when only other targets' addresses are left", func() {
+		t := startTarget("i-1", say("HTTP/1.1 421 Misdirected Request\n"+requestID+": ID\nContent-Length: 0\n\n"))
+		d := startDeck(t.entry("app", "dc-1"))
+		got := d.do(d.request("POST", "/book/"))
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
 	// The target takes the booking and the connection dies. Nobody knows
 	// whether the crew was booked, so it is not sent again and no "not run" is
 	// promised.
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -55,17 +55,29 @@
 
 // honest gives a failure whose status says what is known: one that promises
 // that the request has not run only where that is certain, and where it is
-// certain one that says so, since callers may then come again.
+// certain, and the request itself is in order, one that says so: callers may
+// come again after it, and after no other.
 func honest(f *failure.Error) *failure.Error {
 	switch {
 	case promises(f.Status()) && f.Executed != failure.ExecutedNo:
 		return failure.Wrap(f, failure.KindOutcomeUnknown, "the request may have run").Unknown()
-	case f.Status() >= http.StatusInternalServerError && !promises(f.Status()) && f.Executed == failure.ExecutedNo:
+	case !promises(f.Status()) && f.Executed == failure.ExecutedNo && !callersFault(f.Kind):
 		return failure.Wrap(f, failure.KindNoTarget, "the request did not run").After(unreachedRetry)
 	}
 	return f
 }
 
+// callersFault tells whether a failure lies in the request itself: sent again,
+// it fails again.
+func callersFault(k failure.Kind) bool {
+	switch k {
+	case failure.KindBadRequest, failure.KindUnauthorized, failure.KindForbidden, failure.KindNotFound,
+		failure.KindMethod, failure.KindBodyTooLarge, failure.KindHeadersTooLarge:
+		return true
+	}
+	return false
+}
+
 // promises tells whether a status says that the request has not run.
 func promises(status int) bool {
 	switch status {
