--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"net"
 	"net/http"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -101,6 +102,45 @@
 		Expect(len(t.requests()) + len(other.requests())).To(Equal(1))
 	})
 
+	// The first target takes long to fail, and the other one leaves meanwhile.
+	// A second send by what was known at first would reach a target that has
+	// been leaving for seconds, and be cut with it.
+	It("of lookups are not asked of a target that has left since", func() {
+		release := make(chan struct{})
+		slow := startTarget("i-1", func(conn net.Conn, r *http.Request) {
+			<-release
+			say(ownFailure)(conn, r)
+		})
+		other := startTarget("i-2", say(goodPlain))
+		d := startDeck(slow.entry("app", "dc-1"), other.entry("app", "dc-2"))
+		done := make(chan result, 1)
+		go func() { done <- d.do(d.request("GET", "/look/")) }()
+		Eventually(slow.requests).Should(HaveLen(1))
+		d.publish(slow.entry("app", "dc-1"), leaving(other.entry("app", "dc-2")))
+		close(release)
+		Eventually(done, "5s").Should(Receive())
+		Expect(other.requests()).To(BeEmpty())
+	})
+
+	// While a lookup waits for a target that then fails, another one joins.
+	It("of lookups may come from a target that has joined since", func() {
+		release := make(chan struct{})
+		slow := startTarget("i-1", func(conn net.Conn, r *http.Request) {
+			<-release
+			say(ownFailure)(conn, r)
+		})
+		other := startTarget("i-2", say(goodPlain))
+		d := startDeck(slow.entry("app", "dc-1"))
+		done := make(chan result, 1)
+		go func() { done <- d.do(d.request("GET", "/look/")) }()
+		Eventually(slow.requests).Should(HaveLen(1))
+		d.publish(slow.entry("app", "dc-1"), other.entry("app", "dc-1"))
+		close(release)
+		var got result
+		Eventually(done, "5s").Should(Receive(&got))
+		Expect(got.status).To(Equal(http.StatusOK))
+	})
+
 	// A lookup meets a target's own failure; another target answers it.
 	It("of lookups come from another target when the first fails", func() {
 		bad := startTarget("i-1", say(ownFailure))
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -30,7 +30,7 @@
 	if e := gen.service.Engine; e == nil || !e.Backups || gen.route.Resumable {
 		return nil
 	}
-	keeper, kept, ok := gen.g.cfg.Loads.Keep(gen.view, gen.Prompt, target)
+	keeper, kept, ok := gen.g.cfg.Loads.Keep(gen.g.view(), gen.Prompt, target)
 	if !ok {
 		return nil
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,10 +112,15 @@
 	return now.After(stop.lastRun) || now.Add(g.pace.expect(x.Prompt, x.service.Engine.TokensPerEvent)).After(stop.gone)
 }
 
+// view gives what is published by now. A request keeps the route and account
+// that it began with; where it is sent follows what is published at each send:
+// a second one may come seconds later, when its target has left.
+func (g *Gateway) view() *directory.View { return g.cfg.Board.View.Get() }
+
 // ServeHTTP relays one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	view := g.cfg.Board.View.Get()
+	view := g.view()
 	limit := int64(defaultBodyLimit)
 	if view != nil && view.Config != nil && view.Config.Limits.BodyBytes > 0 {
 		limit = view.Config.Limits.BodyBytes
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -115,7 +115,7 @@
 	var last error
 	var t tries
 	for {
-		target, place, ok := gen.g.cfg.Loads.Acquire(gen.view, gen.service.Name, gen.Prompt, Anywhere, avoid)
+		target, place, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), gen.service.Name, gen.Prompt, Anywhere, avoid)
 		if !ok {
 			break
 		}
--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -44,11 +44,11 @@
 
 // leave lets the generation go on at another engine: where its backup lies, or
 // where its memory was copied while it ran on.
-func (gen *generation) leave(ctx context.Context, view *directory.View, from *directory.Seen, m *move) {
+func (gen *generation) leave(ctx context.Context, from *directory.Seen, m *move) {
 	defer close(m.done)
 	ctx, cancel := context.WithTimeout(ctx, copyLimit)
 	defer cancel()
-	if !gen.started(ctx) || gen.useBackup(view) {
+	if !gen.started(ctx) || gen.useBackup() {
 		return
 	}
 	begun := time.Now()
@@ -59,7 +59,7 @@
 	}
 	avoid := []string{from.ID}
 	for tries := 0; tries < moveTries && gen.started(ctx); {
-		to, place, ok := gen.g.cfg.Loads.Acquire(view, from.Service, gen.Prompt, Near(from.DataCentre), avoid)
+		to, place, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), from.Service, gen.Prompt, Near(from.DataCentre), avoid)
 		if !ok {
 			break
 		}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -36,7 +36,7 @@
 	var t tries
 	var tried string
 	for {
-		target, place, ok := g.cfg.Loads.Acquire(x.view, x.service.Name, call.Prompt{}, Anywhere, avoid)
+		target, place, ok := g.cfg.Loads.Acquire(g.view(), x.service.Name, call.Prompt{}, Anywhere, avoid)
 		if !ok {
 			break
 		}
@@ -202,7 +202,7 @@
 // stays tells whether a target is not known to be stopping by plan: the end of
 // one that is says nothing of its requests.
 func (g *Gateway) stays(target *directory.Seen) bool {
-	return takesNew(g.cfg.Board.View.Get(), target) && !g.cfg.Loads.Leaving(target.ID)
+	return takesNew(g.view(), target) && !g.cfg.Loads.Leaving(target.ID)
 }
 
 // dial tells whether somebody listens at an address.
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -10,15 +10,15 @@
 
 // useBackup goes over to the generation's backup, if it has one at an engine
 // that stays.
-func (gen *generation) useBackup(view *directory.View) bool {
+func (gen *generation) useBackup() bool {
 	gen.mu.Lock()
 	b := gen.backup
 	gen.mu.Unlock()
 	if b == nil {
 		return false
 	}
-	keeper, known := view.Target(b.target.ID)
-	if !known || !view.TakesNew(keeper) || gen.g.cfg.Loads.Leaving(keeper.ID) {
+	keeper := b.target
+	if gen.g.cfg.Loads.Leaving(keeper.ID) {
 		return false
 	}
 	begun := time.Now()
@@ -53,7 +53,7 @@
 // last event that the caller has. The engine before still runs, so the answer
 // must come soon or not at all.
 func (gen *generation) resume(to *directory.Seen, handoff *call.Handoff, place *Place) (*leg, error) {
-	if view := gen.g.cfg.Board.View.Get(); !takesNew(view, to) {
+	if !takesNew(gen.g.view(), to) {
 		place.Release()
 		return nil, failure.New(failure.KindNoTarget, "engine %s may get no more work", to.ID)
 	}
@@ -141,7 +141,7 @@
 	if !gen.g.cfg.Budget.Retry(gen.g.cfg.Now(), gen.budgetKey()) {
 		return nil, why
 	}
-	target, place, ok := gen.g.cfg.Loads.Acquire(gen.view, gen.service.Name, gen.Prompt, Anywhere, []string{from.ID})
+	target, place, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), gen.service.Name, gen.Prompt, Anywhere, []string{from.ID})
 	if !ok {
 		return nil, why
 	}
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -106,7 +106,7 @@
 func (g *Gateway) leaveTargets(ctx context.Context, view *directory.View) {
 	for _, gen := range g.runs.list() {
 		if at, m, ok := gen.beginMove(view, g.cfg.Loads); ok {
-			go gen.leave(ctx, view, at, m)
+			go gen.leave(ctx, at, m)
 		}
 	}
 }
