Make no move once a generation has ended

Cause: a copy that became whole between the last event and the handler's return could be gone over to, and its place stayed counted (found by reading).

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -43,6 +43,8 @@
 	lastID string
 	// next is where the generation goes on once the current leg ends.
 	next *leg
+	// over is set once no leg will be relayed any more.
+	over bool
 
 	mu sync.Mutex
 	// at is the target where the generation runs.
@@ -104,7 +106,7 @@
 		}
 		l, err = gen.goOn(err)
 	}
-	gen.dropNext()
+	gen.end()
 	gen.finish(err)
 }
 
--- a/internal/gateway/migrate_test.go
+++ b/internal/gateway/migrate_test.go
@@ -245,3 +245,27 @@
 		Expect(dying.requests()).NotTo(BeEmpty())
 	})
 })
+
+var _ = Describe("moves that come as a generation ends", func() {
+	// An engine leaves just as its reports end, many times over. A place that
+	// stayed counted each time would make engines look full that are empty, to
+	// this host and, by gossip, to all others.
+	It("leave nothing counted at any engine", func() {
+		first := startEngine("i-1", 3, time.Millisecond)
+		second := startEngine("i-2", 3, time.Millisecond)
+		d := startDeck()
+		for i := range 60 {
+			d.publish(first.entry("llm", "dc-1"), second.entry("llm", "dc-2"))
+			done := make(chan result, 1)
+			go func() { done <- d.do(d.request("POST", "/report/")) }()
+			time.Sleep(time.Duration(i%12) * 500 * time.Microsecond)
+			d.publish(leaving(first.entry("llm", "dc-1")), second.entry("llm", "dc-2"))
+			var got result
+			Eventually(done, "5s").Should(Receive(&got))
+			Expect(got.body).To(Equal(wanted(3)))
+		}
+		for _, id := range []string{"i-1", "i-2"} {
+			Eventually(func() int { return d.loads.Hosts(id) }, "5s").Should(BeZero())
+		}
+	})
+})
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -34,6 +34,10 @@
 func (gen *generation) switchTo(to *directory.Seen, handoff *call.Handoff, place *Place) error {
 	gen.flow.Lock()
 	defer gen.flow.Unlock()
+	if gen.over {
+		place.Release()
+		return errEnded
+	}
 	l, err := gen.resume(to, handoff, place)
 	if err != nil {
 		return err
@@ -118,9 +122,17 @@
 	return l
 }
 
-// dropNext ends a leg that nobody will relay.
-func (gen *generation) dropNext() {
-	if l := gen.takeNext(); l != nil {
+// end says that no leg will be relayed any more, and closes one that the
+// generation went over to in the meantime. Without it a move that ends just
+// after the stream would keep its place at an engine counted for good, and that
+// engine would look fuller than it is to every host.
+func (gen *generation) end() {
+	gen.flow.Lock()
+	gen.over = true
+	l := gen.next
+	gen.next = nil
+	gen.flow.Unlock()
+	if l != nil {
 		l.close(false)
 	}
 }
