Resume a summary at no more engines than its route allows

Cause: a generation whose route lets another run go on was sent to one engine after the other as each broke it off (found by reading; BUDGET bounds it). The spec 'end after the engines that the route allows' fails on the code before.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -26,8 +26,9 @@
 	ctx context.Context
 	// begun is set once the caller has the header of the answer.
 	begun bool
-	// moves counts the engines that the generation went on at.
-	moves int
+	// moves counts the engines that the generation went on at, runs those that
+	// it was sent to anew; the route bounds the latter.
+	moves, runs int
 	// failed is an engine's own failure, nil when there is none.
 	failed *whole
 	// progress is a copy of pauses for the mover.
@@ -127,10 +128,12 @@
 		l, err := gen.open(gen.send(target), target, place)
 		if err == nil {
 			gen.enter(target, l.cancel, l.backup)
+			gen.runs++
 			return l, nil
 		}
 		last = err
 		t.add(err)
+		gen.runs = t.sent
 		if !gen.g.again(gen.ctx, gen.exchange, true, err, t) {
 			break
 		}
--- a/internal/gateway/migrate_test.go
+++ b/internal/gateway/migrate_test.go
@@ -246,6 +246,29 @@
 	})
 })
 
+var _ = Describe("summaries that break at each engine", func() {
+	// Each engine breaks the summary off after a piece. The route allows two
+	// engines; going on from one to the next would take every engine's time,
+	// and what breaks them would break them all.
+	It("end after the engines that the route allows", func() {
+		var asked atomic.Int64
+		breaking := func(conn net.Conn, r *http.Request) {
+			asked.Add(1)
+			from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			say("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\nTransfer-Encoding: chunked\n\n")(conn, r)
+			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event(from+1)), event(from+1))
+		}
+		var targets []*directory.Seen
+		for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
+			targets = append(targets, startTarget(id, breaking).entry("llm", "dc-1"))
+		}
+		d := startDeck(targets...)
+		got := d.do(d.request("POST", "/brief/"))
+		Expect(got.err).To(HaveOccurred())
+		Expect(asked.Load()).To(Equal(int64(2)))
+	})
+})
+
 var _ = Describe("moves that come as a generation ends", func() {
 	// An engine leaves just as its reports end, many times over. A place that
 	// stayed counted each time would make engines look full that are empty, to
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -148,8 +148,12 @@
 }
 
 // anew has another engine go on with a generation of a route that allows it,
-// behind the last event that the caller has.
+// behind the last event that the caller has. One that crashes engines would
+// else go from each to the next.
 func (gen *generation) anew(from *directory.Seen, why error) (*leg, error) {
+	if gen.runs >= gen.route.Attempts || gen.g.cfg.Suspects.guilty(gen.fingerprint) {
+		return nil, why
+	}
 	if !gen.g.cfg.Budget.Retry(gen.g.cfg.Now(), gen.budgetKey()) {
 		return nil, why
 	}
@@ -165,6 +169,7 @@
 	}
 	gen.enter(target, l.cancel, l.backup)
 	gen.moves++
+	gen.runs++
 	gen.g.cfg.Log.Info("generation resumed by another run", "request", gen.ID, "from", from.ID, "to", target.ID, "events", gen.pauses.events)
 	return l, nil
 }
