Keep the platform's names in its folder, tests too; one copy of waits and sums

Cause: tests outside platform/ spelled its headers, paths and documents, the adapter imported a decision package for a key, four packages had a sleep of their own, and a choice among targets went through all counts once a target. Names stand in platform/standin, the key in internal/directory, waits in internal/wake; counts are summed in one pass; settings that nobody read are gone.

--- a/internal/controller/configwatch/watch.go
+++ b/internal/controller/configwatch/watch.go
@@ -11,6 +11,7 @@
 	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/decide/rollout"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/wake"
 )
 
 // Figures of the watch.
@@ -69,10 +70,7 @@
 	if !on && w.cancel != nil {
 		w.cancel()
 	}
-	select {
-	case w.wake <- struct{}{}:
-	default:
-	}
+	wake.Signal(w.wake)
 }
 
 // Run watches until ctx is done.
@@ -115,7 +113,7 @@
 		whole = err != nil && failure.KindOf(err) != failure.KindOverloaded
 		if err == nil {
 			pause = firstPause
-			sleep(ctx, breather)
+			wake.Sleep(ctx, breather)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -123,7 +121,7 @@
 		}
 		w.store.setService(func(s *ServiceState) { s.Failure = string(failure.KindOf(err)) })
 		wait := max(pause/2+rand.N(pause/2), failure.From(err).RetryAfter)
-		sleep(ctx, wait)
+		wake.Sleep(ctx, wait)
 		pause = min(2*pause, lastPause)
 	}
 }
@@ -184,12 +182,3 @@
 		w.store.Offer(d.section, d.delta)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/controller/gossip/controller.go
+++ b/internal/controller/gossip/controller.go
@@ -26,6 +26,7 @@
 	"filbertdeck/internal/decide/membership"
 	"filbertdeck/internal/decide/rollout"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/wake"
 )
 
 // Figures of the controller.
@@ -263,10 +264,7 @@
 	c.mu.Lock()
 	c.cfg.Seeds = seeds
 	c.mu.Unlock()
-	select {
-	case c.seeds <- struct{}{}:
-	default:
-	}
+	wake.Signal(c.seeds)
 }
 
 // publishedChanged hands the published list and the seeds to the core. A
--- a/internal/controller/published/controller.go
+++ b/internal/controller/published/controller.go
@@ -16,6 +16,7 @@
 	"filbertdeck/internal/decide/mirror"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/wake"
 )
 
 // Figures of the reading.
@@ -100,7 +101,7 @@
 	whole := true
 	for ctx.Err() == nil {
 		if !c.role() {
-			sleep(ctx, idleEvery)
+			wake.Sleep(ctx, idleEvery)
 			continue
 		}
 		begun := c.cfg.Now()
@@ -113,10 +114,10 @@
 		switch {
 		case err == nil:
 			pause = firstPause
-			sleep(ctx, callEvery-(c.cfg.Now()-begun))
+			wake.Sleep(ctx, callEvery-(c.cfg.Now()-begun))
 		case failure.KindOf(err) == failure.KindHistoryGone:
 		default:
-			sleep(ctx, max(pause/2+rand.N(pause/2), min(failure.From(err).RetryAfter, lastPause)))
+			wake.Sleep(ctx, max(pause/2+rand.N(pause/2), min(failure.From(err).RetryAfter, lastPause)))
 			pause = min(2*pause, lastPause)
 		}
 	}
@@ -173,10 +174,7 @@
 
 // tell has other hosts told what is new here.
 func (c *Controller) tell() {
-	select {
-	case c.news <- struct{}{}:
-	default:
-	}
+	wake.Signal(c.news)
 }
 
 // News is received from when other hosts should hear at once: something was
@@ -218,15 +216,3 @@
 	defer c.mu.Unlock()
 	return c.mirror.Revision()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/decide/loadshare/loadshare.go
+++ b/internal/decide/loadshare/loadshare.go
@@ -100,16 +100,6 @@
 	b.counts[k] = held{c, now}
 }
 
-// Leaving tells whether any host heard from a target that it is about to stop.
-func (b *Board) Leaving(now time.Duration, target string) bool {
-	for k, c := range b.counts {
-		if k.target == target && c.Leaving && (k.host == b.self || now-c.heard < expireAfter) {
-			return true
-		}
-	}
-	return false
-}
-
 // Take takes counts that a peer told.
 func (b *Board) Take(now time.Duration, peer string, counts []Count) {
 	for _, c := range counts {
@@ -145,26 +135,36 @@
 	return news
 }
 
-// Others adds up what the other hosts have running at a target.
-func (b *Board) Others(now time.Duration, target string) Load {
-	var sum Load
-	for k, c := range b.counts {
-		if k.target == target && k.host != b.self && now-c.heard < expireAfter {
-			sum = sum.Plus(c.Load)
-		}
-	}
-	return sum
+// Sum is what all hosts' counts of one target come to.
+type Sum struct {
+	// Others is what the other hosts have running there.
+	Others Load
+	// Hosts counts the hosts, this one included, with something running there.
+	Hosts int
+	// Leaving is set when any host heard that the target is about to stop.
+	Leaving bool
 }
 
-// Hosts counts the hosts that have something running at a target.
-func (b *Board) Hosts(now time.Duration, target string) int {
-	n := 0
+// Sums adds up the counts of every target in one pass: a choice among all
+// targets of a service would else go through all counts once for each of them.
+func (b *Board) Sums(now time.Duration) map[string]Sum {
+	sums := make(map[string]Sum)
 	for k, c := range b.counts {
-		if k.target == target && c.Running > 0 && (k.host == b.self || now-c.heard < expireAfter) {
-			n++
+		own := k.host == b.self
+		if !own && now-c.heard >= expireAfter {
+			continue
+		}
+		sum := sums[k.target]
+		if !own {
+			sum.Others = sum.Others.Plus(c.Load)
+		}
+		if c.Running > 0 {
+			sum.Hosts++
 		}
+		sum.Leaving = sum.Leaving || c.Leaving
+		sums[k.target] = sum
 	}
-	return n
+	return sums
 }
 
 func (b *Board) tell(peer string, k key, version uint64) {
--- a/internal/decide/loadshare/loadshare_test.go
+++ b/internal/decide/loadshare/loadshare_test.go
@@ -26,7 +26,7 @@
 		b.SetOwn(0, "e-1", load(1, 3000))
 		b.Take(0, "a", a.News(0, "b"))
 		c.Take(0, "b", b.News(0, "c"))
-		Expect(c.Others(0, "e-1")).To(Equal(load(3, 10000)))
+		Expect(c.Sums(0)["e-1"].Others).To(Equal(load(3, 10000)))
 		Expect(b.News(0, "c")).To(BeEmpty())
 		Expect(c.News(0, "b")).To(BeEmpty())
 	})
@@ -39,9 +39,9 @@
 		b.Take(0, "a", a.News(0, "b"))
 		for now := time.Duration(0); now < 20*time.Second; now += time.Second {
 			b.Take(now, "a", a.News(now, "b"))
-			Expect(b.Others(now, "e-1")).To(Equal(load(1, 3000)))
+			Expect(b.Sums(now)["e-1"].Others).To(Equal(load(1, 3000)))
 		}
-		Expect(b.Others(40*time.Second, "e-1")).To(Equal(load(0, 0)))
+		Expect(b.Sums(40 * time.Second)["e-1"].Others).To(Equal(load(0, 0)))
 	})
 
 	// A process is replaced on a host whose clock went back. Its counts carry
@@ -54,12 +54,12 @@
 		replaced.SetOwn(0, "e-1", load(1, 3000))
 		replaced.Take(0, "b", b.News(0, "a"))
 		b.Take(0, "a", replaced.News(0, "b"))
-		Expect(b.Others(0, "e-1").Running).To(BeNumerically(">=", 1))
+		Expect(b.Sums(0)["e-1"].Others.Running).To(BeNumerically(">=", 1))
 		echo := loadshare.New("c", 1)
 		echo.Take(0, "b", b.News(0, "c"))
 		replaced.Take(0, "c", echo.News(0, "a2"))
 		b.Take(0, "a", replaced.News(0, "b"))
-		Expect(b.Others(0, "e-1")).To(Equal(load(1, 3000)))
+		Expect(b.Sums(0)["e-1"].Others).To(Equal(load(1, 3000)))
 	})
 
 	It("never come back in an older version", func() {
@@ -69,6 +69,6 @@
 		a.SetOwn(0, "e-1", load(1, 0))
 		b.Take(0, "a", a.News(0, "b"))
 		b.Take(0, "a", before)
-		Expect(b.Others(0, "e-1")).To(Equal(load(1, 0)))
+		Expect(b.Sums(0)["e-1"].Others).To(Equal(load(1, 0)))
 	})
 })
--- a/internal/decide/mirror/mirror.go
+++ b/internal/decide/mirror/mirror.go
@@ -223,7 +223,7 @@
 // standing gives a target with whether its entry stands. An entry that went
 // while the store was away counts as standing for the grace after its return.
 func (m *Mirror) standing(now time.Duration, s *directory.Seen) *directory.Seen {
-	e := m.records[TargetKey(s.ID)]
+	e := m.records[directory.TargetKey(s.ID)]
 	if e.Target != nil && !e.Gone {
 		return s
 	}
@@ -247,12 +247,7 @@
 	for key, e := range m.records {
 		if e.Gone && now-e.heard > m.cfg.KeepGone {
 			delete(m.records, key)
-			delete(m.seen, strings.TrimPrefix(key, targetPrefix))
+			delete(m.seen, directory.TargetOf(key))
 		}
 	}
 }
-
-const targetPrefix = "target/"
-
-// TargetKey is the key of a target's record.
-func TargetKey(id string) string { return targetPrefix + id }
--- a/internal/decide/mirror/mirror_test.go
+++ b/internal/decide/mirror/mirror_test.go
@@ -22,7 +22,7 @@
 	if change != nil {
 		change(t)
 	}
-	return directory.Record{Key: mirror.TargetKey(id), Revision: revision, Target: t}
+	return directory.Record{Key: directory.TargetKey(id), Revision: revision, Target: t}
 }
 
 func gone(key string, revision uint64) directory.Record {
@@ -43,7 +43,7 @@
 	It("holds the newest of each record whatever the order in which they come", func() {
 		all := []directory.Record{
 			config(3, 2), config(9, 8), target("i-1", 3, nil), target("i-2", 4, nil),
-			target("i-1", 6, func(t *directory.Target) { t.Leaving = true }), gone(mirror.TargetKey("i-2"), 7),
+			target("i-1", 6, func(t *directory.Target) { t.Leaving = true }), gone(directory.TargetKey("i-2"), 7),
 		}
 		for range 50 {
 			m := mirror.New(mirror.Config{})
@@ -96,7 +96,7 @@
 		m := mirror.New(mirror.Config{})
 		m.Changes(0, []directory.Record{config(3, 2), target("i-1", 3, nil)}, 3)
 		m.Changes(0, []directory.Record{
-			{Key: "config", Revision: 4, Fault: "no JSON"}, {Key: mirror.TargetKey("i-1"), Revision: 5, Fault: "no JSON"},
+			{Key: "config", Revision: 4, Fault: "no JSON"}, {Key: directory.TargetKey("i-1"), Revision: 5, Fault: "no JSON"},
 		}, 5)
 		Expect(m.View(0).Config.Version).To(Equal(uint64(3)))
 		Expect(takesNew(m, 0, "i-1")).To(BeFalse())
--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -6,7 +6,10 @@
 // it began with, so that it never sees half a change.
 package directory
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // RequestKind says what may be repeated of a route's requests.
 type RequestKind int
@@ -141,3 +144,12 @@
 	Target     *Target `json:"target,omitempty"`
 	DrainedOut string  `json:"drained,omitempty"`
 }
+
+const targetPrefix = "target/"
+
+// TargetKey is the key of a target's record.
+func TargetKey(id string) string { return targetPrefix + id }
+
+// TargetOf gives the id of the target whose record has a key; of another
+// record, its key.
+func TargetOf(key string) string { return strings.TrimPrefix(key, targetPrefix) }
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -6,6 +6,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"filbertdeck/platform/standin"
 )
 
 const (
@@ -13,7 +15,7 @@
 	goodStream = "HTTP/1.1 200 OK\n" + requestID + ": ID\n" + seal + ": s1\nContent-Type: text/event-stream\n" +
 		"Transfer-Encoding: chunked\n\n14\nid: 1\ndata: one\n\n\n0\n\n"
 	ownFailure = "HTTP/1.1 500 Internal Server Error\n" + requestID + ": ID\n" + seal + ": s1\nContent-Length: 4\n\noops"
-	notRun     = "HTTP/1.1 503 Service Unavailable\n" + requestID + ": ID\nX-Filbertdeck-Not-Executed: 1\nContent-Length: 0\n\n"
+	notRun     = "HTTP/1.1 503 Service Unavailable\n" + requestID + ": ID\n" + standin.NotExecuted + ": 1\nContent-Length: 0\n\n"
 )
 
 var _ = Describe("answers", func() {
@@ -28,8 +30,8 @@
 		Expect(sent.RequestURI).To(Equal("/book/a%2Fb//c?x=1&&y"))
 		Expect(sent.Host).To(Equal("a.example"))
 		Expect(sent.Header.Get("Authorization")).To(BeEmpty())
-		Expect(sent.Header.Get("X-Filbertdeck-Tenant")).To(Equal("clinic"))
-		Expect(sent.Header.Get("X-Filbertdeck-Expect-Instance")).To(Equal("i-1"))
+		Expect(sent.Header.Get(standin.Tenant)).To(Equal("clinic"))
+		Expect(sent.Header.Get(standin.ExpectInstance)).To(Equal("i-1"))
 		Expect(t.body[0]).To(Equal("hello"))
 	})
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"filbertdeck/internal/decide/coldshare"
@@ -113,8 +114,9 @@
 	if s, ok := view.Service(service); ok && s.Engine != nil {
 		memory = s.Engine.MemoryTokens
 	}
+	sums := l.share.Sums(l.now())
 	for _, t := range view.Pool(service) {
-		if !view.TakesNew(t) || contains(avoid, t.ID) || l.share.Leaving(l.now(), t.ID) {
+		if !view.TakesNew(t) || slices.Contains(avoid, t.ID) || sums[t.ID].Leaving {
 			continue
 		}
 		own := l.of(t.ID)
@@ -122,7 +124,7 @@
 		if cold > 0 && !own.gate.Open(l.now(), l.coldPart(t.ID, cold)) {
 			continue
 		}
-		all := own.Plus(l.share.Others(l.now(), t.ID))
+		all := own.Plus(sums[t.ID].Others)
 		c := placement.Candidate{
 			ID: t.ID, Running: all.Running, Slots: t.Slots, Tokens: all.Tokens, Unread: all.Unread, Memory: memory,
 		}
@@ -146,12 +148,3 @@
 	}
 	return candidates, targets
 }
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -26,6 +26,7 @@
 	"filbertdeck/internal/gateway"
 	"filbertdeck/internal/targetclient"
 	"filbertdeck/platform"
+	"filbertdeck/platform/standin"
 )
 
 func TestGateway(t *testing.T) {
@@ -34,8 +35,8 @@
 }
 
 const (
-	requestID = "X-Filbertdeck-Request-Id"
-	seal      = "X-Filbertdeck-Response-Seal"
+	requestID = standin.RequestID
+	seal      = standin.Seal
 )
 
 // script is what a target does with a request that it was sent; the connection
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -10,6 +10,7 @@
 	"filbertdeck/internal/decide/loadshare"
 	"filbertdeck/internal/decide/placement"
 	"filbertdeck/internal/directory"
+	"filbertdeck/internal/wake"
 )
 
 // Loads counts what this host has running at each target and chooses targets
@@ -66,7 +67,7 @@
 	l.share.Take(l.now(), host, counts)
 	for _, c := range counts {
 		if c.Leaving {
-			signal(l.leaving)
+			wake.Signal(l.leaving)
 		}
 	}
 }
@@ -94,7 +95,7 @@
 		// told of them is out of date when it arrives.
 		return
 	}
-	signal(l.changed)
+	wake.Signal(l.changed)
 }
 
 func (l *Loads) of(target string) *targetLoad {
@@ -195,29 +196,22 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.share.SetLeaving(l.now(), target)
-	signal(l.changed)
-	signal(l.leaving)
+	wake.Signal(l.changed)
+	wake.Signal(l.leaving)
 }
 
 // Leaving tells whether a target told any host that it is about to stop.
 func (l *Loads) Leaving(target string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.share.Leaving(l.now(), target)
+	return l.share.Sums(l.now())[target].Leaving
 }
 
 // Hosts counts the hosts that have something running at a target.
 func (l *Loads) Hosts(target string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.share.Hosts(l.now(), target)
-}
-
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
+	return l.share.Sums(l.now())[target].Hosts
 }
 
 // outputShare is the part of a generation's possible output that is counted
--- a/internal/gateway/migrate_test.go
+++ b/internal/gateway/migrate_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"filbertdeck/internal/directory"
+	"filbertdeck/platform/standin"
 )
 
 // event is the n-th event of every test's generation.
@@ -51,16 +51,16 @@
 
 func (e *engine) serve(conn net.Conn, r *http.Request) {
 	switch r.URL.Path {
-	case "/api/kv-move":
+	case standin.PathMove:
 		e.moves.Add(1)
 		if e.refuseMoves.Load() {
 			say("HTTP/1.1 503 Service Unavailable\nContent-Length: 0\n\n")(conn, r)
 			return
 		}
-		body, _ := json.Marshal(map[string]any{"handle": "h-" + e.id, "created": e.made.Load()})
+		body := standin.MoveAnswer("h-"+e.id, e.made.Load())
 		say(fmt.Sprintf("HTTP/1.1 200 OK\nContent-Length: %d\n\n", len(body)))(conn, r)
 		_, _ = conn.Write(body)
-	case "/api/report":
+	case standin.PathReport:
 		say("HTTP/1.1 200 OK\nContent-Length: 2\n\n{}")(conn, r)
 	default:
 		e.generate(conn, r)
@@ -70,7 +70,7 @@
 // generate makes the events behind Last-Event-Id until the caller leaves.
 func (e *engine) generate(conn net.Conn, r *http.Request) {
 	say("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s-"+e.id+"\nTransfer-Encoding: chunked\n\n")(conn, r)
-	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	from, _ := strconv.Atoi(r.Header.Get(standin.LastEventID))
 	gone := make(chan struct{})
 	go func() {
 		_, _ = io.Copy(io.Discard, conn)
@@ -119,7 +119,7 @@
 		Expect(got.header.Get(seal)).To(Equal("s-i-1"))
 		Expect(first.dropped.Load()).To(BeTrue())
 		resumed := second.requests()[0]
-		Expect(resumed.Header.Get("Kv-From")).To(Equal(first.address + "/h-i-1"))
+		Expect(resumed.Header.Get(standin.CopyFrom)).To(Equal(first.address + "/h-i-1"))
 		Expect(resumed.Header.Get(requestID)).To(Equal("r-1"))
 	})
 
@@ -191,13 +191,13 @@
 		if second.made.Load() > 0 {
 			from, to = second, first
 		}
-		Expect(from.requests()[0].Header.Get("X-Filbertdeck-Kv-Backup")).To(Equal(to.address))
+		Expect(from.requests()[0].Header.Get(standin.Backup)).To(Equal(to.address))
 		d.publish(leaving(from.entry("llm", "dc-1")), to.entry("llm", "dc-1"))
 		var got result
 		Eventually(done, "5s").Should(Receive(&got))
 		Expect(got.body).To(Equal(wanted(events)))
 		Expect(from.moves.Load()).To(BeZero())
-		Expect(to.requests()[0].Header.Get("Kv-From")).To(Equal(to.address + "/r-1"))
+		Expect(to.requests()[0].Header.Get(standin.CopyFrom)).To(Equal(to.address + "/r-1"))
 	})
 })
 
@@ -217,7 +217,7 @@
 		got := d.do(d.request("POST", "/report/"))
 		Expect(got.err).NotTo(HaveOccurred())
 		Expect(got.body).To(Equal(wanted(events)))
-		Expect(second.requests()[0].Header.Get("Kv-From")).To(Equal(second.address + "/r-1"))
+		Expect(second.requests()[0].Header.Get(standin.CopyFrom)).To(Equal(second.address + "/r-1"))
 	})
 })
 
@@ -254,7 +254,7 @@
 		var asked atomic.Int64
 		breaking := func(conn net.Conn, r *http.Request) {
 			asked.Add(1)
-			from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			from, _ := strconv.Atoi(r.Header.Get(standin.LastEventID))
 			say("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\nTransfer-Encoding: chunked\n\n")(conn, r)
 			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event(from+1)), event(from+1))
 		}
--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -8,6 +8,7 @@
 	"filbertdeck/internal/decide/migration"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/wake"
 )
 
 // Figures of the moves.
@@ -78,7 +79,7 @@
 		place.Release()
 		if failure.KindOf(err) == failure.KindNotFound {
 			// The run has not begun yet, or it has ended; both show soon.
-			sleep(ctx, runPause)
+			wake.Sleep(ctx, runPause)
 			continue
 		}
 		avoid = append(avoid, to.ID)
@@ -121,15 +122,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // leavesIn asks the engine when it stops.
 func (gen *generation) leavesIn(ctx context.Context, from *directory.Seen) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, reportLimit)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -11,6 +11,7 @@
 	"filbertdeck/internal/decide/poison"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/wake"
 )
 
 // Figures of the evidence against requests that crash targets.
@@ -120,7 +121,7 @@
 			// Latest start first, as the evidence weighs them.
 			slices.Reverse(suspects)
 			s.detector.Crashed(s.now(), id, suspects)
-			signal(s.news)
+			wake.Signal(s.news)
 		}
 	})
 }
@@ -137,6 +138,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.detector.Merge(s.now(), crashes) {
-		signal(s.news)
+		wake.Signal(s.news)
 	}
 }
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -22,6 +22,7 @@
 	"filbertdeck/internal/gateway"
 	"filbertdeck/internal/process"
 	"filbertdeck/internal/rpc"
+	"filbertdeck/internal/wake"
 )
 
 const (
@@ -62,15 +63,8 @@
 		case <-f.published.News():
 		case <-f.suspects.News():
 		}
-		f.hurry()
-		pause(ctx, tellEvery)
-	}
-}
-
-func (f *fleet) hurry() {
-	select {
-	case f.urgent <- struct{}{}:
-	default:
+		wake.Signal(f.urgent)
+		wake.Sleep(ctx, tellEvery)
 	}
 }
 
@@ -87,7 +81,7 @@
 		case <-tick.C:
 		}
 		if f.takeBehind() {
-			f.hurry()
+			wake.Signal(f.urgent)
 			continue
 		}
 		if !f.published.Asks() && !f.roles.unsure() {
@@ -96,20 +90,11 @@
 		if host, ok := f.roles.next(); ok {
 			c.Ask(ctx, host)
 		} else {
-			f.hurry()
+			wake.Signal(f.urgent)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // takeBehind tells whether a neighbour was seen to hold less than this host.
 func (f *fleet) takeBehind() bool {
 	f.mu.Lock()
--- a/internal/gatewayhost/settings.go
+++ b/internal/gatewayhost/settings.go
@@ -49,12 +49,9 @@
 	Source  published.Source
 }
 
-// RetryBound allows, in any window, a share of a service's requests and a
-// fixed number of sends beyond the first.
-type RetryBound struct {
-	Share, Extra float64
-	Window       time.Duration
-}
+// RetryBound allows, in any window of some seconds, a share of a service's
+// requests and a fixed number of sends beyond the first.
+type RetryBound struct{ Share, Extra float64 }
 
 // ColdBound allows a cold target its rate times Factor plus Extra a second.
 type ColdBound struct{ Factor, Extra float64 }
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -4,7 +4,6 @@
 package gateway_test
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -51,10 +50,7 @@
 	w := &world{store: standin.New(), hold: make(chan struct{}), held: make(chan struct{}, 16)}
 	w.target = httptest.NewServer(http.HandlerFunc(w.answer))
 	w.configure(1, "key-1")
-	w.store.Put("servers/i-1", map[string]any{
-		"service": "app", "address": address(w.target), "zone": "z-a", "slots": 6, "state": "ready",
-		"warmup_left_ms": 0, "seq": 1, "born": 1000,
-	})
+	w.store.PutServer("i-1", "app", address(w.target), "ready")
 	DeferCleanup(func() { w.store.Close(); w.target.CloseClientConnections(); w.target.Close() })
 	return w
 }
@@ -62,8 +58,8 @@
 func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
 
 func (w *world) answer(rw http.ResponseWriter, r *http.Request) {
-	rw.Header().Set("X-Filbertdeck-Request-Id", r.Header.Get("X-Filbertdeck-Request-Id"))
-	rw.Header().Set("X-Filbertdeck-Response-Seal", "s-1")
+	rw.Header().Set(standin.RequestID, r.Header.Get(standin.RequestID))
+	rw.Header().Set(standin.Seal, "s-1")
 	if strings.HasSuffix(r.URL.Path, "/held") {
 		w.held <- struct{}{}
 		<-w.hold
@@ -72,18 +68,7 @@
 }
 
 // configure publishes a version with the given keys.
-func (w *world) configure(version int, keys ...string) {
-	w.store.Put("op/config", map[string]any{
-		"version": version,
-		"routes": []any{map[string]any{
-			"name": "r-1", "host": "a.example", "prefix": "/b/", "route_type": "unsafe", "timeout_ms": 30000,
-			"latency_target_ms": 150, "priority": 1, "service": "app", "max_attempts": 1,
-		}},
-		"services": []any{map[string]any{"name": "app", "health_path": "/health", "max_conns": 100}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []any{map[string]any{"name": "clinic", "api_keys": keys}},
-	})
-}
+func (w *world) configure(version int, keys ...string) { w.store.PutConfig(version, "app", keys...) }
 
 // host is one gateway process.
 type host struct {
@@ -105,25 +90,10 @@
 	}
 	dir := GinkgoT().TempDir()
 	settings := filepath.Join(dir, "boot.conf")
-	text := fmt.Sprintf(`node=%s
-zone=z-a
-ip=127.0.0.1
-listen.front=%s
-listen.ready=%s
-listen.control=%s
-port_range=7200,7215
-seeds=%s
-bootstrap=true
-platform.address=%s
-bounds.grace_s=8
-bounds.budget_ratio=0.2
-bounds.budget_extra=56
-bounds.budget_window_s=10
-bounds.warmup_factor=1.5
-bounds.warmup_slack=5
-bounds.drain_ms=2000
-bounds.config_deadline_ms=2000
-`, h.callers, h.callers, h.ready, h.peers, strings.Join(append([]string{h.peers}, seeds...), ","), store)
+	text := standin.Settings(standin.Place{
+		Host: h.callers, IP: "127.0.0.1", Callers: h.callers, Ready: h.ready, Peers: h.peers, Store: store,
+		Seeds: append([]string{h.peers}, seeds...),
+	})
 	Expect(os.WriteFile(settings, []byte(text), 0o600)).To(Succeed())
 	h.out = filepath.Join(dir, "log")
 	log, err := os.Create(h.out)
@@ -145,7 +115,7 @@
 }
 
 func (h *host) isReady() bool {
-	resp, err := http.Get("http://" + h.ready + "/api/ready")
+	resp, err := http.Get("http://" + h.ready + standin.PathReady)
 	if err != nil {
 		return false
 	}
@@ -159,8 +129,8 @@
 	Expect(err).NotTo(HaveOccurred())
 	req.Host, req.Close = "a.example", true
 	req.Header.Set("Authorization", "Bearer "+key)
-	req.Header.Set("X-Filbertdeck-Request-Id", "r-1")
-	req.Header.Set("X-Filbertdeck-Deadline-Ms", "20000")
+	req.Header.Set(standin.RequestID, "r-1")
+	req.Header.Set(standin.Deadline, "20000")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0
