Finish transfers beside probes that time out; ask members beyond the neighbours

The gossip spec in KNOWN-RED failed now and then on a busy machine and was put down to its 20 s bound. Two faults of the product were:

A probe that timed out closed its connection under a transfer in progress on it. A host short of processor time cut its own transfer of an 11,000 row table every half second and began it anew for good. Only neighbours were asked to vouch for a new process. In a fleet of five, one has two neighbours now and then and three must vouch: it waited out the grace of its start and showed for good that its peers were not asked. Members beyond the neighbours are asked too until enough have.

New specs for both faults fail without the change. KNOWN-RED is empty.

--- a/Makefile
+++ b/Makefile
@@ -8,11 +8,6 @@
 # Packages whose tests run with the race detector.
 RACE_PACKAGES ?= ./internal/... ./platform/... ./cmd/...
 
-# The specs that KNOWN-RED.txt lists run apart: CI prints and passes over these
-# alone.
-RED_PACKAGE = internal/controller/gossip
-RED_SPEC = lets a new process take the newest table from peers before it is ready
-
 .PHONY: build test fmt-check vet lint generate generate-check reference reference-check unit demo faults
 
 build:
@@ -47,10 +42,7 @@
 # The tests in test/ run programs that they build, which go's cache of results
 # cannot see; they always run.
 unit:
-	$(GO) test -race -timeout 20m $$($(GO) list $(RACE_PACKAGES) | grep -v '/$(RED_PACKAGE)$$')
-	$(GO) test -race -timeout 20m ./$(RED_PACKAGE) -ginkgo.skip='$(RED_SPEC)'
-	@echo "known red, see KNOWN-RED.txt:"; cat KNOWN-RED.txt
-	-$(GO) test -race -timeout 20m ./$(RED_PACKAGE) -ginkgo.focus='$(RED_SPEC)'
+	$(GO) test -race -timeout 20m $(RACE_PACKAGES)
 	$(GO) test -count=1 -timeout 20m ./test/...
 
 # The main job on one machine; every process ends with it.
--- a/internal/controller/configwatch/standing.go
+++ b/internal/controller/configwatch/standing.go
@@ -55,6 +55,14 @@
 	}
 }
 
+// Unasked gives those of some peers whose documents are still to be taken over
+// before what is in force here counts as vouched for.
+func (s *Store) Unasked(peers []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.join.Unasked(peers)
+}
+
 // Ready tells whether this process may serve with the table in force.
 func (s *Store) Ready() bool {
 	s.mu.Lock()
--- a/internal/controller/gossip/controller.go
+++ b/internal/controller/gossip/controller.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -39,6 +40,9 @@
 	// pullTimeout bounds the transfer of whole documents, 3 MB at the target
 	// size.
 	pullTimeout = 5 * time.Second
+	// askPause is the time between two questions of a new process to members
+	// that have not vouched: three of them fit into the grace of a start.
+	askPause = 500 * time.Millisecond
 	// syncTimeout bounds the exchange of member lists, 130 KB at the target
 	// size.
 	syncTimeout = 2 * time.Second
@@ -115,6 +119,8 @@
 	version  uint64
 	known    int
 	lastPush time.Time
+	// asked is when a member was last asked to vouch; Run alone uses it.
+	asked time.Time
 	// published is the list that the core was last given; Run alone uses it.
 	published *configwatch.Hosts
 }
@@ -229,11 +235,30 @@
 		c.cfg.Store.Peers(max(known, len(view.Live(""))-1))
 	}
 	c.cfg.Store.Ready()
+	c.askMore(ctx, view)
 	for _, a := range actions {
 		c.spawn(func() { c.perform(ctx, a) })
 	}
 }
 
+// askMore asks a member that has not vouched for what is held here, until
+// enough have. Probes go to neighbours only, and in a small fleet a process may
+// have fewer of them than must vouch: it would wait out the grace of a start
+// each time, serve from what the service alone says, and show operators for
+// good that its peers were not asked.
+func (c *Controller) askMore(ctx context.Context, view *membership.View) {
+	if time.Since(c.asked) < askPause {
+		return
+	}
+	others := slices.DeleteFunc(view.Live(""), func(a string) bool { return a == view.Self.Address })
+	unasked := c.cfg.Store.Unasked(others)
+	if len(unasked) == 0 {
+		return
+	}
+	c.asked = time.Now()
+	c.Ask(ctx, unasked[rand.IntN(len(unasked))])
+}
+
 // spawn runs a call, or drops it when too many are in progress; the core
 // notices that as a probe without an answer.
 func (c *Controller) spawn(call func()) {
--- a/internal/controller/gossip/gossip_test.go
+++ b/internal/controller/gossip/gossip_test.go
@@ -47,6 +47,10 @@
 	// creds secure the connections; plain text without.
 	creds      credentials.TransportCredentials
 	dataCentre string
+	// now is the clock of the node's documents; nil means the machine's.
+	now func() time.Time
+	// rings is the number of neighbours; 0 means the default.
+	rings int
 	// watch gives the node a watch of the configuration service, and returns
 	// what sets the watch's role.
 	watch func(*configwatch.Store) func(bool)
@@ -71,7 +75,7 @@
 		cfg.creds = insecure.NewCredentials()
 	}
 	var err error
-	if n.store, err = configwatch.NewStore(&n.docs, configwatch.StoreConfig{}); err != nil {
+	if n.store, err = configwatch.NewStore(&n.docs, configwatch.StoreConfig{Now: cfg.now}); err != nil {
 		panic(err)
 	}
 	setReader := func(bool) {}
@@ -85,7 +89,7 @@
 	n.ctl, err = gossip.New(gossip.Config{
 		Membership: membership.Config{
 			Self:       membership.Member{Address: address, Incarnation: uint64(time.Now().UnixMilli()), DataCentre: cmp.Or(cfg.dataCentre, "north")},
-			ProbeEvery: cmp.Or(cfg.every, probeEvery),
+			ProbeEvery: cmp.Or(cfg.every, probeEvery), Rings: cfg.rings,
 		},
 		Seeds: list, Store: n.store, Hosts: &n.docs.Hosts, Credentials: cfg.creds,
 		SetReader: func(on bool) {
@@ -160,7 +164,9 @@
 	return func(n *node) bool { v := n.board.Members.Get(); return v != nil && len(v.Live("")) == count }
 }
 
-const soon, often = "20s", "10ms"
+// soon bounds only a spec that hangs: 32 copies of this package at once, with
+// the race detector on eight cores, take up to 100 s for what takes four alone.
+const soon, often = "5m", "10ms"
 
 var _ = Describe("gossip", func() {
 	It("finds everyone, brings an edit to all, and keeps three readers", func() {
@@ -224,7 +230,11 @@
 		nodes[0].edit(9, 11_000, 7)
 		Eventually(everyone(nodes, func(n *node) bool { return n.revision() == 9 && n.store.Ready() }), soon, often).Should(BeTrue())
 		l, a := listen()
-		fresh := startNode(l, a, []string{nodes[0].address, nodes[1].address, nodes[2].address}, nodeConfig{})
+		// With a clock that stands still the grace of a start never ends: only
+		// peers can make the process ready, however busy the machine is.
+		started := time.Now()
+		still := nodeConfig{now: func() time.Time { return started }}
+		fresh := startNode(l, a, []string{nodes[0].address, nodes[1].address, nodes[2].address}, still)
 		DeferCleanup(fresh.stop)
 		fresh.edit(3, 10, 1)
 		Eventually(fresh.store.Ready, soon, "1ms").Should(BeTrue())
@@ -232,6 +242,20 @@
 		Eventually(func() bool { return fresh.docs.Rollout.Get().PeersAsked }, soon, often).Should(BeTrue())
 	})
 
+	// Probes go to neighbours. In a small fleet a process that has just started
+	// may have fewer of them than must vouch for what it holds; operators then
+	// read for good that its peers were not asked.
+	It("has members beyond its neighbours vouch for a new process", func() {
+		nodes := fleet(4)
+		Eventually(everyone(nodes, live(4)), soon, often).Should(BeTrue())
+		nodes[0].edit(9, 10, 7)
+		Eventually(everyone(nodes, func(n *node) bool { return n.revision() == 9 && n.store.Ready() }), soon, often).Should(BeTrue())
+		l, a := listen()
+		fresh := startNode(l, a, []string{nodes[0].address}, nodeConfig{rings: 1})
+		DeferCleanup(fresh.stop)
+		Eventually(func() bool { return fresh.docs.Rollout.Get().PeersAsked }, "1m", often).Should(BeTrue())
+	})
+
 	It("passes on when the host list was confirmed, never as later than it was", func() {
 		nodes := fleet(3)
 		Eventually(everyone(nodes, live(3)), soon, often).Should(BeTrue())
--- a/internal/controller/gossip/peers.go
+++ b/internal/controller/gossip/peers.go
@@ -45,45 +45,95 @@
 type connection struct {
 	conn *grpc.ClientConn
 	used time.Time
+	// calls counts those in progress; retired is set once no new ones begin.
+	calls   int
+	retired bool
 }
 
 func newPeers(creds credentials.TransportCredentials, m counters) *peers {
 	return &peers{creds: creds, metrics: m, conns: map[string]*connection{}}
 }
 
-// call runs one call with its own timeout. A call that runs into it closes
-// the connection: it may be silent for good while a new one would work.
+// call runs one call with its own timeout. A connection on which a call runs
+// into it may be silent for good while a new one would work, so later calls
+// get another one. Calls in progress there keep it until they end: on a host
+// that is short of processor time probes time out while a document of some
+// megabytes is on its way, and closing the connection under it would begin the
+// transfer anew each time, so that the host never learns the newest table.
 func (p *peers) call(ctx context.Context, address string, timeout time.Duration,
 	do func(context.Context, filbertv1.GossipClient) error,
 ) error {
-	conn, err := p.get(address)
+	conn, err := p.acquire(address)
 	if err != nil {
 		return err
 	}
+	defer p.release(conn)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	err = do(ctx, filbertv1.NewGossipClient(conn))
+	err = do(ctx, filbertv1.NewGossipClient(conn.conn))
 	if err == nil {
 		return nil
 	}
 	if status.Code(err) == codes.DeadlineExceeded {
 		p.metrics.redials.Inc(1)
-		p.drop(address, conn)
+		p.retire(address, conn)
 	}
 	return failure.Wrap(err, failure.KindControlLost, "peer %s did not answer", address).Unknown()
 }
 
-func (p *peers) get(address string) (*grpc.ClientConn, error) {
+// acquire gives the connection to a peer, opened if there is none, and counts
+// a call on it.
+func (p *peers) acquire(address string) (*connection, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, failure.New(failure.KindStopping, "gossip has stopped")
 	}
-	if c := p.conns[address]; c != nil {
-		c.used = time.Now()
-		return c.conn, nil
+	c := p.conns[address]
+	if c == nil {
+		p.makeRoom()
+		conn, err := p.open(address)
+		if err != nil {
+			return nil, err
+		}
+		c = &connection{conn: conn}
+		p.conns[address] = c
+	}
+	c.used = time.Now()
+	c.calls++
+	return c, nil
+}
+
+// release ends a call; the last one closes a retired connection.
+func (p *peers) release(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.calls--
+	if c.retired && c.calls == 0 {
+		_ = c.conn.Close()
 	}
-	p.makeRoom()
+}
+
+// retire lets no new call begin on a connection.
+func (p *peers) retire(address string, c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(address, c)
+}
+
+// drop takes a connection out of use, and closes it unless calls are in
+// progress on it. The caller holds the lock.
+func (p *peers) drop(address string, c *connection) {
+	if p.conns[address] == c {
+		delete(p.conns, address)
+	}
+	c.retired = true
+	if c.calls == 0 {
+		_ = c.conn.Close()
+	}
+}
+
+func (p *peers) open(address string) (*grpc.ClientConn, error) {
 	// The prefix keeps grpc from resolving names: peers are known by number.
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(p.creds),
@@ -99,7 +149,6 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.KindControlLost, "peer %s", address)
 	}
-	p.conns[address] = &connection{conn: conn, used: time.Now()}
 	return conn, nil
 }
 
@@ -117,8 +166,7 @@
 		}
 	}
 	if others >= maxConnections {
-		_ = p.conns[oldest].conn.Close()
-		delete(p.conns, oldest)
+		p.drop(oldest, p.conns[oldest])
 	}
 }
 
@@ -129,15 +177,6 @@
 	p.neighbours = neighbours
 }
 
-func (p *peers) drop(address string, conn *grpc.ClientConn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if c := p.conns[address]; c != nil && c.conn == conn {
-		delete(p.conns, address)
-		_ = conn.Close()
-	}
-}
-
 func (p *peers) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/decide/rollout/join.go
+++ b/internal/decide/rollout/join.go
@@ -40,6 +40,21 @@
 	}
 }
 
+// Unasked gives those of some peers that are still to be asked: none once
+// enough were.
+func (j *Join) Unasked(peers []string) []string {
+	if j.Confirmed() {
+		return nil
+	}
+	var out []string
+	for _, p := range peers {
+		if !j.asked[p] {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // Service notes that the service's documents were read.
 func (j *Join) Service() { j.service = true }
 
