Begin one move a generation, also when the notice comes while its prompt is read

Cause: when the stream opened, a move that had begun during the reading of the prompt was forgotten, and the next change of the view began a second one.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -127,7 +127,7 @@
 			"tokens", tokensOf(gen.Prompt), "revision", gen.view.Revision, "tries", t.sent+t.unsent+1)
 		l, err := gen.open(gen.send(target), target, place)
 		if err == nil {
-			gen.enter(target, l.cancel, l.backup)
+			gen.opened(l)
 			gen.runs++
 			return l, nil
 		}
@@ -152,6 +152,21 @@
 	gen.at, gen.cancelLeg, gen.backup, gen.move = target, cancel, b, nil
 }
 
+// opened notes the stream from where the generation runs. A move away from
+// there may have begun while the prompt was read, and stays the only one.
+func (gen *generation) opened(l *leg) {
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	gen.cancelLeg, gen.backup = l.cancel, l.backup
+}
+
+// runsAt tells whether the generation still runs at a target.
+func (gen *generation) runsAt(target *directory.Seen) bool {
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	return gen.at == target
+}
+
 // open sends the request to an engine and waits for the answer's header.
 func (gen *generation) open(s *call.Send, target *directory.Seen, place *Place) (*leg, error) {
 	return gen.openWithin(0, s, target, place)
--- a/internal/gateway/migrate_test.go
+++ b/internal/gateway/migrate_test.go
@@ -41,6 +41,8 @@
 	dropped     atomic.Bool
 	// refuseMoves makes it answer 503 to a move.
 	refuseMoves atomic.Bool
+	// reading is the time before a run's first sign, copying that of a move.
+	reading, copying time.Duration
 }
 
 func startEngine(id string, events int, pace time.Duration) *engine {
@@ -57,6 +59,7 @@
 			say("HTTP/1.1 503 Service Unavailable\nContent-Length: 0\n\n")(conn, r)
 			return
 		}
+		time.Sleep(e.copying)
 		body := standin.MoveAnswer("h-"+e.id, e.made.Load())
 		say(fmt.Sprintf("HTTP/1.1 200 OK\nContent-Length: %d\n\n", len(body)))(conn, r)
 		_, _ = conn.Write(body)
@@ -69,6 +72,7 @@
 
 // generate makes the events behind Last-Event-Id until the caller leaves.
 func (e *engine) generate(conn net.Conn, r *http.Request) {
+	time.Sleep(e.reading)
 	say("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s-"+e.id+"\nTransfer-Encoding: chunked\n\n")(conn, r)
 	from, _ := strconv.Atoi(r.Header.Get(standin.LastEventID))
 	gone := make(chan struct{})
@@ -141,6 +145,30 @@
 		Expect(got.body).To(Equal(wanted(events)))
 	})
 
+	// An engine leaves while it still reads a report's prompt, and its entry
+	// changes once more while the copy is on its way. Two moves of one run
+	// refuse each other, and the second one queues behind the copies of all
+	// other runs until the engine is gone: the report breaks off.
+	It("are copied once, also when the notice comes before their first event", func() {
+		first := startEngine("i-1", events, 5*time.Millisecond)
+		first.reading, first.copying = 100*time.Millisecond, 100*time.Millisecond
+		second := startEngine("i-2", events, 5*time.Millisecond)
+		d := startDeck(first.entry("llm", "dc-1"))
+		done := make(chan result, 1)
+		go func() { done <- d.do(d.request("POST", "/report/")) }()
+		Eventually(func() int { return len(first.requests()) }).Should(Equal(1))
+		for _, slots := range []int{6, 7, 8} {
+			seen := second.entry("llm", "dc-1")
+			seen.Slots = slots
+			d.publish(leaving(first.entry("llm", "dc-1")), seen)
+			time.Sleep(90 * time.Millisecond)
+		}
+		var got result
+		Eventually(done, "5s").Should(Receive(&got))
+		Expect(got.body).To(Equal(wanted(events)))
+		Expect(first.moves.Load()).To(Equal(int64(1)))
+	})
+
 	// A route streams from a plain service, which knows no moves. Its target
 	// leaves, and the process must not fall over for it.
 	It("of targets that can't move them run on where they are", func() {
--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -49,7 +49,7 @@
 	defer close(m.done)
 	ctx, cancel := context.WithTimeout(ctx, copyLimit)
 	defer cancel()
-	if !gen.started(ctx) || gen.useBackup() {
+	if !gen.started(ctx) || !gen.runsAt(from) || gen.useBackup() {
 		return
 	}
 	begun := time.Now()
