Offer a generation again while its leaving engine runs

Cause: a move gave up after three refusals in a row, 25 ms after the notice, with a second and more left; other engines have room again when a generation ends. And it asked two more engines after its own was gone. Of 19 copies that failed with their engine 17 went to another data centre: the link of an engine with seven generations needs about 1.9 s of a notice of 1.5 to 2.1 s.

--- a/internal/gateway/migrate_test.go
+++ b/internal/gateway/migrate_test.go
@@ -222,6 +222,26 @@
 		Expect(first.moves.Load()).To(Equal(int64(1)))
 	})
 
+	// Other engines are full when the notice comes, and a moment later one has
+	// room. A move that gives up after some refusals leaves the report to die
+	// with its engine a second later.
+	It("are offered again while the engine still runs", func() {
+		first := startEngine("i-1", events, 25*time.Millisecond)
+		second := startEngine("i-2", events, 5*time.Millisecond)
+		first.refuseMoves.Store(true)
+		d := startDeck(first.entry("llm", "dc-1"))
+		done := make(chan result, 1)
+		go func() { done <- d.do(d.request("POST", "/report/")) }()
+		Eventually(first.made.Load).Should(BeNumerically(">", 2))
+		d.publish(leaving(first.entry("llm", "dc-1")), second.entry("llm", "dc-1"))
+		Eventually(first.moves.Load).Should(BeNumerically(">", 3))
+		first.refuseMoves.Store(false)
+		var got result
+		Eventually(done, "5s").Should(Receive(&got))
+		Expect(got.body).To(Equal(wanted(events)))
+		Expect(second.requests()).NotTo(BeEmpty())
+	})
+
 	// A route streams from a plain service, which knows no moves. Its target
 	// leaves, and the process must not fall over for it.
 	It("of targets that can't move them run on where they are", func() {
--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -32,8 +32,11 @@
 	// to: a few hops and the reading of some ten tokens take a few hundredths
 	// of a second; both engines must not work on it for 0.4 s.
 	switchLimit = 300 * time.Millisecond
-	// moveTries bounds the destinations that one move asks.
+	// moveTries bounds the destinations that a move asks in a row, roomPause is
+	// the time between two such rows: a generation ends at an engine every few
+	// hundred milliseconds.
 	moveTries = 3
+	roomPause = 50 * time.Millisecond
 )
 
 // move is one move of a generation away from a target.
@@ -55,39 +58,85 @@
 	if !gen.started(ctx) || !gen.runsAt(from) || gen.useBackup() {
 		return
 	}
-	begun := time.Now()
-	stops := begun.Add(gen.leavesIn(ctx, from))
+	stops := time.Now().Add(gen.leavesIn(ctx, from))
 	if gen.stays(time.Until(stops)) {
 		gen.g.cfg.Log.Info("generation stays", "request", gen.ID, "target", from.ID, "leaves_in", time.Until(stops))
 		return
 	}
+	for gen.started(ctx) && gen.runsAt(from) && !gen.copyAway(ctx, from, m, stops) {
+		wake.Sleep(ctx, roomPause)
+	}
+}
+
+// copyOutcome says what came of copying a generation to one engine.
+type copyOutcome int
+
+const (
+	// copyMade: the generation goes on at the other engine.
+	copyMade copyOutcome = iota
+	// copyRefused: that engine didn't take it; another one may.
+	copyRefused
+	// copyLater: there is no run to copy by now, or it is being copied.
+	copyLater
+	// copyOver: the engine that leaves is gone, or the generation has ended.
+	copyOver
+)
+
+// copyAway tries some destinations one after the other. True when nothing more
+// is to be tried.
+func (gen *generation) copyAway(ctx context.Context, from *directory.Seen, m *move, stops time.Time) bool {
 	avoid := []string{from.ID}
-	for tries := 0; tries < moveTries && gen.started(ctx); {
+	for range moveTries {
 		to, place, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), from.Service, gen.Prompt, Near(from.DataCentre), avoid)
 		if !ok {
-			break
+			return false
 		}
-		result, err := gen.g.cfg.Engines.Move(ctx, from.Address, gen.ID, to.Address, false)
-		gen.g.cfg.Log.Info("generation copied", "request", gen.ID, "from", from.ID, "to", to.ID, "took", time.Since(begun),
-			"leaves_in", time.Until(stops), "events", result.Events, "error", err)
-		if err == nil {
-			m.to, m.handoff = to, &call.Handoff{From: from.Address, Handle: result.Handle}
-			err = gen.switchTo(to, m.handoff, place)
-			if err == nil {
-				return
-			}
-			gen.g.cfg.Log.Info("copy not taken", "request", gen.ID, "to", to.ID, "error", err)
-			gen.dropCopy(from, m)
+		outcome := gen.copyTo(ctx, from, to, place, m, stops)
+		if outcome != copyMade {
+			place.Release()
 		}
-		place.Release()
-		if failure.KindOf(err) == failure.KindNotFound {
-			// The run has not begun yet, or it has ended; both show soon.
-			wake.Sleep(ctx, runPause)
-			continue
+		switch outcome {
+		case copyMade, copyOver:
+			return true
+		case copyLater:
+			return false
 		}
 		avoid = append(avoid, to.ID)
-		tries++
 	}
+	return false
+}
+
+// copyTo copies the generation's memory to another engine and goes over to it.
+func (gen *generation) copyTo(ctx context.Context, from, to *directory.Seen, place *Place, m *move, stops time.Time) copyOutcome {
+	begun := time.Now()
+	result, err := gen.g.cfg.Engines.Move(ctx, from.Address, gen.ID, to.Address, false)
+	gen.g.cfg.Log.Info("generation copied", "request", gen.ID, "from", from.ID, "to", to.ID, "took", time.Since(begun),
+		"remote", to.DataCentre != from.DataCentre, "leaves_in", time.Until(stops), "events", result.Events, "error", err)
+	if err != nil {
+		return notCopied(err)
+	}
+	m.to, m.handoff = to, &call.Handoff{From: from.Address, Handle: result.Handle}
+	err = gen.switchTo(to, m.handoff, place)
+	if err == nil {
+		return copyMade
+	}
+	gen.g.cfg.Log.Info("copy not taken", "request", gen.ID, "to", to.ID, "error", err)
+	gen.dropCopy(from, m)
+	if err == errEnded {
+		return copyOver
+	}
+	return copyRefused
+}
+
+// notCopied reads why an engine made no copy.
+func notCopied(err error) copyOutcome {
+	switch failure.KindOf(err) {
+	case failure.KindNotFound, failure.KindInProgress:
+		return copyLater
+	case failure.KindOverloaded:
+		return copyRefused
+	}
+	return copyOver
 }
 
 // dropCopy frees a copy that the generation won't go over to any more, since
