--- a/internal/controller/published/controller.go
+++ b/internal/controller/published/controller.go
@@ -89,10 +89,46 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Controller{
+	c := &Controller{
 		cfg: cfg, out: out, mirror: mirror.New(mirror.Config{}), peers: map[string]uint64{}, news: make(chan struct{}, 1),
 		calls: metrics.GetOrRegisterCounter("published.calls", cfg.Metrics),
-	}, nil
+	}
+	c.gauge("published.revision", func() int64 { return int64(c.Revision()) })
+	c.gauge("published.config_version", c.version)
+	c.gauge("published.age_ms", c.ageMillis)
+	c.gauge("published.store_lost", c.storeLost)
+	return c, nil
+}
+
+func (c *Controller) gauge(name string, value func() int64) {
+	c.cfg.Metrics.GetOrRegister(name, metrics.NewFunctionalGauge(value))
+}
+
+// version is that of the configuration in force, 0 while none is.
+func (c *Controller) version() int64 {
+	if view := c.out.Get(); view != nil && view.Config != nil {
+		return int64(view.Config.Version)
+	}
+	return 0
+}
+
+// ageMillis is -1 while nothing was ever known to be current.
+func (c *Controller) ageMillis() int64 {
+	age, known := c.Age()
+	if !known {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+// storeLost is 1 while this host can't read the store, 0 else.
+func (c *Controller) storeLost() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lost {
+		return 1
+	}
+	return 0
 }
 
 // Run reads until ctx is done.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,15 +82,21 @@
 
 // Gateway answers callers. It is an http.Handler, safe for concurrent use.
 type Gateway struct {
-	cfg  Config
-	runs *runs
-	pace pace
+	cfg    Config
+	meters *meters
+	runs   *runs
+	pace   pace
 	// stop is set once the process stops.
 	stop atomic.Pointer[stopTimes]
 }
 
 // New returns a gateway.
-func New(cfg Config) *Gateway { return &Gateway{cfg: cfg, runs: newRuns()} }
+func New(cfg Config) *Gateway {
+	g := &Gateway{cfg: cfg, meters: newMeters(cfg.Metrics), runs: newRuns()}
+	running := func() int64 { return int64(g.runs.count()) }
+	_ = cfg.Metrics.Register("gateway.generations", gometrics.NewFunctionalGauge(running))
+	return g
+}
 
 // stopTimes say how a process stops.
 type stopTimes struct{ lastRun, gone time.Time }
@@ -179,6 +185,7 @@
 			return g.deny(failure.New(failure.KindUnauthorized, "unknown key"))
 		}
 	}
+	g.meters.received(x.route.Kind)
 	name := x.route.Pick(rand.Float64())
 	if x.service, found = x.view.Service(name); !found {
 		return failure.New(failure.KindNoTarget, "service %q of the route is not configured", name).After(noTargetRetry)
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -271,6 +271,8 @@
 	switch {
 	case err == errEnded:
 		gen.g.pace.add(gen.pauses)
+		gen.g.meters.answered(gen.route.Kind, gen.pauses.last)
+		gen.g.meters.served(gen.pauses)
 		gen.g.cfg.Log.Info("generation served", "request", gen.ID, "target", gen.at.ID, "route", gen.route.Name, "account", accountName(gen.account),
 			"config", gen.view.Config.Version, "events", gen.pauses.events,
 			"moves", gen.moves, "first", gen.pauses.first, "longest_pause", gen.pauses.longest, "pause_at", gen.pauses.longestAt, "took", gen.pauses.last)
@@ -282,6 +284,7 @@
 		gen.g.refuse(gen.w, gen.Request, err)
 		return
 	}
+	gen.g.meters.broke(gen.ctx.Err() != nil)
 	gen.g.cfg.Log.Info("generation broke", "request", gen.ID, "target", gen.at.ID, "events", gen.pauses.events, "caller_left", gen.ctx.Err() != nil, "cause", err)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -113,11 +113,13 @@
 	gen.g.cfg.Log.Info("generation copied", "request", gen.ID, "from", from.ID, "to", to.ID, "took", time.Since(begun),
 		"remote", to.DataCentre != from.DataCentre, "leaves_in", time.Until(stops), "events", result.Events, "error", err)
 	if err != nil {
+		gen.g.meters.copyFailed.Inc(1)
 		return notCopied(err)
 	}
 	m.to, m.handoff = to, &call.Handoff{From: from.Address, Handle: result.Handle}
 	err = gen.switchTo(to, m.handoff, place)
 	if err == nil {
+		gen.g.meters.movedCopy.Inc(1)
 		return copyMade
 	}
 	gen.g.cfg.Log.Info("copy not taken", "request", gen.ID, "to", to.ID, "error", err)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -51,6 +51,7 @@
 	}
 	switch {
 	case answer != nil:
+		g.meters.answered(x.route.Kind, time.Since(x.Arrived))
 		g.cfg.Log.Info("request answered", "request", x.ID, "route", x.route.Name, "account", accountName(x.account),
 			"config", x.view.Config.Version, "target", tried, "status", answer.Status, "sends", t.sent, "unreached", t.unsent, "took", time.Since(x.Arrived))
 		g.answer(x, answer)
@@ -113,7 +114,11 @@
 	if !notRun && !repeatable {
 		return false
 	}
-	return g.cfg.Budget.Retry(g.cfg.Now(), x.budgetKey())
+	if !g.cfg.Budget.Retry(g.cfg.Now(), x.budgetKey()) {
+		return false
+	}
+	g.meters.sentAgain.Inc(1)
+	return true
 }
 
 // try sends a request to one target. The error says whether it ran; an answer
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -4,8 +4,6 @@
 	"net/http"
 	"time"
 
-	gometrics "github.com/rcrowley/go-metrics"
-
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/failure"
 )
@@ -39,7 +37,7 @@
 		id = req.ID
 		f.RetryAfter = withinPatience(f.RetryAfter, req)
 	}
-	gometrics.GetOrRegisterCounter("gateway.refused."+string(f.Kind), g.cfg.Metrics).Inc(1)
+	g.meters.refused(f.Kind)
 	g.cfg.Log.Info("request refused", "request", id, "kind", f.Kind, "executed", f.Executed, "retry_after", f.RetryAfter, "cause", f.Error())
 	g.cfg.Dialect.WriteFailure(w, id, f)
 }
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -24,6 +24,9 @@
 	begun := time.Now()
 	err := gen.switchTo(keeper, b.handoff(gen.ID), gen.g.cfg.Loads.Hold(keeper.ID, gen.Prompt))
 	gen.g.cfg.Log.Info("generation goes on at its backup", "request", gen.ID, "to", keeper.ID, "took", time.Since(begun), "error", err)
+	if err == nil {
+		gen.g.meters.movedBackup.Inc(1)
+	}
 	return err == nil
 }
 
@@ -141,6 +144,7 @@
 func (gen *generation) comeBack(to *directory.Seen, handoff *call.Handoff) (*leg, error) {
 	l, err := gen.resume(to, handoff, gen.g.cfg.Loads.Hold(to.ID, gen.Prompt))
 	if err == nil {
+		gen.g.meters.cameBack.Inc(1)
 		gen.enter(to, l.cancel, l.backup)
 		gen.g.cfg.Log.Info("generation came back from a copy", "request", gen.ID, "to", to.ID, "events", gen.pauses.events)
 	}
@@ -170,6 +174,7 @@
 	gen.enter(target, l.cancel, l.backup)
 	gen.moves++
 	gen.runs++
+	gen.g.meters.movedAnew.Inc(1)
 	gen.g.cfg.Log.Info("generation resumed by another run", "request", gen.ID, "from", from.ID, "to", target.ID, "events", gen.pauses.events)
 	return l, nil
 }
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -31,6 +31,12 @@
 	delete(r.all, gen)
 }
 
+func (r *runs) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.all)
+}
+
 func (r *runs) list() []*generation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
