Explain a request from the hosts' logs: filbertctl explain

Cause: on-call engineers had only grep and a table. The cause of a request's end is worked out from the gateway's lines, the deciding one is named, and all requests are counted by cause (--tally), which is the tool for where the worth goes.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -1,5 +1,6 @@
 // Package ctl is the operators' command line: it checks and compares table
-// files, and asks control processes for what they see. It changes nothing.
+// files, asks control processes for what they see, and reads logs. It changes
+// nothing.
 package ctl
 
 import (
@@ -39,6 +40,8 @@
 	Hosts    *struct{}     `arg:"subcommand:hosts" help:"hosts as published and as the control processes see them"`
 	Targets  *struct{}     `arg:"subcommand:targets" help:"back ends and their load"`
 	Accounts *struct{}     `arg:"subcommand:accounts" help:"client accounts, their rows and what runs"`
+
+	Explain *explainCommand `arg:"subcommand:explain" help:"how a request ended and why, from the hosts' logs"`
 }
 
 type tableCommand struct {
@@ -61,7 +64,7 @@
 
 // Description implements go-arg's described interface.
 func (settings) Description() string {
-	return "Checks the operators' table and shows what the control processes see. It only reads."
+	return "Checks the operators' table, shows what the control processes see and explains requests from logs. It only reads."
 }
 
 // Epilogue implements go-arg's interface for the end of the help.
@@ -121,6 +124,8 @@
 		return c.targets(ctx)
 	case c.Accounts != nil:
 		return c.accounts(ctx)
+	case c.Explain != nil:
+		return c.explain(c.Explain)
 	}
 	p.WriteHelp(c.errs)
 	return ExitUsage
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -136,3 +136,31 @@
 		Expect(errs).To(ContainSubstring("unauthorized"))
 	})
 })
+
+var _ = Describe("explain", func() {
+	const refused = `{"time":"2026-01-15T00:00:01Z","level":"INFO","msg":"request refused","host":"h1","request":"r1","kind":"no-target"}`
+
+	// The engineer on call has a request's id and the logs of all hosts.
+	It("names the cause and the line that decided it", func() {
+		code, out, _ := run("explain", "--log", file(refused), "r1")
+		Expect(code).To(Equal(ctl.ExitFault))
+		Expect(out).To(HavePrefix("r1: refused (no-target)\n"))
+		Expect(out).To(ContainSubstring("decided by: " + refused))
+	})
+
+	It("counts all requests by cause", func() {
+		code, out, _ := run("--json", "explain", "--log", file(refused), "--tally")
+		Expect(code).To(Equal(ctl.ExitOK))
+		Expect(out).To(MatchJSON(`[{"cause":"refused","detail":"no-target","requests":1}]`))
+	})
+
+	DescribeTable("refuses what makes no sense", func(args ...string) {
+		code, _, errs := run(args...)
+		Expect(code).To(Equal(ctl.ExitUsage))
+		Expect(errs).NotTo(BeEmpty())
+	},
+		Entry("neither ids nor a tally", "explain", "--log", "-"),
+		Entry("a log that is not there", "explain", "--log", "/nonexistent/log", "r1"),
+		Entry("no log", "explain", "r1"),
+	)
+})
