--- a/internal/decide/readers/readers.go
+++ b/internal/decide/readers/readers.go
@@ -23,8 +23,10 @@
 
 // Config holds the figures.
 type Config struct {
-	// Want is the number of readers. With two, the loss of one costs nothing.
-	Want int
+	// Want is the number of readers of the hosts that share them. With two, the
+	// loss of one costs nothing; WantOfMany holds where other data centres have
+	// readers of their own, whose news come by gossip as well.
+	Want, WantOfMany int
 	// HeardFor is how long a host's word holds. Hosts ask readers every 200 ms
 	// in turn; two questions to each may fail.
 	HeardFor time.Duration
@@ -35,13 +37,15 @@
 
 // Default gives the figures in use.
 func Default() Config {
-	return Config{Want: 2, HeardFor: 1200 * time.Millisecond, SettleFor: 5 * time.Second}
+	return Config{Want: 2, WantOfMany: 1, HeardFor: 1200 * time.Millisecond, SettleFor: 5 * time.Second}
 }
 
 // Readers holds what one host knows of the others.
 type Readers struct {
 	cfg   Config
 	heard map[string]word
+	// many is set where other hosts have readers of their own.
+	many bool
 }
 
 type word struct {
@@ -75,12 +79,25 @@
 			better++
 		}
 	}
-	return better < r.cfg.Want
+	return better < r.Wanted()
+}
+
+// OneOfMany says whether the hosts that share readers with this one are a part
+// of the fleet only. Two readers in each of three data centres made 30 calls a
+// second with 84 hosts, one each makes half.
+func (r *Readers) OneOfMany(many bool) { r.many = many }
+
+// Wanted is the number of readers that there should be.
+func (r *Readers) Wanted() int {
+	if r.many {
+		return r.cfg.WantOfMany
+	}
+	return r.cfg.Want
 }
 
 // Among tells whether self is among those that read when all is well.
 func (r *Readers) Among(self string, ranked []string) bool {
-	return slices.Contains(ranked[:min(len(ranked), r.cfg.Want)], self)
+	return slices.Contains(ranked[:min(len(ranked), r.Wanted())], self)
 }
 
 // Known gives the hosts that are known to read, in the order of ranked.
--- a/internal/decide/readers/readers_test.go
+++ b/internal/decide/readers/readers_test.go
@@ -55,4 +55,14 @@
 		Expect(r.Read(0, "b", ranked, true)).To(BeTrue())
 		Expect(r.Read(5*time.Second, "c", ranked, true)).To(BeTrue())
 	})
+
+	It("are fewer where other data centres have their own", func() {
+		r := readers.New(readers.Default())
+		r.OneOfMany(true)
+		Expect(r.Read(0, "b", ranked, false)).To(BeTrue())
+		r.Heard(0, "a", true)
+		Expect(r.Read(0, "b", ranked, false)).To(BeFalse())
+		r.Heard(time.Second, "a", false)
+		Expect(r.Read(time.Second, "b", ranked, false)).To(BeTrue())
+	})
 })
--- a/internal/gatewayhost/roles.go
+++ b/internal/gatewayhost/roles.go
@@ -52,9 +52,11 @@
 	defer r.mu.Unlock()
 	if r.rank == nil || r.version != view.Version {
 		live := view.Live("")
-		if len(live) > smallFleet {
+		many := len(live) > smallFleet
+		if many {
 			live = view.Live(r.dataCentre)
 		}
+		r.readers.OneOfMany(many)
 		r.rank, r.version = membership.Rank(rankKey, live), view.Version
 	}
 	return r.rank
@@ -87,7 +89,7 @@
 // and would read for itself for good. False when there is no other host.
 func (r *roles) next() (string, bool) {
 	hosts := r.known()
-	if len(hosts) < readers.Default().Want {
+	if len(hosts) < r.wanted() {
 		hosts = r.best()
 	}
 	if len(hosts) == 0 {
@@ -99,6 +101,12 @@
 	return hosts[r.turn%len(hosts)], true
 }
 
+func (r *roles) wanted() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readers.Wanted()
+}
+
 // bestAsked is the number of hosts, by rank, that are asked while too few are
 // known to read: the readers, and the next in line should one of them be gone.
 const bestAsked = 3
