--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -17,8 +17,6 @@
 	// Rank gives this host's rank among the hosts for a target, and how many
 	// hosts there are.
 	Rank func(target string) (rank, hosts int)
-	// Hosts gives the number of hosts that were heard of.
-	Hosts func() int
 }
 
 // BoundCold sets the bound; without one cold targets are treated like warm
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -24,6 +24,8 @@
 	own   map[string]*targetLoad
 	share *loadshare.Board
 	cold  ColdBound
+	// hosts gives the number of hosts that choose targets.
+	hosts func() int
 	// changed is signalled when there are counts to tell other hosts, leaving
 	// when a target was heard to leave.
 	changed, leaving chan struct{}
@@ -47,10 +49,14 @@
 	return &Loads{
 		dataCentre: dataCentre, now: now, own: map[string]*targetLoad{},
 		share: loadshare.New(host, uint64(time.Now().UnixMicro())), changed: make(chan struct{}, 1),
-		leaving: make(chan struct{}, 1),
+		leaving: make(chan struct{}, 1), hosts: func() int { return 1 },
 	}
 }
 
+// CountHosts sets what gives the number of hosts that choose targets; one until
+// then.
+func (l *Loads) CountHosts(hosts func() int) { l.hosts = hosts }
+
 // Changed is received from when there are counts to tell other hosts.
 func (l *Loads) Changed() <-chan struct{} { return l.changed }
 
@@ -131,11 +137,7 @@
 
 // sample leaves as many candidates, drawn at random, as a host looks at.
 func (l *Loads) sample(candidates []placement.Candidate, targets []*directory.Seen) ([]placement.Candidate, []*directory.Seen) {
-	hosts := 1
-	if l.cold.Hosts != nil {
-		hosts = l.cold.Hosts()
-	}
-	size := placement.Sample(len(candidates), hosts)
+	size := placement.Sample(len(candidates), l.hosts())
 	if size == len(candidates) {
 		return candidates, targets
 	}
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -101,7 +101,8 @@
 func newLoads(s *Settings, now Clock, size *fleetSize) *gateway.Loads {
 	loads := gateway.NewLoads(s.Deployment.ListenPeers, s.DataCentre, now)
 	c := s.Deployment.Cold
-	loads.BoundCold(gateway.ColdBound{Factor: c.Factor, Extra: c.Extra, Rank: size.rank, Hosts: func() int { return len(size.known()) }})
+	loads.BoundCold(gateway.ColdBound{Factor: c.Factor, Extra: c.Extra, Rank: size.rank})
+	loads.CountHosts(func() int { return len(size.known()) })
 	return loads
 }
 
