--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -72,6 +72,12 @@
 	// BytesPerToken and LinkMbps give the time that a copy takes.
 	BytesPerToken float64 `json:"bytes_per_token"`
 	LinkMbps      float64 `json:"link_mbps"`
+	// CopyKept is how long an engine keeps a copy that nothing is added to;
+	// 0 when unknown.
+	CopyKept time.Duration `json:"copy_kept"`
+	// HoldLimit is the longest time for which an engine keeps memory and a place
+	// for a request that is to come; 0 when engines don't.
+	HoldLimit time.Duration `json:"hold_limit"`
 }
 
 // Service is a kind of target.
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"sync/atomic"
 	"time"
 
@@ -8,12 +9,17 @@
 	"filbertdeck/internal/directory"
 )
 
-// copyKept is how long after a generation's last event a copy of it may still
-// be there: engines free copies that nothing is added to. Of those offered
-// after six seconds of silence none of 108 was taken, of those after five and a
-// half 12 of 86, over 62 days on which a data centre is lost. One that is gone
-// must not be offered: an engine that fails part of its requests may run it.
-const copyKept = 5700 * time.Millisecond
+// usualCopyKept stands in where operators don't say how long a copy is kept.
+const usualCopyKept = 5 * time.Second
+
+// copyKept is how long after a generation's last event a copy of it is surely
+// there: engines free copies that nothing is added to. Of those offered after
+// six seconds of silence none of 108 was taken where operators name five, over
+// 62 days on which a data centre is lost. One that is gone must not be offered:
+// an engine that fails part of its requests may run it.
+func (gen *generation) copyKept() time.Duration {
+	return cmp.Or(gen.service.Engine.CopyKept, usualCopyKept)
+}
 
 // copied is a copy of a generation's memory at another engine, from which the
 // generation may go on as the same run.
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -63,7 +63,7 @@
 		place.Release()
 		return nil, failure.New(failure.KindNoTarget, "engine %s may get no more work", c.at.ID)
 	}
-	if silent := gen.silentFor(); silent > copyKept {
+	if silent := gen.silentFor(); silent > gen.copyKept() {
 		place.Release()
 		return nil, failure.New(failure.KindNoTarget, "the copy at engine %s is gone after %s of silence", c.at.ID, silent)
 	}
