Ask the owner of an engine's counts before each choice in a large fleet; count the risk of a late first token

Cause, grown deployment (84 hosts): of 25 long generations whose first event came late, most chose an engine that four to six other hosts had chosen within the last 0.2 s, news of which take 0.1 to 0.4 s; others went where the believed reading alone took most of the promised time.

Change: each target has an owner among the live hosts, by rendezvous hashing. A host sends it its count in a datagram and gets all counts of that target; if another of the targets looked at is better by then, it goes there. Reading beyond half of the route's promised time to the first event costs ten times itself.

--- a/internal/decide/loadshare/loadshare.go
+++ b/internal/decide/loadshare/loadshare.go
@@ -90,14 +90,14 @@
 
 // SetOwn notes what this host has running at a target.
 func (b *Board) SetOwn(now time.Duration, target string, load Load) {
-	c := b.own(target)
+	c := b.Own(target)
 	c.Load = load
 	b.setOwn(now, c)
 }
 
 // SetLeaving notes that a target told this host that it is about to stop.
 func (b *Board) SetLeaving(now time.Duration, target string) {
-	c := b.own(target)
+	c := b.Own(target)
 	if c.Leaving {
 		return
 	}
@@ -107,13 +107,13 @@
 
 // SetStep notes the time that a target alone takes for one token.
 func (b *Board) SetStep(now time.Duration, target string, step time.Duration) {
-	c := b.own(target)
+	c := b.Own(target)
 	c.Step = step
 	b.setOwn(now, c)
 }
 
-// own gives this host's count of a target, an empty one when there is none.
-func (b *Board) own(target string) Count {
+// Own gives this host's count of a target, an empty one when there is none.
+func (b *Board) Own(target string) Count {
 	c := b.counts[key{b.self, target}].Count
 	c.Host, c.Target = b.self, target
 	return c
@@ -125,9 +125,24 @@
 	b.counts[key{c.Host, c.Target}] = held{Count: c, heard: now}
 }
 
-// Take takes counts that a peer told.
+// Of gives all counts of one target, this host's own among them.
+func (b *Board) Of(now time.Duration, target string) []Count {
+	var counts []Count
+	for k, c := range b.counts {
+		if k.target == target && (k.host == b.self || now-c.heard < expireAfter) {
+			counts = append(counts, c.Count)
+		}
+	}
+	return counts
+}
+
+// Take takes counts that a peer told; an empty name stands for one that is not
+// told any.
 func (b *Board) Take(now time.Duration, peer string, counts []Count) {
-	bit := b.bit(peer)
+	var bit uint64
+	if peer != "" {
+		bit = b.bit(peer)
+	}
 	for _, c := range counts {
 		k := key{c.Host, c.Target}
 		if c.Host == b.self {
--- a/internal/decide/placement/delay.go
+++ b/internal/decide/placement/delay.go
@@ -6,6 +6,8 @@
 type Work struct {
 	// Prompt is read; Output is expected to be made.
 	Prompt, Output int
+	// Within is the time to the first token that callers are promised; 0 for none.
+	Within time.Duration
 }
 
 // Figures of an engine that runs generations in one batch, relative to the time
@@ -29,6 +31,9 @@
 	// crowdedCost is what filling a whole memory beyond that is taken to cost:
 	// the preemption of a generation, which is read again and late.
 	crowdedCost = 10 * time.Second
+	// lateCost is the cost of a second of reading beyond half of the time that
+	// callers are promised.
+	lateCost = 10
 	// penaltyCost is what a penalty of a whole fullness comes to.
 	penaltyCost = 5 * time.Second
 )
@@ -62,7 +67,17 @@
 	}
 	making := float64(w.Output) * perToken * (1 + batchPart*float64(c.Running))
 	others := float64(c.Running) * perToken * (readPart*float64(w.Prompt) + batchPart*float64(w.Output))
-	return time.Duration(reading+making+others) + crowding(c, w) + time.Duration(c.Penalty*float64(penaltyCost))
+	return time.Duration(reading+making+others) + lateness(time.Duration(reading), w) + crowding(c, w) + time.Duration(c.Penalty*float64(penaltyCost))
+}
+
+// lateness is what the risk of a late first token adds. Other hosts' prompts of
+// the last moments are not known yet, so the reading may well take twice as
+// long; an answer that is late then is worth a sixth of one in time.
+func lateness(reading time.Duration, w Work) time.Duration {
+	if w.Within <= 0 {
+		return 0
+	}
+	return lateCost * max(reading-w.Within/2, 0)
 }
 
 // crowding is what an engine's memory and places add.
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -81,13 +81,17 @@
 	leastSample = 3
 )
 
+// Exact tells whether so few hosts choose that each knows of nearly all choices
+// of the others.
+func Exact(hosts int) bool { return hosts <= exactHosts }
+
 // Sample gives the number of targets that a host looks at of so many. Load
 // pattern: 84 hosts place 56 prompts a second on 48 engines, and each knows
 // what the others did a quarter of a second ago. If all choose the emptiest of
 // all targets, a dozen prompts go to the same one before anybody hears of it;
 // choosing the emptier of a few random ones spreads them.
 func Sample(targets, hosts int) int {
-	if hosts <= exactHosts {
+	if Exact(hosts) {
 		return targets
 	}
 	return min(max(targets*exactHosts/hosts, leastSample), targets)
--- /dev/null
+++ b/internal/gateway/ask_test.go
@@ -0,0 +1,93 @@
+package gateway_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/decide/loadshare"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/gateway"
+)
+
+var _ = Describe("the choices of many hosts at once", func() {
+	const hosts, engines = 40, 12
+	prompt := call.Prompt{Tokens: 2500, MaxOutput: 1000}
+
+	view := func() *directory.View {
+		cfg := testConfig()
+		cfg.Services[1].Engine.MemoryTokens = 30_000
+		targets := map[string]*directory.Seen{}
+		for i := range engines {
+			id := fmt.Sprintf("i-%d", i)
+			targets[id] = &directory.Seen{Listed: true, Target: directory.Target{ID: id, Service: "llm", DataCentre: "dc-1", Slots: 24}}
+		}
+		return directory.NewView(1, cfg, targets, nil)
+	}
+	fleet := func() []*gateway.Loads {
+		all := make([]*gateway.Loads, hosts)
+		for i := range all {
+			all[i] = gateway.NewLoads(fmt.Sprintf("host-%d", i), "dc-1", func() time.Duration { return time.Second })
+			all[i].CountHosts(func() int { return hosts })
+		}
+		return all
+	}
+	// busiest has each host place one generation before news of any reach
+	// another, and gives the most that one engine got.
+	busiest := func(all []*gateway.Loads) int {
+		got, most := map[string]int{}, 0
+		for _, l := range all {
+			t, _, ok := l.Acquire(view(), gateway.Wanted{Service: "llm", Prompt: prompt, Near: gateway.Anywhere})
+			Expect(ok).To(BeTrue())
+			got[t.ID]++
+			most = max(most, got[t.ID])
+		}
+		return most
+	}
+
+	// Many hosts place prompts in the tenth of a second that news of a choice
+	// take. Several choose the engine that looks idle to each, its prompts wait
+	// for seconds and its memory runs out, while other engines have room.
+	It("are spread when each asks the owner of the engine it chose", func() {
+		all := fleet()
+		owner := all[0]
+		for _, l := range all[1:] {
+			l.AskOwners(func(_ string, own []loadshare.Count) ([]loadshare.Count, bool) { return owner.Answer(own), true })
+		}
+		asked := busiest(all)
+		blind := 0
+		for range 20 {
+			blind = max(blind, busiest(fleet()))
+		}
+		AddReportEntry("most at one engine", fmt.Sprintf("asked %d, by news alone %d", asked, blind))
+		Expect(asked).To(BeNumerically("<=", 2*hosts/engines))
+		Expect(blind).To(BeNumerically(">", 2*hosts/engines))
+	})
+
+	// The owner's host just died. A generation is placed by what is known here
+	// and does not wait for another owner.
+	It("go on without an owner's answer", func() {
+		l := fleet()[0]
+		questions := 0
+		l.AskOwners(func(string, []loadshare.Count) ([]loadshare.Count, bool) { questions++; return nil, false })
+		_, place, ok := l.Acquire(view(), gateway.Wanted{Service: "llm", Prompt: prompt, Near: gateway.Anywhere})
+		Expect(ok).To(BeTrue())
+		Expect(questions).To(Equal(1))
+		place.Release()
+	})
+
+	It("are not asked about in a small fleet, nor for plain services", func() {
+		l := fleet()[0]
+		questions := 0
+		l.AskOwners(func(string, []loadshare.Count) ([]loadshare.Count, bool) { questions++; return nil, true })
+		_, _, ok := l.Acquire(view(), gateway.Wanted{Service: "llm", Near: gateway.Anywhere})
+		Expect(ok).To(BeTrue())
+		l.CountHosts(func() int { return 6 })
+		_, _, ok = l.Acquire(view(), gateway.Wanted{Service: "llm", Prompt: prompt, Near: gateway.Anywhere})
+		Expect(ok).To(BeTrue())
+		Expect(questions).To(BeZero())
+	})
+})
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filbertdeck/internal/decide/coldshare"
+	"filbertdeck/internal/decide/loadshare"
 	"filbertdeck/internal/decide/placement"
 	"filbertdeck/internal/directory"
 )
@@ -108,44 +109,47 @@
 }
 
 // pool gives the targets of a service that may get work now.
-func (l *Loads) pool(view *directory.View, service string, near Nearness, avoid []string) pool {
+func (l *Loads) pool(view *directory.View, w Wanted) pool {
 	var out pool
-	memory := 0
-	if s, ok := view.Service(service); ok && s.Engine != nil {
-		memory = s.Engine.MemoryTokens
-	}
-	sums := l.share.Sums(l.now())
-	usual := l.speed.Usual()
-	for _, t := range view.Pool(service) {
-		if !view.TakesNew(t) || slices.Contains(avoid, t.ID) || sums[t.ID].Leaving {
+	sums, usual := l.share.Sums(l.now()), l.speed.Usual()
+	for _, t := range view.Pool(w.Service) {
+		if !view.TakesNew(t) || slices.Contains(w.Avoid, t.ID) || sums[t.ID].Leaving {
 			continue
 		}
-		own := l.of(t.ID)
-		cold := l.coldRate(view, t)
-		if cold > 0 && !own.gate.Open(l.now(), l.coldPart(t.ID, cold)) {
+		if rate := l.coldRate(view, t); rate > 0 && !l.of(t.ID).gate.Open(l.now(), l.coldPart(t.ID, rate)) {
 			continue
 		}
-		all := own.Plus(sums[t.ID].Others)
-		c := placement.Candidate{
-			ID: t.ID, Running: all.Running, Slots: t.Slots, Tokens: all.Tokens, Copies: all.Copies, Unread: all.Unread, Memory: memory,
-			Step: cmp.Or(l.speed.Step(t.ID), usual),
-		}
-		if l.now()-own.failedAt < penaltyFor {
-			c.Penalty = min(float64(own.failures)*penaltyEach, penaltyMost)
-		}
-		if cold > 0 {
-			c.Penalty += coldPenalty
-		}
-		if l.now()-own.unreachableAt < unreachableFor {
-			c.Penalty += unreachablePenalty
-		}
-		if t.DataCentre != cmp.Or(near.dataCentre, l.dataCentre) {
-			c.Penalty += near.remote
-		}
-		if t.DataCentre == near.awayFrom {
-			c.Penalty += near.away
-		}
-		out = append(out, option{c, t})
+		out = append(out, option{l.candidate(view, t, w.Near, sums[t.ID].Others, usual), t})
 	}
 	return out
 }
+
+// candidate gives what is known of a target; others is what other hosts have
+// running there, usual the speed taken for engines that nothing is known of.
+func (l *Loads) candidate(view *directory.View, t *directory.Seen, near Nearness, others loadshare.Load, usual time.Duration) placement.Candidate {
+	own := l.of(t.ID)
+	all := own.Plus(others)
+	c := placement.Candidate{
+		ID: t.ID, Running: all.Running, Slots: t.Slots, Tokens: all.Tokens, Copies: all.Copies, Unread: all.Unread,
+		Step: cmp.Or(l.speed.Step(t.ID), usual),
+	}
+	if s, ok := view.Service(t.Service); ok && s.Engine != nil {
+		c.Memory = s.Engine.MemoryTokens
+	}
+	if l.now()-own.failedAt < penaltyFor {
+		c.Penalty = min(float64(own.failures)*penaltyEach, penaltyMost)
+	}
+	if l.coldRate(view, t) > 0 {
+		c.Penalty += coldPenalty
+	}
+	if l.now()-own.unreachableAt < unreachableFor {
+		c.Penalty += unreachablePenalty
+	}
+	if t.DataCentre != cmp.Or(near.dataCentre, l.dataCentre) {
+		c.Penalty += near.remote
+	}
+	if t.DataCentre == near.awayFrom {
+		c.Penalty += near.away
+	}
+	return c
+}
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -34,15 +34,15 @@
 		}
 		sent := map[string]int{}
 		for range 20 {
-			t, _, ok := loads.Acquire(view(time.Minute), "llm", call.Prompt{Tokens: 10}, gateway.Anywhere, nil)
+			t, _, ok := loads.Acquire(view(time.Minute), gateway.Wanted{Service: "llm", Prompt: call.Prompt{Tokens: 10}, Near: gateway.Anywhere})
 			Expect(ok).To(BeTrue())
 			sent[t.ID]++
 		}
 		Expect(sent["cold"]).To(Equal(2))
 		now = 2 * time.Second
-		t, _, _ := loads.Acquire(view(time.Minute), "llm", call.Prompt{Tokens: 10}, gateway.Anywhere, nil)
+		t, _, _ := loads.Acquire(view(time.Minute), gateway.Wanted{Service: "llm", Prompt: call.Prompt{Tokens: 10}, Near: gateway.Anywhere})
 		Expect(t.ID).To(Equal("cold"))
-		t, _, _ = loads.Acquire(view(time.Second), "llm", call.Prompt{Tokens: 10}, gateway.Anywhere, nil)
+		t, _, _ = loads.Acquire(view(time.Second), gateway.Wanted{Service: "llm", Prompt: call.Prompt{Tokens: 10}, Near: gateway.Anywhere})
 		Expect(t.ID).To(Equal("cold"))
 	})
 
@@ -51,7 +51,7 @@
 		loads.BoundCold(gateway.ColdBound{Factor: 1.5, Extra: 2, Rank: func(string) (int, int) { return 0, 4 }})
 		loads.Hold("warm", call.Prompt{Tokens: 100}).Started()
 		for range 10 {
-			t, place, _ := loads.Acquire(view(time.Minute), "llm", call.Prompt{Tokens: 10}, gateway.Anywhere, nil)
+			t, place, _ := loads.Acquire(view(time.Minute), gateway.Wanted{Service: "llm", Prompt: call.Prompt{Tokens: 10}, Near: gateway.Anywhere})
 			Expect(t.ID).To(Equal("warm"))
 			place.Release()
 		}
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -119,7 +119,7 @@
 	var last error
 	var t tries
 	for {
-		target, place, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), gen.service.Name, gen.Prompt, Anywhere, avoid)
+		target, place, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), gen.wanted(avoid))
 		if !ok {
 			break
 		}
@@ -147,6 +147,11 @@
 	return nil, last
 }
 
+// wanted is what a new run of the generation wants of an engine.
+func (gen *generation) wanted(avoid []string) Wanted {
+	return Wanted{Service: gen.service.Name, Prompt: gen.Prompt, Within: gen.route.Objective, Near: Anywhere, Avoid: avoid}
+}
+
 // enter notes where the generation runs; a move away from there is not begun.
 func (gen *generation) enter(target *directory.Seen, cancel context.CancelFunc, b *backup) {
 	gen.mu.Lock()
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -25,6 +25,8 @@
 	share *loadshare.Board
 	speed *enginespeed.Board
 	cold  ColdBound
+	// askOwner asks the host that has the newest counts of a target; nil for none.
+	askOwner AskOwner
 	// hosts gives the number of hosts that choose targets.
 	hosts func() int
 	// changed is signalled when there are counts to tell other hosts, leaving
@@ -72,6 +74,11 @@
 func (l *Loads) Take(host string, counts []loadshare.Count) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.merge(host, counts)
+}
+
+// merge takes counts with the lock held.
+func (l *Loads) merge(host string, counts []loadshare.Count) {
 	l.share.Take(l.now(), host, counts)
 	for _, c := range counts {
 		l.speed.Heard(c.Target, c.Step)
@@ -125,7 +132,8 @@
 	loads  *Loads
 	target string
 	load   loadshare.Load
-	// chosen is what was known of the target when it was chosen.
+	// at is the target, and chosen what was known of it, when it was chosen.
+	at     *directory.Seen
 	chosen placement.Candidate
 }
 
@@ -221,10 +229,5 @@
 	return min(int(mixed), p.MaxOutput)
 }
 
-// workOf is what a generation asks of an engine.
-func workOf(p call.Prompt) placement.Work {
-	return placement.Work{Prompt: p.Tokens, Output: expectedOutput(p)}
-}
-
 // tokensOf is the memory that a request is expected to take at its largest.
 func tokensOf(p call.Prompt) int { return p.Tokens + expectedOutput(p) }
--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -88,7 +88,7 @@
 func (gen *generation) copyAway(ctx context.Context, from *directory.Seen, m *move, stops time.Time) bool {
 	avoid := []string{from.ID}
 	for range moveTries {
-		to, place, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), from.Service, gen.Prompt, Near(from.DataCentre), avoid)
+		to, place, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), Wanted{Service: from.Service, Prompt: gen.Prompt, Near: Near(from.DataCentre), Avoid: avoid})
 		if !ok {
 			return false
 		}
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -20,34 +20,75 @@
 	crowdedLook = 3
 )
 
-// Acquire chooses a target of a service for a request and counts it there
-// until the place is released; false when there is none. Targets in avoid are
-// left out.
-func (l *Loads) Acquire(view *directory.View, service string, p call.Prompt, near Nearness, avoid []string) (*directory.Seen, *Place, bool) {
+// Wanted is what a request wants of a target.
+type Wanted struct {
+	Service string
+	Prompt  call.Prompt
+	// Within is the time to the first event that the route promises; 0 for none.
+	Within time.Duration
+	Near   Nearness
+	// Avoid are targets that are left out.
+	Avoid []string
+}
+
+// work is what a generation asks of an engine.
+func (w Wanted) work() placement.Work {
+	return placement.Work{Prompt: w.Prompt.Tokens, Output: expectedOutput(w.Prompt), Within: w.Within}
+}
+
+// Acquire chooses a target for a request and counts it there until the place
+// is released; false when there is none. In a large fleet it asks the host that
+// has the newest counts of the target, and chooses another one if they differ.
+func (l *Loads) Acquire(view *directory.View, w Wanted) (*directory.Seen, *Place, bool) {
+	looked, place := l.pick(view, w)
+	if place == nil {
+		return nil, nil, false
+	}
+	for range askTries {
+		if w.Prompt.Tokens == 0 || !l.ask(place) {
+			break
+		}
+		other := l.better(view, w, looked, place)
+		if other == nil {
+			break
+		}
+		place.Release()
+		place = other
+	}
+	return place.at, place, true
+}
+
+// pick chooses a target by what is known here, and gives those looked at.
+func (l *Loads) pick(view *directory.View, w Wanted) (pool, *Place) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	pool := l.pool(view, service, near, avoid)
+	pool := l.pool(view, w)
 	look := placement.Sample(len(pool), l.hosts())
 	if look < len(pool) {
 		// A data centre has a quarter of the engines, so a sample of all finds
 		// about one engine there, however full it is. On 14 s of a day of 84 hosts
 		// and 57 engines looking nearby, and at more when all looked at are
 		// crowded, took preemptions from 45 to 34, broken generations from 19 to 9.
-		pool = pool.nearby(near.dataCentre)
+		pool = pool.nearby(w.Near.dataCentre)
 		look = placement.Sample(len(pool), l.hosts())
 	}
 	more := min(crowdedLook*look, len(pool))
 	pool.draw(more)
-	best := pool[:look].choose(p)
+	best := pool[:look].choose(w)
 	if best == nil {
-		return nil, nil, false
+		return nil, nil
 	}
-	if placement.Crowded(best.Candidate, tokensOf(p)) {
-		best = pool[:more].choose(p)
+	if placement.Crowded(best.Candidate, tokensOf(w.Prompt)) {
+		best = pool[:more].choose(w)
 	}
-	place := l.place(best.target.ID, p)
-	place.chosen = best.Candidate
-	return best.target, place, true
+	return pool[:more], l.take(best, w.Prompt)
+}
+
+// take counts a request at the target that was chosen for it.
+func (l *Loads) take(o *option, p call.Prompt) *Place {
+	place := l.place(o.target.ID, p)
+	place.at, place.chosen = o.target, o.Candidate
+	return place
 }
 
 // Keep chooses a target that keeps a backup of a generation which runs at
@@ -55,7 +96,7 @@
 func (l *Loads) Keep(view *directory.View, p call.Prompt, runs *directory.Seen) (*directory.Seen, *Place, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	pool := l.pool(view, runs.Service, Away(runs.DataCentre), []string{runs.ID})
+	pool := l.pool(view, Wanted{Service: runs.Service, Near: Away(runs.DataCentre), Avoid: []string{runs.ID}})
 	if !placement.RoomForCopies(pool.candidates()) {
 		return nil, nil, false
 	}
@@ -97,12 +138,12 @@
 }
 
 // choose gives the best target for a request, nil for none.
-func (p pool) choose(prompt call.Prompt) *option {
+func (p pool) choose(w Wanted) *option {
 	i := -1
-	if prompt.Tokens == 0 {
+	if w.Prompt.Tokens == 0 {
 		i = placement.Choose(p.candidates(), 0, rand.Float64())
 	} else {
-		i = placement.ChooseEngine(p.candidates(), workOf(prompt), rand.Float64())
+		i = placement.ChooseEngine(p.candidates(), w.work(), rand.Float64())
 	}
 	if i < 0 {
 		return nil
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -36,7 +36,7 @@
 	var t tries
 	var tried string
 	for {
-		target, place, ok := g.cfg.Loads.Acquire(g.view(), x.service.Name, call.Prompt{}, Anywhere, avoid)
+		target, place, ok := g.cfg.Loads.Acquire(g.view(), Wanted{Service: x.service.Name, Near: Anywhere, Avoid: avoid})
 		if !ok {
 			break
 		}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -184,7 +184,7 @@
 	if !gen.g.cfg.Budget.Retry(gen.g.cfg.Now(), gen.budgetKey()) {
 		return nil, why
 	}
-	target, place, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), gen.service.Name, gen.Prompt, Anywhere, []string{from.ID})
+	target, place, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), gen.wanted([]string{from.ID}))
 	if !ok {
 		return nil, why
 	}
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -111,8 +111,13 @@
 	}
 }
 
-func (f *fleet) supplyLoads(peer string) []*filbertv1.TargetLoad {
-	counts := f.loads.News(peer)
+func (f *fleet) supplyLoads(peer string) []*filbertv1.TargetLoad { return toWire(f.loads.News(peer)) }
+
+func (f *fleet) takeLoads(peer string, loads []*filbertv1.TargetLoad) {
+	f.loads.Take(peer, fromWire(loads))
+}
+
+func toWire(counts []loadshare.Count) []*filbertv1.TargetLoad {
 	out := make([]*filbertv1.TargetLoad, len(counts))
 	for i, c := range counts {
 		out[i] = &filbertv1.TargetLoad{
@@ -125,7 +130,7 @@
 
 func count(n int) uint32 { return uint32(max(n, 0)) }
 
-func (f *fleet) takeLoads(peer string, loads []*filbertv1.TargetLoad) {
+func fromWire(loads []*filbertv1.TargetLoad) []loadshare.Count {
 	counts := make([]loadshare.Count, len(loads))
 	for i, l := range loads {
 		counts[i] = loadshare.Count{
@@ -134,7 +139,7 @@
 			Load: loadshare.Load{Running: int(l.GetRunning()), Tokens: int(l.GetTokens()), Unread: int(l.GetUnread()), Copies: int(l.GetCopies())},
 		}
 	}
-	f.loads.Take(peer, counts)
+	return counts
 }
 
 func (f *fleet) supplyPoison() []*filbertv1.PoisonNews {
--- /dev/null
+++ b/internal/gatewayhost/owners_test.go
@@ -0,0 +1,131 @@
+package gatewayhost
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/controller/gossip"
+	"filbertdeck/internal/decide/loadshare"
+	"filbertdeck/internal/decide/membership"
+	"filbertdeck/internal/gateway"
+)
+
+// freeUDP gives an address with a free port for datagrams.
+func freeUDP(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := conn.LocalAddr().String()
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return address
+}
+
+// startOwners runs the owners of one host that believes in some members.
+func startOwners(t *testing.T, self string, members []string) (*owners, *gateway.Loads) {
+	t.Helper()
+	board := &gossip.Board{}
+	out, err := board.Members.Claim()
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := &membership.View{Version: 1}
+	for _, m := range members {
+		view.Members = append(view.Members, membership.Member{Address: m})
+	}
+	out.Publish(view)
+	start := time.Now()
+	now := func() time.Duration { return time.Since(start) }
+	loads := gateway.NewLoads(self, "dc-1", now)
+	s := &Settings{}
+	s.Deployment.ListenPeers = self
+	o := newOwners(s, loads, newFleetSize(s, board, now), slog.New(slog.DiscardHandler), gometrics.NewRegistry())
+	if err := o.listen(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go o.serve(ctx)
+	t.Cleanup(func() { cancel(); _ = o.conn.Close() })
+	return o, loads
+}
+
+// targetOwnedBy gives a target whose owner is a host.
+func targetOwnedBy(t *testing.T, o *owners, host string) string {
+	t.Helper()
+	for _, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8", "i-9", "i-10", "i-11", "i-12"} {
+		if owner, known := o.size.owner(id); known && owner == host {
+			return id
+		}
+	}
+	t.Fatal("no target is owned by", host)
+	return ""
+}
+
+// Two hosts choose the same engine within a few milliseconds, before gossip
+// tells either of the other. The owner knows of the first choice when the second
+// host asks.
+func TestOwnerTellsOfAnotherHostsChoice(t *testing.T) {
+	addresses := []string{freeUDP(t), freeUDP(t), freeUDP(t)}
+	owner, _ := startOwners(t, addresses[0], addresses)
+	first, firstLoads := startOwners(t, addresses[1], addresses)
+	second, _ := startOwners(t, addresses[2], addresses)
+	target := targetOwnedBy(t, owner, addresses[0])
+	firstLoads.Hold(target, call.Prompt{Tokens: 3000})
+	own := loadshare.Count{Host: addresses[1], Target: target, Version: 7, Load: loadshare.Load{Running: 1, Tokens: 3000, Unread: 3000}}
+	if _, ok := first.ask(target, []loadshare.Count{own}); !ok {
+		t.Fatal("the owner did not answer the first host")
+	}
+	counts, ok := second.ask(target, []loadshare.Count{{Host: addresses[2], Target: target, Version: 1, Load: loadshare.Load{Running: 1}}})
+	if !ok {
+		t.Fatal("the owner did not answer the second host")
+	}
+	for _, c := range counts {
+		if c.Host == addresses[1] && c.Running == 1 && c.Unread == 3000 {
+			return
+		}
+	}
+	t.Fatalf("the owner told of %v, want the first host's choice", counts)
+}
+
+// The owner is dead or cut off, and its host answers nothing. The choice must
+// not wait for it for long.
+func TestSilentOwnerIsNotWaitedFor(t *testing.T) {
+	addresses := []string{freeUDP(t), freeUDP(t)}
+	o, _ := startOwners(t, addresses[0], addresses)
+	target := targetOwnedBy(t, o, addresses[1])
+	if _, ok := o.ask(target, nil); ok {
+		t.Fatal("a host that is not there answered")
+	}
+	if n := o.unanswered.Count(); n != 1 {
+		t.Fatalf("%d questions counted as unanswered, want 1", n)
+	}
+}
+
+// Bytes that are no message of ours come to the port. The next question is
+// answered all the same.
+func TestOwnersPassOverUnreadableDatagrams(t *testing.T) {
+	addresses := []string{freeUDP(t), freeUDP(t)}
+	owner, _ := startOwners(t, addresses[0], addresses)
+	asking, _ := startOwners(t, addresses[1], addresses)
+	conn, err := net.Dial("udp", addresses[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := conn.Write([]byte{0xff, 0xff, 0xff}); err != nil {
+		t.Fatal(err)
+	}
+	target := targetOwnedBy(t, owner, addresses[0])
+	if _, ok := asking.ask(target, nil); !ok {
+		t.Fatal("the owner did not answer")
+	}
+}
--- a/internal/gatewayhost/size.go
+++ b/internal/gatewayhost/size.go
@@ -52,6 +52,19 @@
 	return n
 }
 
+// owner gives the live host that has the newest counts of a target.
+func (f *fleetSize) owner(target string) (string, bool) {
+	view := f.members.Members.Get()
+	if view == nil {
+		return "", false
+	}
+	live := view.Live("")
+	if len(live) == 0 {
+		return "", false
+	}
+	return membership.Rank(target, live)[0], true
+}
+
 // rank gives this host's rank for a target, and the number of hosts.
 func (f *fleetSize) rank(target string) (rank, hosts int) {
 	rank = slices.Index(membership.Rank(target, f.known()), f.self)
