Hosts tell each other which targets broke their requests

Ruled out: a host's own breaker (it holds, one failure for each host is enough).

Change: counts carry a number that changes with each request a target broke (not with failures it answered: a twelfth of lookups fail wherever they go). What two other hosts tell within 4 s is added to a target's fullness (decide/accusers); one host alone may be cut off.

--- a/internal/decide/loadshare/loadshare.go
+++ b/internal/decide/loadshare/loadshare.go
@@ -41,6 +41,9 @@
 	// Step is the host's estimate of the time that the target alone takes for
 	// one token; 0 for none.
 	Step time.Duration
+	// Failures is another number after each request of the host that the target
+	// broke; 0 when it broke none.
+	Failures uint32
 }
 
 // Load is what runs at a target. Loads add up.
@@ -77,6 +80,7 @@
 type Board struct {
 	self      string
 	version   uint64
+	failures  uint32
 	counts    map[key]held
 	peers     peerBits
 	refreshed time.Duration
@@ -112,6 +116,16 @@
 	b.setOwn(now, c)
 }
 
+// AddFailure notes a request of this host that a target broke. The numbers run
+// over all targets: a count that expired and is made anew must not come to the
+// same one.
+func (b *Board) AddFailure(now time.Duration, target string) {
+	b.failures++
+	c := b.Own(target)
+	c.Failures = b.failures
+	b.setOwn(now, c)
+}
+
 // Own gives this host's count of a target, an empty one when there is none.
 func (b *Board) Own(target string) Count {
 	c := b.counts[key{b.self, target}].Count
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -9,6 +9,7 @@
 	"filbertdeck/internal/decide/loadshare"
 	"filbertdeck/internal/decide/placement"
 	"filbertdeck/internal/directory"
+	"filbertdeck/internal/wake"
 )
 
 // ColdBound bounds what all hosts send to a cold target in a second: its own
@@ -101,6 +102,17 @@
 	t.failedAt = l.now()
 }
 
+// Broke notes that a target broke a request, and tells other hosts. A target's
+// own failures, answered in good order, are not told: some requests fail
+// wherever they go.
+func (l *Loads) Broke(target string) {
+	l.Failed(target)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.share.AddFailure(l.now(), target)
+	wake.Signal(l.changed)
+}
+
 // Unreachable notes that a target could not be reached.
 func (l *Loads) Unreachable(target string) {
 	l.mu.Lock()
@@ -139,6 +151,7 @@
 	if l.now()-own.failedAt < penaltyFor {
 		c.Penalty = min(float64(own.failures)*penaltyEach, penaltyMost)
 	}
+	c.Penalty += l.accusers.Penalty(l.now(), t.ID)
 	if l.coldRate(view, t) > 0 {
 		c.Penalty += coldPenalty
 	}
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filbertdeck/internal/call"
+	"filbertdeck/internal/decide/accusers"
 	"filbertdeck/internal/decide/coldshare"
 	"filbertdeck/internal/decide/enginespeed"
 	"filbertdeck/internal/decide/loadshare"
@@ -17,14 +18,16 @@
 // Loads counts what this host has running at each target and chooses targets
 // by it.
 type Loads struct {
-	dataCentre string
-	now        func() time.Duration
+	self, dataCentre string
+	now              func() time.Duration
 
 	mu    sync.Mutex
 	own   map[string]*targetLoad
 	share *loadshare.Board
 	speed *enginespeed.Board
-	cold  ColdBound
+	// accusers holds what other hosts tell of failing targets.
+	accusers *accusers.Board
+	cold     ColdBound
 	// askOwner asks the host that has the newest counts of a target; nil for none.
 	askOwner AskOwner
 	// hosts gives the number of hosts that choose targets.
@@ -51,7 +54,7 @@
 func NewLoads(host, dataCentre string, now func() time.Duration) *Loads {
 	return &Loads{
 		dataCentre: dataCentre, now: now, own: map[string]*targetLoad{},
-		share: loadshare.New(host, uint64(time.Now().UnixMicro())), speed: enginespeed.New(), changed: make(chan struct{}, 1),
+		share: loadshare.New(host, uint64(time.Now().UnixMicro())), speed: enginespeed.New(), accusers: accusers.New(), self: host, changed: make(chan struct{}, 1),
 		leaving: make(chan struct{}, 1), hosts: func() int { return 1 },
 	}
 }
@@ -82,6 +85,9 @@
 	l.share.Take(l.now(), host, counts)
 	for _, c := range counts {
 		l.speed.Heard(c.Target, c.Step)
+		if c.Host != l.self {
+			l.accusers.Heard(l.now(), c.Host, c.Target, c.Failures)
+		}
 		if c.Leaving {
 			wake.Signal(l.leaving)
 		}
@@ -98,10 +104,12 @@
 			delete(l.own, id)
 		}
 	}
-	l.speed.Retain(func(id string) bool {
-		_, known := view.Target(id)
-		return known
-	})
+	known := func(id string) bool {
+		_, found := view.Target(id)
+		return found
+	}
+	l.speed.Retain(known)
+	l.accusers.Retain(known)
 }
 
 // set changes the count at a target.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -200,7 +200,7 @@
 	if failure.KindOf(err) == failure.KindTargetLost && g.stays(target) {
 		g.cfg.Suspects.broke(target, g.dial)
 	}
-	g.cfg.Loads.Failed(target.ID)
+	g.cfg.Loads.Broke(target.ID)
 	g.cfg.Log.Debug("target failed", "target", target.ID, "cause", err)
 }
 
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -122,7 +122,7 @@
 	for i, c := range counts {
 		out[i] = &filbertv1.TargetLoad{
 			Host: c.Host, Target: c.Target, Version: c.Version, Running: count(c.Running), Tokens: count(c.Tokens), Unread: count(c.Unread), Leaving: c.Leaving,
-			StepUs: count(int(c.Step.Microseconds())), Copies: count(c.Copies),
+			StepUs: count(int(c.Step.Microseconds())), Copies: count(c.Copies), Failures: c.Failures,
 		}
 	}
 	return out
@@ -135,7 +135,7 @@
 	for i, l := range loads {
 		counts[i] = loadshare.Count{
 			Host: l.GetHost(), Target: l.GetTarget(), Version: l.GetVersion(), Leaving: l.GetLeaving(),
-			Step: time.Duration(l.GetStepUs()) * time.Microsecond,
+			Step: time.Duration(l.GetStepUs()) * time.Microsecond, Failures: l.GetFailures(),
 			Load: loadshare.Load{Running: int(l.GetRunning()), Tokens: int(l.GetTokens()), Unread: int(l.GetUnread()), Copies: int(l.GetCopies())},
 		}
 	}
