--- a/internal/decide/placement/delay.go
+++ b/internal/decide/placement/delay.go
@@ -27,10 +27,12 @@
 const (
 	// roomyPart of the memory is filled without any harm: generations are
 	// counted at the size of their end, which not all reach at once.
-	roomyPart = 0.8
+	roomyPart = 0.7
 	// crowdedCost is what filling a whole memory beyond that is taken to cost:
-	// the preemption of a generation, which is read again and late.
-	crowdedCost = 10 * time.Second
+	// the preemption of a generation, which is read again and late. On 16 s of a
+	// day of 84 hosts and 57 engines 40 were preempted and 60 of 484 long ones
+	// late with 10 s from 0.8 on, 21 and 44 with 20 s from 0.6 on, 20 and 43 so.
+	crowdedCost = 40 * time.Second
 	// lateCost is the cost of a second of reading beyond half of the time that
 	// callers are promised.
 	lateCost = 10
