--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -102,7 +102,7 @@
 	cost := placement.Delay(here, w.work())
 	var others pool
 	for _, o := range looked {
-		if o.target.ID != p.target && !sums[o.target.ID].Leaving {
+		if o.target.ID != p.target && !sums[o.target.ID].Leaving && l.bears(view, o.target) {
 			others = append(others, option{l.candidate(view, o.target, w.Near, sums[o.target.ID].Others, usual), o.target})
 		}
 	}
--- a/internal/gateway/ask_test.go
+++ b/internal/gateway/ask_test.go
@@ -97,4 +97,33 @@
 		Expect(ok).To(BeTrue())
 		Expect(questions).To(BeZero())
 	})
+
+	// An engine joins cold and bears a few requests a second from all hosts
+	// together. While a host waits for an owner's answer another request of its
+	// own takes its part; a second one there would bring the engine down.
+	It("leave a cold engine alone once this host's part of it is taken", func() {
+		cfg := testConfig()
+		cfg.Services[1].ColdRate, cfg.Services[1].Engine.MemoryTokens = 4, 30_000
+		targets := map[string]*directory.Seen{}
+		for _, id := range []string{"cold", "warm-1", "warm-2"} {
+			targets[id] = &directory.Seen{Listed: true, Target: directory.Target{ID: id, Service: "llm", DataCentre: "dc-1", Slots: 24}}
+		}
+		targets["cold"].ColdUntil = time.Minute
+		v := directory.NewView(1, cfg, targets, nil)
+		l := fleet(1)[0]
+		l.BoundCold(gateway.ColdBound{Factor: 1.5, Extra: 2, Rank: func(string) (int, int) { return 0, 8 }})
+		busy := func(target string) loadshare.Count {
+			return loadshare.Count{Host: "host-9", Target: target, Version: 1, Load: loadshare.Load{Running: 9, Tokens: 40_000, Unread: 9000}}
+		}
+		l.AskOwners(func(target string, _ []loadshare.Count) ([]loadshare.Count, bool) {
+			if target == "cold" {
+				return nil, true
+			}
+			l.Hold("cold", call.Prompt{Tokens: 10})
+			return []loadshare.Count{busy("warm-1"), busy("warm-2")}, true
+		})
+		t, _, ok := l.Acquire(v, gateway.Wanted{Service: "llm", Prompt: prompt, Near: gateway.Anywhere})
+		Expect(ok).To(BeTrue())
+		Expect(t.ID).NotTo(Equal("cold"))
+	})
 })
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -128,7 +128,7 @@
 		if !view.TakesNew(t) || slices.Contains(w.Avoid, t.ID) || sums[t.ID].Leaving {
 			continue
 		}
-		if rate := l.coldRate(view, t); rate > 0 && !l.of(t.ID).gate.Open(l.now(), l.coldPart(t.ID, rate)) {
+		if !l.bears(view, t) {
 			continue
 		}
 		out = append(out, option{l.candidate(view, t, w.Near, sums[t.ID].Others, usual), t})
@@ -136,6 +136,13 @@
 	return out
 }
 
+// bears tells whether a target takes one more from this host now: a cold one
+// takes this host's part of its rate.
+func (l *Loads) bears(view *directory.View, t *directory.Seen) bool {
+	rate := l.coldRate(view, t)
+	return rate == 0 || l.of(t.ID).gate.Open(l.now(), l.coldPart(t.ID, rate))
+}
+
 // candidate gives what is known of a target; others is what other hosts have
 // running there, usual the speed taken for engines that nothing is known of.
 func (l *Loads) candidate(view *directory.View, t *directory.Seen, near Nearness, others loadshare.Load, usual time.Duration) placement.Candidate {
--- a/internal/gatewayhost/owners.go
+++ b/internal/gatewayhost/owners.go
@@ -46,7 +46,7 @@
 func newOwners(s *Settings, loads *gateway.Loads, size *fleetSize, log *slog.Logger, reg gometrics.Registry) *owners {
 	return &owners{
 		self: s.Deployment.ListenPeers, loads: loads, size: size, log: log, waiting: map[uint64]chan []loadshare.Count{},
-		asked: gometrics.GetOrRegisterCounter("gateway.owners.asked", reg), unanswered: gometrics.GetOrRegisterCounter("gateway.owners.unanswered", reg),
+		asked: gometrics.GetOrRegisterCounter("owners.asked", reg), unanswered: gometrics.GetOrRegisterCounter("owners.unanswered", reg),
 	}
 }
 
--- a/internal/gatewayhost/owners_test.go
+++ b/internal/gatewayhost/owners_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"net"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -110,6 +112,21 @@
 	}
 }
 
+// An engineer on call looks for a counter that no page explains.
+func TestOwnersMetersAreOnTheOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/gateway-counters.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	registry := gometrics.NewRegistry()
+	newOwners(&Settings{}, nil, nil, nil, registry)
+	registry.Each(func(name string, _ any) {
+		if !strings.Contains(string(page), "`"+name+"`") {
+			t.Errorf("%s is not on the page", name)
+		}
+	})
+}
+
 // Bytes that are no message of ours come to the port. The next question is
 // answered all the same.
 func TestOwnersPassOverUnreadableDatagrams(t *testing.T) {
