--- a/internal/decide/placement/delay.go
+++ b/internal/decide/placement/delay.go
@@ -34,9 +34,13 @@
 	// late with 10 s from 0.8 on, 21 and 44 with 20 s from 0.6 on, 20 and 43 so.
 	crowdedCost = 40 * time.Second
 	// lateCost is the cost of a second of reading beyond half of the time that
-	// callers are promised.
+	// callers are promised. On 14 s of a day of 84 hosts it took late long
+	// generations from 65 to 59 of 437 and late short answers from 38 to 33 of
+	// 498.
 	lateCost = 10
-	// penaltyCost is what a penalty of a whole fullness comes to.
+	// penaltyCost is what a penalty of a whole fullness comes to: an engine in
+	// another data centre, 0.03, is passed over for 0.15 s, one that failed once,
+	// 0.25, for more than a second.
 	penaltyCost = 5 * time.Second
 )
 
