--- a/internal/decide/accusers/accusers.go
+++ b/internal/decide/accusers/accusers.go
@@ -5,7 +5,7 @@
 // second between them.
 //
 // What happens without it: each host finds out by a request of its own, which
-// may not be sent again. On one day 113 bookings failed in six seconds that way,
+// may not be sent again. On one day 113 requests failed in six seconds that way,
 // a few for each host.
 //
 // How it works: hosts tell each other which targets broke a request of theirs.
