Announce large configurations and have each host fetch them once

Cause: news to a neighbour were made from the revision that it last stated, so each of some six neighbours sent the whole configuration again, encoded anew, with every probe until an answer had come. With 880 routes and probes every 100 ms this filled the links and the processors of small hosts, and an evacuation two seconds later was not kept.

Now a configuration is a document of rows. A change under 8 KB goes along with other news, once for each peer while no answer has come; a longer one is announced by its head and fetched, compressed once, from one peer at a time, of the own part of the fleet first. Who gives it away keeps below its link and names others that have it (internal/decide/fetch). A host that lacks an announced configuration does not vouch for what it holds, and goes on watching from behind it. Routes are indexed once for each configuration and not for each view.

--- a/internal/controller/gossip/controller.go
+++ b/internal/controller/gossip/controller.go
@@ -69,6 +69,8 @@
 	// TakePublished gets the time at which the question was asked that the news
 	// answer; zero when they came unasked.
 	TakePublished func(peer string, news *filbertv1.PublishedNews, asked time.Time)
+	// GiveConfig answers a peer's Fetch.
+	GiveConfig func(peer string, req *filbertv1.FetchRequest) *filbertv1.FetchReply
 	// Urgent is received from when there is news to supply that shouldn't wait
 	// for the next probes.
 	Urgent <-chan struct{}
@@ -138,7 +140,7 @@
 }
 
 type counters struct {
-	sent, received, probes, probesFailed, pulls, syncs, redials metrics.Counter
+	sent, received, fetchSent, probes, probesFailed, pulls, syncs, redials metrics.Counter
 }
 
 // New returns a controller and claims the section of members.
@@ -172,7 +174,7 @@
 func newCounters(r metrics.Registry) counters {
 	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("gossip."+name, r) }
 	return counters{
-		sent: c("bytes_sent"), received: c("bytes_received"), probes: c("probes"),
+		sent: c("bytes_sent"), received: c("bytes_received"), fetchSent: c("fetch_bytes_sent"), probes: c("probes"),
 		probesFailed: c("probes_failed"), pulls: c("pulls"), syncs: c("syncs"), redials: c("redials"),
 	}
 }
--- a/internal/controller/gossip/convert.go
+++ b/internal/controller/gossip/convert.go
@@ -5,6 +5,7 @@
 	"filbertdeck/internal/controller/configwatch"
 	"filbertdeck/internal/decide/membership"
 	"filbertdeck/internal/decide/rollout"
+	"filbertdeck/internal/rolloutwire"
 )
 
 func toMember(m membership.Member) *filbertv1.Member {
@@ -35,50 +36,16 @@
 	return out
 }
 
-func toHead(s configwatch.Section, h rollout.Head) *filbertv1.DocumentHead {
-	return &filbertv1.DocumentHead{
-		Section: string(s), Epoch: h.Version.Epoch, Revision: h.Version.Revision, Digest: h.Digest,
-	}
-}
-
-func fromHead(h *filbertv1.DocumentHead) rollout.Head {
-	return rollout.Head{
-		Version: rollout.Version{Epoch: h.GetEpoch(), Revision: h.GetRevision()}, Digest: h.GetDigest(),
-	}
-}
-
 func toPeerHead(s configwatch.Section, h peerHead) *filbertv1.DocumentHead {
-	out := toHead(s, h.Head)
+	out := rolloutwire.ToHead(string(s), h.Head)
 	out.RefusedEpoch, out.RefusedRevision = h.refused.Epoch, h.refused.Revision
 	return out
 }
 
 func fromPeerHead(h *filbertv1.DocumentHead) peerHead {
 	return peerHead{
-		Head: fromHead(h), refused: rollout.Version{Epoch: h.GetRefusedEpoch(), Revision: h.GetRefusedRevision()},
-	}
-}
-
-func toDelta(s configwatch.Section, d rollout.Delta) *filbertv1.DocumentDelta {
-	out := &filbertv1.DocumentDelta{
-		Head: toHead(s, d.Head), FromEpoch: d.From.Epoch, FromRevision: d.From.Revision, Full: d.Full,
-		Rows: make([]*filbertv1.Row, len(d.Rows)),
-	}
-	for i, r := range d.Rows {
-		out.Rows[i] = &filbertv1.Row{Key: r.Key, Text: r.Text}
-	}
-	return out
-}
-
-func fromDelta(d *filbertv1.DocumentDelta) (configwatch.Section, rollout.Delta) {
-	out := rollout.Delta{
-		From: rollout.Version{Epoch: d.GetFromEpoch(), Revision: d.GetFromRevision()},
-		Head: fromHead(d.GetHead()), Full: d.GetFull(), Rows: make([]rollout.Row, len(d.GetRows())),
-	}
-	for i, r := range d.GetRows() {
-		out.Rows[i] = rollout.Row{Key: r.GetKey(), Text: r.GetText()}
+		Head: rolloutwire.FromHead(h), refused: rollout.Version{Epoch: h.GetRefusedEpoch(), Revision: h.GetRefusedRevision()},
 	}
-	return configwatch.Section(d.GetHead().GetSection()), out
 }
 
 func toRefusal(s configwatch.Section, r rollout.Refusal) *filbertv1.DocumentRefusal {
--- a/internal/controller/gossip/message.go
+++ b/internal/controller/gossip/message.go
@@ -10,6 +10,7 @@
 	"filbertdeck/internal/controller/configwatch"
 	"filbertdeck/internal/decide/membership"
 	"filbertdeck/internal/decide/rollout"
+	"filbertdeck/internal/rolloutwire"
 )
 
 // maxDelta bounds the rows sent unasked with one message, in bytes. An edit of
@@ -76,7 +77,7 @@
 	if size > maxDelta {
 		return nil, false
 	}
-	return toDelta(s, delta), true
+	return rolloutwire.ToDelta(string(s), delta), true
 }
 
 func (c *Controller) ownHeads() []*filbertv1.DocumentHead {
@@ -188,6 +189,5 @@
 }
 
 func (c *Controller) offer(d *filbertv1.DocumentDelta) rollout.Verdict {
-	section, delta := fromDelta(d)
-	return c.cfg.Store.Offer(section, delta)
+	return c.cfg.Store.Offer(configwatch.Section(d.GetHead().GetSection()), rolloutwire.FromDelta(d))
 }
--- a/internal/controller/gossip/server.go
+++ b/internal/controller/gossip/server.go
@@ -5,11 +5,14 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/controller/configwatch"
+	"filbertdeck/internal/rolloutwire"
 )
 
 // Bounds of the server's side of a connection.
@@ -65,19 +68,29 @@
 func (c *Controller) Pull(_ context.Context, req *filbertv1.PullRequest) (*filbertv1.PullReply, error) {
 	reply := &filbertv1.PullReply{}
 	for _, h := range req.GetHeads() {
-		section, theirs := configwatch.Section(h.GetSection()), fromHead(h)
+		section, theirs := configwatch.Section(h.GetSection()), rolloutwire.FromHead(h)
 		ours := c.cfg.Store.Head(section)
 		switch {
 		case ours.Version.After(theirs.Version):
-			reply.Deltas = append(reply.Deltas, toDelta(section, c.cfg.Store.Since(section, theirs.Version)))
+			reply.Deltas = append(reply.Deltas, rolloutwire.ToDelta(string(section), c.cfg.Store.Since(section, theirs.Version)))
 		case ours.Version == theirs.Version && ours.Digest > theirs.Digest:
-			reply.Deltas = append(reply.Deltas, toDelta(section, c.cfg.Store.All(section)))
+			reply.Deltas = append(reply.Deltas, rolloutwire.ToDelta(string(section), c.cfg.Store.All(section)))
 		}
 	}
 	c.metrics.sent.Inc(int64(proto.Size(reply)))
 	return reply, nil
 }
 
+// Fetch answers with the configuration that news announced.
+func (c *Controller) Fetch(_ context.Context, req *filbertv1.FetchRequest) (*filbertv1.FetchReply, error) {
+	if c.cfg.Hooks.GiveConfig == nil {
+		return nil, status.Error(codes.Unimplemented, "no configuration is given here")
+	}
+	reply := c.cfg.Hooks.GiveConfig(req.GetFrom(), req)
+	c.metrics.fetchSent.Inc(int64(proto.Size(reply)))
+	return reply, nil
+}
+
 // Sync takes a peer's list of members and answers with this process's own.
 func (c *Controller) Sync(_ context.Context, msg *filbertv1.SyncMessage) (*filbertv1.SyncMessage, error) {
 	c.metrics.received.Inc(int64(proto.Size(msg)))
--- a/internal/controller/gossip/spread.go
+++ b/internal/controller/gossip/spread.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/controller/configwatch"
 	"filbertdeck/internal/decide/membership"
 )
@@ -67,6 +68,17 @@
 	c.spawn(func() { c.probe(ctx, membership.Action{To: address, Timeout: c.probeTimeout()}) })
 }
 
+// FetchFrom gets from a process the configuration that its news announced.
+func (c *Controller) FetchFrom(ctx context.Context, address string, timeout time.Duration, req *filbertv1.FetchRequest) (*filbertv1.FetchReply, error) {
+	req.From = c.cfg.Membership.Self.Address
+	var reply *filbertv1.FetchReply
+	err := c.peers.call(ctx, address, timeout, func(ctx context.Context, peer filbertv1.GossipClient) (err error) {
+		reply, err = peer.Fetch(ctx, req)
+		return err
+	})
+	return reply, err
+}
+
 // lacks tells whether a peer is not known to hold what is in force here.
 func (c *Controller) lacks(address string) bool {
 	c.mu.Lock()
--- a/internal/controller/published/controller.go
+++ b/internal/controller/published/controller.go
@@ -79,8 +79,10 @@
 	// reading is set while this host reads the store, lost while it can't.
 	reading, lost bool
 	news          chan struct{}
-	// peers holds the revision that each peer last said it holds.
-	peers map[string]uint64
+	doc           *document
+	peers         map[string]*peer
+	// announced is the newest revision of the configuration that a peer holds.
+	announced uint64
 }
 
 // New returns a controller and claims the section of the view.
@@ -90,7 +92,7 @@
 		return nil, err
 	}
 	c := &Controller{
-		cfg: cfg, out: out, mirror: mirror.New(mirror.Config{}), peers: map[string]uint64{}, news: make(chan struct{}, 1),
+		cfg: cfg, out: out, mirror: mirror.New(mirror.Config{}), doc: newDocument(), peers: map[string]*peer{}, news: make(chan struct{}, 1),
 		calls: metrics.GetOrRegisterCounter("published.calls", cfg.Metrics),
 	}
 	c.gauge("published.revision", func() int64 { return int64(c.Revision()) })
@@ -179,25 +181,26 @@
 		if err != nil {
 			return err
 		}
-		c.take(begun, func(m *mirror.Mirror, now time.Duration) bool { return m.Whole(now, records, at) })
+		c.take(begun, records, func(m *mirror.Mirror, now time.Duration) bool { return m.Whole(now, records, at) })
 		return nil
 	}
-	records, at, err := c.cfg.Source.Watch(ctx, c.Revision(), watchWait)
+	records, at, err := c.cfg.Source.Watch(ctx, c.watchFrom(), watchWait)
 	if err != nil {
 		return err
 	}
-	c.take(begun, func(m *mirror.Mirror, now time.Duration) bool { return m.Changes(now, records, at) })
+	c.take(begun, records, func(m *mirror.Mirror, now time.Duration) bool { return m.Changes(now, records, at) })
 	return nil
 }
 
 // take works news in and publishes a view when they matter.
-func (c *Controller) take(currentAt time.Duration, apply func(*mirror.Mirror, time.Duration) bool) {
+func (c *Controller) take(currentAt time.Duration, records []directory.Record, apply func(*mirror.Mirror, time.Duration) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Now()
 	c.mirror.StoreAnswered(now)
 	c.confirm(currentAt)
 	due := c.mirror.NextChange(now) > 0
+	c.replaceConfig(records)
 	news := apply(c.mirror, now)
 	if news || due || !c.known {
 		c.known = true
@@ -208,6 +211,23 @@
 	}
 }
 
+// replaceConfig takes the configuration among some records into the document
+// that peers are told from, and puts the document's own in its place.
+func (c *Controller) replaceConfig(records []directory.Record) {
+	for i, r := range records {
+		if r.Config == nil {
+			continue
+		}
+		cfg, err := c.doc.replace(r.Config, r.Revision)
+		if err != nil {
+			c.cfg.Log.Error("configuration can't be told to peers", "revision", r.Revision, "error", err)
+		}
+		if cfg != nil {
+			records[i].Config = cfg
+		}
+	}
+}
+
 // tell has other hosts told what is new here.
 func (c *Controller) tell() {
 	wake.Signal(c.news)
@@ -246,7 +266,21 @@
 	c.cfg.Log.Info("store back", "revision", c.mirror.Revision())
 }
 
-// Revision is the store's revision up to which all changes are known here.
+// watchFrom is the revision to watch from: that up to which everything is known
+// here. A configuration that peers announced and that has not come yet is not:
+// watched from behind it, the store would never give it, and if the peers that
+// have it die this host would not get it from anybody.
+func (c *Controller) watchFrom() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.announced > c.doc.revision() {
+		return min(c.mirror.Revision(), c.announced-1)
+	}
+	return c.mirror.Revision()
+}
+
+// Revision is the store's revision up to which all changes are known here, but
+// for the configuration's.
 func (c *Controller) Revision() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/internal/controller/published/published_test.go
@@ -0,0 +1,277 @@
+package published
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"filbertdeck/internal/directory"
+)
+
+func TestPublished(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "published")
+}
+
+// source is a store that holds what a spec puts into it.
+type source struct {
+	records []directory.Record
+	at      uint64
+	watched []uint64
+}
+
+func (s *source) ReadAll(context.Context) ([]directory.Record, uint64, error) {
+	return append([]directory.Record(nil), s.records...), s.at, nil
+}
+
+func (s *source) Watch(_ context.Context, after uint64, _ time.Duration) ([]directory.Record, uint64, error) {
+	s.watched = append(s.watched, after)
+	var out []directory.Record
+	for _, r := range s.records {
+		if r.Revision > after {
+			out = append(out, r)
+		}
+	}
+	return out, s.at, nil
+}
+
+// host is a controller with a clock that a spec sets.
+type host struct {
+	*Controller
+	source *source
+	board  *Board
+	now    time.Duration
+}
+
+func newHost(s *source) *host {
+	h := &host{source: s, board: &Board{}}
+	c, err := New(Config{
+		Source: s, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
+		Now: func() time.Duration { return h.now },
+	}, h.board)
+	Expect(err).NotTo(HaveOccurred())
+	h.Controller = c
+	return h
+}
+
+// read has the host read its store.
+func (h *host) read() { Expect(h.step(context.Background(), h.Revision() == 0)).To(Succeed()) }
+
+func (h *host) routes() int {
+	view := h.board.View.Get()
+	if view == nil || view.Config == nil {
+		return 0
+	}
+	return len(view.Config.Routes)
+}
+
+func configOf(version uint64, routes int) *directory.Config {
+	c := &directory.Config{
+		Version: version, Services: []directory.Service{{Name: "app", Engine: &directory.Engine{Slots: 4}}},
+		Accounts: []directory.Account{{Name: "a-1", Keys: []string{"k-1"}}},
+	}
+	for i := range routes {
+		c.Routes = append(c.Routes, directory.Route{
+			Name: fmt.Sprint("r-", i), Host: "a.example", Prefix: fmt.Sprintf("/%d/", i), Kind: directory.Once,
+			Timeout: time.Second, Attempts: 2, Backends: []directory.Backend{{Service: "app", Weight: 1}},
+		})
+	}
+	return c
+}
+
+func (s *source) configure(revision, version uint64, routes int) {
+	s.put(directory.Record{Key: directory.ConfigKey, Revision: revision, Config: configOf(version, routes)})
+}
+
+func (s *source) put(r directory.Record) {
+	kept := s.records[:0]
+	for _, old := range s.records {
+		if old.Key != r.Key {
+			kept = append(kept, old)
+		}
+	}
+	s.records, s.at = append(kept, r), r.Revision
+}
+
+func size(n News) int {
+	total := 0
+	for _, r := range n.Records {
+		total += len(r)
+	}
+	if n.Delta != nil {
+		for _, r := range n.Delta.Rows {
+			total += len(r.Key) + len(r.Text)
+		}
+	}
+	return total
+}
+
+var _ = Describe("news between hosts", func() {
+	// Operators add 880 routes at once. While its answer is on the way, each
+	// neighbour is probed ten times a second; if every probe carried all routes,
+	// links would be full of them and a small host would do nothing else.
+	It("carry no large configuration, however often they are told", func() {
+		reader, other := newHost(&source{}), newHost(&source{})
+		reader.source.configure(3, 1, 4)
+		reader.read()
+		reader.TakeNews("other", other.NewsFor("reader"), -1)
+		reader.source.configure(4, 2, 884)
+		reader.read()
+		total := 0
+		for range 20 {
+			total += size(reader.NewsFor("other"))
+			reader.now += 100 * time.Millisecond
+		}
+		Expect(total).To(BeNumerically("<=", 20*shortDelta))
+	})
+
+	It("carry a short edit along, once while no answer has come", func() {
+		reader, other := newHost(&source{}), newHost(&source{})
+		reader.source.configure(3, 1, 4)
+		reader.read()
+		fetchFrom(reader, other)
+		reader.TakeNews("other", other.NewsFor("reader"), -1)
+		reader.source.configure(4, 2, 5)
+		reader.read()
+		news := reader.NewsFor("other")
+		Expect(size(news)).To(BeNumerically(">", 0))
+		Expect(size(reader.NewsFor("other"))).To(BeZero())
+		other.TakeNews("reader", news, -1)
+		Expect(other.routes()).To(Equal(5))
+	})
+
+	// The message with the news was lost. A neighbour that counted as told for
+	// good would never hear of the edit.
+	It("are told again when no answer comes", func() {
+		reader, other := newHost(&source{}), newHost(&source{})
+		reader.source.configure(3, 1, 4)
+		reader.read()
+		fetchFrom(reader, other)
+		reader.TakeNews("other", other.NewsFor("reader"), -1)
+		reader.source.configure(4, 2, 5)
+		reader.read()
+		reader.NewsFor("other")
+		reader.now += toldFor
+		other.TakeNews("reader", reader.NewsFor("other"), -1)
+		Expect(other.routes()).To(Equal(5))
+	})
+
+	// A host that lacks a configuration which it knows to be in force elsewhere
+	// must not vouch that what it holds is current: it would deny a new key for
+	// good reason, as it believes.
+	It("prove nothing current while an announced configuration is missing", func() {
+		reader, other := newHost(&source{}), newHost(&source{})
+		reader.source.configure(3, 1, 880)
+		reader.read()
+		reader.TakeNews("other", other.NewsFor("reader"), -1)
+		other.TakeNews("reader", reader.NewsFor("other"), 0)
+		_, known := other.Age()
+		Expect(known).To(BeFalse())
+		fetchFrom(reader, other)
+		other.TakeNews("reader", reader.NewsFor("other"), 0)
+		_, known = other.Age()
+		Expect(known).To(BeTrue())
+	})
+
+	// A host hears of a configuration from a peer and becomes a reader of the
+	// store before it got it; the peer dies. Watching from the revision that it
+	// heard of, it would never be given that configuration.
+	It("leave no gap for a host that reads the store from then on", func() {
+		store := &source{}
+		reader, other := newHost(store), newHost(store)
+		store.configure(3, 1, 4)
+		reader.read()
+		other.read()
+		store.configure(5, 2, 900)
+		store.put(directory.Record{Key: directory.TargetKey("i-1"), Revision: 6, Gone: true})
+		reader.read()
+		other.TakeNews("reader", reader.NewsFor("other"), -1)
+		Expect(other.routes()).To(Equal(4))
+		other.read()
+		Expect(other.routes()).To(Equal(900))
+	})
+})
+
+// fetchFrom has one host fetch another's configuration.
+func fetchFrom(from, to *host) {
+	packed, _, err := from.PackConfig(to.ConfigRevision())
+	Expect(err).NotTo(HaveOccurred())
+	gap, err := to.TakeConfig("peer", packed)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(gap).To(BeFalse())
+}
+
+var _ = Describe("a configuration as rows", func() {
+	It("comes out as it went in, whatever changed in between", func() {
+		draw := rand.New(rand.NewPCG(3, 4))
+		reader, other := newHost(&source{}), newHost(&source{})
+		for version := uint64(1); version <= 40; version++ {
+			reader.source.configure(2*version, version, draw.IntN(60))
+			reader.read()
+			if draw.IntN(3) == 0 {
+				fetchFrom(reader, other)
+				Expect(other.board.View.Get().Config).To(Equal(reader.board.View.Get().Config))
+			}
+		}
+	})
+
+	It("keeps routes that operators named alike apart", func() {
+		c := configOf(1, 2)
+		c.Routes[1] = c.Routes[0]
+		d := newDocument()
+		taken, err := d.replace(c, 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(taken.Routes).To(HaveLen(2))
+	})
+
+	It("tells no accounts from an empty list of them", func() {
+		for _, accounts := range [][]directory.Account{nil, {}} {
+			c := configOf(1, 1)
+			c.Accounts = accounts
+			taken, err := newDocument().replace(c, 1)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(taken.Accounts == nil).To(Equal(accounts == nil))
+		}
+	})
+
+	It("costs what changed, compressed once for all that ask", func() {
+		reader := newHost(&source{})
+		reader.source.configure(3, 1, 880)
+		reader.read()
+		reader.source.configure(4, 2, 881)
+		reader.read()
+		whole, _, err := reader.PackConfig(0)
+		Expect(err).NotTo(HaveOccurred())
+		change, _, err := reader.PackConfig(3)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(change)).To(BeNumerically("<", len(whole)/10))
+		again, _, err := reader.PackConfig(3)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(&again[0]).To(BeIdenticalTo(&change[0]))
+	})
+
+	DescribeTable("refuses bytes that it can't read and keeps what it has", func(packed []byte) {
+		h := newHost(&source{})
+		h.source.configure(3, 1, 4)
+		h.read()
+		_, err := h.TakeConfig("peer", packed)
+		Expect(err).To(HaveOccurred())
+		Expect(h.routes()).To(Equal(4))
+	},
+		Entry("no archive", []byte("x")), Entry("nothing", []byte(nil)), Entry("no document", mustCompress([]byte{0xff})))
+})
+
+func mustCompress(plain []byte) []byte {
+	packed, err := compress(plain)
+	if err != nil {
+		panic(err)
+	}
+	return packed
+}
--- /dev/null
+++ b/internal/decide/fetch/fetch.go
@@ -0,0 +1,168 @@
+// Package fetch decides from whom a host gets a large document that other
+// hosts announced, and to how many a host gives it.
+//
+// Load pattern: operators add a thousand routes at once while a third of the
+// hosts is cut off from where they are published. Every host then needs the
+// same hundred kilobytes at the same moment, on links of ten megabits a second
+// and a tenth of a core.
+//
+// What happens without it: each neighbour of a host sends it the document, and
+// sends it again until an answer has come. The links are full of copies that
+// nobody needs, answers come later, so more copies are sent; requests and
+// news that are urgent wait behind them for seconds.
+//
+// How it works: documents are announced, and fetched by those that lack them,
+// from one peer at a time. Who gives a document away gives no more of it at
+// once than its link carries, and names others that have it by now; so the
+// number of those that give it doubles with each round. Peers of the same part
+// of the fleet go first: between data centres a document goes only where a
+// part has nobody else.
+//
+// Neither type is safe for concurrent use; times are on the steady clock.
+package fetch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Config holds the figures.
+type Config struct {
+	// FarAfter is how long a document has to be announced before the host that
+	// ranks first in its part of the fleet asks a peer of another part for it.
+	// Each further rank waits FarStep longer, up to FarRanks of them, so that
+	// the first to have it can give it to the others.
+	FarAfter, FarStep time.Duration
+	FarRanks          int
+	// BusyPause is the time until a peer that was busy is asked again,
+	// FailedPause until one that did not answer is.
+	BusyPause, FailedPause time.Duration
+	// FirstTimeout bounds the first transfer; each that runs into its timeout
+	// doubles the next one's, up to LastTimeout: a document that is on its way
+	// over a slow link would else be begun anew for ever.
+	FirstTimeout, LastTimeout time.Duration
+}
+
+// Default gives the figures in use. A host asks for news every 200 ms, so a
+// peer of its own part that has the document is heard of within FarAfter.
+func Default() Config {
+	return Config{
+		FarAfter: 250 * time.Millisecond, FarStep: 500 * time.Millisecond, FarRanks: 3, BusyPause: 60 * time.Millisecond, FailedPause: 2 * time.Second,
+		FirstTimeout: time.Second, LastTimeout: 8 * time.Second,
+	}
+}
+
+// Outcome says how a transfer ended.
+type Outcome int
+
+// The outcomes of a transfer.
+const (
+	// Taken: the peer's document was taken, or was known by then.
+	Taken Outcome = iota + 1
+	// Busy: the peer gives to as many others as it can.
+	Busy
+	// Failed: the peer did not answer, or what it gave can't be used.
+	Failed
+)
+
+// Plan decides from whom one host fetches.
+type Plan struct {
+	cfg     Config
+	draw    *rand.Rand
+	peers   map[string]*source
+	timeout time.Duration
+	// wanted is the newest revision announced, since when it is wanted.
+	wanted  uint64
+	since   time.Duration
+	fetches bool
+}
+
+// source is a peer that announced a document.
+type source struct {
+	revision uint64
+	near     bool
+	// after is the time from which it may be asked.
+	after time.Duration
+}
+
+// NewPlan returns a plan that has heard of nobody.
+func NewPlan(cfg Config, draw *rand.Rand) *Plan {
+	return &Plan{cfg: cfg, draw: draw, peers: map[string]*source{}, timeout: cfg.FirstTimeout}
+}
+
+// Announced notes that a peer holds a revision; near tells that it belongs to
+// this host's part of the fleet.
+func (p *Plan) Announced(now time.Duration, peer string, near bool, revision uint64) {
+	s := p.peers[peer]
+	if s == nil {
+		s = &source{}
+		p.peers[peer] = s
+	}
+	s.revision, s.near = max(s.revision, revision), near
+	if revision > p.wanted {
+		p.wanted, p.since = revision, now
+	}
+}
+
+// Next gives the peer to fetch from, and the time to allow, when this host
+// holds a revision and has a rank in its part of the fleet, 0 for the first;
+// false when there is nobody to ask now. The transfer counts as begun until
+// Done.
+func (p *Plan) Next(now time.Duration, held uint64, rank int) (peer string, timeout time.Duration, ok bool) {
+	p.forget(held)
+	if p.fetches || len(p.peers) == 0 {
+		return "", 0, false
+	}
+	var near, far []string
+	for name, s := range p.peers {
+		switch {
+		case now < s.after:
+		case s.near:
+			near = append(near, name)
+		default:
+			far = append(far, name)
+		}
+	}
+	from := near
+	if len(from) == 0 && now >= p.since+p.cfg.FarAfter+time.Duration(min(rank, p.cfg.FarRanks))*p.cfg.FarStep {
+		from = far
+	}
+	if len(from) == 0 {
+		return "", 0, false
+	}
+	slices.Sort(from)
+	p.fetches = true
+	return from[p.draw.IntN(len(from))], p.timeout, true
+}
+
+// Wants tells whether some peer holds what this host lacked at the last Next.
+func (p *Plan) Wants() bool { return len(p.peers) > 0 }
+
+// forget drops peers that hold nothing newer.
+func (p *Plan) forget(held uint64) {
+	for name, s := range p.peers {
+		if s.revision <= held {
+			delete(p.peers, name)
+		}
+	}
+}
+
+// Done ends the transfer that Next began.
+func (p *Plan) Done(now time.Duration, peer string, outcome Outcome) {
+	p.fetches = false
+	s := p.peers[peer]
+	switch outcome {
+	case Taken:
+		p.timeout = p.cfg.FirstTimeout
+	case Busy:
+		if s != nil {
+			s.after = now + p.cfg.BusyPause
+		}
+	case Failed:
+		p.timeout = min(2*p.timeout, p.cfg.LastTimeout)
+		if s != nil {
+			s.after = now + p.cfg.FailedPause
+		}
+	}
+}
--- a/internal/decide/mirror/mirror.go
+++ b/internal/decide/mirror/mirror.go
@@ -53,6 +53,7 @@
 	// revision is the newest revision up to which everything is known.
 	revision uint64
 	config   *directory.Config
+	index    *directory.Index
 	seen     map[string]*directory.Seen
 	// returned is when the store last answered after it had been away.
 	returned time.Duration
@@ -75,7 +76,7 @@
 	if cfg.KeepGone == 0 {
 		cfg.KeepGone = DefaultKeepGone
 	}
-	return &Mirror{cfg: cfg, records: map[string]entry{}, seen: map[string]*directory.Seen{}, returned: -cfg.ReturnGrace}
+	return &Mirror{cfg: cfg, records: map[string]entry{}, seen: map[string]*directory.Seen{}, returned: -cfg.ReturnGrace, index: directory.NewIndex(nil)}
 }
 
 // Revision is the store's revision up to which all changes are known here.
@@ -158,7 +159,7 @@
 	if m.config != nil && m.config.Version >= c.Version {
 		return false
 	}
-	m.config = c
+	m.config, m.index = c, directory.NewIndex(c)
 	return true
 }
 
@@ -189,11 +190,13 @@
 }
 
 // Since gives the records that changed after a revision in what matters to
-// requests, removals included, in the order of their revisions.
+// requests, removals included, in the order of their revisions. The
+// configuration is not among them: it may be hundreds of times as long as all
+// others, and goes by its own way.
 func (m *Mirror) Since(revision uint64) []directory.Record {
 	var out []directory.Record
 	for _, e := range m.records {
-		if e.matters > revision {
+		if e.matters > revision && e.Key != directory.ConfigKey {
 			out = append(out, e.Record)
 		}
 	}
@@ -217,7 +220,7 @@
 		targets[id] = m.standing(now, s)
 	}
 	slices.SortFunc(drained, strings.Compare)
-	return directory.NewView(m.revision, m.config, targets, drained)
+	return directory.NewIndexedView(m.revision, m.index, targets, drained)
 }
 
 // standing gives a target with whether its entry stands. An entry that went
--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -151,6 +151,9 @@
 	DrainedOut string  `json:"drained,omitempty"`
 }
 
+// ConfigKey is the key of the configuration's record.
+const ConfigKey = "config"
+
 const targetPrefix = "target/"
 
 // TargetKey is the key of a target's record.
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -11,13 +11,11 @@
 	// Revision is the store's newest revision that the view covers.
 	Revision uint64
 	// Config is nil until a configuration is known.
-	Config   *Config
-	services map[string]*Service
-	accounts map[string]*Account
-	routes   map[string][]*Route
-	targets  map[string]*Seen
-	pools    map[string][]*Seen
-	drained  map[string]bool
+	Config  *Config
+	index   *Index
+	targets map[string]*Seen
+	pools   map[string][]*Seen
+	drained map[string]bool
 }
 
 // Seen is a target with the moment at which this process first saw it in its
@@ -32,50 +30,68 @@
 	Listed bool
 }
 
-// NewView builds a view. Targets are keyed by id.
-func NewView(revision uint64, cfg *Config, targets map[string]*Seen, drained []string) *View {
-	v := &View{
-		Revision: revision, Config: cfg, targets: targets, services: map[string]*Service{},
-		accounts: map[string]*Account{}, routes: map[string][]*Route{}, pools: map[string][]*Seen{},
-		drained: map[string]bool{},
-	}
-	for _, dc := range drained {
-		v.drained[dc] = true
-	}
-	for _, t := range targets {
-		v.pools[t.Service] = append(v.pools[t.Service], t)
-	}
-	for _, pool := range v.pools {
-		slices.SortFunc(pool, func(a, b *Seen) int { return strings.Compare(a.ID, b.ID) })
-	}
-	if cfg != nil {
-		v.index(cfg)
-	}
-	return v
+// Index finds the parts of one configuration. Targets come and go many times
+// for each new configuration, and sorting a thousand routes for each of them
+// would take a small host's processor.
+type Index struct {
+	config   *Config
+	services map[string]*Service
+	accounts map[string]*Account
+	routes   map[string][]*Route
 }
 
-func (v *View) index(cfg *Config) {
+// NewIndex indexes a configuration; nil stands for none.
+func NewIndex(cfg *Config) *Index {
+	x := &Index{config: cfg, services: map[string]*Service{}, accounts: map[string]*Account{}, routes: map[string][]*Route{}}
+	if cfg == nil {
+		return x
+	}
 	for i := range cfg.Services {
-		v.services[cfg.Services[i].Name] = &cfg.Services[i]
+		x.services[cfg.Services[i].Name] = &cfg.Services[i]
 	}
 	for i := range cfg.Accounts {
 		for _, key := range cfg.Accounts[i].Keys {
-			v.accounts[key] = &cfg.Accounts[i]
+			x.accounts[key] = &cfg.Accounts[i]
 		}
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
-		v.routes[r.Host] = append(v.routes[r.Host], r)
+		x.routes[r.Host] = append(x.routes[r.Host], r)
 	}
-	for _, routes := range v.routes {
+	for _, routes := range x.routes {
 		// The longest prefix that fits wins, so it has to be met first.
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	return x
+}
+
+// NewView builds a view of a configuration, nil for none. Targets are keyed by
+// id.
+func NewView(revision uint64, cfg *Config, targets map[string]*Seen, drained []string) *View {
+	return NewIndexedView(revision, NewIndex(cfg), targets, drained)
+}
+
+// NewIndexedView builds a view of a configuration that was indexed before.
+func NewIndexedView(revision uint64, index *Index, targets map[string]*Seen, drained []string) *View {
+	v := &View{
+		Revision: revision, Config: index.config, index: index, targets: targets,
+		pools: map[string][]*Seen{}, drained: map[string]bool{},
+	}
+	for _, dc := range drained {
+		v.drained[dc] = true
+	}
+	for _, t := range targets {
+		v.pools[t.Service] = append(v.pools[t.Service], t)
+	}
+	for _, pool := range v.pools {
+		slices.SortFunc(pool, func(a, b *Seen) int { return strings.Compare(a.ID, b.ID) })
+	}
+	return v
 }
 
 // Route gives the route of a host and path: the longest prefix that fits.
 func (v *View) Route(host, path string) (*Route, bool) {
-	for _, r := range v.routes[host] {
+	for _, r := range v.index.routes[host] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
@@ -88,13 +104,13 @@
 
 // Account gives the client account that holds a key.
 func (v *View) Account(key string) (*Account, bool) {
-	a, ok := v.accounts[key]
+	a, ok := v.index.accounts[key]
 	return a, ok
 }
 
 // Service gives a service by name.
 func (v *View) Service(name string) (*Service, bool) {
-	s, ok := v.services[name]
+	s, ok := v.index.services[name]
 	return s, ok
 }
 
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -21,6 +21,7 @@
 	"filbertdeck/internal/decide/poison"
 	"filbertdeck/internal/gateway"
 	"filbertdeck/internal/process"
+	"filbertdeck/internal/rolloutwire"
 	"filbertdeck/internal/rpc"
 	"filbertdeck/internal/wake"
 )
@@ -42,15 +43,22 @@
 	roles     *roles
 	loads     *gateway.Loads
 	suspects  *gateway.Suspects
+	fetcher   *fetcher
 	now       Clock
 	urgent    chan struct{}
 
-	mu     sync.Mutex
-	behind bool
+	mu sync.Mutex
+	// behind are peers that still held less than this host after it told them.
+	behind map[string]bool
 }
 
-func newFleet(p *published.Controller, roles *roles, loads *gateway.Loads, suspects *gateway.Suspects, now Clock) *fleet {
-	return &fleet{published: p, roles: roles, loads: loads, suspects: suspects, now: now, urgent: make(chan struct{}, 1)}
+func newFleet(p *published.Controller, roles *roles, loads *gateway.Loads, suspects *gateway.Suspects, fetcher *fetcher, now Clock) *fleet {
+	f := &fleet{
+		published: p, roles: roles, loads: loads, suspects: suspects, fetcher: fetcher, now: now,
+		urgent: make(chan struct{}, 1), behind: map[string]bool{},
+	}
+	fetcher.supply, fetcher.take = f.supplyPublished, f.takePublished
+	return f
 }
 
 // run tells neighbours what is new here.
@@ -80,8 +88,8 @@
 			return
 		case <-tick.C:
 		}
-		if f.takeBehind() {
-			wake.Signal(f.urgent)
+		for peer := range f.takeBehind() {
+			c.Ask(ctx, peer)
 		}
 		if !f.published.Asks() && !f.roles.unsure() {
 			continue
@@ -94,12 +102,12 @@
 	}
 }
 
-// takeBehind tells whether a neighbour was seen to hold less than this host.
-func (f *fleet) takeBehind() bool {
+// takeBehind gives the peers that were seen to hold less than this host.
+func (f *fleet) takeBehind() map[string]bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	was := f.behind
-	f.behind = false
+	f.behind = map[string]bool{}
 	return was
 }
 
@@ -107,7 +115,7 @@
 	return gossip.Hooks{
 		SupplyLoads: f.supplyLoads, TakeLoads: f.takeLoads,
 		SupplyPoison: f.supplyPoison, TakePoison: f.takePoison,
-		SupplyPublished: f.supplyPublished, TakePublished: f.takePublished, Urgent: f.urgent,
+		SupplyPublished: f.supplyPublished, TakePublished: f.takePublished, GiveConfig: f.fetcher.give, Urgent: f.urgent,
 	}
 }
 
@@ -172,27 +180,38 @@
 	for _, r := range n.Records {
 		out.Records = append(out.Records, r)
 	}
+	if n.Config.Version.Revision > 0 {
+		out.Config = rolloutwire.ToHead("", n.Config)
+	}
+	if n.Delta != nil {
+		out.ConfigDelta = rolloutwire.ToDelta("", *n.Delta)
+	}
 	return out
 }
 
 func (f *fleet) takePublished(peer string, news *filbertv1.PublishedNews, asked time.Time) {
 	f.roles.heard(peer, news.GetReading())
-	n := published.News{From: news.GetFrom(), Revision: news.GetRevision(), Age: -1}
+	n := published.News{From: news.GetFrom(), Revision: news.GetRevision(), Age: -1, Config: rolloutwire.FromHead(news.GetConfig())}
 	if ms := news.GetCurrentMs(); ms > 0 {
 		n.Age = time.Duration(ms) * time.Millisecond
 	}
 	for _, r := range news.GetRecords() {
 		n.Records = append(n.Records, json.RawMessage(r))
 	}
+	if d := news.GetConfigDelta(); d != nil {
+		delta := rolloutwire.FromDelta(d)
+		n.Delta = &delta
+	}
 	at := time.Duration(-1)
 	if !asked.IsZero() {
 		at = f.now() - time.Since(asked)
 	}
 	if f.published.TakeNews(peer, n, at) {
 		f.mu.Lock()
-		f.behind = true
+		f.behind[peer] = true
 		f.mu.Unlock()
 	}
+	f.fetcher.announced(peer, n.Config.Version.Revision)
 }
 
 // newGossip draws the incarnation: a process that is replaced at the same
@@ -236,6 +255,7 @@
 	process.Background(lc, c.Run)
 	process.Background(lc, f.run)
 	process.Background(lc, func(ctx context.Context) { f.ask(ctx, c) })
+	process.Background(lc, func(ctx context.Context) { f.fetcher.run(ctx, c) })
 	lc.Append(fx.StopHook(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, leaveLimit)
 		defer cancel()
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -75,7 +75,7 @@
 		fx.Supply(s),
 		fx.Provide(
 			newClock, newBoard, newPublished, newLoads, newSuspects, newBudget, newGateway, newLifecycle,
-			newFleet, newRoles, newFleetSize, newOwners, newMembers, newGossip,
+			newFleet, newFetcher, newRoles, newFleetSize, newOwners, newMembers, newGossip,
 		),
 		fx.Invoke(func() { debug.SetGCPercent(collectAt) }),
 		fx.Invoke(runReload, runPublished, runFleet, runOwners, runGateway, serveMetrics, serveReady, serveCallers),
--- a/internal/gatewayhost/roles.go
+++ b/internal/gatewayhost/roles.go
@@ -62,6 +62,13 @@
 	return r.rank
 }
 
+// shares tells whether another host shares readers of the store with this one.
+func (r *roles) shares(host string) bool { return slices.Contains(r.ranked(), host) }
+
+// rankOfSelf is this host's place among those that share its readers, 0 for the
+// first.
+func (r *roles) rankOfSelf() int { return max(slices.Index(r.ranked(), r.self), 0) }
+
 // reads tells whether this host is to read the store.
 func (r *roles) reads() bool {
 	ranked := r.ranked()
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -72,18 +72,18 @@
 
 // host is one gateway process.
 type host struct {
-	callers, ready, peers string
-	cmd                   *exec.Cmd
-	out                   string
-	exited                chan error
+	callers, ready, peers, metrics string
+
+	cmd    *exec.Cmd
+	out    string
+	exited chan error
 }
 
 // startHost runs a gateway that reads the store at an address and knows some
 // peers.
 func startHost(store string, seeds ...string) *host {
 	h := &host{exited: make(chan error, 1)}
-	metrics := ""
-	for _, a := range []*string{&h.callers, &h.ready, &h.peers, &metrics} {
+	for _, a := range []*string{&h.callers, &h.ready, &h.peers, &h.metrics} {
 		var err error
 		*a, err = fleet.FreeAddress()
 		Expect(err).NotTo(HaveOccurred())
@@ -98,7 +98,7 @@
 	h.out = filepath.Join(dir, "log")
 	log, err := os.Create(h.out)
 	Expect(err).NotTo(HaveOccurred())
-	h.cmd = exec.Command(filepath.Join(bin, "filbert-gateway"), "--metrics-listen", metrics, "--log-format", "json")
+	h.cmd = exec.Command(filepath.Join(bin, "filbert-gateway"), "--metrics-listen", h.metrics, "--log-format", "json")
 	h.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
 	h.cmd.Stdout, h.cmd.Stderr = log, log
 	Expect(h.cmd.Start()).To(Succeed())
