Tell loads to the owners of engines alone in a large fleet

Hypothesis: loads of generations pass through every host though few choose among the same engines at that moment; they are most of what hosts tell each other at rest, and grow with hosts and generations.

Change: over eight hosts, a load goes by datagram to two hosts only, the owner of its engine and the one that follows it, both in the engine's data centre. A host asks the owners of twelve engines at once before it chooses, and tells the one it chose; 15 ms are waited, once. What concerns all hosts (targets that broke requests, or said that they stop) goes around by gossip as alerts, apart from loads.

--- a/internal/controller/gossip/controller.go
+++ b/internal/controller/gossip/controller.go
@@ -60,11 +60,13 @@
 	TakePoison   func([]*filbertv1.PoisonNews)
 	// SupplyLoads is asked for each message to a neighbour: counts change
 	// hundreds of times a second in a large fleet, and those that only ask a
-	// reader of the store get them from their own neighbours already. With 84
-	// hosts such messages carried more than half of all counts.
+	// reader of the store get them from their own neighbours already.
 	// SupplyPublished is asked for each message to a peer.
-	SupplyLoads     func(peer string) []*filbertv1.TargetLoad
-	TakeLoads       func(peer string, loads []*filbertv1.TargetLoad)
+	SupplyLoads func(peer string) []*filbertv1.TargetLoad
+	TakeLoads   func(peer string, loads []*filbertv1.TargetLoad)
+	// SupplyAlerts, like SupplyLoads, is asked for each message to a neighbour.
+	SupplyAlerts    func(peer string) []*filbertv1.TargetLoad
+	TakeAlerts      func(peer string, alerts []*filbertv1.TargetLoad)
 	SupplyPublished func(peer string) *filbertv1.PublishedNews
 	// TakePublished gets the time at which the question was asked that the news
 	// answer; zero when they came unasked.
--- a/internal/controller/gossip/message.go
+++ b/internal/controller/gossip/message.go
@@ -57,6 +57,9 @@
 	if c.cfg.Hooks.SupplyLoads != nil && c.peers.isNeighbour(to) {
 		msg.Loads = c.cfg.Hooks.SupplyLoads(to)
 	}
+	if c.cfg.Hooks.SupplyAlerts != nil && c.peers.isNeighbour(to) {
+		msg.Alerts = c.cfg.Hooks.SupplyAlerts(to)
+	}
 	if c.cfg.Hooks.SupplyPublished != nil {
 		msg.Published = c.cfg.Hooks.SupplyPublished(to)
 	}
@@ -114,6 +117,9 @@
 	if c.cfg.Hooks.TakeLoads != nil && len(msg.GetLoads()) > 0 {
 		c.cfg.Hooks.TakeLoads(msg.GetFrom().GetAddress(), msg.GetLoads())
 	}
+	if c.cfg.Hooks.TakeAlerts != nil && len(msg.GetAlerts()) > 0 {
+		c.cfg.Hooks.TakeAlerts(msg.GetFrom().GetAddress(), msg.GetAlerts())
+	}
 	if c.cfg.Hooks.TakePublished != nil && msg.GetPublished() != nil {
 		c.cfg.Hooks.TakePublished(msg.GetFrom().GetAddress(), msg.GetPublished(), asked)
 	}
--- a/internal/decide/loadshare/loadshare.go
+++ b/internal/decide/loadshare/loadshare.go
@@ -18,7 +18,10 @@
 // It is not safe for concurrent use; times are on the steady clock.
 package loadshare
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// RefreshEvery is how often a host tells again those of its counts that did
@@ -74,6 +77,8 @@
 	// told has the bit of each peer that holds this version: it was told, or
 	// told it itself.
 	told uint64
+	// ownerTold is the version that the target's owner was told.
+	ownerTold uint64
 }
 
 // Board holds the counts known to one host.
@@ -136,7 +141,37 @@
 func (b *Board) setOwn(now time.Duration, c Count) {
 	b.version++
 	c.Version = b.version
-	b.counts[key{c.Host, c.Target}] = held{Count: c, heard: now}
+	k := key{c.Host, c.Target}
+	b.counts[k] = held{Count: c, heard: now, ownerTold: b.counts[k].ownerTold}
+}
+
+// OwnNews gives this host's own counts that changed since the last time, or
+// have to be told again, and takes them for told to the owners of their targets.
+func (b *Board) OwnNews(now time.Duration) []Count {
+	b.refresh(now)
+	b.expire(now)
+	var news []Count
+	for k, c := range b.counts {
+		if k.host != b.self || c.ownerTold == c.Version {
+			continue
+		}
+		c.ownerTold = c.Version
+		b.counts[k] = c
+		news = append(news, c.Count)
+	}
+	return news
+}
+
+// TakeAll takes all that the owner of a target knows of it: what it does not
+// name has ended.
+func (b *Board) TakeAll(now time.Duration, target string, counts []Count) {
+	for k := range b.counts {
+		named := func(c Count) bool { return c.Host == k.host }
+		if k.target == target && k.host != b.self && !slices.ContainsFunc(counts, named) {
+			delete(b.counts, k)
+		}
+	}
+	b.Take(now, "", counts)
 }
 
 // Of gives all counts of one target, this host's own among them.
@@ -174,6 +209,10 @@
 			b.counts[k] = held{Count: c, heard: now, told: bit}
 		case c.Version == old.Version:
 			old.told |= bit
+			if peer == "" {
+				// The owner expires what its host doesn't tell again.
+				old.heard = now
+			}
 			b.counts[k] = old
 		}
 	}
--- a/internal/decide/loadshare/loadshare_test.go
+++ b/internal/decide/loadshare/loadshare_test.go
@@ -106,3 +106,32 @@
 		Expect(a.News(4500*time.Millisecond, "b")).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("counts that go to owners alone", func() {
+	It("are told when they change, and again while something runs", func() {
+		a := loadshare.New("a", 1)
+		a.SetOwn(0, "e-1", load(1, 3000))
+		Expect(a.OwnNews(0)).To(HaveLen(1))
+		Expect(a.OwnNews(0)).To(BeEmpty())
+		Expect(a.OwnNews(loadshare.RefreshEvery)).To(HaveLen(1))
+		a.SetOwn(loadshare.RefreshEvery, "e-1", load(0, 0))
+		Expect(a.OwnNews(loadshare.RefreshEvery)).To(HaveLen(1))
+		Expect(a.OwnNews(2 * loadshare.RefreshEvery)).To(BeEmpty())
+	})
+
+	// A generation of another host ended since this host last asked. If its count
+	// stood on here, an engine with room would be passed over for seconds.
+	It("end with the owner's word that they have ended", func() {
+		owner, b := loadshare.New("owner", 1), loadshare.New("b", 1)
+		a := loadshare.New("a", 1)
+		a.SetOwn(0, "e-1", load(1, 3000))
+		a.SetOwn(0, "e-2", load(1, 3000))
+		owner.Take(0, "", a.OwnNews(0))
+		b.TakeAll(0, "e-1", owner.Of(0, "e-1"))
+		b.TakeAll(0, "e-2", owner.Of(0, "e-2"))
+		Expect(b.Sums(0)["e-1"].Others).To(Equal(load(1, 3000)))
+		b.TakeAll(0, "e-1", nil)
+		Expect(b.Sums(0)["e-1"].Others).To(Equal(load(0, 0)))
+		Expect(b.Sums(0)["e-2"].Others).To(Equal(load(1, 3000)))
+	})
+})
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -97,6 +97,13 @@
 	return min(max(targets*exactHosts/hosts, leastSample), targets)
 }
 
+// mostAsked is the number of targets whose newest counts are asked for before a
+// choice: as many as a data centre has of a service. Each costs two datagrams.
+const mostAsked = 12
+
+// Asked gives the number of targets to ask about of so many.
+func Asked(targets int) int { return min(targets, mostAsked) }
+
 // Choose gives the index of the least loaded candidate for a request of so
 // many tokens, -1 when there is none. draw in [0, 1) breaks ties, so that
 // hosts that know the same don't all choose the same.
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"filbertdeck/internal/decide/loadshare"
@@ -8,17 +11,21 @@
 	"filbertdeck/internal/directory"
 )
 
+// Owned is a target, as it has an owner of its counts.
+type Owned struct{ ID, DataCentre string }
+
 // AskOwner tells the owner of a target's counts what this host has running
 // there and gives what the owner knows of it; false without an answer.
 //
-// Load pattern: 84 hosts place 66 prompts a second, and news of a choice reach
-// all of them after 0.1 to 0.4 s. In that time five hosts chose the same engine
-// that looked idle to each: its prompts waited for seconds and its memory ran
-// out, while others had room. Each target has one host, by rendezvous hashing,
-// that every chooser tells of its choice and asks for the others' before it
-// sends. No promise rests on it: without an answer, or where two hosts take
-// themselves for the owner, choices are as good as by the news alone.
-type AskOwner func(target string, own []loadshare.Count) ([]loadshare.Count, bool)
+// Load pattern: hundreds of hosts place some fifty prompts a second, and news of
+// a choice take tenths of a second to reach all of them. In that time several
+// chose the same engine that looked idle to each: its prompts waited for seconds
+// and its memory ran out, while others had room; and all loads passed through
+// all hosts. Each target has one host, by rendezvous hashing, to which every
+// chooser tells its choice, and whom it asks for the others' before it chooses.
+// No promise rests on it: without an answer, or where two hosts take themselves
+// for the owner, choices are made by what is known.
+type AskOwner func(target Owned, own []loadshare.Count) ([]loadshare.Count, bool)
 
 const (
 	// askTries bounds the owners asked for one request: each costs a round trip
@@ -32,12 +39,12 @@
 // AskOwners sets how owners are asked; nobody is until then.
 func (l *Loads) AskOwners(ask AskOwner) { l.askOwner = ask }
 
-// Answer takes what another host has running at a target, and gives all that is
-// known of the target here.
+// Answer takes what another host has running at targets, and gives all that is
+// known here of those.
 func (l *Loads) Answer(counts []loadshare.Count) []loadshare.Count {
+	l.Take("", counts)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.merge("", counts)
 	var all []loadshare.Count
 	for _, c := range counts {
 		all = append(all, l.share.Of(l.now(), c.Target)...)
@@ -45,6 +52,46 @@
 	return all
 }
 
+// askAbout asks the owners of some targets at once for a generation and takes
+// what they know; false when none answered. What runs at a plain service is over
+// before it could be told.
+func (l *Loads) askAbout(w Wanted, looked pool) bool {
+	if w.Prompt.Tokens == 0 || !l.asks() {
+		return false
+	}
+	var wg sync.WaitGroup
+	var answered atomic.Bool
+	for _, o := range looked {
+		wg.Go(func() {
+			if l.askFor(o.target) {
+				answered.Store(true)
+			}
+		})
+	}
+	wg.Wait()
+	return answered.Load()
+}
+
+// asks tells whether owners are asked.
+func (l *Loads) asks() bool { return l.askOwner != nil && l.ByOwners() }
+
+// askFor tells a target's owner what this host has there and takes what the
+// owner knows; false without an answer.
+func (l *Loads) askFor(t *directory.Seen) bool {
+	l.mu.Lock()
+	own := l.share.Own(t.ID)
+	l.mu.Unlock()
+	counts, answered := l.askOwner(Owned{t.ID, t.DataCentre}, []loadshare.Count{own})
+	if !answered {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.share.TakeAll(l.now(), t.ID, counts)
+	l.learn(counts)
+	return true
+}
+
 // verify asks the owner of a place's target, and goes to another of the targets
 // looked at while that is better; after the last question only to one whose
 // owner was asked.
@@ -73,41 +120,18 @@
 
 // ask tells a target's owner of a place there and takes what it knows; false
 // when nobody was asked or answered.
-func (l *Loads) ask(p *Place) bool {
-	l.mu.Lock()
-	ask := l.askOwner
-	if ask == nil || placement.Exact(l.hosts()) {
-		l.mu.Unlock()
-		return false
-	}
-	own := l.share.Own(p.target)
-	l.mu.Unlock()
-	counts, answered := ask(p.target, []loadshare.Count{own})
-	if !answered {
-		return false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.merge("", counts)
-	return true
-}
+func (l *Loads) ask(p *Place) bool { return l.asks() && l.askFor(p.at) }
 
 // better takes a place at another of the targets looked at, where by now a
 // request adds less than at its place; nil when there is none.
 func (l *Loads) better(view *directory.View, w Wanted, looked pool, p *Place) *Place {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	others := l.renew(view, w, slices.DeleteFunc(slices.Clone(looked), func(o option) bool { return o.target.ID == p.target }))
 	sums, usual := l.share.Sums(l.now()), l.speed.Usual()
 	here := l.candidate(view, p.at, w.Near, sums[p.target].Others.Minus(p.load), usual)
-	cost := placement.Delay(here, w.work())
-	var others pool
-	for _, o := range looked {
-		if o.target.ID != p.target && !sums[o.target.ID].Leaving && l.bears(view, o.target) {
-			others = append(others, option{l.candidate(view, o.target, w.Near, sums[o.target.ID].Others, usual), o.target})
-		}
-	}
 	best := others.choose(l.draw, w)
-	if best == nil || placement.Delay(best.Candidate, w.work())+betterBy > cost {
+	if best == nil || placement.Delay(best.Candidate, w.work())+betterBy > placement.Delay(here, w.work()) {
 		return nil
 	}
 	return l.take(best, w.Prompt)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -109,8 +109,8 @@
 	l.Failed(target)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.share.AddFailure(l.now(), target)
-	wake.Signal(l.changed)
+	l.alerts.AddFailure(l.now(), target)
+	wake.Signal(l.alerted)
 }
 
 // Unreachable notes that a target could not be reached.
@@ -123,9 +123,9 @@
 // pool gives the targets of a service that may get work now.
 func (l *Loads) pool(view *directory.View, w Wanted) pool {
 	var out pool
-	sums, usual := l.share.Sums(l.now()), l.speed.Usual()
+	sums, alerts, usual := l.share.Sums(l.now()), l.alerts.Sums(l.now()), l.speed.Usual()
 	for _, t := range view.Pool(w.Service) {
-		if !view.TakesNew(t) || slices.Contains(w.Avoid, t.ID) || sums[t.ID].Leaving {
+		if !view.TakesNew(t) || slices.Contains(w.Avoid, t.ID) || alerts[t.ID].Leaving {
 			continue
 		}
 		if !l.bears(view, t) {
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -25,7 +25,10 @@
 	mu    sync.Mutex
 	own   map[string]*targetLoad
 	share *loadshare.Board
-	speed *enginespeed.Board
+	// alerts tells which targets broke requests or are about to stop. They
+	// concern every host, loads only those that choose among the same targets.
+	alerts *loadshare.Board
+	speed  *enginespeed.Board
 	// accusers holds what other hosts tell of failing targets.
 	accusers *accusers.Board
 	cold     ColdBound
@@ -35,9 +38,9 @@
 	hosts func() int
 	// draw breaks ties and draws the targets that are looked at.
 	draw *rand.Rand
-	// changed is signalled when there are counts to tell other hosts, leaving
-	// when a target was heard to leave.
-	changed, leaving chan struct{}
+	// changed is signalled when there are loads to tell other hosts, alerted
+	// when there are alerts, leaving when a target was heard to leave.
+	changed, alerted, leaving chan struct{}
 }
 
 // targetLoad is what runs at one target from this host.
@@ -55,10 +58,12 @@
 // NewLoads returns empty counts of a host, which is named by its address for
 // other hosts.
 func NewLoads(host, dataCentre string, now func() time.Duration) *Loads {
+	start := uint64(time.Now().UnixMicro())
 	return &Loads{
-		dataCentre: dataCentre, now: now, own: map[string]*targetLoad{},
-		share: loadshare.New(host, uint64(time.Now().UnixMicro())), speed: enginespeed.New(), accusers: accusers.New(), self: host, changed: make(chan struct{}, 1),
-		draw: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), leaving: make(chan struct{}, 1), hosts: func() int { return 1 },
+		self: host, dataCentre: dataCentre, now: now, own: map[string]*targetLoad{},
+		share: loadshare.New(host, start), alerts: loadshare.New(host, start), speed: enginespeed.New(), accusers: accusers.New(),
+		draw: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), hosts: func() int { return 1 },
+		changed: make(chan struct{}, 1), alerted: make(chan struct{}, 1), leaving: make(chan struct{}, 1),
 	}
 }
 
@@ -69,28 +74,65 @@
 // then.
 func (l *Loads) CountHosts(hosts func() int) { l.hosts = hosts }
 
-// Changed is received from when there are counts to tell other hosts.
+// Changed is received from when there are loads to tell other hosts.
 func (l *Loads) Changed() <-chan struct{} { return l.changed }
 
-// News gives the counts that another host was not told yet.
+// Alerted is received from when there are alerts to tell other hosts.
+func (l *Loads) Alerted() <-chan struct{} { return l.alerted }
+
+// ByOwners tells whether loads are told to the owners of targets alone. In a
+// small fleet all hosts tell each other; in a large one each load would pass
+// through every host, though few choose among the same targets at that moment,
+// and the bytes of a host would grow with the fleet.
+func (l *Loads) ByOwners() bool { return !placement.Exact(l.hosts()) }
+
+// News gives the loads that another host was not told yet; none where owners
+// are told.
 func (l *Loads) News(host string) []loadshare.Count {
+	if l.ByOwners() {
+		return nil
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.share.News(l.now(), host)
 }
 
-// Take takes counts that another host told.
-func (l *Loads) Take(host string, counts []loadshare.Count) {
+// OwnNews gives this host's loads that the owners of their targets were not
+// told yet.
+func (l *Loads) OwnNews() []loadshare.Count {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.merge(host, counts)
+	return l.share.OwnNews(l.now())
 }
 
-// merge takes counts with the lock held.
-func (l *Loads) merge(host string, counts []loadshare.Count) {
+// Take takes loads that another host told.
+func (l *Loads) Take(host string, counts []loadshare.Count) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.share.Take(l.now(), host, counts)
+	l.learn(counts)
+}
+
+// learn takes what counts say of the speed of engines.
+func (l *Loads) learn(counts []loadshare.Count) {
 	for _, c := range counts {
 		l.speed.Heard(c.Target, c.Step)
+	}
+}
+
+// Alerts gives the alerts that another host was not told yet.
+func (l *Loads) Alerts(host string) []loadshare.Count {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.alerts.News(l.now(), host)
+}
+
+// TakeAlerts takes alerts that another host told.
+func (l *Loads) TakeAlerts(host string, alerts []loadshare.Count) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.alerts.Take(l.now(), host, alerts)
+	for _, c := range alerts {
 		if c.Host != l.self {
 			l.accusers.Heard(l.now(), c.Host, c.Target, c.Failures)
 		}
@@ -198,8 +240,8 @@
 func (l *Loads) SetLeaving(target string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.share.SetLeaving(l.now(), target)
-	wake.Signal(l.changed)
+	l.alerts.SetLeaving(l.now(), target)
+	wake.Signal(l.alerted)
 	wake.Signal(l.leaving)
 }
 
@@ -207,9 +249,12 @@
 func (l *Loads) Leaving(target string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.share.Sums(l.now())[target].Leaving
+	return l.isLeaving(target)
 }
 
+// isLeaving is Leaving with the lock held.
+func (l *Loads) isLeaving(target string) bool { return l.alerts.Sums(l.now())[target].Leaving }
+
 // Hosts counts the hosts that have something running at a target.
 func (l *Loads) Hosts(target string) int {
 	l.mu.Lock()
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -37,43 +37,78 @@
 }
 
 // Acquire chooses a target for a request and counts it there until the place
-// is released; false when there is none. In a large fleet it asks the host that
-// has the newest counts of the target, and chooses another one if they differ.
+// is released; false when there is none. In a large fleet it asks the hosts that
+// have the newest counts of some targets, chooses among these, and tells the
+// owner of the one it chose.
 func (l *Loads) Acquire(view *directory.View, w Wanted) (*directory.Seen, *Place, bool) {
-	looked, place := l.pick(view, w)
+	looked, first := l.sample(view, w)
+	answered := l.askAbout(w, looked[:first])
+	place, crowded := l.choose(view, w, looked[:first], first < len(looked))
+	if crowded {
+		answered = l.askAbout(w, looked[first:]) || answered
+		place, _ = l.choose(view, w, looked, false)
+	}
 	if place == nil {
 		return nil, nil, false
 	}
-	if w.Prompt.Tokens > 0 {
+	if answered {
 		place = l.verify(view, w, looked, place)
 	}
 	return place.at, place, true
 }
 
-// pick chooses a target by what is known here, and gives those looked at.
-func (l *Loads) pick(view *directory.View, w Wanted) (pool, *Place) {
+// sample draws the targets that are looked at: so many at first, the rest when
+// the best of these is crowded.
+func (l *Loads) sample(view *directory.View, w Wanted) (looked pool, first int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	pool := l.pool(view, w)
-	look := placement.Sample(len(pool), l.hosts())
-	if look < len(pool) {
-		// A data centre has a quarter of the engines, so a sample of all finds
-		// about one engine there, however full it is. On 14 s of a day of 84 hosts
-		// and 57 engines looking nearby, and at more when all looked at are
-		// crowded, took preemptions from 45 to 34, broken generations from 19 to 9.
+	first = l.lookAt(len(pool))
+	if first < len(pool) {
+		// A data centre has a part of the engines, so a sample of all finds about
+		// one engine there, however full it is.
 		pool = pool.nearby(w.Near.dataCentre)
-		look = placement.Sample(len(pool), l.hosts())
+		first = l.lookAt(len(pool))
 	}
-	more := min(crowdedLook*look, len(pool))
+	more := min(crowdedLook*first, len(pool))
 	pool.shuffle(l.draw, more)
-	best := pool[:look].choose(l.draw, w)
+	return pool[:more], first
+}
+
+// lookAt gives the number of targets to look at of so many.
+func (l *Loads) lookAt(targets int) int {
+	if l.askOwner != nil && !placement.Exact(l.hosts()) {
+		return placement.Asked(targets)
+	}
+	return placement.Sample(targets, l.hosts())
+}
+
+// choose takes a place at the best of some targets; nil when there is none. With
+// others left to look at it takes none where the best is crowded.
+func (l *Loads) choose(view *directory.View, w Wanted, looked pool, others bool) (p *Place, crowded bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	best := l.renew(view, w, looked).choose(l.draw, w)
 	if best == nil {
-		return nil, nil
+		return nil, others
+	}
+	if others && placement.Crowded(best.Candidate, tokensOf(w.Prompt)) {
+		return nil, true
 	}
-	if placement.Crowded(best.Candidate, tokensOf(w.Prompt)) {
-		best = pool[:more].choose(l.draw, w)
+	return l.take(best, w.Prompt), false
+}
+
+// renew gives those of some targets that still bear work, with what is known of
+// them by now.
+func (l *Loads) renew(view *directory.View, w Wanted, looked pool) pool {
+	sums, alerts, usual := l.share.Sums(l.now()), l.alerts.Sums(l.now()), l.speed.Usual()
+	out := make(pool, 0, len(looked))
+	for _, o := range looked {
+		if !alerts[o.target.ID].Leaving && l.bears(view, o.target) {
+			out = append(out, option{l.candidate(view, o.target, w.Near, sums[o.target.ID].Others, usual), o.target})
+		}
 	}
-	return pool[:more], l.take(best, w.Prompt)
+	return out
 }
 
 // take counts a request at the target that was chosen for it.
@@ -86,15 +121,17 @@
 // Keep chooses a target that keeps a backup of a generation which runs at
 // another, and counts its memory there; false when none has room.
 func (l *Loads) Keep(view *directory.View, p call.Prompt, runs *directory.Seen) (*directory.Seen, *Place, bool) {
+	w := Wanted{Service: runs.Service, Near: Away(runs.DataCentre), Avoid: []string{runs.ID}}
+	looked, first := l.sample(view, w)
+	looked = looked[:first]
+	l.askAbout(Wanted{Prompt: p}, looked)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	pool := l.pool(view, Wanted{Service: runs.Service, Near: Away(runs.DataCentre), Avoid: []string{runs.ID}})
+	pool := l.renew(view, w, looked)
 	if !placement.RoomForCopies(pool.candidates()) {
 		return nil, nil, false
 	}
-	look := placement.Sample(len(pool), l.hosts())
-	pool.shuffle(l.draw, look)
-	i := placement.ChooseKeeper(pool[:look].candidates(), tokensOf(p), l.draw.Float64())
+	i := placement.ChooseKeeper(pool.candidates(), tokensOf(p), l.draw.Float64())
 	if i < 0 {
 		return nil, nil, false
 	}
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -61,13 +61,17 @@
 	return f
 }
 
-// run tells neighbours what is new here.
+// run tells other hosts what is new here.
 func (f *fleet) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
 		case <-f.loads.Changed():
+			if f.loads.ByOwners() {
+				continue
+			}
+		case <-f.loads.Alerted():
 		case <-f.published.News():
 		case <-f.suspects.News():
 		}
@@ -113,7 +117,7 @@
 
 func (f *fleet) hooks() gossip.Hooks {
 	return gossip.Hooks{
-		SupplyLoads: f.supplyLoads, TakeLoads: f.takeLoads,
+		SupplyLoads: f.supplyLoads, TakeLoads: f.takeLoads, SupplyAlerts: f.supplyAlerts, TakeAlerts: f.takeAlerts,
 		SupplyPoison: f.supplyPoison, TakePoison: f.takePoison,
 		SupplyPublished: f.supplyPublished, TakePublished: f.takePublished, GiveConfig: f.fetcher.give, Urgent: f.urgent,
 	}
@@ -125,6 +129,14 @@
 	f.loads.Take(peer, fromWire(loads))
 }
 
+func (f *fleet) supplyAlerts(peer string) []*filbertv1.TargetLoad {
+	return toWire(f.loads.Alerts(peer))
+}
+
+func (f *fleet) takeAlerts(peer string, alerts []*filbertv1.TargetLoad) {
+	f.loads.TakeAlerts(peer, fromWire(alerts))
+}
+
 func toWire(counts []loadshare.Count) []*filbertv1.TargetLoad {
 	out := make([]*filbertv1.TargetLoad, len(counts))
 	for i, c := range counts {
--- a/internal/gatewayhost/owners.go
+++ b/internal/gatewayhost/owners.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/controller/published"
 	"filbertdeck/internal/decide/loadshare"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/gateway"
@@ -23,17 +26,23 @@
 	// ownerLimit bounds the wait for an owner's answer: a round trip between
 	// data centres takes three milliseconds, and a generation has seconds.
 	ownerLimit = 15 * time.Millisecond
+	// silentFor is how long a host that did not answer is passed over for the one
+	// that follows it: membership takes a second to notice that it is gone.
+	silentFor = time.Second
 	// maxDatagram bounds a datagram in bytes: the counts of a hundred hosts.
 	maxDatagram = 8 << 10
+	// maxTold is the number of counts in one datagram, which fits into a packet.
+	maxTold = 20
 )
 
-// owners asks, and answers for, the hosts that have the newest counts of
+// owners asks, tells and answers for the hosts that have the newest counts of
 // targets. It uses datagrams: a host asks each of the others now and then, and
 // a connection to each of them would take more memory than all its counts.
 type owners struct {
 	self  string
 	loads *gateway.Loads
 	size  *fleetSize
+	view  *published.Board
 	log   *slog.Logger
 
 	asked, unanswered gometrics.Counter
@@ -41,11 +50,13 @@
 	mu      sync.Mutex
 	conn    *net.UDPConn
 	waiting map[uint64]chan []loadshare.Count
+	// silent holds when a host last left a question without an answer.
+	silent map[string]time.Time
 }
 
-func newOwners(s *Settings, loads *gateway.Loads, size *fleetSize, log *slog.Logger, reg gometrics.Registry) *owners {
+func newOwners(s *Settings, loads *gateway.Loads, size *fleetSize, view *published.Board, log *slog.Logger, reg gometrics.Registry) *owners {
 	return &owners{
-		self: s.Deployment.ListenPeers, loads: loads, size: size, log: log, waiting: map[uint64]chan []loadshare.Count{},
+		self: s.Deployment.ListenPeers, loads: loads, size: size, view: view, log: log, waiting: map[uint64]chan []loadshare.Count{}, silent: map[string]time.Time{},
 		asked: gometrics.GetOrRegisterCounter("owners.asked", reg), unanswered: gometrics.GetOrRegisterCounter("owners.unanswered", reg),
 	}
 }
@@ -57,6 +68,7 @@
 		context.AfterFunc(ctx, func() { _ = o.conn.Close() })
 		o.serve(ctx)
 	})
+	process.Every(lc, tellEvery, o.tellChanges)
 }
 
 func (o *owners) listen() error {
@@ -73,21 +85,18 @@
 }
 
 // ask is a gateway.AskOwner.
-func (o *owners) ask(target string, own []loadshare.Count) ([]loadshare.Count, bool) {
-	owner, known := o.size.owner(target)
-	if !known || owner == o.self {
-		return nil, known
-	}
-	address, err := net.ResolveUDPAddr("udp", owner)
-	if err != nil {
-		o.log.Debug("owner has no address", "owner", owner, "error", err)
+func (o *owners) ask(target gateway.Owned, own []loadshare.Count) ([]loadshare.Count, bool) {
+	owner, known := o.answering(target)
+	if !known {
 		return nil, false
 	}
+	if owner == o.self {
+		return o.loads.Answer(own), true
+	}
 	question, answers := o.open()
 	defer o.close(question)
 	o.asked.Inc(1)
-	if err := o.send(address, &filbertv1.TargetLoads{Question: question, Loads: toWire(own)}); err != nil {
-		o.log.Debug("owner not asked", "owner", owner, "error", err)
+	if !o.send(owner, &filbertv1.TargetLoads{Question: question, Loads: toWire(own)}) {
 		return nil, false
 	}
 	timer := time.NewTimer(ownerLimit)
@@ -97,10 +106,76 @@
 		return counts, true
 	case <-timer.C:
 		o.unanswered.Inc(1)
+		o.setSilent(owner)
 		return nil, false
 	}
 }
 
+// tellChanges tells the owners of targets this host's loads that changed.
+func (o *owners) tellChanges() {
+	if !o.loads.ByOwners() {
+		return
+	}
+	o.tell(o.loads.OwnNews(), o.dataCentre)
+}
+
+// dataCentre gives a target's data centre, nothing when it isn't known.
+func (o *owners) dataCentre(target string) string {
+	if view := o.view.View.Get(); view != nil {
+		if t, known := view.Target(target); known {
+			return t.DataCentre
+		}
+	}
+	return ""
+}
+
+// answering gives the first of a target's owners that is not silent.
+func (o *owners) answering(target gateway.Owned) (string, bool) {
+	owners := o.size.owners(target)
+	if len(owners) == 0 {
+		return "", false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, owner := range owners {
+		if time.Since(o.silent[owner]) >= silentFor {
+			return owner, true
+		}
+	}
+	return owners[0], true
+}
+
+func (o *owners) setSilent(host string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	for h, at := range o.silent {
+		if now.Sub(at) >= silentFor {
+			delete(o.silent, h)
+		}
+	}
+	o.silent[host] = now
+}
+
+// tell tells the owners of targets what this host has running there by now. A
+// datagram that is lost leaves them wrong until the load is told again.
+func (o *owners) tell(counts []loadshare.Count, dataCentre func(target string) string) {
+	batches := map[string][]loadshare.Count{}
+	for _, c := range counts {
+		for _, owner := range o.size.owners(gateway.Owned{ID: c.Target, DataCentre: dataCentre(c.Target)}) {
+			batches[owner] = append(batches[owner], c)
+		}
+	}
+	for owner, batch := range batches {
+		if owner == o.self {
+			continue
+		}
+		for part := range slices.Chunk(batch, maxTold) {
+			o.send(owner, &filbertv1.TargetLoads{Loads: toWire(part)})
+		}
+	}
+}
+
 // open draws a question and makes room for its answer.
 func (o *owners) open() (uint64, <-chan []loadshare.Count) {
 	o.mu.Lock()
@@ -116,12 +191,26 @@
 	delete(o.waiting, question)
 }
 
-func (o *owners) send(to *net.UDPAddr, message *filbertv1.TargetLoads) error {
+// send sends a message to a host; false when it can't be sent.
+func (o *owners) send(host string, message *filbertv1.TargetLoads) bool {
+	to, err := netip.ParseAddrPort(host)
+	if err != nil {
+		o.log.Debug("owner has no address", "owner", host, "error", err)
+		return false
+	}
+	if err := o.sendTo(to, message); err != nil {
+		o.log.Debug("datagram not sent", "to", host, "error", err)
+		return false
+	}
+	return true
+}
+
+func (o *owners) sendTo(to netip.AddrPort, message *filbertv1.TargetLoads) error {
 	bytes, err := proto.Marshal(message)
 	if err != nil {
 		return err
 	}
-	_, err = o.conn.WriteToUDP(bytes, to)
+	_, err = o.conn.WriteToUDPAddrPort(bytes, to)
 	return err
 }
 
@@ -129,7 +218,7 @@
 func (o *owners) serve(ctx context.Context) {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		n, from, err := o.conn.ReadFromUDP(buffer)
+		n, from, err := o.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
 				o.log.Debug("datagram not read", "error", err)
@@ -145,7 +234,7 @@
 	}
 }
 
-func (o *owners) take(from *net.UDPAddr, message *filbertv1.TargetLoads) {
+func (o *owners) take(from netip.AddrPort, message *filbertv1.TargetLoads) {
 	counts := fromWire(message.GetLoads())
 	if message.GetAnswer() {
 		o.mu.Lock()
@@ -159,8 +248,12 @@
 		}
 		return
 	}
+	if message.GetQuestion() == 0 {
+		o.loads.Take("", counts)
+		return
+	}
 	answer := &filbertv1.TargetLoads{Question: message.GetQuestion(), Answer: true, Loads: toWire(o.loads.Answer(counts))}
-	if err := o.send(from, answer); err != nil {
+	if err := o.sendTo(from, answer); err != nil {
 		o.log.Debug("question not answered", "from", from, "error", err)
 	}
 }
--- a/internal/gatewayhost/size.go
+++ b/internal/gatewayhost/size.go
@@ -6,6 +6,7 @@
 
 	"filbertdeck/internal/controller/gossip"
 	"filbertdeck/internal/decide/membership"
+	"filbertdeck/internal/gateway"
 )
 
 const (
@@ -52,17 +53,25 @@
 	return n
 }
 
-// owner gives the live host that has the newest counts of a target.
-func (f *fleetSize) owner(target string) (string, bool) {
+// copiesOfCounts is the number of hosts that are told a target's counts: the
+// owner, and the one that follows when it is gone.
+const copiesOfCounts = 2
+
+// owners gives the live hosts that keep a target's counts, the owner first. They
+// are hosts of the target's data centre while it has any: a cut between two
+// data centres then parts a host from an owner only where it parts it from the
+// target as well.
+func (f *fleetSize) owners(target gateway.Owned) []string {
 	view := f.members.Members.Get()
 	if view == nil {
-		return "", false
+		return nil
 	}
-	live := view.Live("")
+	live := view.Live(target.DataCentre)
 	if len(live) == 0 {
-		return "", false
+		live = view.Live("")
 	}
-	return membership.Rank(target, live)[0], true
+	ranked := membership.Rank(target.ID, live)
+	return ranked[:min(len(ranked), copiesOfCounts)]
 }
 
 // rank gives this host's rank for a target, and the number of hosts.
