Let a fleet that starts at once find all its members within seconds

Cause: news of members go around a dozen a message, and whole lists are exchanged only when two lists have stayed as they are between two meetings. When 195 hosts start at once lists change all the time: 25 s after the start hosts knew 31 of 41 members of their data centre (whole size, logs). A process now exchanges whole lists up to once a second in its first ten. Ruled out: more members a message (news are handed on a fixed number of times; the mass of them is the start's alone). Play of 195 processes with three seeds: not within a minute -> under 6 s (red before).

--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -179,6 +179,20 @@
 
 	// A host loses power. The published list names it for a long time yet, and
 	// requests would be sent to its allocator and wait.
+	// A whole fleet starts at once and each process knows three addresses. While
+	// they know different parts of it they choose different relays and owners:
+	// news come late, and the store is read by hosts that need not.
+	It("finds everyone within seconds when hundreds start at once from three seeds", func() {
+		const hosts, within = 195, 6 * time.Second
+		f := newNet(0)
+		for i := range hosts {
+			c := core(i, 1000)
+			c.Published(0, []membership.Peer{{Address: address(0)}, {Address: address(70)}, {Address: address(140)}})
+			f.nodes = append(f.nodes, c)
+		}
+		Expect(f.until(time.Minute, f.allAlive)).To(BeNumerically("<=", within))
+	})
+
 	It("names a dead process within seconds though the list still has it", func() {
 		f := newNet(32)
 		f.run(20 * time.Second)
--- a/internal/decide/membership/probe.go
+++ b/internal/decide/membership/probe.go
@@ -189,6 +189,11 @@
 // stayed as they are since the last exchange between the two: news that were
 // still on their way would have changed them. The first answer of all always
 // brings the whole list.
+//
+// A process that has just started does not wait for that. When a whole fleet
+// starts, lists change all the time, and news of hundreds of members at a dozen
+// a message take a minute to get around: hosts that each know another part of
+// the fleet choose other relays and owners.
 func (c *Core) compare(now time.Duration, peer string, theirs uint64) {
 	pair := digestPair{c.digest, theirs}
 	settled := c.peerDigests[peer] == pair
@@ -197,7 +202,11 @@
 		c.synced = true
 		return
 	}
-	if c.synced && (!settled || now-c.syncedAt < syncEvery) {
+	every := syncEvery
+	if now < joinFor {
+		settled, every = true, joinSyncEvery
+	}
+	if c.synced && (!settled || now-c.syncedAt < every) {
 		return
 	}
 	c.synced, c.syncedAt = true, now
--- a/internal/decide/membership/types.go
+++ b/internal/decide/membership/types.go
@@ -109,6 +109,9 @@
 	pushEvery = 500 * time.Millisecond
 	// syncEvery bounds how often whole member lists are exchanged.
 	syncEvery = 10 * time.Second
+	// A process that started within joinFor exchanges them up to once in
+	// joinSyncEvery.
+	joinFor, joinSyncEvery = 10 * time.Second, time.Second
 )
 
 func (c Config) withDefaults() Config {
