Two hosts read the store for a fleet of any size, relays ask them

Hypothesis: calls to the store grow with data centres (one reader each) and with a fleet's start (each host reads everything). Change: over 32 hosts the first host by rank of each data centre is its relay; two of the relays read, the others ask these, and hosts ask their relay. Readers tell relays at once what they read. Who hears of no better relay becomes one, who hears of no readers reads: as before, one level up. At the first start of all the seeds alone read for up to two seconds. A relay counts as one up to twice the age that makes a host blind: with the same bound for both, readers that were late for a moment made all hosts of three data centres take the role at once (seen at whole size, in the logs).

--- a/internal/decide/readers/readers.go
+++ b/internal/decide/readers/readers.go
@@ -4,9 +4,8 @@
 // store answers a limited number of calls a second for all of them together.
 //
 // What happens without it: each host watches for itself, and the calls grow
-// with the fleet: 8 hosts made 1,350 calls in 54 s, which cost 0.019 of all
-// that was served on the dish desk; two readers make a quarter. With readers
-// that are fixed, the fleet is blind when just these are cut off.
+// with the fleet. With readers that are fixed, the fleet is blind when just
+// these are cut off.
 //
 // How it works: hosts are ranked, the same everywhere, and a host reads while
 // fewer than Want better ones are known to read with success. Who can't reach
@@ -24,9 +23,8 @@
 // Config holds the figures.
 type Config struct {
 	// Want is the number of readers of the hosts that share them. With two, the
-	// loss of one costs nothing; WantOfMany holds where other data centres have
-	// readers of their own, whose news come by gossip as well.
-	Want, WantOfMany int
+	// loss of one costs nothing.
+	Want int
 	// HeardFor is how long a host's word holds. Hosts ask readers every 200 ms
 	// in turn; two questions to each may fail.
 	HeardFor time.Duration
@@ -37,15 +35,13 @@
 
 // Default gives the figures in use.
 func Default() Config {
-	return Config{Want: 2, WantOfMany: 1, HeardFor: 1200 * time.Millisecond, SettleFor: 5 * time.Second}
+	return Config{Want: 2, HeardFor: 1200 * time.Millisecond, SettleFor: 5 * time.Second}
 }
 
 // Readers holds what one host knows of the others.
 type Readers struct {
 	cfg   Config
 	heard map[string]word
-	// many is set where other hosts have readers of their own.
-	many bool
 }
 
 type word struct {
@@ -63,9 +59,9 @@
 
 // Read tells whether self is to read, given the live hosts in the order of
 // their rank; fresh tells whether what self knows is new enough. While a fleet
-// starts, hosts know few others and hear of no better reader: 84 that started
-// at once took the role 315 times in 13 s. So a host that has just started and
-// is not among the best by its own rank reads only while it lacks news.
+// starts, hosts know few others and hear of no better reader, and most would take
+// the role in turn. So a host that has just started and is not among the best by
+// its own rank reads only while it lacks news.
 func (r *Readers) Read(now time.Duration, self string, ranked []string, fresh bool) bool {
 	if now < r.cfg.SettleFor && fresh && !r.Among(self, ranked) {
 		return false
@@ -82,18 +78,8 @@
 	return better < r.Wanted()
 }
 
-// OneOfMany says whether the hosts that share readers with this one are a part
-// of the fleet only. Two readers in each of three data centres made 30 calls a
-// second with 84 hosts, one each makes half.
-func (r *Readers) OneOfMany(many bool) { r.many = many }
-
 // Wanted is the number of readers that there should be.
-func (r *Readers) Wanted() int {
-	if r.many {
-		return r.cfg.WantOfMany
-	}
-	return r.cfg.Want
-}
+func (r *Readers) Wanted() int { return r.cfg.Want }
 
 // Among tells whether self is among those that read when all is well.
 func (r *Readers) Among(self string, ranked []string) bool {
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -62,7 +62,7 @@
 }
 
 // run tells other hosts what is new here.
-func (f *fleet) run(ctx context.Context) {
+func (f *fleet) run(ctx context.Context, c *gossip.Controller) {
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -73,6 +73,13 @@
 			}
 		case <-f.loads.Alerted():
 		case <-f.published.News():
+			if heads := f.roles.others(); len(heads) > 0 {
+				for _, head := range heads {
+					c.Ask(ctx, head)
+				}
+				wake.Sleep(ctx, tellEvery)
+				continue
+			}
 		case <-f.suspects.News():
 		}
 		wake.Signal(f.urgent)
@@ -183,7 +190,7 @@
 
 func (f *fleet) supplyPublished(peer string) *filbertv1.PublishedNews {
 	n := f.published.NewsFor(peer)
-	out := &filbertv1.PublishedNews{From: n.From, Revision: n.Revision, Reading: n.Reading}
+	out := &filbertv1.PublishedNews{From: n.From, Revision: n.Revision, Reading: n.Reading, Relaying: f.roles.relaying()}
 	if n.Age >= 0 {
 		// Rounded up: an age cut to whole milliseconds would make the news
 		// younger with each hop.
@@ -202,7 +209,7 @@
 }
 
 func (f *fleet) takePublished(peer string, news *filbertv1.PublishedNews, asked time.Time) {
-	f.roles.heard(peer, news.GetReading())
+	f.roles.heard(peer, news.GetReading(), news.GetRelaying())
 	n := published.News{From: news.GetFrom(), Revision: news.GetRevision(), Age: -1, Config: rolloutwire.FromHead(news.GetConfig())}
 	if ms := news.GetCurrentMs(); ms > 0 {
 		n.Age = time.Duration(ms) * time.Millisecond
@@ -265,7 +272,7 @@
 	c.Register(server)
 	process.ServeRPC(lc, server, listen, s.Deployment.ListenPeers)
 	process.Background(lc, c.Run)
-	process.Background(lc, f.run)
+	process.Background(lc, func(ctx context.Context) { f.run(ctx, c) })
 	process.Background(lc, func(ctx context.Context) { f.ask(ctx, c) })
 	process.Background(lc, func(ctx context.Context) { f.fetcher.run(ctx, c) })
 	lc.Append(fx.StopHook(func(ctx context.Context) {
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -136,9 +136,9 @@
 }
 
 // staleAfter is the age of what is known from which a host counts as blind.
-// While the store answers, the age stays below 0.9 s at hosts that read it and
-// 1.1 s at those that ask these.
-const staleAfter = 1300 * time.Millisecond
+// While the store answers, the age stays below 0.9 s at hosts that read it, and
+// each question on the way to another host adds 0.2 s.
+const staleAfter = 1500 * time.Millisecond
 
 // blind tells whether this host can't know what is published by now: it can't
 // read it, and no other host that reads it is known.
@@ -147,7 +147,7 @@
 	if !known || age > staleAfter {
 		return true
 	}
-	return c.Asks() && len(r.known()) == 0
+	return c.Asks() && r.cutOff()
 }
 
 // currentMargin is kept of the time in which an edit must be in force, for the
--- a/internal/gatewayhost/roles.go
+++ b/internal/gatewayhost/roles.go
@@ -1,6 +1,7 @@
 package gatewayhost
 
 import (
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -13,68 +14,146 @@
 // rankKey seeds the rank of hosts as readers of the store.
 const rankKey = "published"
 
-// smallFleet is the number of hosts up to which the whole fleet shares its
-// readers; in a larger one each data centre has its own, so that the questions
-// to a reader don't grow with the fleet.
+// smallFleet is the number of hosts up to which all of them ask the readers of
+// the store. In a larger one a relay in each data centre does, and the others ask
+// their relay: neither the calls to the store nor the questions to a reader grow
+// with the fleet.
 const smallFleet = 32
 
-// roles tells which hosts read the store.
+// roles tells which hosts read the store, and which ask those that do.
 type roles struct {
 	self, dataCentre string
 	members          *gossip.Board
 	now              Clock
+	log              *slog.Logger
+	// patient is set at a host that waits for others' news when it starts.
+	patient bool
 	// age tells how old what this host knows is, false when it knows nothing;
 	// set before the first question.
 	age func() (time.Duration, bool)
 
 	mu      sync.Mutex
 	readers *readers.Readers
+	relays  *readers.Readers
 	turn    int
-	// rank is the order of the live hosts in the view of a version.
-	rank    []string
+	// relayed is whether this host was a relay when it was last looked.
+	relayed bool
+	// ranks are those of the live hosts in the view of a version.
+	ranks   ranks
 	version uint64
 }
 
-func newRoles(s *Settings, members *gossip.Board, now Clock) *roles {
+// ranks are lists of hosts, best first.
+type ranks struct {
+	known bool
+	// nearby are the hosts that share this one's relay: those of its data centre,
+	// in a small fleet all.
+	nearby []string
+	// heads are this host and the first of each other data centre, in a small
+	// fleet all.
+	heads []string
+	small bool
+}
+
+func newRoles(s *Settings, members *gossip.Board, now Clock, log *slog.Logger) *roles {
+	relays := readers.Default()
+	relays.Want = 1
 	return &roles{
-		self: s.Deployment.ListenPeers, dataCentre: s.DataCentre, members: members, now: now,
-		readers: readers.New(readers.Default()),
+		patient: s.Deployment.FirstStart && len(s.Deployment.Seeds) > 0 && !slices.Contains(s.Deployment.Seeds, s.Deployment.ListenPeers),
+		self:    s.Deployment.ListenPeers, dataCentre: s.DataCentre, members: members, now: now, log: log,
+		readers: readers.New(readers.Default()), relays: readers.New(relays),
 	}
 }
 
-// ranked gives the live hosts that share readers with this one, best first.
-func (r *roles) ranked() []string {
+// ranked gives the ranks of the hosts that are live now.
+func (r *roles) ranked() ranks {
 	view := r.members.Members.Get()
 	if view == nil {
-		return nil
+		return ranks{}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.rank == nil || r.version != view.Version {
-		live := view.Live("")
-		many := len(live) > smallFleet
-		if many {
-			live = view.Live(r.dataCentre)
+	if !r.ranks.known || r.version != view.Version {
+		r.ranks, r.version = r.rank(view), view.Version
+	}
+	return r.ranks
+}
+
+func (r *roles) rank(view *membership.View) ranks {
+	all := membership.Rank(rankKey, view.Live(""))
+	if len(all) <= smallFleet {
+		return ranks{known: true, nearby: all, heads: all, small: true}
+	}
+	dataCentres := make(map[string]string, len(view.Members))
+	for _, m := range view.Members {
+		dataCentres[m.Address] = m.DataCentre
+	}
+	out := ranks{known: true}
+	taken := map[string]bool{r.dataCentre: true}
+	for _, host := range all {
+		dataCentre := dataCentres[host]
+		if dataCentre == r.dataCentre {
+			out.nearby = append(out.nearby, host)
+		}
+		if host == r.self || !taken[dataCentre] {
+			taken[dataCentre] = true
+			out.heads = append(out.heads, host)
 		}
-		r.readers.OneOfMany(many)
-		r.rank, r.version = membership.Rank(rankKey, live), view.Version
 	}
-	return r.rank
+	return out
 }
 
-// shares tells whether another host shares readers of the store with this one.
-func (r *roles) shares(host string) bool { return slices.Contains(r.ranked(), host) }
+// shares tells whether another host belongs to this one's part of the fleet.
+func (r *roles) shares(host string) bool { return slices.Contains(r.ranked().nearby, host) }
 
-// rankOfSelf is this host's place among those that share its readers, 0 for the
-// first.
-func (r *roles) rankOfSelf() int { return max(slices.Index(r.ranked(), r.self), 0) }
+// rankOfSelf is this host's place in its part of the fleet, 0 for the first.
+func (r *roles) rankOfSelf() int { return max(slices.Index(r.ranked().nearby, r.self), 0) }
+
+// firstWait is how long a host that starts together with all others leaves it to
+// the seeds to read the store: no caller is there yet, and hundreds of hosts would
+// read everything at the same moment.
+const firstWait = 2 * time.Second
 
 // reads tells whether this host is to read the store.
 func (r *roles) reads() bool {
+	if _, known := r.age(); r.patient && !known && r.now() < firstWait {
+		return false
+	}
 	ranked := r.ranked()
+	if !r.relaysBy(ranked) {
+		return false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.readers.Read(r.now(), r.self, ranked, r.fresh())
+	return r.readers.Read(r.now(), r.self, ranked.heads, r.fresh())
+}
+
+// relaysBy tells whether this host asks readers for its data centre.
+func (r *roles) relaysBy(ranked ranks) bool {
+	if ranked.small || !ranked.known {
+		return true
+	}
+	age, known := r.age()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	relays := r.relays.Read(r.now(), r.self, ranked.nearby, known && age < staleAfter)
+	if relays != r.relayed {
+		r.relayed = relays
+		r.log.Info("role of relay changed", "relaying", relays, "rank", slices.Index(ranked.nearby, r.self), "hosts", len(ranked.nearby),
+			"relays", r.relays.Known(r.now(), r.self, ranked.nearby), "readers", r.readers.Known(r.now(), r.self, ranked.heads), "age", age, "known", known)
+	}
+	return relays
+}
+
+// relayLostAfter is the age of what a relay knows from which it no longer counts
+// as one. It is longer than what makes a host blind: if readers are late for a
+// moment, all hosts of a data centre would else ask them in its place.
+const relayLostAfter = 2 * staleAfter
+
+// relaying tells whether this host has the role of a relay, and news to pass on.
+func (r *roles) relaying() bool {
+	age, known := r.age()
+	return known && age < relayLostAfter && r.relaysBy(r.ranked())
 }
 
 // fresh tells whether this host can do without reading for the moment.
@@ -83,60 +162,94 @@
 	return known && age < staleAfter
 }
 
-// heard notes what another host said of its role.
-func (r *roles) heard(host string, reading bool) {
+// heard notes what another host said of its roles.
+func (r *roles) heard(host string, reading, relaying bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.readers.Heard(r.now(), host, reading)
+	r.relays.Heard(r.now(), host, reading || relaying)
 }
 
-// next gives a host to ask, each in turn: those known to read or, when fewer
-// are known than there should be, those that should read by their rank. In a
-// fleet where a host has only a few neighbours it hears from no reader unasked,
-// and would read for itself for good. False when there is no other host.
-func (r *roles) next() (string, bool) {
-	hosts := r.known()
-	if len(hosts) < r.wanted() {
-		hosts = r.best()
-	}
-	if len(hosts) == 0 {
-		return "", false
+// sources gives what this host's news come from: the hosts in question, and what
+// is known of their roles.
+func (r *roles) sources() ([]string, *readers.Readers) {
+	ranked := r.ranked()
+	if r.relaysBy(ranked) {
+		return ranked.heads, r.readers
 	}
+	return ranked.nearby, r.relays
+}
+
+// next gives a host to ask, each in turn: the best known to have the role or, when
+// fewer are known than there should be, those that should have it by their rank.
+// In a fleet where a host has only a few neighbours it hears from no reader
+// unasked, and would read for itself for good. False when there is no other host.
+func (r *roles) next() (string, bool) {
+	hosts, role := r.sources()
+	ranked := r.ranked()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.turn++
-	return hosts[r.turn%len(hosts)], true
+	turn := r.turn
+	if !ranked.small && role == r.readers && !r.relays.Among(r.self, ranked.nearby) {
+		// Others should be this data centre's relay by their rank. They may be by
+		// now, and a host that asks the heads alone would never hear of it.
+		turn /= 2
+		if r.turn%2 == 0 {
+			return inTurn(r.best(ranked.nearby), turn)
+		}
+	}
+	known := role.Known(r.now(), r.self, hosts)
+	if len(known) < role.Wanted() {
+		return inTurn(r.best(hosts), turn)
+	}
+	return inTurn(known[:role.Wanted()], turn)
 }
 
-func (r *roles) wanted() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.readers.Wanted()
+func inTurn(hosts []string, turn int) (string, bool) {
+	if len(hosts) == 0 {
+		return "", false
+	}
+	return hosts[turn%len(hosts)], true
 }
 
 // bestAsked is the number of hosts, by rank, that are asked while too few are
-// known to read: the readers, and the next in line should one of them be gone.
+// known to have a role: those that should, and the next in line should one of
+// them be gone.
 const bestAsked = 3
 
-// best gives the other hosts that should read by their rank.
-func (r *roles) best() []string {
-	others := slices.DeleteFunc(slices.Clone(r.ranked()), func(host string) bool { return host == r.self })
+// best gives the other hosts that should have a role by their rank.
+func (r *roles) best(ranked []string) []string {
+	others := slices.DeleteFunc(slices.Clone(ranked), func(host string) bool { return host == r.self })
 	return others[:min(len(others), bestAsked)]
 }
 
 // unsure tells whether this host reads although others should by their rank:
 // they may read already, and not be heard of.
 func (r *roles) unsure() bool {
+	if !r.reads() {
+		return false
+	}
 	ranked := r.ranked()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.readers.Read(r.now(), r.self, ranked, r.fresh()) && !r.readers.Among(r.self, ranked)
+	return !r.readers.Among(r.self, ranked.heads)
 }
 
-// known gives the other hosts that are known to read the store.
-func (r *roles) known() []string {
-	ranked := r.ranked()
+// cutOff tells whether no other host is known from which news would come.
+func (r *roles) cutOff() bool {
+	hosts, role := r.sources()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.readers.Known(r.now(), r.self, ranked)
+	return len(role.Known(r.now(), r.self, hosts)) == 0
+}
+
+// others gives the hosts that are told at once what this one read: the heads of
+// the other data centres; none in a small fleet, where neighbours are told.
+func (r *roles) others() []string {
+	ranked := r.ranked()
+	if ranked.small {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(ranked.heads), func(host string) bool { return host == r.self })
 }
--- a/internal/gatewayhost/settings.go
+++ b/internal/gatewayhost/settings.go
@@ -34,6 +34,8 @@
 	ListenCallers, ListenReady, ListenPeers string
 	// Seeds are peers' addresses; they may be out of date.
 	Seeds []string
+	// FirstStart is set when all hosts start for the first time.
+	FirstStart bool
 	// StopGrace is the time from the signal to stop to the kill.
 	StopGrace time.Duration
 	// Retry bounds sends beyond the first to a service, over all hosts.
