Tell peers more only by what they said lately that they hold

Hypothesis: a neighbour is probed every few seconds, and by its last word it lacks all that engines published since; it has heard that from its relay by then. Change: news go to a peer only within a second of its word of what it holds; else the revisions alone, and what it then turns out to lack. The window of connections between hosts is fixed, so that grpc asks no pings to find it out.

--- a/internal/controller/gossip/peers.go
+++ b/internal/controller/gossip/peers.go
@@ -29,6 +29,9 @@
 	// bufferBytes is the size of a connection's buffers. Messages are a few
 	// hundred bytes; grpc's own 32 KB each way would be most of the memory.
 	bufferBytes = 4 << 10
+	// windowBytes of a connection is fixed: to find it out, grpc would answer
+	// every message with a ping of its own.
+	windowBytes = 256 << 10
 )
 
 // peers holds the connections to other processes.
@@ -140,6 +143,7 @@
 		// A call that was sent may have been taken; repeating is ours to decide.
 		grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithNoProxy(),
 		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: firstBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: lastBackoff},
 			MinConnectTimeout: connectTimeout,
--- a/internal/controller/published/news.go
+++ b/internal/controller/published/news.go
@@ -18,6 +18,10 @@
 	// its word: probes to a peer overlap, and each would carry the same news
 	// again.
 	toldFor = 400 * time.Millisecond
+	// statedFor is how long a peer's word of what it holds is worth telling it
+	// more by. By then it has mostly heard the news elsewhere, and a neighbour that
+	// is probed every few seconds would be sent all news of these seconds again.
+	statedFor = time.Second
 )
 
 // News is what one process tells another of what is published.
@@ -40,7 +44,8 @@
 // peer is what is known of what another process holds, as revisions of the
 // store.
 type peer struct {
-	stated held
+	stated   held
+	statedAt time.Duration
 	// told was sent at toldAt, on the steady clock.
 	told   held
 	toldAt time.Duration
@@ -66,9 +71,9 @@
 		n.Age = now - c.currentAt
 	}
 	p := c.peers[address]
-	if p == nil {
-		// Nothing is known of the peer: it is told the revisions alone, and says
-		// in its answer what it holds.
+	if p == nil || now-p.statedAt >= statedFor {
+		// Nothing is known of the peer by now: it is told the revisions alone, says
+		// in its answer what it holds, and is told more if it lacks any.
 		return n
 	}
 	lacks := p.holds(now)
@@ -109,14 +114,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.peers[address] = &peer{stated: held{n.Revision, n.Config.Version.Revision}}
+	now := c.cfg.Now()
+	c.peers[address] = &peer{stated: held{n.Revision, n.Config.Version.Revision}, statedAt: now}
 	c.announced = max(c.announced, n.Config.Version.Revision)
 	before := c.mirror.Revision()
 	at := uint64(0)
 	if n.From <= before {
 		at = n.Revision
 	}
-	now := c.cfg.Now()
 	changed := c.mirror.Changes(now, records, at)
 	if n.Delta != nil {
 		changed = c.takeDelta(now, address, *n.Delta) || changed
