Probe through a third data centre when two lose each other

Cause: an indirect probe goes by two processes that have the target as their neighbour, wherever they are. When two data centres lose each other these often lie on either side, both probes fail, and a member that is well is suspected; in a fleet of 195 its word to the contrary does not get around in time. Now two relays are of data centres that are neither the prober's nor the target's, where there are any, and one more is as before.

--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -147,6 +147,19 @@
 	return true
 }
 
+// dead gives those that some node takes for dead.
+func (f *net) dead() []string {
+	var out []string
+	for _, n := range f.nodes {
+		for _, m := range n.View().Members {
+			if m.State == membership.Dead {
+				out = append(out, n.Self().Address+" of "+m.Address)
+			}
+		}
+	}
+	return out
+}
+
 func (f *net) allAlive() bool {
 	for _, n := range f.nodes {
 		if !f.all(n.Self().Address, "alive") {
@@ -271,6 +284,24 @@
 
 	// A host is replaced at once at the same address, and the new machine's
 	// clock is behind. Peers know the address as dead, or as an older life.
+	// Two data centres lose each other while both reach a third. Whoever is taken
+	// for dead there though it serves loses what it owns to another: two hosts
+	// would own the same engines' counts, and readers be replaced for nothing.
+	It("takes nobody for dead when two data centres lose each other", func() {
+		const hosts = 195
+		f := newNet(hosts)
+		f.run(10 * time.Second)
+		inCut := func(a string, dc string) bool { return dataCentre(f.index[a]) == dc }
+		f.find(address(0))
+		f.cut = func(a, b string) bool {
+			return inCut(a, "dc0") && inCut(b, "dc1") || inCut(a, "dc1") && inCut(b, "dc0")
+		}
+		for range 30 {
+			f.run(time.Second)
+			Expect(f.dead()).To(BeEmpty())
+		}
+	})
+
 	It("takes a process that replaced another at its address", func() {
 		f := newNet(16)
 		f.run(20 * time.Second)
--- a/internal/decide/membership/spread.go
+++ b/internal/decide/membership/spread.go
@@ -76,10 +76,11 @@
 // pickNeighbours gives this process's successor on each ring.
 func (c *Core) pickNeighbours() []string {
 	own := ringHashes(c.self.Address, c.cfg.Rings)
+	all := func(string, *record) bool { return true }
 	picked := map[string]bool{}
 	for ring := range c.cfg.Rings {
 		// Distances wrap around, as on a ring.
-		if s := c.nearest(func(r *record) uint64 { return r.rings[ring] - own[ring] }, ""); s != "" {
+		if s := c.nearest(func(r *record) uint64 { return r.rings[ring] - own[ring] }, all); s != "" {
 			picked[s] = true
 		}
 	}
@@ -87,27 +88,39 @@
 }
 
 // relaysFor gives other processes that have the target as their neighbour, and
-// so a connection to it.
+// so a connection to it, and some of data centres that are neither this
+// process's nor the target's. When two data centres lose each other, relays in
+// either of them can't help, and members that are well would be taken for dead.
 func (c *Core) relaysFor(target string) []string {
 	t := c.records[target]
-	var out []string
+	third := func(r *record) bool { return r.DataCentre != c.self.DataCentre && r.DataCentre != t.DataCentre }
+	anywhere := func(*record) bool { return true }
+	out := c.predecessors(nil, t, target, thirdRelays, third)
+	return c.predecessors(out, t, target, relays, anywhere)
+}
+
+// predecessors adds to some processes those that come before a member on a ring
+// and are of a kind, until there are so many.
+func (c *Core) predecessors(out []string, t *record, target string, most int, kind func(*record) bool) []string {
 	for ring := range c.cfg.Rings {
-		p := c.nearest(func(r *record) uint64 { return t.rings[ring] - r.rings[ring] }, target)
+		if len(out) >= most {
+			break
+		}
+		p := c.nearest(func(r *record) uint64 { return t.rings[ring] - r.rings[ring] }, func(address string, r *record) bool {
+			return address != target && kind(r)
+		})
 		if p != "" && !slices.Contains(out, p) {
 			out = append(out, p)
 		}
-		if len(out) == relays {
-			break
-		}
 	}
 	return out
 }
 
-// nearest gives the member at the least distance that takes part.
-func (c *Core) nearest(distance func(*record) uint64, not string) string {
+// nearest gives the member at the least distance that takes part and fits.
+func (c *Core) nearest(distance func(*record) uint64, fits func(string, *record) bool) string {
 	best, at := "", uint64(math.MaxUint64)
 	for address, r := range c.records {
-		if r.gone() || address == not {
+		if r.gone() || !fits(address, r) {
 			continue
 		}
 		if d := distance(r); d < at || best == "" {
--- a/internal/decide/membership/types.go
+++ b/internal/decide/membership/types.go
@@ -91,8 +91,9 @@
 	defaultRings       = 6
 	defaultMaxUpdates  = 12
 	defaultForgetAfter = 5 * time.Minute
-	// relays is the number of peers asked for an indirect probe.
-	relays = 2
+	// relays is the number of peers asked for an indirect probe, thirdRelays that
+	// of them in data centres of neither side.
+	relays, thirdRelays = 3, 2
 	// resend times the logarithm of the fleet is how often news of a member is
 	// passed on. With answers carrying news too, one round reaches three times
 	// as many nodes; four times the logarithm leaves a wide margin.
