--- a/internal/decide/accusers/accusers.go
+++ b/internal/decide/accusers/accusers.go
@@ -1,12 +1,11 @@
 // Package accusers weighs what other hosts tell of failing targets.
 //
 // Load pattern: one target of a plain service breaks each connection while its
-// health answers say that it is well, and 84 hosts send it a few requests a
+// health answers say that it is well, and many hosts send it a few requests a
 // second between them.
 //
 // What happens without it: each host finds out by a request of its own, which
-// may not be sent again. On one day 113 requests failed in six seconds that way,
-// a few for each host.
+// may not be sent again: a few for each host, hundreds together.
 //
 // How it works: hosts tell each other which targets broke a request of theirs.
 // One host alone proves nothing: it may be cut off from targets that are well,
--- a/internal/decide/enginespeed/enginespeed.go
+++ b/internal/decide/enginespeed/enginespeed.go
@@ -6,8 +6,8 @@
 // leave.
 //
 // What happens without it: a fifth of the long generations run on engines that
-// take 12.2 ms a token while others take 9.0, and each stays in progress, and
-// can be lost with its engine or host, that much longer.
+// are slower by a third, and each stays in progress, and can be lost with its
+// engine or host, that much longer.
 //
 // How it works: events of a stream are timed over windows of some events, since
 // single ones come bunched. Prompts that are read beside a generation slow its
--- a/internal/decide/loadshare/peers.go
+++ b/internal/decide/loadshare/peers.go
@@ -7,8 +7,8 @@
 const maxPeers = 64
 
 // peerBits gives each peer a bit, so that what peers hold takes 8 bytes a count
-// in place of an entry for each of them: with 84 hosts and 48 engines a host
-// keeps some 2,000 counts and exchanges them with a dozen peers.
+// in place of an entry for each of them: a host of dozens keeps hundreds of
+// counts and exchanges them with a dozen peers.
 type peerBits struct {
 	of map[string]uint64
 	// used orders the peers by their last use.
--- a/internal/decide/migration/migration.go
+++ b/internal/decide/migration/migration.go
@@ -38,9 +38,7 @@
 	// generation must have ended at the latest if it is to stay. Reports of
 	// engines on their stop are half a second old.
 	EndMargin float64
-	// OrderShare is the part of its copying time that a generation waits. At 0.5
-	// 156 of about 8,900 reports on 48 days were lost with their engine, at 1.0
-	// 165, without it 188; late for a pause were 39, 55 and 69.
+	// OrderShare is the part of its copying time that a generation waits.
 	OrderShare float64
 }
 
--- a/internal/decide/placement/backup.go
+++ b/internal/decide/placement/backup.go
@@ -3,11 +3,7 @@
 // Bounds on backups, in shares of an engine's memory.
 const (
 	// fullestKeeper is the fullness up to which an engine keeps backups; the rest
-	// is for generations that run there. The mean worth hardly depends on it: 36
-	// days without backups and with them up to 0.6 and 0.8 gave 0.751, 0.748 and
-	// 0.752, 12 days on which a data centre's engines crash 0.651, 0.660 and
-	// 0.662, 24 days on which engines are scarce 0.627, 0.624 and 0.624 at 0.5,
-	// 0.65, 0.8.
+	// is for generations that run there.
 	fullestKeeper = 0.5
 	// fullestFleet is the fullness of all engines together, backups not counted,
 	// up to which there are any: each takes as much memory as the generation
@@ -23,10 +19,8 @@
 //
 // What happens without it: backups fill the engines that join up to the bound of
 // a keeper, the generations of those that leave come on top, and the memory runs
-// out: generations are preempted in the middle of their streams and read again.
-// On 14 s of a day of 84 hosts and 57 engines 67 were preempted, 137,000 prompt
-// tokens were read again for it and 85 of 437 long generations were late;
-// without backups 17, 32,000 and 47.
+// out: generations are preempted in the middle of their streams, read again, and
+// late.
 func RoomForCopies(candidates []Candidate) bool {
 	memory, running := 0, 0
 	for _, c := range candidates {
--- a/internal/decide/placement/delay.go
+++ b/internal/decide/placement/delay.go
@@ -29,14 +29,10 @@
 	// counted at the size of their end, which not all reach at once.
 	roomyPart = 0.7
 	// crowdedCost is what filling a whole memory beyond that is taken to cost:
-	// the preemption of a generation, which is read again and late. On 16 s of a
-	// day of 84 hosts and 57 engines 40 were preempted and 60 of 484 long ones
-	// late with 10 s from 0.8 on, 21 and 44 with 20 s from 0.6 on, 20 and 43 so.
+	// the preemption of a generation, which is read again and late.
 	crowdedCost = 40 * time.Second
 	// lateCost is the cost of a second of reading beyond half of the time that
-	// callers are promised. On 14 s of a day of 84 hosts it took late long
-	// generations from 65 to 59 of 437 and late short answers from 38 to 33 of
-	// 498.
+	// callers are promised.
 	lateCost = 10
 	// penaltyCost is what a penalty of a whole fullness comes to: an engine in
 	// another data centre, 0.03, is passed over for 0.15 s, one that failed once,
@@ -55,10 +51,9 @@
 //
 // What happens without it: by fullness alone short answers' prompts are read
 // beside the long generations, and a fifth of these run on slow engines. They
-// took 9.65 ms a token where an engine alone takes 7.1, and 27 were in progress
-// whenever all hosts were lost. Every one in progress is lost then, so the sum
-// of the times in progress is what callers lose; this is what the choice adds
-// to it. Long generations so go to quick engines, and short answers to where
+// take a third longer than on an engine alone. When all hosts are lost every one
+// in progress is lost, so the sum of the times in progress is what callers lose;
+// this is what the choice adds to it. Long generations so go to quick engines, and short answers to where
 // few others wait for the reading of their prompts.
 func Delay(c Candidate, w Work) time.Duration {
 	step := c.Step
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -56,8 +56,7 @@
 // the steps of running generations, 112 tokens in 15 ms, so 7,000 keep the
 // next prompt waiting for a second, most of what callers bear to the first
 // event. Without it all hosts choose the engine that joined last, the emptiest
-// one: the median time to the first event of short summaries went from 370 to
-// 485 ms on the dish desk's quiet day.
+// one, and its prompts wait for each other.
 const readPerFullness = 7000
 
 // Load is a target's fullness once it has the request: 1 is full.
@@ -86,7 +85,7 @@
 func Exact(hosts int) bool { return hosts <= exactHosts }
 
 // Sample gives the number of targets that a host looks at of so many. Load
-// pattern: 84 hosts place 56 prompts a second on 48 engines, and each knows
+// pattern: dozens of hosts place more prompts a second than there are engines, and each knows
 // what the others did a quarter of a second ago. If all choose the emptiest of
 // all targets, a dozen prompts go to the same one before anybody hears of it;
 // choosing the emptier of a few random ones spreads them.
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -13,10 +13,8 @@
 const usualCopyKept = 5 * time.Second
 
 // copyKept is how long after a generation's last event a copy of it is surely
-// there: engines free copies that nothing is added to. Of those offered after
-// six seconds of silence none of 108 was taken where operators name five, over
-// 62 days on which a data centre is lost. One that is gone must not be offered:
-// an engine that fails part of its requests may run it.
+// there: engines free copies that nothing is added to. One that is gone must not
+// be offered: an engine that fails part of its requests may run it.
 func (gen *generation) copyKept() time.Duration {
 	return cmp.Or(gen.service.Engine.CopyKept, usualCopyKept)
 }
@@ -27,8 +25,7 @@
 // It is offered to that engine once. An engine that refused a copy no longer
 // has it, and one that did not answer in time may already run it. Sent there
 // again it is refused at best; an engine that fails part of its requests took
-// such a request for a new one, and a generation that may run once ran twice:
-// seen in 2 of 200 days on which a data centre is lost, none after.
+// such a request for a new one, and a generation that may run once ran twice.
 type copied struct {
 	at      *directory.Seen
 	handoff call.Handoff
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -268,9 +268,8 @@
 	// when nothing else is known.
 	outputShare = 0.4
 	// hintTrust is the weight of a client's estimate, in the logarithm, against
-	// what is expected without one. Estimates are off by a factor of three
-	// either way (standard deviation of the logarithm 1.1 over 240 generations),
-	// lengths by a factor of two (0.7), so the best mix of both is 0.7^2 to 1.1^2.
+	// what is expected without one. Estimates are off by a factor of three either
+	// way, lengths by a factor of two.
 	hintTrust = 0.3
 )
 
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -88,9 +88,7 @@
 // second old, a third of the notice. Each question costs a call of the engine's,
 // so nobody asks while the store or a peer answers, and the hosts of an engine
 // take turns by chance: what one hears the others know a tenth of a second
-// later. On 16 days with the store away for 8 s it saved 0.8 in 100 of the long
-// reports' worth, and cost as much in short ones that came late, since engines
-// that leave get no more work and those that join can't be known.
+// later.
 func (g *Gateway) askTargets(ctx context.Context) {
 	if !g.cfg.Blind() {
 		return
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -60,9 +60,7 @@
 	// maxHeader bounds a request's header in bytes.
 	maxHeader = 64 << 10
 	// collectAt is the growth of the heap, in percent, after which it is
-	// collected. Small hosts have more processor time to spare than memory: 40
-	// in place of Go's 100 took the peak of a host from 8.1 to 6.9 MB on a quiet
-	// day, for 0.0018 of a core; 20 gained nothing more.
+	// collected. Small hosts have more processor time to spare than memory.
 	collectAt = 40
 )
 
