Remember the owners of targets while the members stay

Each choice asks the owners of a dozen engines; ranking forty hosts for each was work on a request's path, and so was listing all hosts to count them.

--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -100,7 +100,7 @@
 	loads := gateway.NewLoads(s.Deployment.ListenPeers, s.DataCentre, now)
 	c := s.Deployment.Cold
 	loads.BoundCold(gateway.ColdBound{Factor: c.Factor, Extra: c.Extra, Rank: size.rank})
-	loads.CountHosts(func() int { return len(size.known()) })
+	loads.CountHosts(size.count)
 	return loads
 }
 
--- a/internal/gatewayhost/size.go
+++ b/internal/gatewayhost/size.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"filbertdeck/internal/controller/gossip"
@@ -25,6 +26,11 @@
 	self    string
 	members *gossip.Board
 	now     Clock
+
+	mu sync.Mutex
+	// owned are the owners that were worked out in the view of a version.
+	owned   map[gateway.Owned][]string
+	version uint64
 }
 
 func newFleetSize(s *Settings, members *gossip.Board, now Clock) *fleetSize {
@@ -45,8 +51,16 @@
 	return hosts
 }
 
+// count is the number of hosts that were heard of.
+func (f *fleetSize) count() int {
+	if view := f.members.Members.Get(); view != nil {
+		return len(view.Members)
+	}
+	return 1
+}
+
 func (f *fleetSize) hosts() int {
-	n := max(len(f.known()), 1)
+	n := max(f.count(), 1)
 	if f.now() < strangerFor {
 		n = max(n, strangerHosts)
 	}
@@ -57,6 +71,10 @@
 // owner, and the one that follows when it is gone.
 const copiesOfCounts = 2
 
+// mostOwned bounds the targets whose owners are remembered: engines come and go
+// while members stay.
+const mostOwned = 1000
+
 // owners gives the live hosts that keep a target's counts, the owner first. They
 // are hosts of the target's data centre while it has any: a cut between two
 // data centres then parts a host from an owner only where it parts it from the
@@ -66,6 +84,20 @@
 	if view == nil {
 		return nil
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.owned == nil || f.version != view.Version || len(f.owned) >= mostOwned {
+		f.owned, f.version = map[gateway.Owned][]string{}, view.Version
+	}
+	owners, known := f.owned[target]
+	if !known {
+		owners = rankOwners(view, target)
+		f.owned[target] = owners
+	}
+	return owners
+}
+
+func rankOwners(view *membership.View, target gateway.Owned) []string {
 	live := view.Live(target.DataCentre)
 	if len(live) == 0 {
 		live = view.Live("")
