Keep the role of a relay while nobody has news

Cause: a relay whose news were 3 s old no longer counted as one, so while the store was away every host of its data centre took the role, then tried to read. Now a stale relay counts as one for all but the first two by rank.

--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -209,11 +209,11 @@
 }
 
 func (f *fleet) takePublished(peer string, news *filbertv1.PublishedNews, asked time.Time) {
-	f.roles.heard(peer, news.GetReading(), news.GetRelaying())
-	n := published.News{From: news.GetFrom(), Revision: news.GetRevision(), Age: -1, Config: rolloutwire.FromHead(news.GetConfig())}
+	n := published.News{From: news.GetFrom(), Revision: news.GetRevision(), Age: -1, Reading: news.GetReading(), Config: rolloutwire.FromHead(news.GetConfig())}
 	if ms := news.GetCurrentMs(); ms > 0 {
 		n.Age = time.Duration(ms) * time.Millisecond
 	}
+	f.roles.heard(peer, n.Reading, news.GetRelaying(), n.Age)
 	for _, r := range news.GetRecords() {
 		n.Records = append(n.Records, json.RawMessage(r))
 	}
--- a/internal/gatewayhost/roles.go
+++ b/internal/gatewayhost/roles.go
@@ -34,8 +34,10 @@
 
 	mu      sync.Mutex
 	readers *readers.Readers
-	relays  *readers.Readers
-	turn    int
+	// relays are those whose news are new enough, stale those that have the role
+	// and nothing new: all of them while the store is away.
+	relays, stale *readers.Readers
+	turn          int
 	// relayed is whether this host was a relay when it was last looked.
 	relayed bool
 	// ranks are those of the live hosts in the view of a version.
@@ -56,12 +58,12 @@
 }
 
 func newRoles(s *Settings, members *gossip.Board, now Clock, log *slog.Logger) *roles {
-	relays := readers.Default()
-	relays.Want = 1
+	relays, stale := readers.Default(), readers.Default()
+	relays.Want, stale.Want = 1, staleRelays
 	return &roles{
 		patient: s.Deployment.FirstStart && len(s.Deployment.Seeds) > 0 && !slices.Contains(s.Deployment.Seeds, s.Deployment.ListenPeers),
 		self:    s.Deployment.ListenPeers, dataCentre: s.DataCentre, members: members, now: now, log: log,
-		readers: readers.New(readers.Default()), relays: readers.New(relays),
+		readers: readers.New(readers.Default()), relays: readers.New(relays), stale: readers.New(stale),
 	}
 }
 
@@ -136,7 +138,12 @@
 	age, known := r.age()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	relays := r.relays.Read(r.now(), r.self, ranked.nearby, known && age < staleAfter)
+	fresh := known && age < staleAfter
+	relays := r.relays.Read(r.now(), r.self, ranked.nearby, fresh)
+	if relays && !r.stale.Among(r.self, ranked.nearby) {
+		// Without news from any of them more than a few would change nothing.
+		relays = len(r.stale.Known(r.now(), r.self, ranked.nearby)) == 0
+	}
 	if relays != r.relayed {
 		r.relayed = relays
 		r.log.Info("role of relay changed", "relaying", relays, "rank", slices.Index(ranked.nearby, r.self), "hosts", len(ranked.nearby),
@@ -145,15 +152,21 @@
 	return relays
 }
 
-// relayLostAfter is the age of what a relay knows from which it no longer counts
-// as one. It is longer than what makes a host blind: if readers are late for a
-// moment, all hosts of a data centre would else ask them in its place.
-const relayLostAfter = 2 * staleAfter
+const (
+	// relayLostAfter is the age of what a relay knows from which it counts as
+	// stale. It is longer than what makes a host blind: if readers are late for a
+	// moment, all hosts of a data centre would else ask them in its place.
+	relayLostAfter = 2 * staleAfter
+	// staleRelays is the number of hosts of a data centre that have the role while
+	// none of them has news: a relay that is cut off is replaced, and while the
+	// store is away a few hosts call it and not all.
+	staleRelays = 2
+)
 
-// relaying tells whether this host has the role of a relay, and news to pass on.
+// relaying tells whether this host has the role of a relay.
 func (r *roles) relaying() bool {
-	age, known := r.age()
-	return known && age < relayLostAfter && r.relaysBy(r.ranked())
+	ranked := r.ranked()
+	return ranked.known && !ranked.small && r.relaysBy(ranked)
 }
 
 // fresh tells whether this host can do without reading for the moment.
@@ -162,12 +175,14 @@
 	return known && age < staleAfter
 }
 
-// heard notes what another host said of its roles.
-func (r *roles) heard(host string, reading, relaying bool) {
+// heard notes what another host said of its roles, and the age of what it knows,
+// negative when it knows nothing.
+func (r *roles) heard(host string, reading, relaying bool, age time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.readers.Heard(r.now(), host, reading)
-	r.relays.Heard(r.now(), host, reading || relaying)
+	r.relays.Heard(r.now(), host, reading || relaying && age >= 0 && age < relayLostAfter)
+	r.stale.Heard(r.now(), host, reading || relaying)
 }
 
 // sources gives what this host's news come from: the hosts in question, and what
--- a/internal/gatewayhost/roles_test.go
+++ b/internal/gatewayhost/roles_test.go
@@ -107,12 +107,21 @@
 			continue
 		}
 		f.questions[address]++
-		other.heard(h.address, reads && !lost, h.relaying())
-		h.heard(address, other.reads() && !f.storeLost(other), other.relaying())
+		other.heard(h.address, reads && !lost, h.relaying(), h.ageOrNone())
+		h.heard(address, other.reads() && !f.storeLost(other), other.relaying(), other.ageOrNone())
 		h.current = max(h.current, other.current)
 	}
 }
 
+// ageOrNone is the age of what a host knows, negative when it knows nothing.
+func (h *playedHost) ageOrNone() time.Duration {
+	age, known := h.age()
+	if !known {
+		return -1
+	}
+	return age
+}
+
 // readers gives the hosts that read the store.
 func (f *playedFleet) readers() []*playedHost {
 	var out []*playedHost
@@ -250,3 +259,23 @@
 		t.Errorf("%d hosts read the store, want at most %d", read, most)
 	}
 }
+
+// The store is down for ten seconds. Every call is refused and counted all the
+// same; if all hosts took it on themselves to read, the store would be busy with
+// refusing them when it comes back.
+func TestFewHostsCallAStoreThatIsDown(t *testing.T) {
+	f := newPlayedFleet(t, 195, 5)
+	f.play(10 * time.Second)
+	f.storeLost = func(*playedHost) bool { return true }
+	for range 10 {
+		f.play(time.Second)
+		if n := len(f.readers()); n > 5*staleRelays {
+			t.Errorf("%d hosts read a store that is down, want at most %d", n, 5*staleRelays)
+		}
+	}
+	f.storeLost = func(*playedHost) bool { return false }
+	f.play(time.Second)
+	if n := f.stale(); n > 0 {
+		t.Errorf("%d hosts don't know what is published a second after the store's return", n)
+	}
+}
