Withhold long lists of records from news; fetch them like configurations

Cause: a process that starts lacks the records of all targets, and each answer carried all of them, encoded anew: 750 KB with 3,000 targets, from each peer asked. Now more than 40 records are announced and fetched with the configuration, packed once for all that lack the same. Spec with 3,000 targets (red before).

--- a/internal/controller/published/controller.go
+++ b/internal/controller/published/controller.go
@@ -81,6 +81,8 @@
 	news          chan struct{}
 	doc           *document
 	peers         map[string]*peer
+	// packed are the records that were given away last.
+	packed packedDelta
 	// announced is the newest revision of the configuration that a peer holds.
 	announced uint64
 }
@@ -273,6 +275,11 @@
 func (c *Controller) watchFrom() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.complete()
+}
+
+// complete is watchFrom with the lock held.
+func (c *Controller) complete() uint64 {
 	if c.announced > c.doc.revision() {
 		return min(c.mirror.Revision(), c.announced-1)
 	}
--- a/internal/controller/published/document.go
+++ b/internal/controller/published/document.go
@@ -49,6 +49,7 @@
 	NeedsAccounts bool `json:"needs_accounts"`
 }
 
+// packedDelta is what leads from one revision to another, compressed.
 type packedDelta struct {
 	from, to uint64
 	bytes    []byte
@@ -243,9 +244,9 @@
 	return parts, nil
 }
 
-// maxConfig bounds a configuration in bytes once it is unpacked: more than
-// the store takes, as rows.
-const maxConfig = 8 << 20
+// maxBulk bounds a configuration, or the records of all targets, in bytes once
+// they are unpacked.
+const maxBulk = 8 << 20
 
 func compress(plain []byte) ([]byte, error) {
 	var out bytes.Buffer
@@ -265,14 +266,14 @@
 func decompress(packed []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
-		return nil, failure.Wrap(err, failure.KindConfigUnreadable, "configuration of a peer can't be unpacked")
+		return nil, failure.Wrap(err, failure.KindConfigUnreadable, "what a peer gave can't be unpacked")
 	}
-	plain, err := io.ReadAll(io.LimitReader(r, maxConfig+1))
+	plain, err := io.ReadAll(io.LimitReader(r, maxBulk+1))
 	if err != nil {
-		return nil, failure.Wrap(err, failure.KindConfigUnreadable, "configuration of a peer can't be unpacked")
+		return nil, failure.Wrap(err, failure.KindConfigUnreadable, "what a peer gave can't be unpacked")
 	}
-	if len(plain) > maxConfig {
-		return nil, failure.New(failure.KindConfigUnreadable, "configuration of a peer is longer than %d bytes", maxConfig)
+	if len(plain) > maxBulk {
+		return nil, failure.New(failure.KindConfigUnreadable, "what a peer gave is longer than %d bytes", maxBulk)
 	}
 	return plain, nil
 }
--- a/internal/controller/published/news.go
+++ b/internal/controller/published/news.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/decide/rollout"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
@@ -14,6 +17,9 @@
 	// goes along with other news: an edit of some routes, or keys taken back.
 	// What is longer is announced, and fetched by each host once.
 	shortDelta = 8 << 10
+	// mostRecords is the number of records that go along with other news. A process
+	// that starts lacks those of all targets, thousands in a large deployment.
+	mostRecords = 40
 	// toldFor is how long what was sent to a peer counts as held there without
 	// its word: probes to a peer overlap, and each would carry the same news
 	// again.
@@ -29,6 +35,8 @@
 	// Records changed after the revision From, up to Revision. The
 	// configuration is not among them.
 	From, Revision uint64
+	// Withheld says that they are too many and have to be fetched.
+	Withheld bool
 	// Age is how long before the telling it was known that nothing newer was
 	// published; negative when it never was.
 	Age time.Duration
@@ -77,11 +85,17 @@
 		return n
 	}
 	lacks := p.holds(now)
-	n.From = lacks.records
-	n.Records = c.encode(c.mirror.Since(lacks.records))
+	if records := c.mirror.Since(lacks.records); len(records) > mostRecords {
+		n.Withheld = true
+	} else {
+		n.From, n.Records = lacks.records, c.encode(records)
+	}
 	n.Delta = c.doc.deltaFrom(lacks.config, shortDelta)
 	if len(n.Records) > 0 || n.Delta != nil {
-		p.told, p.toldAt = held{records: n.Revision, config: lacks.config}, now
+		p.told, p.toldAt = lacks, now
+		if !n.Withheld {
+			p.told.records = n.Revision
+		}
 		if n.Delta != nil {
 			p.told.config = n.Config.Version.Revision
 		}
@@ -159,46 +173,112 @@
 	return c.mirror.Changes(now, []directory.Record{record}, 0)
 }
 
-// ConfigRevision is the store's revision at the configuration in force, 0 for
-// none.
-func (c *Controller) ConfigRevision() uint64 {
+// Holds gives the store's revision at the configuration in force, 0 for none,
+// that up to which all other records are known, and that up to which both are.
+func (c *Controller) Holds() (config, records, both uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.doc.revision()
+	return c.doc.revision(), c.mirror.Revision(), c.complete()
 }
 
-// PackConfig gives what leads from a revision of the configuration to the one
-// in force, compressed, and the revision in force; nothing when that is not
-// newer.
-func (c *Controller) PackConfig(from uint64) (packed []byte, revision uint64, err error) {
+// Bulk is what a process lacks that holds less, compressed once for all that
+// lack the same. Parts that it has are empty.
+type Bulk struct{ Config, Records []byte }
+
+// Size is the number of bytes in it.
+func (b Bulk) Size() int { return len(b.Config) + len(b.Records) }
+
+// Pack gives what leads from the configuration and the records of some revisions
+// to those held here.
+func (c *Controller) Pack(config, records uint64) (b Bulk, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.doc.revision() <= from {
-		return nil, c.doc.revision(), nil
+	if c.doc.revision() > config {
+		if b.Config, err = c.doc.pack(config); err != nil {
+			return Bulk{}, err
+		}
+	}
+	if c.mirror.Revision() > records {
+		b.Records, err = c.packRecords(records)
+	}
+	return b, err
+}
+
+// packRecords compresses the records after a revision.
+func (c *Controller) packRecords(from uint64) ([]byte, error) {
+	to := c.mirror.Revision()
+	if c.packed.from == from && c.packed.to == to {
+		return c.packed.bytes, nil
+	}
+	news := &filbertv1.PublishedNews{From: from, Revision: to}
+	for _, r := range c.encode(c.mirror.Since(from)) {
+		news.Records = append(news.Records, r)
 	}
-	packed, err = c.doc.pack(from)
-	return packed, c.doc.revision(), err
+	plain, err := proto.Marshal(news)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.KindInternal, "records can't be encoded")
+	}
+	packed, err := compress(plain)
+	if err != nil {
+		return nil, err
+	}
+	c.packed = packedDelta{from: from, to: to, bytes: packed}
+	return packed, nil
 }
 
-// TakeConfig takes what a peer's PackConfig gave. gap tells that it doesn't fit
-// to what is held here and the whole has to be fetched.
-func (c *Controller) TakeConfig(address string, packed []byte) (gap bool, err error) {
+// TakeBulk takes what a peer's Pack gave. gap tells that the configuration
+// doesn't fit to what is held here and the whole has to be fetched.
+func (c *Controller) TakeBulk(address string, b Bulk) (gap bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	before := c.doc.revision()
-	cfg, gap, err := c.doc.takePacked(packed)
-	if err != nil {
-		return false, err
+	now, before := c.cfg.Now(), c.mirror.Revision()
+	changed := false
+	if len(b.Config) > 0 {
+		var cfg *directory.Config
+		if cfg, gap, err = c.doc.takePacked(b.Config); err != nil {
+			return false, err
+		}
+		changed = c.putConfig(now, cfg)
 	}
-	now := c.cfg.Now()
-	if c.putConfig(now, cfg) {
+	if len(b.Records) > 0 {
+		news, err := c.takeRecords(now, b.Records)
+		if err != nil {
+			return gap, err
+		}
+		changed = news || changed
+	}
+	if changed {
 		c.known = true
 		c.publish(now)
-		c.cfg.Log.Info("configuration fetched from a peer", "peer", address, "bytes", len(packed), "revision", c.doc.revision(), "before", before)
+		c.cfg.Log.Info("fetched from a peer", "peer", address, "bytes", b.Size(), "config", c.doc.revision(), "revision", c.mirror.Revision(), "before", before)
 	}
 	return gap, nil
 }
 
+func (c *Controller) takeRecords(now time.Duration, packed []byte) (changed bool, err error) {
+	plain, err := decompress(packed)
+	if err != nil {
+		return false, err
+	}
+	var news filbertv1.PublishedNews
+	if err := proto.Unmarshal(plain, &news); err != nil {
+		return false, failure.Wrap(err, failure.KindConfigUnreadable, "records of a peer")
+	}
+	bodies := make([]json.RawMessage, len(news.GetRecords()))
+	for i, r := range news.GetRecords() {
+		bodies[i] = r
+	}
+	records, err := parse(bodies)
+	if err != nil {
+		return false, err
+	}
+	at := uint64(0)
+	if news.GetFrom() <= c.mirror.Revision() {
+		at = news.GetRevision()
+	}
+	return c.mirror.Changes(now, records, at), nil
+}
+
 func parse(bodies []json.RawMessage) ([]directory.Record, error) {
 	records := make([]directory.Record, len(bodies))
 	for i, body := range bodies {
--- a/internal/controller/published/published_test.go
+++ b/internal/controller/published/published_test.go
@@ -147,6 +147,29 @@
 		Expect(other.routes()).To(Equal(5))
 	})
 
+	// A whole fleet starts before thousands of targets. Each host lacks the records
+	// of all of them, and asks several others five times a second; sent with each
+	// answer they would fill the links of those that know them.
+	It("carry no thousands of records, which are fetched", func() {
+		reader, other := newHost(&source{}), newHost(&source{})
+		for i := range 3000 {
+			id := fmt.Sprint("i-", i)
+			reader.source.put(directory.Record{Key: directory.TargetKey(id), Revision: uint64(i + 1), Target: &directory.Target{ID: id, Service: "llm", Address: "10.0.0.1:80", Slots: 4}})
+		}
+		reader.read()
+		reader.TakeNews("other", other.NewsFor("reader"), -1)
+		news := reader.NewsFor("other")
+		Expect(news.Withheld).To(BeTrue())
+		Expect(size(news)).To(BeZero())
+		other.TakeNews("reader", news, 0)
+		Expect(other.Revision()).To(BeZero())
+		_, known := other.Age()
+		Expect(known).To(BeFalse())
+		fetchFrom(reader, other)
+		Expect(other.Revision()).To(Equal(reader.Revision()))
+		Expect(other.board.View.Get().Pool("llm")).To(HaveLen(3000))
+	})
+
 	// The message with the news was lost. A neighbour that counted as told for
 	// good would never hear of the edit.
 	It("are told again when no answer comes", func() {
@@ -201,9 +224,10 @@
 
 // fetchFrom has one host fetch another's configuration.
 func fetchFrom(from, to *host) {
-	packed, _, err := from.PackConfig(to.ConfigRevision())
+	config, records, _ := to.Holds()
+	bulk, err := from.Pack(config, records)
 	Expect(err).NotTo(HaveOccurred())
-	gap, err := to.TakeConfig("peer", packed)
+	gap, err := to.TakeBulk("peer", bulk)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(gap).To(BeFalse())
 }
@@ -247,25 +271,27 @@
 		reader.read()
 		reader.source.configure(4, 2, 881)
 		reader.read()
-		whole, _, err := reader.PackConfig(0)
+		whole, err := reader.Pack(0, reader.Revision())
 		Expect(err).NotTo(HaveOccurred())
-		change, _, err := reader.PackConfig(3)
+		change, err := reader.Pack(3, reader.Revision())
 		Expect(err).NotTo(HaveOccurred())
-		Expect(len(change)).To(BeNumerically("<", len(whole)/10))
-		again, _, err := reader.PackConfig(3)
+		Expect(change.Size()).To(BeNumerically("<", whole.Size()/10))
+		again, err := reader.Pack(3, reader.Revision())
 		Expect(err).NotTo(HaveOccurred())
-		Expect(&again[0]).To(BeIdenticalTo(&change[0]))
+		Expect(&again.Config[0]).To(BeIdenticalTo(&change.Config[0]))
 	})
 
 	DescribeTable("refuses bytes that it can't read and keeps what it has", func(packed []byte) {
 		h := newHost(&source{})
 		h.source.configure(3, 1, 4)
 		h.read()
-		_, err := h.TakeConfig("peer", packed)
+		_, err := h.TakeBulk("peer", Bulk{Config: packed})
+		Expect(err).To(HaveOccurred())
+		_, err = h.TakeBulk("peer", Bulk{Records: packed})
 		Expect(err).To(HaveOccurred())
 		Expect(h.routes()).To(Equal(4))
 	},
-		Entry("no archive", []byte("x")), Entry("nothing", []byte(nil)), Entry("no document", mustCompress([]byte{0xff})))
+		Entry("no archive", []byte("x")), Entry("cut archive", mustCompress([]byte("abc"))[:12]), Entry("no document", mustCompress([]byte{0xff})))
 })
 
 func mustCompress(plain []byte) []byte {
--- a/internal/decide/fetch/fetch_test.go
+++ b/internal/decide/fetch/fetch_test.go
@@ -184,7 +184,7 @@
 		h.plan.Done(now, peer, fetch.Busy)
 		return
 	}
-	others, given := from.giver.Give(now, h.name, 1, w.bytes)
+	others, given := from.giver.Give(now, h.name, w.bytes)
 	if !given {
 		for _, o := range others {
 			h.plan.Announced(now, o, byName[o].part == h.part, 1)
--- a/internal/decide/fetch/giver.go
+++ b/internal/decide/fetch/giver.go
@@ -20,20 +20,15 @@
 // Giver decides to whom one host gives a document.
 type Giver struct {
 	// free is when all that was given is taken to have left the link.
-	free     time.Duration
-	revision uint64
-	holders  []string
+	free    time.Duration
+	holders []string
 	// turn counts those turned away, so that each is named others.
 	turn int
 }
 
-// Give tells whether a peer may have so many bytes now, which lead to a
-// revision. Otherwise it gives some of those that got it from here, the last
-// ones last.
-func (g *Giver) Give(now time.Duration, peer string, revision uint64, bytes int) (others []string, ok bool) {
-	if revision != g.revision {
-		g.revision, g.holders = revision, nil
-	}
+// Give tells whether a peer may have so many bytes now. Otherwise it names some
+// of those that got the like from here lately.
+func (g *Giver) Give(now time.Duration, peer string, bytes int) (others []string, ok bool) {
 	burst := time.Duration(giveBurst) * time.Second / giveRate
 	if g.free > now+burst {
 		return g.named(peer), false
--- a/internal/gatewayhost/fetcher.go
+++ b/internal/gatewayhost/fetcher.go
@@ -15,17 +15,18 @@
 )
 
 // fetchEvery is how often it is looked whether somebody may be asked by now
-// while a configuration is wanted.
+// while something is wanted.
 const fetchEvery = 20 * time.Millisecond
 
-// fetcher gets configurations that were announced, and gives them to others.
+// fetcher gets what was announced and is too long for news, and gives it to
+// others.
 type fetcher struct {
 	published *published.Controller
 	roles     *roles
 	now       Clock
 	log       *slog.Logger
 	wanted    chan struct{}
-	// supply and take carry the news that come with a configuration; set before
+	// supply and take carry the news that come with it; set before
 	// the first transfer.
 	supply func(peer string) *filbertv1.PublishedNews
 	take   func(peer string, news *filbertv1.PublishedNews, asked time.Time)
@@ -45,9 +46,9 @@
 	}
 }
 
-// announced notes that a peer holds a configuration of a revision.
+// announced notes that a peer holds what is published up to a revision.
 func (f *fetcher) announced(peer string, revision uint64) {
-	if revision <= f.published.ConfigRevision() {
+	if _, _, held := f.published.Holds(); revision <= held {
 		return
 	}
 	near := f.roles.shares(peer)
@@ -61,8 +62,9 @@
 func (f *fetcher) run(ctx context.Context, c *gossip.Controller) {
 	for ctx.Err() == nil {
 		rank := f.roles.rankOfSelf()
+		_, _, held := f.published.Holds()
 		f.mu.Lock()
-		peer, timeout, ok := f.plan.Next(f.now(), f.published.ConfigRevision(), rank)
+		peer, timeout, ok := f.plan.Next(f.now(), held, rank)
 		wants := f.plan.Wants()
 		f.mu.Unlock()
 		switch {
@@ -83,25 +85,25 @@
 }
 
 func (f *fetcher) fetch(ctx context.Context, c *gossip.Controller, peer string, timeout time.Duration) fetch.Outcome {
-	held := f.published.ConfigRevision()
+	config, records, _ := f.published.Holds()
 	if f.whole {
-		held = 0
+		config = 0
 	}
 	asked := time.Now()
-	reply, err := c.FetchFrom(ctx, peer, timeout, &filbertv1.FetchRequest{ConfigRevision: held})
+	reply, err := c.FetchFrom(ctx, peer, timeout, &filbertv1.FetchRequest{ConfigRevision: config, Revision: records})
 	if err != nil {
-		f.log.Info("configuration not fetched", "peer", peer, "held", held, "timeout", timeout, "error", err)
+		f.log.Info("not fetched", "peer", peer, "config", config, "revision", records, "timeout", timeout, "error", err)
 		return fetch.Failed
 	}
 	if reply.GetBusy() {
 		for _, holder := range reply.GetHolders() {
-			f.announced(holder, reply.GetNews().GetConfig().GetRevision())
+			f.announced(holder, reply.GetNews().GetRevision())
 		}
 		return fetch.Busy
 	}
-	f.whole, err = f.published.TakeConfig(peer, reply.GetDelta())
+	f.whole, err = f.published.TakeBulk(peer, published.Bulk{Config: reply.GetDelta(), Records: reply.GetRecords()})
 	if err != nil {
-		f.log.Warn("configuration of a peer can't be read", "peer", peer, "error", err)
+		f.log.Warn("what a peer gave can't be read", "peer", peer, "error", err)
 		return fetch.Failed
 	}
 	f.take(peer, reply.GetNews(), asked)
@@ -110,20 +112,20 @@
 
 // give answers a peer's fetch.
 func (f *fetcher) give(peer string, req *filbertv1.FetchRequest) *filbertv1.FetchReply {
-	packed, revision, err := f.published.PackConfig(req.GetConfigRevision())
+	bulk, err := f.published.Pack(req.GetConfigRevision(), req.GetRevision())
 	if err != nil {
-		f.log.Error("configuration can't be given", "peer", peer, "error", err)
+		f.log.Error("nothing can be given", "peer", peer, "error", err)
 	}
 	reply := &filbertv1.FetchReply{News: f.supply(peer)}
-	if len(packed) == 0 {
+	if bulk.Size() == 0 {
 		reply.Busy = true
 		return reply
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	others, ok := f.giver.Give(f.now(), peer, revision, len(packed))
+	others, ok := f.giver.Give(f.now(), peer, bulk.Size())
 	if ok {
-		reply.Delta = packed
+		reply.Delta, reply.Records = bulk.Config, bulk.Records
 	} else {
 		reply.Busy, reply.Holders = true, others
 	}
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -190,7 +190,7 @@
 
 func (f *fleet) supplyPublished(peer string) *filbertv1.PublishedNews {
 	n := f.published.NewsFor(peer)
-	out := &filbertv1.PublishedNews{From: n.From, Revision: n.Revision, Reading: n.Reading, Relaying: f.roles.relaying()}
+	out := &filbertv1.PublishedNews{From: n.From, Revision: n.Revision, Withheld: n.Withheld, Reading: n.Reading, Relaying: f.roles.relaying()}
 	if n.Age >= 0 {
 		// Rounded up: an age cut to whole milliseconds would make the news
 		// younger with each hop.
@@ -230,7 +230,11 @@
 		f.behind[peer] = true
 		f.mu.Unlock()
 	}
-	f.fetcher.announced(peer, n.Config.Version.Revision)
+	if news.GetWithheld() {
+		f.fetcher.announced(peer, n.Revision)
+	} else {
+		f.fetcher.announced(peer, n.Config.Version.Revision)
+	}
 }
 
 // newGossip draws the incarnation: a process that is replaced at the same
