Keep no counts of hosts that only asked about an engine

Cause, found in reading: a host that asks an owner tells what it has there, mostly nothing; the owner kept that for six seconds and told it to everybody who asked. With 54 choices a second of twelve engines out of 59 that is some 66 empty counts an engine (worked out), 4 KB an answer; past some 130 an answer is longer than a datagram holds and is lost. Spec: red before.

--- a/internal/decide/loadshare/loadshare.go
+++ b/internal/decide/loadshare/loadshare.go
@@ -174,17 +174,21 @@
 	b.Take(now, "", counts)
 }
 
-// Of gives all counts of one target, this host's own among them.
+// Of gives the counts of one target that say anything, this host's own among
+// them.
 func (b *Board) Of(now time.Duration, target string) []Count {
 	var counts []Count
 	for k, c := range b.counts {
-		if k.target == target && (k.host == b.self || now-c.heard < expireAfter) {
+		if k.target == target && !c.empty() && (k.host == b.self || now-c.heard < expireAfter) {
 			counts = append(counts, c.Count)
 		}
 	}
 	return counts
 }
 
+// empty tells whether a count says nothing that a missing one would not.
+func (c Count) empty() bool { return c.Load == Load{} && c.Step == 0 && !c.Leaving && c.Failures == 0 }
+
 // Take takes counts that a peer told; an empty name stands for one that is not
 // told any.
 func (b *Board) Take(now time.Duration, peer string, counts []Count) {
@@ -205,6 +209,9 @@
 		}
 		old, known := b.counts[k]
 		switch {
+		case !known && c.empty():
+			// Hosts that ask about a target tell what they have there, which mostly
+			// is nothing. Kept, these would fill answers and memory.
 		case !known || c.Version > old.Version:
 			b.counts[k] = held{Count: c, heard: now, told: bit}
 		case c.Version == old.Version:
--- a/internal/decide/loadshare/loadshare_test.go
+++ b/internal/decide/loadshare/loadshare_test.go
@@ -119,6 +119,20 @@
 		Expect(a.OwnNews(2 * loadshare.RefreshEvery)).To(BeEmpty())
 	})
 
+	// Hundreds of hosts ask about an engine and have nothing there. If the owner
+	// kept and told that, its answers would outgrow a datagram, and hosts would
+	// choose without any.
+	It("say nothing of hosts that only asked", func() {
+		owner := loadshare.New("owner", 1)
+		for i := range 200 {
+			owner.Take(0, "", []loadshare.Count{{Host: fmt.Sprint("h-", i), Target: "e-1"}})
+		}
+		owner.Take(0, "", []loadshare.Count{{Host: "a", Target: "e-1", Version: 3, Load: load(1, 3000)}})
+		Expect(owner.Of(0, "e-1")).To(HaveLen(1))
+		owner.Take(0, "", []loadshare.Count{{Host: "a", Target: "e-1", Version: 4}})
+		Expect(owner.Of(0, "e-1")).To(BeEmpty())
+	})
+
 	// A generation of another host ended since this host last asked. If its count
 	// stood on here, an engine with room would be passed over for seconds.
 	It("end with the owner's word that they have ended", func() {
