--- a/internal/controller/gossip/controller.go
+++ b/internal/controller/gossip/controller.go
@@ -71,8 +71,8 @@
 	// TakePublished gets the time at which the question was asked that the news
 	// answer; zero when they came unasked.
 	TakePublished func(peer string, news *filbertv1.PublishedNews, asked time.Time)
-	// GiveConfig answers a peer's Fetch.
-	GiveConfig func(peer string, req *filbertv1.FetchRequest) *filbertv1.FetchReply
+	// GiveBulk answers a peer's Fetch.
+	GiveBulk func(peer string, req *filbertv1.FetchRequest) *filbertv1.FetchReply
 	// Urgent is received from when there is news to supply that shouldn't wait
 	// for the next probes.
 	Urgent <-chan struct{}
--- a/internal/controller/gossip/server.go
+++ b/internal/controller/gossip/server.go
@@ -83,10 +83,10 @@
 
 // Fetch answers with the configuration that news announced.
 func (c *Controller) Fetch(_ context.Context, req *filbertv1.FetchRequest) (*filbertv1.FetchReply, error) {
-	if c.cfg.Hooks.GiveConfig == nil {
+	if c.cfg.Hooks.GiveBulk == nil {
 		return nil, status.Error(codes.Unimplemented, "no configuration is given here")
 	}
-	reply := c.cfg.Hooks.GiveConfig(req.GetFrom(), req)
+	reply := c.cfg.Hooks.GiveBulk(req.GetFrom(), req)
 	c.metrics.fetchSent.Inc(int64(proto.Size(reply)))
 	return reply, nil
 }
--- a/internal/controller/published/news.go
+++ b/internal/controller/published/news.go
@@ -74,7 +74,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Now()
-	n := News{From: c.mirror.Revision(), Revision: c.mirror.Revision(), Age: -1, Reading: c.reading && !c.lost && c.confirmed, Config: c.doc.rows.Head()}
+	n := News{
+		From: c.mirror.Revision(), Revision: c.mirror.Revision(), Age: -1,
+		Reading: c.reading && !c.lost && c.confirmed, Config: c.doc.rows.Head(),
+	}
 	if c.confirmed {
 		n.Age = now - c.currentAt
 	}
@@ -250,7 +253,8 @@
 	if changed {
 		c.known = true
 		c.publish(now)
-		c.cfg.Log.Info("fetched from a peer", "peer", address, "bytes", b.Size(), "config", c.doc.revision(), "revision", c.mirror.Revision(), "before", before)
+		c.cfg.Log.Info("fetched from a peer", "peer", address, "bytes", b.Size(),
+			"config", c.doc.revision(), "revision", c.mirror.Revision(), "before", before)
 	}
 	return gap, nil
 }
--- a/internal/decide/fetch/fetch.go
+++ b/internal/decide/fetch/fetch.go
@@ -48,7 +48,8 @@
 // peer of its own part that has the document is heard of within FarAfter.
 func Default() Config {
 	return Config{
-		FarAfter: 250 * time.Millisecond, FarStep: 500 * time.Millisecond, FarRanks: 3, BusyPause: 60 * time.Millisecond, FailedPause: 2 * time.Second,
+		FarAfter: 250 * time.Millisecond, FarStep: 500 * time.Millisecond, FarRanks: 3,
+		BusyPause: 60 * time.Millisecond, FailedPause: 2 * time.Second,
 		FirstTimeout: time.Second, LastTimeout: 8 * time.Second,
 	}
 }
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -52,7 +52,9 @@
 	behind map[string]bool
 }
 
-func newFleet(p *published.Controller, roles *roles, loads *gateway.Loads, suspects *gateway.Suspects, fetcher *fetcher, now Clock) *fleet {
+func newFleet(
+	p *published.Controller, roles *roles, loads *gateway.Loads, suspects *gateway.Suspects, fetcher *fetcher, now Clock,
+) *fleet {
 	f := &fleet{
 		published: p, roles: roles, loads: loads, suspects: suspects, fetcher: fetcher, now: now,
 		urgent: make(chan struct{}, 1), behind: map[string]bool{},
@@ -126,7 +128,7 @@
 	return gossip.Hooks{
 		SupplyLoads: f.supplyLoads, TakeLoads: f.takeLoads, SupplyAlerts: f.supplyAlerts, TakeAlerts: f.takeAlerts,
 		SupplyPoison: f.supplyPoison, TakePoison: f.takePoison,
-		SupplyPublished: f.supplyPublished, TakePublished: f.takePublished, GiveConfig: f.fetcher.give, Urgent: f.urgent,
+		SupplyPublished: f.supplyPublished, TakePublished: f.takePublished, GiveBulk: f.fetcher.give, Urgent: f.urgent,
 	}
 }
 
@@ -190,7 +192,9 @@
 
 func (f *fleet) supplyPublished(peer string) *filbertv1.PublishedNews {
 	n := f.published.NewsFor(peer)
-	out := &filbertv1.PublishedNews{From: n.From, Revision: n.Revision, Withheld: n.Withheld, Reading: n.Reading, Relaying: f.roles.relaying()}
+	out := &filbertv1.PublishedNews{
+		From: n.From, Revision: n.Revision, Withheld: n.Withheld, Reading: n.Reading, Relaying: f.roles.relaying(),
+	}
 	if n.Age >= 0 {
 		// Rounded up: an age cut to whole milliseconds would make the news
 		// younger with each hop.
@@ -209,7 +213,10 @@
 }
 
 func (f *fleet) takePublished(peer string, news *filbertv1.PublishedNews, asked time.Time) {
-	n := published.News{From: news.GetFrom(), Revision: news.GetRevision(), Age: -1, Reading: news.GetReading(), Config: rolloutwire.FromHead(news.GetConfig())}
+	n := published.News{
+		From: news.GetFrom(), Revision: news.GetRevision(), Age: -1, Reading: news.GetReading(),
+		Config: rolloutwire.FromHead(news.GetConfig()),
+	}
 	if ms := news.GetCurrentMs(); ms > 0 {
 		n.Age = time.Duration(ms) * time.Millisecond
 	}
--- a/internal/gatewayhost/owners.go
+++ b/internal/gatewayhost/owners.go
@@ -54,9 +54,12 @@
 	silent map[string]time.Time
 }
 
-func newOwners(s *Settings, loads *gateway.Loads, size *fleetSize, view *published.Board, log *slog.Logger, reg gometrics.Registry) *owners {
+func newOwners(
+	s *Settings, loads *gateway.Loads, size *fleetSize, view *published.Board, log *slog.Logger, reg gometrics.Registry,
+) *owners {
 	return &owners{
-		self: s.Deployment.ListenPeers, loads: loads, size: size, view: view, log: log, waiting: map[uint64]chan []loadshare.Count{}, silent: map[string]time.Time{},
+		self: s.Deployment.ListenPeers, loads: loads, size: size, view: view, log: log,
+		waiting: map[uint64]chan []loadshare.Count{}, silent: map[string]time.Time{},
 		asked: gometrics.GetOrRegisterCounter("owners.asked", reg), unanswered: gometrics.GetOrRegisterCounter("owners.unanswered", reg),
 	}
 }
--- a/internal/gatewayhost/roles.go
+++ b/internal/gatewayhost/roles.go
@@ -60,9 +60,11 @@
 func newRoles(s *Settings, members *gossip.Board, now Clock, log *slog.Logger) *roles {
 	relays, stale := readers.Default(), readers.Default()
 	relays.Want, stale.Want = 1, staleRelays
+	d := s.Deployment
+	seed := len(d.Seeds) == 0 || slices.Contains(d.Seeds, d.ListenPeers)
 	return &roles{
-		patient: s.Deployment.FirstStart && len(s.Deployment.Seeds) > 0 && !slices.Contains(s.Deployment.Seeds, s.Deployment.ListenPeers),
-		self:    s.Deployment.ListenPeers, dataCentre: s.DataCentre, members: members, now: now, log: log,
+		patient: d.FirstStart && !seed,
+		self:    d.ListenPeers, dataCentre: s.DataCentre, members: members, now: now, log: log,
 		readers: readers.New(readers.Default()), relays: readers.New(relays), stale: readers.New(stale),
 	}
 }
@@ -146,8 +148,10 @@
 	}
 	if relays != r.relayed {
 		r.relayed = relays
-		r.log.Info("role of relay changed", "relaying", relays, "rank", slices.Index(ranked.nearby, r.self), "hosts", len(ranked.nearby),
-			"relays", r.relays.Known(r.now(), r.self, ranked.nearby), "readers", r.readers.Known(r.now(), r.self, ranked.heads), "age", age, "known", known)
+		r.log.Info("role of relay changed", "relaying", relays,
+			"rank", slices.Index(ranked.nearby, r.self), "hosts", len(ranked.nearby),
+			"relays", r.relays.Known(r.now(), r.self, ranked.nearby),
+			"readers", r.readers.Known(r.now(), r.self, ranked.heads), "age", age, "known", known)
 	}
 	return relays
 }
