Suspect the store by its first overdue answer, and ask engines at once

Cause: a notice given in the instant in which the store falls silent. Hosts took themselves for blind by the age of what they know, a second later, and asked engines by turns drawn at random, which passed some over for a fifth of a second each time. Of 1.7 s of notice half a second or less was left for copies that take 0.3 to 0.75 s.

Now an answer that is late by four mean deviations of the usual time (50 ms at least) makes the store suspect; the reader tells the heads of the data centres, and all others hear it with the news they ask for each 0.2 s. In the first round all hosts ask the engines of their generations, then two of them on the mean.

The spec of the suspicion fails without it (no such method; with the age alone the other host isn't blind).

--- a/internal/controller/published/controller.go
+++ b/internal/controller/published/controller.go
@@ -14,6 +14,7 @@
 
 	"filbertdeck/internal/blackboard"
 	"filbertdeck/internal/decide/mirror"
+	"filbertdeck/internal/decide/silence"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/wake"
@@ -82,7 +83,8 @@
 	doc           *document
 	peers         map[string]*peer
 	// packed are the records that were given away last.
-	packed packedDelta
+	packed  packedDelta
+	silence silence.Detector
 	// announced is the newest revision of the configuration that a peer holds.
 	announced uint64
 }
@@ -186,7 +188,7 @@
 		c.take(begun, records, func(m *mirror.Mirror, now time.Duration) bool { return m.Whole(now, records, at) })
 		return nil
 	}
-	records, at, err := c.cfg.Source.Watch(ctx, c.watchFrom(), watchWait)
+	records, at, err := c.watch(ctx, begun)
 	if err != nil {
 		return err
 	}
@@ -194,6 +196,27 @@
 	return nil
 }
 
+// watch waits at the store for changes. An answer that is overdue is noted
+// before the call is given up.
+func (c *Controller) watch(ctx context.Context, begun time.Duration) ([]directory.Record, uint64, error) {
+	c.mu.Lock()
+	patience := c.silence.Patience()
+	c.mu.Unlock()
+	late := time.AfterFunc(watchWait+patience, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.overdue(begun+watchWait, "")
+	})
+	defer late.Stop()
+	records, at, err := c.cfg.Source.Watch(ctx, c.watchFrom(), watchWait)
+	if err == nil && len(records) == 0 {
+		c.mu.Lock()
+		c.silence.Answered(c.cfg.Now() - begun - watchWait)
+		c.mu.Unlock()
+	}
+	return records, at, err
+}
+
 // take works news in and publishes a view when they matter.
 func (c *Controller) take(currentAt time.Duration, records []directory.Record, apply func(*mirror.Mirror, time.Duration) bool) {
 	c.mu.Lock()
--- a/internal/controller/published/news.go
+++ b/internal/controller/published/news.go
@@ -42,6 +42,9 @@
 	Age time.Duration
 	// Reading says that the process reads the store, and the store answers.
 	Reading bool
+	// Overdue is how long before the telling an answer of the store was due that
+	// did not come; 0 when all came in time.
+	Overdue time.Duration
 	Records []json.RawMessage
 	// Config is the head of the configuration in force there; Delta leads to it
 	// where that is short, nil else.
@@ -81,6 +84,9 @@
 	if c.confirmed {
 		n.Age = now - c.currentAt
 	}
+	if due, ever := c.silence.Due(); ever && c.silence.Suspect(c.currentAt) {
+		n.Overdue = max(now-due, time.Millisecond)
+	}
 	p := c.peers[address]
 	if p == nil || now-p.statedAt >= statedFor {
 		// Nothing is known of the peer by now: it is told the revisions alone, says
@@ -134,6 +140,9 @@
 	now := c.cfg.Now()
 	c.peers[address] = &peer{stated: held{n.Revision, n.Config.Version.Revision}, statedAt: now}
 	c.announced = max(c.announced, n.Config.Version.Revision)
+	if n.Overdue > 0 {
+		c.overdue(now-n.Overdue, address)
+	}
 	before := c.mirror.Revision()
 	at := uint64(0)
 	if n.From <= before {
@@ -310,6 +319,27 @@
 	return c.cfg.Now() - c.currentAt, c.confirmed
 }
 
+// Suspects tells whether the store may have fallen silent: an answer of its is
+// overdue here or at another host, and no later call was answered.
+func (c *Controller) Suspects() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silence.Suspect(c.currentAt)
+}
+
+// overdue notes an answer of the store that was due at a time and has not come,
+// as a peer said or, with an empty name, this host saw. It is called with the
+// lock held.
+func (c *Controller) overdue(due time.Duration, peer string) {
+	if !c.silence.Overdue(due) || !c.silence.Suspect(c.currentAt) {
+		return
+	}
+	c.cfg.Log.Info("store suspected to be silent", "overdue_for", c.cfg.Now()-due, "peer", peer, "age", c.cfg.Now()-c.currentAt)
+	if peer == "" {
+		c.tell()
+	}
+}
+
 // Asks tells whether this host needs others to tell it what is published: it
 // does not read the store, or the store does not answer it.
 func (c *Controller) Asks() bool {
--- a/internal/controller/published/published_test.go
+++ b/internal/controller/published/published_test.go
@@ -42,6 +42,14 @@
 	return out, s.at, nil
 }
 
+// silentSource is a store that takes calls and answers none.
+type silentSource struct{ *source }
+
+func (s *silentSource) Watch(ctx context.Context, _ uint64, _ time.Duration) ([]directory.Record, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
 // host is a controller with a clock that a spec sets.
 type host struct {
 	*Controller
@@ -301,3 +309,36 @@
 	}
 	return packed
 }
+
+var _ = Describe("a store that falls silent", func() {
+	// Guards against hosts that learn of the silence only by the age of what they
+	// know, while an engine's notice runs that was given in the same instant.
+	It("is suspected by its reader and by the hosts that this one tells, until a later call is answered", func() {
+		store := &source{}
+		store.configure(1, 1, 1)
+		reader, other := newHost(store), newHost(store)
+		reader.read()
+		fetchFrom(reader, other)
+		Expect(reader.Suspects()).To(BeFalse())
+
+		reader.cfg.Source = &silentSource{store}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- reader.step(ctx, false) }()
+		Eventually(reader.Suspects, "5s").Should(BeTrue())
+		Eventually(reader.News()).Should(Receive())
+		reader.now, other.now = time.Second, time.Second
+		other.TakeNews("reader", reader.NewsFor("other"), -1)
+		Expect(other.Suspects()).To(BeTrue())
+		cancel()
+		Expect(<-done).To(HaveOccurred())
+
+		reader.cfg.Source = store
+		reader.now, other.now = 2*time.Second, 2*time.Second
+		reader.read()
+		Expect(reader.Suspects()).To(BeFalse())
+		Expect(reader.NewsFor("other").Overdue).To(BeZero())
+		other.TakeNews("reader", reader.NewsFor("other"), other.now)
+		Expect(other.Suspects()).To(BeFalse())
+	})
+})
--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -28,6 +28,8 @@
 	// askEvery is how often targets are asked whether they are about to stop: a
 	// notice is one and a half seconds, of which copies need most.
 	askEvery = 200 * time.Millisecond
+	// lookEvery is how often a host looks whether it has become blind.
+	lookEvery = 50 * time.Millisecond
 	// switchLimit bounds the wait for the engine that a generation goes over
 	// to: a few hops and the reading of some ten tokens take a few hundredths
 	// of a second; both engines must not work on it for 0.4 s.
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"filbertdeck/internal/decide/silence"
 	"filbertdeck/internal/directory"
 )
 
@@ -62,8 +63,9 @@
 
 // Run moves generations off leaving targets until ctx is done.
 func (g *Gateway) Run(ctx context.Context) {
-	ask := time.NewTicker(askEvery)
-	defer ask.Stop()
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	var asking askRound
 	for {
 		changed := g.cfg.Board.View.Changed()
 		if view := g.cfg.Board.View.Get(); view != nil {
@@ -75,30 +77,42 @@
 			return
 		case <-changed:
 		case <-g.cfg.Loads.leaving:
-		case <-ask.C:
-			g.askTargets(ctx)
+		case <-look.C:
+			asking = g.askTargets(ctx, asking)
 		}
 	}
 }
 
+// askRound is a host's last round of questions to the engines of its
+// generations.
+type askRound struct {
+	// blind says that the host was blind then, at a time on the steady clock.
+	blind bool
+	at    time.Duration
+}
+
 // askTargets asks the engines of this host's generations whether they are
 // about to stop, while nobody can say what is published: an engine that is
 // taken away while the store is down is gone two seconds later, with all its
 // generations. It asks for their health, which is as of now: reports are half a
 // second old, a third of the notice. Each question costs a call of the engine's,
-// so nobody asks while the store or a peer answers, and the hosts of an engine
-// take turns by chance: what one hears the others know a tenth of a second
-// later.
-func (g *Gateway) askTargets(ctx context.Context) {
+// so nobody asks while the store or a peer answers, and after the first round
+// few of the hosts of an engine ask it: what one hears the others know a tenth
+// of a second later.
+func (g *Gateway) askTargets(ctx context.Context, last askRound) askRound {
 	if !g.cfg.Blind() {
-		return
+		return askRound{}
+	}
+	now := g.cfg.Now()
+	if last.blind && now-last.at < askEvery {
+		return last
 	}
 	for _, t := range g.runs.targets() {
-		if rand.IntN(max(g.cfg.Loads.Hosts(t.ID), 1)) > 0 {
-			continue
+		if silence.Asks(!last.blind, g.cfg.Loads.Hosts(t.ID), rand.Float64()) {
+			go g.askTarget(ctx, t)
 		}
-		go g.askTarget(ctx, t)
 	}
+	return askRound{true, now}
 }
 
 func (g *Gateway) askTarget(ctx context.Context, t *directory.Seen) {
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -200,6 +200,9 @@
 		// younger with each hop.
 		out.CurrentMs = uint64(n.Age.Milliseconds()) + 1
 	}
+	if n.Overdue > 0 {
+		out.OverdueMs = uint64(n.Overdue.Milliseconds()) + 1
+	}
 	for _, r := range n.Records {
 		out.Records = append(out.Records, r)
 	}
@@ -220,6 +223,7 @@
 	if ms := news.GetCurrentMs(); ms > 0 {
 		n.Age = time.Duration(ms) * time.Millisecond
 	}
+	n.Overdue = time.Duration(news.GetOverdueMs()) * time.Millisecond
 	f.roles.heard(peer, n.Reading, news.GetRelaying(), n.Age)
 	for _, r := range news.GetRecords() {
 		n.Records = append(n.Records, json.RawMessage(r))
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -138,11 +138,12 @@
 // each question on the way to another host adds 0.2 s.
 const staleAfter = 1500 * time.Millisecond
 
-// blind tells whether this host can't know what is published by now: it can't
-// read it, and no other host that reads it is known.
+// blind tells whether this host may not know what is published by now: the store
+// is suspected to be silent, or this host can't read it and knows no other that
+// does.
 func blind(c *published.Controller, r *roles) bool {
 	age, known := c.Age()
-	if !known || age > staleAfter {
+	if !known || age > staleAfter || c.Suspects() {
 		return true
 	}
 	return c.Asks() && r.cutOff()
