Ask an engine that closes a connection whether it leaves

A server that leaves closes the connections of what it answers, and so tells hosts of its notice without the store. The sign was read nowhere, and could not be: the client asked for each connection to be closed, and the library takes the header out.

The spec fails without the change.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -189,6 +189,9 @@
 	b := gen.cover(s, target)
 	end := gen.g.cfg.Suspects.begin(target, gen.fingerprint)
 	resp, answer, err := gen.g.open(ctx, s)
+	if answer.Leaving && gen.movable() {
+		gen.g.checkLeaving(target)
+	}
 	if err == nil && answer.Status != http.StatusOK {
 		err = gen.failedAnswer(resp, answer)
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -86,6 +87,7 @@
 	t.got = append(t.got, r)
 	t.body = append(t.body, string(body))
 	t.mu.Unlock()
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	do(conn, r)
 }
 
--- a/internal/gateway/migrate_test.go
+++ b/internal/gateway/migrate_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -41,9 +42,13 @@
 	dropped     atomic.Bool
 	// refuseMoves makes it answer 503 to a move.
 	refuseMoves atomic.Bool
+	// refuseTo are the addresses that it can't copy to.
+	refuseTo []string
 	// ill makes it answer 503 when asked for its health, full says besides that
 	// it has no place for the question.
 	ill, full atomic.Bool
+	// closes makes it close the connection of each answer, as it does when ill.
+	closes atomic.Bool
 	// reading is the time before a run's first sign, copying that of a move.
 	reading, copying time.Duration
 }
@@ -58,14 +63,16 @@
 	switch r.URL.Path {
 	case standin.PathMove:
 		e.moves.Add(1)
-		if e.refuseMoves.Load() {
+		body, _ := io.ReadAll(r.Body)
+		full := func(address string) bool { return strings.Contains(string(body), address) }
+		if e.refuseMoves.Load() || slices.ContainsFunc(e.refuseTo, full) {
 			say("HTTP/1.1 503 Service Unavailable\nContent-Length: 0\n\n")(conn, r)
 			return
 		}
 		time.Sleep(e.copying)
-		body := standin.MoveAnswer("h-"+e.id, e.made.Load())
-		say(fmt.Sprintf("HTTP/1.1 200 OK\nContent-Length: %d\n\n", len(body)))(conn, r)
-		_, _ = conn.Write(body)
+		answer := standin.MoveAnswer("h-"+e.id, e.made.Load())
+		say(fmt.Sprintf("HTTP/1.1 200 OK\nContent-Length: %d\n\n", len(answer)))(conn, r)
+		_, _ = conn.Write(answer)
 	case healthPath:
 		e.health(conn, r)
 	case standin.PathReport:
@@ -89,7 +96,11 @@
 // generate makes the events behind Last-Event-Id until the caller leaves.
 func (e *engine) generate(conn net.Conn, r *http.Request) {
 	time.Sleep(e.reading)
-	say("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s-"+e.id+"\nTransfer-Encoding: chunked\n\n")(conn, r)
+	closing := ""
+	if e.ill.Load() || e.closes.Load() {
+		closing = "Connection: close\n"
+	}
+	say("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s-"+e.id+"\n"+closing+"Transfer-Encoding: chunked\n\n")(conn, r)
 	from, _ := strconv.Atoi(r.Header.Get(standin.LastEventID))
 	gone := make(chan struct{})
 	go func() {
@@ -162,6 +173,45 @@
 		Expect(second.requests()).NotTo(BeEmpty())
 	})
 
+	// Guards against a notice that is heard only from the store: an engine that
+	// leaves closes the connections of what it answers.
+	It("go on elsewhere when another answer of their engine says that it may leave", func() {
+		first := startEngine("i-1", events, 20*time.Millisecond)
+		second := startEngine("i-2", events, 5*time.Millisecond)
+		d := startDeck(first.entry("llm", "dc-1"))
+		done := make(chan result, 1)
+		go func() { done <- d.do(d.request("POST", "/report/")) }()
+		Eventually(first.made.Load).Should(BeNumerically(">", 2))
+		first.ill.Store(true)
+		other := d.request("POST", "/report/")
+		other.Header.Set(requestID, "r-2")
+		go d.do(other)
+		Eventually(func() bool { return d.loads.Leaving("i-1") }, "5s").Should(BeTrue())
+		d.publish(first.entry("llm", "dc-1"), second.entry("llm", "dc-1"))
+		var got result
+		Eventually(done, "5s").Should(Receive(&got))
+		Expect(got.body).To(Equal(wanted(events)))
+		Expect(second.requests()).NotTo(BeEmpty())
+	})
+
+	// Guards against engines that are taken for leaving by the connections that
+	// any server closes now and then.
+	It("stay at an engine that closes a connection and is well", func() {
+		first := startEngine("i-1", events, 5*time.Millisecond)
+		first.closes.Store(true)
+		second := startEngine("i-2", events, 5*time.Millisecond)
+		d := startDeck(first.entry("llm", "dc-1"))
+		done := make(chan result, 1)
+		go func() { done <- d.do(d.request("POST", "/report/")) }()
+		Eventually(first.made.Load).Should(BeNumerically(">", 2))
+		d.publish(first.entry("llm", "dc-1"), second.entry("llm", "dc-1"))
+		var got result
+		Eventually(done, "5s").Should(Receive(&got))
+		Expect(got.body).To(Equal(wanted(events)))
+		Expect(second.requests()).To(BeEmpty())
+		Expect(first.requests()[0].Close).To(BeFalse(), "asked the engine to close the connection")
+	})
+
 	// An engine without a free place refuses the question as well. Taking that
 	// for leaving would move all its reports at once, just as it is full.
 	It("stay at an engine that has no place for the question", func() {
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -115,6 +115,14 @@
 	return askRound{true, now}
 }
 
+// checkLeaving asks a target that closes a connection whether it is about to
+// stop: it closes some at other times too.
+func (g *Gateway) checkLeaving(t *directory.Seen) {
+	if takesNew(g.view(), t) {
+		go g.askTarget(context.Background(), t)
+	}
+}
+
 func (g *Gateway) askTarget(ctx context.Context, t *directory.Seen) {
 	service, known := g.view().Service(t.Service)
 	if !known || g.cfg.Loads.Leaving(t.ID) {
--- a/internal/targetclient/once.go
+++ b/internal/targetclient/once.go
@@ -37,7 +37,9 @@
 func (o *Once) Do(req *http.Request, before func() error) (*http.Response, error) {
 	gate := &gate{before: before}
 	t := o.settings.transport()
-	t.DisableKeepAlives = true
+	// The connection is closed after the answer, but the target is not asked to
+	// close it: then its own wish to do so, a sign that it stops, would not show.
+	t.MaxIdleConnsPerHost = -1
 	connect := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := o.settings.dialWatched(ctx, network, address)
 		if err != nil {
