Go on to other engines after those that refused a copy

Cause: a data centre whose engines are full while a third of them leave. Copies went to its best three engines by what hosts know, again and again each 50 ms, and the notice was spent on refusals. Engines that refused are now passed over until all have, so that those of other data centres are reached.

The spec fails without the change.

--- a/internal/gateway/migrate_test.go
+++ b/internal/gateway/migrate_test.go
@@ -248,6 +248,29 @@
 		Expect(got.body).To(Equal(wanted(events)))
 	})
 
+	// Guards against a notice spent on asking the same full engines again while
+	// another data centre has room.
+	It("go to another data centre when the engines of theirs have no room", func() {
+		first := startEngine("i-0", 400, 5*time.Millisecond)
+		d := startDeck(first.entry("llm", "dc-1"))
+		entries := []*directory.Seen{leaving(first.entry("llm", "dc-1"))}
+		for i := range 8 {
+			full := startEngine(fmt.Sprint("i-", i+1), 400, time.Millisecond)
+			first.refuseTo = append(first.refuseTo, full.address)
+			entries = append(entries, full.entry("llm", "dc-1"))
+		}
+		remote := startEngine("i-9", 400, time.Millisecond)
+		entries = append(entries, remote.entry("llm", "dc-2"))
+		done := make(chan result, 1)
+		go func() { done <- d.do(d.request("POST", "/report/")) }()
+		Eventually(first.made.Load).Should(BeNumerically(">", 5))
+		d.publish(entries...)
+		var got result
+		Eventually(done, "10s").Should(Receive(&got))
+		Expect(got.body).To(Equal(wanted(400)))
+		Expect(remote.requests()).NotTo(BeEmpty())
+	})
+
 	// An engine leaves while it still reads a report's prompt, and its entry
 	// changes once more while the copy is on its way. Two moves of one run
 	// refuse each other, and the second one queues behind the copies of all
--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -66,7 +66,12 @@
 	}
 	e := gen.service.Engine
 	wake.Sleep(ctx, gen.g.cfg.Migration.Wait(migration.CopyTime(gen.Prompt.Tokens, e.BytesPerToken, e.LinkMbps)))
-	for gen.started(ctx) && gen.runsAt(from) && !gen.copyAway(ctx, from, m, stops) {
+	avoid := []string{from.ID}
+	for gen.started(ctx) && gen.runsAt(from) {
+		var over bool
+		if avoid, over = gen.copyAway(ctx, from, m, stops, avoid); over {
+			return
+		}
 		wake.Sleep(ctx, roomPause)
 	}
 }
@@ -85,14 +90,20 @@
 	copyOver
 )
 
-// copyAway tries some destinations one after the other. True when nothing more
-// is to be tried.
-func (gen *generation) copyAway(ctx context.Context, from *directory.Seen, m *move, stops time.Time) bool {
-	avoid := []string{from.ID}
+// copyAway tries some destinations one after the other that are not among those
+// to avoid. It gives the latter with those that refused, and tells whether
+// nothing more is to be tried.
+//
+// Load pattern: a third of a data centre's engines leave at once, and the others
+// there are full. Engines that refused are not asked again while there are
+// others, so that one with room is found in another data centre within the
+// notice, though copies to there take twice as long.
+func (gen *generation) copyAway(ctx context.Context, from *directory.Seen, m *move, stops time.Time, avoid []string) ([]string, bool) {
 	for range moveTries {
 		to, place, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), Wanted{Service: from.Service, Prompt: gen.Prompt, Near: Near(from.DataCentre), Avoid: avoid})
 		if !ok {
-			return false
+			// All have refused; by now one may have room.
+			return []string{from.ID}, false
 		}
 		outcome := gen.copyTo(ctx, from, to, place, m, stops)
 		if outcome != copyMade {
@@ -100,13 +111,13 @@
 		}
 		switch outcome {
 		case copyMade, copyOver:
-			return true
+			return avoid, true
 		case copyLater:
-			return false
+			return avoid, false
 		}
 		avoid = append(avoid, to.ID)
 	}
-	return false
+	return avoid, false
 }
 
 // copyTo copies the generation's memory to another engine and goes over to it.
