--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -51,14 +51,15 @@
 // when its first attempt arrives.
 const firstAttempt = 0.02
 
-// cameBack tells whether a request is not its caller's first attempt: it comes
-// with less patience than the route grants, or goes on behind an event.
-func (x *exchange) cameBack() bool {
-	if x.ResumeAfter != "" {
+// mayHaveComeBack tells whether a request may not be its caller's first attempt:
+// it comes with less patience than the route grants, goes on behind an event, or
+// doesn't say.
+func (x *exchange) mayHaveComeBack() bool {
+	if x.ResumeAfter != "" || x.Patience == 0 || x.route.Timeout == 0 {
 		return true
 	}
 	used := x.route.Timeout - x.Patience
-	return x.Patience > 0 && float64(used) > firstAttempt*float64(x.route.Timeout)
+	return float64(used) > firstAttempt*float64(x.route.Timeout)
 }
 
 // budgetKey names the service alone: the bound on sending again is a
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -157,7 +157,7 @@
 // those that run now have ended. One that came back is not refused again.
 func (gen *generation) overloaded(best *Place) error {
 	work := gen.wanted(nil).work()
-	if gen.cameBack() || !placement.Overloaded(best.chosen, work) {
+	if gen.mayHaveComeBack() || !placement.Overloaded(best.chosen, work) {
 		return nil
 	}
 	gen.g.cfg.Log.Info("engines have no memory", "request", gen.ID, "target", best.target, "prompt", work.Prompt, "output", work.Output,
