--- a/internal/decide/enginespeed/enginespeed.go
+++ b/internal/decide/enginespeed/enginespeed.go
@@ -5,9 +5,8 @@
 // knows only its own generations learns an engine's speed when it is about to
 // leave.
 //
-// What happens without it: a fifth of the long generations run on engines that
-// are slower by a third, and each stays in progress, and can be lost with its
-// engine or host, that much longer.
+// What happens without it: many long generations run on slow engines, and each
+// stays in progress, and can be lost with its engine or host, that much longer.
 //
 // How it works: events of a stream are timed over windows of some events, since
 // single ones come bunched. Prompts that are read beside a generation slow its
--- a/internal/decide/migration/migration.go
+++ b/internal/decide/migration/migration.go
@@ -8,10 +8,9 @@
 // centre.
 //
 // What happens without it: a generation that is stopped for the rest of its
-// copy waits behind the first copies of all others; seen were pauses of 0.35
-// to 1.2 s in seven of eight moves on one day of ten leaving engines, where
-// 0.18 s is the longest that callers bear. And copies of generations that are
-// about to end by themselves hold up those that are not.
+// copy waits behind the first copies of all others, for longer than callers
+// bear. And copies of generations that are about to end by themselves hold up
+// those that are not.
 //
 // How it works: a generation runs on while its memory is copied, and goes on
 // at the other engine as soon as that copy is whole. What it made meanwhile,
@@ -74,8 +73,7 @@
 
 // MostLeft gives the longest time that a generation runs on: most events is
 // what it may make at all, 0 when that is unknown, done those made in the time
-// since the first one. Clients' estimates say too little for it: of the
-// generations that should have ended in time by theirs, three in four were cut.
+// since the first one. Clients' estimates say too little for it.
 func MostLeft(most, done int, since time.Duration) time.Duration {
 	if most == 0 || done < 2 {
 		return unknownLeft
--- a/internal/decide/placement/delay.go
+++ b/internal/decide/placement/delay.go
@@ -34,9 +34,7 @@
 	// lateCost is the cost of a second of reading beyond half of the time that
 	// callers are promised.
 	lateCost = 10
-	// penaltyCost is what a penalty of a whole fullness comes to: an engine in
-	// another data centre, 0.03, is passed over for 0.15 s, one that failed once,
-	// 0.25, for more than a second.
+	// penaltyCost is what a penalty of a whole fullness comes to.
 	penaltyCost = 5 * time.Second
 )
 
@@ -45,16 +43,15 @@
 //
 // Load pattern: generations of half a minute run beside short answers, and both
 // bring prompts of some thousand tokens. While a prompt is read, every
-// generation at that engine makes its tokens at half the pace: 200 ms of
-// reading cost five generations a second together. Some engines are slower than
-// others by a third.
+// generation at that engine makes its tokens at half the pace. Some engines are
+// slower than others.
 //
 // What happens without it: by fullness alone short answers' prompts are read
-// beside the long generations, and a fifth of these run on slow engines. They
-// take a third longer than on an engine alone. When all hosts are lost every one
-// in progress is lost, so the sum of the times in progress is what callers lose;
-// this is what the choice adds to it. Long generations so go to quick engines, and short answers to where
-// few others wait for the reading of their prompts.
+// beside the long generations, and many of these run on slow engines. When all
+// hosts are lost every one in progress is lost, so the sum of the times in
+// progress is what callers lose; this is what the choice adds to it. Long
+// generations so go to quick engines, and short answers to where few others wait
+// for the reading of their prompts.
 func Delay(c Candidate, w Work) time.Duration {
 	step := c.Step
 	if step <= 0 {
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -42,8 +42,8 @@
 
 // Penalties of targets in another data centre, in shares of fullness.
 const (
-	// RemoteCharge: a generation's events are some 75 KB, small against its
-	// worth; a few hundredths only decide among equals.
+	// RemoteCharge decides among about equals: a generation's events are few
+	// bytes.
 	RemoteCharge = 0.03
 	// RemoteCopyCharge is for generations that are moved: a copy within the
 	// data centre takes half the time, and an engine a quarter fuller costs
@@ -53,9 +53,8 @@
 
 // readPerFullness is the number of unread prompt tokens that weighs as much as
 // a full memory. Engines read prompts one after the other in chunks between
-// the steps of running generations, 112 tokens in 15 ms, so 7,000 keep the
-// next prompt waiting for a second, most of what callers bear to the first
-// event. Without it all hosts choose the engine that joined last, the emptiest
+// the steps of running generations, so unread ones keep the next prompt
+// waiting. Without it all hosts choose the engine that joined last, the emptiest
 // one, and its prompts wait for each other.
 const readPerFullness = 7000
 
@@ -72,8 +71,7 @@
 // Figures of the sampling.
 const (
 	// exactHosts is the number of hosts up to which each chooses among all
-	// targets. News of a choice takes a tenth of a second for each hop between
-	// hosts; eight hosts send less than one prompt in that time.
+	// targets: so few rarely choose within the time that news of a choice takes.
 	exactHosts = 8
 	// leastSample is the smallest number of targets looked at: two random ones
 	// are nearly as good as all, a third makes up for one that failed lately.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -26,9 +26,8 @@
 func (l *Loads) BoundCold(b ColdBound) { l.cold = b }
 
 const (
-	// penaltyFor is how long a failure counts against a target. Grey targets
-	// fail two in five of their requests; at one request a second to each
-	// target the next failure comes within this time.
+	// penaltyFor is how long a failure counts against a target: until the next
+	// one of a target that goes on failing a part of its requests.
 	penaltyFor = 4 * time.Second
 	// penaltyEach is added to the fullness for each failure, up to penaltyMost.
 	penaltyEach, penaltyMost = 0.25, 1.0
@@ -42,7 +41,7 @@
 	// coldAgain is how long a target counts as cold after it could not be
 	// reached: it may have started anew while nobody could publish that.
 	coldAgain = 5 * time.Second
-	// unreachablePenalty is above what any other target's load comes to.
+	// unreachablePenalty is above any load.
 	unreachablePenalty = 100
 )
 
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -268,8 +268,7 @@
 	// when nothing else is known.
 	outputShare = 0.4
 	// hintTrust is the weight of a client's estimate, in the logarithm, against
-	// what is expected without one. Estimates are off by a factor of three either
-	// way, lengths by a factor of two.
+	// what is expected without one. Estimates vary more than lengths do.
 	hintTrust = 0.3
 )
 
--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -25,8 +25,8 @@
 	// healthLimit bounds the question after an engine's health, which waits for
 	// a place there.
 	healthLimit = 300 * time.Millisecond
-	// askEvery is how often targets are asked whether they are about to stop: a
-	// notice is one and a half seconds, of which copies need most.
+	// askEvery is how often targets are asked whether they are about to stop:
+	// copies need most of a notice.
 	askEvery = 200 * time.Millisecond
 	// lookEvery is how often a host looks whether it has become blind.
 	lookEvery = 50 * time.Millisecond
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -12,8 +12,7 @@
 type pace struct{ first, event atomic.Int64 }
 
 const (
-	// Taken until a generation has ended: an engine of today with a handful of
-	// generations.
+	// Taken until a generation has ended.
 	usualFirst, usualEvent = 500 * time.Millisecond, 45 * time.Millisecond
 	// paceWeight is the weight of a new sample, one in so many.
 	paceWeight = 8
