--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -109,20 +109,15 @@
 		if other == nil {
 			break
 		}
-		l.giveUp(place)
+		place.Release()
+		// Without this the owner would count it there until news come around, and
+		// send others away from an engine that has room.
+		l.ask(place)
 		place = other
 	}
 	return place
 }
 
-// giveUp releases a place that its target's owner was told of, and tells the
-// owner: it would count it there until news come around, and send others away
-// from an engine that has room.
-func (l *Loads) giveUp(place *Place) {
-	place.Release()
-	l.ask(place)
-}
-
 // ask tells a target's owner of a place there and takes what it knows; false
 // when nobody was asked or answered.
 func (l *Loads) ask(p *Place) bool { return l.asks() && l.askFor(p.at) }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -47,21 +47,6 @@
 // mostPriority is the least urgent rank that targets know.
 const mostPriority = 9
 
-// firstAttempt is the part of a route's timeout that a caller has used up at most
-// when its first attempt arrives.
-const firstAttempt = 0.02
-
-// mayHaveComeBack tells whether a request may not be its caller's first attempt:
-// it comes with less patience than the route grants, goes on behind an event, or
-// doesn't say.
-func (x *exchange) mayHaveComeBack() bool {
-	if x.ResumeAfter != "" || x.Patience == 0 || x.route.Timeout == 0 {
-		return true
-	}
-	used := x.route.Timeout - x.Patience
-	return float64(used) > firstAttempt*float64(x.route.Timeout)
-}
-
 // budgetKey names the service alone: the bound on sending again is a
 // service's.
 func (x *exchange) budgetKey() retrybudget.Key {
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -11,7 +11,6 @@
 
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/decide/enginespeed"
-	"filbertdeck/internal/decide/placement"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/sse"
@@ -124,10 +123,6 @@
 		if !ok {
 			break
 		}
-		if err := gen.overloaded(place); err != nil {
-			gen.g.cfg.Loads.giveUp(place)
-			return nil, err
-		}
 		gen.enter(target, nil, nil)
 		gen.g.cfg.Log.Info("generation placed", "request", gen.ID, "route", gen.route.Name, "target", target.ID,
 			"tokens", tokensOf(gen.Prompt), "prompt", gen.Prompt.Tokens, "max", gen.Prompt.MaxOutput, "hint", gen.Prompt.LengthHint, "revision", gen.view.Revision, "tries", t.sent+t.unsent+1,
@@ -152,20 +147,6 @@
 	return nil, last
 }
 
-// overloaded refuses a long generation that even the best engine, where it has a
-// place, has no memory for; nil when it may run. Its caller should come back when
-// those that run now have ended. One that came back is not refused again.
-func (gen *generation) overloaded(best *Place) error {
-	work := gen.wanted(nil).work()
-	if gen.mayHaveComeBack() || !placement.Overloaded(best.chosen, work) {
-		return nil
-	}
-	gen.g.cfg.Log.Info("engines have no memory", "request", gen.ID, "target", best.target, "prompt", work.Prompt, "output", work.Output,
-		"running", best.chosen.Running, "promised", best.chosen.Tokens, "copies", best.chosen.Copies, "memory", best.chosen.Memory)
-	retry := gen.g.pace.expect(gen.Prompt, gen.service.Engine.TokensPerEvent)
-	return failure.New(failure.KindOverloaded, "no engine of %s has memory for the generation", gen.service.Name).After(retry)
-}
-
 // wanted is what a new run of the generation wants of an engine.
 func (gen *generation) wanted(avoid []string) Wanted {
 	return Wanted{Service: gen.service.Name, Prompt: gen.Prompt, Within: gen.route.Objective, Near: Anywhere, Avoid: avoid}
