Log what a send was decided by, and when a host learns that targets leave

A request that reaches a leaving target may have been chosen by an old view, by a current one but too early, by one that forgot the leaving, or may have lain on its way. The lines of a send could not tell these apart: they named the version of the configuration only. They now carry the revision of the view, its age and, for plain calls, the time from the choice until the first byte. A line names the targets that stop taking work and who told.

--- a/internal/controller/published/controller.go
+++ b/internal/controller/published/controller.go
@@ -229,7 +229,7 @@
 	news := apply(c.mirror, now)
 	if news || due || !c.known {
 		c.known = true
-		c.publish(now)
+		c.publish(now, fromStore)
 	}
 	if news {
 		c.tell()
@@ -262,13 +262,21 @@
 // published, or the store was lost or is back.
 func (c *Controller) News() <-chan struct{} { return c.news }
 
-func (c *Controller) publish(now time.Duration) {
+// fromStore is the source of what this host read from the store itself.
+const fromStore = "store"
+
+// publish puts what is known by now on the board; source is where the last
+// change came from.
+func (c *Controller) publish(now time.Duration, source string) {
 	view := c.mirror.View(now)
 	before := c.out.Get()
 	if view.Config != nil && (before == nil || before.Config == nil || before.Config.Version != view.Config.Version) {
 		c.cfg.Log.Info("configuration in force", "version", view.Config.Version, "revision", view.Revision, "routes", len(view.Config.Routes))
 	}
 	c.out.Publish(view)
+	if left := c.mirror.Left(); len(left) > 0 {
+		c.cfg.Log.Info("targets leave", "targets", left, "revision", view.Revision, "source", source, "age", now-c.currentAt)
+	}
 }
 
 // note logs when the store is lost and when it is back.
--- a/internal/controller/published/news.go
+++ b/internal/controller/published/news.go
@@ -154,7 +154,7 @@
 	}
 	if changed {
 		c.known = true
-		c.publish(now)
+		c.publish(now, address)
 		c.cfg.Log.Info("news taken from a peer", "peer", address, "records", len(records), "revision", c.mirror.Revision(), "before", before)
 	}
 	if asked >= 0 && n.Age >= 0 && c.mirror.Revision() >= n.Revision && c.doc.revision() >= n.Config.Version.Revision {
@@ -261,7 +261,7 @@
 	}
 	if changed {
 		c.known = true
-		c.publish(now)
+		c.publish(now, address)
 		c.cfg.Log.Info("fetched from a peer", "peer", address, "bytes", b.Size(),
 			"config", c.doc.revision(), "revision", c.mirror.Revision(), "before", before)
 	}
--- a/internal/decide/mirror/mirror.go
+++ b/internal/decide/mirror/mirror.go
@@ -55,6 +55,8 @@
 	config   *directory.Config
 	index    *directory.Index
 	seen     map[string]*directory.Seen
+	// left are the targets that were heard to leave since Left was last called.
+	left []string
 	// returned is when the store last answered after it had been away.
 	returned time.Duration
 	away     bool
@@ -149,6 +151,7 @@
 	case r.Target != nil:
 		return m.takeTarget(now, r.Target) || old.Target == nil
 	case old.Target != nil:
+		m.left = append(m.left, old.Target.ID)
 		return true
 	}
 	return r.DrainedOut != "" || old.DrainedOut != ""
@@ -178,6 +181,9 @@
 		}
 	}
 	m.seen[t.ID] = next
+	if t.Leaving && (old == nil || !old.Leaving || old.Started != t.Started) {
+		m.left = append(m.left, t.ID)
+	}
 	return old == nil || old.Target != *t && !sameStanding(old, next) || !old.Listed
 }
 
@@ -189,6 +195,14 @@
 	return x == y && (a.ColdUntil > 0) == (b.ColdUntil > 0)
 }
 
+// Left gives the targets that were heard to leave, or whose entries went, since
+// it was last called.
+func (m *Mirror) Left() []string {
+	left := m.left
+	m.left = nil
+	return left
+}
+
 // Since gives the records that changed after a revision in what matters to
 // requests, removals included, in the order of their revisions. The
 // configuration is not among them: it may be hundreds of times as long as all
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"filbertdeck/internal/call"
@@ -23,6 +25,31 @@
 	fingerprint uint64
 }
 
+// basis is what a target was chosen by.
+type basis struct {
+	// view is what was published as far as this host knew.
+	view *directory.View
+	// age is how long before the choice it was known that nothing newer had been
+	// published; negative when it never was.
+	age time.Duration
+	at  time.Time
+	// waited is the time from the choice until the first byte was sent.
+	waited atomic.Int64
+}
+
+// basis gives what a target is chosen by now.
+func (g *Gateway) basis() *basis { return &basis{view: g.view(), age: g.cfg.Age(), at: time.Now()} }
+
+// sent notes that the first byte is sent.
+func (b *basis) sent() { b.waited.Store(int64(time.Since(b.at))) }
+
+// LogValue gives what a log line says of the basis.
+func (b *basis) LogValue() slog.Value {
+	return slog.GroupValue(
+		slog.Uint64("revision", b.view.Revision), slog.Duration("age", b.age), slog.Duration("waited", time.Duration(b.waited.Load())),
+	)
+}
+
 // send makes a sending of the request to a target.
 func (x *exchange) send(target *directory.Seen) *call.Send {
 	s := &call.Send{Request: x.Request, Target: target.Target, Left: time.Until(x.deadline), Priority: -1}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,9 @@
 	// Current tells whether what is on the board is new enough to say that
 	// something does not exist.
 	Current func() bool
+	// Age tells how long ago it was known that nothing newer had been published
+	// than is on the board; negative when it never was.
+	Age func() time.Duration
 	// Blind tells whether this host can't know what is published by now.
 	Blind func() bool
 	// Now is the steady clock of the process.
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -119,15 +119,16 @@
 	var last error
 	var t tries
 	for {
-		target, place, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), gen.wanted(avoid))
+		by := gen.g.basis()
+		target, place, ok := gen.g.cfg.Loads.Acquire(by.view, gen.wanted(avoid))
 		if !ok {
 			break
 		}
 		gen.enter(target, nil, nil)
 		gen.g.cfg.Log.Info("generation placed", "request", gen.ID, "route", gen.route.Name, "target", target.ID,
-			"tokens", tokensOf(gen.Prompt), "prompt", gen.Prompt.Tokens, "max", gen.Prompt.MaxOutput, "hint", gen.Prompt.LengthHint, "revision", gen.view.Revision, "tries", t.sent+t.unsent+1,
+			"tokens", tokensOf(gen.Prompt), "prompt", gen.Prompt.Tokens, "max", gen.Prompt.MaxOutput, "hint", gen.Prompt.LengthHint, "basis", by, "tries", t.sent+t.unsent+1,
 			"running", place.chosen.Running, "promised", place.chosen.Tokens, "unread", place.chosen.Unread, "step", place.chosen.Step)
-		l, err := gen.open(gen.send(target), target, place)
+		l, err := gen.open(gen.send(target), target, place, by)
 		if err == nil {
 			gen.opened(l)
 			gen.runs++
@@ -175,12 +176,12 @@
 }
 
 // open sends the request to an engine and waits for the answer's header.
-func (gen *generation) open(s *call.Send, target *directory.Seen, place *Place) (*leg, error) {
-	return gen.openWithin(0, s, target, place)
+func (gen *generation) open(s *call.Send, target *directory.Seen, place *Place, by *basis) (*leg, error) {
+	return gen.openWithin(0, s, target, place, by)
 }
 
 // openWithin is open that waits no longer than a limit; 0 means none.
-func (gen *generation) openWithin(limit time.Duration, s *call.Send, target *directory.Seen, place *Place) (*leg, error) {
+func (gen *generation) openWithin(limit time.Duration, s *call.Send, target *directory.Seen, place *Place, by *basis) (*leg, error) {
 	ctx, cancel := context.WithCancel(gen.ctx)
 	if limit > 0 {
 		timer := time.AfterFunc(limit, cancel)
@@ -188,7 +189,7 @@
 	}
 	b := gen.cover(s, target)
 	end := gen.g.cfg.Suspects.begin(target, gen.fingerprint)
-	resp, answer, err := gen.g.open(ctx, s)
+	resp, answer, err := gen.g.open(ctx, s, by)
 	if answer.Leaving && gen.movable() {
 		gen.g.checkLeaving(target)
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -140,7 +140,7 @@
 	g := gateway.New(gateway.Config{
 		Dialect: platform.Dialect{}, Engines: platform.NewEngines(), Board: board,
 		Loads: d.loads, Suspects: d.suspects, Budget: retrybudget.New(retrybudget.Config{}),
-		Client: targetclient.NewOnce(targetclient.Settings{Header: time.Minute, Silence: time.Minute}), Migration: migration.Default(), Blind: d.blind.Load, Current: func() bool { return !d.blind.Load() },
+		Client: targetclient.NewOnce(targetclient.Settings{Header: time.Minute, Silence: time.Minute}), Migration: migration.Default(), Blind: d.blind.Load, Current: func() bool { return !d.blind.Load() }, Age: func() time.Duration { return 0 },
 		Log: slog.New(logs), Metrics: gometrics.NewRegistry(), Now: now,
 	})
 	d.gateway = g
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -35,13 +35,15 @@
 	var answer *whole
 	var t tries
 	var tried string
+	var by *basis
 	for {
-		target, place, ok := g.cfg.Loads.Acquire(g.view(), Wanted{Service: x.service.Name, Near: Anywhere, Avoid: avoid})
+		by = g.basis()
+		target, place, ok := g.cfg.Loads.Acquire(by.view, Wanted{Service: x.service.Name, Near: Anywhere, Avoid: avoid})
 		if !ok {
 			break
 		}
 		tried = target.ID
-		answer, last = g.try(ctx, x, target)
+		answer, last = g.try(ctx, x, target, by)
 		place.Release()
 		t.add(last)
 		if !g.again(ctx, x, failed(answer, last), last, t) {
@@ -53,7 +55,8 @@
 	case answer != nil:
 		g.meters.answered(x.route.Kind, time.Since(x.Arrived))
 		g.cfg.Log.Info("request answered", "request", x.ID, "route", x.route.Name, "account", accountName(x.account),
-			"config", x.view.Config.Version, "target", tried, "status", answer.Status, "sends", t.sent, "unreached", t.unsent, "took", time.Since(x.Arrived))
+			"config", x.view.Config.Version, "target", tried, "status", answer.Status, "sends", t.sent, "unreached", t.unsent,
+			"basis", by, "took", time.Since(x.Arrived))
 		g.answer(x, answer)
 	case last != nil:
 		g.refuse(x.w, x.Request, last)
@@ -123,17 +126,17 @@
 
 // try sends a request to one target. The error says whether it ran; an answer
 // without error is the target's own, also when it is a failure.
-func (g *Gateway) try(ctx context.Context, x *exchange, target *directory.Seen) (*whole, error) {
+func (g *Gateway) try(ctx context.Context, x *exchange, target *directory.Seen, by *basis) (*whole, error) {
 	end := g.cfg.Suspects.begin(target, x.fingerprint)
-	answer, err := g.fetch(ctx, x, target)
+	answer, err := g.fetch(ctx, x, target, by)
 	g.blame(ctx, target, err)
 	end(err == nil)
 	return answer, err
 }
 
 // fetch sends a request to one target and reads its whole answer.
-func (g *Gateway) fetch(ctx context.Context, x *exchange, target *directory.Seen) (*whole, error) {
-	resp, answer, err := g.open(ctx, x.send(target))
+func (g *Gateway) fetch(ctx context.Context, x *exchange, target *directory.Seen, by *basis) (*whole, error) {
+	resp, answer, err := g.open(ctx, x.send(target), by)
 	if err != nil {
 		return nil, err
 	}
@@ -155,12 +158,15 @@
 
 // open sends a request and checks the header of its answer. A target that says
 // that it did not run the request gives a failure that says so.
-func (g *Gateway) open(ctx context.Context, s *call.Send) (*http.Response, call.Answer, error) {
+func (g *Gateway) open(ctx context.Context, s *call.Send, by *basis) (*http.Response, call.Answer, error) {
 	req, err := g.cfg.Dialect.WriteSend(ctx, s)
 	if err != nil {
 		return nil, call.Answer{}, err
 	}
-	resp, err := g.cfg.Client.Do(req, ctx.Err)
+	resp, err := g.cfg.Client.Do(req, func() error {
+		by.sent()
+		return ctx.Err()
+	})
 	if err != nil {
 		return nil, call.Answer{}, err
 	}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -59,7 +59,8 @@
 // last event that the caller has. The engine before still runs, so the answer
 // must come soon or not at all.
 func (gen *generation) resume(c *copied, place *Place) (*leg, error) {
-	if !takesNew(gen.g.view(), c.at) {
+	by := gen.g.basis()
+	if !takesNew(by.view, c.at) {
 		place.Release()
 		return nil, failure.New(failure.KindNoTarget, "engine %s may get no more work", c.at.ID)
 	}
@@ -73,7 +74,7 @@
 	}
 	s := gen.send(c.at)
 	s.Resume, s.After = &c.handoff, gen.lastID
-	l, err := gen.openWithin(switchLimit, s, c.at, place)
+	l, err := gen.openWithin(switchLimit, s, c.at, place, by)
 	if unsent(err) {
 		c.takeBack()
 	}
@@ -184,13 +185,14 @@
 	if !gen.g.cfg.Budget.Retry(gen.g.cfg.Now(), gen.budgetKey()) {
 		return nil, why
 	}
-	target, place, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), gen.wanted([]string{from.ID}))
+	by := gen.g.basis()
+	target, place, ok := gen.g.cfg.Loads.Acquire(by.view, gen.wanted([]string{from.ID}))
 	if !ok {
 		return nil, why
 	}
 	s := gen.send(target)
 	s.After = gen.lastID
-	l, err := gen.open(s, target, place)
+	l, err := gen.open(s, target, place, by)
 	if err != nil {
 		return nil, why
 	}
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -129,6 +129,7 @@
 	return gateway.New(gateway.Config{
 		Dialect: s.Deployment.Dialect, Engines: s.Deployment.Engines, Board: b, Loads: loads, Suspects: suspects, Budget: budget,
 		Client: client, Migration: migration.Default(), Blind: func() bool { return blind(c, roles) },
+		Age:     func() time.Duration { return knownAge(c) },
 		Current: func() bool { return current(c, s.Deployment.EditWithin) }, Log: log, Metrics: reg, Now: now,
 	})
 }
@@ -149,6 +150,14 @@
 	return c.Asks() && r.cutOff()
 }
 
+// knownAge is the age of what is known, negative while nothing is.
+func knownAge(c *published.Controller) time.Duration {
+	if age, known := c.Age(); known {
+		return age
+	}
+	return -1
+}
+
 // currentMargin is kept of the time in which an edit must be in force, for the
 // request's own way.
 const currentMargin = 500 * time.Millisecond
