Give a process that lacks removals everything that exists, not a delta

What callers saw: requests went to a target for seconds after it had left; where such a target ended they were tried there in vain until the next whole reading.

Cause: hosts tell each other the records that changed after the revision that the other one holds. A process that has just started knows only what existed when it read the store: a target that left before has no record there. It told hosts that held an older revision "everything from 545 to 550" without the removals in between; these took 550 for known and went on with the removed target as ready, with news that looked new. The same holds for a process after any whole reading, and once old removals are forgotten.

Class: a delta from a source whose log does not reach back that far.

Change: the mirror knows the revision from which all removals are known to it. A peer behind that gets all that exists, marked as such (from 0), and drops what is not in it. The specs failed before: the removed target stayed listed, with few targets and with more than go along with other news.

--- a/internal/controller/published/news.go
+++ b/internal/controller/published/news.go
@@ -32,8 +32,8 @@
 
 // News is what one process tells another of what is published.
 type News struct {
-	// Records changed after the revision From, up to Revision. The
-	// configuration is not among them.
+	// Records changed after the revision From, up to Revision; from 0 they are
+	// all that exist. The configuration is not among them.
 	From, Revision uint64
 	// Withheld says that they are too many and have to be fetched.
 	Withheld bool
@@ -94,10 +94,10 @@
 		return n
 	}
 	lacks := p.holds(now)
-	if records := c.mirror.Since(lacks.records); len(records) > mostRecords {
+	if records := c.mirror.Delta(lacks.records); len(records) > mostRecords {
 		n.Withheld = true
 	} else {
-		n.From, n.Records = lacks.records, c.encode(records)
+		n.From, n.Records = c.mirror.Base(lacks.records), c.encode(records)
 	}
 	n.Delta = c.doc.deltaFrom(lacks.config, shortDelta)
 	if len(n.Records) > 0 || n.Delta != nil {
@@ -144,11 +144,7 @@
 		c.overdue(now-n.Overdue, address)
 	}
 	before := c.mirror.Revision()
-	at := uint64(0)
-	if n.From <= before {
-		at = n.Revision
-	}
-	changed := c.mirror.Changes(now, records, at)
+	changed := c.takeChanges(now, n.From, n.Revision, records)
 	if n.Delta != nil {
 		changed = c.takeDelta(now, address, *n.Delta) || changed
 	}
@@ -163,6 +159,18 @@
 	return asked >= 0 && n.Revision < before
 }
 
+// takeChanges takes the records that changed between two revisions.
+func (c *Controller) takeChanges(now time.Duration, from, to uint64, records []directory.Record) bool {
+	switch {
+	case from == 0 && to > 0:
+		return c.mirror.Whole(now, records, to)
+	case from <= c.mirror.Revision():
+		return c.mirror.Changes(now, records, to)
+	}
+	// What was published between is missing here.
+	return c.mirror.Changes(now, records, 0)
+}
+
 // takeDelta takes a short change of the configuration. One that doesn't fit is
 // passed over: the head that came with it has the whole fetched.
 func (c *Controller) takeDelta(now time.Duration, address string, delta rollout.Delta) bool {
@@ -216,14 +224,14 @@
 	return b, err
 }
 
-// packRecords compresses the records after a revision.
-func (c *Controller) packRecords(from uint64) ([]byte, error) {
-	to := c.mirror.Revision()
+// packRecords compresses what leads from a revision to what is held here.
+func (c *Controller) packRecords(after uint64) ([]byte, error) {
+	from, to := c.mirror.Base(after), c.mirror.Revision()
 	if c.packed.from == from && c.packed.to == to {
 		return c.packed.bytes, nil
 	}
 	news := &filbertv1.PublishedNews{From: from, Revision: to}
-	for _, r := range c.encode(c.mirror.Since(from)) {
+	for _, r := range c.encode(c.mirror.Delta(after)) {
 		news.Records = append(news.Records, r)
 	}
 	plain, err := proto.Marshal(news)
@@ -285,11 +293,7 @@
 	if err != nil {
 		return false, err
 	}
-	at := uint64(0)
-	if news.GetFrom() <= c.mirror.Revision() {
-		at = news.GetRevision()
-	}
-	return c.mirror.Changes(now, records, at), nil
+	return c.takeChanges(now, news.GetFrom(), news.GetRevision(), records), nil
 }
 
 func parse(bodies []json.RawMessage) ([]directory.Record, error) {
--- a/internal/controller/published/published_test.go
+++ b/internal/controller/published/published_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,7 +29,8 @@
 }
 
 func (s *source) ReadAll(context.Context) ([]directory.Record, uint64, error) {
-	return append([]directory.Record(nil), s.records...), s.at, nil
+	live := slices.DeleteFunc(slices.Clone(s.records), func(r directory.Record) bool { return r.Gone })
+	return live, s.at, nil
 }
 
 func (s *source) Watch(_ context.Context, after uint64, _ time.Duration) ([]directory.Record, uint64, error) {
@@ -108,6 +110,19 @@
 	s.records, s.at = append(kept, r), r.Revision
 }
 
+// remove takes a record away, as the store does: a watch from before hears of it,
+// a whole reading lacks it.
+func (s *source) remove(key string) {
+	s.put(directory.Record{Key: key, Revision: s.at + 1, Gone: true})
+}
+
+// tellAll tells a host what another one knows, until it lacks nothing.
+func tellAll(from, to *host) {
+	from.TakeNews("to", to.NewsFor("from"), -1)
+	to.TakeNews("from", from.NewsFor("to"), -1)
+	fetchFrom(from, to)
+}
+
 func size(n News) int {
 	total := 0
 	for _, r := range n.Records {
@@ -240,6 +255,44 @@
 	Expect(gap).To(BeFalse())
 }
 
+var _ = Describe("news of a process that has just started", func() {
+	targetRecord := func(id string, revision uint64) directory.Record {
+		t := &directory.Target{ID: id, Service: "app", Address: "10.0.0.1:80", DataCentre: "dc-1", Slots: 4, Started: 1}
+		return directory.Record{Key: directory.TargetKey(id), Revision: revision, Target: t}
+	}
+	// listed gives the targets that a host takes for ready.
+	listed := func(h *host) []string {
+		var out []string
+		for _, t := range h.board.View.Get().Pool("app") {
+			if h.board.View.Get().TakesNew(t) {
+				out = append(out, t.ID)
+			}
+		}
+		return out
+	}
+
+	// Guards against targets that stay ready for good on hosts that learn the
+	// newest revision from a process which never saw their entries.
+	DescribeTable("take away the targets that left before it read the store", func(targets int) {
+		store := &source{}
+		store.configure(1, 1, 1)
+		for i := range targets {
+			store.put(targetRecord(fmt.Sprint("i-", i), uint64(2+i)))
+		}
+		old := newHost(store)
+		old.read()
+		Expect(listed(old)).To(HaveLen(targets))
+
+		store.remove(directory.TargetKey("i-0"))
+		fresh := newHost(store)
+		fresh.read()
+		tellAll(fresh, old)
+		Expect(old.Revision()).To(Equal(fresh.Revision()))
+		Expect(listed(old)).To(HaveLen(targets - 1))
+		Expect(listed(old)).NotTo(ContainElement("i-0"))
+	}, Entry("a few targets", 3), Entry("more than go along with other news", 3*mostRecords))
+})
+
 var _ = Describe("a configuration as rows", func() {
 	It("comes out as it went in, whatever changed in between", func() {
 		draw := rand.New(rand.NewPCG(3, 4))
--- a/internal/decide/mirror/mirror.go
+++ b/internal/decide/mirror/mirror.go
@@ -52,6 +52,9 @@
 	records map[string]entry
 	// revision is the newest revision up to which everything is known.
 	revision uint64
+	// floor is the revision after which every removal is known. What was removed
+	// before is not: a whole reading only lacks it, and old removals are forgotten.
+	floor uint64
 	config   *directory.Config
 	index    *directory.Index
 	seen     map[string]*directory.Seen
@@ -97,16 +100,19 @@
 }
 
 // Whole takes a complete reading that was begun at a revision: what it lacks
-// was removed by then. It tells whether anything changed that matters to
-// requests.
+// was removed by then, but for the configuration, which peers pass on apart. It
+// tells whether anything changed that matters to requests.
 func (m *Mirror) Whole(now time.Duration, records []directory.Record, at uint64) bool {
+	if at > m.revision {
+		m.floor = at
+	}
 	named := make(map[string]bool, len(records))
 	for _, r := range records {
 		named[r.Key] = true
 	}
 	changed := false
 	for key, e := range m.records {
-		if !named[key] && !e.Gone && e.Revision <= at {
+		if key != directory.ConfigKey && !named[key] && !e.Gone && e.Revision <= at {
 			changed = m.put(now, directory.Record{Key: key, Revision: at, Gone: true}) || changed
 		}
 	}
@@ -218,6 +224,25 @@
 	return out
 }
 
+// Delta gives what leads a process that knows everything up to a revision to
+// what is known here: the changes since Base.
+func (m *Mirror) Delta(after uint64) []directory.Record {
+	if after >= m.floor {
+		return m.Since(after)
+	}
+	return slices.DeleteFunc(m.Since(0), func(r directory.Record) bool { return r.Gone })
+}
+
+// Base gives the revision from which Delta leads: the one that it is asked for
+// or, where removals since then may be unknown here, 0, which stands for all that
+// exists.
+func (m *Mirror) Base(after uint64) uint64 {
+	if after >= m.floor {
+		return after
+	}
+	return 0
+}
+
 // View builds the picture that requests are decided with.
 func (m *Mirror) View(now time.Duration) *directory.View {
 	m.forget(now)
@@ -263,6 +288,7 @@
 func (m *Mirror) forget(now time.Duration) {
 	for key, e := range m.records {
 		if e.Gone && now-e.heard > m.cfg.KeepGone {
+			m.floor = max(m.floor, e.Revision)
 			delete(m.records, key)
 			delete(m.seen, directory.TargetOf(key))
 		}
