Take a leaving target for leaving until it starts anew

Callers' requests could reach a target that had said that it leaves: its entry went back from draining to ready, and hosts believed it. Cause: the store may carry out a write seconds after it was sent, so an entry of the target's earlier state can come with a higher revision than that of its leaving. A target that leaves ends; it is ready again only after a new start, which its entry shows.

The spec failed before (the target took new work after the late write, here and at a peer).

--- a/internal/decide/mirror/mirror.go
+++ b/internal/decide/mirror/mirror.go
@@ -54,10 +54,10 @@
 	revision uint64
 	// floor is the revision after which every removal is known. What was removed
 	// before is not: a whole reading only lacks it, and old removals are forgotten.
-	floor uint64
-	config   *directory.Config
-	index    *directory.Index
-	seen     map[string]*directory.Seen
+	floor  uint64
+	config *directory.Config
+	index  *directory.Index
+	seen   map[string]*directory.Seen
 	// left are the targets that were heard to leave since Left was last called.
 	left []string
 	// returned is when the store last answered after it had been away.
@@ -141,6 +141,7 @@
 		// An unreadable configuration takes nothing away: the last one holds.
 		r.Config = old.Config
 	}
+	r.Target = m.stillLeaving(r.Target)
 	e := entry{r, now, old.matters}
 	matters := m.work(now, r, old.Record)
 	if matters {
@@ -172,6 +173,21 @@
 	return true
 }
 
+// stillLeaving gives a target's record as one of a leaving target where it is
+// known to leave in its present life. The store may carry out a write of an
+// earlier state after that of a later one.
+func (m *Mirror) stillLeaving(t *directory.Target) *directory.Target {
+	if t == nil || t.Leaving {
+		return t
+	}
+	if old := m.seen[t.ID]; old == nil || old.Started != t.Started || !old.Leaving {
+		return t
+	}
+	leaving := *t
+	leaving.Leaving = true
+	return &leaving
+}
+
 // takeTarget follows a target's lives: one that started anew is another one,
 // also under the same id.
 func (m *Mirror) takeTarget(now time.Duration, t *directory.Target) bool {
--- a/internal/decide/mirror/mirror_test.go
+++ b/internal/decide/mirror/mirror_test.go
@@ -90,6 +90,21 @@
 		Expect(takesNew(m, 13*time.Second, "i-2")).To(BeFalse())
 	})
 
+	// Guards against a delayed write of a target's earlier state that makes a
+	// leaving target ready again, here and at peers.
+	It("takes a target that leaves for leaving until it starts anew", func() {
+		m, peer := mirror.New(mirror.Config{}), mirror.New(mirror.Config{})
+		leaving := target("i-1", 5, func(t *directory.Target) { t.Leaving = true })
+		m.Changes(0, []directory.Record{target("i-1", 3, nil), leaving}, 5)
+		m.Changes(0, []directory.Record{target("i-1", 7, nil)}, 7)
+		Expect(takesNew(m, 0, "i-1")).To(BeFalse())
+		peer.Whole(0, m.Delta(0), m.Revision())
+		Expect(takesNew(peer, 0, "i-1")).To(BeFalse())
+
+		m.Changes(0, []directory.Record{target("i-1", 9, func(t *directory.Target) { t.Started = 2 })}, 9)
+		Expect(takesNew(m, 0, "i-1")).To(BeTrue())
+	})
+
 	// Another writer leaves an entry that can't be read. It names no target to
 	// use; an unreadable configuration takes nothing away from the last one.
 	It("keeps the last readable configuration and uses no unreadable target", func() {
