End the grace of lapsed entries in time

A target whose entry went just after the store's return is taken for ready for 2.2 s, since entries lapse with the store. The view that says so was built while the grace ran and replaced only when something else changed: on a quiet fleet the target stayed ready for as long as nothing happened, and callers' requests went there.

Found by reading while the cause of DRAIN was looked for. The spec failed before. The view is now published again when the grace ends.

--- a/internal/controller/published/controller.go
+++ b/internal/controller/published/controller.go
@@ -77,6 +77,9 @@
 	currentAt time.Duration
 	confirmed bool
 	known     bool
+	// viewUntil is when the view on the board changes by itself, 0 when it does
+	// not.
+	viewUntil time.Duration
 	// reading is set while this host reads the store, lost while it can't.
 	reading, lost bool
 	news          chan struct{}
@@ -224,7 +227,7 @@
 	now := c.cfg.Now()
 	c.mirror.StoreAnswered(now)
 	c.confirm(currentAt)
-	due := c.mirror.NextChange(now) > 0
+	due := c.viewUntil > 0
 	c.replaceConfig(records)
 	news := apply(c.mirror, now)
 	if news || due || !c.known {
@@ -274,11 +277,30 @@
 		c.cfg.Log.Info("configuration in force", "version", view.Config.Version, "revision", view.Revision, "routes", len(view.Config.Routes))
 	}
 	c.out.Publish(view)
+	c.publishAgainAt(now, c.mirror.NextChange(now))
 	if left := c.mirror.Left(); len(left) > 0 {
 		c.cfg.Log.Info("targets leave", "targets", left, "revision", view.Revision, "source", source, "age", now-c.currentAt)
 	}
 }
 
+// publishAgainAt sees to it that the view is published again when it changes by
+// itself at a time; 0 is never.
+func (c *Controller) publishAgainAt(now, at time.Duration) {
+	if at > 0 && at != c.viewUntil {
+		time.AfterFunc(at-now, c.publishDue)
+	}
+	c.viewUntil = at
+}
+
+// publishDue publishes the view if it has changed by itself.
+func (c *Controller) publishDue() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := c.cfg.Now(); c.viewUntil > 0 && now >= c.viewUntil {
+		c.publish(now, fromStore)
+	}
+}
+
 // note logs when the store is lost and when it is back.
 func (c *Controller) note(err error) {
 	c.mu.Lock()
--- a/internal/controller/published/published_test.go
+++ b/internal/controller/published/published_test.go
@@ -13,7 +13,9 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
+	"filbertdeck/internal/decide/mirror"
 	"filbertdeck/internal/directory"
+	"filbertdeck/internal/failure"
 )
 
 func TestPublished(t *testing.T) {
@@ -363,6 +365,35 @@
 	return packed
 }
 
+var _ = Describe("a target's entry that goes", func() {
+	lookAt := func(h *host) bool {
+		view := h.board.View.Get()
+		t, known := view.Target("i-0")
+		return known && view.TakesNew(t)
+	}
+	lose := func(h *host) { h.note(failure.New(failure.KindConfigUnreadable, "the store answered 503")) }
+	var h *host
+	BeforeEach(func() {
+		store := &source{}
+		store.put(directory.Record{Key: directory.TargetKey("i-0"), Revision: 1, Target: &directory.Target{ID: "i-0", Service: "app", Slots: 1}})
+		h = newHost(store)
+		h.read()
+	})
+
+	// Guards against a target that stays ready until something else changes.
+	It("counts as gone once it could be back, if nothing else changes", func() {
+		h.now = time.Second
+		lose(h)
+		h.now = 10 * time.Second
+		h.source.remove(directory.TargetKey("i-0"))
+		h.read()
+		Expect(lookAt(h)).To(BeTrue())
+		h.now += mirror.DefaultReturnGrace
+		h.read()
+		Expect(lookAt(h)).To(BeFalse())
+	})
+})
+
 var _ = Describe("a store that falls silent", func() {
 	// Guards against hosts that learn of the silence only by the age of what they
 	// know, while an engine's notice runs that was given in the same instant.
