Take no entry for lapsed unless the store was away for that long

A target whose entry goes within 2.2 s of the store's return is taken for ready, as entries of live targets lapse while the store is away. One failed call counted as such an absence, also a watch that was cut while all was well; and a host that once had failed to read kept that in mind while others read, until it read again itself. A target that left just after went on getting callers' requests from this host for longer than it is there.

An entry can only have lapsed if nobody is known to have been answered for two heartbeats. Both specs failed before.

--- a/internal/controller/published/news.go
+++ b/internal/controller/published/news.go
@@ -313,6 +313,7 @@
 		c.currentAt = at
 	}
 	c.confirmed = true
+	c.mirror.Confirm(c.currentAt)
 }
 
 // Age is how long ago it was known that nothing newer had been published than
--- a/internal/controller/published/published_test.go
+++ b/internal/controller/published/published_test.go
@@ -380,6 +380,35 @@
 		h.read()
 	})
 
+	// Guards against a target that left and stays ready because one call to the
+	// store had failed just before.
+	It("is not taken for one that lapsed when the store was away for a moment", func() {
+		h.now = 500 * time.Millisecond
+		lose(h)
+		h.now = 700 * time.Millisecond
+		h.read()
+		h.source.remove(directory.TargetKey("i-0"))
+		h.now = time.Second
+		h.read()
+		Expect(lookAt(h)).To(BeFalse())
+	})
+
+	// Guards against the same at a host that read the store long ago, in vain, and
+	// was told by others since.
+	It("is not taken for one that lapsed when others could read the store", func() {
+		lose(h)
+		other := newHost(h.source)
+		for range 100 {
+			h.now, other.now = h.now+100*time.Millisecond, other.now+100*time.Millisecond
+			other.read()
+			h.TakeNews("other", other.NewsFor("h"), h.now)
+		}
+		h.read()
+		h.source.remove(directory.TargetKey("i-0"))
+		h.read()
+		Expect(lookAt(h)).To(BeFalse())
+	})
+
 	// Guards against a target that stays ready until something else changes.
 	It("counts as gone once it could be back, if nothing else changes", func() {
 		h.now = time.Second
--- a/internal/decide/mirror/mirror.go
+++ b/internal/decide/mirror/mirror.go
@@ -32,6 +32,9 @@
 	// gone is still taken for alive: entries lapse with the store and come
 	// back within about two seconds.
 	ReturnGrace time.Duration
+	// LapseAfter is how long the store must have been away for entries of live
+	// targets to lapse.
+	LapseAfter time.Duration
 	// KeepGone is how long a removal is remembered. It must be longer than a
 	// process can go on telling the removed record to others.
 	KeepGone time.Duration
@@ -41,6 +44,9 @@
 const (
 	// DefaultReturnGrace: entries are back within about two seconds.
 	DefaultReturnGrace = 2200 * time.Millisecond
+	// DefaultLapseAfter: an entry lapses after three heartbeats, of 1.2 s, without
+	// one; the last may have come just before the store went away.
+	DefaultLapseAfter = 2400 * time.Millisecond
 	// DefaultKeepGone covers any partition after which hosts rejoin by gossip
 	// alone; the reader's whole readings cover the rest.
 	DefaultKeepGone = 5 * time.Minute
@@ -60,9 +66,13 @@
 	seen   map[string]*directory.Seen
 	// left are the targets that were heard to leave since Left was last called.
 	left []string
-	// returned is when the store last answered after it had been away.
+	// returned is when the store last answered after it had been away for longer
+	// than entries need to lapse.
 	returned time.Duration
 	away     bool
+	// current is the latest moment of which it is known that nothing newer had
+	// been published.
+	current time.Duration
 }
 
 type entry struct {
@@ -78,6 +88,9 @@
 	if cfg.ReturnGrace == 0 {
 		cfg.ReturnGrace = DefaultReturnGrace
 	}
+	if cfg.LapseAfter == 0 {
+		cfg.LapseAfter = DefaultLapseAfter
+	}
 	if cfg.KeepGone == 0 {
 		cfg.KeepGone = DefaultKeepGone
 	}
@@ -91,14 +104,18 @@
 func (m *Mirror) StoreLost() { m.away = true }
 
 // StoreAnswered notes that the store answered; it starts the grace for lapsed
-// entries when the store had been away.
+// entries when the store had been away for long enough.
 func (m *Mirror) StoreAnswered(now time.Duration) {
-	if m.away {
-		m.away = false
+	if m.away && now-m.current >= m.cfg.LapseAfter {
 		m.returned = now
 	}
+	m.away = false
 }
 
+// Confirm notes that nothing newer than what is known here was published at a
+// time: the store had answered somebody.
+func (m *Mirror) Confirm(at time.Duration) { m.current = max(m.current, at) }
+
 // Whole takes a complete reading that was begun at a revision: what it lacks
 // was removed by then, but for the configuration, which peers pass on apart. It
 // tells whether anything changed that matters to requests.
