Check again at the first byte that the target has not left

A target was chosen by what was published at the choice, and the request went out after the questions to owners and a dial of up to 0.7 s; news that the target leaves could come in between and were passed over. The right to send is now checked where the first byte leaves, by the newest view; a request that is held back there has not run and goes to another target, without the budget of repeats.

The spec failed before (the target that had left got the request).

--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -37,6 +37,7 @@
 	KindTargetFailed     Kind = "target-failed"
 	KindTargetLost       Kind = "target-lost"
 	KindTargetTimeout    Kind = "target-timeout"
+	KindTargetLeft       Kind = "target-left"
 	KindFrameOutOfPlace  Kind = "frame-out-of-place"
 	KindControlLost      Kind = "control-unreachable"
 	KindStopping         Kind = "stopping"
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -1,12 +1,17 @@
 package gateway_test
 
 import (
+	"context"
+	"log/slog"
 	"net"
 	"net/http"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/directory"
+	"filbertdeck/platform"
 	"filbertdeck/platform/standin"
 )
 
@@ -124,6 +129,34 @@
 		Expect(other.requests()).To(BeEmpty())
 	})
 
+	// Guards against a request that reaches a target which left between the choice
+	// and the first byte.
+	It("come from another target when the chosen one leaves before it is sent", func() {
+		first, second := startTarget("i-1", say(goodPlain)), startTarget("i-2", say(goodPlain))
+		dialect := &hookedDialect{}
+		d := startDeckSpeaking(dialect, slog.DiscardHandler, first.entry("app", "dc-1"), second.entry("app", "dc-1"))
+		left := ""
+		dialect.beforeSend = func(chosen directory.Target) {
+			if left != "" {
+				return
+			}
+			left = chosen.ID
+			entries := []*directory.Seen{first.entry("app", "dc-1"), second.entry("app", "dc-1")}
+			for i, e := range entries {
+				if e.ID == left {
+					entries[i] = leaving(e)
+				}
+			}
+			d.publish(entries...)
+		}
+		Expect(d.do(d.request("POST", "/book/")).status).To(Equal(http.StatusOK))
+		for _, t := range []*target{first, second} {
+			if t.id == left {
+				Expect(t.requests()).To(BeEmpty())
+			}
+		}
+	})
+
 	// While a lookup waits for a target that then fails, another one joins.
 	It("of lookups may come from a target that has joined since", func() {
 		release := make(chan struct{})
@@ -154,6 +187,19 @@
 	})
 })
 
+// hookedDialect calls a spec before a request is sent to the target chosen for it.
+type hookedDialect struct {
+	platform.Dialect
+	beforeSend func(chosen directory.Target)
+}
+
+func (d *hookedDialect) WriteSend(ctx context.Context, s *call.Send) (*http.Request, error) {
+	if d.beforeSend != nil {
+		d.beforeSend(s.Target)
+	}
+	return d.Dialect.WriteSend(ctx, s)
+}
+
 var _ = Describe("answers without a body", func() {
 	// A target answers 204. With a length in the header the caller's
 	// connection would wait for bytes that never come, or take the next answer
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -20,6 +20,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"filbertdeck/internal/blackboard"
+	"filbertdeck/internal/call"
 	"filbertdeck/internal/controller/published"
 	"filbertdeck/internal/decide/migration"
 	"filbertdeck/internal/decide/retrybudget"
@@ -131,6 +132,11 @@
 
 // startDeckLogging is startDeck with a handler for the logs.
 func startDeckLogging(logs slog.Handler, targets ...*directory.Seen) *deck {
+	return startDeckSpeaking(platform.Dialect{}, logs, targets...)
+}
+
+// startDeckSpeaking is startDeckLogging with a dialect of the spec's own.
+func startDeckSpeaking(dialect call.Dialect, logs slog.Handler, targets ...*directory.Seen) *deck {
 	board := &published.Board{}
 	out, err := board.View.Claim()
 	Expect(err).NotTo(HaveOccurred())
@@ -138,7 +144,7 @@
 	now := func() time.Duration { return time.Since(start) }
 	d := &deck{out: out, cfg: testConfig(), loads: gateway.NewLoads("host-1", "dc-1", now), suspects: gateway.NewSuspects(now)}
 	g := gateway.New(gateway.Config{
-		Dialect: platform.Dialect{}, Engines: platform.NewEngines(), Board: board,
+		Dialect: dialect, Engines: platform.NewEngines(), Board: board,
 		Loads: d.loads, Suspects: d.suspects, Budget: retrybudget.New(retrybudget.Config{}),
 		Client: targetclient.NewOnce(targetclient.Settings{Header: time.Minute, Silence: time.Minute}), Migration: migration.Default(), Blind: d.blind.Load, Current: func() bool { return !d.blind.Load() }, Age: func() time.Duration { return 0 },
 		Log: slog.New(logs), Metrics: gometrics.NewRegistry(), Now: now,
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -95,7 +95,11 @@
 	if !errors.As(err, &f) || f.Executed != failure.ExecutedNo {
 		return false
 	}
-	return f.Kind == failure.KindTargetFailed || f.Kind == failure.KindTargetTimeout || f.Kind == failure.KindFenced
+	switch f.Kind {
+	case failure.KindTargetFailed, failure.KindTargetTimeout, failure.KindFenced, failure.KindTargetLeft:
+		return true
+	}
+	return false
 }
 
 // again decides whether a request is tried at another target. One that never
@@ -165,6 +169,9 @@
 	}
 	resp, err := g.cfg.Client.Do(req, func() error {
 		by.sent()
+		if !takesNew(g.view(), s.Target) {
+			return failure.New(failure.KindTargetLeft, "target %s left before the request was sent", s.Target.ID)
+		}
 		return ctx.Err()
 	})
 	if err != nil {
@@ -197,7 +204,7 @@
 // blame counts a failure against a target, unless the caller's leaving or
 // deadline caused it.
 func (g *Gateway) blame(ctx context.Context, target *directory.Seen, err error) {
-	if err == nil || ctx.Err() != nil {
+	if err == nil || ctx.Err() != nil || failure.KindOf(err) == failure.KindTargetLeft {
 		return
 	}
 	if unsent(err) {
@@ -213,7 +220,7 @@
 // stays tells whether a target is not known to be stopping by plan: the end of
 // one that is says nothing of its requests.
 func (g *Gateway) stays(target *directory.Seen) bool {
-	return takesNew(g.view(), target) && !g.cfg.Loads.Leaving(target.ID)
+	return takesNew(g.view(), target.Target) && !g.cfg.Loads.Leaving(target.ID)
 }
 
 // dial tells whether somebody listens at an address.
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -60,7 +60,7 @@
 // must come soon or not at all.
 func (gen *generation) resume(c *copied, place *Place) (*leg, error) {
 	by := gen.g.basis()
-	if !takesNew(by.view, c.at) {
+	if !takesNew(by.view, c.at.Target) {
 		place.Release()
 		return nil, failure.New(failure.KindNoTarget, "engine %s may get no more work", c.at.ID)
 	}
@@ -85,7 +85,7 @@
 }
 
 // takesNew tells whether a target of an earlier view may get work by now.
-func takesNew(view *directory.View, t *directory.Seen) bool {
+func takesNew(view *directory.View, t directory.Target) bool {
 	now, known := view.Target(t.ID)
 	return known && now.Started == t.Started && view.TakesNew(now)
 }
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -118,7 +118,7 @@
 // checkLeaving asks a target that closes a connection whether it is about to
 // stop: it closes some at other times too.
 func (g *Gateway) checkLeaving(t *directory.Seen) {
-	if takesNew(g.view(), t) {
+	if takesNew(g.view(), t.Target) {
 		go g.askTarget(context.Background(), t)
 	}
 }
