--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -121,6 +121,7 @@
 	loads    *gateway.Loads
 	gateway  *gateway.Gateway
 	suspects *gateway.Suspects
+	targets  []*directory.Seen
 	// blind is set while nobody can say what is published.
 	blind atomic.Bool
 }
@@ -189,6 +190,12 @@
 	d.out.Publish(directory.NewView(1, d.cfg, seen, nil))
 }
 
+// add publishes another target beside those there are.
+func (d *deck) add(t *directory.Seen) {
+	d.targets = append(d.targets, t)
+	d.publish(d.targets...)
+}
+
 // crashes counts the crashes of targets that the gateway knows of.
 func (d *deck) crashes() int { return len(d.suspects.Export()) }
 
