Keep to the rate that a target names, over all hosts

What callers saw: nothing at first; targets in need went on getting what they had got, and a third target with room got no more than before.

Cause: no code read the rate that targets name in their answers. Class: a bound over the fleet that a target sets while it runs, like the rate of cold targets and the budget of repeats; it can't be kept by each host alone.

Change: the rate is read from each answer and told to other hosts with its age. The first hosts by their rank for the target share it; their shares and buckets stay within the bound without a message. A host without a token chooses another target and, when none is left, borrows a token from a host that has one. With none to be had the caller is refused at once, with the time of the next token. Copies and backups take tokens too.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -97,6 +97,9 @@
 	// Leaving says that the target may be about to stop.
 	Leaving bool
 	Load    *Load
+	// Rate is the requests a second that the target takes from all hosts
+	// together; nil when it names none.
+	Rate *float64
 	// RetryAfter is 0 when the target names no time.
 	RetryAfter time.Duration
 }
--- a/internal/decide/loadshare/loadshare.go
+++ b/internal/decide/loadshare/loadshare.go
@@ -21,6 +21,8 @@
 import (
 	"slices"
 	"time"
+
+	"filbertdeck/internal/decide/targetrate"
 )
 
 const (
@@ -44,6 +46,9 @@
 	// Step is the host's estimate of the time that the target alone takes for
 	// one token; 0 for none.
 	Step time.Duration
+	// Rate is what the target last said to the host of the rate it takes; nil when
+	// it never named one.
+	Rate *targetrate.Word
 	// Failures is another number after each request of the host that the target
 	// broke; 0 when it broke none.
 	Failures uint32
@@ -131,6 +136,13 @@
 	b.setOwn(now, c)
 }
 
+// SetRate notes what a target said of the rate it takes.
+func (b *Board) SetRate(now time.Duration, target string, w targetrate.Word) {
+	c := b.Own(target)
+	c.Rate = &w
+	b.setOwn(now, c)
+}
+
 // Own gives this host's count of a target, an empty one when there is none.
 func (b *Board) Own(target string) Count {
 	c := b.counts[key{b.self, target}].Count
@@ -187,7 +199,9 @@
 }
 
 // empty tells whether a count says nothing that a missing one would not.
-func (c Count) empty() bool { return c.Load == Load{} && c.Step == 0 && !c.Leaving && c.Failures == 0 }
+func (c Count) empty() bool {
+	return c.Load == Load{} && c.Step == 0 && !c.Leaving && c.Failures == 0 && c.Rate == nil
+}
 
 // Take takes counts that a peer told; an empty name stands for one that is not
 // told any.
--- /dev/null
+++ b/internal/decide/targetrate/targetrate.go
@@ -0,0 +1,222 @@
+// Package targetrate bounds what all hosts together send to a target that has
+// named the rate it takes.
+//
+// Load pattern: a target in need says in its answers how many requests a second
+// it takes from all hosts together, while other targets of its service have room
+// or, at worst, all of them are in need.
+//
+// What happens without it: each host goes on as before, or keeps to the rate by
+// itself and all of them together send many times as much. The target gets more
+// than it has room for and falls over.
+//
+// How it works: a few hosts, by their rank for the target, share its rate; each
+// has a token bucket that holds one token. The shares add up to the rate, and the
+// buckets to a part of the slack that a target allows, whoever sends when and
+// without a message. A host that has no token and no other target may borrow one
+// from a host that has a share: borrowed or used, it is the same token. What a
+// target says last holds; hosts pass it on with its age.
+//
+// It is not safe for concurrent use; times are on the steady clock.
+package targetrate
+
+import "time"
+
+// A target takes, in any window, slackFactor times its rate and slackRequests
+// besides, as published.
+const (
+	window        = 4 * time.Second
+	slackFactor   = 1.5
+	slackRequests = 5
+)
+
+const (
+	// slackUsed is the part of the slack that buckets may fill up. The rest is
+	// for hosts that differ in which hosts they know.
+	slackUsed = 0.5
+	// mostHolders bounds the hosts that share a rate: fewer shares are larger, and
+	// more are lost less often.
+	mostHolders = 5
+	// leastRate is the rate taken for targets that name less: without any request
+	// nobody would hear that a target takes more again. It stays within
+	// slackRequests.
+	leastRate = 0.25
+	// staleAfter is the age of a target's word from which hosts without a share
+	// look for a newer one, though other targets have room.
+	staleAfter = 3 * time.Second
+	// tellEvery is how often a word that says nothing new is passed on.
+	tellEvery = time.Second
+)
+
+// Word is what a target said of its rate.
+type Word struct {
+	// Limited says that the target named a rate; PerSecond is that rate.
+	Limited   bool
+	PerSecond float64
+	// At is when it said so.
+	At time.Duration
+}
+
+// Holders is the number of hosts, of so many, that share a rate.
+func Holders(perSecond float64, hosts int) int {
+	slack := (slackFactor-1)*max(perSecond, leastRate)*window.Seconds() + slackRequests
+	return max(min(hosts, mostHolders, int(slack*slackUsed)), 1)
+}
+
+// share is the rate of the host with a rank, 0 for none.
+func share(perSecond float64, rank, hosts int) float64 {
+	holders := Holders(perSecond, hosts)
+	if rank < 0 || rank >= holders {
+		return 0
+	}
+	return max(perSecond, leastRate) / float64(holders)
+}
+
+// Board holds what targets said of their rates, and this host's tokens.
+type Board struct{ targets map[string]*target }
+
+// target is one that named a rate.
+type target struct {
+	word   Word
+	told   time.Duration
+	tokens float64
+	// filledAt is when the tokens were last worked out, if they ever were.
+	filledAt time.Duration
+	filled   bool
+}
+
+// New returns an empty board.
+func New() *Board { return &Board{targets: map[string]*target{}} }
+
+// Answered takes what a target said in an answer to this host. It tells whether
+// other hosts are to hear of it.
+func (b *Board) Answered(id string, w Word) (tell bool) {
+	t := b.targets[id]
+	if t == nil && !w.Limited {
+		return false
+	}
+	changed := t == nil || t.word.Limited != w.Limited || t.word.PerSecond != w.PerSecond
+	t = b.take(id, w)
+	if !changed && (!w.Limited || w.At-t.told < tellEvery) {
+		return false
+	}
+	t.told = w.At
+	return true
+}
+
+// Heard takes what a target said to another host.
+func (b *Board) Heard(id string, w Word) {
+	t := b.targets[id]
+	if t == nil && !w.Limited || t != nil && w.At <= t.word.At {
+		return
+	}
+	b.take(id, w).told = w.At
+}
+
+func (b *Board) take(id string, w Word) *target {
+	t := b.targets[id]
+	if t == nil {
+		t = &target{}
+		b.targets[id] = t
+	}
+	t.word = w
+	return t
+}
+
+// Limited is the number of targets that name a rate.
+func (b *Board) Limited() int {
+	n := 0
+	for _, t := range b.targets {
+		if t.word.Limited {
+			n++
+		}
+	}
+	return n
+}
+
+// Word gives what a target said last; false when it names no rate.
+func (b *Board) Word(id string) (Word, bool) {
+	t := b.targets[id]
+	if t == nil || !t.word.Limited {
+		return Word{}, false
+	}
+	return t.word, true
+}
+
+// Stale tells whether a target named a rate so long ago that it may take more by
+// now.
+func (b *Board) Stale(now time.Duration, id string) bool {
+	w, limited := b.Word(id)
+	return limited && now-w.At >= staleAfter
+}
+
+// Open tells whether this host, with a rank among so many, may send one more to a
+// target now.
+func (b *Board) Open(now time.Duration, id string, rank, hosts int) bool {
+	t := b.targets[id]
+	if t == nil || !t.word.Limited {
+		return true
+	}
+	t.fill(now, share(t.word.PerSecond, rank, hosts))
+	return t.tokens >= 1
+}
+
+// Wait is the time until this host may send one more to a target. A host without a
+// share waits for the mean time between two requests there.
+func (b *Board) Wait(now time.Duration, id string, rank, hosts int) time.Duration {
+	if b.Open(now, id, rank, hosts) {
+		return 0
+	}
+	t := b.targets[id]
+	rate := share(t.word.PerSecond, rank, hosts)
+	if rate == 0 {
+		return seconds(1 / max(t.word.PerSecond, leastRate))
+	}
+	return seconds((1 - t.tokens) / rate)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Send takes a token for a request that goes to a target.
+func (b *Board) Send(id string) {
+	if t := b.targets[id]; t != nil && t.word.Limited {
+		t.tokens--
+	}
+}
+
+// Borrowed adds a token that another host lent.
+func (b *Board) Borrowed(id string) {
+	if t := b.targets[id]; t != nil && t.word.Limited {
+		t.tokens++
+	}
+}
+
+// Lend gives a token away, if this host knows the target's rate and has one.
+func (b *Board) Lend(now time.Duration, id string, rank, hosts int) bool {
+	if _, limited := b.Word(id); !limited || !b.Open(now, id, rank, hosts) {
+		return false
+	}
+	b.Send(id)
+	return true
+}
+
+// Retain forgets targets that are gone.
+func (b *Board) Retain(known func(id string) bool) {
+	for id := range b.targets {
+		if !known(id) {
+			delete(b.targets, id)
+		}
+	}
+}
+
+// fill adds the tokens that came since the last time, up to one in all. A host
+// with a share begins with one.
+func (t *target) fill(now time.Duration, rate float64) {
+	gained := rate * (now - t.filledAt).Seconds()
+	if !t.filled && rate > 0 {
+		gained = 1
+	}
+	t.filled, t.filledAt = true, now
+	if t.tokens < 1 {
+		t.tokens = min(t.tokens+gained, 1)
+	}
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -124,10 +124,7 @@
 	var out pool
 	sums, alerts, usual := l.share.Sums(l.now()), l.alerts.Sums(l.now()), l.speed.Usual()
 	for _, t := range view.Pool(w.Service) {
-		if !view.TakesNew(t) || slices.Contains(w.Avoid, t.ID) || alerts[t.ID].Leaving {
-			continue
-		}
-		if !l.bears(view, t) {
+		if !takesWork(view, w, t) || alerts[t.ID].Leaving || !l.bears(view, t) || !l.withinRate(t.ID) {
 			continue
 		}
 		out = append(out, option{l.candidate(view, t, w.Near, sums[t.ID].Others, usual), t})
@@ -135,6 +132,16 @@
 	return out
 }
 
+// takesWork tells whether a target may get a request as far as is published.
+func takesWork(view *directory.View, w Wanted, t *directory.Seen) bool {
+	return view.TakesNew(t) && !slices.Contains(w.Avoid, t.ID)
+}
+
+// mayGet tells whether a target may get a request but for its rate.
+func (l *Loads) mayGet(view *directory.View, w Wanted, t *directory.Seen) bool {
+	return takesWork(view, w, t) && !l.isLeaving(t.ID) && l.bears(view, t)
+}
+
 // bears tells whether a target takes one more from this host now: a cold one
 // takes this host's part of its rate.
 func (l *Loads) bears(view *directory.View, t *directory.Seen) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,7 @@
 	g := &Gateway{cfg: cfg, meters: newMeters(cfg.Metrics), runs: newRuns()}
 	running := func() int64 { return int64(g.runs.count()) }
 	_ = cfg.Metrics.Register("gateway.generations", gometrics.NewFunctionalGauge(running))
+	_ = cfg.Metrics.Register("gateway.targets_limited", gometrics.NewFunctionalGauge(cfg.Loads.limitedCount))
 	return g
 }
 
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -143,7 +143,7 @@
 		avoid = append(avoid, target.ID)
 	}
 	if last == nil {
-		last = failure.New(failure.KindNoTarget, "no engine of %s may get work", gen.service.Name).After(noTargetRetry)
+		last = gen.g.noTarget(gen.wanted(avoid))
 	}
 	return nil, last
 }
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -12,6 +12,7 @@
 	"filbertdeck/internal/decide/enginespeed"
 	"filbertdeck/internal/decide/loadshare"
 	"filbertdeck/internal/decide/placement"
+	"filbertdeck/internal/decide/targetrate"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/wake"
 )
@@ -32,6 +33,10 @@
 	// accusers holds what other hosts tell of failing targets.
 	accusers *accusers.Board
 	cold     ColdBound
+	// rates holds what targets said of the rates they take; borrow asks other hosts
+	// for a request of their share, nil for nobody.
+	rates  *targetrate.Board
+	borrow BorrowRate
 	// askOwner asks the host that has the newest counts of a target; nil for none.
 	askOwner AskOwner
 	// hosts gives the number of hosts that choose targets.
@@ -61,7 +66,7 @@
 	start := uint64(time.Now().UnixMicro())
 	return &Loads{
 		self: host, dataCentre: dataCentre, now: now, own: map[string]*targetLoad{},
-		share: loadshare.New(host, start), alerts: loadshare.New(host, start), speed: enginespeed.New(), accusers: accusers.New(),
+		share: loadshare.New(host, start), alerts: loadshare.New(host, start), speed: enginespeed.New(), accusers: accusers.New(), rates: targetrate.New(),
 		draw: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), hosts: func() int { return 1 },
 		changed: make(chan struct{}, 1), alerted: make(chan struct{}, 1), leaving: make(chan struct{}, 1),
 	}
@@ -132,6 +137,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.alerts.Take(l.now(), host, alerts)
+	l.hearRates(alerts)
 	for _, c := range alerts {
 		if c.Host != l.self {
 			l.accusers.Heard(l.now(), c.Host, c.Target, c.Failures)
@@ -158,6 +164,7 @@
 	}
 	l.speed.Retain(known)
 	l.accusers.Retain(known)
+	l.rates.Retain(known)
 }
 
 // set changes the count at a target.
@@ -207,6 +214,7 @@
 func (l *Loads) count(target string, load loadshare.Load) *Place {
 	if load.Running > 0 {
 		l.of(target).gate.Send(l.now())
+		l.rates.Send(target)
 	}
 	l.set(target, l.of(target).Plus(load))
 	return &Place{loads: l, target: target, load: load}
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -40,7 +40,20 @@
 // is released; false when there is none. In a large fleet it asks the hosts that
 // have the newest counts of some targets, chooses among these, and tells the
 // owner of the one it chose.
+//
+// Where all targets are at the rates they named, or one named its rate so long ago
+// that it may take more, it borrows a request from a host that shares the rate.
 func (l *Loads) Acquire(view *directory.View, w Wanted) (*directory.Seen, *Place, bool) {
+	l.borrowAny(view, w, l.stale)
+	t, place, ok := l.acquire(view, w)
+	if !ok && l.borrowAny(view, w, always) {
+		return l.acquire(view, w)
+	}
+	return t, place, ok
+}
+
+// acquire is Acquire by the requests that this host has of targets' rates.
+func (l *Loads) acquire(view *directory.View, w Wanted) (*directory.Seen, *Place, bool) {
 	looked, first := l.sample(view, w)
 	answered := l.askAbout(w, looked[:first])
 	place, crowded := l.choose(view, w, looked[:first], first < len(looked))
@@ -104,7 +117,7 @@
 	sums, alerts, usual := l.share.Sums(l.now()), l.alerts.Sums(l.now()), l.speed.Usual()
 	out := make(pool, 0, len(looked))
 	for _, o := range looked {
-		if !alerts[o.target.ID].Leaving && l.bears(view, o.target) {
+		if !alerts[o.target.ID].Leaving && l.bears(view, o.target) && l.withinRate(o.target.ID) {
 			out = append(out, option{l.candidate(view, o.target, w.Near, sums[o.target.ID].Others, usual), o.target})
 		}
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -37,12 +37,12 @@
 	var tried string
 	var by *basis
 	for {
-		by = g.basis()
-		target, place, ok := g.cfg.Loads.Acquire(by.view, Wanted{Service: x.service.Name, Near: Anywhere, Avoid: avoid})
+		choice := g.basis()
+		target, place, ok := g.cfg.Loads.Acquire(choice.view, plainWanted(x, avoid))
 		if !ok {
 			break
 		}
-		tried = target.ID
+		tried, by = target.ID, choice
 		answer, last = g.try(ctx, x, target, by)
 		place.Release()
 		t.add(last)
@@ -61,10 +61,23 @@
 	case last != nil:
 		g.refuse(x.w, x.Request, last)
 	default:
-		g.refuse(x.w, x.Request, failure.New(failure.KindNoTarget, "no target of %s may get work", x.service.Name).After(noTargetRetry))
+		g.refuse(x.w, x.Request, g.noTarget(plainWanted(x, avoid)))
 	}
 }
 
+// plainWanted is what a request of a plain service wants of a target.
+func plainWanted(x *exchange, avoid []string) Wanted {
+	return Wanted{Service: x.service.Name, Near: Anywhere, Avoid: avoid}
+}
+
+// noTarget is the failure of a request that no target may get.
+func (g *Gateway) noTarget(w Wanted) error {
+	if wait, limited := g.cfg.Loads.RoomIn(g.view(), w); limited {
+		return failure.New(failure.KindOverloaded, "the targets of %s are at the rates that they named", w.Service).After(wait)
+	}
+	return failure.New(failure.KindNoTarget, "no target of %s may get work", w.Service).After(noTargetRetry)
+}
+
 // failed tells whether asking another target may bring a better answer.
 func failed(answer *whole, err error) bool {
 	return err != nil || answer.Status >= http.StatusInternalServerError
@@ -178,6 +191,7 @@
 		return nil, call.Answer{}, err
 	}
 	answer := g.cfg.Dialect.ReadAnswer(resp)
+	g.noteRate(s, answer)
 	if err := check(s, answer); err != nil {
 		_ = resp.Body.Close()
 		return nil, answer, err
@@ -185,6 +199,18 @@
 	return resp, answer, nil
 }
 
+// noteRate takes what a target's answer says of the rate that it takes.
+func (g *Gateway) noteRate(s *call.Send, a call.Answer) {
+	if a.OtherTarget || a.Echo != s.ID {
+		return
+	}
+	before, was := g.cfg.Loads.Rate(s.Target.ID)
+	g.cfg.Loads.Answered(s.Target.ID, a.Rate)
+	if now, is := g.cfg.Loads.Rate(s.Target.ID); is != was || now != before {
+		g.cfg.Log.Info("target's rate changed", "target", s.Target.ID, "request", s.ID, "limited", is, "per_second", now)
+	}
+}
+
 // check tells what is wrong with an answer's header, nil when it is the
 // target's answer to this request.
 func check(s *call.Send, a call.Answer) error {
--- /dev/null
+++ b/internal/gateway/rate.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/decide/loadshare"
+	"filbertdeck/internal/decide/targetrate"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/wake"
+)
+
+// BorrowRate asks a host that shares a target's rate for one request of it. Of
+// the hosts ranked for the target the first ones share it, so many as holders
+// says; false when none lends.
+type BorrowRate func(target string, holders int) bool
+
+// BorrowRates sets how requests are borrowed; none are until then.
+func (l *Loads) BorrowRates(borrow BorrowRate) { l.borrow = borrow }
+
+// Answered takes what a target said of the rate it takes in an answer to this
+// host; nil is that it named none.
+func (l *Loads) Answered(target string, perSecond *float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := targetrate.Word{At: l.now()}
+	if perSecond != nil {
+		w.Limited, w.PerSecond = true, *perSecond
+	}
+	if l.rates.Answered(target, w) {
+		l.alerts.SetRate(l.now(), target, w)
+		wake.Signal(l.alerted)
+	}
+}
+
+// hearRates takes what targets said to other hosts.
+func (l *Loads) hearRates(counts []loadshare.Count) {
+	for _, c := range counts {
+		if c.Rate != nil && c.Host != l.self {
+			l.rates.Heard(c.Target, *c.Rate)
+		}
+	}
+}
+
+// Rate gives the rate that a target named last; false when it names none.
+func (l *Loads) Rate(target string) (perSecond float64, limited bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w, limited := l.rates.Word(target)
+	return w.PerSecond, limited
+}
+
+// limitedCount is the number of targets that name a rate.
+func (l *Loads) limitedCount() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(l.rates.Limited())
+}
+
+// Lend gives another host one request of a target's rate; false when this host
+// has none to give.
+func (l *Loads) Lend(target string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rank, hosts := l.rank(target)
+	return l.rates.Lend(l.now(), target, rank, hosts)
+}
+
+// rank gives this host's rank for a target among the hosts.
+func (l *Loads) rank(target string) (rank, hosts int) {
+	if l.cold.Rank == nil {
+		return 0, 1
+	}
+	return l.cold.Rank(target)
+}
+
+// withinRate tells whether this host may send one more to a target by the rate
+// that the target named.
+func (l *Loads) withinRate(target string) bool {
+	if _, limited := l.rates.Word(target); !limited {
+		return true
+	}
+	rank, hosts := l.rank(target)
+	return l.rates.Open(l.now(), target, rank, hosts)
+}
+
+// HoldWithinRate is Hold for a target that may have named a rate; false when no
+// request of it is to be had.
+func (l *Loads) HoldWithinRate(target string, p call.Prompt) (*Place, bool) {
+	l.mu.Lock()
+	open := l.withinRate(target)
+	l.mu.Unlock()
+	if !open && !l.borrowFor(target) {
+		return nil, false
+	}
+	return l.Hold(target, p), true
+}
+
+// borrowFor borrows one request to a target; false when nobody lends.
+func (l *Loads) borrowFor(target string) bool {
+	l.mu.Lock()
+	w, limited := l.rates.Word(target)
+	_, hosts := l.rank(target)
+	l.mu.Unlock()
+	if !limited || l.borrow == nil || !l.borrow(target, targetrate.Holders(w.PerSecond, hosts)) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rates.Borrowed(target)
+	return true
+}
+
+// borrowAny borrows one request to a target of a service that is at its rate and
+// takes work else, and gives the target; false when nobody lends.
+func (l *Loads) borrowAny(view *directory.View, w Wanted, which func(target string) bool) bool {
+	limited := l.limited(view, w, which)
+	rand.Shuffle(len(limited), func(i, j int) { limited[i], limited[j] = limited[j], limited[i] })
+	return slices.ContainsFunc(limited[:min(len(limited), borrowTries)], l.borrowFor)
+}
+
+// borrowTries bounds the targets for which a request is borrowed in vain: each
+// costs a round trip.
+const borrowTries = 2
+
+// limited gives the targets of a service that take work but for their rate.
+func (l *Loads) limited(view *directory.View, w Wanted, which func(target string) bool) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.rates.Limited() == 0 {
+		return nil
+	}
+	var out []string
+	for _, t := range view.Pool(w.Service) {
+		_, limited := l.rates.Word(t.ID)
+		if limited && l.mayGet(view, w, t) && !l.withinRate(t.ID) && which(t.ID) {
+			out = append(out, t.ID)
+		}
+	}
+	return out
+}
+
+// always is for targets however new their word is.
+func always(string) bool { return true }
+
+// stale tells whether a target named its rate so long ago that it may take more.
+func (l *Loads) stale(target string) bool { return l.rates.Stale(l.now(), target) }
+
+// RoomIn is the time until this host may send to a target of a service that is at
+// its rate; false when none of them is.
+func (l *Loads) RoomIn(view *directory.View, w Wanted) (time.Duration, bool) {
+	limited := l.limited(view, w, always)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var least time.Duration
+	for _, id := range limited {
+		rank, hosts := l.rank(id)
+		if wait := l.rates.Wait(l.now(), id, rank, hosts); least == 0 || wait < least {
+			least = wait
+		}
+	}
+	return least, len(limited) > 0
+}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -20,8 +20,12 @@
 	if gen.g.cfg.Loads.Leaving(keeper.ID) {
 		return false
 	}
+	place, ok := gen.g.cfg.Loads.HoldWithinRate(keeper.ID, gen.Prompt)
+	if !ok {
+		return false
+	}
 	begun := time.Now()
-	err := gen.switchTo(b.copied, gen.g.cfg.Loads.Hold(keeper.ID, gen.Prompt))
+	err := gen.switchTo(b.copied, place)
 	gen.g.cfg.Log.Info("generation goes on at its backup", "request", gen.ID, "to", keeper.ID, "took", time.Since(begun), "silent_for", gen.silentFor(), "error", err)
 	if err == nil {
 		gen.g.meters.movedBackup.Inc(1)
@@ -155,7 +159,11 @@
 	if !c.open() {
 		return nil, false
 	}
-	l, err := gen.resume(c, gen.g.cfg.Loads.Hold(c.at.ID, gen.Prompt))
+	place, ok := gen.g.cfg.Loads.HoldWithinRate(c.at.ID, gen.Prompt)
+	if !ok {
+		return nil, false
+	}
+	l, err := gen.resume(c, place)
 	gen.g.cfg.Log.Info("generation comes back from a copy", "request", gen.ID, "to", c.at.ID, "events", gen.pauses.events,
 		"silent_for", gen.silentFor(), "error", err)
 	if err != nil {
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -19,6 +19,7 @@
 	"filbertdeck/internal/decide/loadshare"
 	"filbertdeck/internal/decide/membership"
 	"filbertdeck/internal/decide/poison"
+	"filbertdeck/internal/decide/targetrate"
 	"filbertdeck/internal/gateway"
 	"filbertdeck/internal/process"
 	"filbertdeck/internal/rolloutwire"
@@ -132,39 +133,58 @@
 	}
 }
 
-func (f *fleet) supplyLoads(peer string) []*filbertv1.TargetLoad { return toWire(f.loads.News(peer)) }
+func (f *fleet) supplyLoads(peer string) []*filbertv1.TargetLoad {
+	return toWire(f.loads.News(peer), f.now())
+}
 
 func (f *fleet) takeLoads(peer string, loads []*filbertv1.TargetLoad) {
-	f.loads.Take(peer, fromWire(loads))
+	f.loads.Take(peer, fromWire(loads, f.now()))
 }
 
 func (f *fleet) supplyAlerts(peer string) []*filbertv1.TargetLoad {
-	return toWire(f.loads.Alerts(peer))
+	return toWire(f.loads.Alerts(peer), f.now())
 }
 
 func (f *fleet) takeAlerts(peer string, alerts []*filbertv1.TargetLoad) {
-	f.loads.TakeAlerts(peer, fromWire(alerts))
+	f.loads.TakeAlerts(peer, fromWire(alerts, f.now()))
 }
 
-func toWire(counts []loadshare.Count) []*filbertv1.TargetLoad {
+// toWire gives counts as they are told at a time on the steady clock.
+func toWire(counts []loadshare.Count, now time.Duration) []*filbertv1.TargetLoad {
 	out := make([]*filbertv1.TargetLoad, len(counts))
 	for i, c := range counts {
 		out[i] = &filbertv1.TargetLoad{
 			Host: c.Host, Target: c.Target, Version: c.Version, Running: count(c.Running), Tokens: count(c.Tokens), Unread: count(c.Unread), Leaving: c.Leaving,
 			StepUs: count(int(c.Step.Microseconds())), Copies: count(c.Copies), Failures: c.Failures,
+			Rate: toWireRate(c.Rate, now),
 		}
 	}
 	return out
 }
 
+func toWireRate(w *targetrate.Word, now time.Duration) *filbertv1.TargetRate {
+	if w == nil {
+		return nil
+	}
+	return &filbertv1.TargetRate{Limited: w.Limited, PerSecond: w.PerSecond, AgeMs: count(int((now - w.At).Milliseconds()))}
+}
+
+func fromWireRate(r *filbertv1.TargetRate, now time.Duration) *targetrate.Word {
+	if r == nil {
+		return nil
+	}
+	age := time.Duration(r.GetAgeMs()) * time.Millisecond
+	return &targetrate.Word{Limited: r.GetLimited(), PerSecond: r.GetPerSecond(), At: now - age}
+}
+
 func count(n int) uint32 { return uint32(max(n, 0)) }
 
-func fromWire(loads []*filbertv1.TargetLoad) []loadshare.Count {
+func fromWire(loads []*filbertv1.TargetLoad, now time.Duration) []loadshare.Count {
 	counts := make([]loadshare.Count, len(loads))
 	for i, l := range loads {
 		counts[i] = loadshare.Count{
 			Host: l.GetHost(), Target: l.GetTarget(), Version: l.GetVersion(), Leaving: l.GetLeaving(),
-			Step: time.Duration(l.GetStepUs()) * time.Microsecond, Failures: l.GetFailures(),
+			Step: time.Duration(l.GetStepUs()) * time.Microsecond, Failures: l.GetFailures(), Rate: fromWireRate(l.GetRate(), now),
 			Load: loadshare.Load{Running: int(l.GetRunning()), Tokens: int(l.GetTokens()), Unread: int(l.GetUnread()), Copies: int(l.GetCopies())},
 		}
 	}
--- a/internal/gatewayhost/owners.go
+++ b/internal/gatewayhost/owners.go
@@ -43,29 +43,35 @@
 	loads *gateway.Loads
 	size  *fleetSize
 	view  *published.Board
+	now   Clock
 	log   *slog.Logger
 
 	asked, unanswered gometrics.Counter
+	// borrowed and refused count the requests of targets' rates that other hosts
+	// lent or did not lend.
+	borrowed, refused gometrics.Counter
 
 	mu      sync.Mutex
 	conn    *net.UDPConn
-	waiting map[uint64]chan []loadshare.Count
+	waiting map[uint64]chan *filbertv1.TargetLoads
 	// silent holds when a host last left a question without an answer.
 	silent map[string]time.Time
 }
 
 func newOwners(
-	s *Settings, loads *gateway.Loads, size *fleetSize, view *published.Board, log *slog.Logger, reg gometrics.Registry,
+	s *Settings, loads *gateway.Loads, size *fleetSize, view *published.Board, now Clock, log *slog.Logger, reg gometrics.Registry,
 ) *owners {
 	return &owners{
-		self: s.Deployment.ListenPeers, loads: loads, size: size, view: view, log: log,
-		waiting: map[uint64]chan []loadshare.Count{}, silent: map[string]time.Time{},
+		self: s.Deployment.ListenPeers, loads: loads, size: size, view: view, now: now, log: log,
+		waiting: map[uint64]chan *filbertv1.TargetLoads{}, silent: map[string]time.Time{},
 		asked: gometrics.GetOrRegisterCounter("owners.asked", reg), unanswered: gometrics.GetOrRegisterCounter("owners.unanswered", reg),
+		borrowed: gometrics.GetOrRegisterCounter("rates.borrowed", reg), refused: gometrics.GetOrRegisterCounter("rates.refused", reg),
 	}
 }
 
 func runOwners(lc fx.Lifecycle, o *owners) {
 	o.loads.AskOwners(o.ask)
+	o.loads.BorrowRates(o.borrow)
 	lc.Append(fx.StartHook(o.listen))
 	process.Background(lc, func(ctx context.Context) {
 		context.AfterFunc(ctx, func() { _ = o.conn.Close() })
@@ -96,24 +102,48 @@
 	if owner == o.self {
 		return o.loads.Answer(own), true
 	}
+	answer, ok := o.question(owner, &filbertv1.TargetLoads{Loads: toWire(own, o.now())})
+	return fromWire(answer.GetLoads(), o.now()), ok
+}
+
+// question sends a question to a host and gives its answer; false when none came.
+func (o *owners) question(host string, message *filbertv1.TargetLoads) (*filbertv1.TargetLoads, bool) {
 	question, answers := o.open()
 	defer o.close(question)
 	o.asked.Inc(1)
-	if !o.send(owner, &filbertv1.TargetLoads{Question: question, Loads: toWire(own)}) {
+	message.Question = question
+	if !o.send(host, message) {
 		return nil, false
 	}
 	timer := time.NewTimer(ownerLimit)
 	defer timer.Stop()
 	select {
-	case counts := <-answers:
-		return counts, true
+	case answer := <-answers:
+		return answer, true
 	case <-timer.C:
 		o.unanswered.Inc(1)
-		o.setSilent(owner)
+		o.setSilent(host)
 		return nil, false
 	}
 }
 
+// borrow is a gateway.BorrowRate. It asks one of the hosts that share the rate,
+// drawn at random.
+func (o *owners) borrow(target string, holders int) bool {
+	hosts := o.size.holders(target, holders)
+	if len(hosts) == 0 {
+		return false
+	}
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	answer, _ := o.question(o.notSilent(hosts), &filbertv1.TargetLoads{Borrow: target})
+	if !answer.GetLent() {
+		o.refused.Inc(1)
+		return false
+	}
+	o.borrowed.Inc(1)
+	return true
+}
+
 // tellChanges tells the owners of targets this host's loads that changed.
 func (o *owners) tellChanges() {
 	if !o.loads.ByOwners() {
@@ -138,14 +168,19 @@
 	if len(owners) == 0 {
 		return "", false
 	}
+	return o.notSilent(owners), true
+}
+
+// notSilent gives the first of some hosts that is not silent, or the first.
+func (o *owners) notSilent(hosts []string) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, owner := range owners {
-		if time.Since(o.silent[owner]) >= silentFor {
-			return owner, true
+	for _, host := range hosts {
+		if time.Since(o.silent[host]) >= silentFor {
+			return host
 		}
 	}
-	return owners[0], true
+	return hosts[0]
 }
 
 func (o *owners) setSilent(host string) {
@@ -174,16 +209,16 @@
 			continue
 		}
 		for part := range slices.Chunk(batch, maxTold) {
-			o.send(owner, &filbertv1.TargetLoads{Loads: toWire(part)})
+			o.send(owner, &filbertv1.TargetLoads{Loads: toWire(part, o.now())})
 		}
 	}
 }
 
 // open draws a question and makes room for its answer.
-func (o *owners) open() (uint64, <-chan []loadshare.Count) {
+func (o *owners) open() (uint64, <-chan *filbertv1.TargetLoads) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	question, answers := rand.Uint64(), make(chan []loadshare.Count, 1)
+	question, answers := rand.Uint64(), make(chan *filbertv1.TargetLoads, 1)
 	o.waiting[question] = answers
 	return question, answers
 }
@@ -238,24 +273,29 @@
 }
 
 func (o *owners) take(from netip.AddrPort, message *filbertv1.TargetLoads) {
-	counts := fromWire(message.GetLoads())
 	if message.GetAnswer() {
 		o.mu.Lock()
 		answers := o.waiting[message.GetQuestion()]
 		o.mu.Unlock()
 		if answers != nil {
 			select {
-			case answers <- counts:
+			case answers <- message:
 			default:
 			}
 		}
 		return
 	}
+	counts := fromWire(message.GetLoads(), o.now())
 	if message.GetQuestion() == 0 {
 		o.loads.Take("", counts)
 		return
 	}
-	answer := &filbertv1.TargetLoads{Question: message.GetQuestion(), Answer: true, Loads: toWire(o.loads.Answer(counts))}
+	answer := &filbertv1.TargetLoads{Question: message.GetQuestion(), Answer: true}
+	if target := message.GetBorrow(); target != "" {
+		answer.Lent = o.loads.Lend(target)
+	} else {
+		answer.Loads = toWire(o.loads.Answer(counts), o.now())
+	}
 	if err := o.sendTo(from, answer); err != nil {
 		o.log.Debug("question not answered", "from", from, "error", err)
 	}
--- a/internal/gatewayhost/owners_test.go
+++ b/internal/gatewayhost/owners_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"os"
@@ -16,6 +17,7 @@
 	"filbertdeck/internal/controller/published"
 	"filbertdeck/internal/decide/loadshare"
 	"filbertdeck/internal/decide/membership"
+	"filbertdeck/internal/decide/targetrate"
 	"filbertdeck/internal/gateway"
 )
 
@@ -51,7 +53,7 @@
 	loads := gateway.NewLoads(self, "dc-1", now)
 	s := &Settings{}
 	s.Deployment.ListenPeers = self
-	o := newOwners(s, loads, newFleetSize(s, board, now), &published.Board{}, slog.New(slog.DiscardHandler), gometrics.NewRegistry())
+	o := newOwners(s, loads, newFleetSize(s, board, now), &published.Board{}, now, slog.New(slog.DiscardHandler), gometrics.NewRegistry())
 	if err := o.listen(); err != nil {
 		t.Fatal(err)
 	}
@@ -121,7 +123,7 @@
 		t.Fatal(err)
 	}
 	registry := gometrics.NewRegistry()
-	newOwners(&Settings{}, nil, nil, nil, nil, registry)
+	newOwners(&Settings{}, nil, nil, nil, nil, nil, registry)
 	registry.Each(func(name string, _ any) {
 		if !strings.Contains(string(page), "`"+name+"`") {
 			t.Errorf("%s is not on the page", name)
@@ -129,6 +131,41 @@
 	})
 }
 
+// Guards against requests of a target's rate that two hosts both take for theirs.
+func TestOneRequestOfATargetsRateIsLentOnce(t *testing.T) {
+	addresses := []string{freeUDP(t), freeUDP(t), freeUDP(t)}
+	_, lender := startOwners(t, addresses[0], addresses)
+	first, _ := startOwners(t, addresses[1], addresses)
+	second, _ := startOwners(t, addresses[2], addresses)
+	target := ""
+	for i := 0; target == ""; i++ {
+		if id := fmt.Sprint("i-", i); membership.Rank(id, addresses)[0] == addresses[0] {
+			target = id
+		}
+	}
+	if first.borrow(target, 1) {
+		t.Fatal("a host lent of a target that named no rate")
+	}
+	rate := 0.001
+	lender.Answered(target, &rate)
+	if !first.borrow(target, 1) {
+		t.Fatal("the host that has the target's rate did not lend")
+	}
+	if second.borrow(target, 1) {
+		t.Fatal("a request was lent twice")
+	}
+}
+
+// Guards against a word of a target that grows younger on its way and overrules a
+// newer one.
+func TestRatesKeepTheirAgeBetweenHosts(t *testing.T) {
+	told := toWire([]loadshare.Count{{Target: "i-1", Rate: &targetrate.Word{Limited: true, PerSecond: 3.4, At: 5 * time.Second}}}, 7*time.Second)
+	heard := fromWire(told, time.Minute)[0].Rate
+	if heard == nil || !heard.Limited || heard.PerSecond != 3.4 || heard.At != time.Minute-2*time.Second {
+		t.Fatalf("heard %+v, want a rate of 3.4 from two seconds before", heard)
+	}
+}
+
 // Bytes that are no message of ours come to the port. The next question is
 // answered all the same.
 func TestOwnersPassOverUnreadableDatagrams(t *testing.T) {
--- a/internal/gatewayhost/size.go
+++ b/internal/gatewayhost/size.go
@@ -106,6 +106,13 @@
 	return ranked[:min(len(ranked), copiesOfCounts)]
 }
 
+// holders gives the first hosts by their rank for a target, this one left out.
+func (f *fleetSize) holders(target string, most int) []string {
+	ranked := membership.Rank(target, f.known())
+	ranked = ranked[:min(len(ranked), most)]
+	return slices.DeleteFunc(ranked, func(host string) bool { return host == f.self })
+}
+
 // rank gives this host's rank for a target, and the number of hosts.
 func (f *fleetSize) rank(target string) (rank, hosts int) {
 	rank = slices.Index(membership.Rank(target, f.known()), f.self)
