Pass on removals of targets that a process never knew

A peer that knew the target went on sending there.

Records from peers are now passed on whether or not they change anything here. The spec of the mirror needs the new call and does not compile on the code before.

--- a/internal/controller/published/news.go
+++ b/internal/controller/published/news.go
@@ -165,10 +165,10 @@
 	case from == 0 && to > 0:
 		return c.mirror.Whole(now, records, to)
 	case from <= c.mirror.Revision():
-		return c.mirror.Changes(now, records, to)
+		return c.mirror.Merge(now, records, to)
 	}
 	// What was published between is missing here.
-	return c.mirror.Changes(now, records, 0)
+	return c.mirror.Merge(now, records, 0)
 }
 
 // takeDelta takes a short change of the configuration. One that doesn't fit is
--- a/internal/controller/published/published_test.go
+++ b/internal/controller/published/published_test.go
@@ -26,6 +26,8 @@
 // source is a store that holds what a spec puts into it.
 type source struct {
 	records []directory.Record
+	// changes are all that were ever made, in their order.
+	changes []directory.Record
 	at      uint64
 	watched []uint64
 }
@@ -38,7 +40,7 @@
 func (s *source) Watch(_ context.Context, after uint64, _ time.Duration) ([]directory.Record, uint64, error) {
 	s.watched = append(s.watched, after)
 	var out []directory.Record
-	for _, r := range s.records {
+	for _, r := range s.changes {
 		if r.Revision > after {
 			out = append(out, r)
 		}
@@ -110,6 +112,7 @@
 		}
 	}
 	s.records, s.at = append(kept, r), r.Revision
+	s.changes = append(s.changes, r)
 }
 
 // remove takes a record away, as the store does: a watch from before hears of it,
--- a/internal/decide/mirror/mirror.go
+++ b/internal/decide/mirror/mirror.go
@@ -147,6 +147,20 @@
 	return changed
 }
 
+// Merge takes records that another process passed on, as Changes does, and passes
+// them on in turn even if they change nothing here: that process may have known
+// states in between that this one never did, such as a target that came and went.
+func (m *Mirror) Merge(now time.Duration, records []directory.Record, at uint64) bool {
+	changed := m.Changes(now, records, at)
+	for _, r := range records {
+		if e := m.records[r.Key]; e.Revision == r.Revision {
+			e.matters = r.Revision
+			m.records[r.Key] = e
+		}
+	}
+	return changed
+}
+
 // put keeps a record that is newer than the one known and tells whether it
 // matters to requests: a heartbeat that only counts up does not.
 func (m *Mirror) put(now time.Duration, r directory.Record) bool {
--- a/internal/decide/mirror/mirror_test.go
+++ b/internal/decide/mirror/mirror_test.go
@@ -90,6 +90,14 @@
 		Expect(takesNew(m, 13*time.Second, "i-2")).To(BeFalse())
 	})
 
+	// Guards against a removal that stops at a process which never knew the target.
+	It("passes on the removal of a target that it never knew", func() {
+		m := mirror.New(mirror.Config{})
+		m.Changes(0, []directory.Record{target("i-1", 3, nil)}, 10)
+		m.Merge(0, []directory.Record{gone(directory.TargetKey("i-2"), 15)}, 15)
+		Expect(m.Since(13)).To(HaveLen(1))
+	})
+
 	// Guards against a delayed write of a target's earlier state that makes a
 	// leaving target ready again, here and at peers.
 	It("takes a target that leaves for leaving until it starts anew", func() {
