Take back no target that was removed by the revision known here

Same class, the other way round: a peer that is behind, or believes this process to be so, tells all that exists by its older revision. A target in it that was removed since came back as ready here where its removal was not known by itself, such as after a whole reading, and was passed on.

--- a/internal/controller/published/published_test.go
+++ b/internal/controller/published/published_test.go
@@ -296,6 +296,52 @@
 		Expect(listed(old)).To(HaveLen(targets - 1))
 		Expect(listed(old)).NotTo(ContainElement("i-0"))
 	}, Entry("a few targets", 3), Entry("more than go along with other news", 3*mostRecords))
+
+	// Guards against any order of starts, readings and news after which a host
+	// counts a revision as known and lacks a removal before it.
+	It("leave no host with a target that is gone at the revision that it knows", func() {
+		const hosts, targets, steps = 4, 6, 60
+		seeds := []uint64{1158, 4087}
+		for seed := range uint64(300) {
+			seeds = append(seeds, seed)
+		}
+		for _, seed := range seeds {
+			draw := rand.New(rand.NewPCG(seed, 1))
+			store := &source{}
+			store.configure(1, 1, 1)
+			fleet := make([]*host, hosts)
+			for i := range fleet {
+				fleet[i] = newHost(store)
+			}
+			for range steps {
+				h, other := fleet[draw.IntN(hosts)], fleet[draw.IntN(hosts)]
+				switch id := fmt.Sprint("i-", draw.IntN(targets)); draw.IntN(6) {
+				case 0:
+					store.put(targetRecord(id, store.at+1))
+				case 1:
+					store.remove(directory.TargetKey(id))
+				case 2:
+					fleet[draw.IntN(hosts)] = newHost(store)
+				case 3:
+					h.read()
+				default:
+					if h != other {
+						tellAll(h, other)
+					}
+				}
+				for _, h := range fleet {
+					if h.board.View.Get() == nil || h.Revision() < store.at {
+						continue
+					}
+					for _, r := range store.records {
+						if r.Gone {
+							Expect(listed(h)).NotTo(ContainElement(directory.TargetOf(r.Key)), "seed %d", seed)
+						}
+					}
+				}
+			}
+		}
+	})
 })
 
 var _ = Describe("a configuration as rows", func() {
--- a/internal/decide/mirror/mirror.go
+++ b/internal/decide/mirror/mirror.go
@@ -165,7 +165,7 @@
 // matters to requests: a heartbeat that only counts up does not.
 func (m *Mirror) put(now time.Duration, r directory.Record) bool {
 	old, known := m.records[r.Key]
-	if known && old.Revision >= r.Revision {
+	if known && old.Revision >= r.Revision || (!known || old.Gone) && m.removed(r) {
 		return false
 	}
 	if r.Fault != "" && old.Config != nil {
@@ -204,6 +204,13 @@
 	return true
 }
 
+// removed tells whether a record of something that does not exist here was removed
+// by the revision up to which everything is known. The configuration may come
+// later than the records around it.
+func (m *Mirror) removed(r directory.Record) bool {
+	return r.Key != directory.ConfigKey && !r.Gone && r.Revision <= m.revision
+}
+
 // stillLeaving gives a target's record as one of a leaving target where it is
 // known to leave in its present life. The store may carry out a write of an
 // earlier state after that of a later one.
--- a/internal/decide/mirror/mirror_test.go
+++ b/internal/decide/mirror/mirror_test.go
@@ -98,6 +98,16 @@
 		Expect(m.Since(13)).To(HaveLen(1))
 	})
 
+	// Guards against a removed target that comes back with a peer's old list.
+	DescribeTable("takes nothing back that was removed by the revision it knows", func(before ...directory.Record) {
+		m := mirror.New(mirror.Config{})
+		m.Changes(0, before, 3)
+		m.Whole(0, nil, 11)
+		m.Merge(0, []directory.Record{target("i-1", 7, nil)}, 0)
+		Expect(takesNew(m, 0, "i-1")).To(BeFalse())
+	}, Entry("a target that it never knew"),
+		Entry("one that it knew to be gone before", target("i-1", 2, nil), gone(directory.TargetKey("i-1"), 3)))
+
 	// Guards against a delayed write of a target's earlier state that makes a
 	// leaving target ready again, here and at peers.
 	It("takes a target that leaves for leaving until it starts anew", func() {
