Let shares of a high rate save up more than one request

A target that names a high rate was served below it: with buckets of one token a share of some twenty a second loses what comes while its bucket is full. The buckets now fill up half of the slack that the target allows, whatever its rate.

Besides: holding a place within the rate is one step, the age in the lines of leaving targets is -1 while none is known, and one lock less for each answer.

--- a/internal/controller/published/controller.go
+++ b/internal/controller/published/controller.go
@@ -279,7 +279,7 @@
 	c.out.Publish(view)
 	c.publishAgainAt(now, c.mirror.NextChange(now))
 	if left := c.mirror.Left(); len(left) > 0 {
-		c.cfg.Log.Info("targets leave", "targets", left, "revision", view.Revision, "source", source, "age", now-c.currentAt)
+		c.cfg.Log.Info("targets leave", "targets", left, "revision", view.Revision, "source", source, "age", c.ageAt(now))
 	}
 }
 
--- a/internal/controller/published/news.go
+++ b/internal/controller/published/news.go
@@ -78,12 +78,9 @@
 	defer c.mu.Unlock()
 	now := c.cfg.Now()
 	n := News{
-		From: c.mirror.Revision(), Revision: c.mirror.Revision(), Age: -1,
+		From: c.mirror.Revision(), Revision: c.mirror.Revision(), Age: c.ageAt(now),
 		Reading: c.reading && !c.lost && c.confirmed, Config: c.doc.rows.Head(),
 	}
-	if c.confirmed {
-		n.Age = now - c.currentAt
-	}
 	if due, ever := c.silence.Due(); ever && c.silence.Suspect(c.currentAt) {
 		n.Overdue = max(now-due, time.Millisecond)
 	}
@@ -316,6 +313,14 @@
 	c.mirror.Confirm(c.currentAt)
 }
 
+// ageAt is Age at a time, negative when nothing was ever known; with the lock held.
+func (c *Controller) ageAt(now time.Duration) time.Duration {
+	if !c.confirmed {
+		return -1
+	}
+	return now - c.currentAt
+}
+
 // Age is how long ago it was known that nothing newer had been published than
 // is believed here; false when it never was.
 func (c *Controller) Age() (time.Duration, bool) {
--- a/internal/decide/targetrate/targetrate.go
+++ b/internal/decide/targetrate/targetrate.go
@@ -10,16 +10,18 @@
 // than it has room for and falls over.
 //
 // How it works: a few hosts, by their rank for the target, share its rate; each
-// has a token bucket that holds one token. The shares add up to the rate, and the
-// buckets to a part of the slack that a target allows, whoever sends when and
-// without a message. A host that has no token and no other target may borrow one
+// has a token bucket. The shares add up to the rate, and the buckets to a part of
+// the slack that a target allows, whoever sends when and without a message. A host that has no token and no other target may borrow one
 // from a host that has a share: borrowed or used, it is the same token. What a
 // target says last holds; hosts pass it on with its age.
 //
 // It is not safe for concurrent use; times are on the steady clock.
 package targetrate
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // A target takes, in any window, slackFactor times its rate and slackRequests
 // besides, as published.
@@ -58,17 +60,29 @@
 
 // Holders is the number of hosts, of so many, that share a rate.
 func Holders(perSecond float64, hosts int) int {
-	slack := (slackFactor-1)*max(perSecond, leastRate)*window.Seconds() + slackRequests
-	return max(min(hosts, mostHolders, int(slack*slackUsed)), 1)
+	return max(min(hosts, mostHolders, int(buckets(perSecond))), 1)
+}
+
+// buckets is the number of tokens that all hosts together may save up.
+func buckets(perSecond float64) float64 {
+	return slackUsed * ((slackFactor-1)*max(perSecond, leastRate)*window.Seconds() + slackRequests)
 }
 
-// share is the rate of the host with a rank, 0 for none.
-func share(perSecond float64, rank, hosts int) float64 {
+// share is one host's part of a target's rate.
+type share struct {
+	perSecond float64
+	// bucket is the number of tokens that it may save up.
+	bucket float64
+}
+
+// shareOf gives the share of the host with a rank, none for most.
+func shareOf(perSecond float64, rank, hosts int) share {
 	holders := Holders(perSecond, hosts)
 	if rank < 0 || rank >= holders {
-		return 0
+		return share{}
 	}
-	return max(perSecond, leastRate) / float64(holders)
+	n := float64(holders)
+	return share{perSecond: max(perSecond, leastRate) / n, bucket: math.Floor(buckets(perSecond) / n)}
 }
 
 // Board holds what targets said of their rates, and this host's tokens.
@@ -156,7 +170,7 @@
 	if t == nil || !t.word.Limited {
 		return true
 	}
-	t.fill(now, share(t.word.PerSecond, rank, hosts))
+	t.fill(now, shareOf(t.word.PerSecond, rank, hosts))
 	return t.tokens >= 1
 }
 
@@ -167,11 +181,11 @@
 		return 0
 	}
 	t := b.targets[id]
-	rate := share(t.word.PerSecond, rank, hosts)
-	if rate == 0 {
+	own := shareOf(t.word.PerSecond, rank, hosts)
+	if own.perSecond == 0 {
 		return seconds(1 / max(t.word.PerSecond, leastRate))
 	}
-	return seconds((1 - t.tokens) / rate)
+	return seconds((1 - t.tokens) / own.perSecond)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -208,15 +222,15 @@
 	}
 }
 
-// fill adds the tokens that came since the last time, up to one in all. A host
-// with a share begins with one.
-func (t *target) fill(now time.Duration, rate float64) {
-	gained := rate * (now - t.filledAt).Seconds()
-	if !t.filled && rate > 0 {
+// fill adds the tokens of a share that came since the last time, up to a full
+// bucket. A host with a share begins with one.
+func (t *target) fill(now time.Duration, own share) {
+	gained := own.perSecond * (now - t.filledAt).Seconds()
+	if !t.filled && own.perSecond > 0 {
 		gained = 1
 	}
 	t.filled, t.filledAt = true, now
-	if t.tokens < 1 {
-		t.tokens = min(t.tokens+gained, 1)
+	if t.tokens < own.bucket {
+		t.tokens = min(t.tokens+gained, own.bucket)
 	}
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -204,10 +204,8 @@
 	if a.OtherTarget || a.Echo != s.ID {
 		return
 	}
-	before, was := g.cfg.Loads.Rate(s.Target.ID)
-	g.cfg.Loads.Answered(s.Target.ID, a.Rate)
-	if now, is := g.cfg.Loads.Rate(s.Target.ID); is != was || now != before {
-		g.cfg.Log.Info("target's rate changed", "target", s.Target.ID, "request", s.ID, "limited", is, "per_second", now)
+	if g.cfg.Loads.Answered(s.Target.ID, a.Rate) {
+		g.cfg.Log.Info("target's rate changed", "target", s.Target.ID, "request", s.ID, "limited", a.Rate != nil, "per_second", a.Rate)
 	}
 }
 
--- a/internal/gateway/rate.go
+++ b/internal/gateway/rate.go
@@ -21,18 +21,20 @@
 func (l *Loads) BorrowRates(borrow BorrowRate) { l.borrow = borrow }
 
 // Answered takes what a target said of the rate it takes in an answer to this
-// host; nil is that it named none.
-func (l *Loads) Answered(target string, perSecond *float64) {
+// host; nil is that it named none. It tells whether that is new here.
+func (l *Loads) Answered(target string, perSecond *float64) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w := targetrate.Word{At: l.now()}
 	if perSecond != nil {
 		w.Limited, w.PerSecond = true, *perSecond
 	}
+	before, _ := l.rates.Word(target)
 	if l.rates.Answered(target, w) {
 		l.alerts.SetRate(l.now(), target, w)
 		wake.Signal(l.alerted)
 	}
+	return w.Limited != before.Limited || w.PerSecond != before.PerSecond
 }
 
 // hearRates takes what targets said to other hosts.
@@ -44,14 +46,6 @@
 	}
 }
 
-// Rate gives the rate that a target named last; false when it names none.
-func (l *Loads) Rate(target string) (perSecond float64, limited bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	w, limited := l.rates.Word(target)
-	return w.PerSecond, limited
-}
-
 // limitedCount is the number of targets that name a rate.
 func (l *Loads) limitedCount() int64 {
 	l.mu.Lock()
@@ -89,13 +83,21 @@
 // HoldWithinRate is Hold for a target that may have named a rate; false when no
 // request of it is to be had.
 func (l *Loads) HoldWithinRate(target string, p call.Prompt) (*Place, bool) {
+	place, ok := l.holdWithinOwn(target, p)
+	if !ok && l.borrowFor(target) {
+		return l.holdWithinOwn(target, p)
+	}
+	return place, ok
+}
+
+// holdWithinOwn is HoldWithinRate by what this host has of the rate.
+func (l *Loads) holdWithinOwn(target string, p call.Prompt) (*Place, bool) {
 	l.mu.Lock()
-	open := l.withinRate(target)
-	l.mu.Unlock()
-	if !open && !l.borrowFor(target) {
+	defer l.mu.Unlock()
+	if !l.withinRate(target) {
 		return nil, false
 	}
-	return l.Hold(target, p), true
+	return l.place(target, p), true
 }
 
 // borrowFor borrows one request to a target; false when nobody lends.
