--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -123,6 +123,18 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// metricsText gives what the process serves of its metrics.
+func (h *host) metricsText() string {
+	resp, err := http.Get("http://" + h.metrics + "/metrics")
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
 // call sends a booking and gives the status, 0 when there was no answer.
 func (h *host) call(path, key string) int {
 	req, err := http.NewRequest(http.MethodPost, "http://"+h.callers+path, strings.NewReader("x"))
