Fetch from another data centre in time while ever newer news are announced

Cause: more than 40 changes at once are announced and fetched. A host whose own data centre has nobody to fetch from waits a quarter of a second and more before it asks another one, counted from the newest announcement. While targets come and go, every answer announces something newer and the wait begins anew: the relay of the data centre never asked, and all its hosts hung on it. Evidence: all hosts of the data centre stood at revision 1177 from 13.1 to 15.3 s, knew a relay that answered, and log neither a fetch nor a failed one; other data centres were at 1338. Class: a timer that each event restarts.

The wait now counts from when the host began to lack something since it last got anything. The spec failed before (nobody asked within a second).

--- a/internal/decide/fetch/fetch.go
+++ b/internal/decide/fetch/fetch.go
@@ -29,8 +29,8 @@
 
 // Config holds the figures.
 type Config struct {
-	// FarAfter is how long a document has to be announced before the host that
-	// ranks first in its part of the fleet asks a peer of another part for it.
+	// FarAfter is how long the host that ranks first in its part of the fleet has
+	// to lack what was announced before it asks a peer of another part for it.
 	// Each further rank waits FarStep longer, up to FarRanks of them, so that
 	// the first to have it can give it to the others.
 	FarAfter, FarStep time.Duration
@@ -73,8 +73,10 @@
 	draw    *rand.Rand
 	peers   map[string]*source
 	timeout time.Duration
-	// wanted is the newest revision announced, since when it is wanted.
-	wanted  uint64
+	// held is the newest revision that the host was known to hold, since when it
+	// lacks something newer: not when the newest was announced, or a host would
+	// wait for as long as there is anything new.
+	held    uint64
 	since   time.Duration
 	fetches bool
 }
@@ -95,15 +97,15 @@
 // Announced notes that a peer holds a revision; near tells that it belongs to
 // this host's part of the fleet.
 func (p *Plan) Announced(now time.Duration, peer string, near bool, revision uint64) {
+	if len(p.peers) == 0 {
+		p.since = now
+	}
 	s := p.peers[peer]
 	if s == nil {
 		s = &source{}
 		p.peers[peer] = s
 	}
 	s.revision, s.near = max(s.revision, revision), near
-	if revision > p.wanted {
-		p.wanted, p.since = revision, now
-	}
 }
 
 // Next gives the peer to fetch from, and the time to allow, when this host
@@ -112,6 +114,10 @@
 // Done.
 func (p *Plan) Next(now time.Duration, held uint64, rank int) (peer string, timeout time.Duration, ok bool) {
 	p.forget(held)
+	if p.held > 0 && held > p.held {
+		p.since = now
+	}
+	p.held = max(p.held, held)
 	if p.fetches || len(p.peers) == 0 {
 		return "", 0, false
 	}
--- a/internal/decide/fetch/fetch_test.go
+++ b/internal/decide/fetch/fetch_test.go
@@ -64,6 +64,30 @@
 		Expect(peer).To(Equal("far"))
 	})
 
+	// Guards against hosts that get no news while newer ones keep being announced.
+	It("goes to another part in time, however often something newer is announced", func() {
+		p := newPlan(1)
+		for now := time.Duration(0); now < second; now += second / 10 {
+			p.Announced(now, "far", false, uint64(5+now/second))
+			if _, _, ok := p.Next(now, 4, 0); ok {
+				Expect(now).To(BeNumerically(">=", fetch.Default().FarAfter))
+				return
+			}
+			p.Announced(now, "far", false, uint64(5+10*now/second))
+		}
+		Fail("nobody was asked within a second")
+	})
+
+	It("waits anew for its own part once all was held", func() {
+		p := newPlan(1)
+		p.Announced(0, "far", false, 5)
+		_, _, ok := p.Next(second, 5, 0)
+		Expect(ok).To(BeFalse())
+		p.Announced(second, "far", false, 6)
+		_, _, ok = p.Next(second, 5, 0)
+		Expect(ok).To(BeFalse())
+	})
+
 	// A peer falls silent in the middle of a transfer. A host that kept to it
 	// would go on serving from an old configuration.
 	It("goes to another peer after one that did not answer", func() {
