Fetch from peers heard of lately first

A list of leavings that has to be fetched waits a second, and two the next time, where the peer that is asked stands still; the bound on leavings is two seconds on small deployments. A peer whose announcements have stopped is now asked only when nobody else announced lately. The spec failed before.

--- a/internal/decide/fetch/fetch.go
+++ b/internal/decide/fetch/fetch.go
@@ -42,6 +42,9 @@
 	// doubles the next one's, up to LastTimeout: a document that is on its way
 	// over a slow link would else be begun anew for ever.
 	FirstTimeout, LastTimeout time.Duration
+	// LateAfter is the time without an announcement after which a peer is asked
+	// only when there is no other: it may stand still or be cut off.
+	LateAfter time.Duration
 }
 
 // Default gives the figures in use. A host asks for news every 200 ms, so a
@@ -50,7 +53,7 @@
 	return Config{
 		FarAfter: 250 * time.Millisecond, FarStep: 500 * time.Millisecond, FarRanks: 3,
 		BusyPause: 60 * time.Millisecond, FailedPause: 2 * time.Second,
-		FirstTimeout: time.Second, LastTimeout: 8 * time.Second,
+		FirstTimeout: time.Second, LastTimeout: 8 * time.Second, LateAfter: 500 * time.Millisecond,
 	}
 }
 
@@ -85,6 +88,8 @@
 type source struct {
 	revision uint64
 	near     bool
+	// heard is when it was last heard of.
+	heard time.Duration
 	// after is the time from which it may be asked.
 	after time.Duration
 }
@@ -105,7 +110,7 @@
 		s = &source{}
 		p.peers[peer] = s
 	}
-	s.revision, s.near = max(s.revision, revision), near
+	s.revision, s.near, s.heard = max(s.revision, revision), near, now
 }
 
 // Next gives the peer to fetch from, and the time to allow, when this host
@@ -138,11 +143,27 @@
 	if len(from) == 0 {
 		return "", 0, false
 	}
+	from = p.heardLately(now, from)
 	slices.Sort(from)
 	p.fetches = true
 	return from[p.draw.IntN(len(from))], p.timeout, true
 }
 
+// heardLately gives those of some peers that were heard of lately; all where none
+// was.
+func (p *Plan) heardLately(now time.Duration, peers []string) []string {
+	var out []string
+	for _, name := range peers {
+		if now-p.peers[name].heard < p.cfg.LateAfter {
+			out = append(out, name)
+		}
+	}
+	if len(out) == 0 {
+		return peers
+	}
+	return out
+}
+
 // Wants tells whether some peer holds what this host lacked at the last Next.
 func (p *Plan) Wants() bool { return len(p.peers) > 0 }
 
--- a/internal/decide/fetch/fetch_test.go
+++ b/internal/decide/fetch/fetch_test.go
@@ -78,6 +78,19 @@
 		Fail("nobody was asked within a second")
 	})
 
+	// Guards against a transfer's timeout spent on a peer that stands still, while
+	// the time for urgent news runs.
+	It("asks those heard of lately before one that has fallen silent", func() {
+		for seed := range uint64(50) {
+			p := newPlan(seed)
+			p.Announced(0, "silent", true, 5)
+			p.Announced(second, "a", true, 5)
+			peer, _, ok := p.Next(second, 4, 0)
+			Expect(ok).To(BeTrue())
+			Expect(peer).To(Equal("a"))
+		}
+	})
+
 	It("waits anew for its own part once all was held", func() {
 		p := newPlan(1)
 		p.Announced(0, "far", false, 5)
