Replace relays that the store turns away at once

Cause: each data centre has one relay that fetches news for it. The store turned away the two readers, and the relays that took their place: the first host of each of the four data centres. Their hosts went on asking them until what they knew was three seconds old, though any other host could have read. Evidence: four hosts log a lost store at 17.65 to 17.72 s, no host reads until 20.48, and the configuration that was accepted at 17.64 is in force everywhere from 20.58 to 20.93 s.

A host now says when the store refused it lately, and counts for no relay then: the next by rank takes the role within some tenths of a second, and the one turned away asks it in place of the store, tries again after three seconds and takes its role back when served. A host that relays beside its rank asks those before it, else two went on reading for one data centre. While the store refuses everybody two hosts a data centre call it, as before.

The play of the roles fails without the new word (hosts behind after 1.5 s at 84, 195 and 300 hosts); it needs the new call and does not compile on the code before.

--- a/internal/controller/published/controller.go
+++ b/internal/controller/published/controller.go
@@ -82,9 +82,11 @@
 	viewUntil time.Duration
 	// reading is set while this host reads the store, lost while it can't.
 	reading, lost bool
-	news          chan struct{}
-	doc           *document
-	peers         map[string]*peer
+	// refusedAt is when a call to the store last failed.
+	refusedAt time.Duration
+	news      chan struct{}
+	doc       *document
+	peers     map[string]*peer
 	// packed are the records that were given away last.
 	packed  packedDelta
 	silence silence.Detector
@@ -308,6 +310,7 @@
 	gone := err != nil && failure.KindOf(err) != failure.KindHistoryGone
 	if gone {
 		c.mirror.StoreLost()
+		c.refusedAt = c.cfg.Now()
 	}
 	if gone == c.lost {
 		return
--- a/internal/controller/published/news.go
+++ b/internal/controller/published/news.go
@@ -42,6 +42,8 @@
 	Age time.Duration
 	// Reading says that the process reads the store, and the store answers.
 	Reading bool
+	// TurnedAway says that the store refused the process lately.
+	TurnedAway bool
 	// Overdue is how long before the telling an answer of the store was due that
 	// did not come; 0 when all came in time.
 	Overdue time.Duration
@@ -79,7 +81,7 @@
 	now := c.cfg.Now()
 	n := News{
 		From: c.mirror.Revision(), Revision: c.mirror.Revision(), Age: c.ageAt(now),
-		Reading: c.reading && !c.lost && c.confirmed, Config: c.doc.rows.Head(),
+		Reading: c.reading && !c.lost && c.confirmed, TurnedAway: c.turnedAwayAt(now), Config: c.doc.rows.Head(),
 	}
 	if due, ever := c.silence.Due(); ever && c.silence.Suspect(c.currentAt) {
 		n.Overdue = max(now-due, time.Millisecond)
@@ -313,6 +315,21 @@
 	c.mirror.Confirm(c.currentAt)
 }
 
+// TurnedAwayFor is how long a call that the store refused counts against a host
+// as a source of news. It tries again after that.
+const TurnedAwayFor = 3 * time.Second
+
+// TurnedAway tells whether the store refused this host lately.
+func (c *Controller) TurnedAway() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.turnedAwayAt(c.cfg.Now())
+}
+
+func (c *Controller) turnedAwayAt(now time.Duration) bool {
+	return c.lost && now-c.refusedAt < TurnedAwayFor
+}
+
 // ageAt is Age at a time, negative when nothing was ever known; with the lock held.
 func (c *Controller) ageAt(now time.Duration) time.Duration {
 	if !c.confirmed {
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -214,6 +214,7 @@
 	n := f.published.NewsFor(peer)
 	out := &filbertv1.PublishedNews{
 		From: n.From, Revision: n.Revision, Withheld: n.Withheld, Reading: n.Reading, Relaying: f.roles.relaying(),
+		TurnedAway: n.TurnedAway,
 	}
 	if n.Age >= 0 {
 		// Rounded up: an age cut to whole milliseconds would make the news
@@ -244,7 +245,7 @@
 		n.Age = time.Duration(ms) * time.Millisecond
 	}
 	n.Overdue = time.Duration(news.GetOverdueMs()) * time.Millisecond
-	f.roles.heard(peer, n.Reading, news.GetRelaying(), n.Age)
+	f.roles.heard(peer, n.Reading, news.GetRelaying(), news.GetTurnedAway(), n.Age)
 	for _, r := range news.GetRecords() {
 		n.Records = append(n.Records, json.RawMessage(r))
 	}
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	roles.age = c.Age
+	roles.age, roles.turnedAway = c.Age, c.TurnedAway
 	return c, nil
 }
 
--- a/internal/gatewayhost/roles.go
+++ b/internal/gatewayhost/roles.go
@@ -31,6 +31,8 @@
 	// age tells how old what this host knows is, false when it knows nothing;
 	// set before the first question.
 	age func() (time.Duration, bool)
+	// turnedAway tells whether the store refused this host lately; set like age.
+	turnedAway func() bool
 
 	mu      sync.Mutex
 	readers *readers.Readers
@@ -138,10 +140,15 @@
 		return true
 	}
 	age, known := r.age()
+	turnedAway := r.turnedAway()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fresh := known && age < staleAfter
 	relays := r.relays.Read(r.now(), r.self, ranked.nearby, fresh)
+	if turnedAway && len(r.relays.Known(r.now(), r.self, ranked.nearby)) > 0 {
+		// Another host of the data centre gets news where this one gets none.
+		relays = false
+	}
 	if relays && !r.stale.Among(r.self, ranked.nearby) {
 		// Without news from any of them more than a few would change nothing.
 		relays = len(r.stale.Known(r.now(), r.self, ranked.nearby)) == 0
@@ -179,13 +186,13 @@
 	return known && age < staleAfter
 }
 
-// heard notes what another host said of its roles, and the age of what it knows,
-// negative when it knows nothing.
-func (r *roles) heard(host string, reading, relaying bool, age time.Duration) {
+// heard notes what another host said of its roles, whether the store refuses it, and
+// the age of what it knows, negative when it knows nothing.
+func (r *roles) heard(host string, reading, relaying, turnedAway bool, age time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.readers.Heard(r.now(), host, reading)
-	r.relays.Heard(r.now(), host, reading || relaying && age >= 0 && age < relayLostAfter)
+	r.relays.Heard(r.now(), host, reading || relaying && !turnedAway && age >= 0 && age < relayLostAfter)
 	r.stale.Heard(r.now(), host, reading || relaying)
 }
 
@@ -252,7 +259,7 @@
 	ranked := r.ranked()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.readers.Among(r.self, ranked.heads)
+	return !r.readers.Among(r.self, ranked.heads) || !ranked.small && !r.relays.Among(r.self, ranked.nearby)
 }
 
 // cutOff tells whether no other host is known from which news would come.
--- a/internal/gatewayhost/roles_test.go
+++ b/internal/gatewayhost/roles_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"filbertdeck/internal/controller/gossip"
+	"filbertdeck/internal/controller/published"
 	"filbertdeck/internal/decide/membership"
 )
 
@@ -34,6 +35,8 @@
 	everRead            bool
 	// current is when nothing newer was published than the host knows.
 	current time.Duration
+	// refusedAt is when the store last refused the host.
+	refusedAt time.Duration
 }
 
 func newPlayedFleet(t *testing.T, hosts, dataCentres int) *playedFleet {
@@ -48,11 +51,12 @@
 		t.Fatal(err)
 	}
 	for i := range hosts {
-		h := &playedHost{address: fmt.Sprintf("10.0.%d.%d:1", i%dataCentres, i), dataCentre: fmt.Sprint("dc-", i%dataCentres), current: -time.Hour}
+		h := &playedHost{address: fmt.Sprintf("10.0.%d.%d:1", i%dataCentres, i), dataCentre: fmt.Sprint("dc-", i%dataCentres), current: -time.Hour, refusedAt: -time.Hour}
 		s := &Settings{}
 		s.Deployment.ListenPeers, s.DataCentre = h.address, h.dataCentre
 		h.roles = newRoles(s, board, func() time.Duration { return f.now }, slog.New(slog.DiscardHandler))
 		h.age = func() (time.Duration, bool) { return f.now - h.current, h.current >= 0 }
+		h.turnedAway = func() bool { return f.now-h.refusedAt < published.TurnedAwayFor }
 		f.hosts = append(f.hosts, h)
 	}
 	version := uint64(0)
@@ -91,8 +95,10 @@
 	if reads {
 		f.reads++
 		h.everRead = true
-		if !lost {
-			h.current = f.now
+		if lost {
+			h.refusedAt = f.now
+		} else {
+			h.current, h.refusedAt = f.now, -time.Hour
 		}
 	}
 	if reads && !lost && !h.unsure() {
@@ -107,8 +113,8 @@
 			continue
 		}
 		f.questions[address]++
-		other.heard(h.address, reads && !lost, h.relaying(), h.ageOrNone())
-		h.heard(address, other.reads() && !f.storeLost(other), other.relaying(), other.ageOrNone())
+		other.heard(h.address, reads && !lost, h.relaying(), h.turnedAway(), h.ageOrNone())
+		h.heard(address, other.reads() && !f.storeLost(other), other.relaying(), other.turnedAway(), other.ageOrNone())
 		h.current = max(h.current, other.current)
 	}
 }
@@ -235,6 +241,39 @@
 	}
 }
 
+// Guards against a fleet whose relays the store all turns away, and that learns
+// nothing for seconds while any other host could read.
+func TestRelaysThatTheStoreTurnsAwayAreReplacedInTime(t *testing.T) {
+	for _, size := range []struct{ hosts, dataCentres int }{{84, 4}, {195, 5}, {300, 10}} {
+		f := newPlayedFleet(t, size.hosts, size.dataCentres)
+		f.play(10 * time.Second)
+		turned := map[string]bool{}
+		for _, h := range f.hosts {
+			if h.relaying() || h.reads() {
+				turned[h.address] = true
+			}
+		}
+		f.storeLost = func(h *playedHost) bool { return turned[h.address] }
+		begun := f.now
+		f.play(1500 * time.Millisecond)
+		behind := 0
+		for _, h := range f.hosts {
+			if h.current < begun {
+				behind++
+			}
+		}
+		if behind > 0 {
+			t.Errorf("%d of %d hosts don't know what was published 1.5 s ago", behind, size.hosts)
+		}
+		f.play(10 * time.Second)
+		f.storeLost = func(*playedHost) bool { return false }
+		f.play(10 * time.Second)
+		if n := len(f.readers()); n != 2 {
+			t.Errorf("%d hosts have %d readers after the store's relenting, want 2", size.hosts, n)
+		}
+	}
+}
+
 // Hundreds of hosts start for the first time within a moment. If each read the
 // store then, a first start would cost it as many calls as an hour at rest.
 func TestSeedsAloneReadAtTheFirstStart(t *testing.T) {
