--- a/internal/controller/published/controller.go
+++ b/internal/controller/published/controller.go
@@ -82,11 +82,11 @@
 	viewUntil time.Duration
 	// reading is set while this host reads the store, lost while it can't.
 	reading, lost bool
-	// refusedAt is when a call to the store last failed.
-	refusedAt time.Duration
-	news      chan struct{}
-	doc       *document
-	peers     map[string]*peer
+	// failedAt is when a call to the store last failed.
+	failedAt time.Duration
+	news     chan struct{}
+	doc      *document
+	peers    map[string]*peer
 	// packed are the records that were given away last.
 	packed  packedDelta
 	silence silence.Detector
@@ -310,7 +310,7 @@
 	gone := err != nil && failure.KindOf(err) != failure.KindHistoryGone
 	if gone {
 		c.mirror.StoreLost()
-		c.refusedAt = c.cfg.Now()
+		c.failedAt = c.cfg.Now()
 	}
 	if gone == c.lost {
 		return
--- a/internal/controller/published/news.go
+++ b/internal/controller/published/news.go
@@ -42,8 +42,8 @@
 	Age time.Duration
 	// Reading says that the process reads the store, and the store answers.
 	Reading bool
-	// TurnedAway says that the store refused the process lately.
-	TurnedAway bool
+	// StoreRejects says that the store rejected a call of the process lately.
+	StoreRejects bool
 	// Overdue is how long before the telling an answer of the store was due that
 	// did not come; 0 when all came in time.
 	Overdue time.Duration
@@ -81,7 +81,7 @@
 	now := c.cfg.Now()
 	n := News{
 		From: c.mirror.Revision(), Revision: c.mirror.Revision(), Age: c.ageAt(now),
-		Reading: c.reading && !c.lost && c.confirmed, TurnedAway: c.turnedAwayAt(now), Config: c.doc.rows.Head(),
+		Reading: c.reading && !c.lost && c.confirmed, StoreRejects: c.rejectedAt(now), Config: c.doc.rows.Head(),
 	}
 	if due, ever := c.silence.Due(); ever && c.silence.Suspect(c.currentAt) {
 		n.Overdue = max(now-due, time.Millisecond)
@@ -315,19 +315,19 @@
 	c.mirror.Confirm(c.currentAt)
 }
 
-// TurnedAwayFor is how long a call that the store refused counts against a host
+// RejectedFor is how long a call that the store rejected counts against a host
 // as a source of news. It tries again after that.
-const TurnedAwayFor = 3 * time.Second
+const RejectedFor = 3 * time.Second
 
-// TurnedAway tells whether the store refused this host lately.
-func (c *Controller) TurnedAway() bool {
+// StoreRejects tells whether the store rejected a call of this host lately.
+func (c *Controller) StoreRejects() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.turnedAwayAt(c.cfg.Now())
+	return c.rejectedAt(c.cfg.Now())
 }
 
-func (c *Controller) turnedAwayAt(now time.Duration) bool {
-	return c.lost && now-c.refusedAt < TurnedAwayFor
+func (c *Controller) rejectedAt(now time.Duration) bool {
+	return c.lost && now-c.failedAt < RejectedFor
 }
 
 // ageAt is Age at a time, negative when nothing was ever known; with the lock held.
--- a/internal/decide/loadshare/loadshare.go
+++ b/internal/decide/loadshare/loadshare.go
@@ -48,7 +48,7 @@
 	Step time.Duration
 	// Rate is what the target last said to the host of the rate it takes; nil when
 	// it never named one.
-	Rate *targetrate.Word
+	Rate *targetrate.Advertisement
 	// Failures is another number after each request of the host that the target
 	// broke; 0 when it broke none.
 	Failures uint32
@@ -137,7 +137,7 @@
 }
 
 // SetRate notes what a target said of the rate it takes.
-func (b *Board) SetRate(now time.Duration, target string, w targetrate.Word) {
+func (b *Board) SetRate(now time.Duration, target string, w targetrate.Advertisement) {
 	c := b.Own(target)
 	c.Rate = &w
 	b.setOwn(now, c)
--- a/internal/decide/targetrate/targetrate.go
+++ b/internal/decide/targetrate/targetrate.go
@@ -42,15 +42,15 @@
 	// nobody would hear that a target takes more again. It stays within
 	// slackRequests.
 	leastRate = 0.25
-	// staleAfter is the age of a target's word from which hosts without a share
+	// staleAfter is the age of an advertisement from which hosts without a share
 	// look for a newer one, though other targets have room.
 	staleAfter = 3 * time.Second
-	// tellEvery is how often a word that says nothing new is passed on.
-	tellEvery = time.Second
+	// announceEvery is how often an advertisement that says nothing new is passed on.
+	announceEvery = time.Second
 )
 
-// Word is what a target said of its rate.
-type Word struct {
+// Advertisement is what a target said of the rate it takes.
+type Advertisement struct {
 	// Limited says that the target named a rate; PerSecond is that rate.
 	Limited   bool
 	PerSecond float64
@@ -90,9 +90,9 @@
 
 // target is one that named a rate.
 type target struct {
-	word   Word
-	told   time.Duration
-	tokens float64
+	last      Advertisement
+	announced time.Duration
+	tokens    float64
 	// filledAt is when the tokens were last worked out, if they ever were.
 	filledAt time.Duration
 	filled   bool
@@ -101,38 +101,38 @@
 // New returns an empty board.
 func New() *Board { return &Board{targets: map[string]*target{}} }
 
-// Answered takes what a target said in an answer to this host. It tells whether
+// Observe takes what a target said in an answer to this host. It tells whether
 // other hosts are to hear of it.
-func (b *Board) Answered(id string, w Word) (tell bool) {
+func (b *Board) Observe(id string, a Advertisement) (tell bool) {
 	t := b.targets[id]
-	if t == nil && !w.Limited {
+	if t == nil && !a.Limited {
 		return false
 	}
-	changed := t == nil || t.word.Limited != w.Limited || t.word.PerSecond != w.PerSecond
-	t = b.take(id, w)
-	if !changed && (!w.Limited || w.At-t.told < tellEvery) {
+	changed := t == nil || t.last.Limited != a.Limited || t.last.PerSecond != a.PerSecond
+	t = b.take(id, a)
+	if !changed && (!a.Limited || a.At-t.announced < announceEvery) {
 		return false
 	}
-	t.told = w.At
+	t.announced = a.At
 	return true
 }
 
-// Heard takes what a target said to another host.
-func (b *Board) Heard(id string, w Word) {
+// Merge takes what a target said to another host.
+func (b *Board) Merge(id string, a Advertisement) {
 	t := b.targets[id]
-	if t == nil && !w.Limited || t != nil && w.At <= t.word.At {
+	if t == nil && !a.Limited || t != nil && a.At <= t.last.At {
 		return
 	}
-	b.take(id, w).told = w.At
+	b.take(id, a).announced = a.At
 }
 
-func (b *Board) take(id string, w Word) *target {
+func (b *Board) take(id string, a Advertisement) *target {
 	t := b.targets[id]
 	if t == nil {
 		t = &target{}
 		b.targets[id] = t
 	}
-	t.word = w
+	t.last = a
 	return t
 }
 
@@ -140,37 +140,37 @@
 func (b *Board) Limited() int {
 	n := 0
 	for _, t := range b.targets {
-		if t.word.Limited {
+		if t.last.Limited {
 			n++
 		}
 	}
 	return n
 }
 
-// Word gives what a target said last; false when it names no rate.
-func (b *Board) Word(id string) (Word, bool) {
+// Advertised gives what a target said last; false when it names no rate.
+func (b *Board) Advertised(id string) (Advertisement, bool) {
 	t := b.targets[id]
-	if t == nil || !t.word.Limited {
-		return Word{}, false
+	if t == nil || !t.last.Limited {
+		return Advertisement{}, false
 	}
-	return t.word, true
+	return t.last, true
 }
 
 // Stale tells whether a target named a rate so long ago that it may take more by
 // now.
 func (b *Board) Stale(now time.Duration, id string) bool {
-	w, limited := b.Word(id)
-	return limited && now-w.At >= staleAfter
+	a, limited := b.Advertised(id)
+	return limited && now-a.At >= staleAfter
 }
 
 // Open tells whether this host, with a rank among so many, may send one more to a
 // target now.
 func (b *Board) Open(now time.Duration, id string, rank, hosts int) bool {
 	t := b.targets[id]
-	if t == nil || !t.word.Limited {
+	if t == nil || !t.last.Limited {
 		return true
 	}
-	t.fill(now, shareOf(t.word.PerSecond, rank, hosts))
+	t.fill(now, shareOf(t.last.PerSecond, rank, hosts))
 	return t.tokens >= 1
 }
 
@@ -181,9 +181,9 @@
 		return 0
 	}
 	t := b.targets[id]
-	own := shareOf(t.word.PerSecond, rank, hosts)
+	own := shareOf(t.last.PerSecond, rank, hosts)
 	if own.perSecond == 0 {
-		return seconds(1 / max(t.word.PerSecond, leastRate))
+		return seconds(1 / max(t.last.PerSecond, leastRate))
 	}
 	return seconds((1 - t.tokens) / own.perSecond)
 }
@@ -192,21 +192,21 @@
 
 // Send takes a token for a request that goes to a target.
 func (b *Board) Send(id string) {
-	if t := b.targets[id]; t != nil && t.word.Limited {
+	if t := b.targets[id]; t != nil && t.last.Limited {
 		t.tokens--
 	}
 }
 
 // Borrowed adds a token that another host lent.
 func (b *Board) Borrowed(id string) {
-	if t := b.targets[id]; t != nil && t.word.Limited {
+	if t := b.targets[id]; t != nil && t.last.Limited {
 		t.tokens++
 	}
 }
 
 // Lend gives a token away, if this host knows the target's rate and has one.
 func (b *Board) Lend(now time.Duration, id string, rank, hosts int) bool {
-	if _, limited := b.Word(id); !limited || !b.Open(now, id, rank, hosts) {
+	if _, limited := b.Advertised(id); !limited || !b.Open(now, id, rank, hosts) {
 		return false
 	}
 	b.Send(id)
--- a/internal/decide/targetrate/targetrate_test.go
+++ b/internal/decide/targetrate/targetrate_test.go
@@ -25,7 +25,7 @@
 	boards := make([]*targetrate.Board, hosts)
 	for i := range boards {
 		boards[i] = targetrate.New()
-		boards[i].Heard("i-1", targetrate.Word{Limited: true, PerSecond: perSecond})
+		boards[i].Merge("i-1", targetrate.Advertisement{Limited: true, PerSecond: perSecond})
 	}
 	holders := targetrate.Holders(perSecond, hosts)
 	var sent []time.Duration
@@ -85,44 +85,44 @@
 })
 
 var _ = Describe("what a target says of its rate", func() {
-	limited := func(perSecond float64, at time.Duration) targetrate.Word {
-		return targetrate.Word{Limited: true, PerSecond: perSecond, At: at}
+	limited := func(perSecond float64, at time.Duration) targetrate.Advertisement {
+		return targetrate.Advertisement{Limited: true, PerSecond: perSecond, At: at}
 	}
 
 	It("holds until it says something else, whoever heard it", func() {
 		b := targetrate.New()
-		Expect(b.Answered("i-1", targetrate.Word{At: 1})).To(BeFalse())
-		Expect(b.Answered("i-1", limited(2, 2))).To(BeTrue())
-		w, known := b.Word("i-1")
+		Expect(b.Observe("i-1", targetrate.Advertisement{At: 1})).To(BeFalse())
+		Expect(b.Observe("i-1", limited(2, 2))).To(BeTrue())
+		a, known := b.Advertised("i-1")
 		Expect(known).To(BeTrue())
-		Expect(w.PerSecond).To(Equal(2.0))
-		b.Heard("i-1", targetrate.Word{At: 3})
-		_, known = b.Word("i-1")
+		Expect(a.PerSecond).To(Equal(2.0))
+		b.Merge("i-1", targetrate.Advertisement{At: 3})
+		_, known = b.Advertised("i-1")
 		Expect(known).To(BeFalse())
 	})
 
-	// Guards against a word that came late and lifts a rate named after it.
-	It("is not overruled by an older word", func() {
+	// Guards against an advertisement that came late and lifts a rate named after it.
+	It("is not overruled by an older one", func() {
 		b := targetrate.New()
-		b.Answered("i-1", limited(2, 5))
-		b.Heard("i-1", targetrate.Word{At: 4})
-		_, known := b.Word("i-1")
+		b.Observe("i-1", limited(2, 5))
+		b.Merge("i-1", targetrate.Advertisement{At: 4})
+		_, known := b.Advertised("i-1")
 		Expect(known).To(BeTrue())
 	})
 
 	It("is passed on when it changes, and now and then", func() {
 		b := targetrate.New()
-		Expect(b.Answered("i-1", limited(2, 0))).To(BeTrue())
-		Expect(b.Answered("i-1", limited(2, 100*time.Millisecond))).To(BeFalse())
-		Expect(b.Answered("i-1", limited(3, 200*time.Millisecond))).To(BeTrue())
-		Expect(b.Answered("i-1", limited(3, 2*time.Second))).To(BeTrue())
-		Expect(b.Answered("i-1", targetrate.Word{At: 3 * time.Second})).To(BeTrue())
-		Expect(b.Answered("i-1", targetrate.Word{At: 4 * time.Second})).To(BeFalse())
+		Expect(b.Observe("i-1", limited(2, 0))).To(BeTrue())
+		Expect(b.Observe("i-1", limited(2, 100*time.Millisecond))).To(BeFalse())
+		Expect(b.Observe("i-1", limited(3, 200*time.Millisecond))).To(BeTrue())
+		Expect(b.Observe("i-1", limited(3, 2*time.Second))).To(BeTrue())
+		Expect(b.Observe("i-1", targetrate.Advertisement{At: 3 * time.Second})).To(BeTrue())
+		Expect(b.Observe("i-1", targetrate.Advertisement{At: 4 * time.Second})).To(BeFalse())
 	})
 
 	It("gives the time until the next request", func() {
 		b := targetrate.New()
-		b.Answered("i-1", limited(1, 0))
+		b.Observe("i-1", limited(1, 0))
 		Expect(b.Open(0, "i-1", 0, 1)).To(BeTrue())
 		b.Send("i-1")
 		Expect(b.Open(0, "i-1", 0, 1)).To(BeFalse())
@@ -130,7 +130,7 @@
 		Expect(b.Open(time.Second, "i-1", 0, 1)).To(BeTrue())
 
 		other := targetrate.New()
-		other.Heard("i-1", limited(4, 0))
+		other.Merge("i-1", limited(4, 0))
 		Expect(other.Wait(0, "i-1", 9, 10)).To(Equal(250 * time.Millisecond))
 	})
 })
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -137,7 +137,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.alerts.Take(l.now(), host, alerts)
-	l.hearRates(alerts)
+	l.mergeRates(alerts)
 	for _, c := range alerts {
 		if c.Host != l.self {
 			l.accusers.Heard(l.now(), c.Host, c.Target, c.Failures)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -204,7 +204,7 @@
 	if a.OtherTarget || a.Echo != s.ID {
 		return
 	}
-	if g.cfg.Loads.Answered(s.Target.ID, a.Rate) {
+	if g.cfg.Loads.ObserveRate(s.Target.ID, a.Rate) {
 		g.cfg.Log.Info("target's rate changed", "target", s.Target.ID, "request", s.ID, "limited", a.Rate != nil, "per_second", a.Rate)
 	}
 }
--- a/internal/gateway/rate.go
+++ b/internal/gateway/rate.go
@@ -20,28 +20,28 @@
 // BorrowRates sets how requests are borrowed; none are until then.
 func (l *Loads) BorrowRates(borrow BorrowRate) { l.borrow = borrow }
 
-// Answered takes what a target said of the rate it takes in an answer to this
+// ObserveRate takes what a target said of the rate it takes in an answer to this
 // host; nil is that it named none. It tells whether that is new here.
-func (l *Loads) Answered(target string, perSecond *float64) (changed bool) {
+func (l *Loads) ObserveRate(target string, perSecond *float64) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w := targetrate.Word{At: l.now()}
+	w := targetrate.Advertisement{At: l.now()}
 	if perSecond != nil {
 		w.Limited, w.PerSecond = true, *perSecond
 	}
-	before, _ := l.rates.Word(target)
-	if l.rates.Answered(target, w) {
+	before, _ := l.rates.Advertised(target)
+	if l.rates.Observe(target, w) {
 		l.alerts.SetRate(l.now(), target, w)
 		wake.Signal(l.alerted)
 	}
 	return w.Limited != before.Limited || w.PerSecond != before.PerSecond
 }
 
-// hearRates takes what targets said to other hosts.
-func (l *Loads) hearRates(counts []loadshare.Count) {
+// mergeRates takes what targets said to other hosts.
+func (l *Loads) mergeRates(counts []loadshare.Count) {
 	for _, c := range counts {
 		if c.Rate != nil && c.Host != l.self {
-			l.rates.Heard(c.Target, *c.Rate)
+			l.rates.Merge(c.Target, *c.Rate)
 		}
 	}
 }
@@ -73,7 +73,7 @@
 // withinRate tells whether this host may send one more to a target by the rate
 // that the target named.
 func (l *Loads) withinRate(target string) bool {
-	if _, limited := l.rates.Word(target); !limited {
+	if _, limited := l.rates.Advertised(target); !limited {
 		return true
 	}
 	rank, hosts := l.rank(target)
@@ -103,7 +103,7 @@
 // borrowFor borrows one request to a target; false when nobody lends.
 func (l *Loads) borrowFor(target string) bool {
 	l.mu.Lock()
-	w, limited := l.rates.Word(target)
+	w, limited := l.rates.Advertised(target)
 	_, hosts := l.rank(target)
 	l.mu.Unlock()
 	if !limited || l.borrow == nil || !l.borrow(target, targetrate.Holders(w.PerSecond, hosts)) {
@@ -136,7 +136,7 @@
 	}
 	var out []string
 	for _, t := range view.Pool(w.Service) {
-		_, limited := l.rates.Word(t.ID)
+		_, limited := l.rates.Advertised(t.ID)
 		if limited && l.mayGet(view, w, t) && !l.withinRate(t.ID) && which(t.ID) {
 			out = append(out, t.ID)
 		}
@@ -144,7 +144,7 @@
 	return out
 }
 
-// always is for targets however new their word is.
+// always is for targets however old their advertisement is.
 func always(string) bool { return true }
 
 // stale tells whether a target named its rate so long ago that it may take more.
--- a/internal/gatewayhost/fleet.go
+++ b/internal/gatewayhost/fleet.go
@@ -162,19 +162,19 @@
 	return out
 }
 
-func toWireRate(w *targetrate.Word, now time.Duration) *filbertv1.TargetRate {
+func toWireRate(w *targetrate.Advertisement, now time.Duration) *filbertv1.TargetRate {
 	if w == nil {
 		return nil
 	}
 	return &filbertv1.TargetRate{Limited: w.Limited, PerSecond: w.PerSecond, AgeMs: count(int((now - w.At).Milliseconds()))}
 }
 
-func fromWireRate(r *filbertv1.TargetRate, now time.Duration) *targetrate.Word {
+func fromWireRate(r *filbertv1.TargetRate, now time.Duration) *targetrate.Advertisement {
 	if r == nil {
 		return nil
 	}
 	age := time.Duration(r.GetAgeMs()) * time.Millisecond
-	return &targetrate.Word{Limited: r.GetLimited(), PerSecond: r.GetPerSecond(), At: now - age}
+	return &targetrate.Advertisement{Limited: r.GetLimited(), PerSecond: r.GetPerSecond(), At: now - age}
 }
 
 func count(n int) uint32 { return uint32(max(n, 0)) }
@@ -214,7 +214,7 @@
 	n := f.published.NewsFor(peer)
 	out := &filbertv1.PublishedNews{
 		From: n.From, Revision: n.Revision, Withheld: n.Withheld, Reading: n.Reading, Relaying: f.roles.relaying(),
-		TurnedAway: n.TurnedAway,
+		StoreRejects: n.StoreRejects,
 	}
 	if n.Age >= 0 {
 		// Rounded up: an age cut to whole milliseconds would make the news
@@ -245,7 +245,7 @@
 		n.Age = time.Duration(ms) * time.Millisecond
 	}
 	n.Overdue = time.Duration(news.GetOverdueMs()) * time.Millisecond
-	f.roles.heard(peer, n.Reading, news.GetRelaying(), news.GetTurnedAway(), n.Age)
+	f.roles.heard(peer, n.Reading, news.GetRelaying(), news.GetStoreRejects(), n.Age)
 	for _, r := range news.GetRecords() {
 		n.Records = append(n.Records, json.RawMessage(r))
 	}
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	roles.age, roles.turnedAway = c.Age, c.TurnedAway
+	roles.age, roles.storeRejects = c.Age, c.StoreRejects
 	return c, nil
 }
 
--- a/internal/gatewayhost/owners_test.go
+++ b/internal/gatewayhost/owners_test.go
@@ -147,7 +147,7 @@
 		t.Fatal("a host lent of a target that named no rate")
 	}
 	rate := 0.001
-	lender.Answered(target, &rate)
+	lender.ObserveRate(target, &rate)
 	if !first.borrow(target, 1) {
 		t.Fatal("the host that has the target's rate did not lend")
 	}
@@ -156,10 +156,10 @@
 	}
 }
 
-// Guards against a word of a target that grows younger on its way and overrules a
+// Guards against an advertised rate that grows younger on its way and overrules a
 // newer one.
 func TestRatesKeepTheirAgeBetweenHosts(t *testing.T) {
-	told := toWire([]loadshare.Count{{Target: "i-1", Rate: &targetrate.Word{Limited: true, PerSecond: 3.4, At: 5 * time.Second}}}, 7*time.Second)
+	told := toWire([]loadshare.Count{{Target: "i-1", Rate: &targetrate.Advertisement{Limited: true, PerSecond: 3.4, At: 5 * time.Second}}}, 7*time.Second)
 	heard := fromWire(told, time.Minute)[0].Rate
 	if heard == nil || !heard.Limited || heard.PerSecond != 3.4 || heard.At != time.Minute-2*time.Second {
 		t.Fatalf("heard %+v, want a rate of 3.4 from two seconds before", heard)
--- a/internal/gatewayhost/roles.go
+++ b/internal/gatewayhost/roles.go
@@ -31,8 +31,8 @@
 	// age tells how old what this host knows is, false when it knows nothing;
 	// set before the first question.
 	age func() (time.Duration, bool)
-	// turnedAway tells whether the store refused this host lately; set like age.
-	turnedAway func() bool
+	// storeRejects tells whether the store rejected a call of this host lately; set like age.
+	storeRejects func() bool
 
 	mu      sync.Mutex
 	readers *readers.Readers
@@ -140,12 +140,12 @@
 		return true
 	}
 	age, known := r.age()
-	turnedAway := r.turnedAway()
+	storeRejects := r.storeRejects()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fresh := known && age < staleAfter
 	relays := r.relays.Read(r.now(), r.self, ranked.nearby, fresh)
-	if turnedAway && len(r.relays.Known(r.now(), r.self, ranked.nearby)) > 0 {
+	if storeRejects && len(r.relays.Known(r.now(), r.self, ranked.nearby)) > 0 {
 		// Another host of the data centre gets news where this one gets none.
 		relays = false
 	}
@@ -186,13 +186,13 @@
 	return known && age < staleAfter
 }
 
-// heard notes what another host said of its roles, whether the store refuses it, and
+// heard notes what another host said of its roles, whether the store rejects it, and
 // the age of what it knows, negative when it knows nothing.
-func (r *roles) heard(host string, reading, relaying, turnedAway bool, age time.Duration) {
+func (r *roles) heard(host string, reading, relaying, storeRejects bool, age time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.readers.Heard(r.now(), host, reading)
-	r.relays.Heard(r.now(), host, reading || relaying && !turnedAway && age >= 0 && age < relayLostAfter)
+	r.relays.Heard(r.now(), host, reading || relaying && !storeRejects && age >= 0 && age < relayLostAfter)
 	r.stale.Heard(r.now(), host, reading || relaying)
 }
 
--- a/internal/gatewayhost/roles_test.go
+++ b/internal/gatewayhost/roles_test.go
@@ -35,8 +35,8 @@
 	everRead            bool
 	// current is when nothing newer was published than the host knows.
 	current time.Duration
-	// refusedAt is when the store last refused the host.
-	refusedAt time.Duration
+	// failedAt is when the store last rejected the host.
+	failedAt time.Duration
 }
 
 func newPlayedFleet(t *testing.T, hosts, dataCentres int) *playedFleet {
@@ -51,12 +51,12 @@
 		t.Fatal(err)
 	}
 	for i := range hosts {
-		h := &playedHost{address: fmt.Sprintf("10.0.%d.%d:1", i%dataCentres, i), dataCentre: fmt.Sprint("dc-", i%dataCentres), current: -time.Hour, refusedAt: -time.Hour}
+		h := &playedHost{address: fmt.Sprintf("10.0.%d.%d:1", i%dataCentres, i), dataCentre: fmt.Sprint("dc-", i%dataCentres), current: -time.Hour, failedAt: -time.Hour}
 		s := &Settings{}
 		s.Deployment.ListenPeers, s.DataCentre = h.address, h.dataCentre
 		h.roles = newRoles(s, board, func() time.Duration { return f.now }, slog.New(slog.DiscardHandler))
 		h.age = func() (time.Duration, bool) { return f.now - h.current, h.current >= 0 }
-		h.turnedAway = func() bool { return f.now-h.refusedAt < published.TurnedAwayFor }
+		h.storeRejects = func() bool { return f.now-h.failedAt < published.RejectedFor }
 		f.hosts = append(f.hosts, h)
 	}
 	version := uint64(0)
@@ -96,9 +96,9 @@
 		f.reads++
 		h.everRead = true
 		if lost {
-			h.refusedAt = f.now
+			h.failedAt = f.now
 		} else {
-			h.current, h.refusedAt = f.now, -time.Hour
+			h.current, h.failedAt = f.now, -time.Hour
 		}
 	}
 	if reads && !lost && !h.unsure() {
@@ -113,8 +113,8 @@
 			continue
 		}
 		f.questions[address]++
-		other.heard(h.address, reads && !lost, h.relaying(), h.turnedAway(), h.ageOrNone())
-		h.heard(address, other.reads() && !f.storeLost(other), other.relaying(), other.turnedAway(), other.ageOrNone())
+		other.heard(h.address, reads && !lost, h.relaying(), h.storeRejects(), h.ageOrNone())
+		h.heard(address, other.reads() && !f.storeLost(other), other.relaying(), other.storeRejects(), other.ageOrNone())
 		h.current = max(h.current, other.current)
 	}
 }
@@ -241,9 +241,9 @@
 	}
 }
 
-// Guards against a fleet whose relays the store all turns away, and that learns
+// Guards against a fleet whose relays the store all rejects, and that learns
 // nothing for seconds while any other host could read.
-func TestRelaysThatTheStoreTurnsAwayAreReplacedInTime(t *testing.T) {
+func TestRelaysThatTheStoreRejectsAreReplacedInTime(t *testing.T) {
 	for _, size := range []struct{ hosts, dataCentres int }{{84, 4}, {195, 5}, {300, 10}} {
 		f := newPlayedFleet(t, size.hosts, size.dataCentres)
 		f.play(10 * time.Second)
