--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -86,8 +86,19 @@
 // Load is the load that a target reports.
 type Load struct{ Running, Waiting, Slots int }
 
+// TargetNotice is what a target says in a response about the requests that it
+// wants, whatever the response itself is.
+type TargetNotice struct {
+	// Leaving is set when the target is going to stop.
+	Leaving bool
+	// Rest is how long the target wants no requests from this host; 0 for no
+	// rest.
+	Rest time.Duration
+}
+
 // ResponseHeader is the parsed header of a target's response.
 type ResponseHeader struct {
+	TargetNotice
 	Status int
 	// RequestID is the id of the request that this response belongs to.
 	RequestID string
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,6 +5,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"filbertdeck/internal/call"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
 )
@@ -35,6 +36,9 @@
 	// their engine was lost, newRuns those continued by a new run.
 	movedByCopy, movedToBackup, resumedAfterLoss, newRuns gometrics.Counter
 	copiesFailed                                          gometrics.Counter
+	// leavingAnswers and restAnswers count the answers in which a target says
+	// that it leaves or asks for a rest.
+	leavingAnswers, restAnswers gometrics.Counter
 }
 
 // kindMetrics are the metrics of one request kind.
@@ -52,7 +56,7 @@
 		firstEvent: newHistogram("first_event_us", r), longestPause: newHistogram("longest_pause_us", r),
 		broken: counter("generations_broken"), callerLeft: counter("generations_left"), retries: counter("sent_again"),
 		movedByCopy: counter("moved.copy"), movedToBackup: counter("moved.backup"), resumedAfterLoss: counter("moved.after_loss"), newRuns: counter("moved.anew"),
-		copiesFailed: counter("copies_failed"),
+		copiesFailed: counter("copies_failed"), leavingAnswers: counter("answers_leaving"), restAnswers: counter("answers_rest"),
 	}
 	for _, kind := range []directory.RequestKind{directory.AtMostOnce, directory.Repeatable, directory.Generation} {
 		m.byKind[kind] = &kindMetrics{
@@ -94,6 +98,17 @@
 	gometrics.GetOrRegisterCounter("gateway.refused."+string(kind), m.registry).Inc(1)
 }
 
+// countNotice counts what a target says in an answer about the requests that it
+// wants.
+func (m *gatewayMetrics) countNotice(n call.TargetNotice) {
+	if n.Leaving {
+		m.leavingAnswers.Inc(1)
+	}
+	if n.Rest > 0 {
+		m.restAnswers.Inc(1)
+	}
+}
+
 // countBroken counts a generation that was cut off.
 func (m *gatewayMetrics) countBroken(callerLeft bool) {
 	if callerLeft {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -56,7 +56,7 @@
 	case answer != nil:
 		g.metrics.countAnswered(x.route.Kind, time.Since(x.ArrivedAt))
 		g.cfg.Log.Info("request answered", "request", x.ID, "route", x.route.Name, "account", accountName(x.account),
-			"config", x.view.Config.Version, "target", targetID, "status", answer.Status, "sends", counts.sent, "unreached", counts.unsent,
+			"config", x.view.Config.Version, "target", targetID, "status", answer.Status, "target_leaving", answer.Leaving, "sends", counts.sent, "unreached", counts.unsent,
 			"basis", selection, "took", time.Since(x.ArrivedAt))
 		g.writeAnswer(x, answer)
 	case lastErr != nil:
@@ -194,6 +194,7 @@
 		return nil, call.ResponseHeader{}, err
 	}
 	answer := g.cfg.Dialect.ParseResponseHeader(resp)
+	g.metrics.countNotice(answer.TargetNotice)
 	g.observeRate(s, answer)
 	if err := checkAnswer(s, answer); err != nil {
 		_ = resp.Body.Close()
@@ -220,7 +221,7 @@
 	case a.WrongTarget:
 		return failure.New(failure.KindFenced, "the address of target %s belongs to another target", s.Target.ID)
 	case a.NotExecuted && a.Status >= http.StatusBadRequest:
-		return failure.New(failure.KindOverloaded, "target %s did not run the request (status %d)", s.Target.ID, a.Status).WithRetryAfter(max(a.RetryAfter, engineFullRetryAfter))
+		return failure.New(failure.KindOverloaded, "target %s did not run the request (status %d, rest %s)", s.Target.ID, a.Status, a.Rest).WithRetryAfter(max(a.RetryAfter, engineFullRetryAfter))
 	case a.RequestID != s.ID:
 		return failure.New(failure.KindFrameOutOfPlace, "target %s answered with another request's id", s.Target.ID).WithExecutionUnknown()
 	case a.Status < http.StatusMultipleChoices && !a.Sealed:
