--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -127,6 +127,8 @@
 	// disconnected is set while the gateway has no access to the published
 	// state.
 	disconnected atomic.Bool
+	// skipped is added to the gateway's clock, in nanoseconds.
+	skipped atomic.Int64
 }
 
 // startGateway runs a gateway with the services "llm" and "app" and routes to
@@ -146,8 +148,9 @@
 	views, err := board.View.Claim()
 	Expect(err).NotTo(HaveOccurred())
 	start := time.Now()
-	now := func() time.Duration { return time.Since(start) }
-	gw := &fixture{views: views, cfg: testConfig(), loads: gateway.NewTargetLoads("host-1", "dc-1", now), crashEvidence: gateway.NewCrashEvidence(now)}
+	gw := &fixture{views: views, cfg: testConfig()}
+	now := func() time.Duration { return time.Since(start) + time.Duration(gw.skipped.Load()) }
+	gw.loads, gw.crashEvidence = gateway.NewTargetLoads("host-1", "dc-1", now), gateway.NewCrashEvidence(now)
 	g := gateway.New(gateway.Config{
 		Dialect: dialect, Engines: platform.NewEngines(), Board: board,
 		Loads: gw.loads, CrashEvidence: gw.crashEvidence, RetryBudget: retrybudget.New(retrybudget.Config{}),
@@ -200,9 +203,19 @@
 	gw.publish(gw.targets...)
 }
 
+// skip advances the gateway's clock.
+func (gw *fixture) skip(d time.Duration) { gw.skipped.Add(int64(d)) }
+
 // crashCount returns the number of target crashes known to the gateway.
 func (gw *fixture) crashCount() int { return len(gw.crashEvidence.Export()) }
 
+// requestWithID returns a request with its own id.
+func (gw *fixture) requestWithID(id, method, path string) *http.Request {
+	req := gw.request(method, path)
+	req.Header.Set(requestID, id)
+	return req
+}
+
 func (gw *fixture) request(method, path string) *http.Request {
 	req, err := http.NewRequest(method, gw.url+path, strings.NewReader("hello"))
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -50,6 +50,10 @@
 	// closeConns makes it close the connection after each answer, as it also
 	// does when unhealthy.
 	closeConns atomic.Bool
+	// saysLeaving makes it answer health checks with 503 and say in that answer
+	// that it leaves.
+	saysLeaving  atomic.Bool
+	healthChecks atomic.Int64
 	// firstEventDelay is the time before the answer to a run, copyDelay the
 	// time that a move takes.
 	firstEventDelay, copyDelay time.Duration
@@ -84,8 +88,16 @@
 	}
 }
 
+// generationRequests returns the requests for generations.
+func (e *fakeEngine) generationRequests() []*http.Request {
+	return slices.DeleteFunc(e.requests(), func(r *http.Request) bool { return !strings.HasPrefix(r.URL.Path, "/report/") })
+}
+
 func (e *fakeEngine) health(conn net.Conn, r *http.Request) {
+	defer e.healthChecks.Add(1)
 	switch {
+	case e.saysLeaving.Load():
+		respond("HTTP/1.1 503 Service Unavailable\n"+standin.HeaderServerLeaving+": 1\nContent-Length: 0\n\n")(conn, r)
 	case e.busy.Load():
 		respond("HTTP/1.1 503 Service Unavailable\n"+standin.HeaderNotExecuted+": 1\nContent-Length: 0\n\n")(conn, r)
 	case e.unhealthy.Load():
