Send nothing to a target during the rest that it asked this host for

Cause: the Retry-After of a target's 503 became the Retry-After of our own refusal and nothing else; the target stayed a candidate. Class: as for the notice of leaving, an instruction in an answer that no decision reads.

decide/rest keeps the latest end that a target named, for its lifetime and for the host that was asked. Choices, backups, moves' destinations and health checks leave the target out, and the check at the first byte refuses what was placed there before. One generation per rest may go on at a target at rest where its only copy is: else it is lost, and the rule tolerates two. Copies off a target at rest that leaves go on: they take load off it. Callers are refused at once when nothing else is left, with the time until the first rest ends; the Retry-After of one target is no longer that of the refusal while others have room.

Ruled out: longer penalties in place of a rest (the target's own word is exact); telling other hosts (the target asks each by itself, and hosts that it did not ask would leave its room unused).

The 5 failing specs of 'a target that asks for a rest' pass; three further ones.

--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -38,6 +38,7 @@
 	KindTargetLost       Kind = "target-lost"
 	KindTargetTimeout    Kind = "target-timeout"
 	KindTargetLeft       Kind = "target-left"
+	KindTargetResting    Kind = "target-resting"
 	KindFrameOutOfPlace  Kind = "frame-out-of-place"
 	KindControlLost      Kind = "control-unreachable"
 	KindStopping         Kind = "stopping"
@@ -165,6 +166,7 @@
 	KindBodyTooLarge:     http.StatusRequestEntityTooLarge,
 	KindHeadersTooLarge:  http.StatusRequestHeaderFieldsTooLarge,
 	KindOverloaded:       http.StatusServiceUnavailable,
+	KindTargetResting:    http.StatusServiceUnavailable,
 	KindAccountLimit:     http.StatusTooManyRequests,
 	KindNoTarget:         http.StatusServiceUnavailable,
 	KindDeadline:         http.StatusServiceUnavailable,
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -150,9 +150,9 @@
 		exclude = append(exclude, target.ID)
 	}
 	if lastErr == nil {
-		lastErr = gen.g.noTargetError(gen.placementRequest(exclude))
+		return nil, gen.g.noTargetError(gen.placementRequest(exclude))
 	}
-	return nil, lastErr
+	return nil, gen.g.withTimeToRoom(lastErr, gen.placementRequest(nil))
 }
 
 // placementRequest returns the requirements for an engine that starts a new run
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -127,7 +127,7 @@
 
 func (g *Gateway) checkTarget(ctx context.Context, t *directory.ObservedTarget) {
 	service, known := g.view().Service(t.Service)
-	if !known || g.cfg.Loads.IsLeaving(t.Target) {
+	if !known || g.cfg.Loads.IsLeaving(t.Target) || g.cfg.Loads.RestRemaining(t.Target) > 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -202,8 +202,12 @@
 }
 
 // timeUntilStop returns the time until an engine stops, as the engine reports
-// it; without a report, the configured stop notice.
+// it; without a report, the configured stop notice. An engine that rests is not
+// asked.
 func (gen *generation) timeUntilStop(ctx context.Context, from *directory.ObservedTarget) time.Duration {
+	if gen.g.cfg.Loads.RestRemaining(from.Target) > 0 {
+		return gen.g.cfg.Migration.Notice
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := gen.g.cfg.Engines.Report(ctx, from.Address)
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
@@ -16,14 +18,21 @@
 	if n.Leaving && g.cfg.Loads.RecordLeaving(t) {
 		g.cfg.Log.Info("target says that it leaves", "target", t.ID, "started", t.StartedUnixMilli, "source", source, "published", !acceptsNewWork(g.view(), t))
 	}
+	if n.Rest > 0 && g.cfg.Loads.RecordRest(t, n.Rest) {
+		g.cfg.Log.Info("target asks for a rest", "target", t.ID, "started", t.StartedUnixMilli, "source", source, "rest", n.Rest)
+	}
 }
 
 // checkSendable returns an error when a target that was chosen before no longer
-// accepts requests. It runs right before the first byte is sent.
-func (g *Gateway) checkSendable(t directory.Target) error {
+// accepts requests. It runs right before the first byte is sent. A last resort
+// may be sent in spite of the target's rest.
+func (g *Gateway) checkSendable(t directory.Target, lastResort bool) error {
 	if !acceptsNewWork(g.view(), t) || g.cfg.Loads.SaidLeaving(t) {
 		return failure.New(failure.KindTargetLeft, "target %s left before the request was sent", t.ID)
 	}
+	if remaining := g.cfg.Loads.RestRemaining(t); remaining > 0 && !(lastResort && g.cfg.Loads.TakeLastResort(t)) {
+		return failure.New(failure.KindTargetResting, "target %s wants no requests for %s", t.ID, remaining).WithRetryAfter(engineFullRetryAfter)
+	}
 	return nil
 }
 
@@ -49,7 +58,53 @@
 // wantsRequests reports whether a target wants requests from this host,
 // according to its answers.
 func (l *TargetLoads) wantsRequests(t directory.Target) bool {
-	return !l.departures.IsLeaving(t.Lifetime())
+	return !l.departures.IsLeaving(t.Lifetime()) && l.rests.Remaining(l.now(), t.Lifetime()) == 0
+}
+
+// RecordRest records that a target asked this host for a rest. It reports
+// whether a rest begins by that.
+func (l *TargetLoads) RecordRest(t directory.Target, duration time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rests.Record(l.now(), t.Lifetime(), duration)
+}
+
+// RestRemaining returns the rest that a target still has from this host, 0 for
+// none.
+func (l *TargetLoads) RestRemaining(t directory.Target) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rests.Remaining(l.now(), t.Lifetime())
+}
+
+// TakeLastResort reports whether a generation that can continue nowhere else may
+// continue at a target in spite of its rest.
+func (l *TargetLoads) TakeLastResort(t directory.Target) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rests.TakeLastResort(l.now(), t.Lifetime())
+}
+
+// shortestRest returns the shortest rest of a service's targets that would
+// accept a request but for that; false when there is none.
+func (l *TargetLoads) shortestRest(view *directory.View, req PlacementRequest) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var shortest time.Duration
+	for _, t := range view.ServiceTargets(req.Service) {
+		remaining := l.rests.Remaining(l.now(), t.Lifetime())
+		if remaining > 0 && acceptsRequest(view, req, t) && !l.isLeavingLocked(t.Target) && (shortest == 0 || remaining < shortest) {
+			shortest = remaining
+		}
+	}
+	return shortest, shortest > 0
+}
+
+// restCount returns the number of targets that have a rest from this host.
+func (l *TargetLoads) restCount() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(l.rests.Count(l.now()))
 }
 
 // departureCount returns the number of targets that said that they leave.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -60,7 +60,7 @@
 			"basis", selection, "took", time.Since(x.ArrivedAt))
 		g.writeAnswer(x, answer)
 	case lastErr != nil:
-		g.refuse(x.w, x.Request, lastErr)
+		g.refuse(x.w, x.Request, g.withTimeToRoom(lastErr, plainPlacementRequest(x, nil)))
 	default:
 		g.refuse(x.w, x.Request, g.noTargetError(plainPlacementRequest(x, exclude)))
 	}
@@ -74,12 +74,26 @@
 
 // noTargetError returns the failure of a request that no target accepts.
 func (g *Gateway) noTargetError(req PlacementRequest) error {
-	if wait, limited := g.cfg.Loads.RateWait(g.view(), req); limited {
-		return failure.New(failure.KindOverloaded, "all targets of %s are at their advertised rate limits", req.Service).WithRetryAfter(wait)
+	if wait, known := g.cfg.Loads.TimeToRoom(g.view(), req); known {
+		return failure.New(failure.KindOverloaded, "all targets of %s are at their advertised rate limits or rest", req.Service).WithRetryAfter(wait)
 	}
 	return failure.New(failure.KindNoTarget, "no target of %s accepts the request", req.Service).WithRetryAfter(noTargetRetryAfter)
 }
 
+// withTimeToRoom returns the failure of a request that a target turned away or
+// that was not sent to a target at rest, with the time at which its caller finds
+// room. Other targets may have room already.
+func (g *Gateway) withTimeToRoom(err error, req PlacementRequest) error {
+	turnedAway := failure.KindOf(err) == failure.KindOverloaded || failure.KindOf(err) == failure.KindTargetResting
+	if !turnedAway || g.cfg.Loads.HasRoom(g.view(), req) {
+		return err
+	}
+	if wait, known := g.cfg.Loads.TimeToRoom(g.view(), req); known {
+		return failure.FromError(err).WithRetryAfter(wait)
+	}
+	return err
+}
+
 // retryMayHelp reports whether another target may give a better answer.
 func retryMayHelp(answer *completeAnswer, err error) bool {
 	return err != nil || answer.Status >= http.StatusInternalServerError
@@ -112,7 +126,7 @@
 		return false
 	}
 	switch f.Kind {
-	case failure.KindTargetFailed, failure.KindTargetTimeout, failure.KindFenced, failure.KindTargetLeft:
+	case failure.KindTargetFailed, failure.KindTargetTimeout, failure.KindFenced, failure.KindTargetLeft, failure.KindTargetResting:
 		return true
 	}
 	return false
@@ -185,7 +199,7 @@
 	}
 	resp, err := g.cfg.Client.Do(req, func() error {
 		selection.recordSend()
-		if err := g.checkSendable(s.Target); err != nil {
+		if err := g.checkSendable(s.Target, selection.lastResort); err != nil {
 			return err
 		}
 		return ctx.Err()
@@ -228,7 +242,7 @@
 	case a.WrongTarget:
 		return failure.New(failure.KindFenced, "the address of target %s belongs to another target", s.Target.ID)
 	case a.NotExecuted && a.Status >= http.StatusBadRequest:
-		return failure.New(failure.KindOverloaded, "target %s did not run the request (status %d, rest %s)", s.Target.ID, a.Status, a.Rest).WithRetryAfter(max(a.RetryAfter, engineFullRetryAfter))
+		return failure.New(failure.KindOverloaded, "target %s did not run the request (status %d, rest %s)", s.Target.ID, a.Status, a.Rest).WithRetryAfter(engineFullRetryAfter)
 	case a.RequestID != s.ID:
 		return failure.New(failure.KindFrameOutOfPlace, "target %s answered with another request's id", s.Target.ID).WithExecutionUnknown()
 	case a.Status < http.StatusMultipleChoices && !a.Sealed:
@@ -240,7 +254,10 @@
 // recordFailure counts a failure against a target, unless the caller's
 // disconnect or deadline caused it.
 func (g *Gateway) recordFailure(ctx context.Context, target *directory.ObservedTarget, err error) {
-	if err == nil || ctx.Err() != nil || failure.KindOf(err) == failure.KindTargetLeft {
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	if kind := failure.KindOf(err); kind == failure.KindTargetLeft || kind == failure.KindTargetResting {
 		return
 	}
 	if requestUnsent(err) {
--- a/internal/gateway/rate.go
+++ b/internal/gateway/rate.go
@@ -156,6 +156,27 @@
 // may accept more by now.
 func (l *TargetLoads) isStale(target string) bool { return l.rates.Stale(l.now(), target) }
 
+// TimeToRoom returns the time until one of a service's targets that rest or are
+// at their rate accepts a request from this host; false when there are none.
+func (l *TargetLoads) TimeToRoom(view *directory.View, req PlacementRequest) (time.Duration, bool) {
+	rateWait, limited := l.RateWait(view, req)
+	restWait, resting := l.shortestRest(view, req)
+	switch {
+	case !limited:
+		return restWait, resting
+	case !resting:
+		return rateWait, limited
+	}
+	return min(rateWait, restWait), true
+}
+
+// HasRoom reports whether a target accepts a request now.
+func (l *TargetLoads) HasRoom(view *directory.View, req PlacementRequest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.eligible(view, req)) > 0
+}
+
 // RateWait returns the time until this host may send to one of a service's
 // targets that are at their rate; false when none of them is.
 func (l *TargetLoads) RateWait(view *directory.View, req PlacementRequest) (time.Duration, bool) {
--- a/internal/gateway/rest_test.go
+++ b/internal/gateway/rest_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"filbertdeck/internal/decide/targetload"
+	"filbertdeck/internal/directory"
 	"filbertdeck/internal/gateway"
 	"filbertdeck/platform/standin"
 )
@@ -125,4 +128,92 @@
 		gw.skip(2 * restSeconds * time.Second)
 		Eventually(engine.healthChecks.Load, "5s").Should(BeNumerically(">", 0))
 	})
+
+	// Guards against losing every generation whose only copy is at a target at
+	// rest, and against sending it more requests than it tolerates.
+	It("gets one generation back that can continue nowhere else", func() {
+		end := make(chan struct{})
+		dying := startTarget("i-1", func(conn net.Conn, r *http.Request) {
+			if r.Header.Get(requestID) == "r-shed" {
+				respond(notExecuted)(conn, r)
+				return
+			}
+			respond("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\nTransfer-Encoding: chunked\n\n")(conn, r)
+			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event(1)), event(1))
+			<-end
+		})
+		resting := startEngine("i-2", 5, time.Millisecond)
+		restingTarget := startTarget("i-2", func(conn net.Conn, r *http.Request) {
+			if r.Header.Get(standin.HeaderKVFrom) == "" {
+				respond(askingForRest(notExecuted))(conn, r)
+				return
+			}
+			resting.generate(conn, r)
+		})
+		roomy := dying.directoryEntry("llm", "dc-1")
+		roomy.Slots = 1000
+		gw := startGateway(roomy, restingTarget.directoryEntry("llm", "dc-2"))
+		done := make(chan result, 3)
+		for n := range cap(done) {
+			go func() { done <- gw.do(gw.requestWithID(fmt.Sprint("r-", n), "POST", "/report/")) }()
+			Eventually(dying.requests).Should(HaveLen(n + 1))
+		}
+		gw.do(gw.requestWithID("r-shed", "POST", "/brief/"))
+		Expect(restingTarget.requests()).To(HaveLen(1))
+		close(end)
+		complete := 0
+		for range cap(done) {
+			var got result
+			Eventually(done, "5s").Should(Receive(&got))
+			if got.err == nil && got.body == eventStream(5) {
+				complete++
+			}
+		}
+		Expect(complete).To(Equal(1))
+		Expect(restingTarget.requests()).To(HaveLen(2))
+	})
+
+	// Guards against a burst of all hosts at a target whose rest ends for all of
+	// them at once.
+	DescribeTable("gets no more than it can run when its rest ends",
+		func(hosts int) {
+			const perSecond, window, work = 300, 50 * time.Millisecond, 30 * time.Millisecond
+			var now time.Duration
+			targets := map[string]*directory.ObservedTarget{}
+			for _, id := range []string{"i-1", "i-2", "i-3"} {
+				targets[id] = &directory.ObservedTarget{Published: true, Target: directory.Target{ID: id, Service: "app", DataCentre: "dc-1", Slots: 6}}
+			}
+			view := directory.NewView(1, testConfig(), targets, nil)
+			fleet := make([]*gateway.TargetLoads, hosts)
+			for i := range fleet {
+				fleet[i] = gateway.NewTargetLoads(fmt.Sprintf("host-%d", i), "dc-1", func() time.Duration { return now })
+				fleet[i].SetRand(rand.New(rand.NewPCG(3, uint64(i))))
+				fleet[i].RecordRest(targets["i-1"].Target, restSeconds*time.Second)
+			}
+			rng := rand.New(rand.NewPCG(1, 2))
+			var reservations []*gateway.Reservation
+			const running = int(perSecond * work / time.Second)
+			during, after := 0, 0
+			for now < restSeconds*time.Second+window {
+				target, reservation, ok := fleet[rng.IntN(hosts)].Acquire(view, gateway.PlacementRequest{Service: "app", Locality: gateway.PreferLocal})
+				Expect(ok).To(BeTrue())
+				if reservations = append(reservations, reservation); len(reservations) > running {
+					reservations[0].Release()
+					reservations = reservations[1:]
+				}
+				switch {
+				case target.ID != "i-1":
+				case now < restSeconds*time.Second:
+					during++
+				default:
+					after++
+				}
+				now += time.Second / perSecond
+			}
+			Expect(during).To(BeZero())
+			Expect(after).To(BeNumerically(">", 0))
+			Expect(after).To(BeNumerically("<=", targets["i-1"].Slots*int(window/work+1)))
+		},
+		Entry("from 8 hosts", 8), Entry("from 195 hosts", 195),
+	)
 })
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -44,7 +44,7 @@
 		reservation.Release()
 		return errStreamEnded
 	}
-	stream, err := gen.resume(c, reservation)
+	stream, err := gen.resume(c, reservation, gen.g.selectionState())
 	if err != nil {
 		return err
 	}
@@ -62,8 +62,7 @@
 // resume sends the request to an engine that holds a copy, to continue after
 // the last event that the caller has. The previous engine may still run, so the
 // answer must come within switchTimeout.
-func (gen *generation) resume(c *memoryCopy, reservation *Reservation) (*engineStream, error) {
-	selection := gen.g.selectionState()
+func (gen *generation) resume(c *memoryCopy, reservation *Reservation, selection *selectionState) (*engineStream, error) {
 	if !acceptsNewWork(selection.view, c.target.Target) {
 		reservation.Release()
 		return nil, failure.New(failure.KindNoTarget, "engine %s accepts no new work", c.target.ID)
@@ -165,7 +164,9 @@
 	if !ok {
 		return nil, false
 	}
-	stream, err := gen.resume(c, reservation)
+	selection := gen.g.selectionState()
+	selection.lastResort = true
+	stream, err := gen.resume(c, reservation, selection)
 	gen.g.cfg.Log.Info("generation comes back from a copy", "request", gen.ID, "to", c.target.ID, "events", gen.times.events,
 		"silent_for", gen.sinceLastEvent(), "error", err)
 	if err != nil {
