Move a generation again when no engine had room while its engine leaves

The spec fails before (the generation ends at the leaving engine) and passes now. A copy that was made and not offered is kept for the next move.

--- /dev/null
+++ b/internal/gateway/export_test.go
@@ -0,0 +1,4 @@
+package gateway
+
+// CopyTimeout limits one attempt to move a generation.
+const CopyTimeout = copyTimeout
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -162,17 +162,21 @@
 }
 
 // beginMove begins a move if the generation's target leaves and no move was
-// begun.
+// begun, or the last one timed out.
 func (gen *generation) beginMove(view *directory.View, loads *TargetLoads) (*directory.ObservedTarget, *move, bool) {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
-	if gen.target == nil || gen.move != nil || !gen.movable() {
+	if gen.target == nil || gen.move != nil && !gen.move.timedOut.Load() || !gen.movable() {
 		return nil, nil, false
 	}
 	now, known := view.Target(gen.target.ID)
 	if known && now.Published && !now.Leaving && !loads.IsLeaving(gen.target.Target) {
 		return nil, nil, false
 	}
-	gen.move = &move{done: make(chan struct{})}
+	next := &move{done: make(chan struct{})}
+	if gen.move != nil {
+		next.copy = gen.move.copy
+	}
+	gen.move = next
 	return gen.target, gen.move, true
 }
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"filbertdeck/internal/call"
@@ -51,6 +52,9 @@
 	// copy is the last copy that was made, nil when there is none. It is set
 	// before done is closed.
 	copy *memoryCopy
+	// timedOut is set when no engine took the generation in time. Another move
+	// may follow, because the notice may last for longer than one.
+	timedOut atomic.Bool
 }
 
 // moveAway continues the generation at another engine: at its backup, or from a
@@ -77,6 +81,7 @@
 		}
 		wake.Sleep(ctx, roundInterval)
 	}
+	m.timedOut.Store(ctx.Err() != nil)
 }
 
 // copyOutcome is the result of copying a generation to one engine.
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"filbertdeck/internal/directory"
+	"filbertdeck/internal/gateway"
 	"filbertdeck/platform/standin"
 )
 
@@ -169,6 +170,26 @@
 		Expect(resumed.Header.Get(requestID)).To(Equal("r-1"))
 	})
 
+	// Guards against a generation that is lost with an engine whose notice lasts
+	// for longer than one attempt to move it.
+	It("are moved later when no engine had room at first", func() {
+		const long = 800
+		first := startEngine("i-1", long, 10*time.Millisecond)
+		second := startEngine("i-2", long, time.Millisecond)
+		first.refuseMoves.Store(true)
+		gw := startGateway(first.directoryEntry("llm", "dc-1"))
+		done := make(chan result, 1)
+		go func() { done <- gw.do(gw.request("POST", "/report/")) }()
+		Eventually(first.eventsSent.Load).Should(BeNumerically(">", 5))
+		gw.publish(asLeaving(first.directoryEntry("llm", "dc-1")), second.directoryEntry("llm", "dc-1"))
+		time.Sleep(gateway.CopyTimeout + 100*time.Millisecond)
+		first.refuseMoves.Store(false)
+		var got result
+		Eventually(done, "8s").Should(Receive(&got))
+		Expect(got.body).To(Equal(eventStream(long)))
+		Expect(second.requests()).NotTo(BeEmpty())
+	})
+
 	// The configuration store is unavailable while an engine is taken away, so
 	// only the engine itself can tell. Load reports would tell half a second
 	// late, and the generation would be lost with the engine.
