Tell other hosts that a target said in an answer that it leaves

No rule asks for it; callers are served better if each host of a fleet doesn't send a leaving target a request of its own before it believes it.

It rides on the alerts of the gossip as the lifetime that it holds for, and is sent only by hosts that neither the directory nor another host had told, so a target that the store lists as leaving costs nothing. A process that was told keeps it like what it heard itself. Old processes ignore the field.

--- a/internal/decide/targetload/targetload.go
+++ b/internal/decide/targetload/targetload.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"filbertdeck/internal/decide/targetrate"
+	"filbertdeck/internal/directory"
 )
 
 const (
@@ -50,6 +51,10 @@
 	// AdvertisedRate is the last rate limit that the target advertised to the host; nil if
 	// it never advertised one.
 	AdvertisedRate *targetrate.Advertisement
+	// LeavingLifetime is the start, in Unix milliseconds, of the target's lifetime
+	// in which it said in an answer to the host that it leaves; nil if it never
+	// did.
+	LeavingLifetime *int64
 	// FailureSeq changes with each request of the host that failed because of the
 	// target; 0 if none did.
 	FailureSeq uint32
@@ -122,6 +127,14 @@
 	t.setLocal(now, c)
 }
 
+// SetLeavingLifetime records that a target said in an answer to this host that it
+// leaves.
+func (t *Table) SetLeavingLifetime(now time.Duration, lifetime directory.Lifetime) {
+	c := t.LocalCount(lifetime.TargetID)
+	c.LeavingLifetime = &lifetime.StartedUnixMilli
+	t.setLocal(now, c)
+}
+
 // SetTimePerToken sets this host's estimate of the time per token on a target.
 func (t *Table) SetTimePerToken(now time.Duration, target string, timePerToken time.Duration) {
 	c := t.LocalCount(target)
@@ -204,7 +217,7 @@
 
 // isZero reports whether a count carries no more information than a missing one.
 func (c HostLoad) isZero() bool {
-	return c.Load == Load{} && c.TimePerToken == 0 && !c.Leaving && c.FailureSeq == 0 && c.AdvertisedRate == nil
+	return c.Load == Load{} && c.TimePerToken == 0 && !c.Leaving && c.FailureSeq == 0 && c.AdvertisedRate == nil && c.LeavingLifetime == nil
 }
 
 // Merge merges counts received from a peer. An empty peer name means that the
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -147,12 +147,14 @@
 	return l.alerts.PeerUpdates(l.now(), host)
 }
 
-// MergeAlerts merges alerts received from another host.
-func (l *TargetLoads) MergeAlerts(host string, alerts []targetload.HostLoad) {
+// MergeAlerts merges alerts received from another host. It returns the targets
+// of which this host learns that they said that they leave.
+func (l *TargetLoads) MergeAlerts(host string, alerts []targetload.HostLoad) (leaving []directory.Lifetime) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.alerts.Merge(l.now(), host, alerts)
 	l.mergeRates(alerts)
+	leaving = l.mergeDepartures(alerts)
 	for _, c := range alerts {
 		if c.Host != l.address {
 			l.remoteFailures.RecordFailures(l.now(), c.Host, c.Target, c.FailureSeq)
@@ -161,6 +163,7 @@
 			wake.Signal(l.targetLeaving)
 		}
 	}
+	return leaving
 }
 
 // Prune removes targets that are gone and have no load from this host. Dozens
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filbertdeck/internal/call"
+	"filbertdeck/internal/decide/targetload"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/wake"
@@ -15,8 +16,8 @@
 // target at the same address does no harm: the one that was asked is gone.
 func (g *Gateway) observeNotice(t directory.Target, n call.TargetNotice, source string) {
 	g.metrics.countNotice(n)
-	if n.Leaving && g.cfg.Loads.RecordLeaving(t) {
-		g.cfg.Log.Info("target says that it leaves", "target", t.ID, "started", t.StartedUnixMilli, "source", source, "published", !acceptsNewWork(g.view(), t))
+	if published := !acceptsNewWork(g.view(), t); n.Leaving && g.cfg.Loads.RecordLeaving(t, published) {
+		g.cfg.Log.Info("target says that it leaves", "target", t.ID, "started", t.StartedUnixMilli, "source", source, "published", published)
 	}
 	if n.Rest > 0 && g.cfg.Loads.RecordRest(t, n.Rest) {
 		g.cfg.Log.Info("target asks for a rest", "target", t.ID, "started", t.StartedUnixMilli, "source", source, "rest", n.Rest)
@@ -37,18 +38,40 @@
 }
 
 // RecordLeaving records that a target said in an answer to this host that it
-// leaves. It reports whether that is new.
-func (l *TargetLoads) RecordLeaving(t directory.Target) bool {
+// leaves, and alerts other hosts unless they know from the directory or from
+// another host. It reports whether that is new.
+func (l *TargetLoads) RecordLeaving(t directory.Target, published bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.departures.Record(l.now(), t.Lifetime()) {
 		return false
 	}
 	wake.Signal(l.targetLeaving)
+	if !published {
+		l.alerts.SetLeavingLifetime(l.now(), t.Lifetime())
+		wake.Signal(l.alertsChanged)
+	}
 	return true
 }
 
-// SaidLeaving reports whether a target said in an answer that it leaves.
+// mergeDepartures merges what targets said to other hosts and returns what is
+// new.
+func (l *TargetLoads) mergeDepartures(alerts []targetload.HostLoad) (added []directory.Lifetime) {
+	for _, c := range alerts {
+		if c.LeavingLifetime == nil || c.Host == l.address {
+			continue
+		}
+		lifetime := directory.Lifetime{TargetID: c.Target, StartedUnixMilli: *c.LeavingLifetime}
+		if l.departures.Record(l.now(), lifetime) {
+			added = append(added, lifetime)
+			wake.Signal(l.targetLeaving)
+		}
+	}
+	return added
+}
+
+// SaidLeaving reports whether a target said in an answer, to any host, that it
+// leaves.
 func (l *TargetLoads) SaidLeaving(t directory.Target) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/gatewayhost/exchange.go
+++ b/internal/gatewayhost/exchange.go
@@ -47,6 +47,7 @@
 	suspects     *gateway.CrashEvidence
 	fetcher      *fetcher
 	now          Clock
+	log          *slog.Logger
 	broadcastNow chan struct{}
 
 	mu sync.Mutex
@@ -56,10 +57,10 @@
 }
 
 func newPeerExchange(
-	p *recordsync.Controller, roles *readerRoles, loads *gateway.TargetLoads, suspects *gateway.CrashEvidence, fetcher *fetcher, now Clock,
+	p *recordsync.Controller, roles *readerRoles, loads *gateway.TargetLoads, suspects *gateway.CrashEvidence, fetcher *fetcher, now Clock, log *slog.Logger,
 ) *peerExchange {
 	e := &peerExchange{
-		published: p, roles: roles, loads: loads, suspects: suspects, fetcher: fetcher, now: now,
+		published: p, roles: roles, loads: loads, suspects: suspects, fetcher: fetcher, now: now, log: log,
 		broadcastNow: make(chan struct{}, 1), laggingPeers: map[string]bool{},
 	}
 	fetcher.supplyNews, fetcher.takeNews = e.supplyPublished, e.takePublished
@@ -150,7 +151,9 @@
 }
 
 func (e *peerExchange) takeAlerts(peer string, alerts []*filbertv1.TargetLoad) {
-	e.loads.MergeAlerts(peer, decodeCounts(alerts, e.now()))
+	for _, leaving := range e.loads.MergeAlerts(peer, decodeCounts(alerts, e.now())) {
+		e.log.Info("target says that it leaves", "target", leaving.TargetID, "started", leaving.StartedUnixMilli, "source", "peer "+peer)
+	}
 }
 
 // encodeCounts encodes counts for the wire. now is the monotonic time from
@@ -161,7 +164,7 @@
 		out[i] = &filbertv1.TargetLoad{
 			Host: c.Host, Target: c.Target, Version: c.Version, Running: toUint32(c.Running), Tokens: toUint32(c.ReservedTokens), Unread: toUint32(c.UnreadTokens), Leaving: c.Leaving,
 			StepUs: toUint32(int(c.TimePerToken.Microseconds())), Copies: toUint32(c.BackupTokens), Failures: c.FailureSeq,
-			Rate: encodeRate(c.AdvertisedRate, now),
+			Rate: encodeRate(c.AdvertisedRate, now), LeavingLifetime: c.LeavingLifetime,
 		}
 	}
 	return out
@@ -189,7 +192,7 @@
 	for i, load := range loads {
 		counts[i] = targetload.HostLoad{
 			Host: load.GetHost(), Target: load.GetTarget(), Version: load.GetVersion(), Leaving: load.GetLeaving(),
-			TimePerToken: time.Duration(load.GetStepUs()) * time.Microsecond, FailureSeq: load.GetFailures(), AdvertisedRate: decodeRate(load.GetRate(), now),
+			TimePerToken: time.Duration(load.GetStepUs()) * time.Microsecond, FailureSeq: load.GetFailures(), AdvertisedRate: decodeRate(load.GetRate(), now), LeavingLifetime: load.LeavingLifetime,
 			Load: targetload.Load{Running: int(load.GetRunning()), ReservedTokens: int(load.GetTokens()), UnreadTokens: int(load.GetUnread()), BackupTokens: int(load.GetCopies())},
 		}
 	}
--- a/internal/gatewayhost/owners_test.go
+++ b/internal/gatewayhost/owners_test.go
@@ -167,6 +167,18 @@
 	}
 }
 
+// Guards against a notice that is lost between hosts, or applies to a lifetime
+// that it was not given in.
+func TestLeavingLifetimeIsKeptBetweenHosts(t *testing.T) {
+	started := int64(1779813826589)
+	for _, want := range []*int64{nil, new(int64), &started} {
+		got := decodeCounts(encodeCounts([]targetload.HostLoad{{Target: "i-1", LeavingLifetime: want}}, 0), 0)[0].LeavingLifetime
+		if (got == nil) != (want == nil) || got != nil && *got != *want {
+			t.Errorf("decoded %v, want %v", got, want)
+		}
+	}
+}
+
 // A datagram that is not a valid message must not keep the next query from
 // being answered.
 func TestUnreadableDatagramsAreIgnored(t *testing.T) {
--- a/test/gateway/peers_test.go
+++ b/test/gateway/peers_test.go
@@ -4,7 +4,9 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -18,6 +20,9 @@
 type countingTarget struct {
 	*httptest.Server
 	requests atomic.Int64
+	// leaving makes it say in its answers that it leaves, resting makes it turn
+	// requests away and ask for a rest.
+	leaving, resting atomic.Bool
 }
 
 func startCountingTarget(rate string) *countingTarget {
@@ -29,6 +34,15 @@
 		if rate != "" {
 			w.Header().Set(standin.HeaderServerLimit, rate)
 		}
+		if target.leaving.Load() {
+			w.Header().Set(standin.HeaderServerLeaving, "1")
+		}
+		if target.resting.Load() {
+			w.Header().Set(standin.HeaderNotExecuted, "1")
+			w.Header().Set(standin.HeaderRetryAfter, "600")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		_, _ = io.WriteString(w, "done")
 	}))
 	DeferCleanup(func() { target.CloseClientConnections(); target.Close() })
@@ -107,4 +121,70 @@
 		Expect(limited.requests.Load() - before).To(Equal(int64(served)))
 		Expect(served).To(BeNumerically("<=", 1.5*rate*seconds+5))
 	})
+
+	// Guards against hosts that forget what a target told them: when the store is
+	// silent, when they were told by another host, on SIGHUP, and when the store
+	// is back with the target's old entry.
+	It("send nothing to a target that said in an answer to one of them that it leaves", func() {
+		env := newEnvironment()
+		leaving := startCountingTarget("")
+		env.store.PutServer("i-2", "app", hostPort(leaving.Server), "ready")
+		store := serveStore(env.store)
+		first := startHost(store)
+		second := startHost(store, first.peerAddress)
+		hosts := []*host{first, second}
+		for _, h := range hosts {
+			Eventually(h.isReady, stepTimeout).Should(BeTrue())
+			Eventually(func() int { return h.post("/b/x", "key-1") }, stepTimeout).Should(Equal(http.StatusOK))
+		}
+		env.store.SetMode(standin.Unresponsive)
+		leaving.leaving.Store(true)
+		before := leaving.requests.Load()
+		Eventually(func() int64 { first.post("/b/x", "key-1"); return leaving.requests.Load() - before }, stepTimeout).Should(Equal(int64(1)))
+		sendsNothing := func() {
+			for i := range 40 {
+				Expect(hosts[i%len(hosts)].post("/b/x", "key-1")).To(Equal(http.StatusOK))
+			}
+			Expect(leaving.requests.Load() - before).To(Equal(int64(1)))
+		}
+		for _, h := range hosts {
+			Eventually(h.metricsText, stepTimeout).Should(MatchRegexp(`"gateway.targets_departing":\s*\{\s*"value":\s*1`))
+		}
+		sendsNothing()
+		Expect(first.cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
+		Eventually(first.logText, stepTimeout).Should(ContainSubstring("settings reloaded"))
+		sendsNothing()
+		env.store.RemoveServer("i-2")
+		env.store.PutServer("i-2", "app", hostPort(leaving.Server), "ready")
+		env.store.SetMode(standin.Serving)
+		env.publishKeys(7, "key-1", "key-2")
+		for _, h := range hosts {
+			Eventually(func() int { return h.post("/b/x", "key-2") }, stepTimeout).Should(Equal(http.StatusOK))
+		}
+		sendsNothing()
+	})
+
+	// Guards against hosts that go back to a target in the rest that it asked
+	// them for.
+	It("send a target one request each when it asks them for a rest", func() {
+		env := newEnvironment()
+		resting := startCountingTarget("")
+		env.store.PutServer("i-2", "app", hostPort(resting.Server), "ready")
+		store := serveStore(env.store)
+		first := startHost(store)
+		hosts := []*host{first, startHost(store, first.peerAddress)}
+		for _, h := range hosts {
+			Eventually(h.isReady, stepTimeout).Should(BeTrue())
+			Eventually(func() int { return h.post("/b/x", "key-1") }, stepTimeout).Should(Equal(http.StatusOK))
+		}
+		resting.resting.Store(true)
+		before := resting.requests.Load()
+		for _, h := range hosts {
+			Eventually(func() int { h.post("/b/x", "key-1"); return strings.Count(h.logText(), "target asks for a rest") }, stepTimeout).Should(Equal(1))
+		}
+		for i := range 60 {
+			Expect(hosts[i%len(hosts)].post("/b/x", "key-1")).To(Equal(http.StatusOK))
+		}
+		Expect(resting.requests.Load() - before).To(Equal(int64(len(hosts))))
+	})
 })
