Move a generation again also when the time limit ends a copy

Cause: the time limit of a move mostly ends between two copies, and then another move follows; when it ended one that was under way, the copy counted as aborted for good and the generation stayed. The route's time-out of 5 s in the spec, which was the first suspicion, is out of the way as well.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -63,6 +63,7 @@
 	defer close(m.done)
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
+	defer func() { m.timedOut.Store(ctx.Err() != nil) }()
 	if !gen.waitForFirstEvent(ctx) || !gen.isAt(from) || gen.switchToBackup() {
 		return
 	}
@@ -81,7 +82,6 @@
 		}
 		wake.Sleep(ctx, roundInterval)
 	}
-	m.timedOut.Store(ctx.Err() != nil)
 }
 
 // copyOutcome is the result of copying a generation to one engine.
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -41,8 +41,9 @@
 	// move it; connClosed is set once the caller closed the connection.
 	eventsSent, moveRequests atomic.Int64
 	connClosed               atomic.Bool
-	// refuseMoves makes it answer 503 to a move request.
-	refuseMoves atomic.Bool
+	// refuseMoves makes it answer 503 to a move request after refusalDelay.
+	refuseMoves  atomic.Bool
+	refusalDelay time.Duration
 	// refusedAddresses are the addresses that it cannot copy to.
 	refusedAddresses []string
 	// unhealthy makes it answer 503 to health checks, busy makes that answer
@@ -72,6 +73,9 @@
 		e.moveRequests.Add(1)
 		body, _ := io.ReadAll(r.Body)
 		refused := func(address string) bool { return strings.Contains(string(body), address) }
+		if e.refuseMoves.Load() {
+			time.Sleep(e.refusalDelay)
+		}
 		if e.refuseMoves.Load() || slices.ContainsFunc(e.refusedAddresses, refused) {
 			respond("HTTP/1.1 503 Service Unavailable\nContent-Length: 0\n\n")(conn, r)
 			return
@@ -172,12 +176,17 @@
 
 	// Guards against a generation that is lost with an engine whose notice lasts
 	// for longer than one attempt to move it.
-	It("are moved later when no engine had room at first", func() {
-		const long = 800
-		first := startEngine("i-1", long, 10*time.Millisecond)
+	DescribeTable("are moved later when no engine had room at first", func(refusalDelay time.Duration) {
+		const long = 300
+		first := startEngine("i-1", long, 50*time.Millisecond)
 		second := startEngine("i-2", long, time.Millisecond)
 		first.refuseMoves.Store(true)
-		gw := startGateway(first.directoryEntry("llm", "dc-1"))
+		first.refusalDelay = refusalDelay
+		gw := startGateway()
+		for i := range gw.cfg.Routes {
+			gw.cfg.Routes[i].Timeout = time.Minute
+		}
+		gw.publish(first.directoryEntry("llm", "dc-1"))
 		done := make(chan result, 1)
 		go func() { done <- gw.do(gw.request("POST", "/report/")) }()
 		Eventually(first.eventsSent.Load).Should(BeNumerically(">", 5))
@@ -185,10 +194,13 @@
 		time.Sleep(gateway.CopyTimeout + 100*time.Millisecond)
 		first.refuseMoves.Store(false)
 		var got result
-		Eventually(done, "8s").Should(Receive(&got))
+		Eventually(done, "15s").Should(Receive(&got))
 		Expect(got.body).To(Equal(eventStream(long)))
 		Expect(second.requests()).NotTo(BeEmpty())
-	})
+	},
+		Entry("and the time limit ends between two copies", time.Duration(0)),
+		Entry("and the time limit ends a copy", gateway.CopyTimeout),
+	)
 
 	// The configuration store is unavailable while an engine is taken away, so
 	// only the engine itself can tell. Load reports would tell half a second
