Heed a target's refusal that bears no request id; keep other refusals' delay

A refusal may come without the request's id (the spec fails before: one further request reached the target). It was left out like an answer to another request, though the connection carries one request alone.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -116,6 +116,8 @@
 	// RequestsPerSecond is the number of requests per second that the target accepts from
 	// all hosts together; nil when it gives none.
 	RequestsPerSecond *float64
+	// RetryAfter is 0 when the target gives no delay.
+	RetryAfter time.Duration
 }
 
 // MoveResult is the result of copying a generation's KV cache. Its notice is that
--- a/internal/gateway/leaving_answers_test.go
+++ b/internal/gateway/leaving_answers_test.go
@@ -55,6 +55,7 @@
 		Entry("after a failure of its own", serverError, "/book/", "app"),
 		Entry("after a request that it did not run", notExecuted, "/book/", "app"),
 		Entry("after an answer that breaks off", answerBrokenOff, "/book/", "app"),
+		Entry("after a refusal without the request's id", strings.ReplaceAll(notExecuted, requestID+": ID\n", ""), "/book/", "app"),
 		Entry("after a stream", completeStream, "/report/", "llm"),
 	)
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -210,8 +210,8 @@
 	answer := g.cfg.Dialect.ParseResponseHeader(resp)
 	if isOwnAnswer(s, answer) {
 		g.observeNotice(s.Target, answer.TargetNotice, s.ID)
-		g.observeRate(s, answer)
 	}
+	g.observeRate(s, answer)
 	if err := checkAnswer(s, answer); err != nil {
 		_ = resp.Body.Close()
 		return nil, answer, err
@@ -219,16 +219,25 @@
 	return resp, answer, nil
 }
 
-// isOwnAnswer reports whether an answer can be taken for the target's own answer
-// to this request, so that its header says something about the target. Another
-// target at the same address, a late answer and a success without a seal, which
-// a faulty target may produce, say nothing.
+// isOwnAnswer reports whether the header of an answer says something about the
+// target. That of another target at the same address, of a late answer to
+// another request, and of a success without id or seal, which a faulty target
+// may produce, says nothing.
 func isOwnAnswer(s *call.Attempt, a call.ResponseHeader) bool {
-	return !a.WrongTarget && a.RequestID == s.ID && (a.Sealed || a.Status >= http.StatusMultipleChoices)
+	switch {
+	case a.WrongTarget:
+		return false
+	case a.Status < http.StatusMultipleChoices:
+		return a.RequestID == s.ID && a.Sealed
+	}
+	return a.RequestID == s.ID || a.RequestID == ""
 }
 
 // observeRate records the rate limit advertised in a target's answer.
 func (g *Gateway) observeRate(s *call.Attempt, a call.ResponseHeader) {
+	if a.WrongTarget || a.RequestID != s.ID {
+		return
+	}
 	if g.cfg.Loads.ObserveRate(s.Target.ID, a.RequestsPerSecond) {
 		g.cfg.Log.Info("target's rate changed", "target", s.Target.ID, "request", s.ID, "limited", a.RequestsPerSecond != nil, "per_second", a.RequestsPerSecond)
 	}
@@ -242,7 +251,7 @@
 	case a.WrongTarget:
 		return failure.New(failure.KindFenced, "the address of target %s belongs to another target", s.Target.ID)
 	case a.NotExecuted && a.Status >= http.StatusBadRequest:
-		return failure.New(failure.KindOverloaded, "target %s did not run the request (status %d, rest %s)", s.Target.ID, a.Status, a.Rest).WithRetryAfter(engineFullRetryAfter)
+		return failure.New(failure.KindOverloaded, "target %s did not run the request (status %d, rest %s)", s.Target.ID, a.Status, a.Rest).WithRetryAfter(retryAfterTurnedAway(a))
 	case a.RequestID != s.ID:
 		return failure.New(failure.KindFrameOutOfPlace, "target %s answered with another request's id", s.Target.ID).WithExecutionUnknown()
 	case a.Status < http.StatusMultipleChoices && !a.Sealed:
@@ -251,6 +260,15 @@
 	return nil
 }
 
+// retryAfterTurnedAway returns when a caller should come back whose request a
+// target turned away. A rest concerns that target alone: others may have room.
+func retryAfterTurnedAway(a call.ResponseHeader) time.Duration {
+	if a.Rest > 0 {
+		return engineFullRetryAfter
+	}
+	return max(a.RetryAfter, engineFullRetryAfter)
+}
+
 // recordFailure counts a failure against a target, unless the caller's
 // disconnect or deadline caused it.
 func (g *Gateway) recordFailure(ctx context.Context, target *directory.ObservedTarget, err error) {
