--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -58,7 +58,7 @@
 // new.
 func (l *TargetLoads) mergeDepartures(alerts []targetload.HostLoad) (added []directory.Lifetime) {
 	for _, c := range alerts {
-		if c.LeavingLifetime == nil || c.Host == l.address {
+		if c.LeavingLifetime == nil {
 			continue
 		}
 		lifetime := directory.Lifetime{TargetID: c.Target, StartedUnixMilli: *c.LeavingLifetime}
