explain: show health checks that say a target leaves, and rests

The line of a failed health check has a new text since answers are read, and explain listed the old one alone; rests are new. The specs of both fail before.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -19,6 +19,8 @@
 	msgGenerationStays  = "generation stays"
 	msgBackupResumed    = "generation goes on at its backup"
 	msgTargetLeaves     = "target says that it leaves"
+	msgHealthCheckFails = "target's health check says that it leaves"
+	msgTargetRests      = "target asks for a rest"
 	msgProcessStarted   = "started"
 	msgProcessStopping  = "stopping"
 	msgStoreLost        = "store lost"
@@ -100,7 +102,8 @@
 			continue
 		}
 		isHostEvent := line.Host == last.Host && slices.Contains([]string{msgProcessStarted, msgProcessStopping, msgStoreLost}, line.Message)
-		if isHostEvent || line.Message == msgTargetLeaves && targets[line.Target] {
+		isTargetEvent := targets[line.Target] && slices.Contains([]string{msgTargetLeaves, msgHealthCheckFails, msgTargetRests}, line.Message)
+		if isHostEvent || isTargetEvent {
 			out = append(out, line)
 		}
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -109,3 +109,21 @@
 		}))
 	})
 })
+
+// Guards against an explanation that leaves out what the request's target said
+// about the requests that it wants.
+var _ = DescribeTable("what the target of a request said",
+	func(msg string) {
+		related := readLog(
+			placedLine(1),
+			logLine(2, "h2", msg, `"target":"e1","source":"r9"`), logLine(2, "h2", msg, `"target":"e2","source":"r9"`),
+			brokenLine(3, false),
+		).Explain("r1").RelatedLines
+		Expect(related).To(HaveLen(1))
+		Expect(related[0].Message).To(Equal(msg))
+		Expect(related[0].Target).To(Equal("e1"))
+	},
+	Entry("that it leaves", "target says that it leaves"),
+	Entry("that it leaves, by its health", "target's health check says that it leaves"),
+	Entry("that it wants a rest", "target asks for a rest"),
+)
