--- a/internal/gateway/departure_fleet_test.go
+++ b/internal/gateway/departure_fleet_test.go
@@ -12,6 +12,27 @@
 	"filbertdeck/internal/gateway"
 )
 
+// appTargets returns a view with a number of targets of the service "app", i-1
+// and so on.
+func appTargets(count int) *directory.View {
+	targets := map[string]*directory.ObservedTarget{}
+	for i := range count {
+		id := fmt.Sprintf("i-%d", i+1)
+		targets[id] = &directory.ObservedTarget{Published: true, Target: directory.Target{ID: id, Service: "app", DataCentre: "dc-1", Slots: 6}}
+	}
+	return directory.NewView(1, testConfig(), targets, nil)
+}
+
+// startFleet returns the target loads of a number of hosts, with fixed seeds.
+func startFleet(hosts int, now func() time.Duration) []*gateway.TargetLoads {
+	fleet := make([]*gateway.TargetLoads, hosts)
+	for i := range fleet {
+		fleet[i] = gateway.NewTargetLoads(fmt.Sprintf("host-%d", i), "dc-1", now)
+		fleet[i].SetRand(rand.New(rand.NewPCG(3, uint64(i))))
+	}
+	return fleet
+}
+
 // departurePlay has hosts send requests to a service while one of its targets
 // leaves and the store is silent, and returns how many requests reach that
 // target after its first answer. With sharing, alerts reach all other hosts after
@@ -19,17 +40,7 @@
 func departurePlay(hosts, targets, perSecond int, share bool) int {
 	const duration, alertDelay = 12 * time.Second, 200 * time.Millisecond
 	var now time.Duration
-	byID := map[string]*directory.ObservedTarget{}
-	for i := range targets {
-		id := fmt.Sprintf("i-%d", i)
-		byID[id] = &directory.ObservedTarget{Published: true, Target: directory.Target{ID: id, Service: "app", DataCentre: "dc-1", Slots: 6}}
-	}
-	view := directory.NewView(1, testConfig(), byID, nil)
-	fleet := make([]*gateway.TargetLoads, hosts)
-	for i := range fleet {
-		fleet[i] = gateway.NewTargetLoads(fmt.Sprintf("host-%d", i), "dc-1", func() time.Duration { return now })
-		fleet[i].SetRand(rand.New(rand.NewPCG(3, uint64(i))))
-	}
+	view, fleet := appTargets(targets), startFleet(hosts, func() time.Duration { return now })
 	rng := rand.New(rand.NewPCG(1, 2))
 	var alertAt time.Duration
 	var announcing int
@@ -47,7 +58,7 @@
 		target, reservation, ok := fleet[host].Acquire(view, gateway.PlacementRequest{Service: "app", Locality: gateway.PreferLocal})
 		Expect(ok).To(BeTrue())
 		reservation.Release()
-		if target.ID != "i-0" {
+		if target.ID != "i-1" {
 			continue
 		}
 		reached++
--- a/internal/gateway/leaving_answers_test.go
+++ b/internal/gateway/leaving_answers_test.go
@@ -25,6 +25,25 @@
 // answerBrokenOff is a success whose body ends early.
 const answerBrokenOff = "HTTP/1.1 200 OK\n" + requestID + ": ID\n" + seal + ": s1\nContent-Length: 9\n\nok"
 
+// doWhileAnotherIsAnswered sends the request r-1 through a gateway with a single
+// engine. The request r-2 is sent and answered between the placement of r-1 and
+// its first byte.
+func doWhileAnotherIsAnswered(engine *fakeTarget) result {
+	gw := startGateway(engine.directoryEntry("llm", "dc-1"))
+	gw.loads.SetHostCount(func() int { return 100 })
+	var queries atomic.Int64
+	gw.loads.SetOwnerQuery(func(gateway.TargetRef, []targetload.HostLoad) ([]targetload.HostLoad, bool) {
+		// The second query reports the placement.
+		if queries.Add(1) == 2 {
+			gw.do(gw.requestWithID("r-2", "POST", "/report/"))
+		}
+		return nil, true
+	})
+	placed := gw.requestWithID("r-1", "POST", "/report/")
+	placed.Header.Set(standin.HeaderTokenUsage, "100,10")
+	return gw.do(placed)
+}
+
 var _ = Describe("a target whose answer says that it leaves", func() {
 	const requests = 20
 	do := func(gw *fixture, path string) {
@@ -97,20 +116,7 @@
 	// arrived and is sent after it.
 	It("gets no request that was placed there before", func() {
 		leaving := startTarget("i-1", respond(sayingLeaving(completeStream)))
-		gw := startGateway(leaving.directoryEntry("llm", "dc-1"))
-		gw.loads.SetHostCount(func() int { return 100 })
-		var queries atomic.Int64
-		gw.loads.SetOwnerQuery(func(gateway.TargetRef, []targetload.HostLoad) ([]targetload.HostLoad, bool) {
-			// The second query reports the choice.
-			if queries.Add(1) == 2 {
-				gw.do(gw.requestWithID("r-2", "POST", "/report/"))
-			}
-			return nil, true
-		})
-		placed := gw.requestWithID("r-1", "POST", "/report/")
-		placed.Header.Set(standin.HeaderTokenUsage, "100,10")
-		got := gw.do(placed)
-		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(doWhileAnotherIsAnswered(leaving).status).To(Equal(http.StatusServiceUnavailable))
 		Expect(leaving.requests()).To(HaveLen(1))
 		Expect(leaving.requests()[0].Header.Get(requestID)).To(Equal("r-2"))
 	})
--- a/internal/gateway/rest_test.go
+++ b/internal/gateway/rest_test.go
@@ -14,8 +14,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"filbertdeck/internal/decide/targetload"
-	"filbertdeck/internal/directory"
 	"filbertdeck/internal/gateway"
 	"filbertdeck/platform/standin"
 )
@@ -93,20 +91,9 @@
 	// arrived and is sent after it.
 	It("gets no request that was placed there before", func() {
 		target := startTarget("i-1", respond(askingForRest(notExecuted)))
-		gw := startGateway(target.directoryEntry("llm", "dc-1"))
-		gw.loads.SetHostCount(func() int { return 100 })
-		var queries atomic.Int64
-		gw.loads.SetOwnerQuery(func(gateway.TargetRef, []targetload.HostLoad) ([]targetload.HostLoad, bool) {
-			// The second query reports the choice.
-			if queries.Add(1) == 2 {
-				gw.do(gw.requestWithID("r-2", "POST", "/report/"))
-			}
-			return nil, true
-		})
-		placed := gw.requestWithID("r-1", "POST", "/report/")
-		placed.Header.Set(standin.HeaderTokenUsage, "100,10")
-		Expect(gw.do(placed).status).To(Equal(http.StatusServiceUnavailable))
+		Expect(doWhileAnotherIsAnswered(target).status).To(Equal(http.StatusServiceUnavailable))
 		Expect(target.requests()).To(HaveLen(1))
+		Expect(target.requests()[0].Header.Get(requestID)).To(Equal("r-2"))
 	})
 
 	// Guards against health checks, which take a slot at the target.
@@ -179,16 +166,10 @@
 		func(hosts int) {
 			const perSecond, window, work = 300, 50 * time.Millisecond, 30 * time.Millisecond
 			var now time.Duration
-			targets := map[string]*directory.ObservedTarget{}
-			for _, id := range []string{"i-1", "i-2", "i-3"} {
-				targets[id] = &directory.ObservedTarget{Published: true, Target: directory.Target{ID: id, Service: "app", DataCentre: "dc-1", Slots: 6}}
-			}
-			view := directory.NewView(1, testConfig(), targets, nil)
-			fleet := make([]*gateway.TargetLoads, hosts)
-			for i := range fleet {
-				fleet[i] = gateway.NewTargetLoads(fmt.Sprintf("host-%d", i), "dc-1", func() time.Duration { return now })
-				fleet[i].SetRand(rand.New(rand.NewPCG(3, uint64(i))))
-				fleet[i].RecordRest(targets["i-1"].Target, restSeconds*time.Second)
+			view, fleet := appTargets(3), startFleet(hosts, func() time.Duration { return now })
+			resting, _ := view.Target("i-1")
+			for _, l := range fleet {
+				l.RecordRest(resting.Target, restSeconds*time.Second)
 			}
 			rng := rand.New(rand.NewPCG(1, 2))
 			var reservations []*gateway.Reservation
@@ -212,7 +193,7 @@
 			}
 			Expect(during).To(BeZero())
 			Expect(after).To(BeNumerically(">", 0))
-			Expect(after).To(BeNumerically("<=", targets["i-1"].Slots*int(window/work+1)))
+			Expect(after).To(BeNumerically("<=", resting.Slots*int(window/work+1)))
 		},
 		Entry("from 8 hosts", 8), Entry("from 195 hosts", 195),
 	)
