Read the load that targets report, and choose by it

Cause: the fourth figure of the load header (how long work takes on the target's machine) made parseLoad drop the whole header, and nothing read the header anyway.

Every answer passes observeNotice, the health answers too; the report goes to decide/reportedload. Candidates count requests beyond the known ones, and the slowness of the machine. A figure that can't be read is counted (gateway.load_figures_unreadable) and leaves the others.

Ruled out: figures without an age limit (a remainder of weight decides between targets that are equal otherwise).

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -83,12 +83,22 @@
 	Backup string
 }
 
-// Load is the load that a target reports.
-type Load struct{ Running, Waiting, Slots int }
+// Load is the load that a target reports. A figure is nil when the target does not
+// give it or it can't be read.
+type Load struct {
+	Running, Waiting, Slots *int
+	// Slowdown is the time that work takes on the target's machine at present, as
+	// a multiple of the usual time. It changes several times per second.
+	Slowdown *float64
+	// Unreadable is the number of figures that can't be read.
+	Unreadable int
+}
 
-// TargetNotice is what a target says in a response about the requests that it
-// wants, whatever the response itself is.
+// TargetNotice is what a target says in a response about its load and about the
+// requests that it wants, whatever the response itself is.
 type TargetNotice struct {
+	// Load is nil when the target reports none.
+	Load *Load
 	// Leaving is set when the target is going to stop.
 	Leaving bool
 	// Rest is how long the target wants no requests from this host; 0 for no
@@ -112,7 +122,6 @@
 	WrongTarget bool
 	// ShuttingDown is set when the target may be about to shut down.
 	ShuttingDown bool
-	Load         *Load
 	// RequestsPerSecond is the number of requests per second that the target accepts from
 	// all hosts together; nil when it gives none.
 	RequestsPerSecond *float64
--- a/internal/decide/placement/delay.go
+++ b/internal/decide/placement/delay.go
@@ -60,7 +60,9 @@
 		timePerToken = defaultTimePerToken
 	}
 	tokenTime := float64(timePerToken)
-	prefill := float64(c.UnreadTokens+w.PromptTokens) * promptTokenCost * tokenTime
+	// A machine is slow for about the time that a prompt takes to read, which is a
+	// small part of the time that a generation takes.
+	prefill := float64(c.UnreadTokens+w.PromptTokens) * promptTokenCost * tokenTime * c.slowdown()
 	if c.Running > 0 {
 		// Chunks of the prompt alternate with the steps of the other generations.
 		prefill *= 2
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -37,6 +37,9 @@
 	// TimePerToken is the time per token of a generation that runs alone on the
 	// engine; 0 if unknown.
 	TimePerToken time.Duration
+	// Slowdown is the time that work takes on the target's machine at present, as a
+	// multiple of the usual time; 0 counts like 1.
+	Slowdown float64
 	// Penalty is added to the load. A target that failed recently or is in
 	// another data centre is chosen only if the others have a load higher by this
 	// amount.
@@ -69,7 +72,15 @@
 		load = max(load, float64(c.ReservedTokens+c.BackupTokens+tokens)/float64(c.MemoryTokens))
 		load += float64(c.UnreadTokens) / promptTokensPerLoadUnit
 	}
-	return load + c.Penalty
+	return load*c.slowdown() + c.Penalty
+}
+
+// slowdown returns Slowdown with its default.
+func (c Candidate) slowdown() float64 {
+	if c.Slowdown <= 0 {
+		return 1
+	}
+	return c.Slowdown
 }
 
 // Limits on the number of targets that a host compares.
--- a/internal/gateway/candidate.go
+++ b/internal/gateway/candidate.go
@@ -174,8 +174,9 @@
 	all := own.Add(others)
 	c := placement.Candidate{
 		ID: t.ID, Running: all.Running, Slots: t.Slots, ReservedTokens: all.ReservedTokens, BackupTokens: all.BackupTokens, UnreadTokens: all.UnreadTokens,
-		TimePerToken: cmp.Or(l.speeds.TimePerToken(t.ID), defaultStep),
+		TimePerToken: cmp.Or(l.speeds.TimePerToken(t.ID), defaultStep), Slowdown: l.reports.Slowdown(l.now(), t.Lifetime()),
 	}
+	c.Running += l.reports.Unaccounted(l.now(), t.Lifetime(), all.Running)
 	if s, ok := view.Service(t.Service); ok && s.Engine != nil {
 		c.MemoryTokens = s.Engine.MemoryTokens
 	}
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -12,6 +12,7 @@
 	"filbertdeck/internal/decide/enginespeed"
 	"filbertdeck/internal/decide/failurereports"
 	"filbertdeck/internal/decide/placement"
+	"filbertdeck/internal/decide/reportedload"
 	"filbertdeck/internal/decide/rest"
 	"filbertdeck/internal/decide/targetload"
 	"filbertdeck/internal/decide/targetrate"
@@ -45,6 +46,8 @@
 	departures *departure.Tracker
 	// rests holds the targets that asked this host for a rest.
 	rests *rest.Tracker
+	// reports holds the load that targets reported to this host.
+	reports *reportedload.Tracker
 	// ownerQuery queries the host that has the newest counts of a target; nil
 	// for none.
 	ownerQuery OwnerQueryFunc
@@ -78,7 +81,7 @@
 	return &TargetLoads{
 		address: host, dataCentre: dataCentre, now: now, byTarget: map[string]*targetLoad{},
 		hostLoads: targetload.New(host, start), alerts: targetload.New(host, start), speeds: enginespeed.New(), remoteFailures: failurereports.New(), rates: targetrate.New(),
-		departures: departure.New(), rests: rest.New(),
+		departures: departure.New(), rests: rest.New(), reports: reportedload.New(),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), hostCount: func() int { return 1 },
 		loadsChanged: make(chan struct{}, 1), alertsChanged: make(chan struct{}, 1), targetLeaving: make(chan struct{}, 1),
 	}
@@ -185,6 +188,7 @@
 	l.rates.Retain(known)
 	l.departures.Retain(l.now(), known)
 	l.rests.Prune(l.now())
+	l.reports.Prune(l.now())
 }
 
 // setLoad sets this host's load at a target.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -39,6 +39,9 @@
 	// leavingAnswers and restAnswers count the answers in which a target says
 	// that it leaves or asks for a rest.
 	leavingAnswers, restAnswers gometrics.Counter
+	// unreadableFigures counts the figures of targets' load reports that can't be
+	// read.
+	unreadableFigures gometrics.Counter
 }
 
 // kindMetrics are the metrics of one request kind.
@@ -57,6 +60,7 @@
 		broken: counter("generations_broken"), callerLeft: counter("generations_left"), retries: counter("sent_again"),
 		movedByCopy: counter("moved.copy"), movedToBackup: counter("moved.backup"), resumedAfterLoss: counter("moved.after_loss"), newRuns: counter("moved.anew"),
 		copiesFailed: counter("copies_failed"), leavingAnswers: counter("answers_leaving"), restAnswers: counter("answers_rest"),
+		unreadableFigures: counter("load_figures_unreadable"),
 	}
 	for _, kind := range []directory.RequestKind{directory.AtMostOnce, directory.Repeatable, directory.Generation} {
 		m.byKind[kind] = &kindMetrics{
@@ -98,8 +102,8 @@
 	gometrics.GetOrRegisterCounter("gateway.refused."+string(kind), m.registry).Inc(1)
 }
 
-// countNotice counts what a target says in an answer about the requests that it
-// wants.
+// countNotice counts what a target says in an answer about its load and the
+// requests that it wants.
 func (m *gatewayMetrics) countNotice(n call.TargetNotice) {
 	if n.Leaving {
 		m.leavingAnswers.Inc(1)
@@ -107,6 +111,9 @@
 	if n.Rest > 0 {
 		m.restAnswers.Inc(1)
 	}
+	if n.Load != nil {
+		m.unreadableFigures.Inc(int64(n.Load.Unreadable))
+	}
 }
 
 // countBroken counts a generation that was cut off.
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -4,18 +4,22 @@
 	"time"
 
 	"filbertdeck/internal/call"
+	"filbertdeck/internal/decide/reportedload"
 	"filbertdeck/internal/decide/targetload"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/wake"
 )
 
-// observeNotice records what a target said in an answer about the requests that
-// it wants. Every answer of a target passes through here, whatever it was asked
+// observeNotice records what a target said in an answer about its load and the
+// requests that it wants. Every answer of a target passes through here, whatever it was asked
 // for; source names the request or call. An answer that came from another
 // target at the same address does no harm: the one that was asked is gone.
 func (g *Gateway) observeNotice(t directory.Target, n call.TargetNotice, source string) {
 	g.metrics.countNotice(n)
+	if n.Load != nil {
+		g.cfg.Loads.RecordReport(t, *n.Load)
+	}
 	if published := !acceptsNewWork(g.view(), t); n.Leaving && g.cfg.Loads.RecordLeaving(t, published) {
 		g.cfg.Log.Info("target says that it leaves", "target", t.ID, "started", t.StartedUnixMilli, "source", source, "published", published)
 	}
@@ -108,6 +112,28 @@
 	return l.rests.TakeLastResort(l.now(), t.Lifetime())
 }
 
+// RecordReport records the load that a target reported in an answer to this host.
+func (l *TargetLoads) RecordReport(t directory.Target, load call.Load) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reports.Record(l.now(), t.Lifetime(), reportedload.Report{Busy: sumOfKnown(load.Running, load.Waiting), Slowdown: load.Slowdown})
+}
+
+// sumOfKnown returns the sum of those counts that are known, nil when none is.
+func sumOfKnown(counts ...*int) *int {
+	var sum *int
+	for _, n := range counts {
+		if n == nil {
+			continue
+		}
+		if sum == nil {
+			sum = new(int)
+		}
+		*sum += *n
+	}
+	return sum
+}
+
 // shortestRest returns the shortest rest of a service's targets that would
 // accept a request but for that; false when there is none.
 func (l *TargetLoads) shortestRest(view *directory.View, req PlacementRequest) (time.Duration, bool) {
