Let generations wait at their hosts while no engine has memory for them

Cause: an engine takes every generation that it is sent, and preempts the newest of the least urgent for them, also in the middle of their streams. In a burst of long generations beyond the memory of all engines those that had begun paused for seconds, and the engines read prompts again that they had read before, for seconds after the burst too; nobody was told to wait.

decide/deferral: a generation for which no engine has memory waits, searches again some ten times a second, and goes to an engine while its first token can still be in time. Late ones take only what is left below seven tenths of a memory, and are refused when half of their caller's time is over. The most urgent ones wait until they could be late and are then sent as before.

--- a/internal/decide/placement/delay.go
+++ b/internal/decide/placement/delay.go
@@ -55,21 +55,32 @@
 // a result long generations go to fast engines, and short answers go to engines
 // where few generations are delayed while their prompts are read.
 func MarginalDelay(c Candidate, w Workload) time.Duration {
-	timePerToken := c.TimePerToken
-	if timePerToken <= 0 {
-		timePerToken = defaultTimePerToken
+	tokenTime := float64(c.timePerToken())
+	prefill := float64(PrefillTime(c, w))
+	decode := float64(w.OutputTokens) * tokenTime * (1 + batchedGenerationCost*float64(c.Running))
+	slowdown := float64(c.Running) * tokenTime * (promptTokenCost*float64(w.PromptTokens) + batchedGenerationCost*float64(w.OutputTokens))
+	return time.Duration(prefill+decode+slowdown) + lateFirstTokenDelay(time.Duration(prefill), w) + memoryPressureDelay(c, w) + time.Duration(c.Penalty*float64(delayPerPenalty))
+}
+
+// timePerToken returns TimePerToken with its default.
+func (c Candidate) timePerToken() time.Duration {
+	if c.TimePerToken <= 0 {
+		return defaultTimePerToken
 	}
-	tokenTime := float64(timePerToken)
+	return c.TimePerToken
+}
+
+// PrefillTime returns the time until an engine has read a generation's prompt and
+// those that wait before it.
+func PrefillTime(c Candidate, w Workload) time.Duration {
 	// A machine is slow for about the time that a prompt takes to read, which is a
 	// small part of the time that a generation takes.
-	prefill := float64(c.UnreadTokens+w.PromptTokens) * promptTokenCost * tokenTime * c.slowdown()
+	prefill := float64(c.UnreadTokens+w.PromptTokens) * promptTokenCost * float64(c.timePerToken()) * c.slowdown()
 	if c.Running > 0 {
 		// Chunks of the prompt alternate with the steps of the other generations.
 		prefill *= 2
 	}
-	decode := float64(w.OutputTokens) * tokenTime * (1 + batchedGenerationCost*float64(c.Running))
-	slowdown := float64(c.Running) * tokenTime * (promptTokenCost*float64(w.PromptTokens) + batchedGenerationCost*float64(w.OutputTokens))
-	return time.Duration(prefill+decode+slowdown) + lateFirstTokenDelay(time.Duration(prefill), w) + memoryPressureDelay(c, w) + time.Duration(c.Penalty*float64(delayPerPenalty))
+	return time.Duration(prefill)
 }
 
 // lateFirstTokenDelay returns the cost of the risk that the first token is late.
@@ -93,6 +104,19 @@
 	return time.Duration(max(load-memoryPressureThreshold, 0) * float64(fullMemoryDelay))
 }
 
+// HasMemory reports whether an engine has a slot for one more generation and, within
+// a share of its memory, room for the given number of tokens. An empty engine has
+// room for any.
+func HasMemory(c Candidate, tokens int, share float64) bool {
+	if c.Running == 0 {
+		return true
+	}
+	if c.Running >= max(c.Slots, 1) {
+		return false
+	}
+	return c.MemoryTokens == 0 || float64(c.ReservedTokens+c.BackupTokens+tokens) <= share*float64(c.MemoryTokens)
+}
+
 // PreemptionLikely reports whether the given number of additional tokens would load an
 // engine so much that generations are likely to be preempted.
 func PreemptionLikely(c Candidate, tokens int) bool {
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -39,11 +39,14 @@
 	servicesByName map[string]*Service
 	accountsByKey  map[string]*Account
 	routesByHost   map[string][]*Route
+	// mostUrgent holds the lowest priority value of each service's generation
+	// routes.
+	mostUrgent map[string]int
 }
 
 // NewIndex builds the index of a configuration, which may be nil.
 func NewIndex(cfg *Config) *Index {
-	index := &Index{config: cfg, servicesByName: map[string]*Service{}, accountsByKey: map[string]*Account{}, routesByHost: map[string][]*Route{}}
+	index := &Index{config: cfg, servicesByName: map[string]*Service{}, accountsByKey: map[string]*Account{}, routesByHost: map[string][]*Route{}, mostUrgent: map[string]int{}}
 	if cfg == nil {
 		return index
 	}
@@ -58,6 +61,7 @@
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		index.routesByHost[r.Host] = append(index.routesByHost[r.Host], r)
+		index.addPriority(r)
 	}
 	for _, routes := range index.routesByHost {
 		// The first match is used, so the longest prefix comes first.
@@ -66,6 +70,18 @@
 	return index
 }
 
+// addPriority adds the priority of a route to those of its services.
+func (index *Index) addPriority(r *Route) {
+	if r.Kind != Generation {
+		return
+	}
+	for _, b := range r.Backends {
+		if urgent, found := index.mostUrgent[b.Service]; !found || r.Priority < urgent {
+			index.mostUrgent[b.Service] = r.Priority
+		}
+	}
+}
+
 // NewView builds a view of a configuration, which may be nil. Targets are
 // keyed by ID.
 func NewView(revision uint64, cfg *Config, targets map[string]*ObservedTarget, drained []string) *View {
@@ -116,6 +132,10 @@
 	return s, ok
 }
 
+// MostUrgentPriority returns the priority of a service's most urgent generation
+// route; a lower value is more urgent.
+func (v *View) MostUrgentPriority(service string) int { return v.index.mostUrgent[service] }
+
 // Target returns a target by ID.
 func (v *View) Target(id string) (*ObservedTarget, bool) {
 	t, ok := v.targetsByID[id]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,7 +218,16 @@
 	if g.cfg.CrashEvidence.isPoison(x.fingerprint) {
 		return failure.New(failure.KindOverloaded, "the request crashed every target that ran it").WithRetryAfter(poisonRetryAfter)
 	}
-	if x.route.Kind == directory.Generation && g.exitsBeforeEnd(x) {
+	if x.route.Kind == directory.Generation {
+		return g.checkMayStart(x)
+	}
+	return nil
+}
+
+// checkMayStart returns an error when the process is expected to exit before a
+// generation ends.
+func (g *Gateway) checkMayStart(x *exchange) error {
+	if g.exitsBeforeEnd(x) {
 		return failure.New(failure.KindStopping, "the process is expected to exit before the generation ends").WithRetryAfter(stoppingRetryAfter)
 	}
 	return nil
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -4,16 +4,19 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"filbertdeck/internal/call"
+	"filbertdeck/internal/decide/deferral"
 	"filbertdeck/internal/decide/enginespeed"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/sse"
+	"filbertdeck/internal/wake"
 )
 
 // engineFullRetryAfter is returned when an engine is full: a generation ends
@@ -126,14 +129,18 @@
 	var lastErr error
 	var counts attemptCounts
 	for {
-		selection := gen.g.selectionState()
-		target, reservation, ok := gen.g.cfg.Loads.Acquire(selection.view, gen.placementRequest(exclude))
-		if !ok {
+		selection, reservation, err := gen.acquire(exclude)
+		if err != nil {
+			lastErr = err
+			break
+		}
+		if reservation == nil {
 			break
 		}
+		target := reservation.entry
 		gen.setTarget(target, nil, nil)
 		gen.g.cfg.Log.Info("generation placed", "request", gen.ID, "route", gen.route.Name, "target", target.ID,
-			"tokens", expectedTokens(gen.Prompt), "prompt", gen.Prompt.Tokens, "max", gen.Prompt.MaxOutputTokens, "hint", gen.Prompt.LengthHint, "basis", selection, "tries", counts.sent+counts.unsent+1,
+			"tokens", expectedTokens(gen.Prompt), "prompt", gen.Prompt.Tokens, "max", gen.Prompt.MaxOutputTokens, "hint", gen.Prompt.LengthHint, "basis", selection, "tries", counts.sent+counts.unsent+1, "after", time.Since(gen.ArrivedAt),
 			"running", reservation.candidate.Running, "promised", reservation.candidate.ReservedTokens, "unread", reservation.candidate.UnreadTokens, "step", reservation.candidate.TimePerToken)
 		stream, err := gen.openStream(gen.newSend(target), target, reservation, selection)
 		if err == nil {
@@ -155,6 +162,56 @@
 	return nil, gen.g.withTimeToRoom(lastErr, gen.placementRequest(nil))
 }
 
+// acquire reserves an engine for a new run of the generation; nil when none accepts
+// it. While no engine has room the generation waits. The error says why it must not
+// wait longer.
+func (gen *generation) acquire(exclude []string) (*selectionState, *Reservation, error) {
+	req := gen.placementRequest(exclude)
+	for {
+		search := gen.nextSearch(req)
+		req.MemoryShare = search.MemoryShare
+		selection := gen.g.selectionState()
+		_, reservation, outcome := gen.g.cfg.Loads.AcquireWithRoom(selection.view, req)
+		if outcome != NoRoom {
+			return selection, reservation, nil
+		}
+		gen.g.metrics.searchesWithoutRoom.Inc(1)
+		if search.Wait == 0 {
+			return nil, nil, failure.New(failure.KindOverloaded, "no engine of %s had memory within half of the caller's time", req.Service).WithRetryAfter(gen.expectedDuration())
+		}
+		wake.Sleep(gen.ctx, search.Wait)
+		if err := gen.g.checkMayStart(gen.exchange); err != nil {
+			return nil, nil, err
+		}
+		if gen.ctx.Err() != nil {
+			return nil, nil, failure.New(failure.KindOverloaded, "the caller left or its deadline passed while no engine had memory")
+		}
+	}
+}
+
+// nextSearch returns how to search for an engine now.
+func (gen *generation) nextSearch(req PlacementRequest) deferral.Search {
+	return deferral.Next(deferral.Generation{
+		Urgent: gen.mostUrgent(), Waited: time.Since(gen.ArrivedAt), Timeout: gen.deadline.Sub(gen.ArrivedAt),
+		FirstTokenObjective: req.FirstEventObjective, TimeToFirstToken: gen.g.cfg.Loads.TimeToFirstToken(req),
+	}, rand.Float64())
+}
+
+// expectedDuration returns the time that the generation is expected to take.
+func (gen *generation) expectedDuration() time.Duration {
+	tokensPerEvent := 1
+	if gen.service.Engine != nil {
+		tokensPerEvent = gen.service.Engine.TokensPerEvent
+	}
+	return gen.g.averageTimes.expectedDuration(gen.Prompt, tokensPerEvent)
+}
+
+// mostUrgent reports whether no route of the service has generations that are more
+// urgent.
+func (gen *generation) mostUrgent() bool {
+	return gen.priority() <= gen.view.MostUrgentPriority(gen.service.Name)
+}
+
 // placementRequest returns the requirements for an engine that starts a new run
 // of the generation.
 func (gen *generation) placementRequest(exclude []string) PlacementRequest {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,6 +42,9 @@
 	// unreadableFigures counts the figures of targets' load reports that can't be
 	// read.
 	unreadableFigures gometrics.Counter
+	// searchesWithoutRoom counts the searches that found no engine with room for a
+	// generation, which then waited.
+	searchesWithoutRoom gometrics.Counter
 }
 
 // kindMetrics are the metrics of one request kind.
@@ -60,7 +63,7 @@
 		broken: counter("generations_broken"), callerLeft: counter("generations_left"), retries: counter("sent_again"),
 		movedByCopy: counter("moved.copy"), movedToBackup: counter("moved.backup"), resumedAfterLoss: counter("moved.after_loss"), newRuns: counter("moved.anew"),
 		copiesFailed: counter("copies_failed"), leavingAnswers: counter("answers_leaving"), restAnswers: counter("answers_rest"),
-		unreadableFigures: counter("load_figures_unreadable"),
+		unreadableFigures: counter("load_figures_unreadable"), searchesWithoutRoom: counter("searches_without_room"),
 	}
 	for _, kind := range []directory.RequestKind{directory.AtMostOnce, directory.Repeatable, directory.Generation} {
 		m.byKind[kind] = &kindMetrics{
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -31,8 +31,24 @@
 	Locality            Locality
 	// Exclude lists the ids of targets that are left out.
 	Exclude []string
+	// MemoryShare is the share of an engine's memory beyond which the request is not
+	// placed there; 0 for any.
+	MemoryShare float64
 }
 
+// Outcome is the result of a search for a target.
+type Outcome int
+
+const (
+	// NoTarget means that no target accepts the request.
+	NoTarget Outcome = iota
+	// NoRoom means that targets accept the request, but none of them has the memory
+	// for it.
+	NoRoom
+	// Placed means that a target is reserved for the request.
+	Placed
+)
+
 // work returns the work that a generation causes at an engine.
 func (req PlacementRequest) work() placement.Workload {
 	return placement.Workload{PromptTokens: req.Prompt.Tokens, OutputTokens: expectedOutputTokens(req.Prompt), FirstTokenObjective: req.FirstEventObjective}
@@ -47,31 +63,50 @@
 // that its target may accept more, it borrows one request from a host that
 // shares the rate.
 func (l *TargetLoads) Acquire(view *directory.View, req PlacementRequest) (*directory.ObservedTarget, *Reservation, bool) {
+	req.MemoryShare = 0
+	t, reservation, outcome := l.AcquireWithRoom(view, req)
+	return t, reservation, outcome == Placed
+}
+
+// AcquireWithRoom is Acquire for a request that is placed only at an engine that
+// has room for it within the request's MemoryShare.
+func (l *TargetLoads) AcquireWithRoom(view *directory.View, req PlacementRequest) (*directory.ObservedTarget, *Reservation, Outcome) {
 	l.borrowForService(view, req, l.isStale)
-	t, reservation, ok := l.acquireWithinShare(view, req)
-	if !ok && l.borrowForService(view, req, anyAge) {
+	t, reservation, outcome := l.acquireWithinShare(view, req)
+	if outcome == NoTarget && l.borrowForService(view, req, anyAge) {
 		return l.acquireWithinShare(view, req)
 	}
-	return t, reservation, ok
+	return t, reservation, outcome
 }
 
-// acquireWithinShare is Acquire without borrowing from other hosts' shares of a
-// rate.
-func (l *TargetLoads) acquireWithinShare(view *directory.View, req PlacementRequest) (*directory.ObservedTarget, *Reservation, bool) {
+// acquireWithinShare is AcquireWithRoom without borrowing from other hosts' shares
+// of a rate.
+func (l *TargetLoads) acquireWithinShare(view *directory.View, req PlacementRequest) (*directory.ObservedTarget, *Reservation, Outcome) {
 	sampled, firstCount := l.sample(view, req)
 	answered := l.queryOwners(req, sampled[:firstCount])
 	reservation, crowded := l.reserveBest(view, req, sampled[:firstCount], firstCount < len(sampled))
 	if crowded {
 		answered = l.queryOwners(req, sampled[firstCount:]) || answered
-		reservation, _ = l.reserveBest(view, req, sampled, false)
+		reservation, crowded = l.reserveBest(view, req, sampled, false)
 	}
-	if reservation == nil {
-		return nil, nil, false
+	switch {
+	case reservation == nil && crowded:
+		return nil, nil, NoRoom
+	case reservation == nil:
+		return nil, nil, NoTarget
 	}
 	if answered {
 		reservation = l.confirm(view, req, sampled, reservation)
 	}
-	return reservation.entry, reservation, true
+	return reservation.entry, reservation, Placed
+}
+
+// TimeToFirstToken returns the time that an engine with room is expected to take to
+// the first token of a generation.
+func (l *TargetLoads) TimeToFirstToken(req PlacementRequest) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return placement.PrefillTime(placement.Candidate{Running: 1, TimePerToken: l.speeds.Median()}, req.work())
 }
 
 // sample draws the targets to consider: the first ones are considered at once,
@@ -100,8 +135,9 @@
 	return placement.SampleSize(targets, l.hostCount())
 }
 
-// reserveBest reserves the best of the sampled targets; nil when there is none.
-// With others left to consider it reserves nothing when the best is crowded.
+// reserveBest reserves the best of the sampled targets; nil when there is none. It
+// reserves nothing when the best has no room for the request or, with others left to
+// consider, is crowded.
 func (l *TargetLoads) reserveBest(view *directory.View, req PlacementRequest, sampled targetCandidates, others bool) (r *Reservation, crowded bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -112,6 +148,9 @@
 	if others && placement.PreemptionLikely(best.Candidate, expectedTokens(req.Prompt)) {
 		return nil, true
 	}
+	if req.MemoryShare > 0 && !placement.HasMemory(best.Candidate, expectedTokens(req.Prompt), req.MemoryShare) {
+		return nil, true
+	}
 	return l.reserveCandidate(best, req.Prompt), false
 }
 
