A choice of a target costs what it looks at

Cause: a choice listed every target of the service with a candidate each, summed the counts of all targets, and sorted the speeds of all engines for their median, under one lock, to compare twelve. An owner's answer walked all counts for one target.

Counts are kept by target; a sample is drawn by stepping through the service's list in a random stride, and looks at no more targets than it takes (views index targets by data centre); candidates are built for the sample; the median is computed anew after an eighth of the estimates has changed.

Ruled out: a Fisher-Yates shuffle over a sparse permutation (33 KB a choice).

--- a/internal/decide/enginespeed/enginespeed.go
+++ b/internal/decide/enginespeed/enginespeed.go
@@ -40,7 +40,18 @@
 )
 
 // Estimator holds the estimates known to one host.
-type Estimator struct{ estimates map[string]*estimate }
+type Estimator struct {
+	estimates map[string]*estimate
+	// median is the last computed median, and changes counts the changes of
+	// estimates since then.
+	median  time.Duration
+	changes int
+}
+
+// medianRefreshDivisor divides the number of estimates; after so many changes the
+// median is computed anew, so that a change costs little however many engines there
+// are.
+const medianRefreshDivisor = 8
 
 // estimate is what is known of one engine: this host's estimate, the last one
 // received from another host, and the last one published, as times per token.
@@ -62,6 +73,7 @@
 // estimate should be sent to other hosts.
 func (est *Estimator) AddSample(target string, perToken time.Duration) bool {
 	e := est.estimate(target)
+	est.changes++
 	current := e.timePerToken()
 	switch {
 	case perToken <= 0 || float64(perToken) < minSampleRatio*float64(current):
@@ -83,8 +95,9 @@
 
 // SetRemote sets the estimate received from another host.
 func (est *Estimator) SetRemote(target string, perToken time.Duration) {
-	if perToken > 0 {
-		est.estimate(target).remote = perToken
+	if e := est.estimate(target); perToken > 0 && perToken != e.remote {
+		e.remote = perToken
+		est.changes++
 	}
 }
 
@@ -106,9 +119,17 @@
 	return 0
 }
 
-// Median returns the median time per token of all known engines, or 0 if none is
-// known. It is used for engines that have just joined.
+// Median returns the median time per token of the known engines, or 0 if none is
+// known. It is used for engines that have just joined, and may lag a few changes
+// behind.
 func (est *Estimator) Median() time.Duration {
+	if est.changes > len(est.estimates)/medianRefreshDivisor {
+		est.median, est.changes = est.computeMedian(), 0
+	}
+	return est.median
+}
+
+func (est *Estimator) computeMedian() time.Duration {
 	var times []time.Duration
 	for _, e := range est.estimates {
 		if perToken := e.timePerToken(); perToken > 0 {
@@ -127,6 +148,7 @@
 	for target := range est.estimates {
 		if !known(target) {
 			delete(est.estimates, target)
+			est.changes++
 		}
 	}
 }
--- a/internal/decide/targetload/targetload.go
+++ b/internal/decide/targetload/targetload.go
@@ -82,8 +82,6 @@
 	return Load{l.Running - other.Running, l.ReservedTokens - other.ReservedTokens, l.UnreadTokens - other.UnreadTokens, l.BackupTokens - other.BackupTokens}
 }
 
-type entryKey struct{ host, target string }
-
 type entry struct {
 	HostLoad
 	receivedAt time.Duration
@@ -96,10 +94,11 @@
 
 // Table holds the counts known to one host.
 type Table struct {
-	self        string
-	version     uint64
-	failureSeq  uint32
-	counts      map[entryKey]entry
+	self       string
+	version    uint64
+	failureSeq uint32
+	// counts holds the counts by target and host. Most calls concern one target.
+	counts      map[string]map[string]entry
 	peers       peerBits
 	lastRefresh time.Duration
 }
@@ -107,7 +106,7 @@
 // New returns an empty table for the host self. start must be higher than any
 // version that an earlier process of the host used, such as the time of day.
 func New(self string, start uint64) *Table {
-	return &Table{self: self, version: start, counts: map[entryKey]entry{}, peers: newPeerBits()}
+	return &Table{self: self, version: start, counts: map[string]map[string]entry{}, peers: newPeerBits()}
 }
 
 // SetLocalLoad sets this host's load on a target.
@@ -161,7 +160,7 @@
 
 // LocalCount returns this host's count of a target, or an empty one.
 func (t *Table) LocalCount(target string) HostLoad {
-	c := t.counts[entryKey{t.self, target}].HostLoad
+	c := t.counts[target][t.self].HostLoad
 	c.Host, c.Target = t.self, target
 	return c
 }
@@ -170,8 +169,25 @@
 func (t *Table) setLocal(now time.Duration, c HostLoad) {
 	t.version++
 	c.Version = t.version
-	k := entryKey{c.Host, c.Target}
-	t.counts[k] = entry{HostLoad: c, receivedAt: now, versionSentToOwner: t.counts[k].versionSentToOwner}
+	t.put(entry{HostLoad: c, receivedAt: now, versionSentToOwner: t.counts[c.Target][c.Host].versionSentToOwner})
+}
+
+// put stores a count.
+func (t *Table) put(e entry) {
+	byHost := t.counts[e.Target]
+	if byHost == nil {
+		byHost = map[string]entry{}
+		t.counts[e.Target] = byHost
+	}
+	byHost[e.Host] = e
+}
+
+// remove removes a count.
+func (t *Table) remove(target, host string) {
+	delete(t.counts[target], host)
+	if len(t.counts[target]) == 0 {
+		delete(t.counts, target)
+	}
 }
 
 // OwnerUpdates returns this host's own counts that changed since the last call or are
@@ -180,12 +196,13 @@
 	t.refresh(now)
 	t.expire(now)
 	var updates []HostLoad
-	for k, c := range t.counts {
-		if k.host != t.self || c.versionSentToOwner == c.Version {
+	for _, byHost := range t.counts {
+		c, found := byHost[t.self]
+		if !found || c.versionSentToOwner == c.Version {
 			continue
 		}
 		c.versionSentToOwner = c.Version
-		t.counts[k] = c
+		byHost[t.self] = c
 		updates = append(updates, c.HostLoad)
 	}
 	return updates
@@ -194,10 +211,10 @@
 // ReplaceTarget replaces the counts of a target with the complete answer of its owner.
 // Other hosts' counts that are missing from the answer have ended.
 func (t *Table) ReplaceTarget(now time.Duration, target string, counts []HostLoad) {
-	for k := range t.counts {
-		fromHost := func(c HostLoad) bool { return c.Host == k.host }
-		if k.target == target && k.host != t.self && !slices.ContainsFunc(counts, fromHost) {
-			delete(t.counts, k)
+	for host := range t.counts[target] {
+		fromHost := func(c HostLoad) bool { return c.Host == host }
+		if host != t.self && !slices.ContainsFunc(counts, fromHost) {
+			t.remove(target, host)
 		}
 	}
 	t.Merge(now, "", counts)
@@ -207,8 +224,8 @@
 // empty ones.
 func (t *Table) ForTarget(now time.Duration, target string) []HostLoad {
 	var counts []HostLoad
-	for k, c := range t.counts {
-		if k.target == target && !c.isZero() && (k.host == t.self || now-c.receivedAt < expireAfter) {
+	for host, c := range t.counts[target] {
+		if !c.isZero() && (host == t.self || now-c.receivedAt < expireAfter) {
 			counts = append(counts, c.HostLoad)
 		}
 	}
@@ -228,30 +245,29 @@
 		bit = t.bit(peer)
 	}
 	for _, c := range counts {
-		k := entryKey{c.Host, c.Target}
 		if c.Host == t.self {
 			// An earlier process of this host wrote this count. This process must
 			// supersede it, even if the clock was set back in the meantime.
 			if c.Version > t.version {
 				t.version = c.Version
-				t.SetLocalLoad(now, c.Target, t.counts[k].Load)
+				t.SetLocalLoad(now, c.Target, t.counts[c.Target][t.self].Load)
 			}
 			continue
 		}
-		current, found := t.counts[k]
+		current, found := t.counts[c.Target][c.Host]
 		switch {
 		case !found && c.isZero():
 			// Hosts that query a target send their own count of it, which is mostly
 			// empty. Keeping these counts would fill answers and memory.
 		case !found || c.Version > current.Version:
-			t.counts[k] = entry{HostLoad: c, receivedAt: now, sentTo: bit}
+			t.put(entry{HostLoad: c, receivedAt: now, sentTo: bit})
 		case c.Version == current.Version:
 			current.sentTo |= bit
 			if peer == "" {
 				// The owner expires counts that their hosts do not resend.
 				current.receivedAt = now
 			}
-			t.counts[k] = current
+			t.put(current)
 		}
 	}
 }
@@ -263,13 +279,15 @@
 	t.expire(now)
 	bit := t.bit(peer)
 	var updates []HostLoad
-	for k, c := range t.counts {
-		if k.host == peer || c.sentTo&bit != 0 {
-			continue
+	for _, byHost := range t.counts {
+		for host, c := range byHost {
+			if host == peer || c.sentTo&bit != 0 {
+				continue
+			}
+			c.sentTo |= bit
+			byHost[host] = c
+			updates = append(updates, c.HostLoad)
 		}
-		c.sentTo |= bit
-		t.counts[k] = c
-		updates = append(updates, c.HostLoad)
 	}
 	return updates
 }
@@ -281,9 +299,11 @@
 	if !reassigned {
 		return bit
 	}
-	for k, c := range t.counts {
-		c.sentTo &^= bit
-		t.counts[k] = c
+	for _, byHost := range t.counts {
+		for host, c := range byHost {
+			c.sentTo &^= bit
+			byHost[host] = c
+		}
 	}
 	return bit
 }
@@ -299,16 +319,14 @@
 	Leaving bool
 }
 
-// Totals returns the totals of every target in one pass. Summing per target would
-// read all counts again for each target of a service.
-func (t *Table) Totals(now time.Duration) map[string]Total {
-	sums := make(map[string]Total)
-	for k, c := range t.counts {
-		local := k.host == t.self
+// Total returns the total of one target.
+func (t *Table) Total(now time.Duration, target string) Total {
+	var sum Total
+	for host, c := range t.counts[target] {
+		local := host == t.self
 		if !local && now-c.receivedAt >= expireAfter {
 			continue
 		}
-		sum := sums[k.target]
 		if !local {
 			sum.OtherHostsLoad = sum.OtherHostsLoad.Add(c.Load)
 		}
@@ -316,9 +334,8 @@
 			sum.Hosts++
 		}
 		sum.Leaving = sum.Leaving || c.Leaving
-		sums[k.target] = sum
 	}
-	return sums
+	return sum
 }
 
 // refresh resends this host's counts of running requests every RefreshInterval.
@@ -327,18 +344,20 @@
 		return
 	}
 	t.lastRefresh = now
-	for k, c := range t.counts {
-		if k.host == t.self && c.Running > 0 && now-c.receivedAt >= RefreshInterval {
-			t.SetLocalLoad(now, k.target, c.Load)
+	for target, byHost := range t.counts {
+		if c, found := byHost[t.self]; found && c.Running > 0 && now-c.receivedAt >= RefreshInterval {
+			t.SetLocalLoad(now, target, c.Load)
 		}
 	}
 }
 
 // expire removes the counts that were not resent in time.
 func (t *Table) expire(now time.Duration) {
-	for k, c := range t.counts {
-		if now-c.receivedAt >= expireAfter {
-			delete(t.counts, k)
+	for target, byHost := range t.counts {
+		for host, c := range byHost {
+			if now-c.receivedAt >= expireAfter {
+				t.remove(target, host)
+			}
 		}
 	}
 }
--- a/internal/decide/targetload/targetload_test.go
+++ b/internal/decide/targetload/targetload_test.go
@@ -27,7 +27,7 @@
 		b.SetLocalLoad(0, "e-1", load(1, 3000))
 		b.Merge(0, "a", a.PeerUpdates(0, "b"))
 		c.Merge(0, "b", b.PeerUpdates(0, "c"))
-		Expect(c.Totals(0)["e-1"].OtherHostsLoad).To(Equal(load(3, 10000)))
+		Expect(c.Total(0, "e-1").OtherHostsLoad).To(Equal(load(3, 10000)))
 		Expect(b.PeerUpdates(0, "c")).To(BeEmpty())
 		Expect(c.PeerUpdates(0, "b")).To(BeEmpty())
 	})
@@ -40,9 +40,9 @@
 		b.Merge(0, "a", a.PeerUpdates(0, "b"))
 		for now := time.Duration(0); now < 20*time.Second; now += time.Second {
 			b.Merge(now, "a", a.PeerUpdates(now, "b"))
-			Expect(b.Totals(now)["e-1"].OtherHostsLoad).To(Equal(load(1, 3000)))
+			Expect(b.Total(now, "e-1").OtherHostsLoad).To(Equal(load(1, 3000)))
 		}
-		Expect(b.Totals(40 * time.Second)["e-1"].OtherHostsLoad).To(Equal(load(0, 0)))
+		Expect(b.Total(40*time.Second, "e-1").OtherHostsLoad).To(Equal(load(0, 0)))
 	})
 
 	// A process is restarted on a host whose clock was set back. Its counts carry
@@ -56,12 +56,12 @@
 		restarted.SetLocalLoad(0, "e-1", load(1, 3000))
 		restarted.Merge(0, "b", b.PeerUpdates(0, "a"))
 		b.Merge(0, "a", restarted.PeerUpdates(0, "b"))
-		Expect(b.Totals(0)["e-1"].OtherHostsLoad.Running).To(BeNumerically(">=", 1))
+		Expect(b.Total(0, "e-1").OtherHostsLoad.Running).To(BeNumerically(">=", 1))
 		relay := targetload.New("c", 1)
 		relay.Merge(0, "b", b.PeerUpdates(0, "c"))
 		restarted.Merge(0, "c", relay.PeerUpdates(0, "a2"))
 		b.Merge(0, "a", restarted.PeerUpdates(0, "b"))
-		Expect(b.Totals(0)["e-1"].OtherHostsLoad).To(Equal(load(1, 3000)))
+		Expect(b.Total(0, "e-1").OtherHostsLoad).To(Equal(load(1, 3000)))
 	})
 
 	It("are not replaced by an older version", func() {
@@ -71,7 +71,7 @@
 		a.SetLocalLoad(0, "e-1", load(1, 0))
 		b.Merge(0, "a", a.PeerUpdates(0, "b"))
 		b.Merge(0, "a", stale)
-		Expect(b.Totals(0)["e-1"].OtherHostsLoad).To(Equal(load(1, 0)))
+		Expect(b.Total(0, "e-1").OtherHostsLoad).To(Equal(load(1, 0)))
 	})
 
 	// A host meets more peers over time than it can track. If a new peer were
@@ -145,9 +145,9 @@
 		owner.Merge(0, "", a.OwnerUpdates(0))
 		b.ReplaceTarget(0, "e-1", owner.ForTarget(0, "e-1"))
 		b.ReplaceTarget(0, "e-2", owner.ForTarget(0, "e-2"))
-		Expect(b.Totals(0)["e-1"].OtherHostsLoad).To(Equal(load(1, 3000)))
+		Expect(b.Total(0, "e-1").OtherHostsLoad).To(Equal(load(1, 3000)))
 		b.ReplaceTarget(0, "e-1", nil)
-		Expect(b.Totals(0)["e-1"].OtherHostsLoad).To(Equal(load(0, 0)))
-		Expect(b.Totals(0)["e-2"].OtherHostsLoad).To(Equal(load(1, 3000)))
+		Expect(b.Total(0, "e-1").OtherHostsLoad).To(Equal(load(0, 0)))
+		Expect(b.Total(0, "e-2").OtherHostsLoad).To(Equal(load(1, 3000)))
 	})
 })
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -14,7 +15,7 @@
 	Config             *Config
 	index              *Index
 	targetsByID        map[string]*ObservedTarget
-	targetsByService   map[string][]*ObservedTarget
+	targetsByService   map[string]*serviceTargets
 	drainedDataCentres map[string]bool
 }
 
@@ -92,20 +93,37 @@
 func NewViewFromIndex(revision uint64, index *Index, targets map[string]*ObservedTarget, drained []string) *View {
 	v := &View{
 		Revision: revision, Config: index.config, index: index, targetsByID: targets,
-		targetsByService: map[string][]*ObservedTarget{}, drainedDataCentres: map[string]bool{},
+		targetsByService: map[string]*serviceTargets{}, drainedDataCentres: map[string]bool{},
 	}
 	for _, dc := range drained {
 		v.drainedDataCentres[dc] = true
 	}
-	for _, t := range targets {
-		v.targetsByService[t.Service] = append(v.targetsByService[t.Service], t)
-	}
-	for _, pool := range v.targetsByService {
-		slices.SortFunc(pool, func(a, b *ObservedTarget) int { return strings.Compare(a.ID, b.ID) })
+	for _, t := range sortedByID(targets) {
+		pool := v.targetsByService[t.Service]
+		if pool == nil {
+			pool = &serviceTargets{byDataCentre: map[string][]*ObservedTarget{}}
+			v.targetsByService[t.Service] = pool
+		}
+		pool.add(t)
 	}
 	return v
 }
 
+func sortedByID(targets map[string]*ObservedTarget) []*ObservedTarget {
+	return slices.SortedFunc(maps.Values(targets), func(a, b *ObservedTarget) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// serviceTargets are the targets of one service, sorted by ID.
+type serviceTargets struct {
+	all          []*ObservedTarget
+	byDataCentre map[string][]*ObservedTarget
+}
+
+func (s *serviceTargets) add(t *ObservedTarget) {
+	s.all = append(s.all, t)
+	s.byDataCentre[t.DataCentre] = append(s.byDataCentre[t.DataCentre], t)
+}
+
 // Route returns the route of a host and path, the one with the longest
 // matching prefix.
 func (v *View) Route(host, path string) (*Route, bool) {
@@ -142,9 +160,23 @@
 	return t, ok
 }
 
-// ServiceTargets returns a service's targets, including leaving and drained ones, sorted
-// by ID. The caller must not modify the slice.
-func (v *View) ServiceTargets(service string) []*ObservedTarget { return v.targetsByService[service] }
+// ServiceTargets returns a service's targets, including leaving and drained ones,
+// sorted by ID. The caller must not modify the slice.
+func (v *View) ServiceTargets(service string) []*ObservedTarget {
+	if s := v.targetsByService[service]; s != nil {
+		return s.all
+	}
+	return nil
+}
+
+// ServiceTargetsIn returns those of a service's targets that are in a data centre,
+// sorted by ID. The caller must not modify the slice.
+func (v *View) ServiceTargetsIn(service, dataCentre string) []*ObservedTarget {
+	if s := v.targetsByService[service]; s != nil {
+		return s.byDataCentre[dataCentre]
+	}
+	return nil
+}
 
 // IsDrained reports whether operators have drained a data centre.
 func (v *View) IsDrained(dataCentre string) bool { return v.drainedDataCentres[dataCentre] }
--- a/internal/gateway/candidate.go
+++ b/internal/gateway/candidate.go
@@ -128,19 +128,6 @@
 	l.loadOf(target).unreachableAt = l.now()
 }
 
-// eligible returns the targets of a service that accept a request now.
-func (l *TargetLoads) eligible(view *directory.View, req PlacementRequest) targetCandidates {
-	var out targetCandidates
-	totals, alerts, defaultStep := l.hostLoads.Totals(l.now()), l.alerts.Totals(l.now()), l.speeds.Median()
-	for _, t := range view.ServiceTargets(req.Service) {
-		if !acceptsRequest(view, req, t) || alerts[t.ID].Leaving || !l.accepts(view, t) {
-			continue
-		}
-		out = append(out, targetCandidate{l.newCandidate(view, t, req.Locality, totals[t.ID].OtherHostsLoad, defaultStep), t})
-	}
-	return out
-}
-
 // acceptsRequest reports whether a target accepts a request according to the
 // published state.
 func acceptsRequest(view *directory.View, req PlacementRequest, t *directory.ObservedTarget) bool {
@@ -167,14 +154,13 @@
 }
 
 // newCandidate returns the placement candidate for a target. others is the load
-// that other hosts have there, defaultStep the time per token assumed for
-// engines without measurements.
-func (l *TargetLoads) newCandidate(view *directory.View, t *directory.ObservedTarget, locality Locality, others targetload.Load, defaultStep time.Duration) placement.Candidate {
+// that other hosts have there.
+func (l *TargetLoads) newCandidate(view *directory.View, t *directory.ObservedTarget, locality Locality, others targetload.Load) placement.Candidate {
 	own := l.loadOf(t.ID)
 	all := own.Add(others)
 	c := placement.Candidate{
 		ID: t.ID, Running: all.Running, Slots: t.Slots, ReservedTokens: all.ReservedTokens, BackupTokens: all.BackupTokens, UnreadTokens: all.UnreadTokens,
-		TimePerToken: cmp.Or(l.speeds.TimePerToken(t.ID), defaultStep), Slowdown: l.reports.Slowdown(l.now(), t.Lifetime()),
+		TimePerToken: cmp.Or(l.speeds.TimePerToken(t.ID), l.speeds.Median()), Slowdown: l.reports.Slowdown(l.now(), t.Lifetime()),
 	}
 	c.Running += l.reports.Unaccounted(l.now(), t.Lifetime(), all.Running)
 	if s, ok := view.Service(t.Service); ok && s.Engine != nil {
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -291,14 +291,14 @@
 
 // isLeavingLocked is IsLeaving for callers that hold mu.
 func (l *TargetLoads) isLeavingLocked(t directory.Target) bool {
-	return l.departures.IsLeaving(t.Lifetime()) || l.alerts.Totals(l.now())[t.ID].Leaving
+	return l.departures.IsLeaving(t.Lifetime()) || l.alerts.Total(l.now(), t.ID).Leaving
 }
 
 // HostsUsing returns the number of hosts that have load at a target.
 func (l *TargetLoads) HostsUsing(target string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.hostLoads.Totals(l.now())[target].Hosts
+	return l.hostLoads.Total(l.now(), target).Hosts
 }
 
 // Parameters of the expected output.
--- a/internal/gateway/owner_query.go
+++ b/internal/gateway/owner_query.go
@@ -60,15 +60,15 @@
 // generation and merges their counts; false when none answered. Requests to
 // plain services are over before their counts could arrive, so they cause no
 // queries.
-func (l *TargetLoads) queryOwners(req PlacementRequest, sampled targetCandidates) bool {
+func (l *TargetLoads) queryOwners(req PlacementRequest, sampled []*directory.ObservedTarget) bool {
 	if req.Prompt.Tokens == 0 || !l.queriesOwners() {
 		return false
 	}
 	var wg sync.WaitGroup
 	var answered atomic.Bool
-	for _, candidate := range sampled {
+	for _, t := range sampled {
 		wg.Go(func() {
-			if l.queryOwner(candidate.target) {
+			if l.queryOwner(t) {
 				answered.Store(true)
 			}
 		})
@@ -100,13 +100,13 @@
 // confirm queries the owner of the reserved target and moves the reservation to
 // another sampled target while one is better. After the last query it moves
 // only to a target whose owner was queried.
-func (l *TargetLoads) confirm(view *directory.View, req PlacementRequest, sampled targetCandidates, reservation *Reservation) *Reservation {
-	var queried targetCandidates
+func (l *TargetLoads) confirm(view *directory.View, req PlacementRequest, sampled []*directory.ObservedTarget, reservation *Reservation) *Reservation {
+	var queried []*directory.ObservedTarget
 	for try := range maxOwnerQueries {
 		if !l.queryReservationOwner(reservation) {
 			break
 		}
-		queried = append(queried, targetCandidate{reservation.candidate, reservation.entry})
+		queried = append(queried, reservation.entry)
 		if try == maxOwnerQueries-1 {
 			sampled = queried
 		}
@@ -132,15 +132,15 @@
 
 // reserveBetter reserves another of the sampled targets, where the request now
 // adds less delay than at its present target; nil when there is none.
-func (l *TargetLoads) reserveBetter(view *directory.View, req PlacementRequest, sampled targetCandidates, r *Reservation) *Reservation {
+func (l *TargetLoads) reserveBetter(view *directory.View, req PlacementRequest, sampled []*directory.ObservedTarget, r *Reservation) *Reservation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	others := l.refresh(view, req, slices.DeleteFunc(slices.Clone(sampled), func(candidate targetCandidate) bool { return candidate.target.ID == r.targetID }))
-	totals, defaultStep := l.hostLoads.Totals(l.now()), l.speeds.Median()
-	here := l.newCandidate(view, r.entry, req.Locality, totals[r.targetID].OtherHostsLoad.Sub(r.load), defaultStep)
-	best := others.choose(l.rng, req)
-	if best == nil || placement.MarginalDelay(best.Candidate, req.work())+minDelaySaving > placement.MarginalDelay(here, req.work()) {
+	available := l.refresh(view, req, slices.DeleteFunc(slices.Clone(sampled), func(t *directory.ObservedTarget) bool { return t.ID == r.targetID }))
+	others := l.hostLoads.Total(l.now(), r.targetID).OtherHostsLoad
+	here := l.newCandidate(view, r.entry, req.Locality, others.Sub(r.load))
+	best := available.choose(l.rng, req)
+	if best < 0 || placement.MarginalDelay(available.candidates[best], req.work())+minDelaySaving > placement.MarginalDelay(here, req.work()) {
 		return nil
 	}
-	return l.reserveCandidate(best, req.Prompt)
+	return l.reserveCandidate(available.targets[best], available.candidates[best], req.Prompt)
 }
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -6,6 +6,7 @@
 
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/decide/placement"
+	"filbertdeck/internal/decide/sampling"
 	"filbertdeck/internal/decide/targetload"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/wake"
@@ -111,20 +112,50 @@
 
 // sample draws the targets to consider: the first ones are considered at once,
 // the rest when the best of them is crowded.
-func (l *TargetLoads) sample(view *directory.View, req PlacementRequest) (sampled targetCandidates, firstCount int) {
+func (l *TargetLoads) sample(view *directory.View, req PlacementRequest) (sampled []*directory.ObservedTarget, firstCount int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	eligible := l.eligible(view, req)
-	firstCount = l.sampleSize(len(eligible))
-	if firstCount < len(eligible) {
+	all := view.ServiceTargets(req.Service)
+	firstCount = l.sampleSize(len(all))
+	if firstCount < len(all) {
 		// A data centre has a part of the engines, so a sample of all targets
 		// contains about one engine there, however loaded it is.
-		eligible = eligible.nearby(req.Locality.preferred)
-		firstCount = l.sampleSize(len(eligible))
+		near := view.ServiceTargetsIn(req.Service, req.Locality.preferred)
+		nearCount := l.sampleSize(len(near))
+		if sampled = l.draw(view, req, near, crowdedSampleFactor*nearCount); len(sampled) >= minNearbyTargets {
+			return sampled, min(nearCount, len(sampled))
+		}
+	}
+	sampled = l.draw(view, req, all, crowdedSampleFactor*firstCount)
+	return sampled, min(firstCount, len(sampled))
+}
+
+// draw draws up to count of the targets that accept a request, at random. It looks at
+// no more targets than it takes to find them.
+func (l *TargetLoads) draw(view *directory.View, req PlacementRequest, targets []*directory.ObservedTarget, count int) []*directory.ObservedTarget {
+	drawn := make([]*directory.ObservedTarget, 0, min(count, len(targets)))
+	order := sampling.New(len(targets), l.rng)
+	for len(drawn) < count {
+		i, ok := order.Next()
+		if !ok {
+			break
+		}
+		if t := targets[i]; l.eligible(view, req, t) {
+			drawn = append(drawn, t)
+		}
 	}
-	total := min(crowdedSampleFactor*firstCount, len(eligible))
-	eligible.shuffle(l.rng, total)
-	return eligible[:total], firstCount
+	return drawn
+}
+
+// eligible reports whether a target accepts a request from this host now.
+func (l *TargetLoads) eligible(view *directory.View, req PlacementRequest, t *directory.ObservedTarget) bool {
+	return acceptsRequest(view, req, t) && l.isAvailable(view, t)
+}
+
+// isAvailable reports whether a target takes one more request from this host, as far
+// as this is not published.
+func (l *TargetLoads) isAvailable(view *directory.View, t *directory.ObservedTarget) bool {
+	return !l.alerts.Total(l.now(), t.ID).Leaving && l.accepts(view, t)
 }
 
 // sampleSize returns how many of a number of targets to consider.
@@ -138,39 +169,41 @@
 // reserveBest reserves the best of the sampled targets; nil when there is none. It
 // reserves nothing when the best has no room for the request or, with others left to
 // consider, is crowded.
-func (l *TargetLoads) reserveBest(view *directory.View, req PlacementRequest, sampled targetCandidates, others bool) (r *Reservation, crowded bool) {
+func (l *TargetLoads) reserveBest(view *directory.View, req PlacementRequest, sampled []*directory.ObservedTarget, others bool) (r *Reservation, crowded bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	best := l.refresh(view, req, sampled).choose(l.rng, req)
-	if best == nil {
+	available := l.refresh(view, req, sampled)
+	best := available.choose(l.rng, req)
+	if best < 0 {
 		return nil, others
 	}
-	if others && placement.PreemptionLikely(best.Candidate, expectedTokens(req.Prompt)) {
+	candidate, tokens := available.candidates[best], expectedTokens(req.Prompt)
+	if others && placement.PreemptionLikely(candidate, tokens) {
 		return nil, true
 	}
-	if req.MemoryShare > 0 && !placement.HasMemory(best.Candidate, expectedTokens(req.Prompt), req.MemoryShare) {
+	if req.MemoryShare > 0 && !placement.HasMemory(candidate, tokens, req.MemoryShare) {
 		return nil, true
 	}
-	return l.reserveCandidate(best, req.Prompt), false
+	return l.reserveCandidate(available.targets[best], candidate, req.Prompt), false
 }
 
 // refresh returns those of the sampled targets that still accept work, with
 // their current load.
-func (l *TargetLoads) refresh(view *directory.View, req PlacementRequest, sampled targetCandidates) targetCandidates {
-	totals, alerts, defaultStep := l.hostLoads.Totals(l.now()), l.alerts.Totals(l.now()), l.speeds.Median()
-	out := make(targetCandidates, 0, len(sampled))
-	for _, candidate := range sampled {
-		if !alerts[candidate.target.ID].Leaving && l.accepts(view, candidate.target) {
-			out = append(out, targetCandidate{l.newCandidate(view, candidate.target, req.Locality, totals[candidate.target.ID].OtherHostsLoad, defaultStep), candidate.target})
+func (l *TargetLoads) refresh(view *directory.View, req PlacementRequest, sampled []*directory.ObservedTarget) targetCandidates {
+	c := targetCandidates{make([]placement.Candidate, 0, len(sampled)), make([]*directory.ObservedTarget, 0, len(sampled))}
+	for _, t := range sampled {
+		if l.isAvailable(view, t) {
+			c.candidates = append(c.candidates, l.newCandidate(view, t, req.Locality, l.hostLoads.Total(l.now(), t.ID).OtherHostsLoad))
+			c.targets = append(c.targets, t)
 		}
 	}
-	return out
+	return c
 }
 
 // reserveCandidate reserves the target that was chosen for a request.
-func (l *TargetLoads) reserveCandidate(candidate *targetCandidate, p call.Prompt) *Reservation {
-	reservation := l.reserve(candidate.target.ID, p)
-	reservation.entry, reservation.candidate = candidate.target, candidate.Candidate
+func (l *TargetLoads) reserveCandidate(t *directory.ObservedTarget, candidate placement.Candidate, p call.Prompt) *Reservation {
+	reservation := l.reserve(t.ID, p)
+	reservation.entry, reservation.candidate = t, candidate
 	return reservation
 }
 
@@ -183,15 +216,15 @@
 	l.queryOwners(PlacementRequest{Prompt: p}, sampled)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	eligible := l.refresh(view, req, sampled)
-	if !placement.HasRoomForBackups(eligible.placementCandidates()) {
+	available := l.refresh(view, req, sampled)
+	if !placement.HasRoomForBackups(available.candidates) {
 		return nil, nil, false
 	}
-	i := placement.ChooseBackupEngine(eligible.placementCandidates(), expectedTokens(p), l.rng.Float64())
+	i := placement.ChooseBackupEngine(available.candidates, expectedTokens(p), l.rng.Float64())
 	if i < 0 {
 		return nil, nil, false
 	}
-	backupTarget := eligible[i].target
+	backupTarget := available.targets[i]
 	return backupTarget, l.reserveLoad(backupTarget.ID, targetload.Load{BackupTokens: expectedTokens(p)}), true
 }
 
@@ -205,56 +238,17 @@
 	}
 }
 
-// targetCandidate is a target that may be chosen, with its load.
-type targetCandidate struct {
-	placement.Candidate
-	target *directory.ObservedTarget
-}
-
-// targetCandidates are the targets among which a choice is made.
-type targetCandidates []targetCandidate
-
-func (c targetCandidates) placementCandidates() []placement.Candidate {
-	out := make([]placement.Candidate, len(c))
-	for i := range c {
-		out[i] = c[i].Candidate
-	}
-	return out
+// targetCandidates are the targets among which a choice is made, each with its load at
+// the same index.
+type targetCandidates struct {
+	candidates []placement.Candidate
+	targets    []*directory.ObservedTarget
 }
 
-// choose returns the best target for a request, nil for none.
-func (c targetCandidates) choose(rng *rand.Rand, req PlacementRequest) *targetCandidate {
-	i := -1
+// choose returns the index of the best target for a request, -1 for none.
+func (c targetCandidates) choose(rng *rand.Rand, req PlacementRequest) int {
 	if req.Prompt.Tokens == 0 {
-		i = placement.ChooseLeastLoaded(c.placementCandidates(), 0, rng.Float64())
-	} else {
-		i = placement.ChooseEngine(c.placementCandidates(), req.work(), rng.Float64())
-	}
-	if i < 0 {
-		return nil
-	}
-	return &c[i]
-}
-
-// nearby returns the targets in a data centre if there are at least
-// minNearbyTargets, else all targets. An empty name matches no data centre.
-func (c targetCandidates) nearby(dataCentre string) targetCandidates {
-	var near targetCandidates
-	for _, candidate := range c {
-		if candidate.target.DataCentre == dataCentre {
-			near = append(near, candidate)
-		}
-	}
-	if len(near) < minNearbyTargets {
-		return c
-	}
-	return near
-}
-
-// shuffle moves size targets, drawn at random, to the front.
-func (c targetCandidates) shuffle(rng *rand.Rand, size int) {
-	for i := range size {
-		j := i + rng.IntN(len(c)-i)
-		c[i], c[j] = c[j], c[i]
+		return placement.ChooseLeastLoaded(c.candidates, 0, rng.Float64())
 	}
+	return placement.ChooseEngine(c.candidates, req.work(), rng.Float64())
 }
--- a/internal/gateway/rate.go
+++ b/internal/gateway/rate.go
@@ -174,7 +174,7 @@
 func (l *TargetLoads) HasRoom(view *directory.View, req PlacementRequest) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.eligible(view, req)) > 0
+	return len(l.draw(view, req, view.ServiceTargets(req.Service), 1)) > 0
 }
 
 // RateWait returns the time until this host may send to one of a service's
