Start from running hosts' records, and take over the role of a reader from where they are

Cause: a full read is one call a page, 13 at 6,001 targets. A host that became a reader for the first time read everything, though it had all records from peers; and in a first start all hosts that had nothing after two seconds read everything, whether a peer had announced the records or not.

A host watches from the revision that it holds, whoever it came from; the store's full state is read by a process without records, and after the store forgot its history. A process without records asks running hosts first: 0.3 s for the announcement, 3 s for the transfer, in a first start (no callers yet) 2 s and 10 s; the seeds of a first start read at once, as before.

Ruled out: reads that may be stale cost a tenth, but a constant is no mend, and the records have to be confirmed anyway.

--- a/internal/controller/recordsync/controller.go
+++ b/internal/controller/recordsync/controller.go
@@ -155,19 +155,22 @@
 // Run reads the store while this host is to do so, until ctx is done.
 func (c *Controller) Run(ctx context.Context) {
 	retryDelay := minRetryDelay
-	fullRead := true
+	historyGone := false
 	for ctx.Err() == nil {
 		if !c.updateRole() {
 			wake.Sleep(ctx, roleCheckInterval)
 			continue
 		}
 		startedAt := c.cfg.Now()
+		// Records that came from peers are as good as those of the store: a host
+		// that takes over the role of a reader watches from where it is.
+		fullRead := historyGone || c.completeRevision() == 0
 		err := c.readOnce(ctx, fullRead)
 		if ctx.Err() != nil {
 			return
 		}
 		c.recordCallResult(err)
-		fullRead = err != nil && (fullRead || failure.KindOf(err) == failure.KindHistoryGone)
+		historyGone = err != nil && (historyGone || failure.KindOf(err) == failure.KindHistoryGone)
 		switch {
 		case err == nil:
 			retryDelay = minRetryDelay
--- a/internal/controller/recordsync/recordsync_test.go
+++ b/internal/controller/recordsync/recordsync_test.go
@@ -32,14 +32,26 @@
 	newestOnly bool
 	revision   uint64
 	watched    []uint64
+	snapshots  int
+	// onCall is called before each call when it is set.
+	onCall func()
+}
+
+func (s *fakeStore) recordCall() {
+	if s.onCall != nil {
+		s.onCall()
+	}
 }
 
 func (s *fakeStore) ReadAll(context.Context) ([]directory.Record, uint64, error) {
+	s.recordCall()
+	s.snapshots++
 	present := slices.DeleteFunc(slices.Clone(s.records), func(r directory.Record) bool { return r.Deleted })
 	return present, s.revision, nil
 }
 
 func (s *fakeStore) Watch(_ context.Context, after uint64, _ time.Duration) ([]directory.Record, uint64, error) {
+	s.recordCall()
 	s.watched = append(s.watched, after)
 	var changed []directory.Record
 	candidates := s.changes
@@ -245,6 +257,23 @@
 	// a reader of the store before it has fetched it, and then loses the peer:
 	// a watch from the announced revision would never return that
 	// configuration.
+	// Guards against a host that reads all pages of the store each time that the role
+	// of a reader comes to it.
+	It("is where a host watches from that then becomes a reader of the store", func() {
+		source := &fakeStore{}
+		source.putConfig(4, 1, 3)
+		reader, successor := newTestHost(source), newTestHost(source)
+		reader.readStore()
+		exchangeNews(reader, successor)
+		Expect(successor.Revision()).To(Equal(uint64(4)))
+		source.snapshots = 0
+		ctx, cancel := context.WithCancel(context.Background())
+		source.onCall = cancel
+		successor.Run(ctx)
+		Expect(source.snapshots).To(BeZero())
+		Expect(source.watched).To(Equal([]uint64{4}))
+	})
+
 	It("leaves no gap for a host that then becomes a reader of the store", func() {
 		store := &fakeStore{}
 		reader, other := newTestHost(store), newTestHost(store)
--- /dev/null
+++ b/internal/decide/readers/startup_test.go
@@ -0,0 +1,31 @@
+package readers_test
+
+import (
+	"testing"
+	"time"
+
+	"filbertdeck/internal/decide/readers"
+)
+
+// Guards against hundreds of hosts that each read all pages of the store as they
+// start, and against a host that waits for peers that can't help.
+func TestStartupWaitsForPeers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		startup readers.Startup
+		want    bool
+	}{
+		{"restart, nothing heard yet", readers.Startup{Uptime: 100 * time.Millisecond}, true},
+		{"restart, no host has records", readers.Startup{Uptime: time.Second}, false},
+		{"restart, a host has records", readers.Startup{Uptime: time.Second, RecordsAnnounced: true}, true},
+		{"restart, the host does not transfer them", readers.Startup{Uptime: 4 * time.Second, RecordsAnnounced: true}, false},
+		{"restarted seed, nothing heard yet", readers.Startup{Uptime: 100 * time.Millisecond, Seed: true}, true},
+		{"first start of a seed", readers.Startup{FirstStart: true, Seed: true}, false},
+		{"first start, slow transfer", readers.Startup{Uptime: 9 * time.Second, FirstStart: true, RecordsAnnounced: true}, true},
+		{"first start, no host has records", readers.Startup{Uptime: 3 * time.Second, FirstStart: true}, false},
+	} {
+		if got := c.startup.WaitsForPeers(); got != c.want {
+			t.Errorf("%s: waits %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/gatewayhost/fetcher.go
+++ b/internal/gatewayhost/fetcher.go
@@ -41,10 +41,19 @@
 
 func newFetcher(p *recordsync.Controller, roles *readerRoles, now Clock, log *slog.Logger) *fetcher {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &fetcher{
+	f := &fetcher{
 		published: p, roles: roles, now: now, log: log, announcement: make(chan struct{}, 1),
 		plan: fetch.NewPeerSelector(fetch.DefaultConfig(), rng),
 	}
+	roles.recordsAnnounced = f.isBehind
+	return f
+}
+
+// isBehind reports whether a peer has announced published data that this host lacks.
+func (f *fetcher) isBehind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.plan.IsBehind()
 }
 
 // recordAnnouncement records that a peer holds the published data up to a
--- a/internal/gatewayhost/readerroles.go
+++ b/internal/gatewayhost/readerroles.go
@@ -27,15 +27,18 @@
 	members          *gossip.Board
 	now              Clock
 	log              *slog.Logger
-	// waitsForSeeds is set on a host that leaves the first reads of the store
-	// to the seeds.
-	waitsForSeeds bool
+	// firstStart is set when all hosts start for the first time, isSeed if other
+	// hosts ask this one first.
+	firstStart, isSeed bool
 	// publishedAge returns the age of this host's published view, false when it
 	// has none. It must be set before the first use.
 	publishedAge func() (time.Duration, bool)
 	// storeRejects reports whether the store recently rejected a call of this
 	// host. It must be set before the first use.
 	storeRejects func() bool
+	// recordsAnnounced reports whether a running host has announced published data
+	// that this host lacks. It must be set before the first use.
+	recordsAnnounced func() bool
 
 	mu      sync.Mutex
 	readers *readers.Selector
@@ -68,10 +71,9 @@
 	relays, staleRelays := readers.DefaultConfig(), readers.DefaultConfig()
 	relays.ReaderCount, staleRelays.ReaderCount = 1, maxStaleRelays
 	deployment := s.Deployment
-	isSeed := len(deployment.Seeds) == 0 || slices.Contains(deployment.Seeds, deployment.ListenPeers)
 	return &readerRoles{
-		waitsForSeeds: deployment.FirstStart && !isSeed,
-		self:          deployment.ListenPeers, dataCentre: s.DataCentre, members: members, now: now, log: log,
+		firstStart: deployment.FirstStart, isSeed: len(deployment.Seeds) == 0 || slices.Contains(deployment.Seeds, deployment.ListenPeers),
+		self: deployment.ListenPeers, dataCentre: s.DataCentre, members: members, now: now, log: log,
 		readers: readers.New(readers.DefaultConfig()), relays: readers.New(relays), staleRelays: readers.New(staleRelays),
 	}
 }
@@ -124,15 +126,9 @@
 	return max(slices.Index(r.ranking().relayGroup, r.self), 0)
 }
 
-// firstStartReadDelay is how long, when all hosts start for the first time,
-// hosts other than the seeds wait before they read the store. There are no
-// callers yet, and hundreds of hosts would read the whole store at the same
-// moment.
-const firstStartReadDelay = 2 * time.Second
-
 // shouldRead reports whether this host has to read the store.
 func (r *readerRoles) shouldRead() bool {
-	if _, known := r.publishedAge(); r.waitsForSeeds && !known && r.now() < firstStartReadDelay {
+	if _, known := r.publishedAge(); !known && r.startup().WaitsForPeers() {
 		return false
 	}
 	ranking := r.ranking()
@@ -144,6 +140,11 @@
 	return r.readers.ShouldRead(r.now(), r.self, ranking.readerCandidates, r.isFresh())
 }
 
+// startup returns the state of this host while it has no published data.
+func (r *readerRoles) startup() readers.Startup {
+	return readers.Startup{Uptime: r.now(), FirstStart: r.firstStart, Seed: r.isSeed, RecordsAnnounced: r.recordsAnnounced()}
+}
+
 // actsAsRelay reports whether this host queries the readers itself. In a small
 // fleet every host does.
 func (r *readerRoles) actsAsRelay(ranking hostRanking) bool {
--- a/internal/gatewayhost/readerroles_test.go
+++ b/internal/gatewayhost/readerroles_test.go
@@ -58,6 +58,7 @@
 		s.Deployment.ListenPeers, s.DataCentre = h.address, h.dataCentre
 		h.readerRoles = newReaderRoles(s, board, func() time.Duration { return f.now }, slog.New(slog.DiscardHandler))
 		h.publishedAge = func() (time.Duration, bool) { return f.now - h.currentAt, h.currentAt >= 0 }
+		h.recordsAnnounced, h.isSeed = func() bool { return false }, true
 		h.storeRejects = func() bool { return f.now-h.rejectedAt < recordsync.RejectionTTL }
 		f.hosts = append(f.hosts, h)
 	}
@@ -287,9 +288,9 @@
 	// A starting host knows only the seeds, so the seeds have the best ranks.
 	seeds := f.hosts[0].ranking().readerCandidates[:3]
 	for _, h := range f.hosts {
-		h.waitsForSeeds = !slices.Contains(seeds, h.address)
+		h.firstStart, h.isSeed = true, slices.Contains(seeds, h.address)
 	}
-	f.run(firstStartReadDelay)
+	f.run(2 * time.Second)
 	if n := f.staleHosts(); n > 0 {
 		t.Errorf("%d hosts have a stale view", n)
 	}
