Take no share of a limit until the number of hosts has settled

Cause: a process that had just started assumed a hundred hosts at least for three seconds, and went by its rank among the few that it knew. 585 that start together then take 5.85 times what the fleet may send to a cold or limited target; the rule holds only while the fleet is small. After three seconds it took the share of those that it knew, settled or not.

The owners of a target and the rank of a host come from one pass over the hosts in place of sorting them, and the cache of 1,000 owners, dropped whole when full, goes.

--- a/internal/decide/membership/rendezvous.go
+++ b/internal/decide/membership/rendezvous.go
@@ -29,6 +29,44 @@
 	return out
 }
 
+// TopRanked returns the first count members by Rank, in one pass over the members.
+func TopRanked(key string, members []string, count int) []string {
+	top := make([]string, 0, count+1)
+	hashes := make([]uint64, 0, count+1)
+	for _, m := range members {
+		h := hash(key, m)
+		i := len(top)
+		for i > 0 && ranksBefore(h, m, hashes[i-1], top[i-1]) {
+			i--
+		}
+		if i == count {
+			continue
+		}
+		top, hashes = slices.Insert(top, i, m), slices.Insert(hashes, i, h)
+		if len(top) > count {
+			top, hashes = top[:count], hashes[:count]
+		}
+	}
+	return top
+}
+
+// RankOf returns the position of an address by Rank: the number of members that come
+// before it.
+func RankOf(key string, members []string, address string) int {
+	h, rank := hash(key, address), 0
+	for _, m := range members {
+		if ranksBefore(hash(key, m), m, h, address) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// ranksBefore reports whether a member with one hash and address comes before another.
+func ranksBefore(hashA uint64, a string, hashB uint64, b string) bool {
+	return cmp.Or(cmp.Compare(hashB, hashA), cmp.Compare(a, b)) < 0
+}
+
 // ReadersPerDataCentre is the number of processes in a data centre that watch
 // the configuration service. Three survive two failures at once; more would use up
 // calls of a rate limit that grows more slowly than the fleet.
--- a/internal/gatewayhost/fleetview.go
+++ b/internal/gatewayhost/fleetview.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filbertdeck/internal/controller/gossip"
+	"filbertdeck/internal/decide/fleetsize"
 	"filbertdeck/internal/decide/membership"
 	"filbertdeck/internal/gateway"
 )
@@ -13,12 +14,10 @@
 const (
 	// fleetSizeInterval is how often the number of hosts is updated.
 	fleetSizeInterval = 500 * time.Millisecond
-	// startupPeriod is the time after the start in which the process does not
-	// rely on the number of hosts that it knows and assumes at least
-	// startupHostCount. A share that is too small costs a few sends; a share
-	// that is too large violates a limit that holds for all hosts together.
-	startupPeriod    = 3 * time.Second
-	startupHostCount = 100
+	// unsettledHostCount stands for the number of hosts before it is known. A share
+	// of one in so many rounds to nothing, which costs a few sends; a share that is
+	// too large violates a limit that holds for all hosts together.
+	unsettledHostCount = 1_000_000
 )
 
 // fleetView answers questions about the hosts in the membership view: their
@@ -28,11 +27,12 @@
 	members *gossip.Board
 	now     Clock
 
-	mu sync.Mutex
-	// ownersByTarget caches the owners computed from the membership view of
-	// version ownersVersion.
-	ownersByTarget map[gateway.TargetRef][]string
-	ownersVersion  uint64
+	mu   sync.Mutex
+	size fleetsize.Estimator
+	// liveByDataCentre caches the live hosts of the membership view of version
+	// liveVersion, by data centre.
+	liveByDataCentre map[string][]string
+	liveVersion      uint64
 }
 
 func newFleetView(s *Settings, members *gossip.Board, now Clock) *fleetView {
@@ -62,63 +62,72 @@
 	return 1
 }
 
-func (f *fleetView) assumedHostCount() int {
-	n := max(f.knownHostCount(), 1)
-	if f.now() < startupPeriod {
-		n = max(n, startupHostCount)
+// settledHostCount returns the number of hosts by which shares are divided, and false
+// while it is not known.
+func (f *fleetView) settledHostCount() (int, bool) {
+	known := f.knownHostCount()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(known, 1), f.size.Observe(f.now(), known)
+}
+
+// sharingHostCount returns the number of hosts that share the retry budget.
+func (f *fleetView) sharingHostCount() int {
+	if hosts, settled := f.settledHostCount(); settled {
+		return hosts
 	}
-	return n
+	return unsettledHostCount
 }
 
 // ownersPerTarget is the number of hosts that receive a target's counts: the
 // owner and the host that takes over when the owner fails.
 const ownersPerTarget = 2
 
-// maxCachedTargets bounds the cached targets, because engines come and go while
-// the membership stays the same.
-const maxCachedTargets = 1000
-
 // owners returns the live hosts that keep a target's counts, the owner first.
 // They are hosts of the target's data centre as long as it has any: a partition
 // between two data centres then separates a host from an owner only where it
 // separates the host from the target as well.
 func (f *fleetView) owners(target gateway.TargetRef) []string {
+	live := f.liveHosts(target.DataCentre)
+	if len(live) == 0 {
+		live = f.liveHosts("")
+	}
+	return membership.TopRanked(target.ID, live, ownersPerTarget)
+}
+
+// liveHosts returns the live hosts of a data centre; an empty name selects all. The
+// caller must not modify the slice.
+func (f *fleetView) liveHosts(dataCentre string) []string {
 	view := f.members.Members.Get()
 	if view == nil {
 		return nil
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.ownersByTarget == nil || f.ownersVersion != view.Version || len(f.ownersByTarget) >= maxCachedTargets {
-		f.ownersByTarget, f.ownersVersion = map[gateway.TargetRef][]string{}, view.Version
+	if f.liveByDataCentre == nil || f.liveVersion != view.Version {
+		f.liveByDataCentre, f.liveVersion = map[string][]string{}, view.Version
 	}
-	owners, cached := f.ownersByTarget[target]
+	live, cached := f.liveByDataCentre[dataCentre]
 	if !cached {
-		owners = rankOwners(view, target)
-		f.ownersByTarget[target] = owners
+		live = view.EligibleAddresses(dataCentre)
+		f.liveByDataCentre[dataCentre] = live
 	}
-	return owners
-}
-
-func rankOwners(view *membership.View, target gateway.TargetRef) []string {
-	live := view.EligibleAddresses(target.DataCentre)
-	if len(live) == 0 {
-		live = view.EligibleAddresses("")
-	}
-	ranked := membership.Rank(target.ID, live)
-	return ranked[:min(len(ranked), ownersPerTarget)]
+	return live
 }
 
 // rateSharers returns the hosts among the first limit by rank for a target,
 // without this host.
 func (f *fleetView) rateSharers(target string, limit int) []string {
-	ranked := membership.Rank(target, f.knownHosts())
-	ranked = ranked[:min(len(ranked), limit)]
-	return slices.DeleteFunc(ranked, func(host string) bool { return host == f.self })
+	top := membership.TopRanked(target, f.knownHosts(), limit)
+	return slices.DeleteFunc(top, func(host string) bool { return host == f.self })
 }
 
-// rank returns this host's rank for a target and the assumed number of hosts.
+// rank returns this host's rank for a target and the number of hosts. Before the
+// number is known the rank is behind that of any host with a share.
 func (f *fleetView) rank(target string) (rank, hosts int) {
-	rank = slices.Index(membership.Rank(target, f.knownHosts()), f.self)
-	return max(rank, 0), f.assumedHostCount()
+	hosts, settled := f.settledHostCount()
+	if !settled {
+		return unsettledHostCount, unsettledHostCount
+	}
+	return membership.RankOf(target, f.knownHosts(), f.self), hosts
 }
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -124,8 +124,8 @@
 	budget := retrybudget.New(retrybudget.Config{
 		RetryRatio: bound.Share, Burst: bound.Extra * accountBurstShare, ServiceBurst: bound.Extra, RefillPerSecond: retrybudget.NoRefill,
 	})
-	budget.SetHostCount(fleet.assumedHostCount())
-	process.RunPeriodically(lc, fleetSizeInterval, func() { budget.SetHostCount(fleet.assumedHostCount()) })
+	budget.SetHostCount(fleet.sharingHostCount())
+	process.RunPeriodically(lc, fleetSizeInterval, func() { budget.SetHostCount(fleet.sharingHostCount()) })
 	return budget
 }
 
