--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -165,6 +165,8 @@
 	// Busy is set when the target rejected the check for lack of capacity,
 	// which says nothing about its health.
 	Busy bool
+	// ColdFor is how long the target stays cold, 0 when it is warm or does not say.
+	ColdFor time.Duration
 }
 
 // Codec translates between the wire format and the types of this package. It
--- a/internal/gateway/candidate.go
+++ b/internal/gateway/candidate.go
@@ -85,7 +85,8 @@
 	if !ok || s.ColdRequestsPerSecond <= 0 || l.coldRateLimit.Rank == nil {
 		return 0
 	}
-	if l.now() < t.WarmAt || l.now()-l.loadOf(t.ID).unreachableAt < coldAfterUnreachable {
+	own := l.loadOf(t.ID)
+	if l.now() < max(t.WarmAt, own.coldUntil) || l.now()-own.unreachableAt < coldAfterUnreachable {
 		return s.ColdRequestsPerSecond
 	}
 	return 0
@@ -121,6 +122,15 @@
 	wake.Signal(l.alertsChanged)
 }
 
+// RecordCold records that a target reported in a health check that it stays cold for
+// a duration. It may have turned cold again without its entry in the store saying so
+// yet.
+func (l *TargetLoads) RecordCold(target string, duration time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loadOf(target).coldUntil = l.now() + duration
+}
+
 // RecordUnreachable records that a target could not be reached.
 func (l *TargetLoads) RecordUnreachable(target string) {
 	l.mu.Lock()
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -47,6 +47,20 @@
 		Expect(t.ID).To(Equal("cold"))
 	})
 
+	// Guards against a target that turned cold again and is sent what a warm one takes
+	// until the store says so.
+	It("get this host's share also when only a health check says that they are cold", func() {
+		loads := gateway.NewTargetLoads("host-1", "dc-1", func() time.Duration { return time.Second })
+		loads.SetColdRateLimit(gateway.ColdRateLimit{Factor: 1.5, Extra: 2, Rank: func(string) (int, int) { return 0, 4 }})
+		loads.RecordCold("cold", time.Minute)
+		sent := map[string]int{}
+		for range 20 {
+			t, _, _ := loads.Acquire(view(0), gateway.PlacementRequest{Service: "llm", Prompt: call.Prompt{Tokens: 10}, Locality: gateway.PreferLocal})
+			sent[t.ID]++
+		}
+		Expect(sent["cold"]).To(BeNumerically("<=", 2))
+	})
+
 	It("are avoided while others are about as empty", func() {
 		loads := gateway.NewTargetLoads("host-1", "dc-1", func() time.Duration { return 0 })
 		loads.SetColdRateLimit(gateway.ColdRateLimit{Factor: 1.5, Extra: 2, Rank: func(string) (int, int) { return 0, 4 }})
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -138,6 +138,7 @@
 		g.cfg.Log.Debug("health check failed", "target", t.ID, "error", err)
 		return
 	}
+	g.cfg.Loads.RecordCold(t.ID, health.ColdFor)
 	if health.OK || health.Busy {
 		return
 	}
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -70,6 +70,8 @@
 	failures int
 	// unreachableAt is the last time at which it could not be reached.
 	unreachableAt time.Duration
+	// coldUntil is the end of the warm-up that it reported in a health check.
+	coldUntil time.Duration
 	// coldLimiter limits the sends while the target is cold.
 	coldLimiter coldlimit.Limiter
 }
