Deferral: no refusals for memory; late generations at the lowest priority (trial)

Urgent is who is on the service's most urgent route; a late generation waits for twice its objective and is then sent as the least urgent; the placement weighs what is left of the objective.

--- a/internal/decide/deferral/deferral.go
+++ b/internal/decide/deferral/deferral.go
@@ -1,5 +1,5 @@
 // Package deferral decides how long a generation waits at its host while no engine
-// has memory for it, and when it is refused.
+// has memory for it.
 //
 // It is made for bursts of long generations that need more memory than all engines
 // have. An engine takes every generation that it is sent: it preempts the newest of
@@ -9,9 +9,11 @@
 // has not begun loses nothing by waiting, as long as its first token still comes in
 // time.
 //
-// Generations that can no longer be in time let those go first that can, and are
-// refused when half of their caller's time is over. The most urgent ones are never
-// refused: engines preempt others for them.
+// Generations that can no longer be in time let those go first that can, for as long
+// again as their objective. Then they go to the engine where they do least harm, as
+// they would without waiting: a caller that has waited is better served late than
+// refused. The most urgent ones do so as soon as they could be late, since engines
+// preempt others for them.
 //
 // The functions are pure.
 package deferral
@@ -29,9 +31,8 @@
 	// firstTokenMargin multiplies the expected time to the first token: prompts that
 	// other hosts place at the same moment are read first.
 	firstTokenMargin = 2
-	// patienceDivisor divides a caller's time; the quotient is the longest wait. A
-	// caller that is refused then still has time for another try.
-	patienceDivisor = 2
+	// patienceFactor multiplies the objective; the product is the longest wait.
+	patienceFactor = 2
 )
 
 // Shares of an engine's memory that may be reserved. Generations are counted at their
@@ -48,9 +49,8 @@
 type Generation struct {
 	// Urgent is set if no generation of its service is more urgent.
 	Urgent bool
-	// Waited is the time since its caller sent it, Timeout the time that the caller
-	// gives it.
-	Waited, Timeout time.Duration
+	// Waited is the time since its caller sent it.
+	Waited time.Duration
 	// FirstTokenObjective is the objective for the time to the first token; 0 if
 	// there is none.
 	FirstTokenObjective time.Duration
@@ -63,10 +63,13 @@
 // such engine.
 type Search struct {
 	// MemoryShare is the share of an engine's memory beyond which the generation is
-	// not placed there; 0 if it may be placed anywhere.
+	// not placed there; 0 if it may be placed anywhere and does not wait.
 	MemoryShare float64
-	// Wait is the time until the next search; 0 if the generation is to be refused.
+	// Wait is the time until the next search.
 	Wait time.Duration
+	// Late is set once the generation can no longer be in time. It is then sent as the
+	// least urgent, so that engines preempt it before those that are in time.
+	Late bool
 }
 
 // Next returns the next search for an engine. draw, in [0, 1), spreads the searches of
@@ -77,13 +80,13 @@
 	case g.FirstTokenObjective <= 0, g.Urgent && untilLate <= 0:
 		return Search{}
 	case g.Urgent:
-		return Search{urgentShare, min(spread(searchInterval, draw), untilLate)}
+		return Search{MemoryShare: urgentShare, Wait: min(spread(searchInterval, draw), untilLate)}
 	case untilLate > 0:
-		return Search{normalShare, min(spread(searchInterval, draw), untilLate)}
-	case g.Waited < g.Timeout/patienceDivisor:
-		return Search{lateShare, spread(lateSearchInterval, draw)}
+		return Search{MemoryShare: normalShare, Wait: min(spread(searchInterval, draw), untilLate)}
+	case g.Waited < patienceFactor*g.FirstTokenObjective:
+		return Search{MemoryShare: lateShare, Wait: spread(lateSearchInterval, draw), Late: true}
 	}
-	return Search{MemoryShare: lateShare}
+	return Search{Late: true}
 }
 
 // spread returns a duration between half and one and a half of d.
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -129,7 +129,7 @@
 	var lastErr error
 	var counts attemptCounts
 	for {
-		selection, reservation, err := gen.acquire(exclude)
+		selection, reservation, late, err := gen.acquire(exclude)
 		if err != nil {
 			lastErr = err
 			break
@@ -142,7 +142,11 @@
 		gen.g.cfg.Log.Info("generation placed", "request", gen.ID, "route", gen.route.Name, "target", target.ID,
 			"tokens", expectedTokens(gen.Prompt), "prompt", gen.Prompt.Tokens, "max", gen.Prompt.MaxOutputTokens, "hint", gen.Prompt.LengthHint, "basis", selection, "tries", counts.sent+counts.unsent+1, "after", time.Since(gen.ArrivedAt),
 			"running", reservation.candidate.Running, "promised", reservation.candidate.ReservedTokens, "unread", reservation.candidate.UnreadTokens, "step", reservation.candidate.TimePerToken)
-		stream, err := gen.openStream(gen.newSend(target), target, reservation, selection)
+		send := gen.newSend(target)
+		if late {
+			send.Priority = lowestPriority
+		}
+		stream, err := gen.openStream(send, target, reservation, selection)
 		if err == nil {
 			gen.setStream(stream)
 			gen.attempts++
@@ -163,53 +167,48 @@
 }
 
 // acquire reserves an engine for a new run of the generation; nil when none accepts
-// it. While no engine has room the generation waits. The error says why it must not
-// wait longer.
-func (gen *generation) acquire(exclude []string) (*selectionState, *Reservation, error) {
+// it. While no engine has room the generation waits; late is set if it can no longer be
+// in time. The error says why it must not wait here.
+func (gen *generation) acquire(exclude []string) (selection *selectionState, reservation *Reservation, late bool, err error) {
 	req := gen.placementRequest(exclude)
 	for {
-		search := gen.nextSearch(req)
+		search := gen.nextSearch()
 		req.MemoryShare = search.MemoryShare
+		req.FirstEventObjective = gen.remainingObjective()
 		selection := gen.g.selectionState()
 		_, reservation, outcome := gen.g.cfg.Loads.AcquireWithRoom(selection.view, req)
 		if outcome != NoRoom {
-			return selection, reservation, nil
+			return selection, reservation, search.Late, nil
 		}
 		gen.g.metrics.searchesWithoutRoom.Inc(1)
-		if search.Wait == 0 {
-			return nil, nil, failure.New(failure.KindOverloaded, "no engine of %s had memory within half of the caller's time", req.Service).WithRetryAfter(gen.expectedDuration())
-		}
 		wake.Sleep(gen.ctx, search.Wait)
 		if err := gen.g.checkMayStart(gen.exchange); err != nil {
-			return nil, nil, err
+			return nil, nil, false, err
 		}
 		if gen.ctx.Err() != nil {
-			return nil, nil, failure.New(failure.KindOverloaded, "the caller left or its deadline passed while no engine had memory")
+			return nil, nil, false, failure.New(failure.KindOverloaded, "the caller left or its deadline passed while no engine had memory")
 		}
 	}
 }
 
+// remainingObjective returns the time that is left of the route's objective for the
+// first event; 0 when there is no objective, or none of it is left.
+func (gen *generation) remainingObjective() time.Duration {
+	return max(gen.route.LatencyObjective-time.Since(gen.ArrivedAt), 0)
+}
+
 // nextSearch returns how to search for an engine now.
-func (gen *generation) nextSearch(req PlacementRequest) deferral.Search {
+func (gen *generation) nextSearch() deferral.Search {
 	return deferral.Next(deferral.Generation{
-		Urgent: gen.mostUrgent(), Waited: time.Since(gen.ArrivedAt), Timeout: gen.deadline.Sub(gen.ArrivedAt),
-		FirstTokenObjective: req.FirstEventObjective, TimeToFirstToken: gen.g.cfg.Loads.TimeToFirstToken(req),
+		Urgent: gen.mostUrgent(), Waited: time.Since(gen.ArrivedAt),
+		FirstTokenObjective: gen.route.LatencyObjective, TimeToFirstToken: gen.g.cfg.Loads.TimeToFirstToken(gen.Prompt),
 	}, rand.Float64())
 }
 
-// expectedDuration returns the time that the generation is expected to take.
-func (gen *generation) expectedDuration() time.Duration {
-	tokensPerEvent := 1
-	if gen.service.Engine != nil {
-		tokensPerEvent = gen.service.Engine.TokensPerEvent
-	}
-	return gen.g.averageTimes.expectedDuration(gen.Prompt, tokensPerEvent)
-}
-
 // mostUrgent reports whether no route of the service has generations that are more
-// urgent.
+// urgent. Accounts may have a lower priority of their own, which decides at the engine.
 func (gen *generation) mostUrgent() bool {
-	return gen.priority() <= gen.view.MostUrgentPriority(gen.service.Name)
+	return gen.route.Priority <= gen.view.MostUrgentPriority(gen.service.Name)
 }
 
 // placementRequest returns the requirements for an engine that starts a new run
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -104,10 +104,10 @@
 
 // TimeToFirstToken returns the time that an engine with room is expected to take to
 // the first token of a generation.
-func (l *TargetLoads) TimeToFirstToken(req PlacementRequest) time.Duration {
+func (l *TargetLoads) TimeToFirstToken(p call.Prompt) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return placement.PrefillTime(placement.Candidate{Running: 1, TimePerToken: l.speeds.Median()}, req.work())
+	return placement.PrefillTime(placement.Candidate{Running: 1, TimePerToken: l.speeds.Median()}, placement.Workload{PromptTokens: p.Tokens})
 }
 
 // sample draws the targets to consider: the first ones are considered at once,
