Deferral: late generations gain the share of others as they wait

A late generation takes only what is below 0.7 of a memory at first; its share rises to that of those in time within three further objectives, and it is sent in any case when half of its caller's time is over, at its own priority.

--- a/internal/decide/deferral/deferral.go
+++ b/internal/decide/deferral/deferral.go
@@ -9,11 +9,12 @@
 // has not begun loses nothing by waiting, as long as its first token still comes in
 // time.
 //
-// Generations that can no longer be in time let those go first that can, for as long
-// again as their objective. Then they go to the engine where they do least harm, as
-// they would without waiting: a caller that has waited is better served late than
-// refused. The most urgent ones do so as soon as they could be late, since engines
-// preempt others for them.
+// Generations that can no longer be in time let those go first that can, less and less
+// the longer they wait, so that an overload that lasts does not keep them out. When half
+// of their caller's time is over they go to the engine where they do least harm, as they
+// would without waiting: a caller that has waited is better served late than refused.
+// The most urgent ones do so as soon as they could be late, since engines preempt others
+// for them.
 //
 // The functions are pure.
 package deferral
@@ -31,8 +32,11 @@
 	// firstTokenMargin multiplies the expected time to the first token: prompts that
 	// other hosts place at the same moment are read first.
 	firstTokenMargin = 2
-	// patienceFactor multiplies the objective; the product is the longest wait.
-	patienceFactor = 2
+	// agingFactor multiplies the objective; the product is the time in which a late
+	// generation gains the same share as those that can be in time.
+	agingFactor = 3
+	// patienceDivisor divides a caller's time; the quotient is the longest wait.
+	patienceDivisor = 2
 )
 
 // Shares of an engine's memory that may be reserved. Generations are counted at their
@@ -41,7 +45,8 @@
 const (
 	urgentShare = 1.1
 	normalShare = 1.0
-	// lateShare leaves the room that generations need which can still be in time.
+	// lateShare applies to a generation that has just become late. It leaves the room
+	// that generations need which can still be in time.
 	lateShare = 0.7
 )
 
@@ -49,8 +54,9 @@
 type Generation struct {
 	// Urgent is set if no generation of its service is more urgent.
 	Urgent bool
-	// Waited is the time since its caller sent it.
-	Waited time.Duration
+	// Waited is the time since its caller sent it, Timeout the time that the caller
+	// gives it.
+	Waited, Timeout time.Duration
 	// FirstTokenObjective is the objective for the time to the first token; 0 if
 	// there is none.
 	FirstTokenObjective time.Duration
@@ -67,9 +73,6 @@
 	MemoryShare float64
 	// Wait is the time until the next search.
 	Wait time.Duration
-	// Late is set once the generation can no longer be in time. It is then sent as the
-	// least urgent, so that engines preempt it before those that are in time.
-	Late bool
 }
 
 // Next returns the next search for an engine. draw, in [0, 1), spreads the searches of
@@ -83,10 +86,17 @@
 		return Search{MemoryShare: urgentShare, Wait: min(spread(searchInterval, draw), untilLate)}
 	case untilLate > 0:
 		return Search{MemoryShare: normalShare, Wait: min(spread(searchInterval, draw), untilLate)}
-	case g.Waited < patienceFactor*g.FirstTokenObjective:
-		return Search{MemoryShare: lateShare, Wait: spread(lateSearchInterval, draw), Late: true}
+	case g.Waited < g.Timeout/patienceDivisor:
+		return Search{MemoryShare: shareOfLate(g), Wait: spread(lateSearchInterval, draw)}
 	}
-	return Search{Late: true}
+	return Search{}
+}
+
+// shareOfLate returns the share of a late generation, which rises with the time that it
+// has waited beyond its objective.
+func shareOfLate(g Generation) float64 {
+	aged := float64(g.Waited-g.FirstTokenObjective) / float64(agingFactor*g.FirstTokenObjective)
+	return lateShare + (normalShare-lateShare)*min(max(aged, 0), 1)
 }
 
 // spread returns a duration between half and one and a half of d.
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -129,7 +129,7 @@
 	var lastErr error
 	var counts attemptCounts
 	for {
-		selection, reservation, late, err := gen.acquire(exclude)
+		selection, reservation, err := gen.acquire(exclude)
 		if err != nil {
 			lastErr = err
 			break
@@ -142,11 +142,7 @@
 		gen.g.cfg.Log.Info("generation placed", "request", gen.ID, "route", gen.route.Name, "target", target.ID,
 			"tokens", expectedTokens(gen.Prompt), "prompt", gen.Prompt.Tokens, "max", gen.Prompt.MaxOutputTokens, "hint", gen.Prompt.LengthHint, "basis", selection, "tries", counts.sent+counts.unsent+1, "after", time.Since(gen.ArrivedAt),
 			"running", reservation.candidate.Running, "promised", reservation.candidate.ReservedTokens, "unread", reservation.candidate.UnreadTokens, "step", reservation.candidate.TimePerToken)
-		send := gen.newSend(target)
-		if late {
-			send.Priority = lowestPriority
-		}
-		stream, err := gen.openStream(send, target, reservation, selection)
+		stream, err := gen.openStream(gen.newSend(target), target, reservation, selection)
 		if err == nil {
 			gen.setStream(stream)
 			gen.attempts++
@@ -167,9 +163,9 @@
 }
 
 // acquire reserves an engine for a new run of the generation; nil when none accepts
-// it. While no engine has room the generation waits; late is set if it can no longer be
-// in time. The error says why it must not wait here.
-func (gen *generation) acquire(exclude []string) (selection *selectionState, reservation *Reservation, late bool, err error) {
+// it. While no engine has room the generation waits. The error says why it must not wait
+// here.
+func (gen *generation) acquire(exclude []string) (*selectionState, *Reservation, error) {
 	req := gen.placementRequest(exclude)
 	for {
 		search := gen.nextSearch()
@@ -178,15 +174,15 @@
 		selection := gen.g.selectionState()
 		_, reservation, outcome := gen.g.cfg.Loads.AcquireWithRoom(selection.view, req)
 		if outcome != NoRoom {
-			return selection, reservation, search.Late, nil
+			return selection, reservation, nil
 		}
 		gen.g.metrics.searchesWithoutRoom.Inc(1)
 		wake.Sleep(gen.ctx, search.Wait)
 		if err := gen.g.checkMayStart(gen.exchange); err != nil {
-			return nil, nil, false, err
+			return nil, nil, err
 		}
 		if gen.ctx.Err() != nil {
-			return nil, nil, false, failure.New(failure.KindOverloaded, "the caller left or its deadline passed while no engine had memory")
+			return nil, nil, failure.New(failure.KindOverloaded, "the caller left or its deadline passed while no engine had memory")
 		}
 	}
 }
@@ -200,7 +196,7 @@
 // nextSearch returns how to search for an engine now.
 func (gen *generation) nextSearch() deferral.Search {
 	return deferral.Next(deferral.Generation{
-		Urgent: gen.mostUrgent(), Waited: time.Since(gen.ArrivedAt),
+		Urgent: gen.mostUrgent(), Waited: time.Since(gen.ArrivedAt), Timeout: gen.deadline.Sub(gen.ArrivedAt),
 		FirstTokenObjective: gen.route.LatencyObjective, TimeToFirstToken: gen.g.cfg.Loads.TimeToFirstToken(gen.Prompt),
 	}, rand.Float64())
 }
