--- a/internal/gatewayhost/readerroles.go
+++ b/internal/gatewayhost/readerroles.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -31,8 +30,6 @@
 	// firstStart is set when all hosts start for the first time, isSeed if other
 	// hosts ask this one first.
 	firstStart, isSeed bool
-	// startDraw decides this host's turn to read the store as it starts.
-	startDraw float64
 	// publishedAge returns the age of this host's published view, false when it
 	// has none. It must be set before the first use.
 	publishedAge func() (time.Duration, bool)
@@ -76,8 +73,7 @@
 	deployment := s.Deployment
 	return &readerRoles{
 		firstStart: deployment.FirstStart, isSeed: len(deployment.Seeds) == 0 || slices.Contains(deployment.Seeds, deployment.ListenPeers),
-		startDraw: rand.Float64(),
-		self:      deployment.ListenPeers, dataCentre: s.DataCentre, members: members, now: now, log: log,
+		self: deployment.ListenPeers, dataCentre: s.DataCentre, members: members, now: now, log: log,
 		readers: readers.New(readers.DefaultConfig()), relays: readers.New(relays), staleRelays: readers.New(staleRelays),
 	}
 }
@@ -146,7 +142,7 @@
 
 // startup returns the state of this host while it has no published data.
 func (r *readerRoles) startup() readers.Startup {
-	return readers.Startup{Uptime: r.now(), FirstStart: r.firstStart, Seed: r.isSeed, Draw: r.startDraw, RecordsAnnounced: r.recordsAnnounced()}
+	return readers.Startup{Uptime: r.now(), FirstStart: r.firstStart, Seed: r.isSeed, RecordsAnnounced: r.recordsAnnounced()}
 }
 
 // actsAsRelay reports whether this host queries the readers itself. In a small
