--- a/internal/decide/readers/startup.go
+++ b/internal/decide/readers/startup.go
@@ -5,9 +5,9 @@
 const (
 	// announcementWait is the time in which a process that starts hears from a
 	// running host whether that host has the records.
-	announcementWait = 300 * time.Millisecond
+	announcementWait = 100 * time.Millisecond
 	// transferWait is the time in which it gets them from such a host.
-	transferWait = 3 * time.Second
+	transferWait = 500 * time.Millisecond
 	// firstAnnouncementWait and firstTransferWait are the same times while all hosts
 	// start for the first time. There are no callers yet.
 	firstAnnouncementWait, firstTransferWait = 2 * time.Second, 10 * time.Second
