--- a/internal/decide/coldlimit/coldlimit.go
+++ b/internal/decide/coldlimit/coldlimit.go
@@ -12,7 +12,8 @@
 // are more hosts than requests, most get none. The quotas add up to no more than
 // the target's capacity, whenever each host sends. A host that knows fewer hosts
 // than there are would take too much, so all hosts ever known count, and a
-// process that has just started takes one request a second at most.
+// process that has just started takes none until the number of hosts has settled
+// (package fleetsize).
 //
 // Types in this package are not safe for concurrent use. Times are on the
 // monotonic clock.
