Retry in large fleets, too: hosts with less than one token retry with that probability

Cause: the bound on retries of all hosts is divided by their number, and a retry takes a whole token.

A bucket of less than one token allows a retry with the probability that it holds, by one draw for the account's and the service's bucket, and owes the rest. Hosts together make as many retries as they hold tokens, on the mean.

--- a/internal/decide/retrybudget/budget.go
+++ b/internal/decide/retrybudget/budget.go
@@ -17,12 +17,17 @@
 //
 // Each entry keeps the budget for its own requests. Because it is a fraction of
 // them, the fleet as a whole keeps to the same fraction without any
-// coordination. Budget and Bucket are safe for concurrent use; the levels of
-// the buckets are atomics.
+// coordination. In a large fleet a host's share of a burst is less than one token, and
+// so is what it earns by few requests. It then retries with a probability equal to the
+// fraction that it holds and owes the rest of the token, so that the hosts together
+// make as many retries as they hold tokens.
+//
+// Budget and Bucket are safe for concurrent use; the levels of the buckets are atomics.
 package retrybudget
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +49,8 @@
 	// Default 0.2: an account that sends one request a minute can always retry
 	// it.
 	RefillPerSecond float64
+	// Draw returns random numbers in [0, 1). Default rand.Float64.
+	Draw func() float64
 	// MaxBuckets limits the number of buckets for accounts and services; full
 	// ones are evicted first. Default 4096, some 600 KB.
 	MaxBuckets int
@@ -67,6 +74,9 @@
 	c.ServiceBurst = cmp.Or(c.ServiceBurst, serviceBurstFactor*c.Burst)
 	c.RefillPerSecond = max(cmp.Or(c.RefillPerSecond, defaultRefillPerSecond), 0)
 	c.MaxBuckets = cmp.Or(c.MaxBuckets, defaultMaxBuckets)
+	if c.Draw == nil {
+		c.Draw = rand.Float64
+	}
 	return c
 }
 
@@ -127,6 +137,24 @@
 	}
 }
 
+// takeOrOwe is Take for a bucket that may be too small for one token. If it is, a
+// fraction of a token allows the retry with that probability, and the rest is owed.
+func (b *Bucket) takeOrOwe(now time.Duration, draw float64) bool {
+	if b.burst.Load() >= unitsPerToken {
+		return b.Take(now)
+	}
+	b.refill(now)
+	for {
+		level := b.level.Load()
+		if float64(level) <= draw*unitsPerToken {
+			return false
+		}
+		if b.level.CompareAndSwap(level, level-unitsPerToken) {
+			return true
+		}
+	}
+}
+
 // refill adds the tokens gained since the last refill. When called
 // concurrently, only the caller that advances refilledAt adds them.
 func (b *Bucket) refill(now time.Duration) {
@@ -180,11 +208,12 @@
 // AllowRetry reports whether a request may be retried, and takes the tokens if so.
 // If not, the caller gets the failure as the answer.
 func (b *Budget) AllowRetry(now time.Duration, k Key) bool {
-	accountBucket := b.bucketFor(now, k)
-	if !accountBucket.Take(now) {
+	// One draw for both: the smaller of the two fractions is the probability.
+	accountBucket, draw := b.bucketFor(now, k), b.cfg.Draw()
+	if !accountBucket.takeOrOwe(now, draw) {
 		return false
 	}
-	if b.serviceBucket(now, k).Take(now) {
+	if b.serviceBucket(now, k).takeOrOwe(now, draw) {
 		return true
 	}
 	accountBucket.Deposit(1)
