Log when a host loses the targets of a service, and when it regains them

Cause looked for: a host that is partitioned from all targets refuses its callers, and its logs name neither what happened to the connections nor that a dependency is lost.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,7 @@
 	cfg          Config
 	metrics      *gatewayMetrics
 	generations  *generationSet
+	paths        *targetPaths
 	averageTimes averageTimes
 	// shutdown is set once the process shuts down.
 	shutdown atomic.Pointer[shutdownTimes]
@@ -102,7 +103,7 @@
 
 // New returns a Gateway and registers its metrics in cfg.Metrics.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), generations: newGenerationSet()}
+	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), generations: newGenerationSet(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics)}
 	running := func() int64 { return int64(g.generations.count()) }
 	_ = cfg.Metrics.Register("gateway.generations", gometrics.NewFunctionalGauge(running))
 	_ = cfg.Metrics.Register("gateway.targets_limited", gometrics.NewFunctionalGauge(cfg.Loads.rateLimitedCount))
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -71,6 +71,7 @@
 		if view := g.cfg.Board.View.Get(); view != nil {
 			g.moveFromLeavingTargets(ctx, view)
 			g.cfg.Loads.Prune(view)
+			g.paths.prune(view)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -45,6 +45,8 @@
 	// searchesWithoutRoom counts the searches that found no engine with room for a
 	// generation, which then waited.
 	searchesWithoutRoom gometrics.Counter
+	// failuresReported counts the broken requests of which other hosts were told.
+	failuresReported gometrics.Counter
 }
 
 // kindMetrics are the metrics of one request kind.
@@ -64,6 +66,7 @@
 		movedByCopy: counter("moved.copy"), movedToBackup: counter("moved.backup"), resumedAfterLoss: counter("moved.after_loss"), newRuns: counter("moved.anew"),
 		copiesFailed: counter("copies_failed"), leavingAnswers: counter("answers_leaving"), restAnswers: counter("answers_rest"),
 		unreadableFigures: counter("load_figures_unreadable"), searchesWithoutRoom: counter("searches_without_room"),
+		failuresReported: counter("failures_reported"),
 	}
 	for _, kind := range []directory.RequestKind{directory.AtMostOnce, directory.Repeatable, directory.Generation} {
 		m.byKind[kind] = &kindMetrics{
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -132,6 +132,12 @@
 	return false
 }
 
+// isUnreached reports whether no connection to the target could be established.
+func isUnreached(err error) bool {
+	kind := failure.KindOf(err)
+	return requestUnsent(err) && (kind == failure.KindTargetFailed || kind == failure.KindTargetTimeout)
+}
+
 // shouldRetry decides whether a request is tried at another target. One that
 // never reached a target is retried up to maxUnsentAttempts. Otherwise it must
 // be repeatable or certain not to have run, the route must allow another
@@ -199,6 +205,7 @@
 	}
 	resp, err := g.cfg.Client.Do(req, func() error {
 		selection.recordSend()
+		g.paths.recordReached(s.Target)
 		if err := g.checkSendable(s.Target, selection.lastResort); err != nil {
 			return err
 		}
@@ -281,10 +288,14 @@
 	if requestUnsent(err) {
 		g.cfg.Loads.RecordUnreachable(target.ID)
 	}
+	if isUnreached(err) {
+		g.paths.recordUnreached(g.view(), target.Target, err)
+	}
 	if failure.KindOf(err) == failure.KindTargetLost && g.notStopping(target) {
 		g.cfg.CrashEvidence.checkForCrash(target, g.checkListening)
 	}
 	g.cfg.Loads.RecordBrokenRequest(target.ID)
+	g.metrics.failuresReported.Inc(1)
 	g.cfg.Log.Debug("target failed", "target", target.ID, "cause", err)
 }
 
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -36,8 +36,13 @@
 	// TLS returns the configuration of the next connection, so that renewed
 	// certificates take effect; nil means plain text.
 	TLS func() *tls.Config
+	// Connect opens a TCP connection; Dial by default.
+	Connect ConnectFunc
 }
 
+// ConnectFunc opens a TCP connection to an address (ip:port) within a timeout.
+type ConnectFunc func(ctx context.Context, network, address string, timeout time.Duration) (net.Conn, error)
+
 // The defaults of the settings.
 const (
 	// DefaultDialTimeout is exceeded after two lost SYNs (1 s each). A target in
@@ -76,6 +81,9 @@
 	if s.MaxIdleConnsPerTarget == 0 {
 		s.MaxIdleConnsPerTarget = DefaultMaxIdleConnsPerTarget
 	}
+	if s.Connect == nil {
+		s.Connect = Dial
+	}
 	return s
 }
 
@@ -88,7 +96,7 @@
 func (s Settings) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.DialTimeout)
 	defer cancel()
-	conn, err := Dial(ctx, network, address, s.DialTimeout)
+	conn, err := s.Connect(ctx, network, address, s.DialTimeout)
 	if err != nil || s.TLS == nil {
 		return conn, err
 	}
