Let all keep-alive probes be sent before a connection to a target ends

What callers saw: nothing yet. A request that waits at a target is lost if the target is silent for about a second from the moment of a keep-alive probe.

Cause: TCP_USER_TIMEOUT of 2 s beside probes after 3 s and each second. Linux ends a connection at the first unanswered probe once it has been silent for longer than the user timeout, whatever the count. Class: two timeouts that bound the same thing, one of which decides both. Evidence: the socket's options; the silence itself can't be brought about on loopback without root powers, so the spec reads the options.

Now probes go out each second, three of them, and the user timeout follows from them: 4 s. A silence of 3 s passes, whenever it begins; a dead peer is found after 4 s as before (3 s + 1 s). Data that is not acknowledged ends a connection after 4 s instead of 2 s. Our own gRPC connections set a user timeout of 2 s with a ping each 10 s; they lead to hosts, not to targets, and stay.

--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -87,9 +87,16 @@
 	return s
 }
 
-// keepAliveConfig detects dead peers within 3 s + 3 x 1 s. It covers the wait
-// for the response header, when the read idle timeout does not apply yet.
-var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: 3 * time.Second, Interval: time.Second, Count: 3}
+// Keep-alive probes of a connection on which nothing arrives. They cover the wait
+// for the response header, when the read idle timeout does not apply yet, and
+// detect a dead peer within four seconds.
+const (
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 3
+)
+
+var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}
 
 // dial connects and completes the TLS handshake, so that everything that is
 // written to the connection afterwards belongs to the request.
--- a/internal/targetclient/dial.go
+++ b/internal/targetclient/dial.go
@@ -11,10 +11,10 @@
 
 // tcpUserTimeout limits how long sent data may stay unacknowledged. A host that
 // is partitioned or without power sends nothing, not even a reset, and the
-// kernel would retransmit for minutes. On links with a latency of a few
-// milliseconds, two seconds without an acknowledgement mean several lost
-// packets in a row.
-const tcpUserTimeout = 2 * time.Second
+// kernel would retransmit for minutes. Linux also ends a connection at the first
+// unanswered keep-alive probe after this time without data, whatever the number of
+// probes, so it is not shorter than all probes take.
+const tcpUserTimeout = keepAliveIdle + keepAliveProbes*keepAliveInterval
 
 // Dial opens a TCP connection that detects an unresponsive peer: with
 // keep-alive probes while it is idle, and with TCP_USER_TIMEOUT while sent data
