--- a/internal/gateway/cut_harness_test.go
+++ b/internal/gateway/cut_harness_test.go
@@ -64,5 +64,5 @@
 
 // relayedCount returns the number of requests that the gateway sent for other hosts.
 func (gw *fixture) relayedCount() int64 {
-	return gometrics.GetOrRegisterCounter("gateway.relayed_for_peers", gw.metrics).Count()
+	return gometrics.GetOrRegisterCounter("relay.for_peers", gw.metrics).Count()
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -81,8 +81,8 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Client{
 		cfg: cfg, selector: relaypeers.New(rng), conns: map[string]*connection{},
-		sent:   gometrics.GetOrRegisterCounter("gateway.relayed", cfg.Metrics),
-		failed: gometrics.GetOrRegisterCounter("gateway.relays_failed", cfg.Metrics),
+		sent:   gometrics.GetOrRegisterCounter("relay.sent", cfg.Metrics),
+		failed: gometrics.GetOrRegisterCounter("relay.failed", cfg.Metrics),
 	}
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -66,7 +66,7 @@
 
 // NewServer returns a server.
 func NewServer(cfg ServerConfig) *Server {
-	return &Server{cfg: cfg, slots: make(chan struct{}, maxConcurrent), relayed: gometrics.GetOrRegisterCounter("gateway.relayed_for_peers", cfg.Metrics)}
+	return &Server{cfg: cfg, slots: make(chan struct{}, maxConcurrent), relayed: gometrics.GetOrRegisterCounter("relay.for_peers", cfg.Metrics)}
 }
 
 // Send implements the Relay service.
