Send brittle targets no more than they have room for

What callers saw: nothing yet. A target that says that it is brittle falls over when it has to turn away more requests in a second than it names, and takes the requests that it runs with it.

Cause: no code read the instruction, the fourth of its kind (DRAIN, BUDGET and LIMIT before it). Evidence: the name of the header stood nowhere; in the spec a target with six slots, of which one host sends 40 requests at once, turned 34 away (it bears 2).

The limit holds for all hosts together, so no host spends it. The slots of a brittle plain target are places, divided by rank among as many hosts as there are places, in larger fleets among three, and lent for one request at a time by the datagrams that lend rates. Engines' counts reach other hosts before a generation ends, so a brittle engine gets no generation that its memory or slots have no room for; the generation waits at its host for up to half of its time, and is refused then. A host that is turned away pauses for a second. Hosts tell each other by the alerts, with the target's lifetime.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -104,6 +104,10 @@
 	// Rest is how long the target wants no requests from this host; 0 for no
 	// rest.
 	Rest time.Duration
+	// RefusalLimit is the number of requests that the target can turn away in a second
+	// for want of room; it falls over at more. It is nil when the target does not say
+	// that it is brittle.
+	RefusalLimit *float64
 }
 
 // ResponseHeader is the parsed header of a target's response.
--- a/internal/decide/deferral/deferral.go
+++ b/internal/decide/deferral/deferral.go
@@ -92,6 +92,13 @@
 	return Search{}
 }
 
+// WaitForRoom returns the time until the next search of a generation that no longer
+// waits by Next, while every engine is full and must not be sent more than it has room
+// for; false when it is to be refused.
+func WaitForRoom(g Generation, draw float64) (time.Duration, bool) {
+	return spread(lateSearchInterval, draw), g.Waited < g.Timeout/patienceDivisor
+}
+
 // shareOfLate returns the share of a late generation, which rises with the time that it
 // has waited beyond its objective.
 func shareOfLate(g Generation) float64 {
--- a/internal/decide/targetload/targetload.go
+++ b/internal/decide/targetload/targetload.go
@@ -23,6 +23,7 @@
 	"slices"
 	"time"
 
+	"filbertdeck/internal/decide/brittle"
 	"filbertdeck/internal/decide/targetrate"
 	"filbertdeck/internal/directory"
 )
@@ -51,6 +52,9 @@
 	// AdvertisedRate is the last rate limit that the target advertised to the host; nil if
 	// it never advertised one.
 	AdvertisedRate *targetrate.Advertisement
+	// Brittle is the last statement of the target to the host on whether it is
+	// brittle; nil if it never said that it is.
+	Brittle *brittle.Statement
 	// LeavingLifetime is the start, in Unix milliseconds, of the target's lifetime
 	// in which it said in an answer to the host that it leaves; nil if it never
 	// did.
@@ -151,6 +155,13 @@
 	t.setLocal(now, c)
 }
 
+// SetBrittle sets what a target said to this host on whether it is brittle.
+func (t *Table) SetBrittle(now time.Duration, target string, said brittle.Statement) {
+	c := t.LocalCount(target)
+	c.Brittle = &said
+	t.setLocal(now, c)
+}
+
 // SetRate sets the rate limit that a target advertised to this host.
 func (t *Table) SetRate(now time.Duration, target string, rate targetrate.Advertisement) {
 	c := t.LocalCount(target)
@@ -234,7 +245,7 @@
 
 // isZero reports whether a count carries no more information than a missing one.
 func (c HostLoad) isZero() bool {
-	return c.Load == Load{} && c.TimePerToken == 0 && !c.Leaving && c.FailureSeq == 0 && c.AdvertisedRate == nil && c.LeavingLifetime == nil
+	return c.Load == Load{} && c.TimePerToken == 0 && !c.Leaving && c.FailureSeq == 0 && c.AdvertisedRate == nil && c.Brittle == nil && c.LeavingLifetime == nil
 }
 
 // Merge merges counts received from a peer. An empty peer name means that the
--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -11,10 +11,12 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"filbertdeck/platform/standin"
 )
 
 // brittleLimit is the number of requests that the target turns away in a second
-// without falling over, brittleSlots the number that it runs at once; it lets none
+// without falling over (it says so as "2"), brittleSlots the number that it runs at once; it lets none
 // wait.
 const (
 	brittleLimit = 2
@@ -29,7 +31,7 @@
 
 func (t *brittleTarget) handle(conn net.Conn, r *http.Request) {
 	defer t.running.Add(-1)
-	header := requestID + ": " + r.Header.Get(requestID) + "\r\nServer-Brittle: 2\r\n"
+	header := requestID + ": " + r.Header.Get(requestID) + "\r\n" + standin.HeaderServerBrittle + ": 2\r\n"
 	if t.running.Add(1) > brittleSlots {
 		t.turnedAway.Add(1)
 		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\n"+header+"X-Filbertdeck-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
--- a/internal/gateway/candidate.go
+++ b/internal/gateway/candidate.go
@@ -158,12 +158,12 @@
 // accepts reports whether this host may send a target one more request now,
 // according to the target's answers and this host's shares of its limits.
 func (l *TargetLoads) accepts(view *directory.View, t *directory.ObservedTarget) bool {
-	return l.wantsRequests(t.Target) && l.withinColdShare(view, t) && l.withinRate(t.ID)
+	return l.wantsRequests(t.Target) && l.withinColdShare(view, t) && l.withinShare(view, t)
 }
 
-// acceptsIgnoringRate reports whether a target accepts a request, leaving its
-// advertised rate aside.
-func (l *TargetLoads) acceptsIgnoringRate(view *directory.View, req PlacementRequest, t *directory.ObservedTarget) bool {
+// acceptsIgnoringShare reports whether a target accepts a request, leaving this host's
+// share of its advertised rate and of its places aside.
+func (l *TargetLoads) acceptsIgnoringShare(view *directory.View, req PlacementRequest, t *directory.ObservedTarget) bool {
 	return acceptsRequest(view, req, t) && !l.isLeavingLocked(t.Target) && l.wantsRequests(t.Target) && l.withinColdShare(view, t)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,7 @@
 	running := func() int64 { return int64(g.generations.count()) }
 	_ = cfg.Metrics.Register("gateway.generations", gometrics.NewFunctionalGauge(running))
 	_ = cfg.Metrics.Register("gateway.targets_limited", gometrics.NewFunctionalGauge(cfg.Loads.rateLimitedCount))
+	_ = cfg.Metrics.Register("gateway.targets_brittle", gometrics.NewFunctionalGauge(cfg.Loads.brittleCount))
 	_ = cfg.Metrics.Register("gateway.targets_departing", gometrics.NewFunctionalGauge(cfg.Loads.departureCount))
 	_ = cfg.Metrics.Register("gateway.targets_resting", gometrics.NewFunctionalGauge(cfg.Loads.restCount))
 	return g
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -177,7 +177,14 @@
 			return selection, reservation, nil
 		}
 		gen.g.metrics.searchesWithoutRoom.Inc(1)
-		wake.Sleep(gen.ctx, search.Wait)
+		wait := search.Wait
+		if search.MemoryShare == 0 {
+			var waits bool
+			if wait, waits = deferral.WaitForRoom(gen.deferred(), rand.Float64()); !waits {
+				return nil, nil, failure.New(failure.KindOverloaded, "no engine has room for the generation").WithRetryAfter(engineFullRetryAfter)
+			}
+		}
+		wake.Sleep(gen.ctx, wait)
 		if err := gen.g.checkMayStart(gen.exchange); err != nil {
 			return nil, nil, err
 		}
@@ -195,10 +202,15 @@
 
 // nextSearch returns how to search for an engine now.
 func (gen *generation) nextSearch() deferral.Search {
-	return deferral.Next(deferral.Generation{
+	return deferral.Next(gen.deferred(), rand.Float64())
+}
+
+// deferred returns the generation as one that waits for an engine with room.
+func (gen *generation) deferred() deferral.Generation {
+	return deferral.Generation{
 		Urgent: gen.mostUrgent(), Waited: time.Since(gen.ArrivedAt), Timeout: gen.deadline.Sub(gen.ArrivedAt),
 		FirstTokenObjective: gen.route.LatencyObjective, TimeToFirstToken: gen.g.cfg.Loads.TimeToFirstToken(gen.Prompt),
-	}, rand.Float64())
+	}
 }
 
 // mostUrgent reports whether no route of the service has generations that are more
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"filbertdeck/internal/call"
+	"filbertdeck/internal/decide/brittle"
 	"filbertdeck/internal/decide/coldlimit"
 	"filbertdeck/internal/decide/departure"
 	"filbertdeck/internal/decide/enginespeed"
@@ -37,11 +38,14 @@
 	// remoteFailures holds the target failures that other hosts reported.
 	remoteFailures *failurereports.Tracker
 	coldRateLimit  ColdRateLimit
-	// rates holds the rate limits that targets advertised. borrowRate borrows
-	// one request of another host's share of a rate; nil when none can be
-	// borrowed.
-	rates      *targetrate.Limiter
-	borrowRate BorrowRateFunc
+	// rates holds the rate limits that targets advertised. borrowShare borrows
+	// one request of another host's share of a rate or of a brittle target's places;
+	// nil when none can be borrowed. returnPlace returns a place.
+	rates       *targetrate.Limiter
+	borrowShare BorrowFunc
+	returnPlace ReturnFunc
+	// brittle holds the targets that fall over when they turn away too many requests.
+	brittle *brittle.Tracker
 	// departures holds the targets that said in an answer that they leave.
 	departures *departure.Tracker
 	// rests holds the targets that asked this host for a rest.
@@ -83,7 +87,7 @@
 	return &TargetLoads{
 		address: host, dataCentre: dataCentre, now: now, byTarget: map[string]*targetLoad{},
 		hostLoads: targetload.New(host, start), alerts: targetload.New(host, start), speeds: enginespeed.New(), remoteFailures: failurereports.New(), rates: targetrate.New(),
-		departures: departure.New(), rests: rest.New(), reports: reportedload.New(),
+		brittle: brittle.New(), departures: departure.New(), rests: rest.New(), reports: reportedload.New(),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), hostCount: func() int { return 1 },
 		loadsChanged: make(chan struct{}, 1), alertsChanged: make(chan struct{}, 1), targetLeaving: make(chan struct{}, 1),
 	}
@@ -159,6 +163,7 @@
 	defer l.mu.Unlock()
 	l.alerts.Merge(l.now(), host, alerts)
 	l.mergeRates(alerts)
+	l.mergeBrittle(alerts)
 	leaving = l.mergeDepartures(alerts)
 	for _, c := range alerts {
 		if c.Host != l.address {
@@ -188,6 +193,7 @@
 	l.speeds.Retain(known)
 	l.remoteFailures.Retain(known)
 	l.rates.Retain(known)
+	l.brittle.Retain(known)
 	l.departures.Retain(l.now(), known)
 	l.rests.Prune(l.now())
 	l.reports.Prune(l.now())
@@ -226,6 +232,8 @@
 	// the selection.
 	entry     *directory.ObservedTarget
 	candidate placement.Candidate
+	// lender is the host that lent the place at a brittle target; empty for none.
+	lender string
 }
 
 // Reserve counts a request at a target that was chosen before.
@@ -240,12 +248,14 @@
 }
 
 func (l *TargetLoads) reserveLoad(target string, load targetload.Load) *Reservation {
+	r := &Reservation{loads: l, targetID: target, load: load}
 	if load.Running > 0 {
 		l.loadOf(target).coldLimiter.RecordSend(l.now())
 		l.rates.TakeToken(target)
+		r.lender = l.brittle.TakePlace(l.now(), target, l.placesAt(target))
 	}
 	l.setLoad(target, l.loadOf(target).Add(load))
-	return &Reservation{loads: l, targetID: target, load: load}
+	return r
 }
 
 // MarkPromptRead records that the engine has read the prompt.
@@ -257,9 +267,24 @@
 
 // Release removes the load. It may be called more than once, and on nil.
 func (r *Reservation) Release() {
-	if r != nil {
-		r.setLoad(targetload.Load{})
+	if r == nil {
+		return
+	}
+	r.setLoad(targetload.Load{})
+	if lender := r.takeLender(); lender != "" && r.loads.returnPlace != nil {
+		r.loads.returnPlace(r.targetID, lender)
+	}
+}
+
+// takeLender ends the use of a lent place and returns its lender; empty for none.
+func (r *Reservation) takeLender() (lender string) {
+	r.loads.mu.Lock()
+	defer r.loads.mu.Unlock()
+	lender, r.lender = r.lender, ""
+	if lender != "" {
+		r.loads.brittle.EndBorrowed(r.targetID)
 	}
+	return lender
 }
 
 func (r *Reservation) setLoad(to targetload.Load) {
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"filbertdeck/internal/call"
@@ -23,11 +24,26 @@
 	if published := !acceptsNewWork(g.view(), t); n.Leaving && g.cfg.Loads.RecordLeaving(t, published) {
 		g.cfg.Log.Info("target says that it leaves", "target", t.ID, "started", t.StartedUnixMilli, "source", source, "published", published)
 	}
+	if n.RefusalLimit != nil && g.cfg.Loads.ObserveBrittle(t, true) {
+		g.cfg.Log.Info("target says that it is brittle", "target", t.ID, "started", t.StartedUnixMilli, "source", source, "refusals_per_second", *n.RefusalLimit)
+	}
 	if n.Rest > 0 && g.cfg.Loads.RecordRest(t, n.Rest) {
 		g.cfg.Log.Info("target asks for a rest", "target", t.ID, "started", t.StartedUnixMilli, "source", source, "rest", n.Rest)
 	}
 }
 
+// observeRequestAnswer records what a target said of itself in its own answer to a
+// request. All such answers say whether the target is brittle.
+func (g *Gateway) observeRequestAnswer(s *call.Attempt, answer call.ResponseHeader) {
+	g.observeNotice(s.Target, answer.TargetNotice, s.ID)
+	if answer.RefusalLimit == nil && g.cfg.Loads.ObserveBrittle(s.Target, false) {
+		g.cfg.Log.Info("target is no longer brittle", "target", s.Target.ID, "source", s.ID)
+	}
+	if answer.NotExecuted && answer.Status == http.StatusServiceUnavailable {
+		g.cfg.Loads.RecordTurnedAway(s.Target)
+	}
+}
+
 // checkSendable returns an error when a target that was chosen before no longer
 // accepts requests. It runs right before the first byte is sent. A last resort
 // may be sent in spite of the target's rest.
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -175,7 +175,7 @@
 	available := l.refresh(view, req, sampled)
 	best := available.choose(l.rng, req)
 	if best < 0 {
-		return nil, others
+		return nil, others || available.full
 	}
 	candidate, tokens := available.candidates[best], expectedTokens(req.Prompt)
 	if others && placement.PreemptionLikely(candidate, tokens) {
@@ -190,10 +190,15 @@
 // refresh returns those of the sampled targets that still accept work, with
 // their current load.
 func (l *TargetLoads) refresh(view *directory.View, req PlacementRequest, sampled []*directory.ObservedTarget) targetCandidates {
-	c := targetCandidates{make([]placement.Candidate, 0, len(sampled)), make([]*directory.ObservedTarget, 0, len(sampled))}
+	c := targetCandidates{candidates: make([]placement.Candidate, 0, len(sampled)), targets: make([]*directory.ObservedTarget, 0, len(sampled))}
 	for _, t := range sampled {
 		if l.isAvailable(view, t) {
-			c.candidates = append(c.candidates, l.newCandidate(view, t, req.Locality, l.hostLoads.Total(l.now(), t.ID).OtherHostsLoad))
+			candidate := l.newCandidate(view, t, req.Locality, l.hostLoads.Total(l.now(), t.ID).OtherHostsLoad)
+			if l.overfillsBrittle(t.Target, candidate, expectedTokens(req.Prompt)) {
+				c.full = true
+				continue
+			}
+			c.candidates = append(c.candidates, candidate)
 			c.targets = append(c.targets, t)
 		}
 	}
@@ -243,6 +248,8 @@
 type targetCandidates struct {
 	candidates []placement.Candidate
 	targets    []*directory.ObservedTarget
+	// full is set if targets were left out that have no room for the request.
+	full bool
 }
 
 // choose returns the index of the best target for a request, -1 for none.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -207,7 +207,7 @@
 	}
 	answer := g.cfg.Dialect.ParseResponseHeader(resp)
 	if isOwnAnswer(s, answer) {
-		g.observeNotice(s.Target, answer.TargetNotice, s.ID)
+		g.observeRequestAnswer(s, answer)
 	}
 	g.observeRate(s, answer)
 	if err := checkAnswer(s, answer); err != nil {
--- a/internal/gateway/rate.go
+++ b/internal/gateway/rate.go
@@ -6,20 +6,26 @@
 	"time"
 
 	"filbertdeck/internal/call"
+	"filbertdeck/internal/decide/brittle"
 	"filbertdeck/internal/decide/targetload"
 	"filbertdeck/internal/decide/targetrate"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/wake"
 )
 
-// BorrowRateFunc borrows one request of a target's rate from another host. The
-// hosts ranked first for the target, as many as holders says, share the rate;
-// false when none of them lends.
-type BorrowRateFunc func(target string, holders int) bool
+// BorrowFunc borrows one request of a target's rate, and one of its places, from
+// another host. The hosts ranked first for the target, as many as holders says, share
+// them. It returns the lender; false when none of them lends.
+type BorrowFunc func(target string, holders int) (lender string, ok bool)
 
-// SetRateBorrower sets the function that borrows requests. Without it none are
-// borrowed.
-func (l *TargetLoads) SetRateBorrower(borrow BorrowRateFunc) { l.borrowRate = borrow }
+// ReturnFunc returns a target's place to the host that lent it.
+type ReturnFunc func(target, lender string)
+
+// SetLenders sets the functions that borrow requests and return places. Without them
+// none are borrowed.
+func (l *TargetLoads) SetLenders(borrow BorrowFunc, returnPlace ReturnFunc) {
+	l.borrowShare, l.returnPlace = borrow, returnPlace
+}
 
 // ObserveRate records the rate limit that a target advertised in an answer to
 // this host; nil when it advertised none. It reports whether the limit is new
@@ -55,11 +61,21 @@
 	return int64(l.rates.LimitedCount())
 }
 
-// LendRate lends another host one request of a target's rate; false when this
-// host has none left.
-func (l *TargetLoads) LendRate(target string) bool {
+// LendShare lends another host one request of a target's rate, and one of its places;
+// false when this host has none left, or when neither is shared.
+func (l *TargetLoads) LendShare(target string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	_, limited := l.rates.Limit(target)
+	_, isBrittle := l.brittle.Slots(l.now(), target)
+	if isBrittle {
+		return l.withinRate(target) && l.brittle.Lend(l.now(), target, l.placesAt(target)) && (!limited || l.lendRate(target))
+	}
+	return limited && l.lendRate(target)
+}
+
+// lendRate lends one request of a target's rate.
+func (l *TargetLoads) lendRate(target string) bool {
 	rank, hosts := l.rank(target)
 	return l.rates.Lend(l.now(), target, rank, hosts)
 }
@@ -94,6 +110,12 @@
 	return reservation, ok
 }
 
+// withinShare reports whether this host may send one more request to a target within
+// its shares of the target's advertised rate and of its places.
+func (l *TargetLoads) withinShare(view *directory.View, t *directory.ObservedTarget) bool {
+	return l.withinRate(t.ID) && l.hasPlace(view, t.Target)
+}
+
 // reserveWithinOwnShare is ReserveWithinRate without borrowing.
 func (l *TargetLoads) reserveWithinOwnShare(target string, p call.Prompt) (*Reservation, bool) {
 	l.mu.Lock()
@@ -106,23 +128,44 @@
 
 // borrow borrows one request to a target; false when no host lends one.
 func (l *TargetLoads) borrow(target string) bool {
-	l.mu.Lock()
-	advertisement, limited := l.rates.Limit(target)
-	_, hosts := l.rank(target)
-	l.mu.Unlock()
-	if !limited || l.borrowRate == nil || !l.borrowRate(target, targetrate.HolderCount(advertisement.PerSecond, hosts)) {
+	holders := l.shareHolders(target)
+	if holders == 0 || l.borrowShare == nil {
+		return false
+	}
+	lender, ok := l.borrowShare(target, holders)
+	if !ok {
 		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rates.AddBorrowed(target)
+	l.brittle.AddBorrowed(l.now(), target, lender)
 	return true
 }
 
+// shareHolders returns the number of hosts that share a target's rate and its places; 0
+// if neither is shared.
+func (l *TargetLoads) shareHolders(target string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, hosts := l.rank(target)
+	advertisement, limited := l.rates.Limit(target)
+	slots, isBrittle := l.brittle.Slots(l.now(), target)
+	switch {
+	case limited && isBrittle:
+		return min(targetrate.HolderCount(advertisement.PerSecond, hosts), brittle.HolderCount(slots, hosts))
+	case limited:
+		return targetrate.HolderCount(advertisement.PerSecond, hosts)
+	case isBrittle:
+		return brittle.HolderCount(slots, hosts)
+	}
+	return 0
+}
+
 // borrowForService borrows one request to any target of a service that would
 // accept it but for its rate; false when no host lends one.
 func (l *TargetLoads) borrowForService(view *directory.View, req PlacementRequest, filter func(target string) bool) bool {
-	limited := l.rateLimitedTargets(view, req, filter)
+	limited := l.sharedTargets(view, req, filter)
 	rand.Shuffle(len(limited), func(i, j int) { limited[i], limited[j] = limited[j], limited[i] })
 	return slices.ContainsFunc(limited[:min(len(limited), maxBorrowAttempts)], l.borrow)
 }
@@ -131,18 +174,17 @@
 // attempt costs a round trip.
 const maxBorrowAttempts = 2
 
-// rateLimitedTargets returns the ids of a service's targets that would accept a
-// request but for their rate.
-func (l *TargetLoads) rateLimitedTargets(view *directory.View, req PlacementRequest, filter func(target string) bool) []string {
+// sharedTargets returns the ids of a service's targets that would accept a request but
+// for this host's share of their rate or of their places.
+func (l *TargetLoads) sharedTargets(view *directory.View, req PlacementRequest, filter func(target string) bool) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.rates.LimitedCount() == 0 {
+	if l.rates.LimitedCount() == 0 && l.brittle.Count(l.now()) == 0 {
 		return nil
 	}
 	var out []string
 	for _, t := range view.ServiceTargets(req.Service) {
-		_, limited := l.rates.Limit(t.ID)
-		if limited && l.acceptsIgnoringRate(view, req, t) && !l.withinRate(t.ID) && filter(t.ID) {
+		if l.acceptsIgnoringShare(view, req, t) && !l.withinShare(view, t) && filter(t.ID) {
 			out = append(out, t.ID)
 		}
 	}
@@ -156,18 +198,18 @@
 // may accept more by now.
 func (l *TargetLoads) isStale(target string) bool { return l.rates.Stale(l.now(), target) }
 
-// TimeToRoom returns the time until one of a service's targets that rest or are
-// at their rate accepts a request from this host; false when there are none.
+// TimeToRoom returns the time until one of a service's targets that rest, are at their
+// rate or have no place left accepts a request from this host; false when there are none.
 func (l *TargetLoads) TimeToRoom(view *directory.View, req PlacementRequest) (time.Duration, bool) {
-	rateWait, limited := l.RateWait(view, req)
+	shareWait, limited := l.shareWait(view, req)
 	restWait, resting := l.shortestRest(view, req)
 	switch {
 	case !limited:
 		return restWait, resting
 	case !resting:
-		return rateWait, limited
+		return shareWait, limited
 	}
-	return min(rateWait, restWait), true
+	return min(shareWait, restWait), true
 }
 
 // HasRoom reports whether a target accepts a request now.
@@ -177,18 +219,19 @@
 	return len(l.draw(view, req, view.ServiceTargets(req.Service), 1)) > 0
 }
 
-// RateWait returns the time until this host may send to one of a service's
-// targets that are at their rate; false when none of them is.
-func (l *TargetLoads) RateWait(view *directory.View, req PlacementRequest) (time.Duration, bool) {
-	limited := l.rateLimitedTargets(view, req, anyAge)
+// shareWait returns the time until this host may send to one of a service's targets
+// that are at their rate or have no place left; false when none of them is.
+func (l *TargetLoads) shareWait(view *directory.View, req PlacementRequest) (time.Duration, bool) {
+	shared := l.sharedTargets(view, req, anyAge)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var shortest time.Duration
-	for _, id := range limited {
+	for _, id := range shared {
 		rank, hosts := l.rank(id)
-		if wait := l.rates.Wait(l.now(), id, rank, hosts); shortest == 0 || wait < shortest {
+		wait := max(l.rates.Wait(l.now(), id, rank, hosts), l.brittle.Wait(l.now(), id))
+		if shortest == 0 || wait < shortest {
 			shortest = wait
 		}
 	}
-	return shortest, len(limited) > 0
+	return shortest, len(shared) > 0
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -240,7 +240,7 @@
 	}
 	answer := g.cfg.Dialect.ParseResponseHeader(resp)
 	if isOwnAnswer(s, answer) {
-		g.observeNotice(s.Target, answer.TargetNotice, s.ID)
+		g.observeRequestAnswer(s, answer)
 	}
 	g.observeRate(s, answer)
 	return resp, nil
--- a/internal/gatewayhost/exchange.go
+++ b/internal/gatewayhost/exchange.go
@@ -16,6 +16,7 @@
 	"filbertdeck/internal/controller/configwatch"
 	"filbertdeck/internal/controller/gossip"
 	"filbertdeck/internal/controller/recordsync"
+	"filbertdeck/internal/decide/brittle"
 	"filbertdeck/internal/decide/membership"
 	"filbertdeck/internal/decide/poison"
 	"filbertdeck/internal/decide/targetload"
@@ -165,7 +166,7 @@
 		out[i] = &filbertv1.TargetLoad{
 			Host: c.Host, Target: c.Target, Version: c.Version, Running: toUint32(c.Running), Tokens: toUint32(c.ReservedTokens), Unread: toUint32(c.UnreadTokens), Leaving: c.Leaving,
 			StepUs: toUint32(int(c.TimePerToken.Microseconds())), Copies: toUint32(c.BackupTokens), Failures: c.FailureSeq,
-			Rate: encodeRate(c.AdvertisedRate, now), LeavingLifetime: c.LeavingLifetime,
+			Rate: encodeRate(c.AdvertisedRate, now), Brittle: encodeBrittle(c.Brittle, now), LeavingLifetime: c.LeavingLifetime,
 		}
 	}
 	return out
@@ -186,6 +187,21 @@
 	return &targetrate.Advertisement{Limited: rate.GetLimited(), PerSecond: rate.GetPerSecond(), At: now - age}
 }
 
+func encodeBrittle(said *brittle.Statement, now time.Duration) *filbertv1.TargetBrittle {
+	if said == nil {
+		return nil
+	}
+	return &filbertv1.TargetBrittle{Brittle: said.Brittle, Started: said.StartedUnixMilli, Slots: toUint32(said.Slots), AgeMs: toUint32(int((now - said.At).Milliseconds()))}
+}
+
+func decodeBrittle(said *filbertv1.TargetBrittle, now time.Duration) *brittle.Statement {
+	if said == nil {
+		return nil
+	}
+	age := time.Duration(said.GetAgeMs()) * time.Millisecond
+	return &brittle.Statement{Brittle: said.GetBrittle(), StartedUnixMilli: said.GetStarted(), Slots: int(said.GetSlots()), At: now - age}
+}
+
 func toUint32(n int) uint32 { return uint32(max(n, 0)) }
 
 func decodeCounts(loads []*filbertv1.TargetLoad, now time.Duration) []targetload.HostLoad {
@@ -193,7 +209,7 @@
 	for i, load := range loads {
 		counts[i] = targetload.HostLoad{
 			Host: load.GetHost(), Target: load.GetTarget(), Version: load.GetVersion(), Leaving: load.GetLeaving(),
-			TimePerToken: time.Duration(load.GetStepUs()) * time.Microsecond, FailureSeq: load.GetFailures(), AdvertisedRate: decodeRate(load.GetRate(), now), LeavingLifetime: load.LeavingLifetime,
+			TimePerToken: time.Duration(load.GetStepUs()) * time.Microsecond, FailureSeq: load.GetFailures(), AdvertisedRate: decodeRate(load.GetRate(), now), Brittle: decodeBrittle(load.GetBrittle(), now), LeavingLifetime: load.LeavingLifetime,
 			Load: targetload.Load{Running: int(load.GetRunning()), ReservedTokens: int(load.GetTokens()), UnreadTokens: int(load.GetUnread()), BackupTokens: int(load.GetCopies())},
 		}
 	}
--- a/internal/gatewayhost/owners.go
+++ b/internal/gatewayhost/owners.go
@@ -76,7 +76,7 @@
 
 func runOwnerExchange(lc fx.Lifecycle, o *ownerExchange) {
 	o.loads.SetOwnerQuery(o.queryOwner)
-	o.loads.SetRateBorrower(o.borrow)
+	o.loads.SetLenders(o.borrow, o.returnPlace)
 	lc.Append(fx.StartHook(o.listen))
 	process.RunInBackground(lc, func(ctx context.Context) {
 		context.AfterFunc(ctx, func() { _ = o.conn.Close() })
@@ -133,21 +133,28 @@
 	}
 }
 
-// borrow implements gateway.BorrowRateFunc. It asks one of the hosts that share the
-// target's rate limit, chosen at random.
-func (o *ownerExchange) borrow(target string, holders int) bool {
+// borrow implements gateway.BorrowFunc. It asks one of the hosts that share the
+// target's rate limit or its places, chosen at random.
+func (o *ownerExchange) borrow(target string, holders int) (lender string, ok bool) {
 	hosts := o.fleet.rateSharers(target, holders)
 	if len(hosts) == 0 {
-		return false
+		return "", false
 	}
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	answer, _ := o.query(o.firstResponsive(hosts), &filbertv1.TargetLoads{Borrow: target})
+	lender = o.firstResponsive(hosts)
+	answer, _ := o.query(lender, &filbertv1.TargetLoads{Borrow: target})
 	if !answer.GetLent() {
 		o.refusedRequests.Inc(1)
-		return false
+		return "", false
 	}
 	o.borrowedRequests.Inc(1)
-	return true
+	return lender, true
+}
+
+// returnPlace returns a target's place to the host that lent it. If the message is
+// lost, that host has the place back after some time.
+func (o *ownerExchange) returnPlace(target, lender string) {
+	o.send(lender, &filbertv1.TargetLoads{Returned: target})
 }
 
 // sendChangedLoads sends this host's changed loads to the owners of the
@@ -296,13 +303,17 @@
 		return
 	}
 	counts := decodeCounts(message.GetLoads(), o.now())
+	if target := message.GetReturned(); target != "" {
+		o.loads.RecordReturned(target)
+		return
+	}
 	if message.GetQuestion() == 0 {
 		o.loads.MergeLoads("", counts)
 		return
 	}
 	answer := &filbertv1.TargetLoads{Question: message.GetQuestion(), Answer: true}
 	if target := message.GetBorrow(); target != "" {
-		answer.Lent = o.loads.LendRate(target)
+		answer.Lent = o.loads.LendShare(target)
 	} else {
 		answer.Loads = encodeCounts(o.loads.AnswerOwnerQuery(counts), o.now())
 	}
--- a/internal/gatewayhost/owners_test.go
+++ b/internal/gatewayhost/owners_test.go
@@ -15,9 +15,11 @@
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/controller/gossip"
 	"filbertdeck/internal/controller/recordsync"
+	"filbertdeck/internal/decide/brittle"
 	"filbertdeck/internal/decide/membership"
 	"filbertdeck/internal/decide/targetload"
 	"filbertdeck/internal/decide/targetrate"
+	"filbertdeck/internal/directory"
 	"filbertdeck/internal/gateway"
 )
 
@@ -144,19 +146,67 @@
 			target = id
 		}
 	}
-	if first.borrow(target, 1) {
+	lends := func(o *ownerExchange) bool {
+		_, ok := o.borrow(target, 1)
+		return ok
+	}
+	if lends(first) {
 		t.Fatal("a request was lent for a target that advertised no rate")
 	}
 	rate := 0.001
 	lender.ObserveRate(target, &rate)
-	if !first.borrow(target, 1) {
+	if !lends(first) {
 		t.Fatal("the host that holds the target's rate lent no request")
 	}
-	if second.borrow(target, 1) {
+	if lends(second) {
 		t.Fatal("a request was lent twice")
 	}
 }
 
+// Guards against a place at a brittle target that two hosts use at once, and against
+// one that nobody uses after it was returned.
+func TestPlaceAtBrittleTargetIsLentAndReturned(t *testing.T) {
+	addresses := []string{freeUDPAddress(t), freeUDPAddress(t), freeUDPAddress(t)}
+	_, lender := startOwnerExchange(t, addresses[0], addresses)
+	first, _ := startOwnerExchange(t, addresses[1], addresses)
+	second, _ := startOwnerExchange(t, addresses[2], addresses)
+	target := directory.Target{ID: "i-1", Slots: 1, StartedUnixMilli: 10}
+	lender.ObserveBrittle(target, true)
+	host, ok := first.borrow(target.ID, len(addresses))
+	for try := 0; !ok && try < 100; try++ {
+		host, ok = first.borrow(target.ID, len(addresses))
+	}
+	if !ok || host != addresses[0] {
+		t.Fatalf("the place was lent by %q, want %q", host, addresses[0])
+	}
+	borrowed := func() bool {
+		lenderAddress, lent := second.borrow(target.ID, len(addresses))
+		return lent && lenderAddress == addresses[0]
+	}
+	for range 20 {
+		if borrowed() {
+			t.Fatal("a place was lent twice")
+		}
+	}
+	first.returnPlace(target.ID, host)
+	for try := 0; try < 1000; try++ {
+		if borrowed() {
+			return
+		}
+	}
+	t.Fatal("the returned place was not lent again")
+}
+
+// Guards against a brittle target of which other hosts learn a wrong lifetime or age.
+func TestBrittleStatementIsKeptBetweenHosts(t *testing.T) {
+	said := brittle.Statement{Brittle: true, StartedUnixMilli: 1779813826589, Slots: 6, At: 5 * time.Second}
+	got := decodeCounts(encodeCounts([]targetload.HostLoad{{Target: "i-1", Brittle: &said}}, 7*time.Second), time.Minute)[0].Brittle
+	said.At = time.Minute - 2*time.Second
+	if got == nil || *got != said {
+		t.Fatalf("decoded %+v, want %+v", got, said)
+	}
+}
+
 // Guards against an advertised rate whose age shrinks in transit, so that it
 // replaces a more recent one.
 func TestRateAgeIsKeptBetweenHosts(t *testing.T) {
