--- a/internal/decide/relaypeers/relaypeers.go
+++ b/internal/decide/relaypeers/relaypeers.go
@@ -28,6 +28,9 @@
 	provenFor = 10 * time.Second
 	// maxProven is the number of proven hosts with which no further ones are tried.
 	maxProven = 3
+	// minNearFailed is the number of hosts of this host's data centre that must have
+	// failed for hosts of all data centres to be asked first.
+	minNearFailed = 2
 	// maxDraws limits the hosts that are looked at for one choice.
 	maxDraws = 16
 )
@@ -67,7 +70,7 @@
 
 // Choose returns a host for a request to a service; false when there is none. near
 // are the live hosts of this host's data centre, all those of all data centres. The
-// hosts in tried are left out. After one of them failed hosts of all data centres are
+// hosts in tried are left out. Once some of them failed hosts of all data centres are
 // drawn, since a whole data centre may be partitioned.
 func (s *Selector) Choose(now time.Duration, service string, near, all, tried []string) (string, bool) {
 	s.expire(now)
@@ -79,7 +82,7 @@
 	if len(proven) >= maxProven || len(proven) > 0 && len(tried) > 0 {
 		return proven[s.rng.IntN(len(proven))], true
 	}
-	if len(tried) == 0 {
+	if len(tried) == 0 && s.nearFailed(service, near) < minNearFailed {
 		if host, ok := s.draw(near, usable); ok {
 			return host, true
 		}
@@ -93,6 +96,17 @@
 	return "", false
 }
 
+// nearFailed returns the number of hosts of this host's data centre that failed lately.
+func (s *Selector) nearFailed(service string, near []string) int {
+	n := 0
+	for k := range s.failedAt {
+		if k.service == service && slices.Contains(near, k.host) {
+			n++
+		}
+	}
+	return n
+}
+
 // proven returns the live hosts that served requests to a service, sorted.
 func (s *Selector) proven(service string, all []string, usable func(string) bool) []string {
 	var proven []string
--- /dev/null
+++ b/internal/gateway/relay_test.go
@@ -0,0 +1,275 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/failure"
+	"filbertdeck/internal/relay"
+	"filbertdeck/internal/rpc"
+	"filbertdeck/platform/standin"
+)
+
+const deadlineHeader = "X-Filbertdeck-Deadline-Ms"
+
+var _ = Describe("a request that goes through another host", func() {
+	// start runs a host that is partitioned from its targets and a peer that is not.
+	start := func(targets ...*fakeTarget) (host, peer *fixture) {
+		host, peer = startPeers()
+		for _, t := range targets {
+			host.add(t.directoryEntry("app", "dc-1"))
+			peer.add(t.directoryEntry("app", "dc-1"))
+		}
+		host.cut.set(refused)
+		return host, peer
+	}
+
+	// Guards against request targets, headers or bodies that change on the way, and
+	// against a target that is given more time than is left.
+	It("arrives as it was sent, with the time that is left", func() {
+		target := startTarget("app-1", respond(completeAnswer))
+		host, _ := start(target)
+		req := host.request(http.MethodPost, "/book/a%2Fb?x=1&y=%20")
+		req.Header.Set(deadlineHeader, "900")
+		req.Header.Set("X-Custom", "kept")
+		// Keeps the test's own client from adding one.
+		req.Header.Set("User-Agent", "")
+		Expect(host.do(req).status).To(Equal(http.StatusOK))
+		got := target.requests()
+		Expect(got).To(HaveLen(1))
+		Expect(got[0].RequestURI).To(Equal("/book/a%2Fb?x=1&y=%20"))
+		Expect(got[0].Host).To(Equal("a.example"))
+		Expect(got[0].Header.Get("X-Custom")).To(Equal("kept"))
+		Expect(got[0].Header).NotTo(HaveKey("User-Agent"))
+		Expect(target.bodies).To(Equal([]string{"hello"}))
+		left, err := strconv.Atoi(got[0].Header.Get(deadlineHeader))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(left).To(BeNumerically("<=", 900))
+	})
+
+	// Guards against a booking that runs twice: once it may have been written, its
+	// outcome is unknown and it goes nowhere else.
+	It("is not sent again when the target breaks the connection", func() {
+		target := startTarget("app-1", func(net.Conn, *http.Request) {})
+		host, _ := start(target)
+		Expect(host.do(host.request(http.MethodPost, "/book/1")).status).To(Equal(http.StatusBadGateway))
+		Expect(target.requests()).To(HaveLen(1))
+	})
+
+	// Guards against answers that look complete although the target broke off.
+	It("does not end as complete when the answer breaks off", func() {
+		target := startTarget("app-1", respond("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s-1\nContent-Length: 40\n\nhalf"))
+		host, _ := start(target)
+		Expect(host.do(host.request(http.MethodPost, "/book/1")).status).To(Equal(http.StatusBadGateway))
+	})
+
+	// Guards against work that goes on at the target after its caller has left.
+	It("ends at the target when its caller leaves", func() {
+		arrived, left := make(chan struct{}), make(chan struct{})
+		target := startTarget("app-1", func(conn net.Conn, _ *http.Request) {
+			close(arrived)
+			_, err := conn.Read(make([]byte, 1))
+			if err != nil {
+				close(left)
+			}
+		})
+		host, _ := start(target)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = host.do(host.request(http.MethodPost, "/book/1").WithContext(ctx)) }()
+		Eventually(arrived, "5s").Should(BeClosed())
+		cancel()
+		Eventually(left, "5s").Should(BeClosed())
+	})
+
+	// Guards against requests that go round between hosts that are all partitioned, and
+	// against callers that wait for them.
+	It("goes no further when the other host is partitioned too, and has not run", func() {
+		target := startTarget("app-1", respond(completeAnswer))
+		host, peer := start(target)
+		peer.cut.set(refused)
+		res := host.do(host.request(http.MethodPost, "/book/1"))
+		Expect(res.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(res.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(target.requests()).To(BeEmpty())
+		Expect(peer.relayedCount()).To(BeZero())
+	})
+
+	// Guards against a host that sends requests to a target of which it knows that it
+	// left, or that it does not know.
+	It("is not sent by a host that does not know the target", func() {
+		target := startTarget("app-1", respond(completeAnswer))
+		host, peer := start(target)
+		peer.publish()
+		Expect(host.do(host.request(http.MethodPost, "/book/1")).status).To(Equal(http.StatusServiceUnavailable))
+		Expect(target.requests()).To(BeEmpty())
+	})
+
+	It("is not sent to a target that told the other host that it leaves", func() {
+		target := startTarget("app-1", respond(completeAnswer))
+		host, peer := start(target)
+		peer.loads.RecordLeaving(target.directoryEntry("app", "dc-1").Target, false)
+		Expect(host.do(host.request(http.MethodPost, "/book/1")).status).To(Equal(http.StatusServiceUnavailable))
+		Expect(target.requests()).To(BeEmpty())
+	})
+
+	// Guards against a rest that one of the two hosts does not keep.
+	It("lets both hosts know that the target wants a rest", func() {
+		target := startTarget("app-1", respond("HTTP/1.1 503 Service Unavailable\n"+requestID+": ID\nX-Filbertdeck-Not-Executed: 1\nRetry-After: 5\nContent-Length: 0\n\n"))
+		host, peer := start(target)
+		Expect(host.do(host.request(http.MethodPost, "/book/1")).status).To(Equal(http.StatusServiceUnavailable))
+		entry := target.directoryEntry("app", "dc-1").Target
+		Expect(host.loads.RestRemaining(entry)).To(BeNumerically(">", 0))
+		Expect(peer.loads.RestRemaining(entry)).To(BeNumerically(">", 0))
+	})
+
+	// Guards against a generation that is lost with its host's paths although another
+	// engine has its backup.
+	It("may be a generation that goes on at its backup", func() {
+		const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+		header := "HTTP/1.1 200 OK\r\n" + seal + ": s-1\r\nContent-Type: text/event-stream\r\n"
+		var host *fixture
+		var broken atomic.Bool
+		serve := func(conn net.Conn, r *http.Request) {
+			head := header + requestID + ": " + r.Header.Get(requestID) + "\r\n"
+			if r.Header.Get("Kv-From") != "" {
+				_, _ = io.WriteString(conn, head+"Content-Length: "+strconv.Itoa(len(second))+"\r\n\r\n"+second)
+				return
+			}
+			_, _ = io.WriteString(conn, head+"Content-Length: "+strconv.Itoa(len(first)+len(second))+"\r\n\r\n"+first)
+			host.cut.set(refused)
+			broken.Store(true)
+			time.Sleep(20 * time.Millisecond)
+		}
+		one, two := startTarget("llm-1", serve), startTarget("llm-2", serve)
+		var peer *fixture
+		host, peer = startPeers()
+		for _, t := range []*fakeTarget{one, two} {
+			host.add(t.directoryEntry("llm", "dc-1"))
+			peer.add(t.directoryEntry("llm", "dc-1"))
+		}
+		req := host.request(http.MethodPost, "/report/1")
+		req.Header.Set("X-Filbertdeck-Token-Usage", "100,50")
+		res := host.do(req)
+		Expect(broken.Load()).To(BeTrue())
+		Expect(res.err).NotTo(HaveOccurred())
+		Expect(res.body).To(Equal(first + second))
+		Expect(peer.relayedCount()).To(BeEquivalentTo(1))
+	})
+})
+
+var _ = Describe("the way through a host", func() {
+	// open opens the service of a host as another process would.
+	open := func(config relay.ServerConfig) filbertv1.RelayClient {
+		server := rpc.NewServer(rpc.Credentials{})
+		config.Log, config.Metrics = slog.New(slog.DiscardHandler), startGateway().metrics
+		filbertv1.RegisterRelayServer(server, relay.NewServer(config))
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		go func() { _ = server.Serve(l) }()
+		DeferCleanup(server.Stop)
+		conn, err := rpc.Dial(l.Addr().String(), rpc.Credentials{})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		return filbertv1.NewRelayClient(conn)
+	}
+	accept := func() (func(), error) { return func() {}, nil }
+	// send sends the first message and returns the first reply.
+	send := func(client filbertv1.RelayClient, message *filbertv1.RelayCall) (filbertv1.Relay_SendClient, *filbertv1.RelayReply, error) {
+		stream, err := client.Send(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stream.Send(message)).To(Succeed())
+		reply, err := stream.Recv()
+		return stream, reply, err
+	}
+	request := func(r *filbertv1.RelayRequest) *filbertv1.RelayCall {
+		return &filbertv1.RelayCall{Step: &filbertv1.RelayCall_Request{Request: r}}
+	}
+	start := &filbertv1.RelayCall{Step: &filbertv1.RelayCall_Start{Start: &filbertv1.RelayStart{}}}
+
+	// Guards against a process that is no host and reaches targets through one.
+	It("is closed to strangers", func() {
+		target := startTarget("app-1", respond(completeAnswer))
+		gw := startGateway(target.directoryEntry("app", "dc-1"))
+		client := open(relay.ServerConfig{Sender: gw.gateway, IsHost: func(string) bool { return false }, Begin: accept})
+		_, _, err := send(client, request(&filbertv1.RelayRequest{Target: "app-1", Method: "POST", Uri: "/book/1"}))
+		Expect(err).To(HaveOccurred())
+		Expect(target.requests()).To(BeEmpty())
+	})
+
+	// Guards against messages that make the host send what is no request of a caller.
+	DescribeTable("refuses bad input", func(message *filbertv1.RelayCall) {
+		target := startTarget("app-1", respond(completeAnswer))
+		gw := startGateway(target.directoryEntry("app", "dc-1"))
+		client := open(relay.ServerConfig{Sender: gw.gateway, IsHost: func(string) bool { return true }, Begin: accept})
+		_, reply, err := send(client, message)
+		if err == nil {
+			Expect(reply.GetFailure().GetExecuted()).To(Equal(string(failure.ExecutedNo)))
+		}
+		Expect(target.requests()).To(BeEmpty())
+	},
+		Entry("no request", start),
+		Entry("an unknown target", request(&filbertv1.RelayRequest{Target: "app-9", Method: "POST", Uri: "/book/1"})),
+		Entry("another lifetime of the target", request(&filbertv1.RelayRequest{Target: "app-1", Started: 5, Method: "POST", Uri: "/book/1"})),
+		Entry("a method with spaces", request(&filbertv1.RelayRequest{Target: "app-1", Method: "POST /x HTTP/1.1", Uri: "/book/1"})),
+		Entry("a request target on another host", request(&filbertv1.RelayRequest{Target: "app-1", Method: "POST", Uri: "http://10.0.0.1/book"})),
+		Entry("a request target with a line break", request(&filbertv1.RelayRequest{Target: "app-1", Method: "POST", Uri: "/a HTTP/1.1\r\nX: y"})),
+		Entry("no request target", request(&filbertv1.RelayRequest{Target: "app-1", Method: "POST"})),
+		Entry("a header with a line break", request(&filbertv1.RelayRequest{Target: "app-1", Method: "POST", Uri: "/book/1", Headers: []*filbertv1.Header{{Name: "A", Value: "b\r\nC: d"}}})),
+	)
+
+	// Guards against a request that runs although the host that it came to has given it
+	// up and sent it another way.
+	It("writes nothing before it is told to start", func() {
+		target := startTarget("app-1", respond(completeAnswer))
+		gw := startGateway(target.directoryEntry("app", "dc-1"))
+		client := open(relay.ServerConfig{Sender: gw.gateway, IsHost: func(string) bool { return true }, Begin: accept})
+		stream, reply, err := send(client, request(&filbertv1.RelayRequest{Target: "app-1", Method: "POST", Uri: "/book/1", RequestId: "r-9"}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.GetConnected()).NotTo(BeNil())
+		Expect(stream.CloseSend()).To(Succeed())
+		reply, err = stream.Recv()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.GetFailure().GetExecuted()).To(Equal(string(failure.ExecutedNo)))
+		Expect(target.requests()).To(BeEmpty())
+	})
+
+	// Guards against a stop that cuts requests of other hosts, and against hosts that
+	// send more to one that stops.
+	It("is closed while the host stops", func() {
+		target := startTarget("app-1", respond(completeAnswer))
+		gw := startGateway(target.directoryEntry("app", "dc-1"))
+		stopping := failure.New(failure.KindStopping, "stopping")
+		client := open(relay.ServerConfig{Sender: gw.gateway, IsHost: func(string) bool { return true }, Begin: func() (func(), error) { return nil, stopping }})
+		_, reply, err := send(client, request(&filbertv1.RelayRequest{Target: "app-1", Method: "POST", Uri: "/book/1"}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.GetFailure().GetHostAtFault()).To(BeTrue())
+	})
+
+	// Guards against a caller that is refused, or waits, because the first host that is
+	// asked does not answer.
+	It("leads over another host when one does not answer", func() {
+		target := startTarget("app-1", respond(completeAnswer))
+		dead, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(dead.Close)
+		peer := startGateway(target.directoryEntry("app", "dc-1"))
+		host := startGatewayWithRelay(relayThrough(dead.Addr().String(), servePeer(peer)), target.directoryEntry("app", "dc-1"))
+		host.cut.set(refused)
+		for range 4 {
+			res := host.do(host.requestWithID("r-"+strconv.Itoa(int(time.Now().UnixNano())), http.MethodPost, "/book/1"))
+			Expect(res.status).To(Equal(http.StatusOK))
+			Expect(strings.TrimSpace(res.header.Get(standin.HeaderSeal))).To(Equal("s1"))
+		}
+	})
+})
