Reach engines' own interface through other hosts as well

What callers saw: a generation on a connection that lives on while new ones are refused ended with its engine when that left, since the host could not have it copied, nor ask when the engine stops.

Engines' calls (move, drop, report, health) go through another host while the service is lost. They run nothing, so the check whether a target wants requests does not concern them. The last resort and this mark are fields of the attempt now. Spec red before: the engine got no call to move.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -81,6 +81,12 @@
 	// Backup is the target (ip:port) that continuously receives a copy of the
 	// generation's KV cache; empty for none.
 	Backup string
+	// LastResort is set when no other target can serve the request, so that it may be
+	// sent in spite of the target's rest.
+	LastResort bool
+	// Management is set for a call of the target's own interface, which runs nothing
+	// and may be sent to a target that leaves.
+	Management bool
 }
 
 // Load is the load that a target reports. A figure is nil when the target does not
@@ -202,4 +208,6 @@
 	Report(ctx context.Context, at string) (EngineReport, error)
 	// Health checks a target at the health path of its service.
 	Health(ctx context.Context, at, path string) (Health, error)
+	// Through returns a client whose calls go through a transport.
+	Through(transport http.RoundTripper) EngineClient
 }
--- a/internal/gateway/cut_host_test.go
+++ b/internal/gateway/cut_host_test.go
@@ -44,6 +44,14 @@
 	return targetclient.Dial(ctx, network, address, timeout)
 }
 
+// transport returns a transport for calls of engines' own interface across the
+// partition.
+func (c *cut) transport() *http.Transport {
+	return &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		return c.connect(ctx, network, address, 500*time.Millisecond)
+	}}
+}
+
 // cutTimeout is the time that callers of a host that is cut off give a request, in
 // milliseconds. Connecting to one target that does not answer takes most of it.
 const cutTimeout = "1000"
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -171,7 +171,7 @@
 	now := func() time.Duration { return time.Since(start) + time.Duration(gw.skipped.Load()) }
 	gw.loads, gw.crashEvidence = gateway.NewTargetLoads("host-1", "dc-1", now), gateway.NewCrashEvidence(now)
 	g := gateway.New(gateway.Config{
-		Dialect: dialect, Relay: relay, Engines: platform.NewEngines(), Board: board,
+		Dialect: dialect, Relay: relay, Engines: platform.NewEngines().Through(gw.cut.transport()), Board: board,
 		Loads: gw.loads, CrashEvidence: gw.crashEvidence, RetryBudget: retrybudget.New(retrybudget.Config{}),
 		Client: targetclient.NewAtMostOnceClient(targetclient.Settings{ResponseHeaderTimeout: time.Minute, ReadIdleTimeout: time.Minute, DialTimeout: 700 * time.Millisecond, Connect: gw.cut.connect}), Migration: migration.Default(), Disconnected: gw.disconnected.Load, ViewCurrent: func() bool { return !gw.disconnected.Load() }, ViewAge: func() time.Duration { return 0 },
 		Log: slog.New(logs), Metrics: gw.metrics, Now: now,
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -133,7 +133,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	health, err := g.cfg.Engines.Health(ctx, t.Address, service.HealthPath)
+	health, err := g.engineClient(t.Target).Health(ctx, t.Address, service.HealthPath)
 	g.observeNotice(t.Target, health.TargetNotice, "health check")
 	if err != nil {
 		g.cfg.Log.Debug("health check failed", "target", t.ID, "error", err)
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -135,7 +135,7 @@
 // copyTo copies the generation's memory to another engine and switches to it.
 func (gen *generation) copyTo(ctx context.Context, from, to *directory.ObservedTarget, reservation *Reservation, m *move, stopTime time.Time) copyOutcome {
 	start := time.Now()
-	result, err := gen.g.cfg.Engines.Move(ctx, from.Address, gen.ID, to.Address, false)
+	result, err := gen.g.engineClient(from.Target).Move(ctx, from.Address, gen.ID, to.Address, false)
 	gen.g.observeNotice(from.Target, result.TargetNotice, "move")
 	gen.g.cfg.Log.Info("generation copied", "request", gen.ID, "from", from.ID, "to", to.ID, "took", time.Since(start),
 		"remote", to.DataCentre != from.DataCentre, "leaves_in", time.Until(stopTime), "events", result.Events, "error", err)
@@ -178,7 +178,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	notice, err := gen.g.cfg.Engines.Drop(ctx, from.Address, m.copy.handoff.Handle)
+	notice, err := gen.g.engineClient(from.Target).Drop(ctx, from.Address, m.copy.handoff.Handle)
 	gen.g.observeNotice(from.Target, notice, "drop")
 	if err != nil {
 		gen.g.cfg.Log.Debug("dropping the copy failed", "request", gen.ID, "error", err)
@@ -215,7 +215,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	report, err := gen.g.cfg.Engines.Report(ctx, from.Address)
+	report, err := gen.g.engineClient(from.Target).Report(ctx, from.Address)
 	gen.g.observeNotice(from.Target, report.TargetNotice, "report")
 	if err != nil || report.ShutdownIn <= 0 {
 		return gen.g.cfg.Migration.Notice
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -16,7 +16,7 @@
 	// Do sends a request to the attempt's target. beforeWrite runs once the other host
 	// has connected to it; if it returns an error, nothing is sent. An error of kind
 	// KindNoTarget means that no host was found that reaches the service's targets.
-	Do(req *http.Request, s *call.Attempt, lastResort bool, beforeWrite func() error) (*http.Response, error)
+	Do(req *http.Request, s *call.Attempt, beforeWrite func() error) (*http.Response, error)
 }
 
 // connectPatience is the time from which a connection to a target that does not stand
@@ -27,14 +27,15 @@
 // service's targets, else through another host. A connection that hangs is tried in
 // both ways, and the one that stands first is used.
 func (g *Gateway) deliver(req *http.Request, s *call.Attempt, selection *selectionState) (*http.Response, error) {
+	s.LastResort = selection.lastResort
 	check := func() error {
 		selection.recordSend()
-		if err := g.checkSendable(s.Target, selection.lastResort); err != nil {
+		if err := g.checkSendable(s.Target, s.LastResort); err != nil {
 			return err
 		}
 		return req.Context().Err()
 	}
-	d := &delivery{g: g, req: req, attempt: s, lastResort: selection.lastResort, check: check}
+	d := &delivery{g: g, req: req, attempt: s, check: check}
 	if g.cfg.Relay != nil && g.paths.isLost(s.Target.Service) {
 		return d.relayOnly()
 	}
@@ -52,10 +53,9 @@
 
 // delivery is one request on its ways to a target. At most one way writes it.
 type delivery struct {
-	g          *Gateway
-	req        *http.Request
-	attempt    *call.Attempt
-	lastResort bool
+	g       *Gateway
+	req     *http.Request
+	attempt *call.Attempt
 	// check is the last check before the request is written.
 	check func() error
 
@@ -75,7 +75,7 @@
 // relayOnly sends the request through another host. While this host has lost the
 // service, a target that no host reaches counts as unreachable.
 func (d *delivery) relayOnly() (*http.Response, error) {
-	resp, err := d.g.cfg.Relay.Do(d.req, d.attempt, d.lastResort, d.check)
+	resp, err := d.g.cfg.Relay.Do(d.req, d.attempt, d.check)
 	if failure.KindOf(err) == failure.KindNoTarget {
 		return nil, failure.Wrap(err, failure.KindTargetFailed, "target %s can't be reached from any host that was asked", d.attempt.Target.ID)
 	}
@@ -115,7 +115,7 @@
 		return o.resp, o.err
 	}
 	d.g.recordLost(d.attempt.Target, o.err)
-	if d.g.cfg.Relay != nil && (d.lastResort || d.g.paths.isLost(d.attempt.Target.Service)) {
+	if d.g.cfg.Relay != nil && (d.attempt.LastResort || d.g.paths.isLost(d.attempt.Target.Service)) {
 		return d.relayOnly()
 	}
 	return o.resp, o.err
@@ -141,7 +141,7 @@
 		if w == direct {
 			o.resp, o.err = d.g.cfg.Client.Do(req, admit)
 		} else {
-			o.resp, o.err = d.g.cfg.Relay.Do(req, d.attempt, d.lastResort, admit)
+			o.resp, o.err = d.g.cfg.Relay.Do(req, d.attempt, admit)
 		}
 		o.way = w
 		ended <- o
@@ -221,13 +221,13 @@
 
 // SendForPeer implements relay.Sender. What the target says of itself in the answer
 // concerns this host too.
-func (g *Gateway) SendForPeer(req *http.Request, s *call.Attempt, lastResort bool, ready func() error) (*http.Response, error) {
+func (g *Gateway) SendForPeer(req *http.Request, s *call.Attempt, ready func() error) (*http.Response, error) {
 	resp, err := g.cfg.Client.Do(req, func() error {
 		g.paths.recordReached(s.Target)
-		if err := ready(); err != nil {
+		if err := ready(); err != nil || s.Management {
 			return err
 		}
-		return g.checkSendable(s.Target, lastResort)
+		return g.checkSendable(s.Target, s.LastResort)
 	})
 	if isUnreached(err) && req.Context().Err() == nil {
 		g.recordLost(s.Target, err)
@@ -235,8 +235,8 @@
 			return nil, errLostHereToo
 		}
 	}
-	if err != nil {
-		return nil, err
+	if err != nil || s.Management {
+		return resp, err
 	}
 	answer := g.cfg.Dialect.ParseResponseHeader(resp)
 	if isOwnAnswer(s, answer) {
@@ -245,3 +245,24 @@
 	g.observeRate(s, answer)
 	return resp, nil
 }
+
+// engineClient returns the client for calls of a target's own interface: through other
+// hosts while this host has lost its service.
+func (g *Gateway) engineClient(t directory.Target) call.EngineClient {
+	if g.cfg.Relay == nil || !g.paths.isLost(t.Service) {
+		return g.cfg.Engines
+	}
+	return g.cfg.Engines.Through(relayTransport{g.cfg.Relay, t})
+}
+
+// relayTransport is an http.RoundTripper to a target through other hosts.
+type relayTransport struct {
+	relay  Relay
+	target directory.Target
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t relayTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	attempt := &call.Attempt{Request: &call.Request{}, Target: t.target, Management: true}
+	return t.relay.Do(req, attempt, func() error { return req.Context().Err() })
+}
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -168,6 +168,38 @@
 	})
 })
 
+var _ = Describe("a generation whose connection lives on while new ones are refused", func() {
+	// Guards against generations that end with their engine because the host can't have
+	// them copied.
+	It("moves when its engine leaves", func() {
+		first, second := startEngine("llm-1", 60, 20*time.Millisecond), startEngine("llm-2", 60, 20*time.Millisecond)
+		host, peer := startPeers()
+		for _, gw := range []*fixture{host, peer} {
+			gw.add(first.directoryEntry("llm", "dc-1"))
+		}
+		done := make(chan result, 1)
+		go func() { done <- host.do(host.request(http.MethodPost, "/report/1")) }()
+		Eventually(first.eventsSent.Load, "5s").Should(BeNumerically(">", 3))
+		host.cut.set(refused)
+		for _, gw := range []*fixture{host, peer} {
+			gw.add(second.directoryEntry("llm", "dc-1"))
+		}
+		// A request that can't be sent directly tells the host that it is partitioned.
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = host.do(host.requestWithID("r-2", http.MethodPost, "/brief/1").WithContext(ctx)) }()
+		Eventually(host.countLost, "5s", "5ms").Should(Equal(1))
+		cancel()
+		for _, gw := range []*fixture{host, peer} {
+			gw.publish(asLeaving(first.directoryEntry("llm", "dc-1")), second.directoryEntry("llm", "dc-1"))
+		}
+		var res result
+		Eventually(done, "10s").Should(Receive(&res))
+		Expect(res.err).NotTo(HaveOccurred())
+		Expect(res.body).To(Equal(eventStream(60)))
+		Expect(first.moveRequests.Load()).To(BeNumerically(">", 0))
+	})
+})
+
 var _ = Describe("the way through a host", func() {
 	// open opens the service of a host as another process would.
 	open := func(config relay.ServerConfig) filbertv1.RelayClient {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -100,8 +100,8 @@
 // written and Do returns that error. Errors state whether the request ran, like those
 // of targetclient.AtMostOnceClient. An error of kind KindNoTarget means that no host
 // was found that reaches the service's targets.
-func (c *Client) Do(req *http.Request, s *call.Attempt, lastResort bool, beforeWrite func() error) (*http.Response, error) {
-	message, err := encodeRequest(req, s, lastResort)
+func (c *Client) Do(req *http.Request, s *call.Attempt, beforeWrite func() error) (*http.Response, error) {
+	message, err := encodeRequest(req, s)
 	if err != nil {
 		return nil, err
 	}
