Probe the targets of silent generations, so that a partition is noticed before the next request

Cause: only requests brought evidence. Now a target from which a generation hears nothing for 0.7 s is probed, once a second; streams of lost services are left after 1.5 s instead of 1 s, since a sound target may be silent for a second.

A request through another host whose time is over is reported as a target that did not respond in time, like one that was sent directly.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -242,6 +242,13 @@
 	gen.cancelStream, gen.backup = stream.cancel, stream.backup
 }
 
+// currentTarget returns the target where the generation runs, nil before there is one.
+func (gen *generation) currentTarget() *directory.ObservedTarget {
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	return gen.target
+}
+
 // isAt reports whether the generation still runs at a target.
 func (gen *generation) isAt(target *directory.ObservedTarget) bool {
 	gen.mu.Lock()
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -179,7 +179,7 @@
 	gw.gateway = g
 	ctx, cancel := context.WithCancel(context.Background())
 	go g.MoveGenerations(ctx)
-	go g.WatchLostServices(ctx)
+	go g.WatchPaths(ctx)
 	server := httptest.NewServer(g)
 	DeferCleanup(func() { cancel(); server.CloseClientConnections(); server.Close() })
 	gw.url, gw.client = server.URL, server.Client()
--- a/internal/gateway/partition.go
+++ b/internal/gateway/partition.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -25,9 +26,15 @@
 	maxVerifyProbes = 2
 	// probeInterval is the time between two probes of a lost service.
 	probeInterval = 200 * time.Millisecond
+	// suspiciousSilence is the silence of a generation after which its target is
+	// probed, again after each silentProbeInterval. Events come some ten milliseconds
+	// apart, but an engine that preempts a generation is silent for longer.
+	suspiciousSilence   = 700 * time.Millisecond
+	silentProbeInterval = time.Second
 	// silentAfter is the silence after which a generation of a lost service continues
-	// elsewhere. Its connection may live on while new ones fail.
-	silentAfter = time.Second
+	// elsewhere. Its connection may live on while new ones fail, and a sound target may
+	// be silent for a second.
+	silentAfter = 1500 * time.Millisecond
 )
 
 // failureChecks holds the targets whose failures are being verified. It is safe for
@@ -139,19 +146,14 @@
 	return err
 }
 
-// WatchLostServices probes the targets of lost services until ctx is done, and has
-// their silent generations continue elsewhere.
-func (g *Gateway) WatchLostServices(ctx context.Context) {
+// WatchPaths probes the targets of silent generations, and those of lost services,
+// until ctx is done, and has the silent generations of lost services continue
+// elsewhere.
+func (g *Gateway) WatchPaths(ctx context.Context) {
+	probedAt := map[string]time.Duration{}
 	for ctx.Err() == nil {
-		lost := g.paths.lostServices()
-		if len(lost) == 0 {
-			select {
-			case <-ctx.Done():
-			case <-g.paths.lost:
-			}
-			continue
-		}
-		for _, service := range lost {
+		g.probeSilentTargets(probedAt)
+		for _, service := range g.paths.lostServices() {
 			go g.probeService(service)
 			g.abandonSilentStreams(service)
 		}
@@ -159,6 +161,32 @@
 	}
 }
 
+// probeSilentTargets probes the targets from which generations hear nothing, so that a
+// partition is noticed before the next request. probedAt holds the times of the last
+// probes by target.
+func (g *Gateway) probeSilentTargets(probedAt map[string]time.Duration) {
+	now := g.cfg.Now()
+	maps.DeleteFunc(probedAt, func(_ string, at time.Duration) bool { return now-at >= silentProbeInterval })
+	for _, gen := range g.generations.list() {
+		t := gen.currentTarget()
+		if t == nil || gen.progress.Load() == nil || gen.sinceLastEvent() < suspiciousSilence {
+			continue
+		}
+		if _, probed := probedAt[t.ID]; probed || g.paths.isLost(t.Service) {
+			continue
+		}
+		probedAt[t.ID] = now
+		go g.probeSilent(t.Target)
+	}
+}
+
+// probeSilent probes a target and records it as unreachable if it does not answer.
+func (g *Gateway) probeSilent(t directory.Target) {
+	if err := g.probe(t); err != nil {
+		g.recordLost(t, err)
+	}
+}
+
 // probeService probes a random target of a service.
 func (g *Gateway) probeService(service string) {
 	targets := acceptingTargets(g.view(), service, "")
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -10,7 +10,6 @@
 	"filbertdeck/internal/decide/reachability"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
-	"filbertdeck/internal/wake"
 )
 
 // targetPaths records which services' targets this host reaches. It is safe for
@@ -22,16 +21,13 @@
 	// that were not established in time.
 	refused, unanswered gometrics.Counter
 
-	// lost is signalled when a service is lost.
-	lost chan struct{}
-
 	mu      sync.Mutex
 	tracker *reachability.Tracker
 }
 
 func newTargetPaths(now func() time.Duration, log *slog.Logger, reg gometrics.Registry) *targetPaths {
 	p := &targetPaths{
-		now: now, log: log, tracker: reachability.New(), lost: make(chan struct{}, 1),
+		now: now, log: log, tracker: reachability.New(),
 		refused:    gometrics.GetOrRegisterCounter("gateway.connections_refused", reg),
 		unanswered: gometrics.GetOrRegisterCounter("gateway.connections_unanswered", reg),
 	}
@@ -62,7 +58,6 @@
 	lost = p.tracker.RecordUnreached(p.now(), t.Service, t.ID, targets)
 	p.mu.Unlock()
 	if lost {
-		wake.Signal(p.lost)
 		p.log.Warn("targets can't be reached from this host", "service", t.Service, "target", t.ID, "targets", targets, "cause", cause)
 	}
 	return lost
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -196,7 +196,7 @@
 
 func runGateway(lc fx.Lifecycle, g *gateway.Gateway) {
 	process.RunInBackground(lc, g.MoveGenerations)
-	process.RunInBackground(lc, g.WatchLostServices)
+	process.RunInBackground(lc, g.WatchPaths)
 }
 
 func serveMetrics(lc fx.Lifecycle, s *Settings, reg gometrics.Registry) {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -20,6 +20,8 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/call"
@@ -251,6 +253,9 @@
 // lost returns the failure of a request whose connection to the sending host broke
 // after the start.
 func lost(cause error, host string) error {
+	if status.Code(cause) == codes.DeadlineExceeded {
+		return failure.Wrap(cause, failure.KindTargetTimeout, "the target did not respond in time through host %s", host).WithExecutionUnknown()
+	}
 	if cause == nil || cause == io.EOF {
 		return failure.New(failure.KindTargetLost, "host %s gave no answer", host).WithExecutionUnknown()
 	}
