--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -220,7 +220,10 @@
 	send := func(client filbertv1.RelayClient, message *filbertv1.RelayCall) (filbertv1.Relay_SendClient, *filbertv1.RelayReply, error) {
 		stream, err := client.Send(context.Background())
 		Expect(err).NotTo(HaveOccurred())
-		Expect(stream.Send(message)).To(Succeed())
+		if err := stream.Send(message); err != nil {
+			// The server has ended the stream already; Recv says why.
+			Expect(err).To(MatchError(io.EOF))
+		}
 		reply, err := stream.Recv()
 		return stream, reply, err
 	}
