Let the host that sends another's request judge the target's failure

What callers saw: nothing yet. A request that crashes its target and came to a partitioned host left no evidence: that host can't tell the crash from its own partition, so the request could go on to crash targets.

The host that sent the request has the connections to tell. It gets the request's fingerprint, takes broken answers for failures of the target, verifies and reports them as those of its own requests. Counting and probing draw a few targets in place of all of a service's. Specs: a crash through another host is evidence there and not here; a target that is silent for 1.2 s keeps its generation, is not reported and gets nothing twice.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -87,6 +87,9 @@
 	// Management is set for a call of the target's own interface, which runs nothing
 	// and may be sent to a target that leaves.
 	Management bool
+	// Fingerprint identifies the request across attempts, as evidence against
+	// requests that crash targets.
+	Fingerprint uint64
 }
 
 // Load is the load that a target reports. A figure is nil when the target does not
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -58,7 +58,7 @@
 
 // newSend returns a send of the request to a target.
 func (x *exchange) newSend(target *directory.ObservedTarget) *call.Attempt {
-	s := &call.Attempt{Request: x.Request, Target: target.Target, TimeRemaining: time.Until(x.deadline), Priority: -1}
+	s := &call.Attempt{Request: x.Request, Target: target.Target, TimeRemaining: time.Until(x.deadline), Priority: -1, Fingerprint: x.fingerprint}
 	if x.account != nil {
 		s.Account = x.account.Name
 	}
--- a/internal/gateway/partition.go
+++ b/internal/gateway/partition.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"filbertdeck/internal/decide/sampling"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/wake"
@@ -101,7 +102,7 @@
 		return true
 	}
 	others := g.otherTargets(failed)
-	for _, t := range others[:min(len(others), maxVerifyProbes)] {
+	for _, t := range others {
 		if g.probe(t.Target) == nil {
 			return true
 		}
@@ -109,30 +110,35 @@
 	return len(others) == 0
 }
 
-// otherTargets returns the other targets of a target's service, or those of all
-// services if it is the only one, in random order.
+// otherTargets returns some other targets of a target's service, or of any service if
+// it is the only one.
 func (g *Gateway) otherTargets(failed *directory.ObservedTarget) []*directory.ObservedTarget {
 	view := g.view()
-	others := acceptingTargets(view, failed.Service, failed.ID)
-	if len(others) == 0 {
-		for _, s := range view.Config.Services {
-			others = append(others, acceptingTargets(view, s.Name, failed.ID)...)
+	others := someTargets(view, failed.Service, failed.ID, maxVerifyProbes)
+	for _, s := range view.Config.Services {
+		if len(others) == 0 {
+			others = someTargets(view, s.Name, failed.ID, maxVerifyProbes)
 		}
 	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	return others
 }
 
-// acceptingTargets returns the targets of a service that accept new requests, without
-// one of them.
-func acceptingTargets(view *directory.View, service, without string) []*directory.ObservedTarget {
-	var out []*directory.ObservedTarget
-	for _, t := range view.ServiceTargets(service) {
-		if t.ID != without && view.AcceptsNewRequests(t) {
-			out = append(out, t)
+// someTargets returns up to count of a service's targets that accept new requests, at
+// random, without the one with the given id.
+func someTargets(view *directory.View, service, without string, count int) []*directory.ObservedTarget {
+	targets := view.ServiceTargets(service)
+	order := sampling.New(len(targets), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	var some []*directory.ObservedTarget
+	for len(some) < count {
+		i, ok := order.Next()
+		if !ok {
+			break
+		}
+		if t := targets[i]; t.ID != without && view.AcceptsNewRequests(t) {
+			some = append(some, t)
 		}
 	}
-	return out
+	return some
 }
 
 // probe connects to a target and records whether that succeeds.
@@ -189,13 +195,10 @@
 
 // probeService probes a random target of a service.
 func (g *Gateway) probeService(service string) {
-	targets := acceptingTargets(g.view(), service, "")
-	if len(targets) == 0 {
-		return
-	}
-	t := targets[rand.IntN(len(targets))]
-	if err := g.probe(t.Target); err != nil {
-		g.cfg.Log.Debug("target of a lost service not reached", "target", t.ID, "cause", err)
+	for _, t := range someTargets(g.view(), service, "", 1) {
+		if err := g.probe(t.Target); err != nil {
+			g.cfg.Log.Debug("target of a lost service not reached", "target", t.ID, "cause", err)
+		}
 	}
 }
 
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -12,6 +12,10 @@
 	"filbertdeck/internal/failure"
 )
 
+// maxCountedTargets limits how many of a service's targets are counted to tell whether
+// it is lost.
+const maxCountedTargets = 4
+
 // targetPaths records which services' targets this host reaches. It is safe for
 // concurrent use.
 type targetPaths struct {
@@ -53,12 +57,12 @@
 		counter = p.unanswered
 	}
 	counter.Inc(1)
-	targets := len(view.ServiceTargets(t.Service))
+	targets := len(someTargets(view, t.Service, "", maxCountedTargets))
 	p.mu.Lock()
 	lost = p.tracker.RecordUnreached(p.now(), t.Service, t.ID, targets)
 	p.mu.Unlock()
 	if lost {
-		p.log.Warn("targets can't be reached from this host", "service", t.Service, "target", t.ID, "targets", targets, "cause", cause)
+		p.log.Warn("targets can't be reached from this host", "service", t.Service, "target", t.ID, "cause", cause)
 	}
 	return lost
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -200,19 +201,19 @@
 }
 
 // PeerTarget implements relay.Sender.
-func (g *Gateway) PeerTarget(id string, started int64) (directory.Target, error) {
+func (g *Gateway) PeerTarget(id string, started int64) (*directory.ObservedTarget, error) {
 	view := g.view()
 	if view == nil {
-		return directory.Target{}, failure.New(failure.KindNotReady, "no targets are known yet")
+		return nil, failure.New(failure.KindNotReady, "no targets are known yet")
 	}
 	t, known := view.Target(id)
 	if !known || t.StartedUnixMilli != started {
-		return directory.Target{}, failure.New(failure.KindTargetLeft, "target %s is not known here", id)
+		return nil, failure.New(failure.KindTargetLeft, "target %s is not known here", id)
 	}
 	if g.paths.isLost(t.Service) {
-		return directory.Target{}, errLostHereToo
+		return nil, errLostHereToo
 	}
-	return t.Target, nil
+	return t, nil
 }
 
 // errLostHereToo is returned to a host that asks to send to a service that this host
@@ -220,8 +221,10 @@
 var errLostHereToo = failure.New(failure.KindNotReady, "this host can't reach targets of the service either")
 
 // SendForPeer implements relay.Sender. What the target says of itself in the answer
-// concerns this host too.
-func (g *Gateway) SendForPeer(req *http.Request, s *call.Attempt, ready func() error) (*http.Response, error) {
+// concerns this host too, and so do its failures: the other host can't tell them from
+// its own.
+func (g *Gateway) SendForPeer(req *http.Request, target *directory.ObservedTarget, s *call.Attempt, ready func() error) (*http.Response, error) {
+	end := g.cfg.CrashEvidence.beginRequest(target, s.Fingerprint)
 	resp, err := g.cfg.Client.Do(req, func() error {
 		g.paths.recordReached(s.Target)
 		if err := ready(); err != nil || s.Management {
@@ -232,20 +235,59 @@
 	if isUnreached(err) && req.Context().Err() == nil {
 		g.recordLost(s.Target, err)
 		if g.paths.isLost(s.Target.Service) {
-			return nil, errLostHereToo
+			err = errLostHereToo
 		}
 	}
-	if err != nil || s.Management {
-		return resp, err
+	if err != nil {
+		g.recordPeerFailure(req.Context(), target, s, err)
+		end(false)
+		return nil, err
 	}
-	answer := g.cfg.Dialect.ParseResponseHeader(resp)
-	if isOwnAnswer(s, answer) {
-		g.observeRequestAnswer(s, answer)
+	if !s.Management {
+		answer := g.cfg.Dialect.ParseResponseHeader(resp)
+		if isOwnAnswer(s, answer) {
+			g.observeRequestAnswer(s, answer)
+		}
+		g.observeRate(s, answer)
 	}
-	g.observeRate(s, answer)
+	resp.Body = &peerBody{ReadCloser: resp.Body, end: end, fail: func(err error) { g.recordPeerFailure(req.Context(), target, s, err) }}
 	return resp, nil
 }
 
+// recordPeerFailure records what the failure of another host's request says about the
+// target.
+func (g *Gateway) recordPeerFailure(ctx context.Context, target *directory.ObservedTarget, s *call.Attempt, err error) {
+	if kind := failure.KindOf(err); !s.Management && kind != failure.KindControlLost && kind != failure.KindNotReady {
+		g.recordFailure(ctx, target, err)
+	}
+}
+
+// peerBody is the body of an answer to another host's request.
+type peerBody struct {
+	io.ReadCloser
+	end      func(finished bool)
+	fail     func(error)
+	finished bool
+}
+
+// Read implements io.Reader.
+func (b *peerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case err == io.EOF:
+		b.finished = true
+	case err != nil:
+		b.fail(failure.Wrap(err, failure.KindTargetLost, "reading the answer failed").WithExecutionUnknown())
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *peerBody) Close() error {
+	b.end(b.finished)
+	return b.ReadCloser.Close()
+}
+
 // engineClient returns the client for calls of a target's own interface: through other
 // hosts while this host has lost its service.
 func (g *Gateway) engineClient(t directory.Target) call.EngineClient {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -133,6 +133,29 @@
 		Expect(peer.loads.RestRemaining(entry)).To(BeNumerically(">", 0))
 	})
 
+	// Guards against requests that crash one target after the other because the host to
+	// which they came can't tell a crash from its partition.
+	It("counts as evidence at the other host when it crashes its target", func() {
+		other := startTarget("app-2", respond(completeAnswer))
+		var crashing *fakeTarget
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		crashing = &fakeTarget{id: "app-1", address: listener.Addr().String()}
+		go func() {
+			defer GinkgoRecover()
+			conn, err := listener.Accept()
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = conn.Read(make([]byte, 1))
+			_ = listener.Close()
+			_ = conn.Close()
+		}()
+		host, peer := start(crashing)
+		Expect(host.do(host.request(http.MethodPost, "/book/1")).status).To(Equal(http.StatusBadGateway))
+		peer.add(other.directoryEntry("app", "dc-1"))
+		Eventually(peer.crashCount, "3s").Should(Equal(1))
+		Expect(host.crashCount()).To(BeZero())
+	})
+
 	// Guards against a generation that is lost with its host's paths although another
 	// engine has its backup.
 	It("may be a generation that goes on at its backup", func() {
@@ -200,6 +223,35 @@
 	})
 })
 
+var _ = Describe("a target that is silent for a second and goes on", func() {
+	// Guards against a sound target that is given up, reported or sent more because it was
+	// silent for a moment.
+	It("keeps its generation, and nothing is sent twice", func() {
+		var host, peer *fixture
+		var pause func()
+		const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+		serve := func(conn net.Conn, r *http.Request) {
+			head := "HTTP/1.1 200 OK\r\n" + seal + ": s-1\r\nContent-Type: text/event-stream\r\n" + requestID + ": " + r.Header.Get(requestID) + "\r\n"
+			_, _ = io.WriteString(conn, head+"Content-Length: "+strconv.Itoa(len(first)+len(second))+"\r\n\r\n"+first)
+			pause()
+			_, _ = io.WriteString(conn, second)
+		}
+		one, two := startTarget("llm-1", serve), startTarget("llm-2", serve)
+		host, peer = startPeers(one.directoryEntry("llm", "dc-1"), two.directoryEntry("llm", "dc-1"))
+		pause = func() {
+			host.cut.set(unanswered)
+			time.Sleep(1200 * time.Millisecond)
+			host.cut.set(connected)
+		}
+		res := host.do(host.request(http.MethodPost, "/report/1"))
+		Expect(res.err).NotTo(HaveOccurred())
+		Expect(res.body).To(Equal(first + second))
+		Expect(len(one.requestsToRun()) + len(two.requestsToRun())).To(Equal(1))
+		Expect(host.loads.PendingAlerts("peer")).To(BeEmpty())
+		Expect(peer.relayedCount()).To(BeZero())
+	})
+})
+
 var _ = Describe("the way through a host", func() {
 	// open opens the service of a host as another process would.
 	open := func(config relay.ServerConfig) filbertv1.RelayClient {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -38,10 +38,10 @@
 type Sender interface {
 	// PeerTarget returns the target with an id and a start in Unix milliseconds. An
 	// error of kind KindNotReady says that this host can't send to its service.
-	PeerTarget(id string, started int64) (directory.Target, error)
+	PeerTarget(id string, started int64) (*directory.ObservedTarget, error)
 	// SendForPeer sends a request; ready runs once the connection stands. Errors of
 	// kind KindNotReady are like those of PeerTarget.
-	SendForPeer(req *http.Request, s *call.Attempt, ready func() error) (*http.Response, error)
+	SendForPeer(req *http.Request, target *directory.ObservedTarget, s *call.Attempt, ready func() error) (*http.Response, error)
 }
 
 // ServerConfig holds the dependencies of a Server.
@@ -133,7 +133,7 @@
 	if err != nil {
 		return replies.fail(err)
 	}
-	resp, err := s.cfg.Sender.SendForPeer(req, attempt(message, target), func() error {
+	resp, err := s.cfg.Sender.SendForPeer(req, target, attempt(message, target.Target), func() error {
 		return s.awaitStart(ctx, stream, replies, message.GetRequestId())
 	})
 	if err != nil {
