Copy silent generations off lost engines through other hosts

Cause: only a leaving target was a reason to have a generation copied. Now silent generations of a lost service move like those of a leaving engine, over other hosts; a run that the engine no longer has is over at once. A stream is left when the other engine has taken the generation, not before.

Spec red before.

--- a/internal/gateway/cut_host_test.go
+++ b/internal/gateway/cut_host_test.go
@@ -41,7 +41,31 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	return targetclient.Dial(ctx, network, address, timeout)
+	conn, err := targetclient.Dial(ctx, network, address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &hangingConn{conn, c}, nil
+}
+
+// hangingConn is a connection on which nothing arrives while new ones are not
+// answered.
+type hangingConn struct {
+	net.Conn
+	cut *cut
+}
+
+// Read implements io.Reader.
+func (c *hangingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	for cutMode(c.cut.mode.Load()) == unanswered && err == nil {
+		time.Sleep(10 * time.Millisecond)
+		// Notices that this side has closed the connection.
+		if deadlineErr := c.SetReadDeadline(time.Now().Add(time.Minute)); deadlineErr != nil {
+			return 0, deadlineErr
+		}
+	}
+	return n, err
 }
 
 // transport returns a transport for calls of engines' own interface across the
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -166,13 +166,17 @@
 // beginMove begins a move if the generation's target leaves and no move was
 // begun, or the last one timed out.
 func (gen *generation) beginMove(view *directory.View, loads *TargetLoads) (*directory.ObservedTarget, *move, bool) {
+	return gen.beginMoveIf(func(target *directory.ObservedTarget) bool {
+		now, known := view.Target(target.ID)
+		return !known || !now.Published || now.Leaving || loads.IsLeaving(target.Target)
+	})
+}
+
+// beginMoveIf is beginMove for another reason to leave the target.
+func (gen *generation) beginMoveIf(leaves func(target *directory.ObservedTarget) bool) (*directory.ObservedTarget, *move, bool) {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
-	if gen.target == nil || gen.move != nil && !gen.move.timedOut.Load() || !gen.movable() {
-		return nil, nil, false
-	}
-	now, known := view.Target(gen.target.ID)
-	if known && now.Published && !now.Leaving && !loads.IsLeaving(gen.target.Target) {
+	if gen.target == nil || gen.move != nil && !gen.move.timedOut.Load() || !gen.movable() || !leaves(gen.target) {
 		return nil, nil, false
 	}
 	next := &move{done: make(chan struct{})}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -55,6 +55,9 @@
 	// timedOut is set when no engine took the generation in time. Another move
 	// may follow, because the notice may last for longer than one.
 	timedOut atomic.Bool
+	// lost is set when the target was lost after the first event, so that a run that
+	// it does not know is over.
+	lost bool
 }
 
 // moveAway continues the generation at another engine: at its backup, or from a
@@ -74,6 +77,25 @@
 	}
 	e := gen.service.Engine
 	wake.Sleep(ctx, gen.g.cfg.Migration.CopyDelay(migration.CopyTime(gen.Prompt.Tokens, e.BytesPerToken, e.LinkMbps)))
+	gen.copyAway(ctx, from, m, stopTime)
+}
+
+// moveFromLost continues a generation elsewhere whose target this host has lost, and
+// whose connection is silent. The target still runs it, and is reached through other
+// hosts.
+func (gen *generation) moveFromLost(ctx context.Context, from *directory.ObservedTarget, m *move) {
+	defer close(m.done)
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	m.lost = true
+	if gen.isAt(from) && !gen.switchToBackup() {
+		gen.copyAway(ctx, from, m, time.Now().Add(copyTimeout))
+	}
+}
+
+// copyAway copies the generation to another engine and continues it there, until ctx
+// is done.
+func (gen *generation) copyAway(ctx context.Context, from *directory.ObservedTarget, m *move, stopTime time.Time) {
 	exclude := []string{from.ID}
 	for gen.waitForFirstEvent(ctx) && gen.isAt(from) {
 		var done bool
@@ -141,6 +163,9 @@
 		"remote", to.DataCentre != from.DataCentre, "leaves_in", time.Until(stopTime), "events", result.Events, "error", err)
 	if err != nil {
 		gen.g.metrics.copiesFailed.Inc(1)
+		if m.lost && failure.KindOf(err) == failure.KindNotFound {
+			return copyAborted
+		}
 		return copyFailureOutcome(err)
 	}
 	m.copy = &memoryCopy{target: to, handoff: call.CacheCopy{Source: from.Address, Handle: result.Handle}}
--- a/internal/gateway/partition.go
+++ b/internal/gateway/partition.go
@@ -161,7 +161,7 @@
 		g.probeSilentTargets(probedAt)
 		for _, service := range g.paths.lostServices() {
 			go g.probeService(service)
-			g.abandonSilentStreams(service)
+			g.leaveSilentStreams(ctx, service)
 		}
 		wake.Sleep(ctx, probeInterval/2+rand.N(probeInterval))
 	}
@@ -202,26 +202,25 @@
 	}
 }
 
-// abandonSilentStreams ends the streams of a lost service on which nothing arrives, if
-// their generations can continue elsewhere.
-func (g *Gateway) abandonSilentStreams(service string) {
+// leaveSilentStreams has the generations of a lost service continue elsewhere whose
+// streams are silent: by a move where engines can copy them, by a new run where the
+// route allows it.
+func (g *Gateway) leaveSilentStreams(ctx context.Context, service string) {
+	always := func(*directory.ObservedTarget) bool { return true }
 	for _, gen := range g.generations.list() {
-		if gen.service.Name == service && gen.progress.Load() != nil && gen.sinceLastEvent() > silentAfter && gen.canContinue() {
-			gen.abandonStream()
+		if gen.service.Name != service || gen.progress.Load() == nil || gen.sinceLastEvent() < silentAfter {
+			continue
+		}
+		if target, m, ok := gen.beginMoveIf(always); ok {
+			go gen.moveFromLost(ctx, target, m)
+		} else if !gen.movable() && gen.route.Resumable {
+			gen.endStream()
 		}
 	}
 }
 
-// canContinue reports whether the generation could continue elsewhere if its stream
-// ended.
-func (gen *generation) canContinue() bool {
-	gen.mu.Lock()
-	defer gen.mu.Unlock()
-	return gen.backup != nil && gen.backup.available() || gen.route.Resumable && gen.attempts < gen.route.MaxAttempts
-}
-
-// abandonStream ends the stream from the generation's present target.
-func (gen *generation) abandonStream() {
+// endStream ends the stream from the generation's present target.
+func (gen *generation) endStream() {
 	gen.mu.Lock()
 	cancel := gen.cancelStream
 	gen.mu.Unlock()
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -223,6 +223,32 @@
 	})
 })
 
+var _ = Describe("a generation whose connection hangs with the host's paths", func() {
+	// Guards against generations without a backup that are lost although their engine
+	// still runs them and is reached from other hosts.
+	It("is copied off its engine through another host", func() {
+		first, second := startEngine("llm-1", 60, 20*time.Millisecond), startEngine("llm-2", 60, 20*time.Millisecond)
+		host, peer := startPeers()
+		for _, gw := range []*fixture{host, peer} {
+			gw.cfg.Services[1].Engine.KeepsBackups = false
+			gw.add(first.directoryEntry("llm", "dc-1"))
+		}
+		done := make(chan result, 1)
+		go func() { done <- host.do(host.request(http.MethodPost, "/report/1")) }()
+		Eventually(first.eventsSent.Load, "5s").Should(BeNumerically(">", 3))
+		host.cut.set(unanswered)
+		for _, gw := range []*fixture{host, peer} {
+			gw.add(second.directoryEntry("llm", "dc-1"))
+		}
+		go func() { _ = host.do(host.requestWithID("r-2", http.MethodPost, "/brief/1")) }()
+		var res result
+		Eventually(done, "15s").Should(Receive(&res))
+		Expect(res.err).NotTo(HaveOccurred())
+		Expect(res.body).To(Equal(eventStream(60)))
+		Expect(first.moveRequests.Load()).To(BeNumerically(">", 0))
+	})
+})
+
 var _ = Describe("a target that is silent for a second and goes on", func() {
 	// Guards against a sound target that is given up, reported or sent more because it was
 	// silent for a moment.
