Ask for a place at a target only if it is brittle

Cause: found by reading. The rank of this host for a target, a hash for each host of the fleet, was computed for every target that a choice looked at and for every request, brittle or not; and all targets of a service were looked at while one was limited. Now the lookup of the target comes first.

A verification of a target's failure that is pending takes in a broken connection that follows: else a crash that is first noticed by a refused connection would leave no evidence. A move off a lost engine that ran out of time may be followed by another one.

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -57,11 +57,23 @@
 	return brittle.Host{Rank: rank, Hosts: hosts, InUse: l.loadOf(target).Running}
 }
 
+// takePlace takes this host's place for a request to a target, which only brittle ones
+// limit. It returns the host to which the place must be returned, empty for none.
+func (l *TargetLoads) takePlace(target string) (lender string) {
+	if _, isBrittle := l.brittle.Slots(l.now(), target); !isBrittle {
+		return ""
+	}
+	return l.brittle.TakePlace(l.now(), target, l.placesAt(target))
+}
+
 // hasPlace reports whether this host may send one more request to a target without
 // risking that it is turned away. Requests of plain services are over before their
 // counts could reach other hosts, so the places of a brittle target are divided. The
 // counts of generations do reach other hosts, so an engine's memory tells.
 func (l *TargetLoads) hasPlace(view *directory.View, t directory.Target) bool {
+	if !l.brittle.IsBrittle(l.now(), t.Lifetime()) {
+		return true
+	}
 	if s, known := view.Service(t.Service); known && s.Engine != nil {
 		return !l.brittle.IsPaused(l.now(), t.Lifetime())
 	}
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -252,7 +252,7 @@
 	if load.Running > 0 {
 		l.loadOf(target).coldLimiter.RecordSend(l.now())
 		l.rates.TakeToken(target)
-		r.lender = l.brittle.TakePlace(l.now(), target, l.placesAt(target))
+		r.lender = l.takePlace(target)
 	}
 	l.setLoad(target, l.loadOf(target).Add(load))
 	return r
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -87,6 +87,7 @@
 	defer close(m.done)
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
+	defer func() { m.timedOut.Store(ctx.Err() != nil) }()
 	m.lost = true
 	if gen.isAt(from) && !gen.switchToBackup() {
 		gen.copyAway(ctx, from, m, time.Now().Add(copyTimeout))
--- a/internal/gateway/partition.go
+++ b/internal/gateway/partition.go
@@ -38,45 +38,61 @@
 	silentAfter = 1500 * time.Millisecond
 )
 
-// failureChecks holds the targets whose failures are being verified. It is safe for
-// concurrent use.
+// failureChecks holds the verifications of targets' failures that are pending. It is
+// safe for concurrent use.
 type failureChecks struct {
 	mu      sync.Mutex
-	pending map[directory.Lifetime]bool
+	pending map[directory.Lifetime]*failureCheck
+}
+
+// failureCheck is the pending verification of a target's failures.
+type failureCheck struct {
+	// mayHaveCrashed is set once a connection to the target broke, suspects are the
+	// requests that ran there then.
+	mayHaveCrashed bool
+	suspects       []uint64
 }
 
 func newFailureChecks() *failureChecks {
-	return &failureChecks{pending: map[directory.Lifetime]bool{}}
+	return &failureChecks{pending: map[directory.Lifetime]*failureCheck{}}
 }
 
-// begin reports whether no check of the target is pending, and begins one.
-func (f *failureChecks) begin(t directory.Target) bool {
+// add adds a failure to the target's pending verification. It reports whether that
+// begins with this failure.
+func (f *failureChecks) add(t directory.Target, mayHaveCrashed bool, suspects []uint64) (begins bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.pending[t.Lifetime()] {
-		return false
+	check := f.pending[t.Lifetime()]
+	if check == nil {
+		check, begins = &failureCheck{}, true
+		f.pending[t.Lifetime()] = check
+	}
+	if mayHaveCrashed && !check.mayHaveCrashed {
+		check.mayHaveCrashed, check.suspects = true, suspects
 	}
-	f.pending[t.Lifetime()] = true
-	return true
+	return begins
 }
 
-func (f *failureChecks) end(t directory.Target) {
+// take ends the target's pending verification and returns it.
+func (f *failureChecks) take(t directory.Target) failureCheck {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	check := *f.pending[t.Lifetime()]
 	delete(f.pending, t.Lifetime())
+	return check
 }
 
 // reportFailure tells other hosts that a target failed, once it is certain that this
 // host is not partitioned from the targets. mayHaveCrashed says that the failure was a
 // broken connection: if the target refuses new ones it has crashed.
 func (g *Gateway) reportFailure(t *directory.ObservedTarget, mayHaveCrashed bool) {
-	if !g.checks.begin(t.Target) {
+	if !g.checks.add(t.Target, mayHaveCrashed, g.cfg.CrashEvidence.suspects(t)) {
 		return
 	}
-	failedAt, suspects := g.cfg.Now(), g.cfg.CrashEvidence.suspects(t)
+	failedAt := g.cfg.Now()
 	time.AfterFunc(verifyDelay, func() {
-		defer g.checks.end(t.Target)
-		crashed := mayHaveCrashed && g.refusesConnections(t)
+		check := g.checks.take(t.Target)
+		crashed := check.mayHaveCrashed && g.refusesConnections(t)
 		if !g.reachesOthers(t, failedAt) {
 			g.cfg.Log.Debug("failure not reported: this host may be partitioned", "target", t.ID)
 			return
@@ -84,7 +100,7 @@
 		g.cfg.Loads.ReportFailure(t.ID)
 		g.metrics.failuresReported.Inc(1)
 		if crashed {
-			g.cfg.CrashEvidence.recordCrash(t, suspects)
+			g.cfg.CrashEvidence.recordCrash(t, check.suspects)
 		}
 	})
 }
--- a/internal/gateway/rate.go
+++ b/internal/gateway/rate.go
@@ -184,13 +184,19 @@
 	}
 	var out []string
 	for _, t := range view.ServiceTargets(req.Service) {
-		if l.acceptsIgnoringShare(view, req, t) && !l.withinShare(view, t) && filter(t.ID) {
+		if l.isShared(t) && l.acceptsIgnoringShare(view, req, t) && !l.withinShare(view, t) && filter(t.ID) {
 			out = append(out, t.ID)
 		}
 	}
 	return out
 }
 
+// isShared reports whether hosts share a target's rate or its places.
+func (l *TargetLoads) isShared(t *directory.ObservedTarget) bool {
+	_, limited := l.rates.Limit(t.ID)
+	return limited || l.brittle.IsBrittle(l.now(), t.Lifetime())
+}
+
 // anyAge accepts targets whatever the age of their advertisement.
 func anyAge(string) bool { return true }
 
