--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -193,7 +193,7 @@
 	if !timer.Stop() || err != nil {
 		end()
 		c.retireNow(conn)
-		return nil, failure.New(failure.KindControlLost, "host %s did not connect to the target in time", host)
+		return nil, failure.Wrap(err, failure.KindControlLost, "host %s did not connect to the target in time", host)
 	}
 	if f := reply.GetFailure(); f != nil {
 		end()
