--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -34,7 +34,7 @@
 	header := requestID + ": " + r.Header.Get(requestID) + "\r\n" + standin.HeaderServerBrittle + ": 2\r\n"
 	if t.running.Add(1) > brittleSlots {
 		t.turnedAway.Add(1)
-		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\n"+header+"X-Filbertdeck-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\n"+header+standin.HeaderNotExecuted+": 1\r\nContent-Length: 0\r\n\r\n")
 		return
 	}
 	time.Sleep(50 * time.Millisecond)
--- a/internal/gateway/cut_host_test.go
+++ b/internal/gateway/cut_host_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"filbertdeck/internal/targetclient"
+	"filbertdeck/platform/standin"
 )
 
 // cutMode is what happens to the new connections of a host to targets.
@@ -93,7 +94,7 @@
 
 	ask := func(path string) result {
 		req := host.request(http.MethodPost, path)
-		req.Header.Set("X-Filbertdeck-Deadline-Ms", cutTimeout)
+		req.Header.Set(standin.HeaderDeadline, cutTimeout)
 		return host.do(req)
 	}
 	runs := func() int { return len(app1.requests()) + len(app2.requests()) + len(app3.requests()) }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -21,8 +21,6 @@
 	"filbertdeck/platform/standin"
 )
 
-const deadlineHeader = "X-Filbertdeck-Deadline-Ms"
-
 var _ = Describe("a request that goes through another host", func() {
 	// start runs a host that is partitioned from its targets and a peer that is not.
 	start := func(targets ...*fakeTarget) (host, peer *fixture) {
@@ -41,7 +39,7 @@
 		target := startTarget("app-1", respond(completeAnswer))
 		host, _ := start(target)
 		req := host.request(http.MethodPost, "/book/a%2Fb?x=1&y=%20")
-		req.Header.Set(deadlineHeader, "900")
+		req.Header.Set(standin.HeaderDeadline, "900")
 		req.Header.Set("X-Custom", "kept")
 		// Keeps the test's own client from adding one.
 		req.Header.Set("User-Agent", "")
@@ -53,7 +51,7 @@
 		Expect(got[0].Header.Get("X-Custom")).To(Equal("kept"))
 		Expect(got[0].Header).NotTo(HaveKey("User-Agent"))
 		Expect(target.bodies).To(Equal([]string{"hello"}))
-		left, err := strconv.Atoi(got[0].Header.Get(deadlineHeader))
+		left, err := strconv.Atoi(got[0].Header.Get(standin.HeaderDeadline))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(left).To(BeNumerically("<=", 900))
 	})
@@ -125,7 +123,7 @@
 
 	// Guards against a rest that one of the two hosts does not keep.
 	It("lets both hosts know that the target wants a rest", func() {
-		target := startTarget("app-1", respond("HTTP/1.1 503 Service Unavailable\n"+requestID+": ID\nX-Filbertdeck-Not-Executed: 1\nRetry-After: 5\nContent-Length: 0\n\n"))
+		target := startTarget("app-1", respond("HTTP/1.1 503 Service Unavailable\n"+requestID+": ID\n"+standin.HeaderNotExecuted+": 1\n"+standin.HeaderRetryAfter+": 5\nContent-Length: 0\n\n"))
 		host, peer := start(target)
 		Expect(host.do(host.request(http.MethodPost, "/book/1")).status).To(Equal(http.StatusServiceUnavailable))
 		entry := target.directoryEntry("app", "dc-1").Target
@@ -165,7 +163,7 @@
 		var broken atomic.Bool
 		serve := func(conn net.Conn, r *http.Request) {
 			head := header + requestID + ": " + r.Header.Get(requestID) + "\r\n"
-			if r.Header.Get("Kv-From") != "" {
+			if r.Header.Get(standin.HeaderKVFrom) != "" {
 				_, _ = io.WriteString(conn, head+"Content-Length: "+strconv.Itoa(len(second))+"\r\n\r\n"+second)
 				return
 			}
@@ -182,7 +180,7 @@
 			peer.add(t.directoryEntry("llm", "dc-1"))
 		}
 		req := host.request(http.MethodPost, "/report/1")
-		req.Header.Set("X-Filbertdeck-Token-Usage", "100,50")
+		req.Header.Set(standin.HeaderTokenUsage, "100,50")
 		res := host.do(req)
 		Expect(broken.Load()).To(BeTrue())
 		Expect(res.err).NotTo(HaveOccurred())
