Ask other hosts once for a request when none reaches the service

Cause: found by reading. A request to a service that no host reaches asked up to four hosts for each of up to four targets. Now the answer that no host was found ends its tries at once: it has not run, and its caller may come back in half a second. Spec red before (12 other hosts that know of their partition: 12 asked).

--- a/internal/gateway/cut_harness_test.go
+++ b/internal/gateway/cut_harness_test.go
@@ -39,13 +39,19 @@
 
 // relayThrough returns a relay through the hosts at the addresses.
 func relayThrough(addresses ...string) *relay.Client {
-	start := time.Now()
+	client, _ := relayWithMetrics(addresses...)
+	return client
+}
+
+// relayWithMetrics is relayThrough with the relay's metrics.
+func relayWithMetrics(addresses ...string) (*relay.Client, gometrics.Registry) {
+	start, registry := time.Now(), gometrics.NewRegistry()
 	c := relay.NewClient(relay.ClientConfig{
 		Hosts: func() (near, all []string) { return addresses, addresses },
-		Log:   slog.New(slog.DiscardHandler), Metrics: gometrics.NewRegistry(), Now: func() time.Duration { return time.Since(start) },
+		Log:   slog.New(slog.DiscardHandler), Metrics: registry, Now: func() time.Duration { return time.Since(start) },
 	})
 	DeferCleanup(c.Close)
-	return c
+	return c, registry
 }
 
 // limitColdTargets makes the gateway send no request to cold targets, as on a host
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -124,7 +124,7 @@
 		return false
 	}
 	switch f.Kind {
-	case failure.KindTargetFailed, failure.KindTargetTimeout, failure.KindFenced, failure.KindTargetLeft, failure.KindTargetResting:
+	case failure.KindTargetFailed, failure.KindTargetTimeout, failure.KindFenced, failure.KindTargetLeft, failure.KindTargetResting, failure.KindNoTarget:
 		return true
 	}
 	return false
@@ -137,13 +137,17 @@
 }
 
 // shouldRetry decides whether a request is tried at another target. One that
-// never reached a target is retried up to maxUnsentAttempts. Otherwise it must
+// never reached a target is retried up to maxUnsentAttempts, unless no host reaches the
+// service. Otherwise it must
 // be repeatable or certain not to have run, the route must allow another
 // attempt, and the retry budget must not be used up.
 func (g *Gateway) shouldRetry(ctx context.Context, x *exchange, failed bool, err error, counts attemptCounts) bool {
 	if !failed || ctx.Err() != nil {
 		return false
 	}
+	if failure.KindOf(err) == failure.KindNoTarget {
+		return false
+	}
 	if requestUnsent(err) {
 		return counts.unsent < maxUnsentAttempts
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -73,13 +73,9 @@
 	err  error
 }
 
-// relayOnly sends the request through another host. While this host has lost the
-// service, a target that no host reaches counts as unreachable.
+// relayOnly sends the request through another host.
 func (d *delivery) relayOnly() (*http.Response, error) {
 	resp, err := d.g.cfg.Relay.Do(d.req, d.attempt, d.check)
-	if failure.KindOf(err) == failure.KindNoTarget {
-		return nil, failure.Wrap(err, failure.KindTargetFailed, "target %s can't be reached from any host that was asked", d.attempt.Target.ID)
-	}
 	if isUnreached(err) && d.req.Context().Err() == nil {
 		d.g.cfg.Loads.RecordUnreachable(d.attempt.Target.ID)
 	}
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/failure"
@@ -103,6 +104,37 @@
 		Expect(peer.relayedCount()).To(BeZero())
 	})
 
+	// Guards against requests that ask all hosts once for each target when none reaches
+	// the service.
+	It("asks a few hosts once when no host reaches the service", func() {
+		var entries []*fakeTarget
+		for n := range 6 {
+			entries = append(entries, startTarget("app-"+strconv.Itoa(n), respond(completeAnswer)))
+		}
+		var addresses []string
+		var peers []*fixture
+		for range 12 {
+			peer := startGateway()
+			peer.cut.set(refused)
+			peers = append(peers, peer)
+			addresses = append(addresses, servePeer(peer))
+		}
+		client, registry := relayWithMetrics(addresses...)
+		host := startGatewayWithRelay(client)
+		host.cut.set(refused)
+		for _, gw := range append(peers, host) {
+			for _, t := range entries {
+				gw.add(t.directoryEntry("app", "dc-1"))
+			}
+		}
+		for _, peer := range peers {
+			Expect(peer.do(peer.request(http.MethodPost, "/book/0")).status).To(Equal(http.StatusServiceUnavailable))
+			Expect(peer.countLost()).To(Equal(1))
+		}
+		Expect(host.do(host.request(http.MethodPost, "/book/1")).status).To(Equal(http.StatusServiceUnavailable))
+		Expect(gometrics.GetOrRegisterCounter("relay.failed", registry).Count()).To(BeNumerically("<=", 4))
+	})
+
 	// Guards against a host that sends requests to a target of which it knows that it
 	// left, or that it does not know.
 	It("is not sent by a host that does not know the target", func() {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -40,6 +40,9 @@
 	// findTimeout bounds the time for all of them, in which the deadline that is
 	// written in the request grows stale.
 	findTimeout = 400 * time.Millisecond
+	// notFoundRetryAfter is returned when no host was found. Partitions heal, and
+	// targets are replaced, within a few seconds.
+	notFoundRetryAfter = 500 * time.Millisecond
 	// aliveInterval is the longest time for which the sending host says nothing,
 	// aliveTimeout the silence after which its connection counts as lost.
 	aliveInterval = time.Second
@@ -135,7 +138,7 @@
 	if unreachable != nil {
 		return nil, unreachable
 	}
-	return nil, failure.New(failure.KindNoTarget, "no host was found that reaches targets of %s, of %d asked", s.Target.Service, len(tried))
+	return nil, failure.New(failure.KindNoTarget, "no host was found that reaches targets of %s, of %d asked", s.Target.Service, len(tried)).WithRetryAfter(notFoundRetryAfter)
 }
 
 // isUnreachable reports whether a host could not connect to the target.
