Tell of a brittle target on changes and once a minute, not each second

Cause: found by working out the gossip at size. 10,000 brittle targets announced each second would be 400 KB/s at every host; once a minute they are 6.7 KB/s. A statement that doesn't change needs no news but for hosts that have not heard it; it holds for two minutes without an answer in place of 30 s, so that hosts that send to a target now and then don't forget it.

--- a/internal/decide/brittle/brittle.go
+++ b/internal/decide/brittle/brittle.go
@@ -24,9 +24,11 @@
 const (
 	// retention is how long a target counts as brittle after its last answer that said
 	// so.
-	retention = 30 * time.Second
+	retention = 2 * time.Minute
 	// announceInterval is the interval at which an unchanged statement is passed on.
-	announceInterval = time.Second
+	// All targets of a large service may be brittle at once, and every host hears of
+	// each.
+	announceInterval = retention / 2
 	// pause is how long a host sends nothing to a target that turned its request
 	// away: as long as the span in which the target counts.
 	pause = time.Second
