--- a/internal/gateway/relay.go
+++ b/internal/gateway/delivery.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
 
 	"filbertdeck/internal/call"
-	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
 )
 
@@ -99,7 +97,7 @@
 	if d.isChosen(direct) || d.g.cfg.Relay == nil {
 		return d.afterDirect(<-ended)
 	}
-	d.g.recordLost(d.attempt.Target, errNoConnection)
+	d.g.recordUnreached(d.attempt.Target, errNoConnection)
 	d.start(relayed, ended)
 	return d.firstChosen(ended)
 }
@@ -111,7 +109,7 @@
 	if !isUnreached(o.err) || d.req.Context().Err() != nil {
 		return o.resp, o.err
 	}
-	d.g.recordLost(d.attempt.Target, o.err)
+	d.g.recordUnreached(d.attempt.Target, o.err)
 	if d.g.cfg.Relay != nil && (d.attempt.LastResort || d.g.paths.isLost(d.attempt.Target.Service)) {
 		return d.relayOnly()
 	}
@@ -187,120 +185,3 @@
 	}
 	return o.resp, o.err
 }
-
-// recordLost records that a target could not be reached, and what follows if this
-// host has lost the service by that.
-func (g *Gateway) recordLost(t directory.Target, cause error) {
-	if g.paths.recordUnreached(g.view(), t, cause) {
-		g.cfg.Loads.ForgetUnreachable(g.view(), t.Service)
-	}
-}
-
-// PeerTarget implements relay.Sender.
-func (g *Gateway) PeerTarget(id string, started int64) (*directory.ObservedTarget, error) {
-	view := g.view()
-	if view == nil {
-		return nil, failure.New(failure.KindNotReady, "no targets are known yet")
-	}
-	t, known := view.Target(id)
-	if !known || t.StartedUnixMilli != started {
-		return nil, failure.New(failure.KindTargetLeft, "target %s is not known here", id)
-	}
-	if g.paths.isLost(t.Service) {
-		return nil, errLostHereToo
-	}
-	return t, nil
-}
-
-// errLostHereToo is returned to a host that asks to send to a service that this host
-// has lost as well.
-var errLostHereToo = failure.New(failure.KindNotReady, "this host can't reach targets of the service either")
-
-// SendForPeer implements relay.Sender. What the target says of itself in the answer
-// concerns this host too, and so do its failures: the other host can't tell them from
-// its own.
-func (g *Gateway) SendForPeer(req *http.Request, target *directory.ObservedTarget, s *call.Attempt, ready func() error) (*http.Response, error) {
-	end := g.cfg.CrashEvidence.beginRequest(target, s.Fingerprint)
-	resp, err := g.cfg.Client.Do(req, func() error {
-		g.paths.recordReached(s.Target)
-		if err := ready(); err != nil || s.Management {
-			return err
-		}
-		return g.checkSendable(s.Target, s.LastResort)
-	})
-	if isUnreached(err) && req.Context().Err() == nil {
-		g.recordLost(s.Target, err)
-		if g.paths.isLost(s.Target.Service) {
-			err = errLostHereToo
-		}
-	}
-	if err != nil {
-		g.recordPeerFailure(req.Context(), target, s, err)
-		end(false)
-		return nil, err
-	}
-	if !s.Management {
-		answer := g.cfg.Dialect.ParseResponseHeader(resp)
-		if isOwnAnswer(s, answer) {
-			g.observeRequestAnswer(s, answer)
-		}
-		g.observeRate(s, answer)
-	}
-	resp.Body = &peerBody{ReadCloser: resp.Body, end: end, fail: func(err error) { g.recordPeerFailure(req.Context(), target, s, err) }}
-	return resp, nil
-}
-
-// recordPeerFailure records what the failure of another host's request says about the
-// target.
-func (g *Gateway) recordPeerFailure(ctx context.Context, target *directory.ObservedTarget, s *call.Attempt, err error) {
-	if kind := failure.KindOf(err); !s.Management && kind != failure.KindControlLost && kind != failure.KindNotReady {
-		g.recordFailure(ctx, target, err)
-	}
-}
-
-// peerBody is the body of an answer to another host's request.
-type peerBody struct {
-	io.ReadCloser
-	end      func(finished bool)
-	fail     func(error)
-	finished bool
-}
-
-// Read implements io.Reader.
-func (b *peerBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	switch {
-	case err == io.EOF:
-		b.finished = true
-	case err != nil:
-		b.fail(failure.Wrap(err, failure.KindTargetLost, "reading the answer failed").WithExecutionUnknown())
-	}
-	return n, err
-}
-
-// Close implements io.Closer.
-func (b *peerBody) Close() error {
-	b.end(b.finished)
-	return b.ReadCloser.Close()
-}
-
-// engineClient returns the client for calls of a target's own interface: through other
-// hosts while this host has lost its service.
-func (g *Gateway) engineClient(t directory.Target) call.EngineClient {
-	if g.cfg.Relay == nil || !g.paths.isLost(t.Service) {
-		return g.cfg.Engines
-	}
-	return g.cfg.Engines.Through(relayTransport{g.cfg.Relay, t})
-}
-
-// relayTransport is an http.RoundTripper to a target through other hosts.
-type relayTransport struct {
-	relay  Relay
-	target directory.Target
-}
-
-// RoundTrip implements http.RoundTripper.
-func (t relayTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	attempt := &call.Attempt{Request: &call.Request{}, Target: t.target, Management: true}
-	return t.relay.Do(req, attempt, func() error { return req.Context().Err() })
-}
--- a/internal/gateway/partition.go
+++ b/internal/gateway/partition.go
@@ -157,6 +157,14 @@
 	return some
 }
 
+// recordUnreached records that a target could not be reached, and what follows if this
+// host has lost the service by that.
+func (g *Gateway) recordUnreached(t directory.Target, cause error) {
+	if g.paths.recordUnreached(g.view(), t, cause) {
+		g.cfg.Loads.ForgetUnreachable(g.view(), t.Service)
+	}
+}
+
 // probe connects to a target and records whether that succeeds.
 func (g *Gateway) probe(t directory.Target) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
@@ -205,7 +213,7 @@
 // probeSilent probes a target and records it as unreachable if it does not answer.
 func (g *Gateway) probeSilent(t directory.Target) {
 	if err := g.probe(t); err != nil {
-		g.recordLost(t, err)
+		g.recordUnreached(t, err)
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/peer_requests.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/failure"
+)
+
+// PeerTarget implements relay.Sender.
+func (g *Gateway) PeerTarget(id string, started int64) (*directory.ObservedTarget, error) {
+	view := g.view()
+	if view == nil {
+		return nil, failure.New(failure.KindNotReady, "no targets are known yet")
+	}
+	t, known := view.Target(id)
+	if !known || t.StartedUnixMilli != started {
+		return nil, failure.New(failure.KindTargetLeft, "target %s is not known here", id)
+	}
+	if g.paths.isLost(t.Service) {
+		return nil, errLostHereToo
+	}
+	return t, nil
+}
+
+// errLostHereToo is returned to a host that asks to send to a service that this host
+// has lost as well.
+var errLostHereToo = failure.New(failure.KindNotReady, "this host can't reach targets of the service either")
+
+// SendForPeer implements relay.Sender. What the target says of itself in the answer
+// concerns this host too, and so do its failures: the other host can't tell them from
+// its own.
+func (g *Gateway) SendForPeer(req *http.Request, target *directory.ObservedTarget, s *call.Attempt, ready func() error) (*http.Response, error) {
+	end := g.cfg.CrashEvidence.beginRequest(target, s.Fingerprint)
+	resp, err := g.cfg.Client.Do(req, func() error {
+		g.paths.recordReached(s.Target)
+		if err := ready(); err != nil || s.Management {
+			return err
+		}
+		return g.checkSendable(s.Target, s.LastResort)
+	})
+	if isUnreached(err) && req.Context().Err() == nil {
+		g.recordUnreached(s.Target, err)
+		if g.paths.isLost(s.Target.Service) {
+			err = errLostHereToo
+		}
+	}
+	if err != nil {
+		g.recordPeerFailure(req.Context(), target, s, err)
+		end(false)
+		return nil, err
+	}
+	if !s.Management {
+		answer := g.cfg.Dialect.ParseResponseHeader(resp)
+		if isOwnAnswer(s, answer) {
+			g.observeRequestAnswer(s, answer)
+		}
+		g.observeRate(s, answer)
+	}
+	resp.Body = &peerBody{ReadCloser: resp.Body, end: end, fail: func(err error) { g.recordPeerFailure(req.Context(), target, s, err) }}
+	return resp, nil
+}
+
+// recordPeerFailure records what the failure of another host's request says about the
+// target.
+func (g *Gateway) recordPeerFailure(ctx context.Context, target *directory.ObservedTarget, s *call.Attempt, err error) {
+	if kind := failure.KindOf(err); !s.Management && kind != failure.KindControlLost && kind != failure.KindNotReady {
+		g.recordFailure(ctx, target, err)
+	}
+}
+
+// peerBody is the body of an answer to another host's request.
+type peerBody struct {
+	io.ReadCloser
+	end      func(finished bool)
+	fail     func(error)
+	finished bool
+}
+
+// Read implements io.Reader.
+func (b *peerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case err == io.EOF:
+		b.finished = true
+	case err != nil:
+		b.fail(failure.Wrap(err, failure.KindTargetLost, "reading the answer failed").WithExecutionUnknown())
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *peerBody) Close() error {
+	b.end(b.finished)
+	return b.ReadCloser.Close()
+}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -218,7 +218,7 @@
 	c.cfg.Log.Info("request sent through another host", "request", s.ID, "host", x.host, "target", s.Target.ID)
 	if err := x.stream.Send(&filbertv1.RelayCall{Step: &filbertv1.RelayCall_Start{Start: &filbertv1.RelayStart{}}}); err != nil {
 		x.end()
-		return nil, lost(err, x.host)
+		return nil, connectionLost(err, x.host)
 	}
 	reply, err := x.receive()
 	if err != nil {
@@ -228,7 +228,7 @@
 	answer := reply.GetAnswer()
 	if answer == nil {
 		x.end()
-		return nil, lost(nil, x.host)
+		return nil, connectionLost(nil, x.host)
 	}
 	return decodeAnswer(answer, req, &answerBody{exchange: x}), nil
 }
@@ -244,7 +244,7 @@
 		case err == io.EOF:
 			return nil, io.EOF
 		case err != nil:
-			return nil, lost(err, x.host)
+			return nil, connectionLost(err, x.host)
 		case reply.GetFailure() != nil:
 			return nil, decodeFailure(reply.GetFailure())
 		case reply.GetAlive() == nil:
@@ -253,9 +253,9 @@
 	}
 }
 
-// lost returns the failure of a request whose connection to the sending host broke
+// connectionLost returns the failure of a request whose connection to the sending host broke
 // after the start.
-func lost(cause error, host string) error {
+func connectionLost(cause error, host string) error {
 	if status.Code(cause) == codes.DeadlineExceeded {
 		return failure.Wrap(cause, failure.KindTargetTimeout, "the target did not respond in time through host %s", host).WithExecutionUnknown()
 	}
