--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"filbertdeck/internal/gateway"
 	"filbertdeck/platform/standin"
 )
 
@@ -69,4 +70,41 @@
 		Expect(served.Load()).To(BeNumerically(">=", brittleSlots))
 		Expect(served.Load() + refused.Load()).To(BeEquivalentTo(40))
 	})
+
+	// Guards against hosts that each keep to the limit and together exceed it, and
+	// against a host that does not know what another was told.
+	It("is not sent more than it has room for by all hosts together", func() {
+		const hosts, perHost = 8, 12
+		target := &brittleTarget{}
+		entry := startTarget("app-1", target.handle).directoryEntry("app", "dc-1")
+		var gateways []*fixture
+		for rank := range hosts {
+			gw := startGateway(entry)
+			gw.loads.SetColdRateLimit(gateway.ColdRateLimit{Rank: func(string) (int, int) { return rank, hosts }})
+			gateways = append(gateways, gw)
+		}
+		Expect(gateways[0].do(gateways[0].request(http.MethodPost, "/book/0")).status).To(Equal(http.StatusOK))
+		for _, gw := range gateways[1:] {
+			alerts := gateways[0].loads.PendingAlerts(gw.url)
+			for i := range alerts {
+				// All gateways of these specs have the same address.
+				alerts[i].Host = "host-0"
+			}
+			gw.loads.MergeAlerts("host-0", alerts)
+		}
+		var wg sync.WaitGroup
+		var served atomic.Int32
+		for _, gw := range gateways {
+			for range perHost {
+				wg.Go(func() {
+					if gw.do(gw.request(http.MethodPost, "/book/1")).status == http.StatusOK {
+						served.Add(1)
+					}
+				})
+			}
+		}
+		wg.Wait()
+		Expect(target.turnedAway.Load()).To(BeNumerically("<=", brittleLimit))
+		Expect(served.Load()).To(BeNumerically(">=", brittleSlots))
+	})
 })
