--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -32,6 +32,9 @@
 	// ResumeAfter is the id of the last event that the client received in an
 	// earlier attempt; empty for a new request.
 	ResumeAfter string
+	// Resumes is the ID of the attempt that brought the first event of the stream
+	// that the client takes up; empty for a new stream.
+	Resumes string
 }
 
 // Prompt describes a request's prompt; it is zero for a request without one.
--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -133,7 +133,9 @@
 	Service    string `json:"service"`
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
-	Slots      int    `json:"slots"`
+	// Version is that of the target's software. Versions have no order.
+	Version string `json:"version"`
+	Slots   int    `json:"slots"`
 	// Leaving targets get no new requests.
 	Leaving bool `json:"leaving"`
 	// WarmUpRemaining is the remaining warm-up time at the time of the target's report.
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -117,11 +118,15 @@
 type serviceTargets struct {
 	all          []*ObservedTarget
 	byDataCentre map[string][]*ObservedTarget
+	versions     []string
 }
 
 func (s *serviceTargets) add(t *ObservedTarget) {
 	s.all = append(s.all, t)
 	s.byDataCentre[t.DataCentre] = append(s.byDataCentre[t.DataCentre], t)
+	if !slices.Contains(s.versions, t.Version) {
+		s.versions = append(s.versions, t.Version)
+	}
 }
 
 // Route returns the route of a host and path, the one with the longest
@@ -178,6 +183,18 @@
 	return nil
 }
 
+// ServiceVersions returns the versions of the software of a service's targets, leaving
+// and withdrawn ones included, in no order. The caller must not modify the slice.
+func (v *View) ServiceVersions(service string) []string {
+	if s := v.targetsByService[service]; s != nil {
+		return s.versions
+	}
+	return nil
+}
+
+// Services returns the names of the services that have targets.
+func (v *View) Services() iter.Seq[string] { return maps.Keys(v.targetsByService) }
+
 // IsDrained reports whether operators have drained a data centre.
 func (v *View) IsDrained(dataCentre string) bool { return v.drainedDataCentres[dataCentre] }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,7 @@
 	generations  *generationSet
 	paths        *targetPaths
 	checks       *failureChecks
+	versions     *serviceVersions
 	averageTimes averageTimes
 	// shutdown is set once the process shuts down.
 	shutdown atomic.Pointer[shutdownTimes]
@@ -106,7 +107,7 @@
 
 // New returns a Gateway and registers its metrics in cfg.Metrics.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), generations: newGenerationSet(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks()}
+	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), generations: newGenerationSet(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks(), versions: newServiceVersions(cfg.Now, cfg.Log, cfg.Metrics)}
 	running := func() int64 { return int64(g.generations.count()) }
 	_ = cfg.Metrics.Register("gateway.generations", gometrics.NewFunctionalGauge(running))
 	_ = cfg.Metrics.Register("gateway.targets_limited", gometrics.NewFunctionalGauge(cfg.Loads.rateLimitedCount))
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -106,6 +106,10 @@
 	g.cfg.RetryBudget.RecordFirstAttempt(g.cfg.Now(), x.budgetKey())
 	g.generations.add(gen)
 	defer g.generations.remove(gen)
+	if x.Resumes != "" || x.ResumeAfter != "" {
+		g.metrics.takenUp.Inc(1)
+		g.cfg.Log.Info("stream taken up", "request", x.ID, "resumes", x.Resumes, "after_event", x.ResumeAfter, "route", x.route.Name, "service", x.service.Name)
+	}
 	stream, err := gen.start()
 	for stream != nil {
 		err = gen.relay(stream)
@@ -139,7 +143,7 @@
 		}
 		target := reservation.entry
 		gen.setTarget(target, nil, nil)
-		gen.g.cfg.Log.Info("generation placed", "request", gen.ID, "route", gen.route.Name, "target", target.ID,
+		gen.g.cfg.Log.Info("generation placed", "request", gen.ID, "route", gen.route.Name, "target", target.ID, "version", target.Version, "started", target.StartedUnixMilli,
 			"tokens", expectedTokens(gen.Prompt), "prompt", gen.Prompt.Tokens, "max", gen.Prompt.MaxOutputTokens, "hint", gen.Prompt.LengthHint, "basis", selection, "tries", counts.sent+counts.unsent+1, "after", time.Since(gen.ArrivedAt),
 			"running", reservation.candidate.Running, "promised", reservation.candidate.ReservedTokens, "unread", reservation.candidate.UnreadTokens, "step", reservation.candidate.TimePerToken)
 		stream, err := gen.openStream(gen.newSend(target), target, reservation, selection)
@@ -371,7 +375,7 @@
 		gen.g.averageTimes.add(gen.times)
 		gen.g.metrics.countAnswered(gen.route.Kind, gen.times.last)
 		gen.g.metrics.recordServed(gen.times)
-		gen.g.cfg.Log.Info("generation served", "request", gen.ID, "target", gen.target.ID, "route", gen.route.Name, "account", accountName(gen.account),
+		gen.g.cfg.Log.Info("generation served", "request", gen.ID, "target", gen.target.ID, "version", gen.target.Version, "route", gen.route.Name, "account", accountName(gen.account),
 			"config", gen.view.Config.Version, "events", gen.times.events,
 			"moves", gen.moves, "first", gen.times.first, "longest_pause", gen.times.longestGap, "pause_at", gen.times.longestGapEnd, "took", gen.times.last)
 		return
@@ -383,6 +387,6 @@
 		return
 	}
 	gen.g.metrics.countBroken(gen.ctx.Err() != nil)
-	gen.g.cfg.Log.Info("generation broke", "request", gen.ID, "target", gen.target.ID, "events", gen.times.events, "caller_left", gen.ctx.Err() != nil, "cause", err)
+	gen.g.cfg.Log.Info("generation broke", "request", gen.ID, "target", gen.target.ID, "version", gen.target.Version, "events", gen.times.events, "caller_left", gen.ctx.Err() != nil, "cause", err)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -160,7 +160,7 @@
 	start := time.Now()
 	result, err := gen.g.engineClient(from.Target).Move(ctx, from.Address, gen.ID, to.Address, false)
 	gen.g.observeNotice(from.Target, result.TargetNotice, "move")
-	gen.g.cfg.Log.Info("generation copied", "request", gen.ID, "from", from.ID, "to", to.ID, "took", time.Since(start),
+	gen.g.cfg.Log.Info("generation copied", "request", gen.ID, "from", from.ID, "from_version", from.Version, "to", to.ID, "to_version", to.Version, "took", time.Since(start),
 		"remote", to.DataCentre != from.DataCentre, "leaves_in", time.Until(stopTime), "events", result.Events, "error", err)
 	if err != nil {
 		gen.g.metrics.copiesFailed.Inc(1)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -26,7 +26,7 @@
 	}
 	start := time.Now()
 	err := gen.switchTo(b.memoryCopy, reservation)
-	gen.g.cfg.Log.Info("generation goes on at its backup", "request", gen.ID, "to", target.ID, "took", time.Since(start), "silent_for", gen.sinceLastEvent(), "error", err)
+	gen.g.cfg.Log.Info("generation goes on at its backup", "request", gen.ID, "to", target.ID, "to_version", target.Version, "took", time.Since(start), "silent_for", gen.sinceLastEvent(), "error", err)
 	if err == nil {
 		gen.g.metrics.movedToBackup.Inc(1)
 	}
@@ -167,7 +167,7 @@
 	selection := gen.g.selectionState()
 	selection.lastResort = true
 	stream, err := gen.resume(c, reservation, selection)
-	gen.g.cfg.Log.Info("generation comes back from a copy", "request", gen.ID, "to", c.target.ID, "events", gen.times.events,
+	gen.g.cfg.Log.Info("generation comes back from a copy", "request", gen.ID, "to", c.target.ID, "to_version", c.target.Version, "events", gen.times.events,
 		"silent_for", gen.sinceLastEvent(), "error", err)
 	if err != nil {
 		return nil, false
@@ -212,6 +212,6 @@
 	gen.moves++
 	gen.attempts++
 	gen.g.metrics.newRuns.Inc(1)
-	gen.g.cfg.Log.Info("generation continued by a new run", "request", gen.ID, "from", from.ID, "to", target.ID, "events", gen.times.events)
+	gen.g.cfg.Log.Info("generation continued by a new run", "request", gen.ID, "from", from.ID, "from_version", from.Version, "to", target.ID, "to_version", target.Version, "events", gen.times.events)
 	return stream, nil
 }
