--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -78,20 +78,27 @@
 
 func (t *fakeTarget) serve(conn net.Conn, handle connHandler) {
 	defer func() { _ = conn.Close() }()
+	if r := t.receive(conn); r != nil {
+		handle(conn, r)
+	}
+}
+
+// receive reads and records one request; nil if there is none.
+func (t *fakeTarget) receive(conn net.Conn) *http.Request {
 	r, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
-		return
+		return nil
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return
+		return nil
 	}
 	t.mu.Lock()
 	t.received = append(t.received, r)
 	t.bodies = append(t.bodies, string(body))
 	t.mu.Unlock()
 	r.Body = io.NopCloser(bytes.NewReader(body))
-	handle(conn, r)
+	return r
 }
 
 func (t *fakeTarget) requests() []*http.Request {
--- a/internal/gatewayhost/exchange.go
+++ b/internal/gatewayhost/exchange.go
@@ -304,6 +304,7 @@
 	if err != nil {
 		return nil, err
 	}
+	_ = reg.Register("gossip.hosts", gometrics.NewFunctionalGauge(func() int64 { return hostCount(members) }))
 	return gossip.New(gossip.Config{
 		Membership: membership.Config{
 			Self: membership.Member{
@@ -316,6 +317,14 @@
 	}, members)
 }
 
+// hostCount returns the number of hosts in the membership view, the dead ones included.
+func hostCount(members *gossip.Board) int64 {
+	if view := members.Members.Get(); view != nil {
+		return int64(len(view.Members))
+	}
+	return 0
+}
+
 func membershipPeers(addresses []string) []membership.Peer {
 	peers := make([]membership.Peer, len(addresses))
 	for i, a := range addresses {
