Take a retry bucket's capacity from the settings when the number of hosts changes

Callers saw streams end that could have gone on: a process that took a request of an account and service in its first seconds never retried for these again. While the number of hosts is not known it counts as 1,000,000, so a bucket made then has a capacity of 0.028 thousandths of a token, an integer: 0; scaled by the ratio of the host counts it stayed 0. Now the capacity follows from the settings and the number of hosts each time. Test before: 0 retries allowed after 1,000 first attempts, after: 14, the share of one of two hosts.

--- a/internal/decide/retrybudget/budget.go
+++ b/internal/decide/retrybudget/budget.go
@@ -117,9 +117,9 @@
 	}
 }
 
-// scaleBurst multiplies the capacity by a factor and discards tokens above it.
-func (b *Bucket) scaleBurst(factor float64) {
-	b.burst.Store(int64(float64(b.burst.Load()) * factor))
+// setBurst sets the capacity, in tokens, and discards tokens above it.
+func (b *Bucket) setBurst(burst float64) {
+	b.burst.Store(int64(burst * unitsPerToken))
 	b.deposit(0)
 }
 
@@ -193,10 +193,19 @@
 	if hostCount == b.hosts {
 		return
 	}
-	for _, bucket := range b.buckets {
-		bucket.scaleBurst(b.hosts / hostCount)
-	}
 	b.hosts = hostCount
+	for k, bucket := range b.buckets {
+		// Not from the bucket's previous capacity, which is rounded, maybe to zero.
+		bucket.setBurst(b.burst(k))
+	}
+}
+
+// burst returns this host's share of a bucket's capacity, in tokens.
+func (b *Budget) burst(k Key) float64 {
+	if k.Account == "" {
+		return b.cfg.ServiceBurst / b.hosts
+	}
+	return b.cfg.Burst / b.hosts
 }
 
 // RecordFirstAttempt records a first attempt.
@@ -250,11 +259,11 @@
 	if len(b.buckets) >= b.cfg.MaxBuckets {
 		b.evict(now)
 	}
-	burst, refillPerSecond := b.cfg.Burst, b.cfg.RefillPerSecond
+	refillPerSecond := b.cfg.RefillPerSecond
 	if k.Account == "" {
-		burst, refillPerSecond = b.cfg.ServiceBurst, refillPerSecond*serviceBurstFactor
+		refillPerSecond *= serviceBurstFactor
 	}
-	bucket := NewBucket(now, burst/b.hosts, refillPerSecond)
+	bucket := NewBucket(now, b.burst(k), refillPerSecond)
 	b.buckets[k] = bucket
 	return bucket
 }
--- a/internal/decide/retrybudget/budget_test.go
+++ b/internal/decide/retrybudget/budget_test.go
@@ -58,6 +58,25 @@
 		Expect(b.BucketCount()).To(BeNumerically("<=", 64))
 	})
 
+	// Guards against a process that never retries for an account whose first request came
+	// before the number of hosts was known.
+	It("allows retries once the number of hosts is known", func() {
+		b := retrybudget.New(retrybudget.Config{RetryRatio: 0.2, Burst: 28, ServiceBurst: 56, RefillPerSecond: retrybudget.NoRefill})
+		key := retrybudget.Key{Account: "a", Service: "s"}
+		b.SetHostCount(1_000_000)
+		b.RecordFirstAttempt(0, key)
+		Expect(b.AllowRetry(0, key)).To(BeFalse())
+		b.SetHostCount(2)
+		for range 1000 {
+			b.RecordFirstAttempt(0, key)
+		}
+		allowed := 0
+		for b.AllowRetry(0, key) {
+			allowed++
+		}
+		Expect(allowed).To(Equal(14), "the account's burst, divided by the number of hosts")
+	})
+
 	It("prevents an overload from outlasting its cause, unlike unconditional retries", func() {
 		withBudget, alwaysRetry := simulateOverload(true), simulateOverload(false)
 		Expect(withBudget).To(BeNumerically("<", 1.3))
