Go on with a stream only at targets of the version that began it

Callers saw streams joined from two versions of an engine's software. Cause: an entry's version had no reader, so the destination of a move, the place of a backup and a new run ignored it. Now a generation keeps the origin of its first event (decide/streamorigin), and acceptsRequest, through which each choice passes, takes only targets of that service and version. A backup is placed at its generation's version. If there is no such target the generation stays where it is until its engine ends; a line and a counter say so. The view lists targets by version, so a rare version costs no scan of the service.

Ruled out: that the versions differ in the histories alone: the specs see requests at engines of another version.

--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -102,7 +102,7 @@
 	for _, t := range sortedByID(targets) {
 		pool := v.targetsByService[t.Service]
 		if pool == nil {
-			pool = &serviceTargets{byDataCentre: map[string][]*ObservedTarget{}}
+			pool = &serviceTargets{byDataCentre: map[string][]*ObservedTarget{}, byVersion: map[string][]*ObservedTarget{}}
 			v.targetsByService[t.Service] = pool
 		}
 		pool.add(t)
@@ -118,15 +118,13 @@
 type serviceTargets struct {
 	all          []*ObservedTarget
 	byDataCentre map[string][]*ObservedTarget
-	versions     []string
+	byVersion    map[string][]*ObservedTarget
 }
 
 func (s *serviceTargets) add(t *ObservedTarget) {
 	s.all = append(s.all, t)
 	s.byDataCentre[t.DataCentre] = append(s.byDataCentre[t.DataCentre], t)
-	if !slices.Contains(s.versions, t.Version) {
-		s.versions = append(s.versions, t.Version)
-	}
+	s.byVersion[t.Version] = append(s.byVersion[t.Version], t)
 }
 
 // Route returns the route of a host and path, the one with the longest
@@ -183,11 +181,20 @@
 	return nil
 }
 
+// ServiceTargetsOf returns those of a service's targets that run a version of its
+// software, sorted by ID. The caller must not modify the slice.
+func (v *View) ServiceTargetsOf(service, version string) []*ObservedTarget {
+	if s := v.targetsByService[service]; s != nil {
+		return s.byVersion[version]
+	}
+	return nil
+}
+
 // ServiceVersions returns the versions of the software of a service's targets, leaving
-// and withdrawn ones included, in no order. The caller must not modify the slice.
+// and withdrawn ones included, sorted.
 func (v *View) ServiceVersions(service string) []string {
 	if s := v.targetsByService[service]; s != nil {
-		return s.versions
+		return slices.Sorted(maps.Keys(s.byVersion))
 	}
 	return nil
 }
--- a/internal/gateway/candidate.go
+++ b/internal/gateway/candidate.go
@@ -152,7 +152,7 @@
 // acceptsRequest reports whether a target accepts a request according to the
 // published state.
 func acceptsRequest(view *directory.View, req PlacementRequest, t *directory.ObservedTarget) bool {
-	return view.AcceptsNewRequests(t) && !slices.Contains(req.Exclude, t.ID)
+	return req.Origin.Accepts(t.Target) && view.AcceptsNewRequests(t) && !slices.Contains(req.Exclude, t.ID)
 }
 
 // accepts reports whether this host may send a target one more request now,
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -13,6 +13,7 @@
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/decide/deferral"
 	"filbertdeck/internal/decide/enginespeed"
+	"filbertdeck/internal/decide/streamorigin"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/sse"
@@ -39,6 +40,8 @@
 	// progress is a copy of times that is read by the goroutine moving the
 	// generation.
 	progress atomic.Pointer[eventTimes]
+	// origin is where the generation's first event was made; nil before it.
+	origin atomic.Pointer[streamorigin.Origin]
 	// ended is closed when the caller has its answer.
 	ended chan struct{}
 
@@ -226,7 +229,7 @@
 // placementRequest returns the requirements for an engine that starts a new run
 // of the generation.
 func (gen *generation) placementRequest(exclude []string) PlacementRequest {
-	return PlacementRequest{Service: gen.service.Name, Prompt: gen.Prompt, FirstEventObjective: gen.route.LatencyObjective, Locality: PreferLocal, Exclude: exclude}
+	return PlacementRequest{Service: gen.service.Name, Origin: gen.origin.Load(), Prompt: gen.Prompt, FirstEventObjective: gen.route.LatencyObjective, Locality: PreferLocal, Exclude: exclude}
 }
 
 // setTarget records where the generation runs. No move away from there has
@@ -323,7 +326,7 @@
 			return err
 		}
 		stream.reservation.MarkPromptRead()
-		if err := gen.deliver(&block); err != nil {
+		if err := gen.deliver(&block, stream.target); err != nil {
 			return err
 		}
 		if mean, full := window.Add(gen.times.last); full && gen.service.Engine != nil {
@@ -332,14 +335,17 @@
 	}
 }
 
-// deliver passes one event to the caller, unless the generation has switched to
-// another engine, which produces the event again.
-func (gen *generation) deliver(block *sse.RawEvent) error {
+// deliver passes one event of an engine to the caller, unless the generation has
+// switched to another engine, which produces the event again.
+func (gen *generation) deliver(block *sse.RawEvent, from *directory.ObservedTarget) error {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
 	if gen.nextStream != nil {
 		return errGenerationMoved
 	}
+	if gen.origin.Load() == nil {
+		gen.origin.Store(streamorigin.Of(from.Target))
+	}
 	if _, err := gen.w.Write(block.Bytes); err != nil {
 		return failure.Wrap(err, failure.KindTargetLost, "writing to the caller failed")
 	}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -58,6 +58,8 @@
 	// lost is set when the target was lost after the first event, so that a run that
 	// it does not know is over.
 	lost bool
+	// stays is set once it is logged that no engine may go on with the generation.
+	stays bool
 }
 
 // moveAway continues the generation at another engine: at its backup, or from a
@@ -134,10 +136,15 @@
 // notice, although copies to there take twice as long.
 func (gen *generation) copyToSomeTarget(ctx context.Context, from *directory.ObservedTarget, m *move, stopTime time.Time, exclude []string) ([]string, bool) {
 	for range destinationsPerRound {
-		to, reservation, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), PlacementRequest{Service: from.Service, Prompt: gen.Prompt, Locality: PreferDataCentre(from.DataCentre), Exclude: exclude})
+		to, reservation, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), PlacementRequest{Service: from.Service, Origin: gen.origin.Load(), Prompt: gen.Prompt, Locality: PreferDataCentre(from.DataCentre), Exclude: exclude})
 		if !ok {
 			// All engines have refused. Starts over, since one may have room by
 			// now.
+			if !m.stays && len(exclude) == 1 {
+				m.stays = true
+				gen.g.metrics.movesWithoutTarget.Inc(1)
+				gen.g.cfg.Log.Info("no engine may go on with the generation", "request", gen.ID, "target", from.ID, "version", from.Version, "leaves_in", time.Until(stopTime))
+			}
 			return []string{from.ID}, false
 		}
 		outcome := gen.copyTo(ctx, from, to, reservation, m, stopTime)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -7,6 +7,7 @@
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/decide/placement"
 	"filbertdeck/internal/decide/sampling"
+	"filbertdeck/internal/decide/streamorigin"
 	"filbertdeck/internal/decide/targetload"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/wake"
@@ -30,6 +31,8 @@
 	// event; 0 for none.
 	FirstEventObjective time.Duration
 	Locality            Locality
+	// Origin is where the stream began that is to go on; nil for a new one.
+	Origin *streamorigin.Origin
 	// Exclude lists the ids of targets that are left out.
 	Exclude []string
 	// MemoryShare is the share of an engine's memory beyond which the request is not
@@ -37,6 +40,14 @@
 	MemoryShare float64
 }
 
+// targets returns the targets among which the request's one is searched.
+func (req PlacementRequest) targets(view *directory.View) []*directory.ObservedTarget {
+	if req.Origin != nil {
+		return view.ServiceTargetsOf(req.Service, req.Origin.Version)
+	}
+	return view.ServiceTargets(req.Service)
+}
+
 // Outcome is the result of a search for a target.
 type Outcome int
 
@@ -115,7 +126,7 @@
 func (l *TargetLoads) sample(view *directory.View, req PlacementRequest) (sampled []*directory.ObservedTarget, firstCount int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	all := view.ServiceTargets(req.Service)
+	all := req.targets(view)
 	firstCount = l.sampleSize(len(all))
 	if firstCount < len(all) {
 		// A data centre has a part of the engines, so a sample of all targets
@@ -215,7 +226,7 @@
 // ReserveBackup chooses a target that keeps a backup of a generation running at
 // another target, and reserves memory there; false when none has room.
 func (l *TargetLoads) ReserveBackup(view *directory.View, p call.Prompt, primary *directory.ObservedTarget) (*directory.ObservedTarget, *Reservation, bool) {
-	req := PlacementRequest{Service: primary.Service, Locality: AvoidDataCentre(primary.DataCentre), Exclude: []string{primary.ID}}
+	req := PlacementRequest{Service: primary.Service, Origin: streamorigin.Of(primary.Target), Locality: AvoidDataCentre(primary.DataCentre), Exclude: []string{primary.ID}}
 	sampled, firstCount := l.sample(view, req)
 	sampled = sampled[:firstCount]
 	l.queryOwners(PlacementRequest{Prompt: p}, sampled)
