Go on with a stream that a caller takes up at the version that began it

Cause: no host knew at which version a stream began, and Resumes had no reader.

While a service has had one version, and the route one service, for as long as a stream may last, nothing is told: the origin follows. When that ends, streams that may still be taken up are told of. Who does not know refuses at once (503, not run); one host that knows of several versions outweighs any that know of one. The request is bound to the service that began the stream, and not deferred while engines are full. On a route that can't be resumed, or by a name that is not valid, it is refused for good.

--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,8 @@
 # The specs that KNOWN-RED.txt lists run apart: CI prints and passes over these
 # alone.
 RED_PACKAGES = internal/gateway
-RED_SPECS = is taken up at the version that began it|that nobody knows is refused when it is taken up|a stream that is taken up
-RED_PROCESS_SPECS = gateway processes before engines of two versions
+RED_SPECS = does not go on at an engine that has started again under its id
+RED_PROCESS_SPECS = send no stream of an earlier version to an engine that has started again
 
 .PHONY: build test fmt-check vet lint generate generate-check reference reference-check unit demo faults
 
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -210,6 +210,11 @@
 	return t.Published && !t.Leaving && !v.drainedDataCentres[t.DataCentre]
 }
 
+// LeadsTo reports whether the route gives a service a share of its requests.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service && b.Weight > 0 })
+}
+
 // PickService selects a backend by weight and returns its service; random is in [0, 1).
 func (r *Route) PickService(random float64) string {
 	total := 0
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -46,6 +46,8 @@
 	KindHandleInvalid    Kind = "resume-handle-invalid"
 	KindHandleExpired    Kind = "resume-handle-expired"
 	KindGenerationGone   Kind = "generation-gone"
+	KindNotResumable     Kind = "not-resumable"
+	KindStreamUnknown    Kind = "stream-unknown"
 	KindKeyInvalid       Kind = "idempotency-key-invalid"
 	KindKeyExpired       Kind = "idempotency-key-expired"
 	KindKeyReused        Kind = "idempotency-key-reused"
@@ -182,6 +184,8 @@
 	KindHandleInvalid:    http.StatusBadRequest,
 	KindHandleExpired:    http.StatusGone,
 	KindGenerationGone:   http.StatusGone,
+	KindNotResumable:     http.StatusConflict,
+	KindStreamUnknown:    http.StatusServiceUnavailable,
 	KindKeyInvalid:       http.StatusBadRequest,
 	KindKeyExpired:       http.StatusGone,
 	KindKeyReused:        http.StatusUnprocessableEntity,
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/decide/retrybudget"
+	"filbertdeck/internal/decide/streamorigin"
 	"filbertdeck/internal/directory"
 )
 
@@ -19,6 +20,8 @@
 	route   *directory.Route
 	service *directory.Service
 	account *directory.Account
+	// origin is where the stream began that the request takes up; nil for a new one.
+	origin *streamorigin.Origin
 	// deadline is the time by which the caller gets its final answer.
 	deadline time.Time
 	// fingerprint identifies the request across attempts.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,8 @@
 	Client        *targetclient.AtMostOnceClient
 	// Relay sends requests through other hosts; nil when there is no way to.
 	Relay Relay
+	// OriginPeers keep the origins of streams with this host; nil for none.
+	OriginPeers OriginPeers
 	// Migration decides how generations are moved off an engine that stops.
 	Migration migration.Config
 	Log       *slog.Logger
@@ -100,6 +102,7 @@
 	paths        *targetPaths
 	checks       *failureChecks
 	versions     *serviceVersions
+	origins      *streamOrigins
 	averageTimes averageTimes
 	// shutdown is set once the process shuts down.
 	shutdown atomic.Pointer[shutdownTimes]
@@ -108,6 +111,7 @@
 // New returns a Gateway and registers its metrics in cfg.Metrics.
 func New(cfg Config) *Gateway {
 	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), generations: newGenerationSet(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks(), versions: newServiceVersions(cfg.Now, cfg.Log, cfg.Metrics)}
+	g.origins = newStreamOrigins(cfg, g.versions)
 	running := func() int64 { return int64(g.generations.count()) }
 	_ = cfg.Metrics.Register("gateway.generations", gometrics.NewFunctionalGauge(running))
 	_ = cfg.Metrics.Register("gateway.targets_limited", gometrics.NewFunctionalGauge(cfg.Loads.rateLimitedCount))
@@ -170,6 +174,12 @@
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	if x.route.Kind == directory.Generation {
+		if x.takesUp() {
+			if err := g.bindToOrigin(ctx, x); err != nil {
+				g.refuse(w, req, err)
+				return
+			}
+		}
 		g.relayGeneration(ctx, x)
 		return
 	}
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -109,10 +109,7 @@
 	g.cfg.RetryBudget.RecordFirstAttempt(g.cfg.Now(), x.budgetKey())
 	g.generations.add(gen)
 	defer g.generations.remove(gen)
-	if x.Resumes != "" || x.ResumeAfter != "" {
-		g.metrics.takenUp.Inc(1)
-		g.cfg.Log.Info("stream taken up", "request", x.ID, "resumes", x.Resumes, "after_event", x.ResumeAfter, "route", x.route.Name, "service", x.service.Name)
-	}
+	gen.origin.Store(x.origin)
 	stream, err := gen.start()
 	for stream != nil {
 		err = gen.relay(stream)
@@ -126,6 +123,9 @@
 		stream, err = gen.continueElsewhere(err)
 	}
 	gen.closeNextStream()
+	if err == errStreamEnded {
+		g.origins.end(x.streamKey())
+	}
 	gen.finish(err)
 }
 
@@ -176,6 +176,10 @@
 	req := gen.placementRequest(exclude)
 	for {
 		search := gen.nextSearch()
+		if gen.origin.Load() != nil {
+			// The caller waits in the middle of a stream, which few engines may go on with.
+			search.MemoryShare = 0
+		}
 		req.MemoryShare = search.MemoryShare
 		req.FirstEventObjective = gen.remainingObjective()
 		selection := gen.g.selectionState()
@@ -343,8 +347,8 @@
 	if gen.nextStream != nil {
 		return errGenerationMoved
 	}
-	if gen.origin.Load() == nil {
-		gen.origin.Store(streamorigin.Of(from.Target))
+	if gen.times.events == 0 {
+		gen.begin(from)
 	}
 	if _, err := gen.w.Write(block.Bytes); err != nil {
 		return failure.Wrap(err, failure.KindTargetLost, "writing to the caller failed")
@@ -361,6 +365,18 @@
 	return nil
 }
 
+// begin records where the generation began, before the caller gets its first event.
+func (gen *generation) begin(at *directory.ObservedTarget) {
+	origin := gen.origin.Load()
+	if origin == nil {
+		origin = streamorigin.Of(at.Target)
+		gen.origin.Store(origin)
+	}
+	if gen.route.Resumable {
+		gen.g.origins.begin(gen.streamKey(), *origin, gen.route)
+	}
+}
+
 // writeHeader passes the header of the first engine's answer to the caller.
 func (gen *generation) writeHeader(resp *http.Response) {
 	if gen.headerSent {
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -73,6 +73,7 @@
 			g.cfg.Loads.Prune(view)
 			g.paths.prune(view)
 			g.versions.observe(view)
+			g.origins.tellPending()
 		}
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/gateway/origins.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"sync"
+	"time"
+
+	"filbertdeck/internal/decide/streamorigin"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/failure"
+)
+
+// OriginPeers are the other hosts that keep the origins of streams.
+type OriginPeers interface {
+	// Tell sends records to the hosts that keep them. It waits for no answer.
+	Tell(records []streamorigin.Record)
+	// Ask asks the hosts that may know a stream's origin. It returns the answers that
+	// came in time.
+	Ask(ctx context.Context, q streamorigin.Question) []streamorigin.Answer
+}
+
+const (
+	// triesPerStream is the number of tries in which a client may take a stream up, each
+	// as long as the route's timeout.
+	triesPerStream = 2
+	// lifetimeMargin is added to the time in which a stream may be taken up, for the way
+	// between client and host.
+	lifetimeMargin = 2 * time.Second
+	// originUnknownRetryAfter is returned if the origin of a stream is not known. A host
+	// that did not answer may answer then, or a version be the only one.
+	originUnknownRetryAfter = time.Second
+)
+
+// streamOrigins knows where streams began that this host relayed, or that other hosts
+// recorded here. It is safe for concurrent use.
+//
+// Hosts are told of each stream, unless its service has had one version, and its route
+// one service, all the time that a stream may last: then every host knows the origin
+// without being told. Should that end, the streams that may still be taken up are told
+// of.
+type streamOrigins struct {
+	now      func() time.Duration
+	versions *serviceVersions
+	// disconnected reports whether versions may be published that this host does not
+	// know.
+	disconnected func() bool
+	// peers is nil if there are no other hosts.
+	peers OriginPeers
+
+	mu       sync.Mutex
+	registry *streamorigin.Registry
+	// untold holds the streams of this host of which others have not been told.
+	untold map[streamorigin.Key]untoldStream
+}
+
+type untoldStream struct {
+	record  streamorigin.Record
+	route   *directory.Route
+	expires time.Duration
+}
+
+func newStreamOrigins(cfg Config, versions *serviceVersions) *streamOrigins {
+	return &streamOrigins{
+		now: cfg.Now, versions: versions, disconnected: cfg.Disconnected, peers: cfg.OriginPeers,
+		registry: streamorigin.NewRegistry(), untold: map[streamorigin.Key]untoldStream{},
+	}
+}
+
+// streamLifetime returns the time within which a stream of a route is taken up.
+func streamLifetime(r *directory.Route) time.Duration {
+	return triesPerStream*cmp.Or(r.Timeout, defaultTimeout) + lifetimeMargin
+}
+
+// onlyService returns the only service that may begin a route's streams; empty if there
+// are several.
+func onlyService(r *directory.Route) string {
+	only := ""
+	for _, b := range r.Backends {
+		if b.Weight == 0 || b.Service == only {
+			continue
+		}
+		if only != "" {
+			return ""
+		}
+		only = b.Service
+	}
+	return only
+}
+
+// followsFromVersions reports whether every host knows the version of the streams that
+// the route begins, since its service has had no other.
+func (o *streamOrigins) followsFromVersions(r *directory.Route) bool {
+	return o.statement(onlyService(r), streamLifetime(r)).Versions == streamorigin.One
+}
+
+// statement returns what this host says about the versions of a service.
+func (o *streamOrigins) statement(service string, window time.Duration) streamorigin.Answer {
+	if service == "" {
+		return streamorigin.Answer{}
+	}
+	only, one, several := o.versions.within(service, window)
+	switch {
+	case several:
+		return streamorigin.Answer{Versions: streamorigin.Several}
+	case one && !o.disconnected():
+		return streamorigin.Answer{Versions: streamorigin.One, Version: only}
+	}
+	return streamorigin.Answer{}
+}
+
+// begin records where a stream began, and tells other hosts of it if they need it. It
+// runs before the first event is passed on: this host may be lost right after.
+func (o *streamOrigins) begin(key streamorigin.Key, origin streamorigin.Origin, r *directory.Route) {
+	record := streamorigin.Record{Key: key, Origin: origin, Lifetime: streamLifetime(r)}
+	follows := o.followsFromVersions(r)
+	o.mu.Lock()
+	o.registry.Add(o.now(), record)
+	if follows {
+		o.untold[key] = untoldStream{record: record, route: r, expires: o.now() + record.Lifetime}
+	}
+	o.mu.Unlock()
+	if !follows && o.peers != nil {
+		o.peers.Tell([]streamorigin.Record{record})
+	}
+}
+
+// end forgets a stream that nobody takes up, since its caller has it whole.
+func (o *streamOrigins) end(key streamorigin.Key) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.registry.Remove(key)
+	delete(o.untold, key)
+}
+
+// tellPending tells other hosts of the streams whose origin no longer follows from the
+// versions of their service.
+func (o *streamOrigins) tellPending() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var records []streamorigin.Record
+	for key, s := range o.untold {
+		switch {
+		case s.expires <= o.now():
+			delete(o.untold, key)
+		case !o.followsFromVersions(s.route):
+			s.record.Lifetime = s.expires - o.now()
+			records = append(records, s.record)
+			delete(o.untold, key)
+		}
+	}
+	if len(records) > 0 && o.peers != nil {
+		o.peers.Tell(records)
+	}
+}
+
+// find concludes where the stream began that a request takes up. answers is the number
+// of hosts that answered, this one included.
+func (o *streamOrigins) find(ctx context.Context, x *exchange) (origin *streamorigin.Origin, basis streamorigin.Basis, answers int) {
+	q := streamorigin.Question{Key: x.streamKey(), Service: onlyService(x.route), Window: streamLifetime(x.route)}
+	all := []streamorigin.Answer{o.answer(q)}
+	if all[0].Origin == nil && o.peers != nil {
+		all = append(all, o.peers.Ask(ctx, q)...)
+	}
+	origin, basis = streamorigin.Resolve(q, all)
+	return origin, basis, len(all)
+}
+
+// answer answers a question from what this host knows.
+func (o *streamOrigins) answer(q streamorigin.Question) streamorigin.Answer {
+	a := o.statement(q.Service, q.Window)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a.Origin, a.Conflict = o.registry.Find(o.now(), q.Key)
+	return a
+}
+
+// AnswerOrigin answers another host's question where a stream began.
+func (g *Gateway) AnswerOrigin(q streamorigin.Question) streamorigin.Answer {
+	return g.origins.answer(q)
+}
+
+// RecordOrigins records where streams of other hosts began.
+func (g *Gateway) RecordOrigins(records []streamorigin.Record) {
+	g.origins.mu.Lock()
+	defer g.origins.mu.Unlock()
+	for _, r := range records {
+		g.origins.registry.Add(g.cfg.Now(), r)
+	}
+}
+
+// takesUp reports whether a request goes on with the stream of an earlier one.
+func (x *exchange) takesUp() bool { return x.Resumes != "" || x.ResumeAfter != "" }
+
+// streamKey returns the key of the stream that a request begins or takes up.
+func (x *exchange) streamKey() streamorigin.Key {
+	return streamorigin.KeyOf(accountName(x.account), cmp.Or(x.Resumes, x.ID))
+}
+
+// bindToOrigin binds a request that takes a stream up to the service and version that
+// began it, or returns the reason to refuse it.
+func (g *Gateway) bindToOrigin(ctx context.Context, x *exchange) error {
+	g.metrics.takenUp.Inc(1)
+	if x.Resumes != "" && x.Resumes == x.ID {
+		return failure.New(failure.KindBadRequest, "the request names itself as the one whose stream it takes up")
+	}
+	if !x.route.Resumable {
+		return g.denyIfCurrent(failure.New(failure.KindNotResumable, "streams of this route can't be resumed"))
+	}
+	origin, basis, answers := g.origins.find(ctx, x)
+	g.cfg.Log.Info("stream taken up", "request", x.ID, "resumes", x.Resumes, "after_event", x.ResumeAfter, "route", x.route.Name,
+		"origin", origin.String(), "basis", basis, "answers", answers)
+	if origin == nil {
+		g.metrics.originsUnknown.Inc(1)
+		return failure.New(failure.KindStreamUnknown, "it is not known which version began the stream: %s", basis).WithRetryAfter(originUnknownRetryAfter)
+	}
+	if !x.route.LeadsTo(origin.Service) {
+		return failure.New(failure.KindNoTarget, "the route no longer leads to the service that began the stream").WithRetryAfter(noTargetRetryAfter)
+	}
+	service, found := x.view.Service(origin.Service)
+	if !found {
+		return failure.New(failure.KindNoTarget, "the service that began the stream is not configured").WithRetryAfter(noTargetRetryAfter)
+	}
+	x.service, x.origin = service, origin
+	return nil
+}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -70,7 +70,7 @@
 func isClientError(k failure.Kind) bool {
 	switch k {
 	case failure.KindBadRequest, failure.KindUnauthorized, failure.KindForbidden, failure.KindNotFound,
-		failure.KindMethod, failure.KindBodyTooLarge, failure.KindHeadersTooLarge:
+		failure.KindMethod, failure.KindBodyTooLarge, failure.KindHeadersTooLarge, failure.KindNotResumable:
 		return true
 	}
 	return false
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -49,6 +49,15 @@
 	}
 }
 
+// within returns the only version that a service has had for a time, and whether it had
+// several within it.
+func (v *serviceVersions) within(service string, window time.Duration) (only string, one, several bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	only, one = v.history.Only(v.now(), service, window)
+	return only, one, v.history.Several(v.now(), service, window)
+}
+
 func (v *serviceVersions) severalCount() int64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/gatewayhost/fleetview.go
+++ b/internal/gatewayhost/fleetview.go
@@ -115,6 +115,30 @@
 	return live
 }
 
+// liveHostsOf returns the live hosts of some data centres, this one included.
+func (f *fleetView) liveHostsOf(dataCentres []string) []string {
+	var out []string
+	for _, dc := range dataCentres {
+		out = append(out, f.liveHosts(dc)...)
+	}
+	return out
+}
+
+// knownHostsOf returns the hosts of some data centres, including those marked dead.
+func (f *fleetView) knownHostsOf(dataCentres []string) []string {
+	view := f.members.Members.Get()
+	if view == nil {
+		return nil
+	}
+	var out []string
+	for _, m := range view.Members {
+		if slices.Contains(dataCentres, m.DataCentre) {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
+
 // rateSharers returns the hosts among the first limit by rank for a target,
 // without this host.
 func (f *fleetView) rateSharers(target string, limit int) []string {
--- a/internal/gatewayhost/owners.go
+++ b/internal/gatewayhost/owners.go
@@ -55,6 +55,9 @@
 	// limits that other hosts lent or refused to lend.
 	borrowedRequests, refusedRequests gometrics.Counter
 
+	// origins keeps the origins of streams for other hosts; nil until it is known.
+	origins originKeeper
+
 	mu             sync.Mutex
 	conn           *net.UDPConn
 	pendingQueries map[uint64]chan *filbertv1.TargetLoads
@@ -74,9 +77,10 @@
 	}
 }
 
-func runOwnerExchange(lc fx.Lifecycle, o *ownerExchange) {
+func runOwnerExchange(lc fx.Lifecycle, o *ownerExchange, g *gateway.Gateway) {
 	o.loads.SetOwnerQuery(o.queryOwner)
 	o.loads.SetLenders(o.borrow, o.returnPlace)
+	o.origins = g
 	lc.Append(fx.StartHook(o.listen))
 	process.RunInBackground(lc, func(ctx context.Context) {
 		context.AfterFunc(ctx, func() { _ = o.conn.Close() })
@@ -112,23 +116,32 @@
 }
 
 // query sends a query to a host and returns the answer, or false when none
-// arrives in time.
+// arrives in time. A host that does not answer is marked as unresponsive.
 func (o *ownerExchange) query(host string, message *filbertv1.TargetLoads) (*filbertv1.TargetLoads, bool) {
+	o.queries.Inc(1)
+	answer, ok := o.queryWithin(queryTimeout, host, message)
+	if !ok {
+		o.unansweredQueries.Inc(1)
+		o.markUnresponsive(host)
+	}
+	return answer, ok
+}
+
+// queryWithin sends a query to a host and returns the answer, or false when none arrives
+// within a time.
+func (o *ownerExchange) queryWithin(limit time.Duration, host string, message *filbertv1.TargetLoads) (*filbertv1.TargetLoads, bool) {
 	queryID, answers := o.registerQuery()
 	defer o.removeQuery(queryID)
-	o.queries.Inc(1)
 	message.Question = queryID
 	if !o.send(host, message) {
 		return nil, false
 	}
-	timer := time.NewTimer(queryTimeout)
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case answer := <-answers:
 		return answer, true
 	case <-timer.C:
-		o.unansweredQueries.Inc(1)
-		o.markUnresponsive(host)
 		return nil, false
 	}
 }
@@ -302,6 +315,10 @@
 		}
 		return
 	}
+	if records := decodeOrigins(message.GetOrigins()); len(records) > 0 && o.origins != nil {
+		o.origins.RecordOrigins(records)
+		return
+	}
 	counts := decodeCounts(message.GetLoads(), o.now())
 	if target := message.GetReturned(); target != "" {
 		o.loads.RecordReturned(target)
@@ -312,12 +329,25 @@
 		return
 	}
 	answer := &filbertv1.TargetLoads{Question: message.GetQuestion(), Answer: true}
-	if target := message.GetBorrow(); target != "" {
-		answer.Lent = o.loads.LendShare(target)
-	} else {
+	switch {
+	case message.GetBorrow() != "":
+		answer.Lent = o.loads.LendShare(message.GetBorrow())
+	case message.GetOriginQuestion() != nil:
+		answer.OriginAnswer = o.answerOrigin(message.GetOriginQuestion())
+	default:
 		answer.Loads = encodeCounts(o.loads.AnswerOwnerQuery(counts), o.now())
 	}
 	if err := o.sendTo(sender, answer); err != nil {
 		o.log.Debug("sending the answer to a query failed", "from", sender, "error", err)
 	}
 }
+
+// answerOrigin answers another host's question where a stream began; nil if the question
+// is not valid.
+func (o *ownerExchange) answerOrigin(message *filbertv1.OriginQuestion) *filbertv1.OriginAnswer {
+	q, ok := decodeQuestion(message)
+	if !ok || o.origins == nil {
+		return nil
+	}
+	return encodeOriginAnswer(o.origins.AnswerOrigin(q))
+}
--- a/internal/gatewayhost/relay.go
+++ b/internal/gatewayhost/relay.go
@@ -57,15 +57,7 @@
 
 // otherLiveHosts returns the live hosts of some data centres without this one.
 func (f *fleetView) otherLiveHosts(dataCentres ...string) []string {
-	var out []string
-	for _, dc := range dataCentres {
-		for _, host := range f.liveHosts(dc) {
-			if host != f.self {
-				out = append(out, host)
-			}
-		}
-	}
-	return out
+	return slices.DeleteFunc(f.liveHostsOf(dataCentres), func(host string) bool { return host == f.self })
 }
 
 // isHost reports whether an IP address is that of a host in the membership view.
