Confirm that a new run reaches the lifetime of the target that was chosen

Of 24 streams taken up after one of two servers had started again under its id with another version, 11 went on there: a request names the target's id alone, and the view has the new entry later. Now the connection itself is confirmed before the request is written to it: the engine's report names its start, and what answers it is what runs the request. It is done for each new run that goes on with a stream, and for new streams of routes that may be resumed while the service has several versions, the view may be old, or the target failed lately. If the start is another, nothing is sent and another target is tried; through other hosts as well. Copies need none: a process that has started again has no copy, and says so.

A third try after a whole second one keeps its record (found by the new spec).

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -90,6 +91,9 @@
 	// Management is set for a call of the target's own interface, which runs nothing
 	// and may be sent to a target that leaves.
 	Management bool
+	// ConfirmStart is set when the request must reach the lifetime of the target that the
+	// directory names, which the request itself does not say.
+	ConfirmStart bool
 	// Fingerprint identifies the request across attempts, as evidence against
 	// requests that crash targets.
 	Fingerprint uint64
@@ -145,6 +149,16 @@
 	RetryAfter time.Duration
 }
 
+// StartReport is what a target says about its present lifetime.
+type StartReport struct {
+	TargetNotice
+	// StartedUnixMilli is the start of the lifetime in Unix milliseconds; 0 if the target
+	// does not say.
+	StartedUnixMilli int64
+	// Closes is set when the target closes the connection after the response.
+	Closes bool
+}
+
 // MoveResult is the result of copying a generation's KV cache. Its notice is that
 // of the engine that copies.
 type MoveResult struct {
@@ -192,6 +206,9 @@
 	ParseRequest(r *http.Request, body []byte, arrived time.Time) (*Request, error)
 	// BuildRequest builds the HTTP request for a target.
 	BuildRequest(ctx context.Context, s *Attempt) (*http.Request, error)
+	// AskStart asks the target at the other end of a connection for its lifetime. Another
+	// request may follow on the connection, unless the result says that it closes.
+	AskStart(conn net.Conn, t directory.Target) (StartReport, error)
 	// ParseResponseHeader parses the header of a target's response.
 	ParseResponseHeader(resp *http.Response) ResponseHeader
 	// CopyResponseHeader copies the response headers that a caller may receive.
--- a/internal/decide/streamorigin/registry.go
+++ b/internal/decide/streamorigin/registry.go
@@ -76,9 +76,6 @@
 	return &entry.origin, false
 }
 
-// Remove removes what is recorded of a stream.
-func (r *Registry) Remove(key Key) { delete(r.records, key) }
-
 // Len returns the number of records.
 func (r *Registry) Len() int { return len(r.records) }
 
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -60,6 +60,8 @@
 
 	mu     sync.Mutex
 	chosen way
+	// connected is set once the direct connection stands.
+	connected bool
 	// cancel ends the tries on each way.
 	cancel map[way]context.CancelFunc
 }
@@ -94,7 +96,7 @@
 		return d.afterDirect(o)
 	case <-patience.C:
 	}
-	if d.isChosen(direct) || d.g.cfg.Relay == nil {
+	if d.isConnected() || d.g.cfg.Relay == nil {
 		return d.afterDirect(<-ended)
 	}
 	d.g.recordUnreached(d.attempt.Target, errNoConnection)
@@ -134,7 +136,7 @@
 		admit := func() error { return d.admit(w) }
 		var o outcome
 		if w == direct {
-			o.resp, o.err = d.g.cfg.Client.Do(req, admit)
+			o.resp, o.err = d.g.cfg.Client.DoConfirmed(req, d.g.confirmation(d.attempt, d.recordConnected), admit)
 		} else {
 			o.resp, o.err = d.g.cfg.Relay.Do(req, d.attempt, admit)
 		}
@@ -166,6 +168,20 @@
 	return nil
 }
 
+// recordConnected records that the direct connection stands.
+func (d *delivery) recordConnected() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.connected = true
+}
+
+// isConnected reports whether the direct connection stands, or has written the request.
+func (d *delivery) isConnected() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.connected || d.chosen == direct
+}
+
 func (d *delivery) isChosen(w way) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -149,7 +149,9 @@
 		gen.g.cfg.Log.Info("generation placed", "request", gen.ID, "route", gen.route.Name, "target", target.ID, "version", target.Version, "started", target.StartedUnixMilli,
 			"tokens", expectedTokens(gen.Prompt), "prompt", gen.Prompt.Tokens, "max", gen.Prompt.MaxOutputTokens, "hint", gen.Prompt.LengthHint, "basis", selection, "tries", counts.sent+counts.unsent+1, "after", time.Since(gen.ArrivedAt),
 			"running", reservation.candidate.Running, "promised", reservation.candidate.ReservedTokens, "unread", reservation.candidate.UnreadTokens, "step", reservation.candidate.TimePerToken)
-		stream, err := gen.openStream(gen.newSend(target), target, reservation, selection)
+		s := gen.newSend(target)
+		s.ConfirmStart = gen.confirmsStart(target)
+		stream, err := gen.openStream(s, target, reservation, selection)
 		if err == nil {
 			gen.setStream(stream)
 			gen.attempts++
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -38,6 +38,9 @@
 	copiesFailed                                          gometrics.Counter
 	// movesWithoutTarget counts moves that found no engine of the generation's version.
 	movesWithoutTarget gometrics.Counter
+	// targetsRestarted counts requests that were not sent since their target had started
+	// again.
+	targetsRestarted gometrics.Counter
 	// takenUp counts the requests that take up a stream of an earlier one.
 	takenUp gometrics.Counter
 	// originsUnknown counts those of them whose version is not known.
@@ -70,7 +73,7 @@
 		firstEvent: newHistogram("first_event_us", r), longestPause: newHistogram("longest_pause_us", r),
 		broken: counter("generations_broken"), callerLeft: counter("generations_left"), retries: counter("sent_again"),
 		movedByCopy: counter("moved.copy"), movedToBackup: counter("moved.backup"), resumedAfterLoss: counter("moved.after_loss"), newRuns: counter("moved.anew"),
-		copiesFailed: counter("copies_failed"), takenUp: counter("streams_taken_up"), originsUnknown: counter("stream_origins_unknown"), movesWithoutTarget: counter("moves_without_target"), leavingAnswers: counter("answers_leaving"), restAnswers: counter("answers_rest"),
+		copiesFailed: counter("copies_failed"), takenUp: counter("streams_taken_up"), targetsRestarted: counter("targets_restarted"), originsUnknown: counter("stream_origins_unknown"), movesWithoutTarget: counter("moves_without_target"), leavingAnswers: counter("answers_leaving"), restAnswers: counter("answers_rest"),
 		unreadableFigures: counter("load_figures_unreadable"), searchesWithoutRoom: counter("searches_without_room"),
 		failuresReported: counter("failures_reported"),
 	}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -125,11 +125,11 @@
 	}
 }
 
-// end forgets a stream that nobody takes up, since its caller has it whole.
+// end records that a stream was passed on whole, so that it is hardly taken up: other
+// hosts need not be told of it any more.
 func (o *streamOrigins) end(key streamorigin.Key) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.registry.Remove(key)
 	delete(o.untold, key)
 }
 
--- a/internal/gateway/peer_requests.go
+++ b/internal/gateway/peer_requests.go
@@ -35,7 +35,7 @@
 // its own.
 func (g *Gateway) SendForPeer(req *http.Request, target *directory.ObservedTarget, s *call.Attempt, ready func() error) (*http.Response, error) {
 	end := g.cfg.CrashEvidence.beginRequest(target, s.Fingerprint)
-	resp, err := g.cfg.Client.Do(req, func() error {
+	resp, err := g.cfg.Client.DoConfirmed(req, g.confirmation(s, func() {}), func() error {
 		g.paths.recordReached(s.Target)
 		if err := ready(); err != nil || s.Management {
 			return err
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -203,7 +203,7 @@
 		return nil, cause
 	}
 	s := gen.newSend(target)
-	s.LastEventID = gen.lastEventID
+	s.LastEventID, s.ConfirmStart = gen.lastEventID, gen.confirmsStart(target)
 	stream, err := gen.openStream(s, target, reservation, selection)
 	if err != nil {
 		return nil, cause
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -308,6 +308,49 @@
 		Entry("because the route's streams can't be resumed", func(r *http.Request) { r.URL.Path = "/report/" }, http.StatusConflict),
 	)
 
+	// Guards against a host that sends for another one to an engine that has started again.
+	It("goes on through another host, and not at an engine that has started again", func() {
+		first := startEngine("i-first", versionEvents, 5*time.Millisecond)
+		first.breakAfter = 3
+		gw, peer := startPeers(first.ofVersion("v1"))
+		begin(gw, "r-1")
+		again, same := startEngine("i-again", versionEvents, 5*time.Millisecond), startEngine("i-same", versionEvents, 5*time.Millisecond)
+		again.started.Store(2)
+		same.started.Store(1)
+		entries := []*directory.ObservedTarget{again.ofVersion("v1"), same.ofVersion("v1")}
+		for _, entry := range entries {
+			entry.StartedUnixMilli = 1
+		}
+		gw.publish(entries...)
+		peer.publish(entries...)
+		gw.cut.set(refused)
+		for i := range 6 {
+			got := gw.do(gw.takeUp(fmt.Sprintf("t-%d", i), "r-1", 3))
+			Expect(got.status).To(Equal(http.StatusOK), got.body)
+			Expect(eventStream(3) + got.body).To(Equal(eventStream(versionEvents)))
+		}
+		Expect(runs(again)).To(BeZero())
+		Expect(runs(same)).To(Equal(6))
+		Expect(peer.relayedCount()).To(BeNumerically(">=", 6))
+	})
+
+	// Guards against a stream sent on a connection that the engine closes after its report.
+	It("does not go on at an engine that closes its connections after the report", func() {
+		first := startEngine("i-first", versionEvents, 5*time.Millisecond)
+		first.breakAfter = 3
+		gw := startGateway(first.ofVersion("v1"))
+		begin(gw, "r-1")
+		report := `{"born":1}`
+		closing := startTarget("i-closing", respond(fmt.Sprintf("HTTP/1.1 200 OK\nConnection: close\nContent-Length: %d\n\n%s", len(report), report)))
+		entry := closing.directoryEntry("llm", "dc-1")
+		entry.Version, entry.StartedUnixMilli = "v1", 1
+		gw.publish(entry)
+		got := gw.do(gw.takeUp("r-2", "r-1", 3))
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.body).To(ContainSubstring(`"executed":"no"`))
+		Expect(closing.requestsToRun()).To(BeEmpty())
+	})
+
 	// Guards against an engine that started again under its id, with other software, running
 	// what was meant for the one before it.
 	It("does not go on at an engine that has started again under its id", func() {
@@ -324,8 +367,9 @@
 		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(got.body).To(ContainSubstring(`"executed":"no"`))
 		Expect(runs(again)).To(BeZero())
-		entry.StartedUnixMilli = 2
-		gw.publish(entry)
+		current := again.ofVersion("v1")
+		current.StartedUnixMilli = 2
+		gw.publish(current)
 		Expect(eventStream(3) + gw.do(gw.takeUp("r-3", "r-1", 3)).body).To(Equal(eventStream(versionEvents)))
 	})
 })
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -195,7 +195,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &readTimeoutConn{Conn: conn, timeout: s.ReadIdleTimeout + s.ResponseHeaderTimeout}, nil
+	return s.withReadTimeout(conn), nil
+}
+
+// withReadTimeout returns a connection whose reads end when nothing arrives for too long.
+func (s Settings) withReadTimeout(conn net.Conn) net.Conn {
+	return &readTimeoutConn{Conn: conn, timeout: s.ReadIdleTimeout + s.ResponseHeaderTimeout}
 }
 
 // Do sends the request once. It returns redirects like any other response.
--- a/internal/targetclient/once.go
+++ b/internal/targetclient/once.go
@@ -40,6 +40,23 @@
 // written, ExecutedUnknown afterwards. A target can state in its response that
 // it did not run the call, see ReportsNotExecuted.
 func (o *AtMostOnceClient) Do(req *http.Request, beforeWrite func() error) (*http.Response, error) {
+	return o.DoConfirmed(req, nil, beforeWrite)
+}
+
+// Confirm checks the peer of a new connection before a request is written to it, and may
+// exchange messages with it. A typed error ends the call; with retry, another connection
+// is tried first.
+type Confirm func(conn net.Conn) (retry bool, err error)
+
+const (
+	// confirmTimeout bounds one Confirm.
+	confirmTimeout = 300 * time.Millisecond
+	// confirmTries is the number of connections that are tried.
+	confirmTries = 2
+)
+
+// DoConfirmed is Do with a check of the peer; nil for none.
+func (o *AtMostOnceClient) DoConfirmed(req *http.Request, confirm Confirm, beforeWrite func() error) (*http.Response, error) {
 	gate := &writeGate{beforeWrite: beforeWrite}
 	t := o.settings.transport()
 	// The connection is closed after the response, but without a "Connection:
@@ -47,7 +64,7 @@
 	// target would no longer show that the target is shutting down.
 	t.MaxIdleConnsPerHost = -1
 	connect := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := o.settings.dialWithReadTimeout(ctx, network, address)
+		conn, err := o.dialConfirmed(ctx, network, address, confirm, gate)
 		if err != nil {
 			return nil, err
 		}
@@ -65,6 +82,50 @@
 	return resp, nil
 }
 
+// dialConfirmed connects to a target and has the connection confirmed.
+func (o *AtMostOnceClient) dialConfirmed(ctx context.Context, network, address string, confirm Confirm, gate *writeGate) (net.Conn, error) {
+	var lastErr error
+	for range confirmTries {
+		conn, err := o.settings.dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if confirm == nil {
+			return o.settings.withReadTimeout(conn), nil
+		}
+		retry, err := confirmWithin(ctx, conn, confirm)
+		if err == nil {
+			return o.settings.withReadTimeout(conn), nil
+		}
+		lastErr = err
+		_ = conn.Close()
+		if !retry {
+			break
+		}
+	}
+	var typed *failure.Error
+	if errors.As(lastErr, &typed) {
+		gate.refuse(typed)
+	}
+	return nil, lastErr
+}
+
+// confirmWithin runs a Confirm until it has ended, or its time or the request's is over.
+func confirmWithin(ctx context.Context, conn net.Conn, confirm Confirm) (retry bool, err error) {
+	if err := conn.SetDeadline(time.Now().Add(confirmTimeout)); err != nil {
+		return false, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
+	retry, err = confirm(conn)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		return retry, err
+	}
+	return false, conn.SetDeadline(time.Time{})
+}
+
 // Probe checks whether an address accepts connections. Errors are like those of Do.
 func (o *AtMostOnceClient) Probe(ctx context.Context, address string, timeout time.Duration) error {
 	conn, err := o.settings.Connect(ctx, "tcp", address, timeout)
@@ -118,6 +179,15 @@
 	return nil
 }
 
+// refuse ends the call before anything is written; Do returns the error.
+func (g *writeGate) refuse(err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conn == nil && g.checkErr == nil {
+		g.checkErr = err
+	}
+}
+
 // close ends the call after an error and reports whether its first byte may
 // have been sent. It blocks any later first write, since the caller is about to
 // receive ExecutedNo.
