--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -144,6 +144,8 @@
 	// cut is the partition between the gateway and the targets.
 	cut     cut
 	metrics gometrics.Registry
+	// peers keep the origins of streams with the gateway.
+	peers fakeOriginPeers
 	// skipped is added to the gateway's clock, in nanoseconds.
 	skipped atomic.Int64
 }
@@ -178,7 +180,7 @@
 	now := func() time.Duration { return time.Since(start) + time.Duration(gw.skipped.Load()) }
 	gw.loads, gw.crashEvidence = gateway.NewTargetLoads("host-1", "dc-1", now), gateway.NewCrashEvidence(now)
 	g := gateway.New(gateway.Config{
-		Dialect: dialect, Relay: relay, Engines: platform.NewEngines().Through(gw.cut.transport()), Board: board,
+		Dialect: dialect, Relay: relay, OriginPeers: &gw.peers, Engines: platform.NewEngines().Through(gw.cut.transport()), Board: board,
 		Loads: gw.loads, CrashEvidence: gw.crashEvidence, RetryBudget: retrybudget.New(retrybudget.Config{}),
 		Client: targetclient.NewAtMostOnceClient(targetclient.Settings{ResponseHeaderTimeout: time.Minute, ReadIdleTimeout: time.Minute, DialTimeout: 700 * time.Millisecond, Connect: gw.cut.connect}), Migration: migration.Default(), Disconnected: gw.disconnected.Load, ViewCurrent: func() bool { return !gw.disconnected.Load() }, ViewAge: func() time.Duration { return 0 },
 		Log: slog.New(logs), Metrics: gw.metrics, Now: now,
