Begin new generations at versions that stay

During a release a version's engines leave one after the other, and its generations can move to ever fewer. New ones now prefer, by a quarter of an engine's load, versions of which no engine leaves while there is one; the view tells, nothing is remembered.

--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -102,7 +102,7 @@
 	for _, t := range sortedByID(targets) {
 		pool := v.targetsByService[t.Service]
 		if pool == nil {
-			pool = &serviceTargets{byDataCentre: map[string][]*ObservedTarget{}, byVersion: map[string][]*ObservedTarget{}}
+			pool = &serviceTargets{byDataCentre: map[string][]*ObservedTarget{}, byVersion: map[string][]*ObservedTarget{}, leaving: map[string]int{}}
 			v.targetsByService[t.Service] = pool
 		}
 		pool.add(t)
@@ -119,12 +119,17 @@
 	all          []*ObservedTarget
 	byDataCentre map[string][]*ObservedTarget
 	byVersion    map[string][]*ObservedTarget
+	// leaving counts the leaving and withdrawn targets by version.
+	leaving map[string]int
 }
 
 func (s *serviceTargets) add(t *ObservedTarget) {
 	s.all = append(s.all, t)
 	s.byDataCentre[t.DataCentre] = append(s.byDataCentre[t.DataCentre], t)
 	s.byVersion[t.Version] = append(s.byVersion[t.Version], t)
+	if t.Leaving || !t.Published {
+		s.leaving[t.Version]++
+	}
 }
 
 // Route returns the route of a host and path, the one with the longest
@@ -199,6 +204,21 @@
 	return nil
 }
 
+// VersionLeaves reports whether targets of a version of a service's software leave, and
+// there is another version of which none does.
+func (v *View) VersionLeaves(service, version string) bool {
+	s := v.targetsByService[service]
+	if s == nil || s.leaving[version] == 0 {
+		return false
+	}
+	for other := range s.byVersion {
+		if s.leaving[other] == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Services returns the names of the services that have targets.
 func (v *View) Services() iter.Seq[string] { return maps.Keys(v.targetsByService) }
 
--- a/internal/gateway/candidate.go
+++ b/internal/gateway/candidate.go
@@ -45,6 +45,9 @@
 	// not be reached: it may have restarted without the restart being
 	// published.
 	coldAfterUnreachable = 5 * time.Second
+	// leavingVersionPenalty is added for a new generation at a target whose version
+	// leaves: the generation can move to ever fewer targets.
+	leavingVersionPenalty = 0.25
 	// unreachablePenalty exceeds any load.
 	unreachablePenalty = 100
 )
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -205,6 +205,9 @@
 	for _, t := range sampled {
 		if l.isAvailable(view, t) {
 			candidate := l.newCandidate(view, t, req.Locality, l.hostLoads.Total(l.now(), t.ID).OtherHostsLoad)
+			if req.Origin == nil && view.VersionLeaves(t.Service, t.Version) {
+				candidate.Penalty += leavingVersionPenalty
+			}
 			if l.overfillsBrittle(t.Target, candidate, expectedTokens(req.Prompt)) {
 				c.full = true
 				continue
