--- a/internal/gateway/confirm_start.go
+++ b/internal/gateway/confirm_start.go
@@ -46,7 +46,14 @@
 	if gen.service.Engine == nil || t.StartedUnixMilli == 0 || !gen.route.Resumable {
 		return false
 	}
-	return gen.origin.Load() != nil || !gen.g.origins.followsFromVersions(gen.route) || gen.g.cfg.Loads.mayHaveRestarted(t.ID)
+	if gen.origin.Load() != nil {
+		return true
+	}
+	if gen.g.cfg.Now() < t.WarmAt {
+		// Its entry is new, and a cold target takes few requests.
+		return false
+	}
+	return !gen.g.origins.followsFromVersions(gen.route) || gen.g.cfg.Loads.mayHaveRestarted(t.ID)
 }
 
 // mayHaveRestarted reports whether a target failed, or could not be reached, a short time
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -75,6 +75,9 @@
 	if wait, known := g.cfg.Loads.TimeToRoom(g.view(), req); known {
 		return failure.New(failure.KindOverloaded, "all targets of %s are at their advertised rate limits or rest", req.Service).WithRetryAfter(wait)
 	}
+	if req.Origin != nil {
+		return failure.New(failure.KindNoTarget, "no target of %s accepts the stream that began there", req.Origin).WithRetryAfter(noTargetRetryAfter)
+	}
 	return failure.New(failure.KindNoTarget, "no target of %s accepts the request", req.Service).WithRetryAfter(noTargetRetryAfter)
 }
 
