Try targets again that were not reached before this host lost the service

A request that a partitioned host tried at two targets found both left out once it had lost the service, and was refused, though another host reaches them: callers of streams that few targets may go on with saw that first. Targets that this host did not reach are left out only until it has lost the service; the number of tries is bounded as before.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -132,11 +132,11 @@
 // start sends the request to an engine, and to another one when the first did
 // not run it and the route allows a retry.
 func (gen *generation) start() (*engineStream, error) {
-	var exclude []string
+	var tried triedTargets
 	var lastErr error
 	var counts attemptCounts
 	for {
-		selection, reservation, err := gen.acquire(exclude)
+		selection, reservation, err := gen.acquire(gen.g.exclude(gen.exchange, tried))
 		if err != nil {
 			lastErr = err
 			break
@@ -163,10 +163,10 @@
 		if !gen.g.shouldRetry(gen.ctx, gen.exchange, true, err, counts) {
 			break
 		}
-		exclude = append(exclude, target.ID)
+		tried.add(target.ID, err)
 	}
 	if lastErr == nil {
-		return nil, gen.g.noTargetError(gen.placementRequest(exclude))
+		return nil, gen.g.noTargetError(gen.placementRequest(nil))
 	}
 	return nil, gen.g.withTimeToRoom(lastErr, gen.placementRequest(nil))
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -29,7 +30,7 @@
 // can then be sent to another target instead.
 func (g *Gateway) relayPlain(ctx context.Context, x *exchange) {
 	g.cfg.RetryBudget.RecordFirstAttempt(g.cfg.Now(), x.budgetKey())
-	var exclude []string
+	var tried triedTargets
 	var lastErr error
 	var answer *completeAnswer
 	var counts attemptCounts
@@ -37,7 +38,7 @@
 	var selection *selectionState
 	for {
 		latest := g.selectionState()
-		target, reservation, ok := g.cfg.Loads.Acquire(latest.view, plainPlacementRequest(x, exclude))
+		target, reservation, ok := g.cfg.Loads.Acquire(latest.view, plainPlacementRequest(x, g.exclude(x, tried)))
 		if !ok {
 			break
 		}
@@ -48,7 +49,7 @@
 		if !g.shouldRetry(ctx, x, retryMayHelp(answer, lastErr), lastErr, counts) {
 			break
 		}
-		exclude = append(exclude, target.ID)
+		tried.add(target.ID, lastErr)
 	}
 	switch {
 	case answer != nil:
@@ -60,7 +61,7 @@
 	case lastErr != nil:
 		g.refuse(x.w, x.Request, g.withTimeToRoom(lastErr, plainPlacementRequest(x, nil)))
 	default:
-		g.refuse(x.w, x.Request, g.noTargetError(plainPlacementRequest(x, exclude)))
+		g.refuse(x.w, x.Request, g.noTargetError(plainPlacementRequest(x, nil)))
 	}
 }
 
@@ -105,6 +106,26 @@
 // reserve.
 const maxUnsentAttempts = 4
 
+// triedTargets are the ids of the targets that a request was tried at.
+type triedTargets struct{ failed, unreached []string }
+
+func (t *triedTargets) add(id string, err error) {
+	if isUnreached(err) {
+		t.unreached = append(t.unreached, id)
+		return
+	}
+	t.failed = append(t.failed, id)
+}
+
+// exclude returns the targets that a request is not tried at again. Those that this host
+// did not reach may be reached through another host, once it has lost the service.
+func (g *Gateway) exclude(x *exchange, t triedTargets) []string {
+	if g.cfg.Relay != nil && g.paths.isLost(x.service.Name) {
+		return t.failed
+	}
+	return slices.Concat(t.failed, t.unreached)
+}
+
 // attemptCounts counts the targets that a request was tried at.
 type attemptCounts struct {
 	// sent counts the targets that the request was sent to, unsent those that
