Confirm the lifetime of targets that are published as cold, too

Cause: an engine started again while its entry still said that it warms up, and new streams at such a target were not confirmed, so the old version was recorded. The exemption goes; the call counts against this host's share of what a cold target takes. Ruled out: the record of another host, which named what the first one believed.

--- a/internal/gateway/confirm_start.go
+++ b/internal/gateway/confirm_start.go
@@ -23,6 +23,7 @@
 	}
 	return func(conn net.Conn) (retry bool, err error) {
 		connected()
+		g.cfg.Loads.recordColdSend(g.view(), s.Target)
 		report, err := g.cfg.Dialect.AskStart(conn, s.Target)
 		g.observeNotice(s.Target, report.TargetNotice, "report")
 		switch {
@@ -46,14 +47,16 @@
 	if gen.service.Engine == nil || t.StartedUnixMilli == 0 || !gen.route.Resumable {
 		return false
 	}
-	if gen.origin.Load() != nil {
-		return true
-	}
-	if gen.g.cfg.Now() < t.WarmAt {
-		// Its entry is new, and a cold target takes few requests.
-		return false
+	return gen.origin.Load() != nil || !gen.g.origins.followsFromVersions(gen.route) || gen.g.cfg.Loads.mayHaveRestarted(t.ID)
+}
+
+// recordColdSend counts a call against this host's share of what a cold target takes.
+func (l *TargetLoads) recordColdSend(view *directory.View, t directory.Target) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if entry, known := view.Target(t.ID); known && l.coldRate(view, entry) > 0 {
+		l.loadOf(t.ID).coldLimiter.RecordSend(l.now())
 	}
-	return !gen.g.origins.followsFromVersions(gen.route) || gen.g.cfg.Loads.mayHaveRestarted(t.ID)
 }
 
 // mayHaveRestarted reports whether a target failed, or could not be reached, a short time
