Tell origins again that were told before a host knew the others

In the soak 17 of 72 tries that took a stream up were refused while engines of their version served, most of them of streams that began in the first second of a host's life: it told the hosts that it knew by then, and others asked the ones that rank first among all. Records that went out before the number of hosts has settled are told again, once a second; eight hosts are asked instead of three.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -13,8 +13,9 @@
 
 // OriginPeers are the other hosts that keep the origins of streams.
 type OriginPeers interface {
-	// Tell sends records to the hosts that keep them. It waits for no answer.
-	Tell(records []streamorigin.Record)
+	// Tell sends records to the hosts that keep them. It waits for no answer. It returns
+	// false if they should be sent again, since these hosts are not certain yet.
+	Tell(records []streamorigin.Record) (final bool)
 	// Ask asks the hosts that may know a stream's origin. It returns the answers that
 	// came in time.
 	Ask(ctx context.Context, q streamorigin.Question) []streamorigin.Answer
@@ -30,6 +31,8 @@
 	// originUnknownRetryAfter is returned if the origin of a stream is not known. A host
 	// that did not answer may answer then, or a version be the only one.
 	originUnknownRetryAfter = time.Second
+	// retellInterval is the time until records are sent again that went to uncertain hosts.
+	retellInterval = time.Second
 )
 
 // streamOrigins knows where streams began that this host relayed, or that other hosts
@@ -58,6 +61,8 @@
 	record  streamorigin.Record
 	route   *directory.Route
 	expires time.Duration
+	// tellAt is the time from which others may be told.
+	tellAt time.Duration
 }
 
 func newStreamOrigins(cfg Config, versions *serviceVersions) *streamOrigins {
@@ -114,15 +119,18 @@
 func (o *streamOrigins) begin(key streamorigin.Key, origin streamorigin.Origin, r *directory.Route) {
 	record := streamorigin.Record{Key: key, Origin: origin, Lifetime: streamLifetime(r)}
 	follows := o.followsFromVersions(r)
+	final := !follows && (o.peers == nil || o.peers.Tell([]streamorigin.Record{record}))
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.registry.Add(o.now(), record)
-	if follows {
-		o.untold[key] = untoldStream{record: record, route: r, expires: o.now() + record.Lifetime}
+	if final {
+		return
 	}
-	o.mu.Unlock()
-	if !follows && o.peers != nil {
-		o.peers.Tell([]streamorigin.Record{record})
+	s := untoldStream{record: record, route: r, expires: o.now() + record.Lifetime}
+	if !follows {
+		s.tellAt = o.now() + retellInterval
 	}
+	o.untold[key] = s
 }
 
 // end records that a stream was passed on whole, so that it is hardly taken up: other
@@ -143,14 +151,18 @@
 		switch {
 		case s.expires <= o.now():
 			delete(o.untold, key)
-		case !o.followsFromVersions(s.route):
+		case s.tellAt <= o.now() && !o.followsFromVersions(s.route):
 			s.record.Lifetime = s.expires - o.now()
 			records = append(records, s.record)
-			delete(o.untold, key)
+			s.tellAt = o.now() + retellInterval
+			o.untold[key] = s
 		}
 	}
-	if len(records) > 0 && o.peers != nil {
-		o.peers.Tell(records)
+	if len(records) == 0 || o.peers != nil && !o.peers.Tell(records) {
+		return
+	}
+	for _, r := range records {
+		delete(o.untold, r.Key)
 	}
 }
 
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -18,15 +18,18 @@
 
 // fakeOriginPeers are other hosts that record what they are told, and give set answers.
 type fakeOriginPeers struct {
-	mu      sync.Mutex
-	told    []streamorigin.Record
-	answers []streamorigin.Answer
+	mu   sync.Mutex
+	told []streamorigin.Record
+	// uncertain makes it say that records should be sent again.
+	uncertain bool
+	answers   []streamorigin.Answer
 }
 
-func (p *fakeOriginPeers) Tell(records []streamorigin.Record) {
+func (p *fakeOriginPeers) Tell(records []streamorigin.Record) (final bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.told = append(p.told, records...)
+	return !p.uncertain
 }
 
 func (p *fakeOriginPeers) Ask(context.Context, streamorigin.Question) []streamorigin.Answer {
@@ -41,6 +44,12 @@
 	return p.told
 }
 
+func (p *fakeOriginPeers) setUncertain(uncertain bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.uncertain = uncertain
+}
+
 // answer sets the answers of the other hosts.
 func (p *fakeOriginPeers) answer(answers ...streamorigin.Answer) {
 	p.mu.Lock()
@@ -84,6 +93,28 @@
 		Expect(told[0].Lifetime).To(BeNumerically(">=", 5*time.Second), "the route's timeout")
 	})
 
+	// Guards against a host that has just started, and whose records are kept where nobody
+	// asks.
+	It("tells others again until it knows the hosts that keep the records", func() {
+		gw.peers.setUncertain(true)
+		broken := startEngine("i-2", versionEvents, 5*time.Millisecond)
+		broken.breakAfter = 3
+		gw.publish(broken.ofVersion("v1"))
+		gw.do(gw.request("POST", "/brief/"))
+		Eventually(func() int { return len(gw.peers.toldRecords()) }, "5s").Should(BeNumerically(">", 1))
+		gw.peers.setUncertain(false)
+		gw.skip(2 * time.Second)
+		told := 0
+		Eventually(func() bool {
+			before := told
+			told = len(gw.peers.toldRecords())
+			return before == told
+		}, "5s", "1500ms").Should(BeTrue())
+		for _, r := range gw.peers.toldRecords() {
+			Expect(r.Key).To(Equal(record("r-1")))
+		}
+	})
+
 	It("tells nobody of one that can't be taken up", func() {
 		Expect(gw.do(gw.request("POST", "/report/")).err).NotTo(HaveOccurred())
 		Expect(gw.peers.toldRecords()).To(BeEmpty())
--- a/internal/gatewayhost/origins.go
+++ b/internal/gatewayhost/origins.go
@@ -19,6 +19,9 @@
 	// originKeepers is the number of hosts that keep the origin of a stream: it is lost
 	// only if all of them fail before the stream is taken up.
 	originKeepers = 3
+	// originsAsked is the number of hosts that are asked for the origin of a stream. The
+	// host that began it may have known fewer or other hosts.
+	originsAsked = 8
 	// originTimeout bounds the wait for answers to a question for an origin. A round trip
 	// within a region takes a few milliseconds, more on a busy host.
 	originTimeout = 40 * time.Millisecond
@@ -59,8 +62,9 @@
 
 var _ gateway.OriginPeers = (*originPeers)(nil)
 
-// Tell implements gateway.OriginPeers.
-func (p *originPeers) Tell(records []streamorigin.Record) {
+// Tell implements gateway.OriginPeers. While this host does not know all others yet, it
+// tells those that it knows, which others may not ask.
+func (p *originPeers) Tell(records []streamorigin.Record) (final bool) {
 	live := p.fleet.liveHostsOf(p.region)
 	batches := map[string][]*filbertv1.StreamOrigin{}
 	for _, r := range records {
@@ -77,6 +81,8 @@
 			p.exchange.send(host, &filbertv1.TargetLoads{Origins: chunk})
 		}
 	}
+	_, settled := p.fleet.settledHostCount()
+	return settled
 }
 
 // Ask implements gateway.OriginPeers. It asks the hosts that keep the origin, also those
@@ -102,7 +108,7 @@
 // keepersToAsk returns the other hosts that may keep an origin: those that rank first
 // among the live hosts now, and among all that are known.
 func (p *originPeers) keepersToAsk(key streamorigin.Key) []string {
-	hosts := membership.TopRanked(rankKey(key), p.fleet.liveHostsOf(p.region), originKeepers)
+	hosts := membership.TopRanked(rankKey(key), p.fleet.liveHostsOf(p.region), originsAsked)
 	for _, host := range membership.TopRanked(rankKey(key), p.fleet.knownHostsOf(p.region), originKeepers) {
 		if !slices.Contains(hosts, host) {
 			hosts = append(hosts, host)
--- a/internal/gatewayhost/origins_test.go
+++ b/internal/gatewayhost/origins_test.go
@@ -183,8 +183,8 @@
 		}
 		fleet := newTestFleetView(t, members[0].Address, members...)
 		p := &originPeers{fleet: fleet, region: []string{"a"}}
-		if asked := len(p.keepersToAsk(testRecord("r-1").Key)); asked > originKeepers {
-			t.Errorf("%d hosts: %d are asked, want %d at most", count, asked, originKeepers)
+		if asked := len(p.keepersToAsk(testRecord("r-1").Key)); asked > originsAsked {
+			t.Errorf("%d hosts: %d are asked, want %d at most", count, asked, originsAsked)
 		}
 		message, err := proto.Marshal(&filbertv1.TargetLoads{Origins: []*filbertv1.StreamOrigin{encodeOrigin(testRecord("r-1"))}})
 		if err != nil {
