--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -334,38 +334,25 @@
 		Expect(peer.relayedCount()).To(BeNumerically(">=", 6))
 	})
 
-	// Guards against a request that counts as sent to an engine which only refused its report.
-	It("does not go on, and has not run, at an engine that does not say when it started", func() {
+	// Guards against a request that is sent, or counts as sent, to an engine whose report does
+	// not confirm the connection.
+	DescribeTable("does not go on, and has not run, at an engine", func(report string) {
 		first := startEngine("i-first", versionEvents, 5*time.Millisecond)
 		first.breakAfter = 3
 		gw := startGateway(first.ofVersion("v1"))
 		begin(gw, "r-1")
-		mute := startTarget("i-mute", respond("HTTP/1.1 500 Internal Server Error\nContent-Length: 0\n\n"))
-		entry := mute.directoryEntry("llm", "dc-1")
+		engine := startTarget("i-2", respond(report))
+		entry := engine.directoryEntry("llm", "dc-1")
 		entry.Version, entry.StartedUnixMilli = "v1", 1
 		gw.publish(entry)
 		got := gw.do(gw.takeUp("r-2", "r-1", 3))
 		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(got.body).To(ContainSubstring(`"executed":"no"`))
-		Expect(mute.requestsToRun()).To(BeEmpty())
-	})
-
-	// Guards against a stream sent on a connection that the engine closes after its report.
-	It("does not go on at an engine that closes its connections after the report", func() {
-		first := startEngine("i-first", versionEvents, 5*time.Millisecond)
-		first.breakAfter = 3
-		gw := startGateway(first.ofVersion("v1"))
-		begin(gw, "r-1")
-		report := `{"born":1}`
-		closing := startTarget("i-closing", respond(fmt.Sprintf("HTTP/1.1 200 OK\nConnection: close\nContent-Length: %d\n\n%s", len(report), report)))
-		entry := closing.directoryEntry("llm", "dc-1")
-		entry.Version, entry.StartedUnixMilli = "v1", 1
-		gw.publish(entry)
-		got := gw.do(gw.takeUp("r-2", "r-1", 3))
-		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
-		Expect(got.body).To(ContainSubstring(`"executed":"no"`))
-		Expect(closing.requestsToRun()).To(BeEmpty())
-	})
+		Expect(engine.requestsToRun()).To(BeEmpty())
+	},
+		Entry("that does not say when it started", "HTTP/1.1 500 Internal Server Error\nContent-Length: 0\n\n"),
+		Entry("that closes its connections after the report", "HTTP/1.1 200 OK\nConnection: close\nContent-Length: 10\n\n{\"born\":1}"),
+	)
 
 	// Guards against an engine that started again under its id, with other software, running
 	// what was meant for the one before it.
