--- a/internal/decide/poison/detector.go
+++ b/internal/decide/poison/detector.go
@@ -79,6 +79,10 @@
 	// Delay is how long the request must be held, 0 if it may run now. For a
 	// request that is refused it is the time until the verdict expires.
 	Delay time.Duration
+	// Crashes is the number of crashes that speak against a request that is refused,
+	// SinceLast the time since the last one.
+	Crashes   int
+	SinceLast time.Duration
 }
 
 // Crash is the death of a target in the form in which it is gossiped.
@@ -140,7 +144,7 @@
 	case e.weight < fullWeight:
 		return Assessment{}
 	case e.weight >= blockedWeight:
-		return Assessment{Verdict: Blocked, Delay: e.expires - now}
+		return Assessment{Verdict: Blocked, Delay: e.expires - now, Crashes: e.crashes, SinceLast: now - e.lastCrash}
 	case e.weight >= exclusiveWeight:
 		return Assessment{Verdict: Exclusive, Delay: d.remainingHold(now, e)}
 	default:
--- a/internal/decide/poison/detector_test.go
+++ b/internal/decide/poison/detector_test.go
@@ -37,7 +37,7 @@
 		crash(6*second, 2, poisonFingerprint)
 		Expect(d.Assess(11*second, poisonFingerprint)).To(Equal(poison.Assessment{Verdict: poison.Exclusive}))
 		crash(12*second, 3, poisonFingerprint)
-		Expect(d.Assess(12*second, poisonFingerprint)).To(Equal(poison.Assessment{Verdict: poison.Blocked, Delay: 10 * time.Minute}))
+		Expect(d.Assess(12*second, poisonFingerprint)).To(Equal(poison.Assessment{Verdict: poison.Blocked, Delay: 10 * time.Minute, Crashes: 3}))
 		Expect(d.Assess(11*time.Minute, poisonFingerprint)).To(Equal(poison.Assessment{}))
 		Expect(d.SuspectCount()).To(BeZero())
 	})
--- a/internal/decide/poison/evidence.go
+++ b/internal/decide/poison/evidence.go
@@ -41,6 +41,7 @@
 // fingerprint.
 type fingerprintEvidence struct {
 	weight    int
+	crashes   int
 	lastCrash time.Duration
 	expires   time.Duration
 	// lastCompletion is when the request last completed, if it ever did.
@@ -115,6 +116,7 @@
 			e.lastCompletion = d.lastCompletion(f, old)
 		}
 		e.weight += crashWeight(f, massFailure, e.lastCompletion.isRecent(now, d.cfg.CrashTTL))
+		e.crashes++
 		e.lastCrash = c.at
 		e.expires = c.at + d.cfg.CrashTTL
 		d.evidence[f] = e
--- a/internal/gateway/crash_evidence.go
+++ b/internal/gateway/crash_evidence.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"filbertdeck/internal/decide/poison"
 	"filbertdeck/internal/directory"
@@ -26,6 +28,11 @@
 // requests that crash the targets that run them. It is safe for concurrent use.
 type CrashEvidence struct {
 	now func() time.Duration
+	log *slog.Logger
+	// recorded counts the crashes that this host recorded, learned the messages of other
+	// hosts that brought new evidence, unverified the failures of targets, with broken
+	// connections, that were not recorded as crashes.
+	recorded, learned, unverified gometrics.Counter
 
 	mu       sync.Mutex
 	detector *poison.Detector
@@ -37,11 +44,23 @@
 }
 
 // NewCrashEvidence returns a CrashEvidence that holds no evidence yet.
-func NewCrashEvidence(now func() time.Duration) *CrashEvidence {
-	return &CrashEvidence{
-		now: now, detector: poison.New(poison.Config{}), running: map[string][]uint64{},
-		changed: make(chan struct{}, 1),
+func NewCrashEvidence(now func() time.Duration, log *slog.Logger, reg gometrics.Registry) *CrashEvidence {
+	s := &CrashEvidence{
+		now: now, log: log, detector: poison.New(poison.Config{}), running: map[string][]uint64{},
+		changed:    make(chan struct{}, 1),
+		recorded:   gometrics.GetOrRegisterCounter("gateway.crashes_recorded", reg),
+		learned:    gometrics.GetOrRegisterCounter("gateway.crashes_learned", reg),
+		unverified: gometrics.GetOrRegisterCounter("gateway.crashes_unverified", reg),
 	}
+	_ = reg.Register("gateway.crash_suspects", gometrics.NewFunctionalGauge(s.suspectCount))
+	return s
+}
+
+// suspectCount returns the number of fingerprints for which there is evidence.
+func (s *CrashEvidence) suspectCount() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(s.detector.SuspectCount())
 }
 
 // Changed returns a channel that receives when there is new evidence for other
@@ -62,9 +81,17 @@
 
 // isPoison reports whether a request is known to crash targets.
 func (s *CrashEvidence) isPoison(fp uint64) bool {
+	_, _, refused := s.verdict(fp)
+	return refused
+}
+
+// verdict reports whether a request is known to crash targets, with the number of
+// crashes that speak against it and the time since the last one.
+func (s *CrashEvidence) verdict(fp uint64) (crashes int, last time.Duration, refused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.detector.Assess(s.now(), fp).Verdict == poison.Blocked
+	a := s.detector.Assess(s.now(), fp)
+	return a.Crashes, a.SinceLast, a.Verdict == poison.Blocked
 }
 
 // beginRequest records that a request runs at a target. The returned function
@@ -107,9 +134,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.detector.AddCrash(s.now(), poison.CrashID(target.ID, uint64(target.StartedUnixMilli)), suspects)
+	s.recorded.Inc(1)
+	s.log.Warn("target crashed", "target", target.ID, "started", target.StartedUnixMilli, "suspects", len(suspects))
 	wake.Signal(s.changed)
 }
 
+// recordUnverified records that the connections to a target broke, and why that is not
+// recorded as a crash.
+func (s *CrashEvidence) recordUnverified(target *directory.ObservedTarget, suspects int, reason string) {
+	s.unverified.Inc(1)
+	s.log.Info("crash not recorded", "target", target.ID, "started", target.StartedUnixMilli, "suspects", suspects, "reason", reason)
+}
+
 // Export returns the evidence for other hosts.
 func (s *CrashEvidence) Export() []poison.Crash {
 	s.mu.Lock()
@@ -122,6 +158,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.detector.Merge(s.now(), crashes) {
+		s.learned.Inc(1)
 		wake.Signal(s.changed)
 	}
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -178,7 +178,7 @@
 	start := time.Now()
 	gw := &fixture{views: views, cfg: testConfig(), metrics: gometrics.NewRegistry()}
 	now := func() time.Duration { return time.Since(start) + time.Duration(gw.skipped.Load()) }
-	gw.loads, gw.crashEvidence = gateway.NewTargetLoads("host-1", "dc-1", now), gateway.NewCrashEvidence(now)
+	gw.loads, gw.crashEvidence = gateway.NewTargetLoads("host-1", "dc-1", now), gateway.NewCrashEvidence(now, slog.New(logs), gw.metrics)
 	g := gateway.New(gateway.Config{
 		Dialect: dialect, Relay: relay, OriginPeers: &gw.peers, Engines: platform.NewEngines().Through(gw.cut.transport()), Board: board,
 		Loads: gw.loads, CrashEvidence: gw.crashEvidence, RetryBudget: retrybudget.New(retrybudget.Config{}),
--- a/internal/gateway/metrics_internal_test.go
+++ b/internal/gateway/metrics_internal_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"log/slog"
 	"os"
 	"strings"
 	"testing"
@@ -20,7 +21,7 @@
 		t.Fatal(err)
 	}
 	registry := gometrics.NewRegistry()
-	New(Config{Metrics: registry})
+	New(Config{Metrics: registry, CrashEvidence: NewCrashEvidence(nil, slog.Default(), registry)})
 	registry.Each(func(name string, _ any) {
 		if !strings.Contains(string(page), "`"+name+"`") {
 			t.Errorf("%s is missing from the operators' page", name)
--- a/internal/gateway/partition.go
+++ b/internal/gateway/partition.go
@@ -95,12 +95,18 @@
 		crashed := check.mayHaveCrashed && g.refusesConnections(t)
 		if !g.reachesOthers(t, failedAt) {
 			g.cfg.Log.Debug("failure not reported: this host may be partitioned", "target", t.ID)
+			if check.mayHaveCrashed {
+				g.cfg.CrashEvidence.recordUnverified(t, len(check.suspects), "this host may be partitioned")
+			}
 			return
 		}
 		g.cfg.Loads.ReportFailure(t.ID)
 		g.metrics.failuresReported.Inc(1)
-		if crashed {
+		switch {
+		case crashed:
 			g.cfg.CrashEvidence.recordCrash(t, check.suspects)
+		case check.mayHaveCrashed:
+			g.cfg.CrashEvidence.recordUnverified(t, len(check.suspects), "it accepts connections or does not answer")
 		}
 	})
 }
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -113,7 +113,9 @@
 	return loads
 }
 
-func newSuspects(now Clock) *gateway.CrashEvidence { return gateway.NewCrashEvidence(now) }
+func newSuspects(now Clock, log *slog.Logger, reg gometrics.Registry) *gateway.CrashEvidence {
+	return gateway.NewCrashEvidence(now, log, reg)
+}
 
 // accountBurstShare is the share of the fixed retry allowance that a single
 // client account may use.
