Tell other hosts of completions that clear suspects

A completion was known only to the host that saw it. A host that learned of crashes first, such as one that had just started, refused what others knew to be sound, and what is refused does not complete: the verdict had no way back. Hosts now tell the completions of suspects, once after each crash that they clear, up to 64 a message of 12 bytes each; what isn't suspected is not told of.

The spec of the detector fails without the message (the request is blocked, as it shows).

--- a/internal/controller/gossip/controller.go
+++ b/internal/controller/gossip/controller.go
@@ -61,6 +61,9 @@
 	ReceivePools  func([]*filbertv1.PoolNews)
 	SupplyPoison  func() []*filbertv1.PoisonNews
 	ReceivePoison func([]*filbertv1.PoisonNews)
+	// ReceiveCompletions receives the completions of a message after its crashes.
+	SupplyCompletions  func() []*filbertv1.SuspectCompletion
+	ReceiveCompletions func([]*filbertv1.SuspectCompletion)
 	// SupplyLoads is called only for messages to neighbours: in a large fleet
 	// the counts change hundreds of times a second, and processes that only ask
 	// a reader of the store already get them from their own neighbours.
--- a/internal/controller/gossip/message.go
+++ b/internal/controller/gossip/message.go
@@ -55,6 +55,9 @@
 	if c.cfg.Hooks.SupplyPoison != nil {
 		msg.Poison = c.cfg.Hooks.SupplyPoison()
 	}
+	if c.cfg.Hooks.SupplyCompletions != nil {
+		msg.Completions = c.cfg.Hooks.SupplyCompletions()
+	}
 	if c.cfg.Hooks.SupplyLoads != nil && c.peers.isNeighbour(to) {
 		msg.Loads = c.cfg.Hooks.SupplyLoads(to)
 	}
@@ -116,6 +119,9 @@
 	if c.cfg.Hooks.ReceivePoison != nil && len(msg.GetPoison()) > 0 {
 		c.cfg.Hooks.ReceivePoison(msg.GetPoison())
 	}
+	if c.cfg.Hooks.ReceiveCompletions != nil && len(msg.GetCompletions()) > 0 {
+		c.cfg.Hooks.ReceiveCompletions(msg.GetCompletions())
+	}
 	if c.cfg.Hooks.ReceiveLoads != nil && len(msg.GetLoads()) > 0 {
 		c.cfg.Hooks.ReceiveLoads(msg.GetFrom().GetAddress(), msg.GetLoads())
 	}
--- a/internal/decide/poison/detector.go
+++ b/internal/decide/poison/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -96,6 +97,13 @@
 	Fingerprints []uint64
 }
 
+// Completion is the last completion of a suspect in the form in which it is gossiped.
+type Completion struct {
+	Fingerprint uint64
+	// Age is the time since the completion.
+	Age time.Duration
+}
+
 // Detector holds the evidence that one process has. It is not safe for
 // concurrent use.
 type Detector struct {
@@ -120,15 +128,30 @@
 	}
 }
 
-// AddCompletion records that a request completed.
-func (d *Detector) AddCompletion(now time.Duration, fingerprint uint64) {
-	c := completion{fingerprint: fingerprint, at: now, valid: true}
-	d.completions.add(c)
-	if e, suspected := d.evidence[fingerprint]; suspected {
-		e.lastCompletion = c
-		d.evidence[fingerprint] = e
-		d.rebuild(now)
+// AddCompletion records that a request completed. It reports whether that speaks for a
+// suspect, so that other processes should be told.
+func (d *Detector) AddCompletion(now time.Duration, fingerprint uint64) bool {
+	return d.addCompletion(now, completion{fingerprint: fingerprint, at: now, valid: true})
+}
+
+// addCompletion records a completion unless a later one is known. It reports whether it
+// is the first one since a crash that the request was in.
+func (d *Detector) addCompletion(now time.Duration, c completion) bool {
+	e, suspected := d.evidence[c.fingerprint]
+	if !suspected {
+		if known := d.completions.find(c.fingerprint); !known.valid || c.at > known.at {
+			d.completions.add(c)
+		}
+		return false
+	}
+	if e.lastCompletion.valid && (c.at <= e.lastCompletion.at || e.lastCompletion.at > e.lastCrash) {
+		return false
 	}
+	d.completions.add(c)
+	e.lastCompletion = c
+	d.evidence[c.fingerprint] = e
+	d.rebuild(now)
+	return true
 }
 
 // Assess determines how a request may run now.
@@ -199,5 +222,33 @@
 	return changed
 }
 
+// ExportCompletions returns up to limit completions of suspects for gossip, the latest
+// first.
+func (d *Detector) ExportCompletions(now time.Duration, limit int) []Completion {
+	d.rebuild(now)
+	var out []Completion
+	for f, e := range d.evidence {
+		if e.lastCompletion.isRecent(now, d.cfg.CrashTTL) {
+			out = append(out, Completion{Fingerprint: f, Age: now - e.lastCompletion.at})
+		}
+	}
+	slices.SortFunc(out, func(a, b Completion) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return out[:min(len(out), limit)]
+}
+
+// MergeCompletions adds what another process knows of completions, after the crashes of
+// the same message. It reports whether any speaks for a suspect, like AddCompletion.
+func (d *Detector) MergeCompletions(now time.Duration, completions []Completion) bool {
+	changed := false
+	for _, c := range completions {
+		if c.Age >= 0 && c.Age < d.cfg.CrashTTL && d.addCompletion(now, completion{fingerprint: c.Fingerprint, at: now - c.Age, valid: true}) {
+			changed = true
+		}
+	}
+	return changed
+}
+
 // SuspectCount returns the number of fingerprints for which there is evidence.
 func (d *Detector) SuspectCount() int { return len(d.evidence) }
--- a/internal/decide/poison/detector_test.go
+++ b/internal/decide/poison/detector_test.go
@@ -63,6 +63,22 @@
 		Expect(d.Assess(second, innocentFingerprint).Verdict).To(Equal(poison.Clear))
 	})
 
+	// Guards against a process that learns of crashes and not of the completions that clear a request.
+	It("clears a request that completed where another process saw it", func() {
+		for i := range 4 {
+			crash(time.Duration(i)*5*second, i, poisonFingerprint, innocentFingerprint)
+			d.AddCompletion(time.Duration(i)*5*second+second, innocentFingerprint)
+		}
+		now := 17 * second
+		other := poison.New(poison.Config{})
+		Expect(other.Merge(now, d.Export(now, 32))).To(BeTrue())
+		Expect(other.Assess(now, innocentFingerprint).Verdict).To(Equal(poison.Blocked))
+		Expect(other.MergeCompletions(now, d.ExportCompletions(now, 32))).To(BeTrue())
+		Expect(other.Assess(now, innocentFingerprint).Verdict).NotTo(Equal(poison.Blocked))
+		Expect(other.Assess(now, poisonFingerprint).Verdict).To(Equal(poison.Blocked))
+		Expect(other.MergeCompletions(now, d.ExportCompletions(now, 32))).To(BeFalse(), "known already")
+	})
+
 	It("lets suspects share a target only with clear requests", func() {
 		clear, isolated, exclusive := poison.Clear, poison.Isolated, poison.Exclusive
 		for _, v := range []poison.Verdict{clear, isolated, exclusive} {
--- a/internal/decide/poison/fleet_test.go
+++ b/internal/decide/poison/fleet_test.go
@@ -53,7 +53,8 @@
 // weigher is a way of weighing crashes, one instance a host.
 type weigher interface {
 	addCrash(now time.Duration, id uint64, suspects []uint64)
-	addCompletion(now time.Duration, fingerprint uint64)
+	// addCompletion reports whether other hosts should be told.
+	addCompletion(now time.Duration, fingerprint uint64) bool
 	refuses(now time.Duration, fingerprint uint64) bool
 	mergeFrom(now time.Duration, other weigher) bool
 }
@@ -64,12 +65,16 @@
 func (w detectorWeigher) addCrash(now time.Duration, id uint64, suspects []uint64) {
 	w.AddCrash(now, id, suspects)
 }
-func (w detectorWeigher) addCompletion(now time.Duration, f uint64) { w.AddCompletion(now, f) }
+func (w detectorWeigher) addCompletion(now time.Duration, f uint64) bool {
+	return w.AddCompletion(now, f)
+}
 func (w detectorWeigher) refuses(now time.Duration, f uint64) bool {
 	return w.Assess(now, f).Verdict == poison.Blocked
 }
 func (w detectorWeigher) mergeFrom(now time.Duration, other weigher) bool {
-	return w.Merge(now, other.(detectorWeigher).Export(now, 32))
+	from := other.(detectorWeigher)
+	crashes := w.Merge(now, from.Export(now, 32))
+	return w.MergeCompletions(now, from.ExportCompletions(now, 64)) || crashes
 }
 
 // countingWeigher refuses what has crashed three targets and not completed at this host.
@@ -84,7 +89,10 @@
 func (w countingWeigher) addCrash(_ time.Duration, id uint64, suspects []uint64) {
 	w.crashes[id] = slices.Concat(w.crashes[id], suspects)
 }
-func (w countingWeigher) addCompletion(_ time.Duration, f uint64) { w.completed[f] = true }
+func (w countingWeigher) addCompletion(_ time.Duration, f uint64) bool {
+	w.completed[f] = true
+	return false
+}
 func (w countingWeigher) refuses(_ time.Duration, f uint64) bool {
 	n := 0
 	for _, suspects := range w.crashes {
@@ -147,7 +155,7 @@
 	result   playResult
 }
 
-// report is a crash that a host becomes certain of.
+// report is a crash that a host becomes certain of, or a completion that it tells.
 type report struct {
 	at       time.Duration
 	host     int
@@ -262,7 +270,9 @@
 			continue
 		}
 		t.runs = slices.Delete(t.runs, i, i+1)
-		t.hosts[r.host].addCompletion(t.now, r.fingerprint)
+		if t.hosts[r.host].addCompletion(t.now, r.fingerprint) {
+			t.reports = append(t.reports, report{at: t.now, host: r.host})
+		}
 	}
 }
 
@@ -297,7 +307,7 @@
 
 func (t *theatre) deliverReports() {
 	for _, r := range t.reports {
-		if r.at == t.now {
+		if r.at == t.now && len(r.suspects) > 0 {
 			t.hosts[r.host].addCrash(t.now, r.id, r.suspects)
 		}
 		if r.at+tellTime != t.now {
--- a/internal/gateway/crash_evidence.go
+++ b/internal/gateway/crash_evidence.go
@@ -18,6 +18,8 @@
 const (
 	// maxExportedCrashes limits the crashes in one message to another host.
 	maxExportedCrashes = 32
+	// maxExportedCompletions limits the completions of suspects in one message.
+	maxExportedCompletions = 64
 	// poisonRetryAfter is returned to the caller of a request that crashes
 	// targets. The request did not run and will not run soon, so an early retry
 	// is pointless.
@@ -114,8 +116,8 @@
 	if len(running) == 0 {
 		delete(s.running, target)
 	}
-	if finished {
-		s.detector.AddCompletion(s.now(), fp)
+	if finished && s.detector.AddCompletion(s.now(), fp) {
+		wake.Signal(s.changed)
 	}
 }
 
@@ -162,3 +164,19 @@
 		wake.Signal(s.changed)
 	}
 }
+
+// ExportCompletions returns the completions of suspects for other hosts.
+func (s *CrashEvidence) ExportCompletions() []poison.Completion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.detector.ExportCompletions(s.now(), maxExportedCompletions)
+}
+
+// MergeCompletions merges the completions of suspects that another host knows.
+func (s *CrashEvidence) MergeCompletions(completions []poison.Completion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.detector.MergeCompletions(s.now(), completions) {
+		wake.Signal(s.changed)
+	}
+}
--- a/internal/gatewayhost/exchange.go
+++ b/internal/gatewayhost/exchange.go
@@ -136,6 +136,7 @@
 	return gossip.Hooks{
 		SupplyLoads: e.supplyLoads, ReceiveLoads: e.takeLoads, SupplyAlerts: e.supplyAlerts, ReceiveAlerts: e.takeAlerts,
 		SupplyPoison: e.supplyPoison, ReceivePoison: e.takePoison,
+		SupplyCompletions: e.supplyCompletions, ReceiveCompletions: e.takeCompletions,
 		SupplyPublished: e.supplyPublished, ReceivePublished: e.takePublished, ServeFetch: e.fetcher.serveFetch, PushRequests: e.broadcastNow,
 	}
 }
@@ -235,6 +236,24 @@
 	e.suspects.Merge(crashes)
 }
 
+func (e *peerExchange) supplyCompletions() []*filbertv1.SuspectCompletion {
+	completions := e.suspects.ExportCompletions()
+	out := make([]*filbertv1.SuspectCompletion, len(completions))
+	for i, c := range completions {
+		// Rounded up, so that no completion looks later than a crash that came after it.
+		out[i] = &filbertv1.SuspectCompletion{Fingerprint: c.Fingerprint, AgeMs: uint32(c.Age.Milliseconds()) + 1}
+	}
+	return out
+}
+
+func (e *peerExchange) takeCompletions(list []*filbertv1.SuspectCompletion) {
+	completions := make([]poison.Completion, len(list))
+	for i, c := range list {
+		completions[i] = poison.Completion{Fingerprint: c.GetFingerprint(), Age: time.Duration(c.GetAgeMs()) * time.Millisecond}
+	}
+	e.suspects.MergeCompletions(completions)
+}
+
 func (e *peerExchange) supplyPublished(peer string) *filbertv1.PublishedNews {
 	news := e.published.NewsFor(peer)
 	out := &filbertv1.PublishedNews{
