Refuse the request that explains most crashes, and count the rest against others

Cause: a crash among three within 3 s counted a quarter, unless the request ran at every one of them. That rests on suspects being held for 5 s after each crash, which only the allocator does; the gateway has never held them. There a single request ends three targets within a second by itself, and one beside other crashes needed twelve. The record shows it: eight crashes until 29.4 s, four from 32.36 s, then three in progress.

Now crashes are explained: the request with most of them is refused, those it explains no longer count against its company, and the next one must explain three of the rest. A crash counts until the request completes somewhere; one that has completed before needs twelve, one a second. No assumption about holding is left in a refusal.

--- a/internal/decide/poison/detector.go
+++ b/internal/decide/poison/detector.go
@@ -18,10 +18,10 @@
 	// what the push missed to 8 processes in 3 to 4 rounds.
 	SuspectHold time.Duration
 	// MassFailureTargets is the number of targets that must die within
-	// MassFailureWindow for their crashes to count as a mass failure with a
-	// common cause. The default is 3 targets within 3 s: a poison request that
-	// is held for SuspectHold after each crash can't kill three targets that
-	// quickly.
+	// MassFailureWindow for their crashes to count as a mass failure, which says
+	// little about which requests to hold and isolate. The default is 3 targets
+	// within 3 s: a poison request that is held for SuspectHold after each crash
+	// can't kill three targets that quickly.
 	MassFailureTargets int
 	MassFailureWindow  time.Duration
 	// MaxCrashes is the maximum number of crashes that are kept; the oldest are
@@ -164,10 +164,10 @@
 	}
 	e := d.evidence[fingerprint]
 	switch {
+	case e.refused:
+		return Assessment{Verdict: Blocked, Delay: e.expires - now, Crashes: e.crashes, SinceLast: now - e.lastCrash}
 	case e.weight < fullWeight:
 		return Assessment{}
-	case e.weight >= blockedWeight:
-		return Assessment{Verdict: Blocked, Delay: e.expires - now, Crashes: e.crashes, SinceLast: now - e.lastCrash}
 	case e.weight >= exclusiveWeight:
 		return Assessment{Verdict: Exclusive, Delay: d.remainingHold(now, e)}
 	default:
--- a/internal/decide/poison/doc.go
+++ b/internal/decide/poison/doc.go
@@ -21,18 +21,30 @@
 //     SuspectHold, until the fleet knows. Then it runs on a target without
 //     another suspect, so at most one suspect per target at a time.
 //   - After two crashes it runs alone on a target.
-//   - After three crashes it is refused at once. The number is three so that
-//     an innocent request that shared a target with a poison request, and was
-//     then on a target that died for another reason, has one more attempt,
-//     alone, where no other request can be the cause.
-//   - For a request that has completed somewhere a crash counts a quarter,
-//     because a poison request crashes every target that runs it. This also
-//     keeps a frequent request, which is on most targets that die, from
-//     becoming a suspect.
+//   - A request that explains three crashes is refused at once. The number is
+//     three so that an innocent request that shared a target with a poison
+//     request, and was then on a target that died for another reason, has one
+//     more attempt.
+//   - The request that explains most crashes is refused first, and the crashes
+//     that it explains no longer count against others: a request that was only
+//     in its company has none left. Further requests are refused if they explain
+//     three of the rest. So several poison requests at the same time, or one
+//     beside targets that die for another reason, are each refused after their
+//     own three crashes.
+//   - A crash counts only until the request completes somewhere, because a poison
+//     request crashes every target that runs it. For one that has completed
+//     before, a crash counts a quarter, and at most once in knownSpacing. This
+//     keeps a frequent request, which is on most targets that die, from being
+//     refused. Processes tell each other the completions of suspects.
+//   - Crashes within simultaneousWindow count once: a rack that loses power ends
+//     all its targets together.
 //   - When MassFailureTargets or more targets die within MassFailureWindow (a
-//     rack, a switch, a reclaim of hosts), the crashes say little and count a
-//     quarter, unless one request that never completed ran on every one of
-//     them.
+//     rack, a switch, a reclaim of hosts), the crashes say little, and they hold
+//     and isolate requests only with a quarter of their weight, unless one
+//     request that never completed ran on every one of them.
+//
+// A caller of this package that can't hold or isolate requests, such as the
+// gateway, whose targets run what they are sent, uses only the refusals.
 //
 // Limits: equal poison requests that run at the same moment on several targets
 // crash all of these, and so does one that is resent before the evidence arrives.
--- a/internal/decide/poison/evidence.go
+++ b/internal/decide/poison/evidence.go
@@ -9,9 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Weights of a crash, and the sums that lead to a verdict. It takes twelve
-// crashes of weakWeight for a refusal, more than the targets of one service in
-// a rack.
+// Weights of a crash, and the sums that lead to a verdict.
 const (
 	fullWeight      = 4
 	weakWeight      = 1
@@ -44,6 +42,8 @@
 	crashes   int
 	lastCrash time.Duration
 	expires   time.Duration
+	// refused is set for a request that explains crashes.
+	refused bool
 	// lastCompletion is when the request last completed, if it ever did.
 	lastCompletion completion
 }
@@ -101,6 +101,7 @@
 	for i := range d.crashes {
 		d.addCrashWeight(now, i, old)
 	}
+	d.findCauses(now)
 	d.nextExpiry = now + d.cfg.CrashTTL
 	if len(d.crashes) > 0 {
 		d.nextExpiry = d.crashes[0].at + d.cfg.CrashTTL
