Ask for the verdict on every way out, right before the first byte

What callers saw: repeats of a request that had ended three servers kept reaching servers. The verdict was asked on arrival and before a new run. A repeat in the first phase, a generation that waited for room, a copy, a backup and a send for another host went out whatever was known by then.

It is asked now in checkSendable, which every send passes right before its first byte, at the host that sends for another one too; a generation that waits asks at each search and is refused at once, and a move does not copy for nothing. A request that was sent before is answered with how that send ended, not with "not run".

The counter sent_despite_verdict, which showed the hole, counts the sends that are refused now (sends_refused).

--- a/internal/gateway/crash_evidence.go
+++ b/internal/gateway/crash_evidence.go
@@ -11,6 +11,7 @@
 
 	"filbertdeck/internal/decide/poison"
 	"filbertdeck/internal/directory"
+	"filbertdeck/internal/failure"
 	"filbertdeck/internal/wake"
 )
 
@@ -81,19 +82,17 @@
 	return d.Sum64()
 }
 
-// isPoison reports whether a request is known to crash targets.
-func (s *CrashEvidence) isPoison(fp uint64) bool {
-	_, _, refused := s.verdict(fp)
-	return refused
-}
-
-// verdict reports whether a request is known to crash targets, with the number of
-// crashes that speak against it and the time since the last one.
-func (s *CrashEvidence) verdict(fp uint64) (crashes int, last time.Duration, refused bool) {
+// check returns an error of kind KindPoison if a request is known to crash targets. Every
+// way on which a request leaves this host for a target asks it right before the first
+// byte is written.
+func (s *CrashEvidence) check(fp uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.detector.Assess(s.now(), fp)
-	return a.Crashes, a.SinceLast, a.Verdict == poison.Blocked
+	if a.Verdict != poison.Blocked {
+		return nil
+	}
+	return failure.New(failure.KindPoison, "the request crashed every target that ran it: %d crashes, the last %s ago", a.Crashes, a.SinceLast).WithRetryAfter(poisonRetryAfter)
 }
 
 // beginRequest records that a request runs at a target. The returned function
--- a/internal/gateway/crash_evidence_test.go
+++ b/internal/gateway/crash_evidence_test.go
@@ -15,6 +15,11 @@
 // startCrashingTarget runs a target that dies when the path contains "poison"
 // and answers all other requests.
 func startCrashingTarget(id string) (*directory.ObservedTarget, func() int) {
+	return startCrashingTargetOf("app", id)
+}
+
+// startCrashingTargetOf is startCrashingTarget for a given service.
+func startCrashingTargetOf(service, id string) (*directory.ObservedTarget, func() int) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = l.Close() })
@@ -35,7 +40,7 @@
 			})
 		}
 	}()
-	return t.directoryEntry("app", "dc-1"), func() int { return len(t.requests()) }
+	return t.directoryEntry(service, "dc-1"), func() int { return len(t.requests()) }
 }
 
 var _ = Describe("a request that crashes every target that runs it", func() {
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -29,11 +29,7 @@
 	s.LastResort = selection.lastResort
 	check := func() error {
 		selection.recordSend()
-		if !s.Management && g.cfg.CrashEvidence.isPoison(s.Fingerprint) {
-			g.metrics.sentDespiteVerdict.Inc(1)
-			g.cfg.Log.Warn("request sent that crashes targets", "request", s.ID, "target", s.Target.ID)
-		}
-		if err := g.checkSendable(s.Target, s.LastResort); err != nil {
+		if err := g.checkSendable(s); err != nil {
 			return err
 		}
 		return req.Context().Err()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -231,8 +231,8 @@
 	}
 	x.deadline = x.ArrivedAt.Add(timeout - deadlineMargin)
 	x.fingerprint = fingerprint(x)
-	if crashes, last, refused := g.cfg.CrashEvidence.verdict(x.fingerprint); refused {
-		return failure.New(failure.KindOverloaded, "the request crashed every target that ran it: %d crashes, the last %s ago", crashes, last).WithRetryAfter(poisonRetryAfter)
+	if err := g.cfg.CrashEvidence.check(x.fingerprint); err != nil {
+		return err
 	}
 	if x.route.Kind == directory.Generation {
 		return g.checkMayStart(x)
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -137,6 +137,9 @@
 	var counts attemptCounts
 	for {
 		selection, reservation, err := gen.acquire(gen.g.exclude(gen.exchange, tried))
+		if refusedAfterSend(err, counts) {
+			break
+		}
 		if err != nil {
 			lastErr = err
 			break
@@ -157,6 +160,9 @@
 			gen.attempts++
 			return stream, nil
 		}
+		if refusedAfterSend(err, counts) {
+			break
+		}
 		lastErr = err
 		counts.add(err)
 		gen.attempts = counts.sent
@@ -177,6 +183,9 @@
 func (gen *generation) acquire(exclude []string) (*selectionState, *Reservation, error) {
 	req := gen.placementRequest(exclude)
 	for {
+		if err := gen.g.cfg.CrashEvidence.check(gen.fingerprint); err != nil {
+			return nil, nil, err
+		}
 		search := gen.nextSearch()
 		if gen.origin.Load() != nil {
 			// The caller waits in the middle of a stream, which few engines may go on with.
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -44,10 +44,15 @@
 	}
 }
 
-// checkSendable returns an error when a target that was chosen before no longer
-// accepts requests. It runs right before the first byte is sent. A last resort
-// may be sent in spite of the target's rest.
-func (g *Gateway) checkSendable(t directory.Target, lastResort bool) error {
+// checkSendable returns an error when a request is known to crash targets by now, or the
+// target that was chosen before no longer accepts requests. It runs right before the first
+// byte is sent. A last resort may be sent in spite of the target's rest.
+func (g *Gateway) checkSendable(s *call.Attempt) error {
+	if err := g.cfg.CrashEvidence.check(s.Fingerprint); err != nil {
+		g.metrics.sendsRefused.Inc(1)
+		return err
+	}
+	t, lastResort := s.Target, s.LastResort
 	if !acceptsNewWork(g.view(), t) || g.cfg.Loads.SaidLeaving(t) {
 		return failure.New(failure.KindTargetLeft, "target %s left before the request was sent", t.ID)
 	}
--- a/internal/gateway/peer_requests.go
+++ b/internal/gateway/peer_requests.go
@@ -37,10 +37,16 @@
 	end := g.cfg.CrashEvidence.beginRequest(target, s.Fingerprint)
 	resp, err := g.cfg.Client.DoConfirmed(req, g.confirmation(s, func() {}), func() error {
 		g.paths.recordReached(s.Target)
-		if err := ready(); err != nil || s.Management {
+		if s.Management {
+			return ready()
+		}
+		if err := g.cfg.CrashEvidence.check(s.Fingerprint); err != nil {
+			return err
+		}
+		if err := ready(); err != nil {
 			return err
 		}
-		return g.checkSendable(s.Target, s.LastResort)
+		return g.checkSendable(s)
 	})
 	if isUnreached(err) && req.Context().Err() == nil {
 		g.recordUnreached(s.Target, err)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -43,8 +43,12 @@
 			break
 		}
 		targetID, selection = target.ID, latest
-		answer, lastErr = g.attempt(ctx, x, target, selection)
+		newAnswer, err := g.attempt(ctx, x, target, selection)
 		reservation.Release()
+		if refusedAfterSend(err, counts) {
+			break
+		}
+		answer, lastErr = newAnswer, err
 		counts.add(lastErr)
 		if !g.shouldRetry(ctx, x, retryMayHelp(answer, lastErr), lastErr, counts) {
 			break
@@ -154,6 +158,13 @@
 	return false
 }
 
+// refusedAfterSend reports whether a request that was sent before is not sent again since
+// it is known to crash targets. Its caller is told how the earlier send ended, since it may
+// have run.
+func refusedAfterSend(err error, before attemptCounts) bool {
+	return failure.KindOf(err) == failure.KindPoison && before.sent > 0
+}
+
 // isUnreached reports whether no connection to the target could be established.
 func isUnreached(err error) bool {
 	kind := failure.KindOf(err)
@@ -169,7 +180,7 @@
 	if !failed || ctx.Err() != nil {
 		return false
 	}
-	if failure.KindOf(err) == failure.KindNoTarget {
+	if kind := failure.KindOf(err); kind == failure.KindNoTarget || kind == failure.KindPoison {
 		return false
 	}
 	if requestUnsent(err) {
@@ -301,7 +312,8 @@
 	if err == nil || ctx.Err() != nil {
 		return
 	}
-	if kind := failure.KindOf(err); kind == failure.KindTargetLeft || kind == failure.KindTargetResting {
+	switch failure.KindOf(err) {
+	case failure.KindTargetLeft, failure.KindTargetResting, failure.KindPoison:
 		return
 	}
 	if g.paths.isLost(target.Service) {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -57,6 +57,8 @@
 // such a status is always used, since callers retry only after one.
 func withExecutedStatus(f *failure.Error) *failure.Error {
 	switch {
+	case f.Kind == failure.KindPoison && f.Executed == failure.ExecutedNo:
+		return failure.Wrap(f, failure.KindOverloaded, "the request is not sent to targets").WithRetryAfter(f.RetryAfter)
 	case impliesNotExecuted(f.Status()) && f.Executed != failure.ExecutedNo:
 		return failure.Wrap(f, failure.KindOutcomeUnknown, "the request may have run").WithExecutionUnknown()
 	case !impliesNotExecuted(f.Status()) && f.Executed == failure.ExecutedNo && !isClientError(f.Kind):
