Record crashes while most targets of a service are down

A crash was recorded only if this host reached one of two other targets of the service, drawn at random, and not at all once two targets in a row had refused connections, since the service counts as lost then. Both are likely while requests crash one target after the other: evidence was lost when it counts most.

A crash is recorded now if the host reaches any target of another service, too, and in spite of a lost service. What it tells others of a target's failure still needs a reached target of the same service.

--- a/internal/gateway/crash_evidence_test.go
+++ b/internal/gateway/crash_evidence_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -63,6 +64,41 @@
 		Expect(gw.do(gw.request("POST", "/book/")).status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against evidence that is lost when most targets are down, as when requests crash one after the other.
+	It("is suspected although the other targets of its service are down", func() {
+		var targets []*directory.ObservedTarget
+		for i := range 8 {
+			down := startTarget("down-"+strconv.Itoa(i), nil)
+			down.close()
+			targets = append(targets, down.directoryEntry("app", "dc-1"))
+		}
+		crashing, _ := startCrashingTarget("i-1")
+		gw := startGateway(append(targets, crashing, startTarget("e-1", respond(completeAnswer)).directoryEntry("llm", "dc-1"))...)
+		Eventually(func() int { gw.do(gw.request("POST", "/book/poison")); return gw.crashCount() }).Should(Equal(1))
+	})
+
+	// Guards against evidence that is lost while so many targets are down that the host takes the service for lost.
+	It("is suspected although its host has lost the service", func() {
+		arrived, crash := make(chan struct{}), make(chan struct{})
+		var held *fakeTarget
+		held = startTarget("i-1", func(net.Conn, *http.Request) { close(arrived); <-crash; held.close() })
+		entries := []*directory.ObservedTarget{held.directoryEntry("app", "dc-1"), startTarget("e-1", respond(completeAnswer)).directoryEntry("llm", "dc-1")}
+		gw := startGateway(entries...)
+		go gw.do(gw.request("POST", "/book/poison"))
+		Eventually(arrived).Should(BeClosed())
+		for i := range 4 {
+			down := startTarget("down-"+strconv.Itoa(i), nil)
+			down.close()
+			entries = append(entries, down.directoryEntry("app", "dc-1"))
+		}
+		gw.publish(entries[1:]...)
+		gw.do(gw.request("POST", "/book/other"))
+		Expect(gw.countLost()).To(Equal(1))
+		gw.publish(entries...)
+		close(crash)
+		Eventually(gw.crashCount).Should(Equal(1))
+	})
+
 	// A target breaks off one answer and keeps running. That is no evidence
 	// against the request, which many callers may send.
 	It("is not suspected because of answers that only broke off", func() {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -52,6 +52,8 @@
 // records its requests.
 type fakeTarget struct {
 	id, address string
+	// close ends the target's listener.
+	close func()
 
 	mu       sync.Mutex
 	received []*http.Request
@@ -62,8 +64,8 @@
 func startTarget(id string, handle connHandler) *fakeTarget {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(l.Close)
-	t := &fakeTarget{id: id, address: l.Addr().String()}
+	t := &fakeTarget{id: id, address: l.Addr().String(), close: func() { _ = l.Close() }}
+	DeferCleanup(t.close)
 	go func() {
 		for {
 			conn, err := l.Accept()
--- a/internal/gateway/partition.go
+++ b/internal/gateway/partition.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +23,8 @@
 	// probeTimeout bounds a connection that is made only to see whether it stands. A
 	// target that does not answer may be partitioned from this host.
 	probeTimeout = 300 * time.Millisecond
-	// maxVerifyProbes is the number of other targets that are probed to see whether
-	// this host reaches any.
+	// maxVerifyProbes is the number of other targets of a service that are probed to see
+	// whether this host reaches any.
 	maxVerifyProbes = 2
 	// probeInterval is the time between two probes of a lost service.
 	probeInterval = 200 * time.Millisecond
@@ -93,20 +94,21 @@
 	time.AfterFunc(verifyDelay, func() {
 		check := g.checks.take(t.Target)
 		crashed := check.mayHaveCrashed && g.refusesConnections(t)
-		if !g.reachesOthers(t, failedAt) {
+		reaches := g.reachesOthers(t, failedAt)
+		if reaches && !g.paths.isLost(t.Service) {
+			g.cfg.Loads.ReportFailure(t.ID)
+			g.metrics.failuresReported.Inc(1)
+		} else {
 			g.cfg.Log.Debug("failure not reported: this host may be partitioned", "target", t.ID)
-			if check.mayHaveCrashed {
-				g.cfg.CrashEvidence.recordUnverified(t, len(check.suspects), "this host may be partitioned")
-			}
-			return
 		}
-		g.cfg.Loads.ReportFailure(t.ID)
-		g.metrics.failuresReported.Inc(1)
 		switch {
-		case crashed:
-			g.cfg.CrashEvidence.recordCrash(t, check.suspects)
-		case check.mayHaveCrashed:
+		case !check.mayHaveCrashed:
+		case !crashed:
 			g.cfg.CrashEvidence.recordUnverified(t, len(check.suspects), "it accepts connections or does not answer")
+		case reaches || g.reachesOtherServices(t.Service):
+			g.cfg.CrashEvidence.recordCrash(t, check.suspects)
+		default:
+			g.cfg.CrashEvidence.recordUnverified(t, len(check.suspects), "this host may be partitioned")
 		}
 	})
 }
@@ -124,12 +126,24 @@
 		return true
 	}
 	others := g.otherTargets(failed)
-	for _, t := range others {
-		if g.probe(t.Target) == nil {
+	return len(others) == 0 || g.reachesAny(others)
+}
+
+// reachesOtherServices reports whether this host reaches a target of another service. All
+// targets of a service may be down at the same time.
+func (g *Gateway) reachesOtherServices(service string) bool {
+	view := g.view()
+	for _, s := range view.Config.Services {
+		if s.Name != service && g.reachesAny(someTargets(view, s.Name, "", maxVerifyProbes)) {
 			return true
 		}
 	}
-	return len(others) == 0
+	return false
+}
+
+// reachesAny reports whether this host reaches one of some targets.
+func (g *Gateway) reachesAny(targets []*directory.ObservedTarget) bool {
+	return slices.ContainsFunc(targets, func(t *directory.ObservedTarget) bool { return g.probe(t.Target) == nil })
 }
 
 // otherTargets returns some other targets of a target's service, or of any service if
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -316,8 +316,12 @@
 	case failure.KindTargetLeft, failure.KindTargetResting, failure.KindPoison:
 		return
 	}
+	mayHaveCrashed := failure.KindOf(err) == failure.KindTargetLost && g.notStopping(target)
 	if g.paths.isLost(target.Service) {
-		// The failure says nothing about the target.
+		// The failure says nothing about the target unless it has crashed.
+		if mayHaveCrashed {
+			g.reportFailure(target, mayHaveCrashed)
+		}
 		return
 	}
 	if requestUnsent(err) {
@@ -325,7 +329,7 @@
 	}
 	g.cfg.Loads.RecordFailure(target.ID)
 	g.cfg.Log.Debug("target failed", "target", target.ID, "cause", err)
-	g.reportFailure(target, failure.KindOf(err) == failure.KindTargetLost && g.notStopping(target))
+	g.reportFailure(target, mayHaveCrashed)
 }
 
 // notStopping reports whether no planned stop of a target is known. The end of
