Count only runs as suspects that may have ended their target

Every request in progress at a target that crashed was a suspect, a stream of ten seconds as much as one that had just begun; a request whose caller had left was none; and only the requests of the first broken connection counted. A request that crashes its target does so as soon as it runs.

A run is a suspect now from the moment at which this host may have written it until its answer ends or its stream has gone on for a second, which counts like a completion. It stays one for 0.5 s after its caller has left, and if the request is suspected already the target is probed then. What joins a target between its first broken connection and its end is a suspect too. A target that did not run a request clears that run, and so does another host that wrote it: that host notices.

Three specs of the gateway, red before.

--- a/internal/decide/poison/detector.go
+++ b/internal/decide/poison/detector.go
@@ -250,5 +250,14 @@
 	return changed
 }
 
+// IsSuspected reports whether crashes speak against a request that has not completed since.
+func (d *Detector) IsSuspected(now time.Duration, fingerprint uint64) bool {
+	if now >= d.nextExpiry {
+		d.rebuild(now)
+	}
+	e, found := d.evidence[fingerprint]
+	return found && !(e.lastCompletion.valid && e.lastCompletion.at >= e.lastCrash)
+}
+
 // SuspectCount returns the number of fingerprints for which there is evidence.
 func (d *Detector) SuspectCount() int { return len(d.evidence) }
--- a/internal/gateway/crash_evidence.go
+++ b/internal/gateway/crash_evidence.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -39,9 +38,10 @@
 
 	mu       sync.Mutex
 	detector *poison.Detector
-	// running holds the fingerprints of the requests in progress at each
-	// target, oldest first.
-	running map[string][]uint64
+	// runs holds the runs at each target that may end it, oldest first.
+	runs map[directory.Lifetime][]*targetRun
+	// sweptAt is when the runs at all targets were last pruned.
+	sweptAt time.Duration
 	// changed is signalled when there is new evidence for other hosts.
 	changed chan struct{}
 }
@@ -49,7 +49,7 @@
 // NewCrashEvidence returns a CrashEvidence that holds no evidence yet.
 func NewCrashEvidence(now func() time.Duration, log *slog.Logger, reg gometrics.Registry) *CrashEvidence {
 	s := &CrashEvidence{
-		now: now, log: log, detector: poison.New(poison.Config{}), running: map[string][]uint64{},
+		now: now, log: log, detector: poison.New(poison.Config{}), runs: map[directory.Lifetime][]*targetRun{},
 		changed:    make(chan struct{}, 1),
 		recorded:   gometrics.GetOrRegisterCounter("gateway.crashes_recorded", reg),
 		learned:    gometrics.GetOrRegisterCounter("gateway.crashes_learned", reg),
@@ -95,41 +95,6 @@
 	return failure.New(failure.KindPoison, "the request crashed every target that ran it: %d crashes, the last %s ago", a.Crashes, a.SinceLast).WithRetryAfter(poisonRetryAfter)
 }
 
-// beginRequest records that a request runs at a target. The returned function
-// records its end and whether it finished there.
-func (s *CrashEvidence) beginRequest(target *directory.ObservedTarget, fp uint64) (end func(finished bool)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.running[target.ID] = append(s.running[target.ID], fp)
-	return func(finished bool) { s.endRequest(target.ID, fp, finished) }
-}
-
-func (s *CrashEvidence) endRequest(target string, fp uint64, finished bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	running := s.running[target]
-	if i := slices.Index(running, fp); i >= 0 {
-		running = slices.Delete(running, i, i+1)
-	}
-	s.running[target] = running
-	if len(running) == 0 {
-		delete(s.running, target)
-	}
-	if finished && s.detector.AddCompletion(s.now(), fp) {
-		wake.Signal(s.changed)
-	}
-}
-
-// suspects returns the fingerprints of the requests in progress at a target, the most
-// recently started first, as the detector expects them.
-func (s *CrashEvidence) suspects(target *directory.ObservedTarget) []uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	suspects := slices.Clone(s.running[target.ID])
-	slices.Reverse(suspects)
-	return suspects
-}
-
 // recordCrash records that a target has crashed while it ran the suspects.
 func (s *CrashEvidence) recordCrash(target *directory.ObservedTarget, suspects []uint64) {
 	s.mu.Lock()
--- a/internal/gateway/crash_evidence_test.go
+++ b/internal/gateway/crash_evidence_test.go
@@ -1,11 +1,14 @@
 package gateway_test
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -99,6 +102,78 @@
 		Eventually(gw.crashCount).Should(Equal(1))
 	})
 
+	// Guards against sound streams that count as suspects whenever their target crashes.
+	It("is suspected, and no stream that had gone on for a while", func() {
+		var target *fakeTarget
+		target = startTarget("i-1", func(conn net.Conn, r *http.Request) {
+			if strings.Contains(r.URL.Path, "poison") {
+				target.close()
+				return
+			}
+			respond("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\nTransfer-Encoding: chunked\n\n")(conn, r)
+			for n := 1; n <= 100; n++ {
+				if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event(n)), event(n)); err != nil {
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+		gw := startGateway(target.directoryEntry("llm", "dc-1"), startTarget("a-1", respond(completeAnswer)).directoryEntry("app", "dc-1"))
+		ctx, leave := context.WithCancel(context.Background())
+		defer leave()
+		go gw.do(gw.requestWithID("r-sound", "POST", "/report/sound").WithContext(ctx))
+		Eventually(target.requestsToRun).Should(HaveLen(1))
+		time.Sleep(1200 * time.Millisecond)
+		gw.do(gw.request("POST", "/report/poison"))
+		Eventually(gw.crashCount).Should(Equal(1))
+		Expect(gw.crashEvidence.Export()[0].Fingerprints).To(HaveLen(1))
+	})
+
+	// Guards against crashes that nobody notices since the caller had left.
+	It("is suspected although its caller has left", func() {
+		crashing, _ := startCrashingTarget("i-1")
+		gw := startGateway(crashing)
+		gw.do(gw.request("POST", "/book/poison"))
+		Eventually(gw.crashCount).Should(Equal(1))
+		arrived := make(chan struct{})
+		var second *fakeTarget
+		second = startTarget("i-2", func(net.Conn, *http.Request) {
+			close(arrived)
+			time.Sleep(100 * time.Millisecond)
+			second.close()
+		})
+		gw.publish(second.directoryEntry("app", "dc-1"), startTarget("i-3", respond(completeAnswer)).directoryEntry("llm", "dc-1"))
+		ctx, leave := context.WithCancel(context.Background())
+		go gw.do(gw.request("POST", "/book/poison").WithContext(ctx))
+		Eventually(arrived).Should(BeClosed())
+		leave()
+		Eventually(gw.crashCount, "2s").Should(Equal(2))
+	})
+
+	// Guards against a request that reaches a target between its first broken connection and its end.
+	It("is suspected although another connection to its target broke before", func() {
+		var target *fakeTarget
+		first, poison := make(chan struct{}), make(chan struct{})
+		target = startTarget("i-1", func(_ net.Conn, r *http.Request) {
+			if strings.Contains(r.URL.Path, "poison") {
+				close(poison)
+				target.close()
+				return
+			}
+			<-first
+		})
+		gw := startGateway(target.directoryEntry("app", "dc-1"), startTarget("e-1", respond(completeAnswer)).directoryEntry("llm", "dc-1"))
+		done := make(chan struct{})
+		go func() { defer close(done); gw.do(gw.request("POST", "/book/sound")) }()
+		Eventually(target.requests).Should(HaveLen(1))
+		close(first)
+		<-done
+		gw.do(gw.request("POST", "/book/poison"))
+		Expect(poison).To(BeClosed())
+		Eventually(gw.crashCount).Should(Equal(1))
+		Expect(gw.crashEvidence.Export()[0].Fingerprints).To(HaveLen(2))
+	})
+
 	// A target breaks off one answer and keeps running. That is no evidence
 	// against the request, which many callers may send.
 	It("is not suspected because of answers that only broke off", func() {
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -34,7 +34,7 @@
 		}
 		return req.Context().Err()
 	}
-	d := &delivery{g: g, req: req, attempt: s, check: check}
+	d := &delivery{g: g, req: req, attempt: s, run: selection.run, check: check}
 	if g.cfg.Relay != nil && g.paths.isLost(s.Target.Service) {
 		return d.relayOnly()
 	}
@@ -55,6 +55,9 @@
 	g       *Gateway
 	req     *http.Request
 	attempt *call.Attempt
+	// run is marked as sent if this host writes the request itself. Otherwise the other
+	// host notices whether it ends the target.
+	run *targetRun
 	// check is the last check before the request is written.
 	check func() error
 
@@ -160,6 +163,9 @@
 		return err
 	}
 	d.chosen = w
+	if w == direct {
+		d.run.markSent()
+	}
 	for other, cancel := range d.cancel {
 		if other != w {
 			cancel()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -37,6 +37,8 @@
 	// published state to the selection; negative when it was never confirmed.
 	viewAge    time.Duration
 	selectedAt time.Time
+	// run is the request's run at the target.
+	run *targetRun
 	// lastResort is set when the request can be served by no other target.
 	lastResort bool
 	// sendDelayNanos is the time in nanoseconds from the selection until the
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -77,12 +77,17 @@
 	reservation *Reservation
 	cancel      context.CancelFunc
 	backup      *backup
-	// endAttempt records whether the engine finished its part.
-	endAttempt func(finished bool)
+	run         *targetRun
 }
 
-func (s *engineStream) close(finished bool) {
-	s.endAttempt(finished)
+// close ends the stream. err is why it ended.
+func (s *engineStream) close(err error) {
+	switch err {
+	case errStreamEnded:
+		s.run.finish()
+	case errGenerationMoved:
+		s.run.drop()
+	}
 	s.cancel()
 	_ = s.resp.Body.Close()
 	s.reservation.Release()
@@ -114,9 +119,9 @@
 	for stream != nil {
 		err = gen.relay(stream)
 		if err != errStreamEnded && err != errGenerationMoved {
-			gen.g.recordFailure(gen.ctx, stream.target, err)
+			gen.g.failRun(gen.ctx, stream.target, stream.run, err)
 		}
-		stream.close(err == errStreamEnded)
+		stream.close(err)
 		if err == errStreamEnded || ctx.Err() != nil {
 			break
 		}
@@ -292,7 +297,8 @@
 		defer timer.Stop()
 	}
 	newBackup := gen.placeBackup(s, target)
-	end := gen.g.cfg.CrashEvidence.beginRequest(target, gen.fingerprint)
+	run := gen.g.cfg.CrashEvidence.begin(target, gen.fingerprint)
+	selection.run = run
 	resp, answer, err := gen.g.send(ctx, s, selection)
 	if answer.ShuttingDown && gen.movable() {
 		gen.g.checkClosingTarget(target)
@@ -301,14 +307,13 @@
 		err = gen.readFailedAnswer(resp, answer)
 	}
 	if err != nil {
-		gen.g.recordFailure(ctx, target, err)
-		end(false)
+		gen.g.failRun(ctx, target, run, err)
 		cancel()
 		reservation.Release()
 		newBackup.release()
 		return nil, err
 	}
-	return &engineStream{target: target, resp: resp, reservation: reservation, cancel: cancel, backup: newBackup, endAttempt: end}, nil
+	return &engineStream{target: target, resp: resp, reservation: reservation, cancel: cancel, backup: newBackup, run: run}, nil
 }
 
 // readFailedAnswer reads an engine's own failure answer, which is passed to the
@@ -341,6 +346,7 @@
 			return err
 		}
 		stream.reservation.MarkPromptRead()
+		stream.run.recordEvent()
 		if err := gen.deliver(&block, stream.target); err != nil {
 			return err
 		}
--- a/internal/gateway/partition.go
+++ b/internal/gateway/partition.go
@@ -49,7 +49,7 @@
 // failureCheck is the pending verification of a target's failures.
 type failureCheck struct {
 	// mayHaveCrashed is set once a connection to the target broke, suspects are the
-	// requests that ran there then.
+	// requests that ran there when connections broke.
 	mayHaveCrashed bool
 	suspects       []uint64
 }
@@ -68,8 +68,9 @@
 		check, begins = &failureCheck{}, true
 		f.pending[t.Lifetime()] = check
 	}
-	if mayHaveCrashed && !check.mayHaveCrashed {
-		check.mayHaveCrashed, check.suspects = true, suspects
+	if mayHaveCrashed {
+		check.mayHaveCrashed = true
+		check.suspects = append(check.suspects, suspects...)
 	}
 	return begins
 }
@@ -87,15 +88,15 @@
 // host is not partitioned from the targets. mayHaveCrashed says that the failure was a
 // broken connection: if the target refuses new ones it has crashed.
 func (g *Gateway) reportFailure(t *directory.ObservedTarget, mayHaveCrashed bool) {
-	if !g.checks.add(t.Target, mayHaveCrashed, g.cfg.CrashEvidence.suspects(t)) {
+	if !g.checks.add(t.Target, mayHaveCrashed, g.cfg.CrashEvidence.suspects(t.Lifetime())) {
 		return
 	}
 	failedAt := g.cfg.Now()
 	time.AfterFunc(verifyDelay, func() {
 		check := g.checks.take(t.Target)
 		crashed := check.mayHaveCrashed && g.refusesConnections(t)
-		reaches := g.reachesOthers(t, failedAt)
-		if reaches && !g.paths.isLost(t.Service) {
+		reaches := !g.paths.isLost(t.Service) && g.reachesOthers(t, failedAt)
+		if reaches {
 			g.cfg.Loads.ReportFailure(t.ID)
 			g.metrics.failuresReported.Inc(1)
 		} else {
--- a/internal/gateway/peer_requests.go
+++ b/internal/gateway/peer_requests.go
@@ -34,7 +34,7 @@
 // concerns this host too, and so do its failures: the other host can't tell them from
 // its own.
 func (g *Gateway) SendForPeer(req *http.Request, target *directory.ObservedTarget, s *call.Attempt, ready func() error) (*http.Response, error) {
-	end := g.cfg.CrashEvidence.beginRequest(target, s.Fingerprint)
+	run := g.cfg.CrashEvidence.begin(target, s.Fingerprint)
 	resp, err := g.cfg.Client.DoConfirmed(req, g.confirmation(s, func() {}), func() error {
 		g.paths.recordReached(s.Target)
 		if s.Management {
@@ -46,7 +46,11 @@
 		if err := ready(); err != nil {
 			return err
 		}
-		return g.checkSendable(s)
+		if err := g.checkSendable(s); err != nil {
+			return err
+		}
+		run.markSent()
+		return nil
 	})
 	if isUnreached(err) && req.Context().Err() == nil {
 		g.recordUnreached(s.Target, err)
@@ -56,7 +60,7 @@
 	}
 	if err != nil {
 		g.recordPeerFailure(req.Context(), target, s, err)
-		end(false)
+		run.fail(err)
 		return nil, err
 	}
 	if !s.Management {
@@ -66,7 +70,7 @@
 		}
 		g.observeRate(s, answer)
 	}
-	resp.Body = &peerBody{ReadCloser: resp.Body, end: end, fail: func(err error) { g.recordPeerFailure(req.Context(), target, s, err) }}
+	resp.Body = &peerBody{ReadCloser: resp.Body, run: run, fail: func(err error) { g.recordPeerFailure(req.Context(), target, s, err) }}
 	return resp, nil
 }
 
@@ -74,25 +78,27 @@
 // target.
 func (g *Gateway) recordPeerFailure(ctx context.Context, target *directory.ObservedTarget, s *call.Attempt, err error) {
 	if kind := failure.KindOf(err); !s.Management && kind != failure.KindControlLost && kind != failure.KindNotReady {
-		g.recordFailure(ctx, target, err)
+		g.recordFailure(ctx, target, err, true)
 	}
 }
 
+// errPeerBodyUnread marks an answer to another host's request that was not passed on whole.
+var errPeerBodyUnread = failure.New(failure.KindTargetLost, "the answer was not passed on whole").WithExecutionUnknown()
+
 // peerBody is the body of an answer to another host's request.
 type peerBody struct {
 	io.ReadCloser
-	end      func(finished bool)
-	fail     func(error)
-	finished bool
+	run  *targetRun
+	fail func(error)
+	// err is how the body ended, io.EOF if it is whole; nil before.
+	err error
 }
 
 // Read implements io.Reader.
 func (b *peerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	switch {
-	case err == io.EOF:
-		b.finished = true
-	case err != nil:
+	b.err = err
+	if err != nil && err != io.EOF {
 		b.fail(failure.Wrap(err, failure.KindTargetLost, "reading the answer failed").WithExecutionUnknown())
 	}
 	return n, err
@@ -100,6 +106,10 @@
 
 // Close implements io.Closer.
 func (b *peerBody) Close() error {
-	b.end(b.finished)
+	if b.err == io.EOF {
+		b.run.drop()
+	} else {
+		b.run.fail(errPeerBodyUnread)
+	}
 	return b.ReadCloser.Close()
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -204,11 +204,14 @@
 // attempt sends a request to one target. The error says whether the request
 // ran; an answer without error is the target's own, even when it is a failure.
 func (g *Gateway) attempt(ctx context.Context, x *exchange, target *directory.ObservedTarget, selection *selectionState) (*completeAnswer, error) {
-	end := g.cfg.CrashEvidence.beginRequest(target, x.fingerprint)
+	selection.run = g.cfg.CrashEvidence.begin(target, x.fingerprint)
 	answer, err := g.fetch(ctx, x, target, selection)
-	g.recordFailure(ctx, target, err)
-	end(err == nil)
-	return answer, err
+	if err != nil {
+		g.failRun(ctx, target, selection.run, err)
+		return nil, err
+	}
+	selection.run.finish()
+	return answer, nil
 }
 
 // fetch sends a request to one target and reads its complete answer.
@@ -306,9 +309,26 @@
 	return max(a.RetryAfter, engineFullRetryAfter)
 }
 
+// failRun records how a run failed, and what that says about its target.
+func (g *Gateway) failRun(ctx context.Context, target *directory.ObservedTarget, run *targetRun, err error) {
+	g.recordFailure(ctx, target, err, run.wasSent())
+	run.fail(err)
+	if ctx.Err() == nil || !run.wasSent() || !g.cfg.CrashEvidence.isSuspected(run.fingerprint) {
+		return
+	}
+	// The connection was closed here, so that no failure shows whether the request ends
+	// the target.
+	time.AfterFunc(leftCheckDelay, func() {
+		if g.refusesConnections(target) {
+			g.reportFailure(target, true)
+		}
+	})
+}
+
 // recordFailure counts a failure against a target, unless the caller's
-// disconnect or deadline caused it.
-func (g *Gateway) recordFailure(ctx context.Context, target *directory.ObservedTarget, err error) {
+// disconnect or deadline caused it. sent says that this host itself had written the
+// request.
+func (g *Gateway) recordFailure(ctx context.Context, target *directory.ObservedTarget, err error, sent bool) {
 	if err == nil || ctx.Err() != nil {
 		return
 	}
@@ -316,7 +336,7 @@
 	case failure.KindTargetLeft, failure.KindTargetResting, failure.KindPoison:
 		return
 	}
-	mayHaveCrashed := failure.KindOf(err) == failure.KindTargetLost && g.notStopping(target)
+	mayHaveCrashed := sent && failure.KindOf(err) == failure.KindTargetLost && g.notStopping(target)
 	if g.paths.isLost(target.Service) {
 		// The failure says nothing about the target unless it has crashed.
 		if mayHaveCrashed {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -150,7 +150,7 @@
 	gen.nextStream = nil
 	gen.deliveryMu.Unlock()
 	if stream != nil {
-		stream.close(false)
+		stream.close(errGenerationMoved)
 	}
 }
 
