--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -338,9 +338,12 @@
 	split := sse.NewSplitter(stream.resp.Body, 0)
 	var window enginespeed.Window
 	var block sse.RawEvent
-	for {
+	for events := 0; ; events++ {
 		if err := split.Next(&block); err != nil {
 			if errors.Is(err, io.EOF) {
+				if events == 0 {
+					gen.g.recordEmptyStream(gen, stream)
+				}
 				return errStreamEnded
 			}
 			return err
@@ -356,6 +359,12 @@
 	}
 }
 
+// recordEmptyStream records an engine's stream that ended without an event.
+func (g *Gateway) recordEmptyStream(gen *generation, stream *engineStream) {
+	g.metrics.emptyStreams.Inc(1)
+	g.cfg.Log.Info("stream ended without an event", "request", gen.ID, "target", stream.target.ID, "events_before", gen.times.events)
+}
+
 // deliver passes one event of an engine to the caller, unless the generation has
 // switched to another engine, which produces the event again.
 func (gen *generation) deliver(block *sse.RawEvent, from *directory.ObservedTarget) error {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -56,6 +56,8 @@
 	searchesWithoutRoom gometrics.Counter
 	// failuresReported counts the broken requests of which other hosts were told.
 	failuresReported gometrics.Counter
+	// emptyStreams counts the streams of engines that ended without an event.
+	emptyStreams gometrics.Counter
 	// sendsRefused counts the sends that did not take place since the request had become
 	// known to crash targets.
 	sendsRefused gometrics.Counter
@@ -78,7 +80,7 @@
 		movedByCopy: counter("moved.copy"), movedToBackup: counter("moved.backup"), resumedAfterLoss: counter("moved.after_loss"), newRuns: counter("moved.anew"),
 		copiesFailed: counter("copies_failed"), takenUp: counter("streams_taken_up"), targetsRestarted: counter("targets_restarted"), originsUnknown: counter("stream_origins_unknown"), movesWithoutTarget: counter("moves_without_target"), leavingAnswers: counter("answers_leaving"), restAnswers: counter("answers_rest"),
 		unreadableFigures: counter("load_figures_unreadable"), searchesWithoutRoom: counter("searches_without_room"),
-		failuresReported: counter("failures_reported"), sendsRefused: counter("sends_refused"),
+		failuresReported: counter("failures_reported"), sendsRefused: counter("sends_refused"), emptyStreams: counter("streams_empty"),
 	}
 	for _, kind := range []directory.RequestKind{directory.AtMostOnce, directory.Repeatable, directory.Generation} {
 		m.byKind[kind] = &kindMetrics{
