--- a/internal/gateway/crash_evidence_test.go
+++ b/internal/gateway/crash_evidence_test.go
@@ -47,6 +47,16 @@
 	return t.directoryEntry(service, "dc-1"), func() int { return len(t.requests()) }
 }
 
+// startTargetThatEnds runs an engine that writes the text as its answer and dies.
+func startTargetThatEnds(id, text string) (*directory.ObservedTarget, *fakeTarget) {
+	var t *fakeTarget
+	t = startTarget(id, func(conn net.Conn, r *http.Request) {
+		t.close()
+		respond(text)(conn, r)
+	})
+	return t.directoryEntry("llm", "dc-1"), t
+}
+
 var _ = Describe("a request that crashes every target that runs it", func() {
 	// The caller sends the request again and again. Each time another target
 	// dies with the requests of all other callers, until none is left.
@@ -174,6 +184,36 @@
 		Expect(gw.crashEvidence.Export()[0].Fingerprints).To(HaveLen(2))
 	})
 
+	// Guards against a crash that looks like the end of an answer without a length.
+	DescribeTable("is suspected when its stream ends without a length", func(stream string) {
+		crashing, _ := startTargetThatEnds("i-1", "HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\n\n"+stream)
+		gw := startGateway(crashing)
+		Expect(gw.do(gw.request("POST", "/report/poison")).status).NotTo(Equal(http.StatusOK))
+		Eventually(gw.crashCount).Should(Equal(1))
+	},
+		Entry("before its first event", ""),
+	)
+
+	// Guards against a stream that looks complete though it ended inside an event.
+	DescribeTable("does not end as complete inside an event", func(stream string) {
+		crashing, _ := startTargetThatEnds("i-1", "HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\n\n"+stream)
+		gw := startGateway(crashing)
+		Expect(gw.do(gw.request("POST", "/report/poison")).err).To(HaveOccurred())
+		Eventually(gw.crashCount).Should(Equal(1))
+	},
+		Entry("within a line", "id: 1\ndata: a\n\nid: 2\nda"),
+		Entry("after a whole line", "id: 1\ndata: a\n\nid: 2\n"),
+	)
+
+	// Guards against whole streams without a length that are taken for broken ones.
+	It("is served when its stream without a length ends between two events", func() {
+		whole := startTarget("i-1", respond("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\n\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+		gw := startGateway(whole.directoryEntry("llm", "dc-1"))
+		got := gw.do(gw.request("POST", "/report/"))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"))
+	})
+
 	// A target breaks off one answer and keeps running. That is no evidence
 	// against the request, which many callers may send.
 	It("is not suspected because of answers that only broke off", func() {
--- a/test/gateway/crash_test.go
+++ b/test/gateway/crash_test.go
@@ -295,6 +295,47 @@
 	Expect(float64(p.lateServed.Load())).To(BeNumerically(">=", 0.9*float64(p.lateSound.Load())), "sound requests in the second half")
 }
 
+// deadlyParts are the parts of prompts that crash engines.
+var deadlyParts = []string{"dead0:200", "dead1:200"}
+
+// byPart returns the first deadly part of a request's prompt, its last part aside.
+func byPart(r crashRequest) string {
+	for _, part := range r.parts[:max(len(r.parts)-1, 0)] {
+		if slices.Contains(deadlyParts, part) {
+			return part
+		}
+	}
+	return ""
+}
+
+var _ = Describe("gateway processes before engines that parts of prompts crash", func() {
+	// own is the last part of a prompt, which no other one has.
+	own := func(kind string, n int) string { return fmt.Sprintf("own-%s-%d:50", kind, n) }
+	sound := func(n int) crashRequest {
+		return crashRequest{body: "sound " + strconv.Itoa(n), parts: []string{"system:79", "template:300", own("s", n)}}
+	}
+
+	// Guards against requests with one deadly part, no two alike, that each crash engines of their own.
+	DescribeTable("refuse the requests with them, and no sound ones that share the other parts", func(seed int, prompts ...[]string) {
+		p := newCrashPlay(uint64(seed), byPart)
+		var calls sync.WaitGroup
+		p.sendSound(&calls, sound)
+		for i, prompt := range prompts {
+			p.every(500*time.Millisecond, &calls, func(n int) {
+				parts := slices.Concat(prompt, []string{own("d"+strconv.Itoa(i), n)})
+				p.call(fmt.Sprintf("deadly-%d-%d", i, n), crashRequest{body: fmt.Sprintf("request %d %d", i, n), parts: parts})
+			})
+		}
+		calls.Wait()
+		p.expectRefusedInTime(5)
+	},
+		Entry("the first part", 3, []string{deadlyParts[0], "template:300"}),
+		Entry("the second part", 4, []string{"system:79", deadlyParts[0]}),
+		Entry("the second part of three", 5, []string{"system:79", deadlyParts[0], "template:300"}),
+		Entry("two parts at the same time", 6, []string{"system:79", deadlyParts[0]}, []string{"system:79", deadlyParts[1]}),
+	)
+})
+
 var _ = Describe("gateway processes before engines that requests crash", func() {
 	byBody := func(r crashRequest) string {
 		if strings.HasPrefix(r.body, "deadly") {
