A stream that ends before its first event was broken off

An engine's stream with neither a length nor chunks that ended before its first event was passed on as a whole answer of 200, and counted as a completion, which cleared the request that had ended the engine. Such an end is the engine's failure now, unless the generation had events before or the caller takes a stream up, which may be at its end.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -338,13 +338,10 @@
 	split := sse.NewSplitter(stream.resp.Body, 0)
 	var window enginespeed.Window
 	var block sse.RawEvent
-	for events := 0; ; events++ {
+	for {
 		if err := split.Next(&block); err != nil {
 			if errors.Is(err, io.EOF) {
-				if events == 0 {
-					gen.g.recordEmptyStream(gen, stream)
-				}
-				return errStreamEnded
+				return gen.checkNotEmpty(stream)
 			}
 			return err
 		}
@@ -359,10 +356,16 @@
 	}
 }
 
-// recordEmptyStream records an engine's stream that ended without an event.
-func (g *Gateway) recordEmptyStream(gen *generation, stream *engineStream) {
-	g.metrics.emptyStreams.Inc(1)
-	g.cfg.Log.Info("stream ended without an event", "request", gen.ID, "target", stream.target.ID, "events_before", gen.times.events)
+// checkNotEmpty returns the end of a stream that ended between two events. One that ended
+// before the first event of its generation was broken off: without a length or chunks
+// nothing else shows that.
+func (gen *generation) checkNotEmpty(stream *engineStream) error {
+	if gen.times.events > 0 || gen.takesUp() {
+		return errStreamEnded
+	}
+	gen.g.metrics.emptyStreams.Inc(1)
+	gen.g.cfg.Log.Info("stream ended without an event", "request", gen.ID, "target", stream.target.ID)
+	return failure.New(failure.KindTargetLost, "the stream ended before its first event").WithExecutionUnknown()
 }
 
 // deliver passes one event of an engine to the caller, unless the generation has
