Specs of leaving targets count requests to run, not the question when the target stops

"gets no request that was placed there before" failed once in a race run of the whole package, and one entry of "gets no further request from that host" beside it with twelve copies at once: two requests instead of one. Traced: the second one is GET of the target's report. The target says that it leaves while a generation still runs there; if the mover sees that before the answer ends, it asks when the target stops, as it should. The specs count what the target is to run, as the others of this file do.

--- a/internal/gateway/leaving_answers_test.go
+++ b/internal/gateway/leaving_answers_test.go
@@ -62,12 +62,12 @@
 			}
 			gw := startGateway(leaving.directoryEntry(service, "dc-1"))
 			gw.do(gw.request("POST", path))
-			Expect(leaving.requests()).To(HaveLen(1))
+			Expect(leaving.requestsToRun()).To(HaveLen(1))
 			gw.publish(leaving.directoryEntry(service, "dc-1"), other.directoryEntry(service, "dc-1"))
 			do(gw, path)
 			gw.skip(time.Hour)
 			do(gw, path)
-			Expect(leaving.requests()).To(HaveLen(1))
+			Expect(leaving.requestsToRun()).To(HaveLen(1))
 			Expect(other.requests()).To(HaveLen(2 * requests))
 		},
 		Entry("after a success", completeAnswer, "/book/", "app"),
@@ -117,8 +117,8 @@
 	It("gets no request that was placed there before", func() {
 		leaving := startTarget("i-1", respond(sayingLeaving(completeStream)))
 		Expect(doWhileAnotherIsAnswered(leaving).status).To(Equal(http.StatusServiceUnavailable))
-		Expect(leaving.requests()).To(HaveLen(1))
-		Expect(leaving.requests()[0].Header.Get(requestID)).To(Equal("r-2"))
+		Expect(leaving.requestsToRun()).To(HaveLen(1))
+		Expect(leaving.requestsToRun()[0].Header.Get(requestID)).To(Equal("r-2"))
 	})
 
 	// Guards against a generation that continues from its copy at a target that
