Test runs undo a wrong verdict; an unclear one waits for completions

What is refused never completes, so a wrong verdict stayed until its evidence expired, 10 min later. A refused request runs once now, 15 s after the last crash (a minute for one that is refused for all of its content), at the host whose random share of a further such time is over first; if it crashes its target, twice as late, and so on. It must have nothing else that is suspected, is sent once, and is never repeated. If it completes, all hosts are told and the verdict ends.

In a fleet that has just started nothing has completed yet, and a template that two deadly parts came with explained most crashes. A part waits for 1.5 s from its first crash now if completions don't yet cover the parts in use, or its suspects have other parts that never completed: requests with a sound part complete meanwhile.

Specs: three of the detector, one of the gateway. Logs name verdicts that come and go, counters gateway.crash_verdicts and crash_test_runs.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -98,6 +98,8 @@
 	// prompt that it shares with others, as evidence of what crashes targets.
 	Fingerprint uint64
 	PromptParts []uint64
+	// TestRun is set for a request that is sent once in spite of that evidence.
+	TestRun bool
 }
 
 // Load is the load that a target reports. A figure is nil when the target does not
--- a/internal/decide/poison/causes.go
+++ b/internal/decide/poison/causes.go
@@ -13,6 +13,14 @@
 	// knownSpacing is the same for a feature of requests that completed before. One has
 	// time to complete again between two crashes that count.
 	knownSpacing = time.Second
+	// ambiguityWait is the time from the first crash that counts against a part until it is
+	// refused, if little is known of completions yet, as in a fleet that has just started,
+	// or the suspects with it have other parts that never completed either. Requests with a
+	// sound part complete meanwhile.
+	ambiguityWait = 1500 * time.Millisecond
+	// coverTime is the time from the first completion from which the completions are taken to
+	// cover all sound parts in use.
+	coverTime = 5 * time.Second
 )
 
 // tally is the evidence against one feature.
@@ -23,6 +31,9 @@
 	// crashes are the indices of the crashes that count, oldest first: those since the
 	// last completion.
 	crashes []int
+	// part is set for a part of prompts, ambiguous for one if a suspect with it has another part that never
+	// completed.
+	part, ambiguous bool
 	// with are the other features of every suspect with this one, those left out of which
 	// a request has completed since.
 	with []uint64
@@ -81,33 +92,57 @@
 // tallies returns the features with enough evidence to be a cause of crashes, in the
 // order of the features.
 func (d *Detector) tallies(now time.Duration) []tally {
-	byFeature := make(map[uint64]*tally, len(d.evidence))
-	for i, c := range d.crashes {
-		for _, f := range c.features {
-			last := d.evidence[f].lastCompletion
-			if last.valid && last.at > c.at {
-				continue
-			}
-			t := byFeature[f]
-			if t == nil {
-				t = &tally{feature: f, known: last.isRecent(now, d.cfg.CrashTTL)}
-				byFeature[f] = t
-			}
-			t.crashes = append(t.crashes, i)
-		}
-	}
 	var enough []tally
 	none := make([]bool, len(d.crashes))
-	for _, t := range byFeature {
-		if d.unexplainedWeight(*t, none) >= blockedWeight {
-			t.with = d.commonFeatures(*t)
-			enough = append(enough, *t)
+	for _, t := range d.countedCrashes(now) {
+		if d.unexplainedWeight(*t, none) < blockedWeight {
+			continue
 		}
+		first := d.crashes[t.crashes[0]].at
+		unclear := t.ambiguous || t.part && !d.completions.cover(first)
+		if at := first + ambiguityWait; unclear && now < at {
+			d.nextExpiry = min(d.nextExpiry, at)
+			continue
+		}
+		t.with = d.commonFeatures(*t)
+		enough = append(enough, *t)
 	}
 	slices.SortFunc(enough, func(a, b tally) int { return cmp.Compare(a.feature, b.feature) })
 	return enough
 }
 
+// countedCrashes returns the crashes that count against each feature.
+func (d *Detector) countedCrashes(now time.Duration) map[uint64]*tally {
+	byFeature := make(map[uint64]*tally, len(d.evidence))
+	for i, c := range d.crashes {
+		for _, r := range c.suspects {
+			for n, f := range r.features() {
+				last := d.evidence[f].lastCompletion
+				if last.valid && last.at > c.at {
+					continue
+				}
+				t := byFeature[f]
+				if t == nil {
+					t = &tally{feature: f, known: last.isRecent(now, d.cfg.CrashTTL)}
+					byFeature[f] = t
+				}
+				if len(t.crashes) == 0 || t.crashes[len(t.crashes)-1] != i {
+					t.crashes = append(t.crashes, i)
+				}
+				t.part = n > 0
+				t.ambiguous = t.ambiguous || t.part && d.hasOtherUnknownPart(r, f)
+			}
+		}
+	}
+	return byFeature
+}
+
+// hasOtherUnknownPart reports whether a request has another part than the given one with
+// which no request ever completed.
+func (d *Detector) hasOtherUnknownPart(r Request, part uint64) bool {
+	return slices.ContainsFunc(r.Parts, func(p uint64) bool { return p != part && !d.evidence[p].lastCompletion.valid })
+}
+
 // commonFeatures returns the other features that all suspects with a feature have, as
 // far as no request with them has completed since the first of its crashes.
 func (d *Detector) commonFeatures(t tally) []uint64 {
--- a/internal/decide/poison/detector.go
+++ b/internal/decide/poison/detector.go
@@ -28,6 +28,12 @@
 	// removed first. The default is 128: at 130 host failures a day there is
 	// one every 11 minutes.
 	MaxCrashes int
+	// TestInterval is the time after the last crash from which a request that is refused
+	// may run once, to see whether the verdict still holds. The default is 15 s.
+	TestInterval time.Duration
+	// TestSpread, in [0, 1), is the share of a further TestInterval that this process
+	// waits. It should differ between processes.
+	TestSpread float64
 	// MaxSuspectsPerCrash is the maximum number of requests kept per crash.
 	// The default is 256, the largest batch of the known engines.
 	MaxSuspectsPerCrash int
@@ -40,6 +46,7 @@
 	defaultMassFailureWindow   = 3 * time.Second
 	defaultMaxCrashes          = 128
 	defaultMaxSuspectsPerCrash = 256
+	defaultTestInterval        = 15 * time.Second
 )
 
 func (c Config) withDefaults() Config {
@@ -48,6 +55,7 @@
 	c.MassFailureTargets = cmp.Or(c.MassFailureTargets, defaultMassFailureTargets)
 	c.MassFailureWindow = cmp.Or(c.MassFailureWindow, defaultMassFailureWindow)
 	c.MaxCrashes = cmp.Or(c.MaxCrashes, defaultMaxCrashes)
+	c.TestInterval = cmp.Or(c.TestInterval, defaultTestInterval)
 	c.MaxSuspectsPerCrash = cmp.Or(c.MaxSuspectsPerCrash, defaultMaxSuspectsPerCrash)
 	return c
 }
@@ -86,6 +94,8 @@
 	Feature   int
 	Crashes   int
 	SinceLast time.Duration
+	// TestRun is set if a request that is refused may run once, see TakeTestRun.
+	TestRun bool
 }
 
 // Crash is the death of a target in the form in which it is gossiped.
@@ -109,16 +119,22 @@
 // Detector holds the evidence that one process has. It is not safe for
 // concurrent use.
 type Detector struct {
-	cfg         Config
-	crashes     []crash
-	evidence    map[uint64]featureEvidence
+	cfg      Config
+	crashes  []crash
+	evidence map[uint64]featureEvidence
+	// nextExpiry is when the evidence changes without news.
 	nextExpiry  time.Duration
 	completions recentCompletions
+	tests       testRuns
 }
 
 // New returns a detector without evidence.
 func New(cfg Config) *Detector {
-	return &Detector{cfg: cfg.withDefaults(), evidence: map[uint64]featureEvidence{}}
+	cfg = cfg.withDefaults()
+	return &Detector{
+		cfg: cfg, evidence: map[uint64]featureEvidence{},
+		tests: testRuns{interval: cfg.TestInterval, longest: cfg.CrashTTL, spread: cfg.TestSpread, last: map[uint64]time.Duration{}},
+	}
 }
 
 // AddCrash records that a target died while it ran some requests, the latest start
@@ -170,10 +186,8 @@
 	if now >= d.nextExpiry {
 		d.rebuild(now)
 	}
-	for i, f := range r.features() {
-		if e := d.evidence[f]; e.refused && r.hasAll(e.with) {
-			return Assessment{Verdict: Blocked, Delay: e.expires - now, Feature: i, Crashes: e.crashes, SinceLast: now - e.lastCrash}
-		}
+	if refusal, refused := d.assessRefusal(now, r); refused {
+		return refusal
 	}
 	e := d.evidence[r.Fingerprint]
 	switch {
@@ -186,6 +200,25 @@
 	}
 }
 
+// assessRefusal returns the refusal of a request that has a refused feature and what came
+// with it.
+func (d *Detector) assessRefusal(now time.Duration, r Request) (refusal Assessment, refused bool) {
+	testRun := true
+	for i, f := range r.features() {
+		e := d.evidence[f]
+		if !e.refused || !r.hasAll(e.with) {
+			continue
+		}
+		testRun = testRun && d.tests.isDue(now, i, f, e) && d.isConclusive(r, f)
+		if !refused {
+			refusal = Assessment{Verdict: Blocked, Delay: e.expires - now, Feature: i, Crashes: e.crashes, SinceLast: now - e.lastCrash}
+			refused = true
+		}
+	}
+	refusal.TestRun = refused && testRun
+	return refusal, refused
+}
+
 func (d *Detector) remainingHold(now time.Duration, e featureEvidence) time.Duration {
 	return max(0, e.lastCrash+d.cfg.SuspectHold-now)
 }
@@ -271,12 +304,26 @@
 		d.rebuild(now)
 	}
 	for _, f := range r.features() {
-		if e, found := d.evidence[f]; found && !(e.lastCompletion.valid && e.lastCompletion.at >= e.lastCrash) {
+		if e, found := d.evidence[f]; found && !e.isCleared() {
 			return true
 		}
 	}
 	return false
 }
 
+// Refused returns the number of crashes that speak against each refused feature.
+func (d *Detector) Refused(now time.Duration) map[uint64]int {
+	if now >= d.nextExpiry {
+		d.rebuild(now)
+	}
+	refused := map[uint64]int{}
+	for f, e := range d.evidence {
+		if e.refused {
+			refused[f] = e.crashes
+		}
+	}
+	return refused
+}
+
 // SuspectCount returns the number of features for which there is evidence.
 func (d *Detector) SuspectCount() int { return len(d.evidence) }
--- a/internal/decide/poison/detector_test.go
+++ b/internal/decide/poison/detector_test.go
@@ -275,3 +275,54 @@
 		d.Assess(second, requestOf(poisonFingerprint))
 	}
 }
+
+var _ = Describe("a request that is refused", func() {
+	const part = uint64(9_001)
+	withPart := func(f uint64) poison.Request { return poison.Request{Fingerprint: f, Parts: []uint64{part}} }
+	refused := func() *poison.Detector {
+		d := poison.New(poison.Config{TestSpread: 0.5})
+		for i := range 4 {
+			d.AddCrash(time.Duration(i)*second, poison.CrashID("t", uint64(i)), []poison.Request{withPart(uint64(i))})
+		}
+		Expect(d.Assess(4*second, withPart(50)).Verdict).To(Equal(poison.Blocked))
+		return d
+	}
+	due := 3*second + 15*second*3/2
+
+	// Guards against a wrong verdict that nothing undoes, since what is refused never completes.
+	It("runs once after a while, and ends the verdict by completing", func() {
+		d := refused()
+		Expect(d.Assess(due-second, withPart(50)).TestRun).To(BeFalse())
+		Expect(d.Assess(due, withPart(50)).TestRun).To(BeTrue())
+		d.TakeTestRun(due, withPart(50))
+		Expect(d.Assess(due+second, withPart(51))).To(HaveField("TestRun", false))
+		Expect(d.AddCompletion(due+second, withPart(50))).To(BeTrue())
+		Expect(d.Assess(due+second, withPart(51)).Verdict).To(Equal(poison.Clear))
+	})
+
+	// Guards against test runs that end one target after the other.
+	It("runs again later and later while its test runs crash targets", func() {
+		d := refused()
+		runs := 0
+		for now := 4 * second; now < 5*time.Minute; now += second {
+			next := withPart(uint64(100 + now/second))
+			if d.Assess(now, next).TestRun {
+				d.TakeTestRun(now, next)
+				runs++
+				d.AddCrash(now+second/2, poison.CrashID("t", uint64(100+runs)), []poison.Request{next})
+			}
+		}
+		Expect(runs).To(BeNumerically("<=", 4))
+		Expect(runs).To(BeNumerically(">=", 2))
+	})
+
+	// Guards against a test run that crashes its target for another reason than the one that is tested.
+	It("does not run as a test while something else in it is suspected", func() {
+		d := refused()
+		d.AddCrash(5*second, 77, []poison.Request{{Fingerprint: 60, Parts: []uint64{9_002}}})
+		both := poison.Request{Fingerprint: 61, Parts: []uint64{part, 9_002}}
+		Expect(d.Assess(due+second, both).Verdict).To(Equal(poison.Blocked))
+		Expect(d.Assess(due+second, both).TestRun).To(BeFalse())
+		Expect(d.Assess(due+second, withPart(62)).TestRun).To(BeTrue())
+	})
+})
--- a/internal/decide/poison/evidence.go
+++ b/internal/decide/poison/evidence.go
@@ -39,8 +39,11 @@
 
 // featureEvidence is the sum of the evidence of all crashes about one feature.
 type featureEvidence struct {
-	weight    int
-	crashes   int
+	weight  int
+	crashes int
+	// rounds counts the crashes that came so long after the one before that they were
+	// those of test runs.
+	rounds    int
 	lastCrash time.Duration
 	expires   time.Duration
 	// refused is set for a feature that explains crashes, alone or together with the
@@ -51,6 +54,13 @@
 	lastCompletion completion
 }
 
+// isCleared reports whether a request with the feature has completed since the last crash.
+func (e featureEvidence) isCleared() bool {
+	return e.lastCompletion.valid && e.lastCompletion.at >= e.lastCrash
+}
+
+func (e featureEvidence) cameWith(feature uint64) bool { return slices.Contains(e.with, feature) }
+
 // add adds a crash and reports whether it contained anything new. Two
 // allocators may each know some of the requests that ran on the target, so
 // their suspects are merged.
@@ -95,11 +105,12 @@
 	for i := range d.crashes {
 		d.addCrashWeight(now, i, old)
 	}
-	d.findCauses(now)
 	d.nextExpiry = now + d.cfg.CrashTTL
 	if len(d.crashes) > 0 {
 		d.nextExpiry = d.crashes[0].at + d.cfg.CrashTTL
 	}
+	d.findCauses(now)
+	d.tests.forget(d.evidence)
 }
 
 func (d *Detector) addCrashWeight(now time.Duration, i int, old map[uint64]featureEvidence) {
@@ -111,6 +122,9 @@
 			e.lastCompletion = d.lastCompletion(f, old)
 		}
 		e.weight += crashWeight(f, massFailure, e.lastCompletion.isRecent(now, d.cfg.CrashTTL))
+		if e.crashes > 0 && c.at-e.lastCrash >= d.cfg.TestInterval {
+			e.rounds++
+		}
 		e.crashes++
 		e.lastCrash = c.at
 		e.expires = c.at + d.cfg.CrashTTL
@@ -170,6 +184,8 @@
 // overwrites the older one in its slot.
 type recentCompletions struct {
 	slots [completionSlots]completion
+	// first is the time of the first one, valid once there is one.
+	first completion
 }
 
 type completion struct {
@@ -180,7 +196,17 @@
 
 func (c completion) isRecent(now, ttl time.Duration) bool { return c.valid && now-c.at < ttl }
 
-func (r *recentCompletions) add(c completion) { r.slots[c.feature%completionSlots] = c }
+func (r *recentCompletions) add(c completion) {
+	r.slots[c.feature%completionSlots] = c
+	if !r.first.valid || c.at < r.first.at {
+		r.first = c
+	}
+}
+
+// cover reports whether the sound parts in use at a time are known.
+func (r *recentCompletions) cover(at time.Duration) bool {
+	return r.first.valid && at >= r.first.at+coverTime
+}
 
 func (r *recentCompletions) find(f uint64) completion {
 	if s := r.slots[f%completionSlots]; s.feature == f {
--- a/internal/decide/poison/fleet_test.go
+++ b/internal/decide/poison/fleet_test.go
@@ -43,6 +43,8 @@
 	// deadly is the number of requests that crash targets, each sent every deadlyPeriod.
 	deadly       int
 	deadlyPeriod time.Duration
+	// deadlyFrom is when the first deadly request comes.
+	deadlyFrom time.Duration
 	// parts says that it is one part of a prompt that is deadly: no two requests with it are
 	// alike, and sound ones share their other parts.
 	parts bool
@@ -77,7 +79,11 @@
 	return w.AddCompletion(now, r)
 }
 func (w detectorWeigher) refuses(now time.Duration, r poison.Request) bool {
-	return w.Assess(now, r).Verdict == poison.Blocked
+	a := w.Assess(now, r)
+	if a.TestRun {
+		w.TakeTestRun(now, r)
+	}
+	return a.Verdict == poison.Blocked && !a.TestRun
 }
 func (w detectorWeigher) mergeFrom(now time.Duration, other weigher) bool {
 	from := other.(detectorWeigher)
@@ -162,7 +168,7 @@
 	play
 	*rand.Rand
 	now      time.Duration
-	newHost  func() weigher
+	newHost  func(spread float64) weigher
 	hosts    []weigher
 	upAgain  [playTargets]time.Duration
 	runs     []run
@@ -183,14 +189,14 @@
 	suspects []poison.Request
 }
 
-func playOnce(p play, seed uint64, newHost func() weigher) playResult {
+func playOnce(p play, seed uint64, newHost func(spread float64) weigher) playResult {
 	return playTheatre(p, seed, newHost).result
 }
 
-func playTheatre(p play, seed uint64, newHost func() weigher) *theatre {
+func playTheatre(p play, seed uint64, newHost func(spread float64) weigher) *theatre {
 	t := &theatre{play: p, Rand: rand.New(rand.NewPCG(seed, 50)), newHost: newHost, next: 1000, crashed: map[int][]time.Duration{}, arrivals: map[int][]time.Duration{}}
-	for range playHosts {
-		t.hosts = append(t.hosts, newHost())
+	for i := range playHosts {
+		t.hosts = append(t.hosts, newHost(float64(i)/playHosts))
 	}
 	for ; t.now < playDuration; t.now += playTick {
 		t.step()
@@ -219,7 +225,7 @@
 
 func (t *theatre) step() {
 	if t.joinAt > 0 && t.now == t.joinAt {
-		t.hosts[0] = t.newHost()
+		t.hosts[0] = t.newHost(0)
 	}
 	t.endRuns()
 	if due(t.now, t.deaths) {
@@ -232,7 +238,7 @@
 		}
 	}
 	for i := range t.deadly {
-		if phase := (t.deadlyPeriod / time.Duration(t.deadly) * time.Duration(i)).Truncate(playTick); t.now >= phase && due(t.now-phase, t.deadlyPeriod) {
+		if phase := t.deadlyFrom + (t.deadlyPeriod / time.Duration(t.deadly) * time.Duration(i)).Truncate(playTick); t.now >= phase && due(t.now-phase, t.deadlyPeriod) {
 			t.send(run{request: t.deadlyRequest(1 + i), kind: 1 + i, triesLeft: 2})
 		}
 	}
@@ -387,6 +393,7 @@
 	{name: "one request, and a host that starts later", deadly: 1, deadlyPeriod: 400 * time.Millisecond, joinAt: 10 * second},
 	{name: "three requests, and two fifths of the messages lost", deadly: 3, deadlyPeriod: 700 * time.Millisecond, lossRate: 0.4},
 	{name: "one part", deadly: 1, deadlyPeriod: 500 * time.Millisecond, parts: true},
+	{name: "one part from the seventh second on", deadly: 1, deadlyPeriod: 500 * time.Millisecond, deadlyFrom: 7 * second, parts: true},
 	{name: "two parts", deadly: 2, deadlyPeriod: 500 * time.Millisecond, parts: true},
 	{name: "one part, and targets that end for other reasons", deadly: 1, deadlyPeriod: 500 * time.Millisecond, deaths: 500 * time.Millisecond, parts: true},
 	{name: "two parts, and two fifths of the messages lost", deadly: 2, deadlyPeriod: 500 * time.Millisecond, lossRate: 0.4, parts: true},
@@ -402,7 +409,7 @@
 }
 
 // playAll plays a load over many seeds.
-func playAll(p play, newHost func() weigher) playResult {
+func playAll(p play, newHost func(spread float64) weigher) playResult {
 	p.soundPeriod, p.repeated = 30*time.Millisecond, 0.3
 	var total playResult
 	for seed := range playSeeds() {
@@ -415,8 +422,8 @@
 	for _, p := range plays {
 		// Guards against a detector that takes the crashes of a request for those of another cause, or of sound ones.
 		It("refuses each of them in time and next to no sound one: "+p.name, func() {
-			got := playAll(p, func() weigher { return detectorWeigher{poison.New(poison.Config{})} })
-			counting := playAll(p, func() weigher { return newCountingWeigher() })
+			got := playAll(p, func(spread float64) weigher { return detectorWeigher{poison.New(poison.Config{TestSpread: spread})} })
+			counting := playAll(p, func(float64) weigher { return newCountingWeigher() })
 			AddReportEntry("with the detector, and by counting alone", fmt.Sprintf("%+v, %+v", got, counting))
 			Expect(got.late).To(BeNumerically("<=", lateAllowed))
 			Expect(got.refusedAfterwards).To(BeNumerically("<=", got.afterwards/100), "sound requests refused")
--- a/internal/gateway/crash_evidence.go
+++ b/internal/gateway/crash_evidence.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 	// hosts that brought new evidence, unverified the failures of targets, with broken
 	// connections, that were not recorded as crashes.
 	recorded, learned, unverified gometrics.Counter
+	// testRuns counts the requests known to crash targets that ran to see whether that was
+	// still so.
+	testRuns gometrics.Counter
 
 	mu       sync.Mutex
 	detector *poison.Detector
@@ -44,6 +48,8 @@
 	runs map[directory.Lifetime][]*targetRun
 	// sweptAt is when the runs at all targets were last pruned.
 	sweptAt time.Duration
+	// refused holds the verdicts that were logged last, by feature.
+	refused map[uint64]int
 	// changed is signalled when there is new evidence for other hosts.
 	changed chan struct{}
 }
@@ -51,16 +57,42 @@
 // NewCrashEvidence returns a CrashEvidence that holds no evidence yet.
 func NewCrashEvidence(now func() time.Duration, log *slog.Logger, reg gometrics.Registry) *CrashEvidence {
 	s := &CrashEvidence{
-		now: now, log: log, detector: poison.New(poison.Config{}), runs: map[directory.Lifetime][]*targetRun{},
+		now: now, log: log, detector: poison.New(poison.Config{TestSpread: rand.Float64()}), runs: map[directory.Lifetime][]*targetRun{},
 		changed:    make(chan struct{}, 1),
 		recorded:   gometrics.GetOrRegisterCounter("gateway.crashes_recorded", reg),
 		learned:    gometrics.GetOrRegisterCounter("gateway.crashes_learned", reg),
 		unverified: gometrics.GetOrRegisterCounter("gateway.crashes_unverified", reg),
+		testRuns:   gometrics.GetOrRegisterCounter("gateway.crash_test_runs", reg),
 	}
 	_ = reg.Register("gateway.crash_suspects", gometrics.NewFunctionalGauge(s.suspectCount))
+	_ = reg.Register("gateway.crash_verdicts", gometrics.NewFunctionalGauge(s.verdictCount))
 	return s
 }
 
+// verdictCount returns the number of features that are refused.
+func (s *CrashEvidence) verdictCount() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.logVerdicts()
+	return int64(len(s.refused))
+}
+
+// logVerdicts logs which verdicts came and went. The caller holds the mutex.
+func (s *CrashEvidence) logVerdicts() {
+	refused := s.detector.Refused(s.now())
+	for f, crashes := range refused {
+		if _, before := s.refused[f]; !before {
+			s.log.Warn("requests are refused since they crash targets", "feature", fmt.Sprintf("%016x", f), "crashes", crashes)
+		}
+	}
+	for f := range s.refused {
+		if _, still := refused[f]; !still {
+			s.log.Info("requests are no longer refused", "feature", fmt.Sprintf("%016x", f))
+		}
+	}
+	s.refused = refused
+}
+
 // suspectCount returns the number of requests, and of parts of prompts, for which there is
 // evidence.
 func (s *CrashEvidence) suspectCount() int64 {
@@ -112,13 +144,31 @@
 	return poison.Request{Fingerprint: s.Fingerprint, Parts: s.PromptParts}
 }
 
+// admit is check for a request that arrives. testRun is set if the request is known to
+// crash targets and may run once, to see whether that is still so.
+func (s *CrashEvidence) admit(request poison.Request) (testRun bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.detector.Assess(s.now(), request)
+	if a.TestRun {
+		s.detector.TakeTestRun(s.now(), request)
+		s.testRuns.Inc(1)
+		return true, nil
+	}
+	return false, refusalOf(a)
+}
+
 // check returns an error of kind KindPoison if a request is known to crash targets. Every
 // way on which a request leaves this host for a target asks it right before the first
 // byte is written.
 func (s *CrashEvidence) check(request poison.Request) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := s.detector.Assess(s.now(), request)
+	return refusalOf(s.detector.Assess(s.now(), request))
+}
+
+// refusalOf returns the failure of a request that is known to crash targets, nil for others.
+func refusalOf(a poison.Assessment) error {
 	if a.Verdict != poison.Blocked {
 		return nil
 	}
@@ -136,6 +186,7 @@
 	s.detector.AddCrash(s.now(), poison.CrashID(target.ID, uint64(target.StartedUnixMilli)), suspects)
 	s.recorded.Inc(1)
 	s.log.Warn("target crashed", "target", target.ID, "started", target.StartedUnixMilli, "suspects", len(suspects))
+	s.logVerdicts()
 	wake.Signal(s.changed)
 }
 
@@ -159,6 +210,7 @@
 	defer s.mu.Unlock()
 	if s.detector.Merge(s.now(), crashes) {
 		s.learned.Inc(1)
+		s.logVerdicts()
 		wake.Signal(s.changed)
 	}
 }
@@ -175,6 +227,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.detector.MergeCompletions(s.now(), completions) {
+		s.logVerdicts()
 		wake.Signal(s.changed)
 	}
 }
--- a/internal/gateway/crash_ways_test.go
+++ b/internal/gateway/crash_ways_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -55,6 +56,30 @@
 		Entry("from its backup", "llm", "/report/poison", 1),
 	)
 
+	// Guards against a verdict that stays although its cause is gone, and a test run that is repeated.
+	It("runs once after a while, and is served again if it completes", func() {
+		crashes := evidenceAgainst("app", "/look/poison")
+		var broken atomic.Bool
+		broken.Store(true)
+		target := startTarget("i-1", func(conn net.Conn, r *http.Request) {
+			if !broken.Load() {
+				respond(completeAnswer)(conn, r)
+			}
+		})
+		gw := startGateway(target.directoryEntry("app", "dc-1"), startTarget("i-2", func(net.Conn, *http.Request) {}).directoryEntry("app", "dc-1"))
+		gw.crashEvidence.Merge(crashes)
+		status := func() int { return gw.do(gw.request("POST", "/look/poison")).status }
+		Expect(status()).To(Equal(http.StatusServiceUnavailable))
+		gw.skip(2 * time.Minute)
+		Expect(status()).To(Equal(http.StatusBadGateway), "the test run, which is not repeated")
+		Expect(status()).To(Equal(http.StatusServiceUnavailable))
+		broken.Store(false)
+		gw.publish(target.directoryEntry("app", "dc-1"))
+		gw.skip(2 * time.Minute)
+		Expect(status()).To(Equal(http.StatusOK))
+		Expect(status()).To(Equal(http.StatusOK))
+	})
+
 	// Guards against a host that sends for another one what it knows to crash targets.
 	It("is not sent for another host", func() {
 		crashes := evidenceAgainst("app", "/book/poison")
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,6 +27,17 @@
 	deadline time.Time
 	// identity identifies the request across attempts, and the parts of its prompt.
 	identity poison.Request
+	// testRun is set while a request that is known to crash targets may still be sent once.
+	testRun atomic.Bool
+}
+
+// checkVerdict returns an error if a request must not be sent since it is known to crash
+// targets.
+func (g *Gateway) checkVerdict(x *exchange) error {
+	if x.testRun.Load() {
+		return nil
+	}
+	return g.cfg.CrashEvidence.check(x.identity)
 }
 
 // selectionState records the state from which a target was selected, for the
@@ -64,7 +75,7 @@
 
 // newSend returns a send of the request to a target.
 func (x *exchange) newSend(target *directory.ObservedTarget) *call.Attempt {
-	s := &call.Attempt{Request: x.Request, Target: target.Target, TimeRemaining: time.Until(x.deadline), Priority: -1, Fingerprint: x.identity.Fingerprint, PromptParts: x.identity.Parts}
+	s := &call.Attempt{TestRun: x.testRun.Swap(false), Request: x.Request, Target: target.Target, TimeRemaining: time.Until(x.deadline), Priority: -1, Fingerprint: x.identity.Fingerprint, PromptParts: x.identity.Parts}
 	if x.account != nil {
 		s.Account = x.account.Name
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -232,9 +232,14 @@
 	}
 	x.deadline = x.ArrivedAt.Add(timeout - deadlineMargin)
 	x.identity = poison.Request{Fingerprint: fingerprint(x), Parts: promptParts(x.Prompt)}
-	if err := g.cfg.CrashEvidence.check(x.identity); err != nil {
+	testRun, err := g.cfg.CrashEvidence.admit(x.identity)
+	if err != nil {
 		return err
 	}
+	x.testRun.Store(testRun)
+	if testRun {
+		g.cfg.Log.Info("request runs as a test, as it is known to crash targets", "request", x.ID, "route", x.route.Name)
+	}
 	if x.route.Kind == directory.Generation {
 		return g.checkMayStart(x)
 	}
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -188,7 +188,7 @@
 func (gen *generation) acquire(exclude []string) (*selectionState, *Reservation, error) {
 	req := gen.placementRequest(exclude)
 	for {
-		if err := gen.g.cfg.CrashEvidence.check(gen.identity); err != nil {
+		if err := gen.g.checkVerdict(gen.exchange); err != nil {
 			return nil, nil, err
 		}
 		search := gen.nextSearch()
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -136,7 +136,7 @@
 // notice, although copies to there take twice as long.
 func (gen *generation) copyToSomeTarget(ctx context.Context, from *directory.ObservedTarget, m *move, stopTime time.Time, exclude []string) ([]string, bool) {
 	for range destinationsPerRound {
-		if gen.g.cfg.CrashEvidence.check(gen.identity) != nil {
+		if gen.g.checkVerdict(gen.exchange) != nil {
 			return exclude, true
 		}
 		to, reservation, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), PlacementRequest{Service: from.Service, Origin: gen.origin.Load(), Prompt: gen.Prompt, Locality: PreferDataCentre(from.DataCentre), Exclude: exclude})
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -44,11 +44,19 @@
 	}
 }
 
+// checkAttempt returns an error if the request of an attempt is known to crash targets.
+func (g *Gateway) checkAttempt(s *call.Attempt) error {
+	if s.TestRun {
+		return nil
+	}
+	return g.cfg.CrashEvidence.check(identityOf(s))
+}
+
 // checkSendable returns an error when a request is known to crash targets by now, or the
 // target that was chosen before no longer accepts requests. It runs right before the first
 // byte is sent. A last resort may be sent in spite of the target's rest.
 func (g *Gateway) checkSendable(s *call.Attempt) error {
-	if err := g.cfg.CrashEvidence.check(identityOf(s)); err != nil {
+	if err := g.checkAttempt(s); err != nil {
 		g.metrics.sendsRefused.Inc(1)
 		return err
 	}
--- a/internal/gateway/peer_requests.go
+++ b/internal/gateway/peer_requests.go
@@ -40,7 +40,7 @@
 		if s.Management {
 			return ready()
 		}
-		if err := g.cfg.CrashEvidence.check(identityOf(s)); err != nil {
+		if err := g.checkAttempt(s); err != nil {
 			return err
 		}
 		if err := ready(); err != nil {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -191,7 +191,7 @@
 // it, after the last event that the caller has. A request that crashes engines
 // is not continued, since it would crash one after the other.
 func (gen *generation) startNewRun(from *directory.ObservedTarget, cause error) (*engineStream, error) {
-	if gen.attempts >= gen.route.MaxAttempts || gen.g.cfg.CrashEvidence.check(gen.identity) != nil {
+	if gen.attempts >= gen.route.MaxAttempts || gen.g.checkVerdict(gen.exchange) != nil {
 		return nil, cause
 	}
 	if !gen.g.cfg.RetryBudget.AllowRetry(gen.g.cfg.Now(), gen.budgetKey()) {
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -29,7 +29,7 @@
 	}
 	message := &filbertv1.RelayRequest{
 		Target: s.Target.ID, Started: s.Target.StartedUnixMilli, Method: req.Method, Host: req.Host, Uri: req.URL.RequestURI(),
-		Headers: encodeHeader(req.Header), Body: body, LastResort: s.LastResort, RequestId: s.ID, Management: s.Management, Fingerprint: s.Fingerprint, PromptParts: s.PromptParts, ConfirmStart: s.ConfirmStart,
+		Headers: encodeHeader(req.Header), Body: body, LastResort: s.LastResort, RequestId: s.ID, Management: s.Management, Fingerprint: s.Fingerprint, PromptParts: s.PromptParts, TestRun: s.TestRun, ConfirmStart: s.ConfirmStart,
 	}
 	if deadline, ok := req.Context().Deadline(); ok {
 		message.TimeoutMs = uint32(max(time.Until(deadline).Milliseconds(), 1))
@@ -67,7 +67,7 @@
 // attempt returns the attempt that a message describes, without what only the host
 // needs that relays the request.
 func attempt(message *filbertv1.RelayRequest, t directory.Target) *call.Attempt {
-	return &call.Attempt{Request: &call.Request{ID: message.GetRequestId()}, Target: t, LastResort: message.GetLastResort(), Management: message.GetManagement(), Fingerprint: message.GetFingerprint(), PromptParts: message.GetPromptParts(), ConfirmStart: message.GetConfirmStart()}
+	return &call.Attempt{Request: &call.Request{ID: message.GetRequestId()}, Target: t, LastResort: message.GetLastResort(), Management: message.GetManagement(), Fingerprint: message.GetFingerprint(), PromptParts: message.GetPromptParts(), TestRun: message.GetTestRun(), ConfirmStart: message.GetConfirmStart()}
 }
 
 func encodeHeader(header http.Header) []*filbertv1.Header {
