Verify the end of answers that have neither a length nor chunks

The end of such an answer and the end of its target look alike if the connection is closed and not reset: a cut answer was passed on whole with 200, and counted as a completion of the request that had ended the target. The host connects to the target once such an answer has ended, and takes it for cut if the target refuses, unless it is leaving. Both ways out do so, the host that sends for another one too.

Spec red before: an answer that was cut by the end of its target (200 instead of 502). Green before: whole ones, and ones that are reset.

--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -19,8 +20,9 @@
 	completeAnswer = "HTTP/1.1 200 OK\n" + requestID + ": ID\n" + seal + ": s1\nContent-Length: 2\n\nok"
 	completeStream = "HTTP/1.1 200 OK\n" + requestID + ": ID\n" + seal + ": s1\nContent-Type: text/event-stream\n" +
 		"Transfer-Encoding: chunked\n\n14\nid: 1\ndata: one\n\n\n0\n\n"
-	serverError = "HTTP/1.1 500 Internal Server Error\n" + requestID + ": ID\n" + seal + ": s1\nContent-Length: 4\n\noops"
-	notExecuted = "HTTP/1.1 503 Service Unavailable\n" + requestID + ": ID\n" + standin.HeaderNotExecuted + ": 1\nContent-Length: 0\n\n"
+	answerWithoutLength = "HTTP/1.1 200 OK\n" + requestID + ": ID\n" + seal + ": s1\n\nok"
+	serverError         = "HTTP/1.1 500 Internal Server Error\n" + requestID + ": ID\n" + seal + ": s1\nContent-Length: 4\n\noops"
+	notExecuted         = "HTTP/1.1 503 Service Unavailable\n" + requestID + ": ID\n" + standin.HeaderNotExecuted + ": 1\nContent-Length: 0\n\n"
 )
 
 var _ = Describe("answers", func() {
@@ -59,6 +61,31 @@
 		Expect(got.status).To(Equal(http.StatusBadGateway))
 	})
 
+	// Guards against answers without a length or chunks that are whole and are not passed on.
+	It("are passed on whole when they end with their connection", func() {
+		t := startTarget("i-1", respond(answerWithoutLength))
+		gw := startGateway(t.directoryEntry("app", "dc-1"))
+		got := gw.do(gw.request("POST", "/book/"))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal("ok"))
+	})
+
+	// Guards against answers without a length that look complete although they were cut.
+	DescribeTable("that end with their connection are not passed on as a success when they were cut",
+		func(end func(t *fakeTarget, conn net.Conn)) {
+			var t *fakeTarget
+			t = startTarget("i-1", func(conn net.Conn, r *http.Request) {
+				respond(answerWithoutLength)(conn, r)
+				time.Sleep(20 * time.Millisecond)
+				end(t, conn)
+			})
+			gw := startGateway(t.directoryEntry("app", "dc-1"))
+			Expect(gw.do(gw.request("POST", "/book/")).status).To(Equal(http.StatusBadGateway))
+		},
+		Entry("by a reset", func(_ *fakeTarget, conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }),
+		Entry("by the end of their target", func(t *fakeTarget, _ net.Conn) { t.close() }),
+	)
+
 	// Guards against truncated answers, answers without a seal and answers to
 	// another request being passed on as complete.
 	DescribeTable("that are not the complete answer to this request are not passed on as a success",
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -140,6 +140,9 @@
 		var o outcome
 		if w == direct {
 			o.resp, o.err = d.g.cfg.Client.DoConfirmed(req, d.g.confirmation(d.attempt, d.recordConnected), admit)
+			if o.err == nil {
+				d.g.verifyEnd(o.resp, d.attempt.Target)
+			}
 		} else {
 			o.resp, o.err = d.g.cfg.Relay.Do(req, d.attempt, admit)
 		}
--- a/internal/gateway/partition.go
+++ b/internal/gateway/partition.go
@@ -95,7 +95,7 @@
 	failedAt := g.cfg.Now()
 	time.AfterFunc(verifyDelay, func() {
 		check := g.checks.take(t.Target)
-		crashed := check.mayHaveCrashed && g.refusesConnections(t)
+		crashed := check.mayHaveCrashed && g.refusesConnections(t.Target)
 		reaches := !g.paths.isLost(t.Service) && g.reachesOthers(t, failedAt)
 		if reaches {
 			g.cfg.Loads.ReportFailure(t.ID)
@@ -116,8 +116,8 @@
 }
 
 // refusesConnections reports whether no process listens at a target's address.
-func (g *Gateway) refusesConnections(t *directory.ObservedTarget) bool {
-	return failure.KindOf(g.probe(t.Target)) == failure.KindTargetFailed
+func (g *Gateway) refusesConnections(t directory.Target) bool {
+	return failure.KindOf(g.probe(t)) == failure.KindTargetFailed
 }
 
 // reachesOthers reports whether this host has reached a target of the failed one's
--- a/internal/gateway/peer_requests.go
+++ b/internal/gateway/peer_requests.go
@@ -63,6 +63,7 @@
 		run.fail(err)
 		return nil, err
 	}
+	g.verifyEnd(resp, s.Target)
 	if !s.Management {
 		answer := g.cfg.Dialect.ParseResponseHeader(resp)
 		if isOwnAnswer(s, answer) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -319,7 +319,7 @@
 	// The connection was closed here, so that no failure shows whether the request ends
 	// the target.
 	time.AfterFunc(leftCheckDelay, func() {
-		if g.refusesConnections(target) {
+		if g.refusesConnections(target.Target) {
 			g.reportFailure(target, true)
 		}
 	})
