--- a/internal/decide/poison/detector.go
+++ b/internal/decide/poison/detector.go
@@ -122,6 +122,8 @@
 	cfg      Config
 	crashes  []crash
 	evidence map[uint64]featureEvidence
+	// outdated is set if evidence has not been computed since the last news.
+	outdated bool
 	// nextExpiry is when the evidence changes without news.
 	nextExpiry  time.Duration
 	completions recentCompletions
@@ -142,20 +144,19 @@
 // failure.
 func (d *Detector) AddCrash(now time.Duration, id uint64, suspects []Request) {
 	if d.add(crash{id: id, at: now, suspects: suspects}) {
-		d.rebuild(now)
+		d.outdated = true
 	}
 }
 
 // AddCompletion records that a request completed. It reports whether that speaks for a
 // suspect, so that other processes should be told.
 func (d *Detector) AddCompletion(now time.Duration, r Request) bool {
+	d.refresh(now)
 	speaks := false
 	for _, f := range r.features() {
 		speaks = d.addCompletion(completion{feature: f, at: now, valid: true}) || speaks
 	}
-	if speaks {
-		d.rebuild(now)
-	}
+	d.outdated = d.outdated || speaks
 	return speaks
 }
 
@@ -180,12 +181,10 @@
 
 // Assess determines how a request may run now.
 func (d *Detector) Assess(now time.Duration, r Request) Assessment {
+	d.refresh(now)
 	if len(d.evidence) == 0 {
 		return Assessment{}
 	}
-	if now >= d.nextExpiry {
-		d.rebuild(now)
-	}
 	if refusal, refused := d.assessRefusal(now, r); refused {
 		return refusal
 	}
@@ -239,7 +238,7 @@
 
 // Export returns up to limit crashes for gossip, the latest first.
 func (d *Detector) Export(now time.Duration, limit int) []Crash {
-	d.rebuild(now)
+	d.refresh(now)
 	out := make([]Crash, 0, min(limit, len(d.crashes)))
 	for i := len(d.crashes) - 1; i >= 0 && len(out) < limit; i-- {
 		c := d.crashes[i]
@@ -260,16 +259,14 @@
 			changed = true
 		}
 	}
-	if changed {
-		d.rebuild(now)
-	}
+	d.outdated = d.outdated || changed
 	return changed
 }
 
 // ExportCompletions returns up to limit completions of suspects for gossip, the latest
 // first.
 func (d *Detector) ExportCompletions(now time.Duration, limit int) []Completion {
-	d.rebuild(now)
+	d.refresh(now)
 	var out []Completion
 	for f, e := range d.evidence {
 		if e.lastCompletion.isRecent(now, d.cfg.CrashTTL) {
@@ -285,24 +282,21 @@
 // MergeCompletions adds what another process knows of completions, after the crashes of
 // the same message. It reports whether any speaks for a suspect, like AddCompletion.
 func (d *Detector) MergeCompletions(now time.Duration, completions []Completion) bool {
+	d.refresh(now)
 	changed := false
 	for _, c := range completions {
 		if c.Age >= 0 && c.Age < d.cfg.CrashTTL && d.addCompletion(completion{feature: c.Feature, at: now - c.Age, valid: true}) {
 			changed = true
 		}
 	}
-	if changed {
-		d.rebuild(now)
-	}
+	d.outdated = d.outdated || changed
 	return changed
 }
 
 // IsSuspected reports whether crashes speak against a request, of which nothing has
 // completed since.
 func (d *Detector) IsSuspected(now time.Duration, r Request) bool {
-	if now >= d.nextExpiry {
-		d.rebuild(now)
-	}
+	d.refresh(now)
 	for _, f := range r.features() {
 		if e, found := d.evidence[f]; found && !e.isCleared() {
 			return true
@@ -313,9 +307,7 @@
 
 // Refused returns the number of crashes that speak against each refused feature.
 func (d *Detector) Refused(now time.Duration) map[uint64]int {
-	if now >= d.nextExpiry {
-		d.rebuild(now)
-	}
+	d.refresh(now)
 	refused := map[uint64]int{}
 	for f, e := range d.evidence {
 		if e.refused {
@@ -326,4 +318,7 @@
 }
 
 // SuspectCount returns the number of features for which there is evidence.
-func (d *Detector) SuspectCount() int { return len(d.evidence) }
+func (d *Detector) SuspectCount(now time.Duration) int {
+	d.refresh(now)
+	return len(d.evidence)
+}
--- a/internal/decide/poison/detector_test.go
+++ b/internal/decide/poison/detector_test.go
@@ -42,7 +42,7 @@
 		crash(12*second, 3, poisonFingerprint)
 		Expect(d.Assess(12*second, requestOf(poisonFingerprint))).To(Equal(poison.Assessment{Verdict: poison.Blocked, Delay: 10 * time.Minute, Crashes: 3}))
 		Expect(d.Assess(11*time.Minute, requestOf(poisonFingerprint))).To(Equal(poison.Assessment{}))
-		Expect(d.SuspectCount()).To(BeZero())
+		Expect(d.SuspectCount(11 * time.Minute)).To(BeZero())
 	})
 
 	It("clears a request that completed before or after the crash", func() {
@@ -100,7 +100,7 @@
 		for i := range 200 {
 			crash(time.Duration(i)*second/100, i, all...)
 		}
-		Expect(d.SuspectCount()).To(Equal(256))
+		Expect(d.SuspectCount(10 * second)).To(Equal(256))
 		Expect(d.Export(10*second, 1000)).To(HaveLen(128))
 		Expect(d.Merge(10*second, []poison.Crash{{ID: 1, Age: 9 * time.Minute}})).To(BeFalse())
 	})
@@ -326,3 +326,35 @@
 		Expect(d.Assess(due+second, withPart(62)).TestRun).To(BeTrue())
 	})
 })
+
+func BenchmarkWithManyCrashes(b *testing.B) {
+	build := func() *poison.Detector {
+		d := poison.New(poison.Config{})
+		for c := range 128 {
+			var suspects []poison.Request
+			for i := range 16 {
+				suspects = append(suspects, poison.Request{Fingerprint: uint64(1000 + 16*c + i), Parts: []uint64{1, 2 + uint64(i%4), 10}})
+			}
+			d.AddCrash(time.Duration(c)*second, uint64(c), suspects)
+		}
+		d.AddCompletion(200*second, poison.Request{Fingerprint: 1, Parts: []uint64{1, 2}})
+		return d
+	}
+	request := poison.Request{Fingerprint: 7, Parts: []uint64{1, 2, 50}}
+	b.Run("assess", func(b *testing.B) {
+		d := build()
+		b.ReportAllocs()
+		for b.Loop() {
+			d.Assess(201*second, request)
+		}
+	})
+	b.Run("assess after a crash", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			b.StopTimer()
+			d := build()
+			b.StartTimer()
+			d.Assess(202*second, request)
+		}
+	})
+}
--- a/internal/decide/poison/evidence.go
+++ b/internal/decide/poison/evidence.go
@@ -95,11 +95,19 @@
 	return true
 }
 
+// refresh computes the evidence again if it has changed.
+func (d *Detector) refresh(now time.Duration) {
+	if d.outdated || now >= d.nextExpiry && len(d.crashes) > 0 {
+		d.rebuild(now)
+	}
+}
+
 // rebuild removes expired crashes and computes the evidence from the others. It
-// runs at a crash, at a completion of a suspect, at an expiry and at an export,
-// but not for each request.
+// runs after a crash, a completion of a suspect and an expiry, but not for each
+// request.
 func (d *Detector) rebuild(now time.Duration) {
 	d.crashes = slices.DeleteFunc(d.crashes, func(c crash) bool { return c.at+d.cfg.CrashTTL <= now })
+	d.outdated = false
 	old := d.evidence
 	d.evidence = make(map[uint64]featureEvidence, len(old))
 	for i := range d.crashes {
--- a/internal/gateway/crash_evidence.go
+++ b/internal/gateway/crash_evidence.go
@@ -98,7 +98,7 @@
 func (s *CrashEvidence) suspectCount() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return int64(s.detector.SuspectCount())
+	return int64(s.detector.SuspectCount(s.now()))
 }
 
 // Changed returns a channel that receives when there is new evidence for other
--- a/internal/gateway/target_run.go
+++ b/internal/gateway/target_run.go
@@ -133,7 +133,6 @@
 	r.cleared = true
 	s.pruneRuns(r.target)
 	if completed && s.detector.AddCompletion(s.now(), r.request) {
-		s.logVerdicts()
 		wake.Signal(s.changed)
 	}
 }
