Bound suspects and messages; keep parts known among many requests; own failures clear a run

From reading the change: a completed part was forgotten when the completion of another request took its slot (4,096 slots; some 60 completions a second at 16 requests a second, by count, not measured). A message has 256 suspects at most and a crash 64. An engine's own failure answer counts as an end of the run, not as a suspect's.

--- a/internal/decide/poison/detector.go
+++ b/internal/decide/poison/detector.go
@@ -153,8 +153,8 @@
 func (d *Detector) AddCompletion(now time.Duration, r Request) bool {
 	d.refresh(now)
 	speaks := false
-	for _, f := range r.features() {
-		speaks = d.addCompletion(completion{feature: f, at: now, valid: true}) || speaks
+	for i, f := range r.features() {
+		speaks = d.addCompletion(completion{feature: f, part: i > 0, at: now, valid: true}) || speaks
 	}
 	d.outdated = d.outdated || speaks
 	return speaks
--- a/internal/decide/poison/detector_test.go
+++ b/internal/decide/poison/detector_test.go
@@ -358,3 +358,17 @@
 		}
 	})
 }
+
+// Guards against parts whose completions are forgotten among those of many different requests.
+var _ = It("a part that has completed is known after many other requests", func() {
+	d := poison.New(poison.Config{})
+	shared := poison.Request{Fingerprint: 1, Parts: []uint64{5_000_001}}
+	d.AddCompletion(0, shared)
+	for f := range uint64(100_000) {
+		d.AddCompletion(second, poison.Request{Fingerprint: 10 + f})
+	}
+	for i := range 4 {
+		d.AddCrash(time.Duration(20+i)*second, poison.CrashID("t", uint64(i)), []poison.Request{{Fingerprint: uint64(200_000 + i), Parts: shared.Parts}})
+	}
+	Expect(d.Assess(30*second, poison.Request{Fingerprint: 7, Parts: shared.Parts}).Verdict).To(Equal(poison.Clear))
+})
--- a/internal/decide/poison/doc.go
+++ b/internal/decide/poison/doc.go
@@ -8,8 +8,12 @@
 // Operators see targets crash one after another, a few seconds apart, with the
 // same fingerprint among the requests of each.
 //
-// The evidence is a set of crashes, each with the fingerprints of the requests
-// that ran on the target when it died. Sets are bounded, expire, and are merged
+// One part of a prompt may crash targets as well, whatever else a request with it
+// holds. So a request is recognized by its features: the fingerprint of all its
+// content, and the shared parts of its prompt.
+//
+// The evidence is a set of crashes, each with the requests that ran on the target
+// when it died. Sets are bounded, expire, and are merged
 // by gossip as unions, so the order and number of deliveries make no
 // difference.
 //
@@ -21,21 +25,24 @@
 //     SuspectHold, until the fleet knows. Then it runs on a target without
 //     another suspect, so at most one suspect per target at a time.
 //   - After two crashes it runs alone on a target.
-//   - A request that explains three crashes is refused at once. The number is
-//     three so that an innocent request that shared a target with a poison
+//   - A feature that explains three crashes is refused at once, together with
+//     the features that came with it in each of them and never completed: what
+//     shares only some of them may be sound. The number is three so that an innocent request that shared a target with a poison
 //     request, and was then on a target that died for another reason, has one
 //     more attempt.
-//   - The request that explains most crashes is refused first, and the crashes
-//     that it explains no longer count against others: a request that was only
-//     in its company has none left. Further requests are refused if they explain
-//     three of the rest. So several poison requests at the same time, or one
+//   - The feature that explains most crashes is refused first, and the crashes
+//     that it explains no longer count against others: what was only in its
+//     company has none left. Further features are refused if they explain three
+//     of the rest. So several poison requests at the same time, or one
 //     beside targets that die for another reason, are each refused after their
 //     own three crashes.
-//   - A crash counts only until the request completes somewhere, because a poison
-//     request crashes every target that runs it. For one that has completed
+//   - A crash counts only until a request with the feature completes somewhere,
+//     because poison crashes every target that runs it. If one has completed
 //     before, a crash counts a quarter, and at most once in knownSpacing. This
-//     keeps a frequent request, which is on most targets that die, from being
+//     keeps a frequent feature, which is on most targets that die, from being
 //     refused. Processes tell each other the completions of suspects.
+//   - A refused request runs once now and then, to see whether the verdict still
+//     holds: nothing else would complete with its features.
 //   - Crashes within simultaneousWindow count once: a rack that loses power ends
 //     all its targets together.
 //   - When MassFailureTargets or more targets die within MassFailureWindow (a
@@ -48,6 +55,6 @@
 //
 // Limits: equal poison requests that run at the same moment on several targets
 // crash all of these, and so does one that is resent before the evidence arrives.
-// During a partition each side counts for itself. A caller that varies its
-// prompt creates new fingerprints.
+// During a partition each side counts for itself. A caller that varies all
+// of its prompt creates new features.
 package poison
--- a/internal/decide/poison/evidence.go
+++ b/internal/decide/poison/evidence.go
@@ -185,13 +185,18 @@
 
 // completionSlots is the number of completed requests that are remembered, in
 // 96 KB. A frequent request completes again before 4,096 others can overwrite
-// its slot.
-const completionSlots = 4096
+// its slot. partSlots is that of parts of prompts, in 24 KB, which the many
+// different requests must not overwrite.
+const (
+	completionSlots = 4096
+	partSlots       = 1024
+)
 
 // recentCompletions remembers features of requests that completed lately. A new one
 // overwrites the older one in its slot.
 type recentCompletions struct {
 	slots [completionSlots]completion
+	parts [partSlots]completion
 	// first is the time of the first one, valid once there is one.
 	first completion
 }
@@ -199,13 +204,18 @@
 type completion struct {
 	feature uint64
 	at      time.Duration
-	valid   bool
+	// part is set for a part of a prompt.
+	part, valid bool
 }
 
 func (c completion) isRecent(now, ttl time.Duration) bool { return c.valid && now-c.at < ttl }
 
 func (r *recentCompletions) add(c completion) {
-	r.slots[c.feature%completionSlots] = c
+	if c.part {
+		r.parts[c.feature%partSlots] = c
+	} else {
+		r.slots[c.feature%completionSlots] = c
+	}
 	if !r.first.valid || c.at < r.first.at {
 		r.first = c
 	}
@@ -217,8 +227,10 @@
 }
 
 func (r *recentCompletions) find(f uint64) completion {
-	if s := r.slots[f%completionSlots]; s.feature == f {
-		return s
+	for _, s := range []completion{r.slots[f%completionSlots], r.parts[f%partSlots]} {
+		if s.valid && s.feature == f {
+			return s
+		}
 	}
 	return completion{}
 }
--- a/internal/gateway/crash_evidence.go
+++ b/internal/gateway/crash_evidence.go
@@ -21,8 +21,13 @@
 const (
 	// maxExportedCrashes limits the crashes in one message to another host.
 	maxExportedCrashes = 32
+	// maxExportedSuspects limits the suspects of these crashes.
+	maxExportedSuspects = 256
 	// maxExportedCompletions limits the completions of suspects in one message.
 	maxExportedCompletions = 64
+	// maxSuspectsPerCrash limits the requests kept for one crash. Few have begun at a target
+	// within the time in which a request ends it.
+	maxSuspectsPerCrash = 64
 	// poisonRetryAfter is returned to the caller of a request that crashes
 	// targets. The request did not run and will not run soon, so an early retry
 	// is pointless.
@@ -57,7 +62,7 @@
 // NewCrashEvidence returns a CrashEvidence that holds no evidence yet.
 func NewCrashEvidence(now func() time.Duration, log *slog.Logger, reg gometrics.Registry) *CrashEvidence {
 	s := &CrashEvidence{
-		now: now, log: log, detector: poison.New(poison.Config{TestSpread: rand.Float64()}), runs: map[directory.Lifetime][]*targetRun{},
+		now: now, log: log, detector: poison.New(poison.Config{TestSpread: rand.Float64(), MaxSuspectsPerCrash: maxSuspectsPerCrash}), runs: map[directory.Lifetime][]*targetRun{},
 		changed:    make(chan struct{}, 1),
 		recorded:   gometrics.GetOrRegisterCounter("gateway.crashes_recorded", reg),
 		learned:    gometrics.GetOrRegisterCounter("gateway.crashes_learned", reg),
@@ -201,7 +206,14 @@
 func (s *CrashEvidence) Export() []poison.Crash {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.detector.Export(s.now(), maxExportedCrashes)
+	crashes := s.detector.Export(s.now(), maxExportedCrashes)
+	suspects := 0
+	for i, c := range crashes {
+		if suspects += len(c.Suspects); i > 0 && suspects > maxExportedSuspects {
+			return crashes[:i]
+		}
+	}
+	return crashes
 }
 
 // Merge merges the evidence of another host.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -312,6 +312,10 @@
 // failRun records how a run failed, and what that says about its target.
 func (g *Gateway) failRun(ctx context.Context, target *directory.ObservedTarget, run *targetRun, err error) {
 	g.recordFailure(ctx, target, err, run.wasSent())
+	if err == errEngineAnswered {
+		run.finish()
+		return
+	}
 	run.fail(err)
 	if ctx.Err() == nil || !run.wasSent() || !g.cfg.CrashEvidence.isSuspected(run.request) {
 		return
