Read the store's era from its answers; log what a restore hides

No decision changes. Every answer's Store-Era is decoded into a position of the store's history; a change of it, an answer that the history is gone, and a configuration that is not taken because of its revision each leave a line, and records that are ignored, 410s and unreadable eras are counted (published.era, published.history_gone, published.records_ignored, published.unreadable_eras).

The specs of the store's client are changed in form alone: a read now returns one value that holds the records and the position.

--- a/internal/controller/recordsync/controller.go
+++ b/internal/controller/recordsync/controller.go
@@ -46,11 +46,11 @@
 
 // Source is the store in which operators and targets publish.
 type Source interface {
-	// ReadAll returns all records and the revision at which the read began.
-	ReadAll(ctx context.Context) ([]directory.Record, uint64, error)
-	// Watch returns the changes after a revision and the revision to continue
+	// ReadAll returns all records and the position at which the read began.
+	ReadAll(ctx context.Context) (directory.Reading, error)
+	// Watch returns the changes after a revision and the position to continue
 	// from; KindHistoryGone if the store no longer has these changes.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]directory.Record, uint64, error)
+	Watch(ctx context.Context, after uint64, wait time.Duration) (directory.Reading, error)
 }
 
 // Board holds the blackboard section that this package writes.
@@ -74,6 +74,14 @@
 	cfg        Config
 	viewWriter *blackboard.Writer[directory.View]
 	calls      metrics.Counter
+	// historyGone counts the answers that the store no longer has the requested
+	// changes.
+	historyGone metrics.Counter
+	// ignoredRecords counts the records of the store that were not taken because
+	// a later one is held.
+	ignoredRecords metrics.Counter
+	// unreadableEras counts the answers of the store whose era can't be read.
+	unreadableEras metrics.Counter
 
 	mu     sync.Mutex
 	mirror *mirror.Mirror
@@ -99,6 +107,11 @@
 	// announcedConfig is the newest revision of the configuration that a peer
 	// is known to hold.
 	announcedConfig uint64
+	// storeEra is the era that the store last named.
+	storeEra uint64
+	// historyLost is set while the store's last answer was that it no longer has
+	// the requested changes.
+	historyLost bool
 }
 
 // New returns a controller and claims the section of the view.
@@ -109,9 +122,13 @@
 	}
 	c := &Controller{
 		cfg: cfg, viewWriter: writer, mirror: mirror.New(mirror.Config{}), doc: newDocument(), peers: map[string]*peerState{}, newsSignal: make(chan struct{}, 1),
-		calls: metrics.GetOrRegisterCounter("published.calls", cfg.Metrics),
+		calls:          metrics.GetOrRegisterCounter("published.calls", cfg.Metrics),
+		historyGone:    metrics.GetOrRegisterCounter("published.history_gone", cfg.Metrics),
+		ignoredRecords: metrics.GetOrRegisterCounter("published.records_ignored", cfg.Metrics),
+		unreadableEras: metrics.GetOrRegisterCounter("published.unreadable_eras", cfg.Metrics),
 	}
 	c.registerGauge("published.revision", func() int64 { return int64(c.Revision()) })
+	c.registerGauge("published.era", func() int64 { return int64(c.lastEra()) })
 	c.registerGauge("published.config_version", c.configVersion)
 	c.registerGauge("published.age_ms", c.ageMillis)
 	c.registerGauge("published.store_lost", c.storeLostValue)
@@ -199,24 +216,28 @@
 	c.calls.Inc(1)
 	startedAt := c.cfg.Now()
 	if fullRead {
-		records, revision, err := c.cfg.Source.ReadAll(ctx)
+		read, err := c.cfg.Source.ReadAll(ctx)
 		if err != nil {
 			return err
 		}
-		c.applyRecords(startedAt, records, func(m *mirror.Mirror, now time.Duration) bool { return m.ApplySnapshot(now, records, revision) })
+		c.applyReading(startedAt, read, func(m *mirror.Mirror, now time.Duration) bool {
+			return m.ApplySnapshot(now, read.Records, read.At.Revision)
+		})
 		return nil
 	}
-	records, revision, err := c.watch(ctx, startedAt)
+	read, err := c.watch(ctx, startedAt)
 	if err != nil {
 		return err
 	}
-	c.applyRecords(startedAt, records, func(m *mirror.Mirror, now time.Duration) bool { return m.ApplyChanges(now, records, revision) })
+	c.applyReading(startedAt, read, func(m *mirror.Mirror, now time.Duration) bool {
+		return m.ApplyChanges(now, read.Records, read.At.Revision)
+	})
 	return nil
 }
 
 // watch waits for changes in the store. It records an overdue answer before the
 // call times out.
-func (c *Controller) watch(ctx context.Context, startedAt time.Duration) ([]directory.Record, uint64, error) {
+func (c *Controller) watch(ctx context.Context, startedAt time.Duration) (directory.Reading, error) {
 	c.mu.Lock()
 	answerTimeout := c.silence.AnswerTimeout()
 	c.mu.Unlock()
@@ -226,26 +247,29 @@
 		c.recordOverdue(startedAt+watchWait, "")
 	})
 	defer overdueTimer.Stop()
-	records, revision, err := c.cfg.Source.Watch(ctx, c.completeRevision(), watchWait)
-	if err == nil && len(records) == 0 {
+	read, err := c.cfg.Source.Watch(ctx, c.completeRevision(), watchWait)
+	if err == nil && len(read.Records) == 0 {
 		c.mu.Lock()
 		c.silence.RecordAnswer(c.cfg.Now() - startedAt - watchWait)
 		c.mu.Unlock()
 	}
-	return records, revision, err
+	return read, err
 }
 
-// applyRecords applies records from the store to the mirror, and publishes a
+// applyReading applies what the store returned to the mirror, and publishes a
 // view if it changed.
-func (c *Controller) applyRecords(currentAt time.Duration, records []directory.Record, apply func(*mirror.Mirror, time.Duration) bool) {
+func (c *Controller) applyReading(currentAt time.Duration, read directory.Reading, apply func(*mirror.Mirror, time.Duration) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Now()
 	c.mirror.RecordStoreAnswer(now)
 	c.confirmCurrent(currentAt)
+	c.recordEra(read)
 	viewChangePending := c.nextViewChange > 0
-	c.replaceConfig(records)
+	c.replaceConfig(read.Records)
+	ignored := c.mirror.IgnoredRecords()
 	changed := apply(c.mirror, now)
+	c.ignoredRecords.Inc(c.mirror.IgnoredRecords() - ignored)
 	if changed || viewChangePending || !c.viewPublished {
 		c.viewPublished = true
 		c.publish(now, sourceStore)
@@ -255,6 +279,28 @@
 	}
 }
 
+// recordEra records and logs a change of the era that the store names.
+func (c *Controller) recordEra(read directory.Reading) {
+	if read.EraError != "" {
+		if c.unreadableEras.Count() == 0 {
+			c.cfg.Log.Warn("store's era can't be read", "error", read.EraError)
+		}
+		c.unreadableEras.Inc(1)
+		return
+	}
+	if read.At.Era != c.storeEra {
+		c.cfg.Log.Warn("store's era changed", "before", c.storeEra, "now", read.At.Era, "revision", read.At.Revision, "held", c.mirror.Revision())
+		c.storeEra = read.At.Era
+	}
+}
+
+// lastEra returns the era that the store last named.
+func (c *Controller) lastEra() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.storeEra
+}
+
 // replaceConfig stores the configuration among the records, if any, in the
 // document from which peers are updated, and replaces it in the records by the
 // document's own.
@@ -267,8 +313,11 @@
 		if err != nil {
 			c.cfg.Log.Error("failed to encode configuration for peers", "revision", r.Revision, "error", err)
 		}
-		if cfg != nil {
+		switch inForce := c.viewWriter.Get(); {
+		case cfg != nil:
 			records[i].Config = cfg
+		case inForce != nil && inForce.Config != nil && r.Config.Version > inForce.Config.Version:
+			c.cfg.Log.Warn("configuration not taken", "version", r.Config.Version, "revision", r.Revision, "held", c.doc.revision())
 		}
 	}
 }
@@ -325,7 +374,15 @@
 func (c *Controller) recordCallResult(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	failed := err != nil && failure.KindOf(err) != failure.KindHistoryGone
+	gone := err != nil && failure.KindOf(err) == failure.KindHistoryGone
+	if gone {
+		c.historyGone.Inc(1)
+		if !c.historyLost {
+			c.cfg.Log.Info("store lacks the changes since the held revision", "revision", c.mirror.Revision())
+		}
+	}
+	c.historyLost = gone
+	failed := err != nil && !gone
 	if failed {
 		c.mirror.RecordStoreFailure()
 		c.failedAt = c.cfg.Now()
--- a/internal/controller/recordsync/recordsync_test.go
+++ b/internal/controller/recordsync/recordsync_test.go
@@ -43,14 +43,14 @@
 	}
 }
 
-func (s *fakeStore) ReadAll(context.Context) ([]directory.Record, uint64, error) {
+func (s *fakeStore) ReadAll(context.Context) (directory.Reading, error) {
 	s.recordCall()
 	s.snapshots++
 	present := slices.DeleteFunc(slices.Clone(s.records), func(r directory.Record) bool { return r.Deleted })
-	return present, s.revision, nil
+	return directory.Reading{Records: present, At: directory.Position{Revision: s.revision}}, nil
 }
 
-func (s *fakeStore) Watch(_ context.Context, after uint64, _ time.Duration) ([]directory.Record, uint64, error) {
+func (s *fakeStore) Watch(_ context.Context, after uint64, _ time.Duration) (directory.Reading, error) {
 	s.recordCall()
 	s.watched = append(s.watched, after)
 	var changed []directory.Record
@@ -63,15 +63,15 @@
 			changed = append(changed, r)
 		}
 	}
-	return changed, s.revision, nil
+	return directory.Reading{Records: changed, At: directory.Position{Revision: s.revision}}, nil
 }
 
 // silentStore is a store that accepts calls but does not answer them.
 type silentStore struct{ *fakeStore }
 
-func (s *silentStore) Watch(ctx context.Context, _ uint64, _ time.Duration) ([]directory.Record, uint64, error) {
+func (s *silentStore) Watch(ctx context.Context, _ uint64, _ time.Duration) (directory.Reading, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return directory.Reading{}, ctx.Err()
 }
 
 // testHost is a controller with a clock that the test sets.
--- a/internal/decide/mirror/mirror.go
+++ b/internal/decide/mirror/mirror.go
@@ -76,6 +76,8 @@
 	// upToDateAt is the latest time at which nothing newer than the known
 	// records is known to have been published.
 	upToDateAt time.Duration
+	// ignored counts the records that were older than the one held.
+	ignored int64
 }
 
 type entry struct {
@@ -103,6 +105,10 @@
 // Revision returns the store's revision up to which all changes are known here.
 func (m *Mirror) Revision() uint64 { return m.revision }
 
+// IgnoredRecords returns how many records were not taken because a later one of
+// their key is held.
+func (m *Mirror) IgnoredRecords() int64 { return m.ignored }
+
 // RecordStoreFailure records that the store did not answer.
 func (m *Mirror) RecordStoreFailure() { m.storeDown = true }
 
@@ -173,6 +179,9 @@
 func (m *Mirror) put(now time.Duration, r directory.Record) bool {
 	old, known := m.records[r.Key]
 	if known && old.Revision >= r.Revision || (!known || old.Deleted) && m.knownRemoved(r) {
+		if !known || old.Revision > r.Revision {
+			m.ignored++
+		}
 		return false
 	}
 	if r.ReadError != "" && old.Config != nil {
