--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 # alone.
 RED_PACKAGES = internal/gateway
 RED_SPECS = a generation whose connection lives on while new ones are refused moves when its engine leaves
-RED_PROCESS_SPECS = hosts whose store is restored from a copy (apply a configuration .* (at a|at the|and after|while one)|tell a|send|give up|follow|read)
+RED_PROCESS_SPECS = restored from a copy give a host that starts
 
 .PHONY: build test fmt-check vet lint generate generate-check reference reference-check unit demo faults
 
--- a/internal/controller/recordsync/controller.go
+++ b/internal/controller/recordsync/controller.go
@@ -5,6 +5,7 @@
 package recordsync
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -48,8 +49,9 @@
 type Source interface {
 	// ReadAll returns all records and the position at which the read began.
 	ReadAll(ctx context.Context) (directory.Reading, error)
-	// Watch returns the changes after a revision and the position to continue
-	// from; KindHistoryGone if the store no longer has these changes.
+	// Watch returns the changes after a revision of the store's current era and
+	// the position to continue from; KindHistoryGone if the store does not have
+	// these changes.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (directory.Reading, error)
 }
 
@@ -102,13 +104,15 @@
 	doc        *document
 	peers      map[string]*peerState
 	// compressedRecords are the records sent last.
-	compressedRecords compressedDelta
+	compressedRecords compressedRecords
 	silence           storeoutage.Detector
-	// announcedConfig is the newest revision of the configuration that a peer
-	// is known to hold.
-	announcedConfig uint64
-	// storeEra is the era that the store last named.
-	storeEra uint64
+	// configAt is the position up to which all changes of the configuration are
+	// known here.
+	configAt        directory.Position
+	announcedConfig configAnnouncement
+	// needsAllRecords is set while this host can enter the store's era only with
+	// all records: changes of them do not apply to what it holds.
+	needsAllRecords bool
 	// historyLost is set while the store's last answer was that it no longer has
 	// the requested changes.
 	historyLost bool
@@ -127,8 +131,8 @@
 		ignoredRecords: metrics.GetOrRegisterCounter("published.records_ignored", cfg.Metrics),
 		unreadableEras: metrics.GetOrRegisterCounter("published.unreadable_eras", cfg.Metrics),
 	}
-	c.registerGauge("published.revision", func() int64 { return int64(c.Revision()) })
-	c.registerGauge("published.era", func() int64 { return int64(c.lastEra()) })
+	c.registerGauge("published.revision", func() int64 { return int64(c.Position().Revision) })
+	c.registerGauge("published.era", func() int64 { return int64(c.Position().Era) })
 	c.registerGauge("published.config_version", c.configVersion)
 	c.registerGauge("published.age_ms", c.ageMillis)
 	c.registerGauge("published.store_lost", c.storeLostValue)
@@ -172,7 +176,10 @@
 // Run reads the store while this host is to do so, until ctx is done.
 func (c *Controller) Run(ctx context.Context) {
 	retryDelay := minRetryDelay
-	historyGone := false
+	needsFullRead := false
+	// gonePause is the pause before the next full read. It grows while a watch
+	// finds the history gone right after each full read.
+	gonePause := time.Duration(0)
 	for ctx.Err() == nil {
 		if !c.updateRole() {
 			wake.Sleep(ctx, roleCheckInterval)
@@ -181,18 +188,23 @@
 		startedAt := c.cfg.Now()
 		// Records that came from peers are as good as those of the store: a host
 		// that takes over the role of a reader watches from where it is.
-		fullRead := historyGone || c.completeRevision() == 0
+		fullRead := needsFullRead || !c.canWatch()
 		err := c.readOnce(ctx, fullRead)
 		if ctx.Err() != nil {
 			return
 		}
 		c.recordCallResult(err)
-		historyGone = err != nil && (historyGone || failure.KindOf(err) == failure.KindHistoryGone)
 		switch {
 		case err == nil:
-			retryDelay = minRetryDelay
+			if !fullRead {
+				gonePause = 0
+			}
+			needsFullRead, retryDelay = false, minRetryDelay
 			wake.Sleep(ctx, minCallInterval-(c.cfg.Now()-startedAt))
 		case failure.KindOf(err) == failure.KindHistoryGone:
+			needsFullRead = true
+			wake.Sleep(ctx, gonePause)
+			gonePause = min(max(2*gonePause, minRetryDelay), maxRetryDelay)
 		default:
 			wake.Sleep(ctx, max(retryDelay/2+rand.N(retryDelay/2), min(failure.FromError(err).RetryAfter, maxRetryDelay)))
 			retryDelay = min(2*retryDelay, maxRetryDelay)
@@ -207,7 +219,7 @@
 	defer c.mu.Unlock()
 	if isReader != c.isReader {
 		c.isReader = isReader
-		c.cfg.Log.Info("role of reader changed", "reading", isReader, "revision", c.mirror.Revision())
+		c.cfg.Log.Info("role of reader changed", "reading", isReader, "position", c.mirror.Position())
 	}
 	return isReader
 }
@@ -220,21 +232,46 @@
 		if err != nil {
 			return err
 		}
-		c.applyReading(startedAt, read, func(m *mirror.Mirror, now time.Duration) bool {
-			return m.ApplySnapshot(now, read.Records, read.At.Revision)
-		})
+		if c.placeInEra(&read) < 0 {
+			return failure.New(failure.KindConfigUnreadable, "the store answered from era %d, which is over", read.At.Era)
+		}
+		c.applyReading(startedAt, read, (*mirror.Mirror).ApplySnapshot)
 		return nil
 	}
 	read, err := c.watch(ctx, startedAt)
 	if err != nil {
 		return err
 	}
-	c.applyReading(startedAt, read, func(m *mirror.Mirror, now time.Duration) bool {
-		return m.ApplyChanges(now, read.Records, read.At.Revision)
-	})
+	if c.placeInEra(&read) != 0 {
+		return failure.New(failure.KindHistoryGone, "the store answered from era %d, which does not continue the changes held", read.At.Era)
+	}
+	c.applyReading(startedAt, read, (*mirror.Mirror).ApplyChanges)
 	return nil
 }
 
+// placeInEra sets the era of records read from the store, and compares it with
+// the one known here: 1 if the store was restored meanwhile, -1 if the answer
+// is from before a restore. An answer whose era is missing or can't be read
+// counts as one of the era known.
+func (c *Controller) placeInEra(read *directory.Reading) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.mirror.Position().Era
+	if read.EraError != "" {
+		if c.unreadableEras.Count() == 0 {
+			c.cfg.Log.Warn("store's era can't be read", "error", read.EraError, "known", known)
+		}
+		c.unreadableEras.Inc(1)
+	}
+	if read.At.Era == 0 {
+		read.At.Era = known
+	}
+	for i := range read.Records {
+		read.Records[i].Era = read.At.Era
+	}
+	return cmp.Compare(read.At.Era, known)
+}
+
 // watch waits for changes in the store. It records an overdue answer before the
 // call times out.
 func (c *Controller) watch(ctx context.Context, startedAt time.Duration) (directory.Reading, error) {
@@ -247,7 +284,7 @@
 		c.recordOverdue(startedAt+watchWait, "")
 	})
 	defer overdueTimer.Stop()
-	read, err := c.cfg.Source.Watch(ctx, c.completeRevision(), watchWait)
+	read, err := c.cfg.Source.Watch(ctx, c.completePosition().Revision, watchWait)
 	if err == nil && len(read.Records) == 0 {
 		c.mu.Lock()
 		c.silence.RecordAnswer(c.cfg.Now() - startedAt - watchWait)
@@ -258,67 +295,68 @@
 
 // applyReading applies what the store returned to the mirror, and publishes a
 // view if it changed.
-func (c *Controller) applyReading(currentAt time.Duration, read directory.Reading, apply func(*mirror.Mirror, time.Duration) bool) {
+func (c *Controller) applyReading(
+	currentAt time.Duration, read directory.Reading,
+	apply func(*mirror.Mirror, time.Duration, []directory.Record, directory.Position) bool,
+) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.cfg.Now()
+	now, previous, ignored := c.cfg.Now(), c.mirror.Position(), c.mirror.IgnoredRecords()
 	c.mirror.RecordStoreAnswer(now)
 	c.confirmCurrent(currentAt)
-	c.recordEra(read)
 	viewChangePending := c.nextViewChange > 0
 	c.replaceConfig(read.Records)
-	ignored := c.mirror.IgnoredRecords()
-	changed := apply(c.mirror, now)
+	changed := apply(c.mirror, now, read.Records, read.At)
+	c.needsAllRecords = false
+	c.configAt = laterOf(c.configAt, read.At)
 	c.ignoredRecords.Inc(c.mirror.IgnoredRecords() - ignored)
+	c.logRestore(previous, sourceStore)
 	if changed || viewChangePending || !c.viewPublished {
 		c.viewPublished = true
 		c.publish(now, sourceStore)
 	}
-	if changed {
+	if changed || c.mirror.Position().Era != previous.Era {
 		c.signalNews()
 	}
 }
 
-// recordEra records and logs a change of the era that the store names.
-func (c *Controller) recordEra(read directory.Reading) {
-	if read.EraError != "" {
-		if c.unreadableEras.Count() == 0 {
-			c.cfg.Log.Warn("store's era can't be read", "error", read.EraError)
-		}
-		c.unreadableEras.Inc(1)
-		return
-	}
-	if read.At.Era != c.storeEra {
-		c.cfg.Log.Warn("store's era changed", "before", c.storeEra, "now", read.At.Era, "revision", read.At.Revision, "held", c.mirror.Revision())
-		c.storeEra = read.At.Era
+func laterOf(p, q directory.Position) directory.Position {
+	if q.After(p) {
+		return q
 	}
+	return p
 }
 
-// lastEra returns the era that the store last named.
-func (c *Controller) lastEra() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.storeEra
+// logRestore logs that this host entered another era of the store, if it did
+// since it was at the position previous.
+func (c *Controller) logRestore(previous directory.Position, source string) {
+	position := c.mirror.Position()
+	if position.Era == previous.Era || previous == (directory.Position{}) {
+		return
+	}
+	restore := c.mirror.Restore()
+	lost, copied := c.mirror.Doubts()
+	c.cfg.Log.Warn("store was restored", "before", previous, "position", position, "source", source, "seen", c.cfg.Now()-restore.SeenAt,
+		"copy_revision", restore.CopyRevision, "lost", lost, "removed_before", copied, "config", c.doc.version())
 }
 
 // replaceConfig stores the configuration among the records, if any, in the
 // document from which peers are updated, and replaces it in the records by the
-// document's own.
+// document's own. One that is not newer than that in force is dropped.
 func (c *Controller) replaceConfig(records []directory.Record) {
 	for i, r := range records {
 		if r.Config == nil {
 			continue
 		}
-		cfg, err := c.doc.replaceConfig(r.Config, r.Revision)
+		cfg, err := c.doc.replaceConfig(r.Config)
 		if err != nil {
-			c.cfg.Log.Error("failed to encode configuration for peers", "revision", r.Revision, "error", err)
+			c.cfg.Log.Error("failed to encode configuration for peers", "position", r.Position(), "error", err)
+			continue
 		}
-		switch inForce := c.viewWriter.Get(); {
-		case cfg != nil:
-			records[i].Config = cfg
-		case inForce != nil && inForce.Config != nil && r.Config.Version > inForce.Config.Version:
-			c.cfg.Log.Warn("configuration not taken", "version", r.Config.Version, "revision", r.Revision, "held", c.doc.revision())
+		if held := c.doc.version(); r.Config.Version < held {
+			c.cfg.Log.Warn("configuration not taken", "version", r.Config.Version, "position", r.Position(), "held", held)
 		}
+		records[i].Config = cfg
 	}
 }
 
@@ -342,12 +380,15 @@
 	view := c.mirror.View(now)
 	previous := c.viewWriter.Get()
 	if view.Config != nil && (previous == nil || previous.Config == nil || previous.Config.Version != view.Config.Version) {
-		c.cfg.Log.Info("configuration in force", "version", view.Config.Version, "revision", view.Revision, "routes", len(view.Config.Routes))
+		c.cfg.Log.Info("configuration in force", "version", view.Config.Version, "era", view.Era, "revision", view.Revision, "routes", len(view.Config.Routes))
 	}
 	c.viewWriter.Publish(view)
 	c.schedulePublish(now, c.mirror.NextViewChange(now))
 	if departed := c.mirror.TakeDeparted(); len(departed) > 0 {
-		c.cfg.Log.Info("targets leave", "targets", departed, "revision", view.Revision, "source", source, "age", c.ageAt(now))
+		c.cfg.Log.Info("targets leave", "targets", departed, "era", view.Era, "revision", view.Revision, "source", source, "age", c.ageAt(now))
+	}
+	if settled := c.mirror.TakeSettled(); len(settled.Gone)+len(settled.Adopted) > 0 {
+		c.cfg.Log.Info("records settled after a restore", "gone", settled.Gone, "adopted", settled.Adopted, "era", view.Era, "revision", view.Revision)
 	}
 }
 
@@ -378,7 +419,7 @@
 	if gone {
 		c.historyGone.Inc(1)
 		if !c.historyLost {
-			c.cfg.Log.Info("store lacks the changes since the held revision", "revision", c.mirror.Revision())
+			c.cfg.Log.Info("store does not have the changes since the held position", "position", c.mirror.Position(), "error", err)
 		}
 	}
 	c.historyLost = gone
@@ -393,35 +434,37 @@
 	c.storeFailed = failed
 	c.signalNews()
 	if failed {
-		c.cfg.Log.Warn("store lost", "error", err, "revision", c.mirror.Revision())
+		c.cfg.Log.Warn("store lost", "error", err, "position", c.mirror.Position())
 		return
 	}
-	c.cfg.Log.Info("store back", "revision", c.mirror.Revision())
+	c.cfg.Log.Info("store back", "position", c.mirror.Position())
 }
 
-// completeRevision returns the revision up to which this host holds all
-// changes, from which it watches the store. A configuration that peers
-// announced and that has not arrived is not among them: a watch from a later
-// revision would never return it, and if the peers that hold it failed, this
-// host would not get it at all.
-func (c *Controller) completeRevision() uint64 {
+// completePosition returns the position up to which this host holds all
+// changes, from which it watches the store. A configuration that peers announced
+// and that has not arrived is not among them: a watch from a later position would
+// never return it, and if the peers that hold it failed, this host would not get
+// it at all.
+func (c *Controller) completePosition() directory.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.completeRevisionLocked()
+	if position := c.mirror.Position(); c.configAt.After(position) {
+		return position
+	}
+	return c.configAt
 }
 
-// completeRevisionLocked is completeRevision for callers that hold the lock.
-func (c *Controller) completeRevisionLocked() uint64 {
-	if c.announcedConfig > c.doc.revision() {
-		return min(c.mirror.Revision(), c.announcedConfig-1)
-	}
-	return c.mirror.Revision()
+// canWatch reports whether a watch can continue from what this host holds. Without
+// the changes of the configuration in the current era it can't.
+func (c *Controller) canWatch() bool {
+	complete := c.completePosition()
+	return complete != directory.Position{} && complete.Era == c.Position().Era
 }
 
-// Revision returns the store's revision up to which this host holds all changes
+// Position returns the store's position up to which this host holds all changes
 // except those of the configuration.
-func (c *Controller) Revision() uint64 {
+func (c *Controller) Position() directory.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.mirror.Revision()
+	return c.mirror.Position()
 }
--- a/internal/controller/recordsync/document.go
+++ b/internal/controller/recordsync/document.go
@@ -49,7 +49,8 @@
 	NeedsAccounts bool `json:"needs_accounts"`
 }
 
-// compressedDelta is the compressed change from one revision to another.
+// compressedDelta is the compressed change from one version of the configuration
+// to another.
 type compressedDelta struct {
 	from, to uint64
 	bytes    []byte
@@ -63,25 +64,26 @@
 	return &document{rows: rollout.NewDocument(), contents: map[string]rowContent{}}
 }
 
-// revision returns the store's revision of the configuration in force, 0 if
-// there is none.
-func (d *document) revision() uint64 { return d.rows.Head().Version.Revision }
+// version returns the version of the configuration in force, 0 if there is none.
+// Operators number the versions, so they stay in order when the store is restored
+// from a copy.
+func (d *document) version() uint64 { return d.rows.Head().Version.Revision }
 
 // replaceConfig replaces the document by a configuration read from the store,
 // and returns the configuration as rebuilt from the rows; nil if it is not
 // newer than the one in force.
-func (d *document) replaceConfig(c *directory.Config, revision uint64) (*directory.Config, error) {
+func (d *document) replaceConfig(c *directory.Config) (*directory.Config, error) {
 	rows, err := rowsOf(c)
 	if err != nil {
 		return nil, err
 	}
-	head := rollout.Head{Version: rollout.Version{Revision: revision}, Digest: rollout.ComputeDigest(rows)}
+	head := rollout.Head{Version: rollout.Version{Revision: c.Version}, Digest: rollout.ComputeDigest(rows)}
 	inForce, _, err := d.applyDelta(rollout.Delta{Head: head, Full: true, Rows: rows})
 	return inForce, err
 }
 
 // applyDelta applies a delta and returns the configuration if it changed. gap
-// reports that the delta does not apply to the revision in force and the whole
+// reports that the delta does not apply to the version in force and the whole
 // configuration has to be fetched.
 func (d *document) applyDelta(delta rollout.Delta) (c *directory.Config, gap bool, err error) {
 	verdict, changed := d.rows.Evaluate(delta)
@@ -102,13 +104,13 @@
 	return d.config(), false, nil
 }
 
-// deltaFrom returns the changes from a revision to the one in force; nil if
+// deltaFrom returns the changes from a version to the one in force; nil if
 // there are none or if they are larger than maxBytes.
-func (d *document) deltaFrom(revision uint64, maxBytes int) *rollout.Delta {
-	if revision >= d.revision() || revision == 0 {
+func (d *document) deltaFrom(version uint64, maxBytes int) *rollout.Delta {
+	if version >= d.version() || version == 0 {
 		return nil
 	}
-	delta := d.rows.DeltaSince(rollout.Version{Revision: revision})
+	delta := d.rows.DeltaSince(rollout.Version{Revision: version})
 	size := 0
 	for _, r := range delta.Rows {
 		size += len(r.Key) + len(r.Text)
@@ -119,15 +121,15 @@
 	return &delta
 }
 
-// compressedSince returns the compressed changes from a revision to the one in
+// compressedSince returns the compressed changes from a version to the one in
 // force.
-func (d *document) compressedSince(revision uint64) ([]byte, error) {
+func (d *document) compressedSince(version uint64) ([]byte, error) {
 	for _, cached := range d.compressed {
-		if cached.from == revision && cached.to == d.revision() {
+		if cached.from == version && cached.to == d.version() {
 			return cached.bytes, nil
 		}
 	}
-	plain, err := proto.Marshal(rolloutwire.ToDelta("", d.rows.DeltaSince(rollout.Version{Revision: revision})))
+	plain, err := proto.Marshal(rolloutwire.ToDelta("", d.rows.DeltaSince(rollout.Version{Revision: version})))
 	if err != nil {
 		return nil, failure.Wrap(err, failure.KindInternal, "encode configuration")
 	}
@@ -135,12 +137,12 @@
 	if err != nil {
 		return nil, err
 	}
-	d.cacheCompressed(compressedDelta{from: revision, to: d.revision(), bytes: compressed})
+	d.cacheCompressed(compressedDelta{from: version, to: d.version(), bytes: compressed})
 	return compressed, nil
 }
 
 // cacheCompressed keeps a compressed delta, and drops those that lead to other
-// revisions.
+// versions.
 func (d *document) cacheCompressed(delta compressedDelta) {
 	d.compressed = slices.DeleteFunc(d.compressed, func(old compressedDelta) bool { return old.to != delta.to })
 	d.compressed = append(d.compressed, delta)
@@ -158,10 +160,10 @@
 	if err := proto.Unmarshal(plain, &wire); err != nil {
 		return nil, false, failure.Wrap(err, failure.KindConfigUnreadable, "decode configuration from a peer")
 	}
-	from := d.revision()
+	from := d.version()
 	c, gap, err = d.applyDelta(rolloutwire.FromDelta(&wire))
 	if c != nil {
-		d.cacheCompressed(compressedDelta{from: from, to: d.revision(), bytes: compressed})
+		d.cacheCompressed(compressedDelta{from: from, to: d.version(), bytes: compressed})
 	}
 	return c, gap, err
 }
--- a/internal/controller/recordsync/news.go
+++ b/internal/controller/recordsync/news.go
@@ -1,12 +1,15 @@
 package recordsync
 
 import (
+	"cmp"
 	"encoding/json"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/decide/fetch"
+	"filbertdeck/internal/decide/mirror"
 	"filbertdeck/internal/decide/rollout"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
@@ -35,10 +38,19 @@
 
 // News is what one process tells another about published records.
 type News struct {
-	// Records holds the records that changed after the revision BaseRevision, up to
-	// Revision; from 0 these are all records. The configuration is not
-	// included.
-	BaseRevision, Revision uint64
+	// Records holds the records that changed after the position Base, up to At;
+	// from zero these are all records. The configuration is not included.
+	Base, At directory.Position
+	// Amendments holds records up to At that the store's copy lacks or has in an
+	// older state.
+	Amendments []json.RawMessage
+	// Restore is what the sender knows of the store's last restore, with the
+	// time since SeenAt in RestoreAge.
+	Restore    mirror.Restore
+	RestoreAge time.Duration
+	// ConfigAt is the position up to which the sender knows all changes of the
+	// configuration.
+	ConfigAt directory.Position
 	// RecordsWithheld reports that there are too many records and they have to be
 	// fetched.
 	RecordsWithheld bool
@@ -60,25 +72,25 @@
 	Delta  *rollout.Delta
 }
 
-// peerState is what another process is known to hold, as revisions of the
-// store.
+// peerState is what another process is known to hold.
 type peerState struct {
-	stated   revisions
+	stated   Holding
 	statedAt time.Duration
 	// sent was sent at sentAt, on the monotonic clock.
-	sent   revisions
+	sent   Holding
 	sentAt time.Duration
 }
 
-type revisions struct{ records, config uint64 }
+// Holding says which published data a process holds.
+type Holding = fetch.Holding
 
-// knownRevisions returns what a peer holds according to its own statement and
-// to what was recently sent to it.
-func (p *peerState) knownRevisions(now time.Duration) revisions {
+// held returns what a peer holds according to its own statement and to what was
+// recently sent to it.
+func (p *peerState) held(now time.Duration) Holding {
 	if now-p.sentAt >= sentTTL {
 		return p.stated
 	}
-	return revisions{max(p.stated.records, p.sent.records), max(p.stated.config, p.sent.config)}
+	return p.stated.Merge(p.sent)
 }
 
 // NewsFor returns the news that a peer lacks, as far as it has stated what it
@@ -88,12 +100,18 @@
 	defer c.mu.Unlock()
 	now := c.cfg.Now()
 	news := News{
-		BaseRevision: c.mirror.Revision(), Revision: c.mirror.Revision(), Age: c.ageAt(now),
+		Base: c.mirror.Position(), At: c.mirror.Position(), ConfigAt: c.configAt, Age: c.ageAt(now),
 		IsReader: c.isReader && !c.storeFailed && c.everCurrent, StoreRejectedRecently: c.storeRejectsAt(now), Config: c.doc.rows.Head(),
 	}
+	if c.needsAllRecords {
+		news.Base, news.At, news.Age = directory.Position{}, directory.Position{}, -1
+	}
 	if due, known := c.silence.LastOverdue(); known && c.silence.IsSuspect(c.currentAt) {
 		news.AnswerOverdue = max(now-due, time.Millisecond)
 	}
+	if restore := c.mirror.Restore(); restore.Era > 0 {
+		news.Restore, news.RestoreAge = restore, now-restore.SeenAt
+	}
 	peer := c.peers[address]
 	if peer == nil || now-peer.statedAt >= statedTTL {
 		// Nothing recent is known about the peer: it is sent the revisions
@@ -101,20 +119,24 @@
 		// it lacks.
 		return news
 	}
-	held := peer.knownRevisions(now)
-	if records := c.mirror.Delta(held.records); len(records) > maxInlineRecords {
+	held := peer.held(now)
+	if records := c.mirror.Delta(held.Records); c.needsAllRecords {
+	} else if len(records) > maxInlineRecords {
 		news.RecordsWithheld = true
 	} else {
-		news.BaseRevision, news.Records = c.mirror.DeltaBase(held.records), c.encodeRecords(records)
+		news.Base, news.Records = c.mirror.DeltaBase(held.Records), c.encodeRecords(records)
+	}
+	if amendments := c.mirror.Amendments(now); len(amendments) > 0 {
+		news.Amendments = c.encodeRecords(amendments[:min(len(amendments), maxInlineRecords)])
 	}
-	news.Delta = c.doc.deltaFrom(held.config, maxInlineDeltaBytes)
+	news.Delta = c.doc.deltaFrom(held.Config, maxInlineDeltaBytes)
 	if len(news.Records) > 0 || news.Delta != nil {
 		peer.sent, peer.sentAt = held, now
 		if !news.RecordsWithheld {
-			peer.sent.records = news.Revision
+			peer.sent.Records = news.At
 		}
 		if news.Delta != nil {
-			peer.sent.config = news.Config.Version.Revision
+			peer.sent.Config = news.Config.Version.Revision
 		}
 	}
 	return news
@@ -140,48 +162,97 @@
 // it answered, held less than this host.
 func (c *Controller) ApplyNews(address string, news News, requestSentAt time.Duration) (behind bool) {
 	records, err := decodeRecords(news.Records)
-	if err != nil {
+	amendments, amendmentsErr := decodeRecords(news.Amendments)
+	if err = cmp.Or(err, amendmentsErr); err != nil {
 		c.cfg.Log.Warn("failed to decode news from a peer", "peer", address, "error", err)
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Now()
-	c.peers[address] = &peerState{stated: revisions{news.Revision, news.Config.Version.Revision}, statedAt: now}
-	c.announcedConfig = max(c.announcedConfig, news.Config.Version.Revision)
+	c.peers[address] = &peerState{stated: Holding{Records: news.At, Config: news.Config.Version.Revision}, statedAt: now}
 	if news.AnswerOverdue > 0 {
 		c.recordOverdue(now-news.AnswerOverdue, address)
 	}
-	previous := c.mirror.Revision()
-	changed := c.applyRecordChanges(now, news.BaseRevision, news.Revision, records)
+	previous := c.mirror.Position()
+	c.recordRestore(now, news.Restore, news.RestoreAge)
+	changed := c.applyRecordChanges(now, news.Base, news.At, records)
+	if c.mirror.Position().Era == news.At.Era {
+		changed = c.mirror.MergeFromPeer(now, amendments, directory.Position{}) || changed
+	}
 	if news.Delta != nil {
 		changed = c.applyConfigDelta(now, address, *news.Delta) || changed
 	}
+	c.recordConfigAnnouncement(news.Config.Version.Revision, news.ConfigAt)
+	c.logRestore(previous, address)
 	if changed {
 		c.viewPublished = true
 		c.publish(now, address)
-		c.cfg.Log.Info("news taken from a peer", "peer", address, "records", len(records), "revision", c.mirror.Revision(), "before", previous)
+		c.cfg.Log.Info("news taken from a peer", "peer", address, "records", len(records), "amendments", len(amendments), "position", c.mirror.Position(), "before", previous)
 	}
-	if requestSentAt >= 0 && news.Age >= 0 && c.mirror.Revision() >= news.Revision && c.doc.revision() >= news.Config.Version.Revision {
+	if requestSentAt >= 0 && news.Age >= 0 && !news.At.After(c.mirror.Position()) && c.doc.version() >= news.Config.Version.Revision {
 		c.confirmCurrent(requestSentAt - news.Age)
 	}
-	return requestSentAt >= 0 && news.Revision < previous
+	return requestSentAt >= 0 && previous.After(news.At)
+}
+
+// configAnnouncement is a version of the configuration that a peer holds, and the
+// position up to which the peer knows all changes of the configuration.
+type configAnnouncement struct {
+	version uint64
+	at      directory.Position
+}
+
+// recordConfigAnnouncement records which version of the configuration a peer
+// holds.
+func (c *Controller) recordConfigAnnouncement(version uint64, at directory.Position) {
+	if version >= c.announcedConfig.version {
+		c.announcedConfig = configAnnouncement{version, at}
+	}
+	c.confirmConfig()
 }
 
-// applyRecordChanges applies the records that changed between two revisions.
-func (c *Controller) applyRecordChanges(now time.Duration, from, to uint64, records []directory.Record) bool {
+// confirmConfig advances configAt if the announced configuration is held.
+func (c *Controller) confirmConfig() {
+	if c.doc.version() >= c.announcedConfig.version {
+		c.configAt = laterOf(c.configAt, c.announcedConfig.at)
+	}
+}
+
+// recordRestore records what a peer knows of a restore of the store, which a
+// host first saw as long ago as age.
+func (c *Controller) recordRestore(now time.Duration, restore mirror.Restore, age time.Duration) {
+	restore.SeenAt = now - age
+	c.mirror.RecordRestore(restore)
+}
+
+// applyRecordChanges applies the records that changed between two positions.
+func (c *Controller) applyRecordChanges(now time.Duration, from, to directory.Position, records []directory.Record) bool {
+	nowhere, held := directory.Position{}, c.mirror.Position()
 	switch {
-	case from == 0 && to > 0:
-		return c.mirror.ApplySnapshot(now, records, to)
-	case from <= c.mirror.Revision():
+	case held != nowhere && to.Era > held.Era && to.Era < c.mirror.Restore().Era:
+		// That era is over. The records of the current one are to come.
+		return false
+	case from == nowhere && to != nowhere:
+		c.needsAllRecords = false
+		return c.mirror.MergeSnapshot(now, records, to)
+	case to.Era > held.Era && held != nowhere:
+		// Changes that lead to another era were selected for exactly one
+		// position: what else this host knows may be lost in the copy.
+		if from != held || !c.mirror.CanEnter(records, to) {
+			c.needsAllRecords = from == held
+			return false
+		}
+		return c.mirror.MergeFromPeer(now, records, to)
+	case !from.After(held) && from.Era == held.Era:
 		return c.mirror.MergeFromPeer(now, records, to)
 	}
-	// The changes between the revision held here and from are missing.
-	return c.mirror.MergeFromPeer(now, records, 0)
+	// The changes between the position held here and from are missing.
+	return c.mirror.MergeFromPeer(now, records, nowhere)
 }
 
 // applyConfigDelta applies a small change of the configuration. A delta that
-// does not apply to the revision held here is ignored: the whole configuration
+// does not apply to the version held here is ignored: the whole configuration
 // is fetched because of the head that came with it.
 func (c *Controller) applyConfigDelta(now time.Duration, address string, delta rollout.Delta) bool {
 	cfg, gap, err := c.doc.applyDelta(delta)
@@ -189,7 +260,7 @@
 		c.cfg.Log.Warn("failed to decode configuration from a peer", "peer", address, "error", err)
 	}
 	if gap {
-		c.cfg.Log.Debug("configuration delta from a peer does not apply to the revision held", "peer", address, "from", delta.From.String(), "held", c.doc.revision())
+		c.cfg.Log.Debug("configuration delta from a peer does not apply to the version held", "peer", address, "from", delta.From.Revision, "held", c.doc.version())
 	}
 	return c.updateMirrorConfig(now, cfg)
 }
@@ -200,17 +271,19 @@
 	if cfg == nil {
 		return false
 	}
-	record := directory.Record{Key: directory.ConfigKey, Revision: c.doc.revision(), Config: cfg}
-	return c.mirror.ApplyChanges(now, []directory.Record{record}, 0)
+	record := directory.Record{Key: directory.ConfigKey, Config: cfg}
+	return c.mirror.ApplyChanges(now, []directory.Record{record}, directory.Position{})
 }
 
-// HeldRevisions returns the store's revision of the configuration in force, 0 if there
-// is none, the revision up to which all other records are known, and the one up
-// to which both are.
-func (c *Controller) HeldRevisions() (config, records, both uint64) {
+// Held returns what this host holds.
+func (c *Controller) Held() Holding {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.doc.revision(), c.mirror.Revision(), c.completeRevisionLocked()
+	held := Holding{Config: c.doc.version(), Records: c.mirror.Position()}
+	if c.needsAllRecords {
+		held.Records = directory.Position{}
+	}
+	return held
 }
 
 // DeltaBundle is what another process lacks, compressed once for all processes that
@@ -220,30 +293,38 @@
 // Size returns the size in bytes.
 func (b DeltaBundle) Size() int { return len(b.Config) + len(b.Records) }
 
-// BuildBundle returns the changes from the given revisions of the configuration and
-// the records to those held here.
-func (c *Controller) BuildBundle(config, records uint64) (b DeltaBundle, err error) {
+// BuildBundle returns the changes from what another process holds to what is held
+// here.
+func (c *Controller) BuildBundle(held Holding) (b DeltaBundle, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.doc.revision() > config {
-		if b.Config, err = c.doc.compressedSince(config); err != nil {
+	if c.doc.version() > held.Config {
+		if b.Config, err = c.doc.compressedSince(held.Config); err != nil {
 			return DeltaBundle{}, err
 		}
 	}
-	if c.mirror.Revision() > records {
-		b.Records, err = c.compressRecords(records)
+	if c.mirror.Position().After(held.Records) {
+		b.Records, err = c.compressRecords(held.Records)
 	}
 	return b, err
 }
 
-// compressRecords compresses the changes from a revision to the records held
+// compressedRecords are the compressed records that changed between two
+// positions, at the given number of changes in the mirror.
+type compressedRecords struct {
+	from, to directory.Position
+	changes  uint64
+	bytes    []byte
+}
+
+// compressRecords compresses the changes from a position to the records held
 // here.
-func (c *Controller) compressRecords(after uint64) ([]byte, error) {
-	from, to := c.mirror.DeltaBase(after), c.mirror.Revision()
-	if c.compressedRecords.from == from && c.compressedRecords.to == to {
-		return c.compressedRecords.bytes, nil
+func (c *Controller) compressRecords(after directory.Position) ([]byte, error) {
+	from, to, changes := c.mirror.DeltaBase(after), c.mirror.Position(), c.mirror.Changes()
+	if cached := c.compressedRecords; cached.from == from && cached.to == to && cached.changes == changes {
+		return cached.bytes, nil
 	}
-	news := &filbertv1.PublishedNews{From: from, Revision: to}
+	news := &filbertv1.PublishedNews{FromEra: from.Era, From: from.Revision, Era: to.Era, Revision: to.Revision}
 	for _, r := range c.encodeRecords(c.mirror.Delta(after)) {
 		news.Records = append(news.Records, r)
 	}
@@ -255,17 +336,17 @@
 	if err != nil {
 		return nil, err
 	}
-	c.compressedRecords = compressedDelta{from: from, to: to, bytes: compressed}
+	c.compressedRecords = compressedRecords{from, to, changes, compressed}
 	return compressed, nil
 }
 
 // ApplyBundle applies what a peer sent in answer to a fetch. gap reports that the
-// configuration does not apply to the revision held here and has to be fetched
+// configuration does not apply to the version held here and has to be fetched
 // whole.
 func (c *Controller) ApplyBundle(address string, b DeltaBundle) (gap bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now, previous := c.cfg.Now(), c.mirror.Revision()
+	now, previous := c.cfg.Now(), c.mirror.Position()
 	changed := false
 	if len(b.Config) > 0 {
 		var cfg *directory.Config
@@ -273,6 +354,7 @@
 			return false, err
 		}
 		changed = c.updateMirrorConfig(now, cfg)
+		c.confirmConfig()
 	}
 	if len(b.Records) > 0 {
 		recordsChanged, err := c.applyCompressedRecords(now, b.Records)
@@ -281,11 +363,12 @@
 		}
 		changed = recordsChanged || changed
 	}
+	c.logRestore(previous, address)
 	if changed {
 		c.viewPublished = true
 		c.publish(now, address)
 		c.cfg.Log.Info("fetched from a peer", "peer", address, "bytes", b.Size(),
-			"config", c.doc.revision(), "revision", c.mirror.Revision(), "before", previous)
+			"config", c.doc.version(), "position", c.mirror.Position(), "before", previous)
 	}
 	return gap, nil
 }
@@ -307,7 +390,9 @@
 	if err != nil {
 		return false, err
 	}
-	return c.applyRecordChanges(now, news.GetFrom(), news.GetRevision(), records), nil
+	from := directory.Position{Era: news.GetFromEra(), Revision: news.GetFrom()}
+	to := directory.Position{Era: news.GetEra(), Revision: news.GetRevision()}
+	return c.applyRecordChanges(now, from, to, records), nil
 }
 
 func decodeRecords(bodies []json.RawMessage) ([]directory.Record, error) {
--- a/internal/controller/recordsync/recordsync_test.go
+++ b/internal/controller/recordsync/recordsync_test.go
@@ -31,8 +31,12 @@
 	// newestOnly makes a watch return only the newest record of each key.
 	newestOnly bool
 	revision   uint64
-	watched    []uint64
-	snapshots  int
+	// era counts the restores; eraError is the fault that is reported instead if
+	// it is set.
+	era       uint64
+	eraError  string
+	watched   []uint64
+	snapshots int
 	// onCall is called before each call when it is set.
 	onCall func()
 }
@@ -47,12 +51,34 @@
 	s.recordCall()
 	s.snapshots++
 	present := slices.DeleteFunc(slices.Clone(s.records), func(r directory.Record) bool { return r.Deleted })
-	return directory.Reading{Records: present, At: directory.Position{Revision: s.revision}}, nil
+	return directory.Reading{Records: present, At: s.position(), EraError: s.eraError}, nil
+}
+
+// position returns the newest position; its era is 0 if it can't be read.
+func (s *fakeStore) position() directory.Position {
+	if s.eraError != "" {
+		return directory.Position{Revision: s.revision}
+	}
+	return directory.Position{Era: s.era, Revision: s.revision}
+}
+
+// copied returns a copy of the store's content.
+func (s *fakeStore) copied() fakeStore {
+	return fakeStore{records: slices.Clone(s.records), changes: slices.Clone(s.changes), revision: s.revision}
+}
+
+// restore replaces the content by that of a copy.
+func (s *fakeStore) restore(content fakeStore) {
+	s.era++
+	s.records, s.changes, s.revision = slices.Clone(content.records), slices.Clone(content.changes), content.revision
 }
 
 func (s *fakeStore) Watch(_ context.Context, after uint64, _ time.Duration) (directory.Reading, error) {
 	s.recordCall()
 	s.watched = append(s.watched, after)
+	if after > s.revision {
+		return directory.Reading{}, failure.New(failure.KindHistoryGone, "revision %d is not known", after)
+	}
 	var changed []directory.Record
 	candidates := s.changes
 	if s.newestOnly {
@@ -63,7 +89,7 @@
 			changed = append(changed, r)
 		}
 	}
-	return directory.Reading{Records: changed, At: directory.Position{Revision: s.revision}}, nil
+	return directory.Reading{Records: slices.Clone(changed), At: s.position(), EraError: s.eraError}, nil
 }
 
 // silentStore is a store that accepts calls but does not answer them.
@@ -95,7 +121,7 @@
 
 // readStore makes one call to the store.
 func (h *testHost) readStore() {
-	Expect(h.readOnce(context.Background(), h.Revision() == 0)).To(Succeed())
+	Expect(h.readOnce(context.Background(), h.Position() == (directory.Position{}))).To(Succeed())
 }
 
 func (h *testHost) routeCount() int {
@@ -212,11 +238,11 @@
 		Expect(news.RecordsWithheld).To(BeTrue())
 		Expect(newsBytes(news)).To(BeZero())
 		other.ApplyNews("reader", news, 0)
-		Expect(other.Revision()).To(BeZero())
+		Expect(other.Position()).To(BeZero())
 		_, known := other.Age()
 		Expect(known).To(BeFalse())
 		fetchFrom(reader, other)
-		Expect(other.Revision()).To(Equal(reader.Revision()))
+		Expect(other.Position()).To(Equal(reader.Position()))
 		Expect(other.board.View.Get().ServiceTargets("llm")).To(HaveLen(3000))
 	})
 
@@ -265,7 +291,7 @@
 		reader, successor := newTestHost(source), newTestHost(source)
 		reader.readStore()
 		exchangeNews(reader, successor)
-		Expect(successor.Revision()).To(Equal(uint64(4)))
+		Expect(successor.Position()).To(Equal(directory.Position{Revision: 4}))
 		source.snapshots = 0
 		ctx, cancel := context.WithCancel(context.Background())
 		source.onCall = cancel
@@ -292,8 +318,7 @@
 
 // fetchFrom makes one host fetch what it lacks from another.
 func fetchFrom(from, to *testHost) {
-	config, records, _ := to.HeldRevisions()
-	bulk, err := from.BuildBundle(config, records)
+	bulk, err := from.BuildBundle(to.Held())
 	Expect(err).NotTo(HaveOccurred())
 	gap, err := to.ApplyBundle("peer", bulk)
 	Expect(err).NotTo(HaveOccurred())
@@ -332,7 +357,7 @@
 		newHost := newTestHost(store)
 		newHost.readStore()
 		exchangeNews(newHost, oldHost)
-		Expect(oldHost.Revision()).To(Equal(newHost.Revision()))
+		Expect(oldHost.Position()).To(Equal(newHost.Position()))
 		Expect(readyTargets(oldHost)).To(HaveLen(targets - 1))
 		Expect(readyTargets(oldHost)).NotTo(ContainElement("i-0"))
 	}, Entry("a few targets", 3), Entry("more than are sent with other news", 3*maxInlineRecords))
@@ -370,7 +395,7 @@
 					}
 				}
 				for _, h := range fleet {
-					if h.board.View.Get() == nil || h.Revision() < store.revision {
+					if h.board.View.Get() == nil || h.Position().Revision < store.revision {
 						continue
 					}
 					for _, r := range store.records {
@@ -402,7 +427,7 @@
 		c := newConfig(1, 2)
 		c.Routes[1] = c.Routes[0]
 		doc := newDocument()
-		inForce, err := doc.replaceConfig(c, 1)
+		inForce, err := doc.replaceConfig(c)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(inForce.Routes).To(HaveLen(2))
 	})
@@ -411,7 +436,7 @@
 		for _, accounts := range [][]directory.Account{nil, {}} {
 			c := newConfig(1, 1)
 			c.Accounts = accounts
-			inForce, err := newDocument().replaceConfig(c, 1)
+			inForce, err := newDocument().replaceConfig(c)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(inForce.Accounts == nil).To(Equal(accounts == nil))
 		}
@@ -423,12 +448,12 @@
 		reader.readStore()
 		reader.source.putConfig(4, 2, 881)
 		reader.readStore()
-		fullBulk, err := reader.BuildBundle(0, reader.Revision())
+		fullBulk, err := reader.BuildBundle(Holding{Records: reader.Position()})
 		Expect(err).NotTo(HaveOccurred())
-		deltaBulk, err := reader.BuildBundle(3, reader.Revision())
+		deltaBulk, err := reader.BuildBundle(Holding{Config: 1, Records: reader.Position()})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(deltaBulk.Size()).To(BeNumerically("<", fullBulk.Size()/10))
-		cachedBulk, err := reader.BuildBundle(3, reader.Revision())
+		cachedBulk, err := reader.BuildBundle(Holding{Config: 1, Records: reader.Position()})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(&cachedBulk.Config[0]).To(BeIdenticalTo(&deltaBulk.Config[0]))
 	})
--- a/internal/decide/fetch/fetch.go
+++ b/internal/decide/fetch/fetch.go
@@ -24,6 +24,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"filbertdeck/internal/directory"
 )
 
 // Config holds the settings.
@@ -79,19 +81,42 @@
 	rng     *rand.Rand
 	sources map[string]*source
 	timeout time.Duration
-	// heldRevision is the newest revision that the host was known to hold, and
-	// behindSince the time since which it has lacked a newer one. Counted from
-	// the latest announcement instead, the wait would never end while new
-	// revisions keep being announced.
-	heldRevision uint64
-	behindSince  time.Duration
-	inProgress   bool
+	// held is the newest data that the host was known to hold, and behindSince
+	// the time since which it has lacked something newer. Counted from the latest
+	// announcement instead, the wait would never end while new data keep being
+	// announced.
+	held        Holding
+	behindSince time.Duration
+	inProgress  bool
+}
+
+// Holding says which published data a host holds.
+type Holding struct {
+	// Config is the version of the configuration, 0 for none.
+	Config uint64
+	// Records is the position of the store up to which all other records are
+	// known.
+	Records directory.Position
+}
+
+// Covers reports whether nothing in other is newer than in h.
+func (h Holding) Covers(other Holding) bool {
+	return other.Config <= h.Config && !other.Records.After(h.Records)
+}
+
+// Merge returns the newer of each part of two holdings.
+func (h Holding) Merge(other Holding) Holding {
+	if other.Records.After(h.Records) {
+		h.Records = other.Records
+	}
+	h.Config = max(h.Config, other.Config)
+	return h
 }
 
 // source is a peer that announced a document.
 type source struct {
-	revision uint64
-	local    bool
+	announced Holding
+	local     bool
 	// lastAnnouncedAt is when the peer last announced a document.
 	lastAnnouncedAt time.Duration
 	// retryAt is the time from which the peer may be asked.
@@ -103,9 +128,9 @@
 	return &PeerSelector{cfg: cfg, rng: rng, sources: map[string]*source{}, timeout: cfg.InitialTimeout}
 }
 
-// RecordAnnouncement records that a peer holds a revision; local is set if the
-// peer belongs to this host's part of the fleet.
-func (p *PeerSelector) RecordAnnouncement(now time.Duration, peer string, local bool, revision uint64) {
+// RecordAnnouncement records what a peer holds; local is set if the peer belongs
+// to this host's part of the fleet.
+func (p *PeerSelector) RecordAnnouncement(now time.Duration, peer string, local bool, announced Holding) {
 	if len(p.sources) == 0 {
 		p.behindSince = now
 	}
@@ -114,19 +139,19 @@
 		s = &source{}
 		p.sources[peer] = s
 	}
-	s.revision, s.local, s.lastAnnouncedAt = max(s.revision, revision), local, now
+	s.announced, s.local, s.lastAnnouncedAt = s.announced.Merge(announced), local, now
 }
 
 // StartTransfer returns the peer to fetch from and the timeout of the transfer.
-// held is the revision that this host holds, and rank its rank in its part of
+// held is what this host holds, and rank its rank in its part of
 // the fleet, 0 for the first. ok is false if there is no peer to ask now. The
 // transfer counts as in progress until FinishTransfer.
-func (p *PeerSelector) StartTransfer(now time.Duration, held uint64, rank int) (peer string, timeout time.Duration, ok bool) {
+func (p *PeerSelector) StartTransfer(now time.Duration, held Holding, rank int) (peer string, timeout time.Duration, ok bool) {
 	p.dropOutdated(held)
-	if p.heldRevision > 0 && held > p.heldRevision {
+	if p.held != (Holding{}) && !p.held.Covers(held) {
 		p.behindSince = now
 	}
-	p.heldRevision = max(p.heldRevision, held)
+	p.held = p.held.Merge(held)
 	if p.inProgress || len(p.sources) == 0 {
 		return "", 0, false
 	}
@@ -168,14 +193,14 @@
 	return out
 }
 
-// IsBehind reports whether some peer holds a revision that this host lacked when
+// IsBehind reports whether some peer holds data that this host lacked when
 // it last chose a peer.
 func (p *PeerSelector) IsBehind() bool { return len(p.sources) > 0 }
 
 // dropOutdated removes the peers that hold nothing newer than held.
-func (p *PeerSelector) dropOutdated(held uint64) {
+func (p *PeerSelector) dropOutdated(held Holding) {
 	for name, s := range p.sources {
-		if s.revision <= held {
+		if held.Covers(s.announced) {
 			delete(p.sources, name)
 		}
 	}
--- a/internal/decide/fetch/fetch_test.go
+++ b/internal/decide/fetch/fetch_test.go
@@ -23,32 +23,35 @@
 
 const second = time.Second
 
+// version returns what a host holds that has a version of the configuration.
+func version(number uint64) fetch.Holding { return fetch.Holding{Config: number} }
+
 var _ = Describe("the choice of a peer to fetch from", func() {
 	It("fetches a newer revision from one peer at a time", func() {
 		p := newSelector(1)
-		p.RecordAnnouncement(0, "a", true, 5)
-		p.RecordAnnouncement(0, "b", true, 5)
-		_, _, ok := p.StartTransfer(0, 4, 0)
+		p.RecordAnnouncement(0, "a", true, version(5))
+		p.RecordAnnouncement(0, "b", true, version(5))
+		_, _, ok := p.StartTransfer(0, version(4), 0)
 		Expect(ok).To(BeTrue())
-		_, _, ok = p.StartTransfer(0, 4, 0)
+		_, _, ok = p.StartTransfer(0, version(4), 0)
 		Expect(ok).To(BeFalse())
 	})
 
 	It("asks no peer for a revision that the host holds", func() {
 		p := newSelector(1)
-		p.RecordAnnouncement(0, "a", true, 5)
-		_, _, ok := p.StartTransfer(0, 5, 0)
+		p.RecordAnnouncement(0, "a", true, version(5))
+		_, _, ok := p.StartTransfer(0, version(5), 0)
 		Expect(ok).To(BeFalse())
 		Expect(p.IsBehind()).To(BeFalse())
 	})
 
 	It("does not ask other parts of the fleet while its own may have the document", func() {
 		p := newSelector(1)
-		p.RecordAnnouncement(0, "far", false, 5)
-		_, _, ok := p.StartTransfer(0, 4, 0)
+		p.RecordAnnouncement(0, "far", false, version(5))
+		_, _, ok := p.StartTransfer(0, version(4), 0)
 		Expect(ok).To(BeFalse())
-		p.RecordAnnouncement(0, "near", true, 5)
-		peer, _, ok := p.StartTransfer(second, 4, 0)
+		p.RecordAnnouncement(0, "near", true, version(5))
+		peer, _, ok := p.StartTransfer(second, version(4), 0)
 		Expect(ok).To(BeTrue())
 		Expect(peer).To(Equal("near"))
 	})
@@ -58,8 +61,8 @@
 	// as that lasts.
 	It("asks another part if no host of its own has the document", func() {
 		p := newSelector(1)
-		p.RecordAnnouncement(0, "far", false, 5)
-		peer, _, ok := p.StartTransfer(second, 4, 0)
+		p.RecordAnnouncement(0, "far", false, version(5))
+		peer, _, ok := p.StartTransfer(second, version(4), 0)
 		Expect(ok).To(BeTrue())
 		Expect(peer).To(Equal("far"))
 	})
@@ -69,12 +72,12 @@
 	It("asks another part in time, however often newer revisions are announced", func() {
 		p := newSelector(1)
 		for now := time.Duration(0); now < second; now += second / 10 {
-			p.RecordAnnouncement(now, "far", false, uint64(5+now/second))
-			if _, _, ok := p.StartTransfer(now, 4, 0); ok {
+			p.RecordAnnouncement(now, "far", false, version(uint64(5+now/second)))
+			if _, _, ok := p.StartTransfer(now, version(4), 0); ok {
 				Expect(now).To(BeNumerically(">=", fetch.DefaultConfig().RemoteDelay))
 				return
 			}
-			p.RecordAnnouncement(now, "far", false, uint64(5+10*now/second))
+			p.RecordAnnouncement(now, "far", false, version(uint64(5+10*now/second)))
 		}
 		Fail("no peer was asked within a second")
 	})
@@ -84,9 +87,9 @@
 	It("prefers peers with recent announcements to one that has stopped sending them", func() {
 		for seed := range uint64(50) {
 			p := newSelector(seed)
-			p.RecordAnnouncement(0, "silent", true, 5)
-			p.RecordAnnouncement(second, "a", true, 5)
-			peer, _, ok := p.StartTransfer(second, 4, 0)
+			p.RecordAnnouncement(0, "silent", true, version(5))
+			p.RecordAnnouncement(second, "a", true, version(5))
+			peer, _, ok := p.StartTransfer(second, version(4), 0)
 			Expect(ok).To(BeTrue())
 			Expect(peer).To(Equal("a"))
 		}
@@ -94,11 +97,11 @@
 
 	It("waits for its own part again once the host was up to date", func() {
 		p := newSelector(1)
-		p.RecordAnnouncement(0, "far", false, 5)
-		_, _, ok := p.StartTransfer(second, 5, 0)
+		p.RecordAnnouncement(0, "far", false, version(5))
+		_, _, ok := p.StartTransfer(second, version(5), 0)
 		Expect(ok).To(BeFalse())
-		p.RecordAnnouncement(second, "far", false, 6)
-		_, _, ok = p.StartTransfer(second, 5, 0)
+		p.RecordAnnouncement(second, "far", false, version(6))
+		_, _, ok = p.StartTransfer(second, version(5), 0)
 		Expect(ok).To(BeFalse())
 	})
 
@@ -106,13 +109,13 @@
 	// with it would continue to serve from an old configuration.
 	It("asks another peer after one that did not answer", func() {
 		p := newSelector(1)
-		p.RecordAnnouncement(0, "a", true, 5)
-		first, _, _ := p.StartTransfer(0, 4, 0)
+		p.RecordAnnouncement(0, "a", true, version(5))
+		first, _, _ := p.StartTransfer(0, version(4), 0)
 		p.FinishTransfer(second, first, fetch.OutcomeFailed)
-		_, _, ok := p.StartTransfer(second, 4, 0)
+		_, _, ok := p.StartTransfer(second, version(4), 0)
 		Expect(ok).To(BeFalse())
-		p.RecordAnnouncement(second, "b", true, 5)
-		next, _, ok := p.StartTransfer(second, 4, 0)
+		p.RecordAnnouncement(second, "b", true, version(5))
+		next, _, ok := p.StartTransfer(second, version(4), 0)
 		Expect(ok).To(BeTrue())
 		Expect(next).To(Equal("b"))
 	})
@@ -121,10 +124,10 @@
 	// one second would restart the transfer without end.
 	It("doubles the timeout after each failed transfer", func() {
 		p := newSelector(1)
-		p.RecordAnnouncement(0, "a", true, 5)
+		p.RecordAnnouncement(0, "a", true, version(5))
 		now, last := time.Duration(0), time.Duration(0)
 		for range 6 {
-			peer, timeout, ok := p.StartTransfer(now, 4, 0)
+			peer, timeout, ok := p.StartTransfer(now, version(4), 0)
 			Expect(ok).To(BeTrue())
 			Expect(timeout).To(BeNumerically(">=", last))
 			last = timeout
@@ -208,13 +211,13 @@
 	for _, other := range s.hosts {
 		reader := other.dataCentre == h.dataCentre && other == s.hosts[h.dataCentre]
 		if other.hasDocument && (reader || s.rng.IntN(len(s.hosts)) < 2) {
-			h.selector.RecordAnnouncement(now, other.name, other.dataCentre == h.dataCentre, 1)
+			h.selector.RecordAnnouncement(now, other.name, other.dataCentre == h.dataCentre, version(1))
 		}
 	}
 }
 
 func (s *simulation) startTransfer(now time.Duration, h *simulatedHost, byName map[string]*simulatedHost) {
-	peer, _, ok := h.selector.StartTransfer(now, 0, h.rank)
+	peer, _, ok := h.selector.StartTransfer(now, version(0), h.rank)
 	if !ok {
 		return
 	}
@@ -226,7 +229,7 @@
 	others, admitted := source.uploads.Admit(now, h.name, s.documentBytes)
 	if !admitted {
 		for _, o := range others {
-			h.selector.RecordAnnouncement(now, o, byName[o].dataCentre == h.dataCentre, 1)
+			h.selector.RecordAnnouncement(now, o, byName[o].dataCentre == h.dataCentre, version(1))
 		}
 		h.selector.FinishTransfer(now, peer, fetch.OutcomeBusy)
 		return
--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -155,12 +155,19 @@
 func (t Target) Lifetime() Lifetime { return Lifetime{t.ID, t.StartedUnixMilli} }
 
 // Record is one published item. Exactly one of the typed fields is set, or
-// none if the item was deleted or cannot be read.
+// none if the item was deleted and is not lost, or cannot be read.
 type Record struct {
 	Key string `json:"key"`
-	// Revision is the store's revision at the record's last change; it only rises.
+	// Era and Revision are the store's position at the record's last change.
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	Deleted  bool   `json:"gone,omitempty"`
+	// Lost is set on a deleted record that nobody removed: the copy from which
+	// the store was restored lacks it. The typed field holds its last content.
+	Lost bool `json:"lost,omitempty"`
+	// Copied is set on a record that was removed before the store was restored
+	// from a copy that still has it.
+	Copied bool `json:"copied,omitempty"`
 	// ReadError says why the item cannot be read. An unreadable configuration leaves
 	// the previous one in force; a target without a readable item is not used.
 	ReadError         string  `json:"fault,omitempty"`
@@ -169,6 +176,9 @@
 	DrainedDataCentre string  `json:"drained,omitempty"`
 }
 
+// Position returns the store's position at the record's last change.
+func (r Record) Position() Position { return Position{r.Era, r.Revision} }
+
 // ConfigKey is the key of the configuration's record.
 const ConfigKey = "config"
 
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -10,8 +10,9 @@
 
 // View is an immutable snapshot of the published state.
 type View struct {
-	// Revision is the newest store revision that the view covers.
-	Revision uint64
+	// Era and Revision are the newest position of the store that the view
+	// covers.
+	Era, Revision uint64
 	// Config is nil until a configuration is known.
 	Config             *Config
 	index              *Index
--- a/internal/gatewayhost/exchange.go
+++ b/internal/gatewayhost/exchange.go
@@ -17,10 +17,13 @@
 	"filbertdeck/internal/controller/gossip"
 	"filbertdeck/internal/controller/recordsync"
 	"filbertdeck/internal/decide/brittle"
+	"filbertdeck/internal/decide/fetch"
 	"filbertdeck/internal/decide/membership"
+	"filbertdeck/internal/decide/mirror"
 	"filbertdeck/internal/decide/poison"
 	"filbertdeck/internal/decide/targetload"
 	"filbertdeck/internal/decide/targetrate"
+	"filbertdeck/internal/directory"
 	"filbertdeck/internal/gateway"
 	"filbertdeck/internal/process"
 	"filbertdeck/internal/relay"
@@ -279,8 +282,10 @@
 func (e *peerExchange) supplyPublished(peer string) *filbertv1.PublishedNews {
 	news := e.published.NewsFor(peer)
 	out := &filbertv1.PublishedNews{
-		From: news.BaseRevision, Revision: news.Revision, Withheld: news.RecordsWithheld, Reading: news.IsReader, Relaying: e.roles.isRelay(),
-		StoreRejects: news.StoreRejectedRecently,
+		FromEra: news.Base.Era, From: news.Base.Revision, Era: news.At.Era, Revision: news.At.Revision,
+		ConfigEra: news.ConfigAt.Era, ConfigRevision: news.ConfigAt.Revision,
+		Withheld: news.RecordsWithheld, Reading: news.IsReader, Relaying: e.roles.isRelay(),
+		StoreRejects: news.StoreRejectedRecently, Restore: encodeRestore(news),
 	}
 	if news.Age >= 0 {
 		// Rounded up: an age truncated to whole milliseconds would make the
@@ -293,6 +298,9 @@
 	for _, r := range news.Records {
 		out.Records = append(out.Records, r)
 	}
+	for _, r := range news.Amendments {
+		out.Amendments = append(out.Amendments, r)
+	}
 	if news.Config.Version.Revision > 0 {
 		out.Config = rolloutwire.ToHead("", news.Config)
 	}
@@ -302,10 +310,38 @@
 	return out
 }
 
+// encodeRestore encodes what this host knows of the store's last restore; nil if
+// it knows of none.
+func encodeRestore(news recordsync.News) *filbertv1.StoreRestore {
+	if news.Restore.Era == 0 {
+		return nil
+	}
+	return &filbertv1.StoreRestore{Era: news.Restore.Era, CopyRevision: news.Restore.CopyRevision, SeenMs: uint64(news.RestoreAge.Milliseconds())}
+}
+
+// holdingOf returns what published data the sender of news holds.
+func holdingOf(news *filbertv1.PublishedNews) fetch.Holding {
+	return fetch.Holding{Config: news.GetConfig().GetRevision(), Records: directory.Position{Era: news.GetEra(), Revision: news.GetRevision()}}
+}
+
+// announcedHolding returns what published data a peer holds. Records that came
+// with the news need not be fetched and are not among them.
+func announcedHolding(news *filbertv1.PublishedNews) fetch.Holding {
+	announced := holdingOf(news)
+	if !news.GetWithheld() {
+		announced.Records = directory.Position{}
+	}
+	return announced
+}
+
 func (e *peerExchange) takePublished(peer string, news *filbertv1.PublishedNews, requestedAt time.Time) {
 	decoded := recordsync.News{
-		BaseRevision: news.GetFrom(), Revision: news.GetRevision(), Age: -1, IsReader: news.GetReading(),
-		Config: rolloutwire.FromHead(news.GetConfig()),
+		Base:     directory.Position{Era: news.GetFromEra(), Revision: news.GetFrom()},
+		At:       directory.Position{Era: news.GetEra(), Revision: news.GetRevision()},
+		ConfigAt: directory.Position{Era: news.GetConfigEra(), Revision: news.GetConfigRevision()},
+		Age:      -1, IsReader: news.GetReading(), Config: rolloutwire.FromHead(news.GetConfig()),
+		Restore:    mirror.Restore{Era: news.GetRestore().GetEra(), CopyRevision: news.GetRestore().GetCopyRevision()},
+		RestoreAge: time.Duration(news.GetRestore().GetSeenMs()) * time.Millisecond,
 	}
 	if currentMs := news.GetCurrentMs(); currentMs > 0 {
 		decoded.Age = time.Duration(currentMs) * time.Millisecond
@@ -315,6 +351,9 @@
 	for _, r := range news.GetRecords() {
 		decoded.Records = append(decoded.Records, json.RawMessage(r))
 	}
+	for _, r := range news.GetAmendments() {
+		decoded.Amendments = append(decoded.Amendments, json.RawMessage(r))
+	}
 	if wireDelta := news.GetConfigDelta(); wireDelta != nil {
 		delta := rolloutwire.FromDelta(wireDelta)
 		decoded.Delta = &delta
@@ -328,11 +367,7 @@
 		e.laggingPeers[peer] = true
 		e.mu.Unlock()
 	}
-	if news.GetWithheld() {
-		e.fetcher.recordAnnouncement(peer, decoded.Revision)
-	} else {
-		e.fetcher.recordAnnouncement(peer, decoded.Config.Version.Revision)
-	}
+	e.fetcher.recordAnnouncement(peer, announcedHolding(news))
 }
 
 // newGossip creates the gossip controller. The incarnation is the start
--- a/internal/gatewayhost/fetcher.go
+++ b/internal/gatewayhost/fetcher.go
@@ -11,6 +11,7 @@
 	"filbertdeck/internal/controller/gossip"
 	"filbertdeck/internal/controller/recordsync"
 	"filbertdeck/internal/decide/fetch"
+	"filbertdeck/internal/directory"
 	"filbertdeck/internal/wake"
 )
 
@@ -56,15 +57,14 @@
 	return f.plan.IsBehind()
 }
 
-// recordAnnouncement records that a peer holds the published data up to a
-// revision.
-func (f *fetcher) recordAnnouncement(peer string, revision uint64) {
-	if _, _, heldRevision := f.published.HeldRevisions(); revision <= heldRevision {
+// recordAnnouncement records what published data a peer holds.
+func (f *fetcher) recordAnnouncement(peer string, announced fetch.Holding) {
+	if f.published.Held().Covers(announced) {
 		return
 	}
 	sameGroup := f.roles.inRelayGroup(peer)
 	f.mu.Lock()
-	f.plan.RecordAnnouncement(f.now(), peer, sameGroup, revision)
+	f.plan.RecordAnnouncement(f.now(), peer, sameGroup, announced)
 	f.mu.Unlock()
 	wake.Signal(f.announcement)
 }
@@ -73,9 +73,9 @@
 func (f *fetcher) run(ctx context.Context, c *gossip.Controller) {
 	for ctx.Err() == nil {
 		rank := f.roles.relayGroupRank()
-		_, _, heldRevision := f.published.HeldRevisions()
+		held := f.published.Held()
 		f.mu.Lock()
-		peer, timeout, ok := f.plan.StartTransfer(f.now(), heldRevision, rank)
+		peer, timeout, ok := f.plan.StartTransfer(f.now(), held, rank)
 		pending := f.plan.IsBehind()
 		f.mu.Unlock()
 		switch {
@@ -96,19 +96,21 @@
 }
 
 func (f *fetcher) fetch(ctx context.Context, c *gossip.Controller, peer string, timeout time.Duration) fetch.Outcome {
-	configRevision, revision, _ := f.published.HeldRevisions()
+	held := f.published.Held()
 	if f.needsFullCopy {
-		configRevision = 0
+		held.Config = 0
 	}
 	requestedAt := time.Now()
-	reply, err := c.FetchConfig(ctx, peer, timeout, &filbertv1.FetchRequest{ConfigRevision: configRevision, Revision: revision})
+	reply, err := c.FetchConfig(ctx, peer, timeout, &filbertv1.FetchRequest{
+		ConfigVersion: held.Config, Era: held.Records.Era, Revision: held.Records.Revision,
+	})
 	if err != nil {
-		f.log.Info("not fetched", "peer", peer, "config", configRevision, "revision", revision, "timeout", timeout, "error", err)
+		f.log.Info("not fetched", "peer", peer, "config", held.Config, "position", held.Records, "timeout", timeout, "error", err)
 		return fetch.OutcomeFailed
 	}
 	if reply.GetBusy() {
 		for _, holder := range reply.GetHolders() {
-			f.recordAnnouncement(holder, reply.GetNews().GetRevision())
+			f.recordAnnouncement(holder, holdingOf(reply.GetNews()))
 		}
 		return fetch.OutcomeBusy
 	}
@@ -123,7 +125,9 @@
 
 // serveFetch answers a peer's fetch request.
 func (f *fetcher) serveFetch(peer string, req *filbertv1.FetchRequest) *filbertv1.FetchReply {
-	bulk, err := f.published.BuildBundle(req.GetConfigRevision(), req.GetRevision())
+	bulk, err := f.published.BuildBundle(fetch.Holding{
+		Config: req.GetConfigVersion(), Records: directory.Position{Era: req.GetEra(), Revision: req.GetRevision()},
+	})
 	if err != nil {
 		f.log.Error("published data can't be packed for a peer", "peer", peer, "error", err)
 	}
