A watch continues only the era in which it was opened

Found by reading: a host that a peer told of a restore while its own watch was waiting compared the answer's era with the one it knew by then, took the answer for a continuation, and skipped what the restored store had written up to the old revision. The era of the position that the watch was opened with counts now. The spec fails without the change (i-1 is not used). Positions are logged as era.revision; one function compares starts of a target.

--- a/internal/controller/recordsync/controller.go
+++ b/internal/controller/recordsync/controller.go
@@ -234,17 +234,18 @@
 		if err != nil {
 			return err
 		}
-		if c.placeInEra(&read) < 0 {
+		if c.placeInEra(&read, c.Position().Era) < 0 {
 			return failure.New(failure.KindConfigUnreadable, "the store answered from era %d, which is over", read.At.Era)
 		}
 		c.applyReading(startedAt, read, (*mirror.Mirror).ApplySnapshot)
 		return nil
 	}
-	read, err := c.watch(ctx, startedAt)
+	from := c.completePosition()
+	read, err := c.watch(ctx, startedAt, from.Revision)
 	if err != nil {
 		return err
 	}
-	if c.placeInEra(&read) != 0 {
+	if c.placeInEra(&read, from.Era) != 0 {
 		return failure.New(failure.KindHistoryGone, "the store answered from era %d, which does not continue the changes held", read.At.Era)
 	}
 	c.applyReading(startedAt, read, (*mirror.Mirror).ApplyChanges)
@@ -252,13 +253,10 @@
 }
 
 // placeInEra sets the era of records read from the store, and compares it with
-// the one known here: 1 if the store was restored meanwhile, -1 if the answer
-// is from before a restore. An answer whose era is missing or can't be read
-// counts as one of the era known.
-func (c *Controller) placeInEra(read *directory.Reading) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	known := c.mirror.Position().Era
+// the one known when the call was made: 1 if the store was restored meanwhile, -1
+// if the answer is from before a restore. An answer whose era is missing or can't
+// be read counts as one of the era known.
+func (c *Controller) placeInEra(read *directory.Reading, known uint64) int {
 	if read.EraError != "" {
 		if c.unreadableEras.Count() == 0 {
 			c.cfg.Log.Warn("store's era can't be read", "error", read.EraError, "known", known)
@@ -274,9 +272,9 @@
 	return cmp.Compare(read.At.Era, known)
 }
 
-// watch waits for changes in the store. It records an overdue answer before the
+// watch waits for changes in the store after a revision. It records an overdue answer before the
 // call times out.
-func (c *Controller) watch(ctx context.Context, startedAt time.Duration) (directory.Reading, error) {
+func (c *Controller) watch(ctx context.Context, startedAt time.Duration, after uint64) (directory.Reading, error) {
 	c.mu.Lock()
 	answerTimeout := c.silence.AnswerTimeout()
 	c.mu.Unlock()
@@ -286,7 +284,7 @@
 		c.recordOverdue(startedAt+watchWait, "")
 	})
 	defer overdueTimer.Stop()
-	read, err := c.cfg.Source.Watch(ctx, c.completePosition().Revision, watchWait)
+	read, err := c.cfg.Source.Watch(ctx, after, watchWait)
 	if err == nil && len(read.Records) == 0 {
 		c.mu.Lock()
 		c.silence.RecordAnswer(c.cfg.Now() - startedAt - watchWait)
--- a/internal/controller/recordsync/restore_test.go
+++ b/internal/controller/recordsync/restore_test.go
@@ -66,6 +66,23 @@
 		Expect(store.snapshots).To(Equal(1))
 	})
 
+	// Guards against changes that are skipped because a peer told the host of the
+	// restore while its watch was waiting.
+	It("reads everything when it entered the era of the answer during the watch", func() {
+		reader := newTestHost(store)
+		store.onCall = func() {
+			store.onCall = nil
+			store.restore(content)
+			reader.sync()
+			updateFrom(reader, h)
+			store.put(directory.Record{Key: directory.TargetKey("i-1"), Revision: 3, Target: appTarget("i-1", 1, false)})
+			store.put(directory.Record{Key: directory.TargetKey("i-2"), Revision: 4, Target: appTarget("i-2", 1, false)})
+		}
+		h.sync()
+		Expect(h.accepts("i-1")).To(BeTrue())
+		Expect(h.accepts("i-2")).To(BeTrue())
+	})
+
 	It("keeps its configuration until the store has a newer one", func() {
 		store.restore(content)
 		h.sync()
--- a/internal/decide/mirror/restore.go
+++ b/internal/decide/mirror/restore.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -21,11 +22,16 @@
 //     of a target stands against an earlier one.
 //   - A record that the copy lacks is lost, not removed. A lost target is used,
 //     and a lost drain holds, until it had time to be repeated.
-//   - A record that was removed before the restore is suspect in the copy. Such a
-//     target is not used, and such a drain does not hold, until its writer had
+//   - A record that was removed before the restore is in doubt in the copy. Such
+//     a target is not used, and such a drain does not hold, until its writer had
 //     time to remove it again.
 //
 // Everything written after the restore replaces what is known from before.
+//
+// A host that reads the copy may have known less than others of what it lacks.
+// So hosts tell each other the records that they amended, whatever positions they
+// hold. A host of the earlier era gets the changes since its position if it knew
+// no more of that era than the one that tells it; otherwise it gets all records.
 
 // Restore is what is known of the restore that began an era of the store.
 type Restore struct {
@@ -127,7 +133,7 @@
 // amend returns a record with what the one held adds to it.
 func (m *Mirror) amend(old, r directory.Record) directory.Record {
 	switch {
-	case r.Lost && !old.Lost && (old.Deleted || old.Copied || old.Era == r.Era) && !m.startedAfterRemoval(r):
+	case r.Lost && !old.Lost && (old.Deleted || old.Copied || old.Era == r.Era) && m.compareStart(r) <= 0:
 		// Another process found it missing. Here it is known to have been removed
 		// before, or to have been there after the restore.
 		r.Lost, r.Target, r.DrainedDataCentre = false, nil, ""
@@ -138,8 +144,8 @@
 		}
 	case r.Deleted || old.Era == r.Era || !m.mayBeCopied(r):
 	case old.Copied, old.Deleted && !old.Lost && old.Revision >= r.Revision:
-		r.Copied = !m.startedAfterRemoval(r)
-		if m.startedBeforeRemoval(r) {
+		r.Copied = m.compareStart(r) <= 0
+		if m.compareStart(r) < 0 {
 			// The copy has the entry of an earlier start than the one removed.
 			r = directory.Record{Key: r.Key, Era: r.Era, Revision: r.Revision, Deleted: true}
 		}
@@ -150,14 +156,13 @@
 	return r
 }
 
-// startedBeforeRemoval reports whether a record is that of a target which started
-// before the lifetime that was removed.
-func (m *Mirror) startedBeforeRemoval(r directory.Record) bool {
-	if r.Target == nil {
-		return false
+// compareStart compares the start of a record's target with the last one known
+// here; it is 0 if there is nothing to compare.
+func (m *Mirror) compareStart(r directory.Record) int {
+	if r.Target == nil || m.targets[r.Target.ID] == nil {
+		return 0
 	}
-	removed := m.targets[r.Target.ID]
-	return removed != nil && r.Target.StartedUnixMilli < removed.StartedUnixMilli
+	return cmp.Compare(r.Target.StartedUnixMilli, m.targets[r.Target.ID].StartedUnixMilli)
 }
 
 // laterState returns the later of two states of a target, which may be nil: that
@@ -179,16 +184,6 @@
 	return *a == *b
 }
 
-// startedAfterRemoval reports whether a record is that of a target which started
-// after the lifetime that was removed.
-func (m *Mirror) startedAfterRemoval(r directory.Record) bool {
-	if r.Target == nil {
-		return false
-	}
-	removed := m.targets[r.Target.ID]
-	return removed != nil && r.Target.StartedUnixMilli > removed.StartedUnixMilli
-}
-
 // mergeAmendment merges two records of one position, of which one may have been
 // amended by another process.
 func (m *Mirror) mergeAmendment(now time.Duration, old entry, r directory.Record) bool {
--- a/internal/directory/position.go
+++ b/internal/directory/position.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"log/slog"
 )
 
 // Position is a point in the store's history of changes.
@@ -29,6 +30,9 @@
 // String returns the position as era.revision.
 func (p Position) String() string { return fmt.Sprintf("%d.%d", p.Era, p.Revision) }
 
+// LogValue returns the position as era.revision.
+func (p Position) LogValue() slog.Value { return slog.StringValue(p.String()) }
+
 // Reading is what one call to the store returned.
 type Reading struct {
 	Records []Record
