Take the same one of two contents of a version at all hosts

Found by reading: the document that peers are updated from took the content with the larger digest, the view in force kept the first one, so hosts would have served by different contents of one version. A restore makes that possible: the store has an older copy, and what was lost is written again. The spec failed without the change in one of its two orders.

--- a/internal/controller/recordsync/restore_test.go
+++ b/internal/controller/recordsync/restore_test.go
@@ -112,6 +112,21 @@
 		Expect(h.NewsFor("other").Amendments).To(HaveLen(1))
 	})
 
+	// Guards against hosts that serve by different contents of one version.
+	DescribeTable("takes one of two contents of a version, whichever came first", func(first, second int) {
+		// largerDigest is the number of routes of the content that all hosts take.
+		const largerDigest = 5
+		other := newTestHost(&fakeStore{era: 1})
+		store.putConfig(4, 7, first)
+		h.sync()
+		store.restore(content)
+		store.putConfig(4, 7, second)
+		h.sync()
+		updateFrom(h, other)
+		Expect(h.routeCount()).To(Equal(other.routeCount()))
+		Expect(h.routeCount()).To(Equal(largerDigest))
+	}, Entry("the other one", 3, 5), Entry("the first one", 5, 3))
+
 	It("is not current before it has read the restored store", func() {
 		store.restore(content)
 		h.now = time.Minute
--- a/internal/decide/mirror/mirror.go
+++ b/internal/decide/mirror/mirror.go
@@ -310,9 +310,10 @@
 }
 
 // applyConfig ignores a configuration that is older than the one in force:
-// versions only increase.
+// versions only increase. The caller passes another content of the version in
+// force only if all processes are to take it.
 func (m *Mirror) applyConfig(c *directory.Config) bool {
-	if m.config != nil && m.config.Version >= c.Version {
+	if m.config != nil && m.config.Version > c.Version {
 		return false
 	}
 	m.config, m.index = c, directory.NewIndex(c)
