--- a/internal/controller/recordsync/news.go
+++ b/internal/controller/recordsync/news.go
@@ -260,8 +260,11 @@
 	case to.Era > held.Era && held != nowhere:
 		// Changes that lead to another era were selected for exactly one
 		// position: what else this host knows may be lost in the copy.
-		if from != held || !c.mirror.CanEnter(records, to) {
-			c.needsAllRecords = from == held
+		if from != held {
+			return false
+		}
+		if !c.mirror.CanEnter(records, to) {
+			c.needsAllRecords = true
 			return false
 		}
 		return c.mirror.MergeFromPeer(now, records, to)
--- a/internal/decide/mirror/mirror.go
+++ b/internal/decide/mirror/mirror.go
@@ -230,7 +230,7 @@
 		changed = m.put(now, r) || changed
 	}
 	if complete.Era > m.position.Era {
-		m.carryCopied(complete.Era)
+		m.carryOver(complete)
 		m.removalFloor = complete
 	}
 	if complete.After(m.position) {
--- a/internal/decide/mirror/restore.go
+++ b/internal/decide/mirror/restore.go
@@ -109,13 +109,19 @@
 	return true
 }
 
-// carryCopied moves the records that the copy has unchanged to the era that begins.
-func (m *Mirror) carryCopied(era uint64) {
+// carryOver moves the records that the copy has unchanged to the era that begins,
+// and those that were lost in an earlier one and are still missing.
+func (m *Mirror) carryOver(to directory.Position) {
 	for key, e := range m.records {
-		if e.Era < era && !e.Deleted && e.Revision <= m.restore.CopyRevision {
-			e.Era = era
-			m.records[key] = e
+		switch {
+		case e.Era == to.Era:
+			continue
+		case e.Lost:
+			e.Era, e.Revision, e.routingPosition = to.Era, to.Revision, to
+		case !e.Deleted && e.Revision <= m.restore.CopyRevision:
+			e.Era = to.Era
 		}
+		m.records[key] = e
 	}
 	m.changes++
 }
