--- a/internal/controller/recordsync/news.go
+++ b/internal/controller/recordsync/news.go
@@ -129,11 +129,8 @@
 		return news
 	}
 	held := peer.held(now)
-	if records := c.mirror.Delta(held.Records); c.needsAllRecords {
-	} else if len(records) > maxInlineRecords {
-		news.RecordsWithheld = true
-	} else {
-		news.Base, news.Records = c.mirror.DeltaBase(held.Records), c.encodeRecords(records)
+	if !c.needsAllRecords {
+		c.addRecords(&news, held.Records)
 	}
 	news.Amendments = c.amendmentsFor(address, now)
 	news.Delta = c.doc.deltaFrom(held.Config, maxInlineDeltaBytes)
@@ -149,6 +146,17 @@
 	return news
 }
 
+// addRecords adds the records that changed after a position to news, or reports
+// there that they are too many.
+func (c *Controller) addRecords(news *News, after directory.Position) {
+	records := c.mirror.Delta(after)
+	if len(records) > maxInlineRecords {
+		news.RecordsWithheld = true
+		return
+	}
+	news.Base, news.Records = c.mirror.DeltaBase(after), c.encodeRecords(records)
+}
+
 // amendmentsFor returns the amendments that a peer was not sent recently.
 func (c *Controller) amendmentsFor(address string, now time.Duration) []json.RawMessage {
 	amendments, version := c.mirror.Amendments(now), c.mirror.AmendmentChanges()
