A record that was given up counts as missing at the position held

At a second restore within seconds it took the copy's entry for a later statement and used the target again, until another host told it.

--- a/internal/decide/mirror/restore.go
+++ b/internal/decide/mirror/restore.go
@@ -279,6 +279,10 @@
 				m.departed = append(m.departed, e.Target.ID)
 			}
 			e.Target, e.DrainedDataCentre = nil, ""
+			if e.Era == m.position.Era {
+				// The store still lacked it at the position held.
+				e.Revision = max(e.Revision, m.position.Revision)
+			}
 		} else {
 			m.settled.Adopted = append(m.settled.Adopted, key)
 		}
