--- a/internal/directory/position.go
+++ b/internal/directory/position.go
@@ -39,6 +39,7 @@
 	// At is the position up to which Records includes all changes that the
 	// call asked for.
 	At Position
-	// EraError says why the era of the answer cannot be read; At.Era is 0 then.
+	// EraError says why the era of an answer cannot be read. At.Era is 0 if no
+	// other answer of the call names one.
 	EraError string
 }
