Look up what a peer was sent before collecting amendments

For ten seconds after a restore each message walked and sorted all records, only to find that the peer had been sent them. The model's seed 643, on which its check was wrong, stays among the kept ones. A heading of a simulation in the specs of crashing requests says what it holds.

--- a/internal/controller/recordsync/news.go
+++ b/internal/controller/recordsync/news.go
@@ -159,12 +159,13 @@
 
 // amendmentsFor returns the amendments that a peer was not sent recently.
 func (c *Controller) amendmentsFor(address string, now time.Duration) []json.RawMessage {
-	amendments, version := c.mirror.Amendments(now), c.mirror.AmendmentChanges()
-	if len(amendments) == 0 {
-		clear(c.sentAmendments)
+	version := c.mirror.AmendmentChanges()
+	if last, sent := c.sentAmendments[address]; sent && last.version == version && now-last.at < amendmentsTTL {
 		return nil
 	}
-	if last, sent := c.sentAmendments[address]; sent && last.version == version && now-last.at < amendmentsTTL {
+	amendments := c.mirror.Amendments(now)
+	if len(amendments) == 0 {
+		clear(c.sentAmendments)
 		return nil
 	}
 	c.sentAmendments[address] = sentAmendments{version, now}
--- a/internal/controller/recordsync/restore_test.go
+++ b/internal/controller/recordsync/restore_test.go
@@ -399,7 +399,7 @@
 	// which hosts disagree, miss what was written or go back to what was over.
 	It("arrive at what was written last, and never go back on the way", func() {
 		const firstSeeds, steps = 300, 150
-		seeds := []uint64{400, 1505, 1990, 2726, 3633, 4168, 5183, 10839, 14540, 16217}
+		seeds := []uint64{400, 643, 1505, 1990, 2726, 3633, 4168, 5183, 10839, 14540, 16217}
 		for seed := range uint64(firstSeeds) {
 			seeds = append(seeds, seed)
 		}
--- a/internal/decide/poison/fleet_test.go
+++ b/internal/decide/poison/fleet_test.go
@@ -14,8 +14,8 @@
 	"filbertdeck/internal/decide/poison"
 )
 
-// The plays of this file: hosts that exchange evidence, targets that are back after a
-// while, callers of requests that crash targets and of sound ones.
+// Dimensions of the simulated fleet: hosts that exchange evidence, targets that are back
+// after a while, callers of requests that crash targets and of sound ones.
 const (
 	playHosts, playTargets = 8, 14
 	playTick               = 10 * time.Millisecond
