Derive from objectives whether a service's generations share its engines; plan of the scheduling

Change: decide/contention says for which services the coming parts take effect: objectives of a less urgent kind at least twice the most urgent one's.

--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"filbertdeck/internal/decide/contention"
 )
 
 // View is an immutable snapshot of the published state.
@@ -45,11 +47,13 @@
 	// mostUrgent holds the lowest priority value of each service's generation
 	// routes.
 	mostUrgent map[string]int
+	// contention holds how the generations of each service with engines share them.
+	contention map[string]contention.Policy
 }
 
 // NewIndex builds the index of a configuration, which may be nil.
 func NewIndex(cfg *Config) *Index {
-	index := &Index{config: cfg, servicesByName: map[string]*Service{}, accountsByKey: map[string]*Account{}, routesByHost: map[string][]*Route{}, mostUrgent: map[string]int{}}
+	index := &Index{config: cfg, servicesByName: map[string]*Service{}, accountsByKey: map[string]*Account{}, routesByHost: map[string][]*Route{}, mostUrgent: map[string]int{}, contention: map[string]contention.Policy{}}
 	if cfg == nil {
 		return index
 	}
@@ -70,9 +74,28 @@
 		// The first match is used, so the longest prefix comes first.
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	index.addContention()
 	return index
 }
 
+// addContention computes the contention policies of the services with engines.
+func (index *Index) addContention() {
+	routes := map[string][]contention.Route{}
+	for _, r := range index.config.Routes {
+		if r.Kind != Generation {
+			continue
+		}
+		for _, b := range r.Backends {
+			routes[b.Service] = append(routes[b.Service], contention.Route{Priority: r.Priority, Objective: r.LatencyObjective})
+		}
+	}
+	for name, s := range index.servicesByName {
+		if s.Engine != nil {
+			index.contention[name] = contention.PolicyOf(routes[name])
+		}
+	}
+}
+
 // addPriority adds the priority of a route to those of its services.
 func (index *Index) addPriority(r *Route) {
 	if r.Kind != Generation {
@@ -163,6 +186,10 @@
 // route; a lower value is more urgent.
 func (v *View) MostUrgentPriority(service string) int { return v.index.mostUrgent[service] }
 
+// ContentionPolicy returns how the generations of a service share its engines; the zero
+// value for services without engines.
+func (v *View) ContentionPolicy(service string) contention.Policy { return v.index.contention[service] }
+
 // Target returns a target by ID.
 func (v *View) Target(id string) (*ObservedTarget, bool) {
 	t, ok := v.targetsByID[id]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/controller/recordsync"
+	"filbertdeck/internal/decide/contention"
 	"filbertdeck/internal/decide/migration"
 	"filbertdeck/internal/decide/poison"
 	"filbertdeck/internal/decide/retrybudget"
@@ -92,6 +93,17 @@
 	Disconnected func() bool
 	// Now returns the time of the process's monotonic clock.
 	Now func() time.Duration
+	// Scheduling says which parts of the scheduling of generations take effect.
+	Scheduling SchedulingModes
+}
+
+// SchedulingModes holds the mode of each part of the scheduling of generations on
+// crowded engines. The zero value turns all of them off.
+type SchedulingModes struct {
+	// PromptLimits limits the unread prompts at an engine, WaitingOrder orders the
+	// generations that wait over all hosts, RoomGrants has the owner of an engine's
+	// counts grant its room.
+	PromptLimits, WaitingOrder, RoomGrants contention.Mode
 }
 
 // Gateway is the http.Handler that relays callers' requests. It is safe for
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -38,6 +38,12 @@
 	// MemoryShare is the share of an engine's memory beyond which the request is not
 	// placed there; 0 for any.
 	MemoryShare float64
+	// Priority is the generation's rank; 0 is the most urgent.
+	Priority int
+	// Move is set if the generation leaves another engine.
+	Move bool
+	// GrantsRoom is set if the owner of the target's counts must grant the room.
+	GrantsRoom bool
 }
 
 // targets returns the targets among which the request's one is searched.
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 
 	"filbertdeck/internal/controller/recordsync"
+	"filbertdeck/internal/decide/contention"
 	"filbertdeck/internal/decide/drain"
 	"filbertdeck/internal/decide/migration"
 	"filbertdeck/internal/decide/retrybudget"
@@ -142,10 +143,16 @@
 		Dialect: s.Deployment.Dialect, Engines: s.Deployment.Engines, Board: board, Loads: loads, CrashEvidence: suspects, RetryBudget: budget,
 		Client: client, Relay: peers, OriginPeers: origins, Migration: migration.Default(), Disconnected: func() bool { return mayMissChanges(c, roles) },
 		ViewAge:     func() time.Duration { return viewAge(c) },
-		ViewCurrent: func() bool { return isCurrent(c, s.Deployment.ConfigDeadline) }, Log: log, Metrics: reg, Now: now,
+		ViewCurrent: func() bool { return isCurrent(c, s.Deployment.ConfigDeadline) }, Log: log, Metrics: reg, Now: now, Scheduling: schedulingModes(s),
 	})
 }
 
+func schedulingModes(s *Settings) gateway.SchedulingModes {
+	return gateway.SchedulingModes{
+		PromptLimits: contention.Mode(s.PromptLimits), WaitingOrder: contention.Mode(s.WaitingOrder), RoomGrants: contention.Mode(s.RoomGrants),
+	}
+}
+
 // staleAfter is the age from which the host's published view counts as stale.
 // While the store responds, the age stays below 0.9 s on hosts that read the
 // store, and each hop to another host adds 0.2 s.
--- a/internal/gatewayhost/settings.go
+++ b/internal/gatewayhost/settings.go
@@ -24,6 +24,10 @@
 
 	MetricsListen string `arg:"--metrics-listen,env:FILBERT_GATEWAY_METRICS" check:"hostport?" help:"ip:port of the counters; the deployment's first free port when empty"`
 
+	PromptLimits string `arg:"--prompt-limits,env:FILBERT_GATEWAY_PROMPT_LIMITS" check:"auto|on|off" default:"auto" help:"limits on the unread prompts at an engine: for services whose objectives call for it, for all with objectives, or for none"`
+	WaitingOrder string `arg:"--waiting-order,env:FILBERT_GATEWAY_WAITING_ORDER" check:"auto|on|off" default:"auto" help:"one order over all hosts of the generations that wait for an engine: as for prompt limits"`
+	RoomGrants   string `arg:"--room-grants,env:FILBERT_GATEWAY_ROOM_GRANTS" check:"auto|on|off" default:"auto" help:"grants of an engine's room by the host that counts its load: as for prompt limits"`
+
 	// Deployment is filled in from the settings that the platform provides.
 	Deployment Deployment `arg:"-"`
 	// ReloadDeployment reads the deployment settings again.
