Have the owner of an engine's counts grant its room

Change: decide/roomgrant is the owner's ledger of granted room and denied requests. With PlacementRequest.GrantsRoom the host asks the owner of the engine that it chose for room, in the round trip that confirm makes otherwise. Without the setting nothing changes. A reservation is counted before the owner is asked. The request carries the count without it, whose version is one less than that of the count with it, so that all later counts of the host supersede the grant. Not covered by tests yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,6 +125,9 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), generations: newGenerationSet(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks(), versions: newServiceVersions(cfg.Now, cfg.Log, cfg.Metrics)}
 	g.origins = newStreamOrigins(cfg, g.versions)
+	if cfg.Loads != nil {
+		cfg.Loads.roomCounts = g.metrics.rooms
+	}
 	running := func() int64 { return int64(g.generations.count()) }
 	_ = cfg.Metrics.Register("gateway.generations", gometrics.NewFunctionalGauge(running))
 	_ = cfg.Metrics.Register("gateway.targets_limited", gometrics.NewFunctionalGauge(cfg.Loads.rateLimitedCount))
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -35,6 +35,8 @@
 	// the engines that it was sent to as a new run. The route limits the
 	// latter.
 	moves, attempts int
+	// roomID identifies the generation in its requests for room at engines.
+	roomID uint64
 	// failedAnswer is an engine's own failure answer, nil when there is none.
 	failedAnswer *completeAnswer
 	// progress is a copy of times that is read by the goroutine moving the
@@ -109,7 +111,7 @@
 
 // relayGeneration relays a generation.
 func (g *Gateway) relayGeneration(ctx context.Context, x *exchange) {
-	gen := &generation{exchange: x, g: g, ctx: ctx, ended: make(chan struct{})}
+	gen := &generation{exchange: x, g: g, ctx: ctx, ended: make(chan struct{}), roomID: rand.Uint64()}
 	defer close(gen.ended)
 	g.cfg.RetryBudget.RecordFirstAttempt(g.cfg.Now(), x.budgetKey())
 	g.generations.add(gen)
@@ -156,7 +158,7 @@
 		gen.setTarget(target, nil, nil)
 		gen.g.cfg.Log.Info("generation placed", "request", gen.ID, "route", gen.route.Name, "target", target.ID, "version", target.Version, "started", target.StartedUnixMilli,
 			"tokens", expectedTokens(gen.Prompt), "prompt", gen.Prompt.Tokens, "max", gen.Prompt.MaxOutputTokens, "hint", gen.Prompt.LengthHint, "basis", selection, "tries", counts.sent+counts.unsent+1, "after", time.Since(gen.ArrivedAt),
-			"running", reservation.candidate.Running, "promised", reservation.candidate.ReservedTokens, "unread", reservation.candidate.UnreadTokens, "step", reservation.candidate.TimePerToken)
+			"running", reservation.candidate.Running, "promised", reservation.candidate.ReservedTokens, "unread", reservation.candidate.UnreadTokens, "step", reservation.candidate.TimePerToken, "room_granted", reservation.room.granted)
 		s := gen.newSend(target)
 		s.ConfirmStart = gen.confirmsStart(target)
 		stream, err := gen.openStream(s, target, reservation, selection)
@@ -249,7 +251,16 @@
 // placementRequest returns the requirements for an engine that starts a new run
 // of the generation.
 func (gen *generation) placementRequest(exclude []string) PlacementRequest {
-	return PlacementRequest{Service: gen.service.Name, Origin: gen.origin.Load(), Prompt: gen.Prompt, FirstEventObjective: gen.route.LatencyObjective, Locality: PreferLocal, Exclude: exclude}
+	return PlacementRequest{
+		Service: gen.service.Name, Origin: gen.origin.Load(), Prompt: gen.Prompt, FirstEventObjective: gen.route.LatencyObjective, Locality: PreferLocal, Exclude: exclude,
+		Priority: gen.priority(), GrantsRoom: gen.grantsRoom(), RoomID: gen.roomID,
+	}
+}
+
+// grantsRoom reports whether the owners of engines' counts grant the generation's room.
+func (gen *generation) grantsRoom() bool {
+	view := gen.g.view()
+	return view != nil && gen.g.cfg.Scheduling.RoomGrants.On(view.ContentionPolicy(gen.service.Name))
 }
 
 // setTarget records where the generation runs. No move away from there has
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -15,6 +15,7 @@
 	"filbertdeck/internal/decide/placement"
 	"filbertdeck/internal/decide/reportedload"
 	"filbertdeck/internal/decide/rest"
+	"filbertdeck/internal/decide/roomgrant"
 	"filbertdeck/internal/decide/targetload"
 	"filbertdeck/internal/decide/targetrate"
 	"filbertdeck/internal/directory"
@@ -55,6 +56,11 @@
 	// ownerQuery queries the host that has the newest counts of a target; nil
 	// for none.
 	ownerQuery OwnerQueryFunc
+	// roomOwners asks owners for room; nil for none. rooms holds the room that this host
+	// granted as an owner.
+	roomOwners RoomOwners
+	rooms      *roomgrant.Ledger
+	roomCounts roomCounters
 	// hostCount returns the number of hosts that choose targets.
 	hostCount func() int
 	// rng breaks ties and draws the sampled targets.
@@ -78,6 +84,8 @@
 	coldUntil time.Duration
 	// coldLimiter limits the sends while the target is cold.
 	coldLimiter coldlimit.Limiter
+	// sentVersion is the version of this host's count that was last sent to an owner.
+	sentVersion uint64
 }
 
 // NewTargetLoads returns the TargetLoads of a host, with no load recorded yet.
@@ -88,6 +96,7 @@
 		address: host, dataCentre: dataCentre, now: now, byTarget: map[string]*targetLoad{},
 		hostLoads: targetload.New(host, start), alerts: targetload.New(host, start), speeds: enginespeed.New(), remoteFailures: failurereports.New(), rates: targetrate.New(),
 		brittle: brittle.New(), departures: departure.New(), rests: rest.New(), reports: reportedload.New(),
+		rooms: roomgrant.New(), roomCounts: newRoomCounters(unregisteredCounter),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), hostCount: func() int { return 1 },
 		loadsChanged: make(chan struct{}, 1), alertsChanged: make(chan struct{}, 1), targetLeaving: make(chan struct{}, 1),
 	}
@@ -131,7 +140,11 @@
 func (l *TargetLoads) PendingOwnLoads() []targetload.HostLoad {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.hostLoads.OwnerUpdates(l.now())
+	updates := l.hostLoads.OwnerUpdates(l.now())
+	for _, c := range updates {
+		l.loadOf(c.Target).sentVersion = c.Version
+	}
+	return updates
 }
 
 // MergeLoads merges loads received from another host.
@@ -139,6 +152,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hostLoads.Merge(l.now(), host, loads)
+	l.confirmGrants(loads)
 	l.learnSpeeds(loads)
 }
 
@@ -197,6 +211,7 @@
 	l.departures.Retain(l.now(), known)
 	l.rests.Prune(l.now())
 	l.reports.Prune(l.now())
+	l.expireGrants()
 }
 
 // setLoad sets this host's load at a target.
@@ -234,6 +249,8 @@
 	candidate placement.Candidate
 	// lender is the host that lent the place at a brittle target; empty for none.
 	lender string
+	// room is what a request for room at the target goes by.
+	room pendingRoom
 }
 
 // Reserve counts a request at a target that was chosen before.
@@ -254,7 +271,9 @@
 		l.rates.TakeToken(target)
 		r.lender = l.takePlace(target)
 	}
+	r.room.before = l.loadOf(target).Load
 	l.setLoad(target, l.loadOf(target).Add(load))
+	r.room.version = l.hostLoads.LocalCount(target).Version
 	return r
 }
 
@@ -271,6 +290,7 @@
 		return
 	}
 	r.setLoad(targetload.Load{})
+	r.releaseGrant()
 	if lender := r.takeLender(); lender != "" && r.loads.returnPlace != nil {
 		r.loads.returnPlace(r.targetID, lender)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -61,6 +61,8 @@
 	// sendsRefused counts the sends that did not take place since the request had become
 	// known to crash targets.
 	sendsRefused gometrics.Counter
+	// rooms count grants of engines' room.
+	rooms roomCounters
 }
 
 // kindMetrics are the metrics of one request kind.
@@ -81,6 +83,7 @@
 		copiesFailed: counter("copies_failed"), takenUp: counter("streams_taken_up"), targetsRestarted: counter("targets_restarted"), originsUnknown: counter("stream_origins_unknown"), movesWithoutTarget: counter("moves_without_target"), leavingAnswers: counter("answers_leaving"), restAnswers: counter("answers_rest"),
 		unreadableFigures: counter("load_figures_unreadable"), searchesWithoutRoom: counter("searches_without_room"),
 		failuresReported: counter("failures_reported"), sendsRefused: counter("sends_refused"), emptyStreams: counter("streams_empty"),
+		rooms: newRoomCounters(counter),
 	}
 	for _, kind := range []directory.RequestKind{directory.AtMostOnce, directory.Repeatable, directory.Generation} {
 		m.byKind[kind] = &kindMetrics{
--- a/internal/gateway/owner_query.go
+++ b/internal/gateway/owner_query.go
@@ -51,7 +51,7 @@
 	defer l.mu.Unlock()
 	var all []targetload.HostLoad
 	for _, c := range counts {
-		all = append(all, l.hostLoads.ForTarget(l.now(), c.Target)...)
+		all = append(all, l.countsForHost(c.Host, c.Target)...)
 	}
 	return all
 }
@@ -85,15 +85,13 @@
 func (l *TargetLoads) queryOwner(t *directory.ObservedTarget) bool {
 	l.mu.Lock()
 	own := l.hostLoads.LocalCount(t.ID)
+	l.loadOf(t.ID).sentVersion = own.Version
 	l.mu.Unlock()
-	counts, answered := l.ownerQuery(TargetRef{t.ID, t.DataCentre}, []targetload.HostLoad{own})
+	counts, answered := l.ownerQuery(refOf(t), []targetload.HostLoad{own})
 	if !answered {
 		return false
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.hostLoads.ReplaceTarget(l.now(), t.ID, counts)
-	l.learnSpeeds(counts)
+	l.mergeAnswer(t.ID, counts)
 	return true
 }
 
@@ -136,8 +134,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	available := l.refresh(view, req, slices.DeleteFunc(slices.Clone(sampled), func(t *directory.ObservedTarget) bool { return t.ID == r.targetID }))
-	others := l.hostLoads.Total(l.now(), r.targetID).OtherHostsLoad
-	here := l.newCandidate(view, r.entry, req.Locality, others.Sub(r.load))
+	here := l.newCandidate(view, r.entry, req.Locality, l.othersLoad(r.targetID).Sub(r.load))
 	best := available.choose(l.rng, req)
 	if best < 0 || placement.MarginalDelay(available.candidates[best], req.work())+minDelaySaving > placement.MarginalDelay(here, req.work()) {
 		return nil
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -44,6 +44,8 @@
 	Move bool
 	// GrantsRoom is set if the owner of the target's counts must grant the room.
 	GrantsRoom bool
+	// RoomID identifies the generation in its requests for room.
+	RoomID uint64
 }
 
 // targets returns the targets among which the request's one is searched.
@@ -103,16 +105,23 @@
 	sampled, firstCount := l.sample(view, req)
 	answered := l.queryOwners(req, sampled[:firstCount])
 	reservation, crowded := l.reserveBest(view, req, sampled[:firstCount], firstCount < len(sampled))
+	queried := sampled[:firstCount]
 	if crowded {
+		queried = sampled
 		answered = l.queryOwners(req, sampled[firstCount:]) || answered
 		reservation, crowded = l.reserveBest(view, req, sampled, false)
 	}
 	switch {
+	case reservation == nil && crowded && answered:
+		return l.acquireUnknown(view, req, queried)
 	case reservation == nil && crowded:
 		return nil, nil, NoRoom
 	case reservation == nil:
 		return nil, nil, NoTarget
 	}
+	if answered && l.requestsRoom(req) {
+		return l.reserveGranted(view, req, queried, reservation)
+	}
 	if answered {
 		reservation = l.confirm(view, req, sampled, reservation)
 	}
@@ -210,7 +219,7 @@
 	c := targetCandidates{candidates: make([]placement.Candidate, 0, len(sampled)), targets: make([]*directory.ObservedTarget, 0, len(sampled))}
 	for _, t := range sampled {
 		if l.isAvailable(view, t) {
-			candidate := l.newCandidate(view, t, req.Locality, l.hostLoads.Total(l.now(), t.ID).OtherHostsLoad)
+			candidate := l.newCandidate(view, t, req.Locality, l.othersLoad(t.ID))
 			if req.Origin == nil && view.VersionLeaves(t.Service, t.Version) {
 				candidate.Penalty += leavingVersionPenalty
 			}
--- a/internal/gatewayhost/owners.go
+++ b/internal/gatewayhost/owners.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -16,6 +17,7 @@
 
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/controller/recordsync"
+	"filbertdeck/internal/decide/roomgrant"
 	"filbertdeck/internal/decide/targetload"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/gateway"
@@ -79,6 +81,7 @@
 
 func runOwnerExchange(lc fx.Lifecycle, o *ownerExchange, g *gateway.Gateway) {
 	o.loads.SetOwnerQuery(o.queryOwner)
+	o.loads.SetRoomOwners(o)
 	o.loads.SetLenders(o.borrow, o.returnPlace)
 	o.origins = g
 	lc.Append(fx.StartHook(o.listen))
@@ -115,6 +118,56 @@
 	return decodeCounts(answer.GetLoads(), o.now()), ok
 }
 
+// RequestRoom implements gateway.RoomOwners.
+func (o *ownerExchange) RequestRoom(target gateway.TargetRef, own targetload.HostLoad, r roomgrant.Request) (gateway.RoomReply, bool) {
+	owner, known := o.responsiveOwner(target)
+	if !known {
+		return gateway.RoomReply{}, false
+	}
+	if owner == o.self {
+		return o.loads.DecideRoom(o.board.View.Get(), own, r), true
+	}
+	answer, ok := o.query(owner, &filbertv1.TargetLoads{Loads: encodeCounts([]targetload.HostLoad{own}, o.now()), RoomRequest: encodeRoomRequest(target.ID, r)})
+	return gateway.RoomReply{
+		Counts: decodeCounts(answer.GetLoads(), o.now()), Decided: answer.GetRoomAnswer() != nil, Granted: answer.GetRoomAnswer().GetGranted(),
+	}, ok
+}
+
+// SendCount implements gateway.RoomOwners.
+func (o *ownerExchange) SendCount(target gateway.TargetRef, own targetload.HostLoad) {
+	o.sendCounts([]targetload.HostLoad{own}, func(string) string { return target.DataCentre })
+}
+
+// sharePermille is the unit of a share of memory on the wire.
+const sharePermille = 1000
+
+func encodeRoomRequest(target string, r roomgrant.Request) *filbertv1.RoomRequest {
+	return &filbertv1.RoomRequest{
+		Target: target, Id: r.ID, Tokens: toUint32(r.Tokens), PromptTokens: toUint32(r.PromptTokens), MemorySharePermille: toUint32(int(math.Round(r.MemoryShare * sharePermille))),
+		MaxUnreadTokens: toUint32(r.MaxUnreadTokens), LimitsUnread: r.LimitsUnread, Priority: int32(r.Priority), Move: r.Move,
+	}
+}
+
+func decodeRoomRequest(m *filbertv1.RoomRequest) roomgrant.Request {
+	return roomgrant.Request{
+		ID: m.GetId(), Tokens: int(m.GetTokens()), PromptTokens: int(m.GetPromptTokens()), MemoryShare: float64(m.GetMemorySharePermille()) / sharePermille,
+		MaxUnreadTokens: int(m.GetMaxUnreadTokens()), LimitsUnread: m.GetLimitsUnread(), Priority: int(m.GetPriority()), Move: m.GetMove(),
+	}
+}
+
+// answerRoomRequest decides another host's request for room, which comes with the host's
+// count of the target.
+func (o *ownerExchange) answerRoomRequest(m *filbertv1.RoomRequest, counts []targetload.HostLoad, answer *filbertv1.TargetLoads) {
+	if len(counts) != 1 || counts[0].Target != m.GetTarget() {
+		return
+	}
+	reply := o.loads.DecideRoom(o.board.View.Get(), counts[0], decodeRoomRequest(m))
+	answer.Loads = encodeCounts(reply.Counts, o.now())
+	if reply.Decided {
+		answer.RoomAnswer = &filbertv1.RoomAnswer{Granted: reply.Granted}
+	}
+}
+
 // query sends a query to a host and returns the answer, or false when none
 // arrives in time. A host that does not answer is marked as unresponsive.
 func (o *ownerExchange) query(host string, message *filbertv1.TargetLoads) (*filbertv1.TargetLoads, bool) {
@@ -334,6 +387,8 @@
 		answer.Lent = o.loads.LendShare(message.GetBorrow())
 	case message.GetOriginQuestion() != nil:
 		answer.OriginAnswer = o.answerOrigin(message.GetOriginQuestion())
+	case message.GetRoomRequest() != nil:
+		o.answerRoomRequest(message.GetRoomRequest(), counts, answer)
 	default:
 		answer.Loads = encodeCounts(o.loads.AnswerOwnerQuery(counts), o.now())
 	}
