Limit the unread prompts at engines to which generations with time to spare are sent

Change: decide/prefill derives a limit from the most urgent objective, the engine's prefill rate and the usual urgent prompt. PlacementRequest.PromptLimit carries it, and the choice is made among all sampled engines that fulfil it and have memory (AnyRoom). A generation that finds none waits as for memory. The limit rises with the wait and ends before the generation is late. Counters and a log line show it. Not limited: searches that must not wait, streams that go on, generations that an engine was sent before. Without the setting nothing changes.

--- a/internal/decide/deferral/deferral.go
+++ b/internal/decide/deferral/deferral.go
@@ -78,7 +78,7 @@
 // Next returns the next search for an engine. draw, in [0, 1), spreads the searches of
 // generations that arrive together.
 func Next(g Generation, draw float64) Search {
-	untilLate := g.FirstTokenObjective - firstTokenMargin*g.TimeToFirstToken - g.Waited
+	untilLate := UntilLate(g)
 	switch {
 	case g.FirstTokenObjective <= 0, g.Urgent && untilLate <= 0:
 		return Search{}
@@ -92,6 +92,12 @@
 	return Search{}
 }
 
+// UntilLate returns the time for which a generation can wait and is still in time; negative
+// if it is late.
+func UntilLate(g Generation) time.Duration {
+	return g.FirstTokenObjective - firstTokenMargin*g.TimeToFirstToken - g.Waited
+}
+
 // WaitForRoom returns the time until the next search of a generation that no longer
 // waits by Next, while every engine is full and must not be sent more than it has room
 // for; false when it is to be refused.
--- /dev/null
+++ b/internal/decide/prefill/prefill.go
@@ -0,0 +1,105 @@
+// Package prefill limits the unread prompts at an engine to which a generation with
+// time to spare is sent. Unread prompt tokens are those that an engine has not prefilled
+// yet.
+//
+// It is made for engines that serve urgent generations beside others with longer
+// objectives and long prompts. An engine prefills prompts one after the other, so an
+// urgent generation is late if the prompts before it take longer than its objective. The
+// limit keeps time for it: a generation that yields is sent only where the unread prompts
+// before its own leave the engine time for the prompt of a usual urgent generation.
+// Elsewhere it waits at its host, where it delays nobody.
+//
+// The wait is bounded by the objective of the generation itself. The limit rises while
+// that is used up, and ends before the generation would be late because of it.
+//
+// The functions are pure.
+package prefill
+
+import (
+	"time"
+
+	"filbertdeck/internal/decide/placement"
+)
+
+const (
+	// budgetDivisor divides the most urgent objective; the quotient is the time for the
+	// unread prompts and the urgent one. The other half is for prompts that other hosts
+	// sent in the last moment, which are not known.
+	budgetDivisor = 2
+	// unknownPromptDivisor divides the most urgent objective; the quotient stands for the
+	// time to prefill an urgent prompt until the host has seen one.
+	unknownPromptDivisor = 4
+	// lastSearchTime is kept of the time in which a generation can still be in time, for
+	// at least one search without a limit. Searches are up to 150 ms apart, and a
+	// generation that is late may use less of an engine's memory.
+	lastSearchTime = 200 * time.Millisecond
+	// sampleTokens is the prompt for which the time per token is computed.
+	sampleTokens = 1000
+)
+
+// Urgent is what a host knows of the most urgent generations of a service.
+type Urgent struct {
+	// Objective is their shortest objective for the time to the first token.
+	Objective time.Duration
+	// PromptTokens is the mean length of their prompts; 0 if it is not known yet.
+	PromptTokens int
+}
+
+// Limit is the bound on the unread prompts at an engine that is sent a generation.
+type Limit struct {
+	// Budget is the time that the engine may take for the unread prompts.
+	Budget time.Duration
+	// UrgentTokens is taken from what the engine prefills in that time.
+	UrgentTokens int
+	// Exceeded is set by a search that passed over an engine with memory because of this
+	// limit.
+	Exceeded bool
+}
+
+// Next returns the limit for a search; nil if there is none. waited is the time since the
+// generation arrived, untilLate the time for which it can wait and still be in time.
+func Next(urgent Urgent, waited, untilLate time.Duration) *Limit {
+	if urgent.Objective <= 0 || untilLate <= lastSearchTime {
+		return nil
+	}
+	used := float64(waited) / float64(waited+untilLate-lastSearchTime)
+	// Beyond the whole objective of the urgent ones nothing is left to keep for them.
+	budget := urgent.Objective/budgetDivisor + time.Duration(used*float64(urgent.Objective-urgent.Objective/budgetDivisor))
+	if urgent.PromptTokens == 0 {
+		return &Limit{Budget: budget - urgent.Objective/unknownPromptDivisor}
+	}
+	return &Limit{Budget: budget, UrgentTokens: urgent.PromptTokens}
+}
+
+// Tokens returns the number of unread prompt tokens up to which an engine is sent the
+// generation. An engine with nothing unread always is.
+func (l *Limit) Tokens(c placement.Candidate) int {
+	c.UnreadTokens = 0
+	perToken := float64(placement.PrefillTime(c, placement.Workload{PromptTokens: sampleTokens})) / sampleTokens
+	return max(int(float64(l.Budget)/perToken)-l.UrgentTokens, 0)
+}
+
+// Allows reports whether the unread prompts at an engine are within the limit.
+func (l *Limit) Allows(c placement.Candidate) bool {
+	return c.UnreadTokens <= l.Tokens(c)
+}
+
+// meanWeight is the weight of a prompt in the moving mean. The mean follows a change of
+// the prompts within some ten of them, and a host of a large fleet sees about one in some
+// seconds.
+const meanWeight = 1.0 / 8
+
+// MeanTokens is a moving mean of the lengths of prompts. The zero value has seen none.
+type MeanTokens struct{ mean float64 }
+
+// Add adds the length of a prompt.
+func (m *MeanTokens) Add(tokens int) {
+	if m.mean == 0 {
+		m.mean = float64(tokens)
+		return
+	}
+	m.mean += meanWeight * (float64(tokens) - m.mean)
+}
+
+// Tokens returns the mean; 0 if no prompt was seen.
+func (m *MeanTokens) Tokens() int { return int(m.mean) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,13 +117,15 @@
 	versions     *serviceVersions
 	origins      *streamOrigins
 	averageTimes averageTimes
+	// urgentPrompts holds the usual length of the prompts for which others are held.
+	urgentPrompts *urgentPrompts
 	// shutdown is set once the process shuts down.
 	shutdown atomic.Pointer[shutdownTimes]
 }
 
 // New returns a Gateway and registers its metrics in cfg.Metrics.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), generations: newGenerationSet(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks(), versions: newServiceVersions(cfg.Now, cfg.Log, cfg.Metrics)}
+	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), generations: newGenerationSet(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks(), urgentPrompts: newUrgentPrompts(), versions: newServiceVersions(cfg.Now, cfg.Log, cfg.Metrics)}
 	g.origins = newStreamOrigins(cfg, g.versions)
 	running := func() int64 { return int64(g.generations.count()) }
 	_ = cfg.Metrics.Register("gateway.generations", gometrics.NewFunctionalGauge(running))
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -115,6 +115,7 @@
 	g.generations.add(gen)
 	defer g.generations.remove(gen)
 	gen.origin.Store(x.origin)
+	gen.recordUrgentPrompt()
 	stream, err := gen.start()
 	for stream != nil {
 		err = gen.relay(stream)
@@ -185,8 +186,10 @@
 // acquire reserves an engine for a new run of the generation; nil when none accepts
 // it. While no engine has room the generation waits. The error says why it must not wait
 // here.
-func (gen *generation) acquire(exclude []string) (*selectionState, *Reservation, error) {
+func (gen *generation) acquire(exclude []string) (_ *selectionState, reserved *Reservation, _ error) {
 	req := gen.placementRequest(exclude)
+	var hold promptHold
+	defer func() { gen.recordHold(&hold, reserved != nil) }()
 	for {
 		if err := gen.g.checkVerdict(gen.exchange); err != nil {
 			return nil, nil, err
@@ -198,12 +201,14 @@
 		}
 		req.MemoryShare = search.MemoryShare
 		req.FirstEventObjective = gen.remainingObjective()
+		gen.limitPrompts(&req)
 		selection := gen.g.selectionState()
 		_, reservation, outcome := gen.g.cfg.Loads.AcquireWithRoom(selection.view, req)
 		if outcome != NoRoom {
 			return selection, reservation, nil
 		}
 		gen.g.metrics.searchesWithoutRoom.Inc(1)
+		hold.add(req.PromptLimit, time.Now())
 		wait := search.Wait
 		if search.MemoryShare == 0 {
 			var waits bool
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -54,6 +54,10 @@
 	// searchesWithoutRoom counts the searches that found no engine with room for a
 	// generation, which then waited.
 	searchesWithoutRoom gometrics.Counter
+	// promptsHeld counts the generations that waited because engines with memory had
+	// unread prompts beyond the limit, promptHold is the time for which they did.
+	promptsHeld gometrics.Counter
+	promptHold  gometrics.Histogram
 	// failuresReported counts the broken requests of which other hosts were told.
 	failuresReported gometrics.Counter
 	// emptyStreams counts the streams of engines that ended without an event.
@@ -80,6 +84,7 @@
 		movedByCopy: counter("moved.copy"), movedToBackup: counter("moved.backup"), resumedAfterLoss: counter("moved.after_loss"), newRuns: counter("moved.anew"),
 		copiesFailed: counter("copies_failed"), takenUp: counter("streams_taken_up"), targetsRestarted: counter("targets_restarted"), originsUnknown: counter("stream_origins_unknown"), movesWithoutTarget: counter("moves_without_target"), leavingAnswers: counter("answers_leaving"), restAnswers: counter("answers_rest"),
 		unreadableFigures: counter("load_figures_unreadable"), searchesWithoutRoom: counter("searches_without_room"),
+		promptsHeld: counter("prompts_held"), promptHold: newHistogram("prompt_hold_us", r),
 		failuresReported: counter("failures_reported"), sendsRefused: counter("sends_refused"), emptyStreams: counter("streams_empty"),
 	}
 	for _, kind := range []directory.RequestKind{directory.AtMostOnce, directory.Repeatable, directory.Generation} {
@@ -117,6 +122,12 @@
 	m.longestPause.Update(times.longestGap.Microseconds())
 }
 
+// recordHeldPrompt records a generation that waited because of unread prompts.
+func (m *gatewayMetrics) recordHeldPrompt(held time.Duration) {
+	m.promptsHeld.Inc(1)
+	m.promptHold.Update(held.Microseconds())
+}
+
 // countRefused counts a failure answer made by the gateway itself.
 func (m *gatewayMetrics) countRefused(kind failure.Kind) {
 	gometrics.GetOrRegisterCounter("gateway.refused."+string(kind), m.registry).Inc(1)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -6,6 +6,7 @@
 
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/decide/placement"
+	"filbertdeck/internal/decide/prefill"
 	"filbertdeck/internal/decide/sampling"
 	"filbertdeck/internal/decide/streamorigin"
 	"filbertdeck/internal/decide/targetload"
@@ -38,6 +39,12 @@
 	// MemoryShare is the share of an engine's memory beyond which the request is not
 	// placed there; 0 for any.
 	MemoryShare float64
+	// AnyRoom is set if the request is placed at any sampled engine that has room for it.
+	// Else it is placed only if the best one by delay has.
+	AnyRoom bool
+	// PromptLimit limits the unread prompts at an engine; nil for none. It applies only
+	// with AnyRoom.
+	PromptLimit *prefill.Limit
 	// Priority is the generation's rank; 0 is the most urgent.
 	Priority int
 	// Move is set if the generation leaves another engine.
@@ -54,6 +61,20 @@
 	return view.ServiceTargets(req.Service)
 }
 
+// rulesOut reports whether a request that takes any engine with room is not placed at one.
+func (req PlacementRequest) rulesOut(c placement.Candidate) bool {
+	switch {
+	case !req.AnyRoom:
+		return false
+	case req.MemoryShare > 0 && !placement.HasMemory(c, expectedTokens(req.Prompt), req.MemoryShare):
+		return true
+	case req.PromptLimit == nil || req.PromptLimit.Allows(c):
+		return false
+	}
+	req.PromptLimit.Exceeded = true
+	return true
+}
+
 // Outcome is the result of a search for a target.
 type Outcome int
 
@@ -214,7 +235,7 @@
 			if req.Origin == nil && view.VersionLeaves(t.Service, t.Version) {
 				candidate.Penalty += leavingVersionPenalty
 			}
-			if l.overfillsBrittle(t.Target, candidate, expectedTokens(req.Prompt)) {
+			if l.overfillsBrittle(t.Target, candidate, expectedTokens(req.Prompt)) || req.rulesOut(candidate) {
 				c.full = true
 				continue
 			}
--- /dev/null
+++ b/internal/gateway/prompt_limits.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"filbertdeck/internal/decide/contention"
+	"filbertdeck/internal/decide/deferral"
+	"filbertdeck/internal/decide/prefill"
+)
+
+// urgentPrompts holds the mean length of the most urgent generations' prompts of each
+// service, as seen by this host. It is safe for concurrent use.
+type urgentPrompts struct {
+	mu        sync.Mutex
+	byService map[string]*prefill.MeanTokens
+}
+
+func newUrgentPrompts() *urgentPrompts {
+	return &urgentPrompts{byService: map[string]*prefill.MeanTokens{}}
+}
+
+func (p *urgentPrompts) add(service string, tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.byService[service]
+	if m == nil {
+		m = &prefill.MeanTokens{}
+		p.byService[service] = m
+	}
+	m.Add(tokens)
+}
+
+// meanTokens returns the mean length of a service's urgent prompts; 0 if none was seen.
+func (p *urgentPrompts) meanTokens(service string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.byService[service]; m != nil {
+		return m.Tokens()
+	}
+	return 0
+}
+
+// recordUrgentPrompt records the prompt of a generation that no other one of its service
+// precedes, where prompts are limited for such.
+func (gen *generation) recordUrgentPrompt() {
+	policy := gen.contentionPolicy()
+	if gen.g.cfg.Scheduling.PromptLimits.On(policy) && gen.priority() <= policy.MostUrgentPriority {
+		gen.g.urgentPrompts.add(gen.service.Name, gen.Prompt.Tokens)
+	}
+}
+
+func (gen *generation) contentionPolicy() contention.Policy {
+	return gen.view.ContentionPolicy(gen.service.Name)
+}
+
+// yieldsToPrompts reports whether the generation is subject to the limit on unread
+// prompts. With the mode "on" this holds for all that are not of the most urgent priority.
+func (gen *generation) yieldsToPrompts() bool {
+	policy, mode := gen.contentionPolicy(), gen.g.cfg.Scheduling.PromptLimits
+	if !mode.On(policy) || gen.Prompt.Tokens == 0 {
+		return false
+	}
+	if mode == contention.Always {
+		return gen.priority() > policy.MostUrgentPriority
+	}
+	return policy.Yields(gen.priority(), gen.route.LatencyObjective)
+}
+
+// limitPrompts sets the limit on unread prompts for a search. There is none for a
+// generation that must not wait, and for one that an engine was sent before: its caller
+// has waited for that engine.
+func (gen *generation) limitPrompts(req *PlacementRequest) {
+	req.PromptLimit, req.AnyRoom = nil, false
+	if req.MemoryShare == 0 || req.Origin != nil || gen.attempts > 0 || !gen.yieldsToPrompts() {
+		return
+	}
+	d := gen.deferred()
+	urgent := prefill.Urgent{Objective: gen.contentionPolicy().MostUrgentObjective, PromptTokens: gen.g.urgentPrompts.meanTokens(gen.service.Name)}
+	req.AnyRoom, req.PromptLimit = true, prefill.Next(urgent, d.Waited, deferral.UntilLate(d))
+}
+
+// promptHold is the time for which a generation was held because of the limit on unread
+// prompts.
+type promptHold struct {
+	since time.Time
+	// limit is the one of the last search that was in vain.
+	limit *prefill.Limit
+}
+
+// add records a search without room.
+func (h *promptHold) add(l *prefill.Limit, now time.Time) {
+	if l == nil || !l.Exceeded {
+		return
+	}
+	if h.limit == nil {
+		h.since = now
+	}
+	h.limit = l
+}
+
+// recordHold counts and logs a hold once the generation waits no more.
+func (gen *generation) recordHold(h *promptHold, placed bool) {
+	if h.limit == nil {
+		return
+	}
+	held := time.Since(h.since)
+	gen.g.metrics.recordHeldPrompt(held)
+	gen.g.cfg.Log.Info("prompt held", "request", gen.ID, "route", gen.route.Name, "cause", "engines with memory have unread prompts beyond the limit", "tokens", gen.Prompt.Tokens,
+		"held", held, "placed", placed, "budget", h.limit.Budget, "urgent_prompt", h.limit.UrgentTokens)
+}
