Pass the limit on unread prompts to the owner; specs of grants with one failure each

Cause: a prompt that is within the limit when its host chooses may exceed it together with those of other hosts. Change: the request for room carries the limit at the chosen engine. After a denial any other sampled engine with room is tried. Specs of two hosts at once, expiry, a new owner, two owners, a lost answer, an owner without this build, released and denied room. Tests: 17 new specs pass.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -264,8 +264,7 @@
 
 // grantsRoom reports whether the owners of engines' counts grant the generation's room.
 func (gen *generation) grantsRoom() bool {
-	view := gen.g.view()
-	return view != nil && gen.g.cfg.Scheduling.RoomGrants.On(view.ContentionPolicy(gen.service.Name))
+	return gen.g.cfg.Scheduling.RoomGrants.On(gen.contentionPolicy())
 }
 
 // setTarget records where the generation runs. No move away from there has
--- a/internal/gateway/room_grants.go
+++ b/internal/gateway/room_grants.go
@@ -133,7 +133,7 @@
 		return nil, nil, NoRoom
 	}
 	anywhere := req
-	anywhere.MemoryShare = 0
+	anywhere.MemoryShare, anywhere.AnyRoom = 0, false
 	r, _ := l.reserveBest(view, anywhere, sampled, false)
 	if r == nil {
 		return nil, nil, NoRoom
@@ -154,6 +154,7 @@
 // grants.
 func (l *TargetLoads) reserveGranted(view *directory.View, req PlacementRequest, sampled []*directory.ObservedTarget, first *Reservation) (*directory.ObservedTarget, *Reservation, Outcome) {
 	left := slices.Clone(sampled)
+	req.AnyRoom = true
 	var held *Reservation
 	for next, asked := first, 1; next != nil; asked++ {
 		left = slices.DeleteFunc(left, func(t *directory.ObservedTarget) bool { return t.ID == next.targetID })
@@ -196,10 +197,14 @@
 	own := l.hostLoads.LocalCount(r.targetID)
 	own.Load, own.Version = r.room.before, r.room.version-1
 	l.mu.Unlock()
-	reply, answered := l.roomOwners.RequestRoom(refOf(r.entry), own, roomgrant.Request{
+	room := roomgrant.Request{
 		ID: req.RoomID, Tokens: r.load.ReservedTokens, PromptTokens: r.load.UnreadTokens, MemoryShare: req.MemoryShare,
 		Priority: req.Priority, Move: req.Move,
-	})
+	}
+	if req.PromptLimit != nil {
+		room.LimitsUnread, room.MaxUnreadTokens = true, req.PromptLimit.Tokens(r.candidate)
+	}
+	reply, answered := l.roomOwners.RequestRoom(refOf(r.entry), own, room)
 	if !answered {
 		l.roomCounts.unanswered.Inc(1)
 		return roomUnanswered
--- /dev/null
+++ b/internal/gateway/room_grants_test.go
@@ -0,0 +1,321 @@
+package gateway_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/decide/placement"
+	"filbertdeck/internal/decide/prefill"
+	"filbertdeck/internal/decide/roomgrant"
+	"filbertdeck/internal/decide/targetload"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/gateway"
+)
+
+// roomFleet is a fleet whose hosts reach the owner of all engines' counts by calls.
+type roomFleet struct {
+	now   time.Duration
+	view  *directory.View
+	hosts []*gateway.TargetLoads
+	// owner is the one that hosts reach; nil for none.
+	owner *gateway.TargetLoads
+	// beforeRequest, if set, runs once when the first request for room is under way.
+	beforeRequest func()
+	// losesAnswers is set if the owner's answers to requests for room are lost.
+	// withoutGrants is set if the owner does not know such requests.
+	losesAnswers, withoutGrants bool
+	// requested holds the targets for which room was requested.
+	requested []string
+}
+
+const roomFleetMemory = 10_000
+
+func newRoomFleet(engines int) *roomFleet {
+	const hosts = 9
+	f := &roomFleet{now: time.Second}
+	cfg := testConfig()
+	cfg.Services[1].Engine.MemoryTokens = roomFleetMemory
+	targets := map[string]*directory.ObservedTarget{}
+	for i := range engines {
+		id := fmt.Sprintf("i-%d", i)
+		targets[id] = &directory.ObservedTarget{Published: true, Target: directory.Target{ID: id, Service: "llm", DataCentre: "dc-1", Slots: 24}}
+	}
+	f.view = directory.NewView(1, cfg, targets, nil)
+	for i := range hosts {
+		l := gateway.NewTargetLoads(fmt.Sprintf("host-%d", i), "dc-1", func() time.Duration { return f.now })
+		l.SetHostCount(func() int { return hosts })
+		l.SetRand(rand.New(rand.NewPCG(1, uint64(i))))
+		l.SetOwnerQuery(f.query)
+		l.SetRoomOwners(f)
+		f.hosts = append(f.hosts, l)
+	}
+	f.owner = f.hosts[0]
+	return f
+}
+
+func (f *roomFleet) query(_ gateway.TargetRef, own []targetload.HostLoad) ([]targetload.HostLoad, bool) {
+	if f.owner == nil {
+		return nil, false
+	}
+	return f.owner.AnswerOwnerQuery(own), true
+}
+
+func (f *roomFleet) RequestRoom(target gateway.TargetRef, own targetload.HostLoad, r roomgrant.Request) (gateway.RoomReply, bool) {
+	f.requested = append(f.requested, target.ID)
+	if before := f.beforeRequest; before != nil {
+		f.beforeRequest = nil
+		before()
+	}
+	if f.owner == nil {
+		return gateway.RoomReply{}, false
+	}
+	if f.withoutGrants {
+		return gateway.RoomReply{Counts: f.owner.AnswerOwnerQuery([]targetload.HostLoad{own})}, true
+	}
+	reply := f.owner.DecideRoom(f.view, own, r)
+	return reply, !f.losesAnswers
+}
+
+func (f *roomFleet) SendCount(_ gateway.TargetRef, own targetload.HostLoad) {
+	if f.owner != nil {
+		f.owner.MergeLoads("", []targetload.HostLoad{own})
+	}
+}
+
+// place has a host place a generation that takes 6,000 of an engine's 10,000 tokens.
+func (f *roomFleet) place(host int, change ...func(*gateway.PlacementRequest)) (*gateway.Reservation, gateway.Outcome) {
+	req := gateway.PlacementRequest{
+		Service: "llm", Prompt: call.Prompt{Tokens: 6000}, Locality: gateway.PreferLocal, MemoryShare: 1, GrantsRoom: true, Priority: 2, RoomID: uint64(host) + 100,
+	}
+	for _, c := range change {
+		c(&req)
+	}
+	_, reservation, outcome := f.hosts[host].AcquireWithRoom(f.view, req)
+	return reservation, outcome
+}
+
+// load returns the load of the engine i-0 that the owner reports to a host without any.
+func (f *roomFleet) load() (sum targetload.Load) {
+	for _, c := range f.owner.AnswerOwnerQuery([]targetload.HostLoad{{Host: "host-9", Target: "i-0"}}) {
+		sum = sum.Add(c.Load)
+	}
+	return sum
+}
+
+// share sends a host's changed counts to the owner.
+func (f *roomFleet) share(host int) {
+	f.owner.MergeLoads("", f.hosts[host].PendingOwnLoads())
+}
+
+var _ = Describe("room that owners grant", func() {
+	one := targetload.Load{Running: 1, ReservedTokens: 6000, UnreadTokens: 6000}
+
+	// Guards against two hosts that take the same room.
+	It("goes to one of two hosts that ask for the last room at once", func() {
+		f := newRoomFleet(1)
+		var other gateway.Outcome
+		f.beforeRequest = func() { _, other = f.place(2) }
+		_, outcome := f.place(1)
+		Expect([]gateway.Outcome{outcome, other}).To(ConsistOf(gateway.Placed, gateway.NoRoom))
+		Expect(f.load()).To(Equal(one))
+	})
+
+	It("goes to one of two hosts if one of them is the owner", func() {
+		f := newRoomFleet(1)
+		var other gateway.Outcome
+		f.beforeRequest = func() { _, other = f.place(2) }
+		_, outcome := f.place(0)
+		Expect([]gateway.Outcome{outcome, other}).To(ConsistOf(gateway.Placed, gateway.NoRoom))
+		f = newRoomFleet(1)
+		f.beforeRequest = func() { _, other = f.place(0) }
+		_, outcome = f.place(1)
+		Expect([]gateway.Outcome{outcome, other}).To(ConsistOf(gateway.Placed, gateway.NoRoom))
+	})
+
+	// Guards against generations that wait although the next engine has room.
+	It("is asked for at another engine after a denial, at three in a search", func() {
+		f := newRoomFleet(2)
+		f.beforeRequest = func() { f.place(2) }
+		_, outcome := f.place(1)
+		Expect(outcome).To(Equal(gateway.Placed))
+		f = newRoomFleet(5)
+		f.beforeRequest = func() {
+			for host := 2; host < 7; host++ {
+				f.place(host)
+			}
+			f.requested = f.requested[:1]
+		}
+		_, outcome = f.place(1)
+		Expect(outcome).To(Equal(gateway.NoRoom))
+		Expect(f.requested).To(HaveLen(3))
+	})
+
+	// Guards against load that is counted twice, or not at all, as the counts follow.
+	It("is counted once before and after the host's counts arrive", func() {
+		f := newRoomFleet(1)
+		reservation, _ := f.place(1)
+		Expect(f.load()).To(Equal(one))
+		f.share(1)
+		Expect(f.load()).To(Equal(one))
+		f.now += roomgrant.GrantLifetime
+		Expect(f.load()).To(Equal(one))
+		reservation.MarkPromptRead()
+		f.share(1)
+		Expect(f.load()).To(Equal(targetload.Load{Running: 1, ReservedTokens: 6000}))
+		reservation.Release()
+		f.share(1)
+		Expect(f.load()).To(BeZero())
+	})
+
+	It("is counted once if counts overtake the request", func() {
+		f := newRoomFleet(1)
+		f.beforeRequest = func() { f.share(1) }
+		_, outcome := f.place(1)
+		Expect(outcome).To(Equal(gateway.Placed))
+		Expect(f.load()).To(Equal(one))
+	})
+
+	// Guards against room that stays taken after its host has died.
+	It("is free again after the grant expired", func() {
+		f := newRoomFleet(1)
+		f.place(1)
+		f.now += roomgrant.GrantLifetime - time.Millisecond
+		_, outcome := f.place(2)
+		Expect(outcome).To(Equal(gateway.NoRoom))
+		f.now += time.Millisecond
+		_, outcome = f.place(3)
+		Expect(outcome).To(Equal(gateway.Placed))
+	})
+
+	// The owner queries itself for each choice. Guards against grants that it keeps as
+	// counts, for seconds.
+	It("is free again after the grant expired if the owner looked meanwhile", func() {
+		f := newRoomFleet(1)
+		f.place(1)
+		_, outcome := f.place(0)
+		Expect(outcome).To(Equal(gateway.NoRoom))
+		f.now += roomgrant.GrantLifetime
+		_, outcome = f.place(0)
+		Expect(outcome).To(Equal(gateway.Placed))
+	})
+
+	It("is free at once if the generation was not run", func() {
+		f := newRoomFleet(1)
+		reservation, _ := f.place(1)
+		reservation.Release()
+		Expect(f.load()).To(BeZero())
+		_, outcome := f.place(2)
+		Expect(outcome).To(Equal(gateway.Placed))
+	})
+
+	It("is not left taken by a request that was denied", func() {
+		f := newRoomFleet(1)
+		f.beforeRequest = func() {
+			f.share(1)
+			f.place(2, func(req *gateway.PlacementRequest) { req.MemoryShare = 0 })
+		}
+		_, outcome := f.place(1)
+		Expect(outcome).To(Equal(gateway.NoRoom))
+		Expect(f.load()).To(Equal(one))
+	})
+
+	// Guards against a generation that waits because an answer was lost, and against room
+	// that is taken twice then.
+	It("is taken by this host's own counts if the answer is lost", func() {
+		f := newRoomFleet(1)
+		f.losesAnswers = true
+		_, outcome := f.place(1)
+		Expect(outcome).To(Equal(gateway.Placed))
+		Expect(f.load()).To(Equal(one))
+		f.share(1)
+		Expect(f.load()).To(Equal(one))
+	})
+
+	It("is taken by this host's own counts if the owner does not decide", func() {
+		f := newRoomFleet(1)
+		f.withoutGrants = true
+		_, outcome := f.place(1)
+		Expect(outcome).To(Equal(gateway.Placed))
+		Expect(f.load()).To(Equal(one))
+		_, outcome = f.place(2)
+		Expect(outcome).To(Equal(gateway.NoRoom))
+	})
+
+	// Guards against a generation that is refused although its caller can't wait, and
+	// against room that is granted once more beside it.
+	It("is granted to a generation that must not wait, and counted", func() {
+		f := newRoomFleet(1)
+		f.place(1)
+		_, outcome := f.place(2, func(req *gateway.PlacementRequest) { req.MemoryShare = 0 })
+		Expect(outcome).To(Equal(gateway.Placed))
+		Expect(f.load()).To(Equal(one.Add(one)))
+	})
+
+	// The owner dies and the next one has the counts, but not the last grants. Bound:
+	// those grants, until the counts follow.
+	It("is overcommitted by no more than the last grants when the owner changes", func() {
+		f := newRoomFleet(1)
+		f.place(1)
+		f.owner = f.hosts[8]
+		_, outcome := f.place(2)
+		Expect(outcome).To(Equal(gateway.Placed))
+		_, outcome = f.place(3)
+		Expect(outcome).To(Equal(gateway.NoRoom))
+		f.share(1)
+		Expect(f.load()).To(Equal(one.Add(one)))
+	})
+
+	// Hosts differ for a moment on which one is the owner. Bound: the free room once more.
+	It("is granted at most twice by two owners", func() {
+		f := newRoomFleet(1)
+		placed := 0
+		for host := 1; host < 8; host++ {
+			f.owner = f.hosts[8*(host%2)]
+			if _, outcome := f.place(host); outcome == gateway.Placed {
+				placed++
+			}
+		}
+		Expect(placed).To(Equal(2))
+	})
+
+	// Guards against a generation that is moved and finds no room for it, because those
+	// that have not begun take each room that becomes free.
+	It("is kept for a move that was denied", func() {
+		f := newRoomFleet(1)
+		move := func(req *gateway.PlacementRequest) { req.Move = true }
+		running, _ := f.place(1)
+		_, outcome := f.place(2, move)
+		Expect(outcome).To(Equal(gateway.NoRoom))
+		running.Release()
+		_, outcome = f.place(3)
+		Expect(outcome).To(Equal(gateway.NoRoom))
+		_, outcome = f.place(2, move)
+		Expect(outcome).To(Equal(gateway.Placed))
+	})
+
+	// Guards against prompts of several hosts that exceed the limit together.
+	It("is denied beyond the limit on unread prompts", func() {
+		f := newRoomFleet(1)
+		limited := func(req *gateway.PlacementRequest) {
+			req.Prompt.Tokens, req.AnyRoom, req.PromptLimit = 1000, true, &prefill.Limit{Budget: time.Millisecond}
+			Expect(req.PromptLimit.Tokens(placement.Candidate{})).To(BeNumerically("<", 1000))
+		}
+		var other gateway.Outcome
+		f.beforeRequest = func() { _, other = f.place(2, limited) }
+		_, outcome := f.place(1, limited)
+		Expect([]gateway.Outcome{outcome, other}).To(ConsistOf(gateway.Placed, gateway.NoRoom))
+	})
+
+	It("is not asked for without the setting and in a small fleet", func() {
+		f := newRoomFleet(1)
+		f.place(1, func(req *gateway.PlacementRequest) { req.GrantsRoom = false })
+		f.hosts[2].SetHostCount(func() int { return 6 })
+		f.place(2)
+		Expect(f.requested).To(BeEmpty())
+	})
+})
