Tests of the ledger, and of grants between hosts over their datagrams

Cause: the ledger's rules of expiry, order and size, and the wire form, had no tests. Change: specs of decide/roomgrant; two hosts ask a third for the last room of an engine over loopback datagrams; an owner that does not know the engine does not decide. Tests: 6 specs and 2 tests, passed.

--- /dev/null
+++ b/internal/decide/roomgrant/export_test.go
@@ -0,0 +1,4 @@
+package roomgrant
+
+// Size returns the number of engines of which something is held.
+func (l *Ledger) Size() int { return len(l.engines) }
--- /dev/null
+++ b/internal/decide/roomgrant/roomgrant_test.go
@@ -0,0 +1,105 @@
+package roomgrant_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"filbertdeck/internal/decide/roomgrant"
+	"filbertdeck/internal/decide/targetload"
+)
+
+func TestRoomGrant(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "roomgrant")
+}
+
+var _ = Describe("a ledger of grants", func() {
+	engine := roomgrant.Engine{ID: "e-1", Slots: 24, MemoryTokens: 10_000}
+	request := func(host string, tokens int) roomgrant.Request {
+		return roomgrant.Request{Host: host, ID: 1, Version: 5, Tokens: tokens, PromptTokens: tokens, MemoryShare: 1, Priority: 2}
+	}
+	used := func(tokens int) []targetload.HostLoad {
+		return []targetload.HostLoad{{Host: "x", Target: "e-1", Version: 1, Load: targetload.Load{Running: 1, ReservedTokens: tokens}}}
+	}
+
+	It("grants until memory, slots and unread prompts are used up", func() {
+		l := roomgrant.New()
+		Expect(l.Decide(0, engine, used(2000), request("a", 8001))).To(Equal(roomgrant.NoMemory))
+		Expect(l.Decide(0, roomgrant.Engine{ID: "e-2", Slots: 1, MemoryTokens: 10_000}, used(2000), request("a", 1))).To(Equal(roomgrant.NoMemory))
+		Expect(l.Decide(0, engine, used(2000), request("a", 4000))).To(Equal(roomgrant.Granted))
+		limited := request("b", 3000)
+		limited.LimitsUnread, limited.MaxUnreadTokens = true, 3999
+		Expect(l.Decide(0, engine, used(2000), limited)).To(Equal(roomgrant.TooManyUnread))
+		limited.MaxUnreadTokens = 4000
+		Expect(l.Decide(0, engine, used(2000), limited)).To(Equal(roomgrant.Granted))
+		Expect(l.Outstanding(0, "e-1")).To(Equal(targetload.Load{Running: 2, ReservedTokens: 7000, UnreadTokens: 7000}))
+	})
+
+	It("replaces a grant that is requested again", func() {
+		l := roomgrant.New()
+		for range 3 {
+			Expect(l.Decide(0, engine, used(0), request("a", 6000))).To(Equal(roomgrant.Granted))
+		}
+		Expect(l.Outstanding(0, "e-1").Running).To(Equal(1))
+	})
+
+	It("ends a grant with newer counts of its host only", func() {
+		l := roomgrant.New()
+		l.Decide(0, engine, nil, request("a", 6000))
+		l.Confirm("a", "e-1", 5)
+		l.Confirm("b", "e-1", 9)
+		l.Confirm("a", "e-2", 9)
+		Expect(l.Outstanding(0, "e-1").Running).To(Equal(1))
+		l.Confirm("a", "e-1", 6)
+		Expect(l.Outstanding(0, "e-1")).To(BeZero())
+	})
+
+	// Guards against room that nobody can use: it is kept although both requests fit, or
+	// although the request that goes first does not fit alone.
+	It("keeps room only for a request that goes first and fits instead", func() {
+		for _, c := range []struct {
+			usedBefore, usedAfter, first, later int
+			want                                roomgrant.Decision
+		}{
+			{9000, 0, 6000, 6000, roomgrant.KeptForOther},
+			{9000, 0, 6000, 4000, roomgrant.Granted},
+			{9000, 5000, 6000, 4000, roomgrant.Granted},
+		} {
+			l := roomgrant.New()
+			first := request("a", c.first)
+			first.Priority = 0
+			Expect(l.Decide(0, engine, used(c.usedBefore), first)).To(Equal(roomgrant.NoMemory))
+			Expect(l.Decide(time.Millisecond, engine, used(c.usedAfter), request("b", c.later))).To(Equal(c.want), fmt.Sprint(c))
+		}
+	})
+
+	It("keeps no room for an equal request, nor for longer than a moment", func() {
+		l := roomgrant.New()
+		l.Decide(0, engine, used(9000), request("a", 6000))
+		Expect(l.Decide(0, engine, used(0), request("b", 6000))).To(Equal(roomgrant.Granted))
+		first := request("a", 6000)
+		first.Move = true
+		l = roomgrant.New()
+		l.Decide(0, engine, used(9000), first)
+		Expect(l.Decide(299*time.Millisecond, engine, used(0), request("b", 6000))).To(Equal(roomgrant.KeptForOther))
+		Expect(l.Decide(300*time.Millisecond, engine, used(0), request("b", 6000))).To(Equal(roomgrant.Granted))
+	})
+
+	// Guards against a ledger that grows with each engine and each request of a fleet.
+	It("drops what has expired and counts the grants among it", func() {
+		l := roomgrant.New()
+		for i := range 50 {
+			e := roomgrant.Engine{ID: fmt.Sprint("e-", i), Slots: 24, MemoryTokens: 10_000}
+			l.Decide(0, e, used(9000), request("a", 6000))
+			l.Decide(0, e, used(0), request("b", 6000))
+		}
+		Expect(l.Expire(roomgrant.GrantLifetime - 1)).To(BeZero())
+		Expect(l.Expire(roomgrant.GrantLifetime)).To(Equal(50))
+		Expect(l.Expire(roomgrant.GrantLifetime)).To(BeZero())
+		Expect(l.Size()).To(BeZero())
+	})
+})
--- a/internal/gatewayhost/owners_test.go
+++ b/internal/gatewayhost/owners_test.go
@@ -17,6 +17,7 @@
 	"filbertdeck/internal/controller/recordsync"
 	"filbertdeck/internal/decide/brittle"
 	"filbertdeck/internal/decide/membership"
+	"filbertdeck/internal/decide/roomgrant"
 	"filbertdeck/internal/decide/targetload"
 	"filbertdeck/internal/decide/targetrate"
 	"filbertdeck/internal/directory"
@@ -56,7 +57,13 @@
 	loads := gateway.NewTargetLoads(self, "dc-1", now)
 	s := &Settings{}
 	s.Deployment.ListenPeers = self
-	o := newOwnerExchange(s, loads, newFleetView(s, board, now), &recordsync.Board{}, now, slog.New(slog.DiscardHandler), gometrics.NewRegistry())
+	published := &recordsync.Board{}
+	publish, err := published.View.Claim()
+	if err != nil {
+		t.Fatal(err)
+	}
+	publish.Publish(engineView())
+	o := newOwnerExchange(s, loads, newFleetView(s, board, now), published, now, slog.New(slog.DiscardHandler), gometrics.NewRegistry())
 	if err := o.listen(); err != nil {
 		t.Fatal(err)
 	}
@@ -66,6 +73,17 @@
 	return o, loads
 }
 
+// engineView returns a published state with twelve engines.
+func engineView() *directory.View {
+	cfg := &directory.Config{Services: []directory.Service{{Name: "llm", Engine: &directory.Engine{MemoryTokens: 10_000}}}}
+	targets := map[string]*directory.ObservedTarget{}
+	for i := range 12 {
+		id := fmt.Sprint("i-", i+1)
+		targets[id] = &directory.ObservedTarget{Published: true, Target: directory.Target{ID: id, Service: "llm", Slots: 24}}
+	}
+	return directory.NewView(1, cfg, targets, nil)
+}
+
 // targetOwnedBy returns a target that a given host owns.
 func targetOwnedBy(t *testing.T, o *ownerExchange, host string) gateway.TargetRef {
 	t.Helper()
@@ -119,6 +137,59 @@
 	}
 }
 
+// Two hosts ask for the last room of an engine. Guards against a decision, a limit or a
+// count that is lost between hosts.
+func TestOwnerGrantsRoomOnce(t *testing.T) {
+	addresses := []string{freeUDPAddress(t), freeUDPAddress(t), freeUDPAddress(t)}
+	owner, _ := startOwnerExchange(t, addresses[0], addresses)
+	first, _ := startOwnerExchange(t, addresses[1], addresses)
+	second, _ := startOwnerExchange(t, addresses[2], addresses)
+	target := targetOwnedBy(t, owner, addresses[0])
+	request := roomgrant.Request{ID: 1 << 63, Tokens: 6000, PromptTokens: 3000, MemoryShare: 1.1, LimitsUnread: true, MaxUnreadTokens: 2999, Priority: 2}
+	ask := func(o *ownerExchange, version uint64) gateway.RoomReply {
+		reply, ok := o.RequestRoom(target, targetload.HostLoad{Host: o.self, Target: target.ID, Version: version}, request)
+		if !ok || !reply.Decided {
+			t.Fatalf("the owner did not decide: %+v", reply)
+		}
+		return reply
+	}
+	if !ask(first, 7).Granted {
+		t.Fatal("the room was denied to the first host")
+	}
+	reply := ask(second, 3)
+	if reply.Granted {
+		t.Fatal("the room was granted twice")
+	}
+	if len(reply.Counts) != 1 || reply.Counts[0].Host != addresses[1] || reply.Counts[0].UnreadTokens != 3000 || reply.Counts[0].Version != 8 {
+		t.Fatalf("the owner returned %+v, want the granted room", reply.Counts)
+	}
+	first.SendCount(target, targetload.HostLoad{Host: addresses[1], Target: target.ID, Version: 9})
+	for try := 0; !ask(second, 3).Granted; try++ {
+		if try == 100 {
+			t.Fatal("the released room was denied")
+		}
+	}
+	if local := ask(owner, 1); local.Granted || owner.queries.Count() != 0 {
+		t.Fatalf("the owner granted its own request (%v) or sent a datagram", local.Granted)
+	}
+	want := roomgrant.Request{ID: 9, Tokens: 1, PromptTokens: 2, MemoryShare: 0.7, MaxUnreadTokens: 3, LimitsUnread: true, Priority: -1, Move: true}
+	if got := decodeRoomRequest(encodeRoomRequest("i-1", want)); got != want {
+		t.Fatalf("decoded %+v, want %+v", got, want)
+	}
+}
+
+// Guards against a decision by the size of an engine that the owner does not know.
+func TestRoomAtUnknownEngineIsNotDecided(t *testing.T) {
+	addresses := []string{freeUDPAddress(t), freeUDPAddress(t)}
+	startOwnerExchange(t, addresses[0], addresses)
+	o, _ := startOwnerExchange(t, addresses[1], addresses)
+	unknown := gateway.TargetRef{ID: "gone"}
+	reply, ok := o.RequestRoom(unknown, targetload.HostLoad{Host: o.self, Target: unknown.ID, Version: 1}, roomgrant.Request{Tokens: 1, MemoryShare: 1})
+	if !ok || reply.Decided {
+		t.Fatalf("got %+v, %v, want an answer with counts only", reply, ok)
+	}
+}
+
 // Guards against counters that the operators' documentation does not describe.
 func TestOwnerCountersAreDocumented(t *testing.T) {
 	page, err := os.ReadFile("../../docs/operators/gateway-counters.md")
