--- a/internal/gateway/burst_play_test.go
+++ b/internal/gateway/burst_play_test.go
@@ -57,6 +57,8 @@
 // learn of each other's loads from the engines' owners.
 type burstPlay struct {
 	waits bool
+	// beforeSearch, if set, runs before each search and may change it.
+	beforeSearch func(r *playedRequest, req *gateway.PlacementRequest)
 	// arrivals draws the load, draws the hosts' decisions.
 	arrivals, draws *rand.Rand
 	now             time.Duration
@@ -172,6 +174,9 @@
 		}, p.draws.Float64())
 	}
 	req.MemoryShare = search.MemoryShare
+	if p.beforeSearch != nil {
+		p.beforeSearch(r, &req)
+	}
 	target, reservation, outcome := r.host.AcquireWithRoom(p.view, req)
 	if outcome == gateway.NoRoom {
 		r.searchAt = p.now + search.Wait
