Give back the rate of a target at which room was denied

Cause: a reservation counts as a send to a cold or rate-limited target, and a denied request for room sends nothing; a generation that asked every 100 ms used up the rate. Change: coldlimit.CancelSend and targetrate.ReturnToken on reservations that are given up before anything was sent. The owner's own choice counts the room that it granted, and a denied request is withdrawn from counts that another request of its host carried.

--- a/internal/decide/coldlimit/coldlimit.go
+++ b/internal/decide/coldlimit/coldlimit.go
@@ -53,6 +53,13 @@
 	l.sent = append(l.sent, now)
 }
 
+// CancelSend removes the last recorded request, which was not sent after all.
+func (l *Limiter) CancelSend() {
+	if len(l.sent) > 0 {
+		l.sent = l.sent[:len(l.sent)-1]
+	}
+}
+
 // expire removes the requests that have left the window.
 func (l *Limiter) expire(now time.Duration) {
 	expired := 0
--- a/internal/decide/targetrate/targetrate.go
+++ b/internal/decide/targetrate/targetrate.go
@@ -205,6 +205,9 @@
 	}
 }
 
+// ReturnToken returns a token that was taken for a request that was not sent after all.
+func (l *Limiter) ReturnToken(id string) { l.AddBorrowed(id) }
+
 // AddBorrowed adds a token that another host lent.
 func (l *Limiter) AddBorrowed(id string) {
 	if t := l.targets[id]; t != nil && t.latest.Limited {
--- a/internal/gateway/room_grants.go
+++ b/internal/gateway/room_grants.go
@@ -160,7 +160,7 @@
 		left = slices.DeleteFunc(left, func(t *directory.ObservedTarget) bool { return t.ID == next.targetID })
 		result := l.requestRoom(req, next)
 		if result == roomGranted || result != roomDenied && held == nil {
-			held.Release()
+			l.abandon(held)
 			held = next
 		} else {
 			l.withdraw(next)
@@ -196,6 +196,8 @@
 	l.mu.Lock()
 	own := l.hostLoads.LocalCount(r.targetID)
 	own.Load, own.Version = r.room.before, r.room.version-1
+	load := l.loadOf(r.targetID)
+	load.sentVersion = max(load.sentVersion, own.Version)
 	l.mu.Unlock()
 	room := roomgrant.Request{
 		ID: req.RoomID, Tokens: r.load.ReservedTokens, PromptTokens: r.load.UnreadTokens, MemoryShare: req.MemoryShare,
@@ -239,7 +241,7 @@
 // withdraw releases a reservation that got no room. The owners are told if counts
 // that include it were sent meanwhile.
 func (l *TargetLoads) withdraw(r *Reservation) {
-	r.Release()
+	l.abandon(r)
 	l.mu.Lock()
 	sent := l.loadOf(r.targetID).sentVersion >= r.room.version
 	l.mu.Unlock()
@@ -248,6 +250,18 @@
 	}
 }
 
+// abandon releases a reservation for which nothing was sent to the target; nil for none.
+func (l *TargetLoads) abandon(r *Reservation) {
+	if r == nil {
+		return
+	}
+	r.Release()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loadOf(r.targetID).coldLimiter.CancelSend()
+	l.rates.ReturnToken(r.targetID)
+}
+
 // releaseGrant tells the owners that a generation has ended whose room was granted a
 // moment ago. Its host's counts may not have followed the grant yet.
 func (r *Reservation) releaseGrant() {
--- a/internal/gateway/room_grants_test.go
+++ b/internal/gateway/room_grants_test.go
@@ -137,6 +137,16 @@
 		Expect([]gateway.Outcome{outcome, other}).To(ConsistOf(gateway.Placed, gateway.NoRoom))
 	})
 
+	// Guards against an owner that chooses the engine whose room it has just granted.
+	It("counts in the owner's own choice", func() {
+		f := newRoomFleet(2)
+		granted, _ := f.place(1)
+		Expect(granted).NotTo(BeNil())
+		_, outcome := f.place(0)
+		Expect(outcome).To(Equal(gateway.Placed))
+		Expect(f.requested).To(ConsistOf("i-0", "i-1"))
+	})
+
 	// Guards against generations that wait although the next engine has room.
 	It("is asked for at another engine after a denial, at three in a search", func() {
 		f := newRoomFleet(2)
@@ -224,6 +234,38 @@
 		Expect(f.load()).To(Equal(one))
 	})
 
+	// Guards against a count with a denied request that another generation of the same host
+	// sent to the owner.
+	It("is not left taken by a denied request that its host's next one counted", func() {
+		f := newRoomFleet(1)
+		f.beforeRequest = func() {
+			f.place(1, func(req *gateway.PlacementRequest) { req.MemoryShare, req.RoomID = 0, 1 })
+		}
+		_, outcome := f.place(1)
+		Expect(outcome).To(Equal(gateway.NoRoom))
+		Expect(f.load()).To(Equal(one))
+	})
+
+	// Guards against an engine that takes few requests a second and gets none, because
+	// requests for its room that were denied count as sent.
+	It("does not use up the engine's rate when it is denied", func() {
+		f := newRoomFleet(1)
+		rate := 0.001
+		f.hosts[1].ObserveRate("i-0", &rate)
+		f.hosts[1].SetColdRateLimit(gateway.ColdRateLimit{Factor: 1, Rank: func(string) (int, int) { return 0, 9 }})
+		engine, _ := f.view.Target("i-0")
+		engine.WarmAt = time.Minute
+		service, _ := f.view.Service("llm")
+		service.ColdRequestsPerSecond = 1
+		var running *gateway.Reservation
+		f.beforeRequest = func() { running, _ = f.place(2) }
+		_, outcome := f.place(1)
+		Expect(outcome).To(Equal(gateway.NoRoom))
+		running.Release()
+		_, outcome = f.place(1)
+		Expect(outcome).To(Equal(gateway.Placed))
+	})
+
 	// Guards against a generation that waits because an answer was lost, and against room
 	// that is taken twice then.
 	It("is taken by this host's own counts if the answer is lost", func() {
