Keep counts that arrive after the question whose answer lacks them

Cause: an owner that queries itself, and a host with two questions under way, dropped counts that had arrived between an answer and its use. Change: targetload.ReplaceTarget drops only counts from before the question. This holds without grants as well, where the next counts of a host made up for it. A spec of many searches at once; its sums need the hosts' last counts, since an owner that holds none of a host does not remember the version of an empty one. Grants are kept for the most urgent as well as for moves: spec.

--- a/internal/decide/targetload/targetload.go
+++ b/internal/decide/targetload/targetload.go
@@ -220,11 +220,12 @@
 }
 
 // ReplaceTarget replaces the counts of a target with the complete answer of its owner.
-// Other hosts' counts that are missing from the answer have ended.
-func (t *Table) ReplaceTarget(now time.Duration, target string, counts []HostLoad) {
-	for host := range t.counts[target] {
+// Other hosts' counts that are missing from the answer have ended, unless they arrived
+// after it was asked for: the owner may not have had them.
+func (t *Table) ReplaceTarget(asked, now time.Duration, target string, counts []HostLoad) {
+	for host, known := range t.counts[target] {
 		fromHost := func(c HostLoad) bool { return c.Host == host }
-		if host != t.self && !slices.ContainsFunc(counts, fromHost) {
+		if host != t.self && known.receivedAt <= asked && !slices.ContainsFunc(counts, fromHost) {
 			t.remove(target, host)
 		}
 	}
--- a/internal/decide/targetload/targetload_test.go
+++ b/internal/decide/targetload/targetload_test.go
@@ -143,11 +143,23 @@
 		a.SetLocalLoad(0, "e-1", load(1, 3000))
 		a.SetLocalLoad(0, "e-2", load(1, 3000))
 		owner.Merge(0, "", a.OwnerUpdates(0))
-		b.ReplaceTarget(0, "e-1", owner.ForTarget(0, "e-1"))
-		b.ReplaceTarget(0, "e-2", owner.ForTarget(0, "e-2"))
+		b.ReplaceTarget(0, 0, "e-1", owner.ForTarget(0, "e-1"))
+		b.ReplaceTarget(0, 0, "e-2", owner.ForTarget(0, "e-2"))
 		Expect(b.Total(0, "e-1").OtherHostsLoad).To(Equal(load(1, 3000)))
-		b.ReplaceTarget(0, "e-1", nil)
+		b.ReplaceTarget(0, 0, "e-1", nil)
 		Expect(b.Total(0, "e-1").OtherHostsLoad).To(Equal(load(0, 0)))
 		Expect(b.Total(0, "e-2").OtherHostsLoad).To(Equal(load(1, 3000)))
 	})
+
+	// An owner queries itself. Guards against counts that arrive between its answer and
+	// the use of the answer, and that it then drops: its engine looks empty.
+	It("are kept if they arrived after the question", func() {
+		a, owner := targetload.New("a", 1), targetload.New("owner", 1)
+		a.SetLocalLoad(0, "e-1", load(1, 3000))
+		owner.Merge(2, "", a.OwnerUpdates(1))
+		owner.ReplaceTarget(1, 3, "e-1", nil)
+		Expect(owner.Total(3, "e-1").OtherHostsLoad).To(Equal(load(1, 3000)))
+		owner.ReplaceTarget(2, 3, "e-1", nil)
+		Expect(owner.Total(3, "e-1").OtherHostsLoad).To(Equal(load(0, 0)))
+	})
 })
--- a/internal/gateway/owner_query.go
+++ b/internal/gateway/owner_query.go
@@ -87,11 +87,12 @@
 	own := l.hostLoads.LocalCount(t.ID)
 	l.loadOf(t.ID).sentVersion = own.Version
 	l.mu.Unlock()
+	asked := l.now()
 	counts, answered := l.ownerQuery(refOf(t), []targetload.HostLoad{own})
 	if !answered {
 		return false
 	}
-	l.mergeAnswer(t.ID, counts)
+	l.mergeAnswer(asked, t.ID, counts)
 	return true
 }
 
--- a/internal/gateway/room_grants.go
+++ b/internal/gateway/room_grants.go
@@ -199,6 +199,7 @@
 	load := l.loadOf(r.targetID)
 	load.sentVersion = max(load.sentVersion, own.Version)
 	l.mu.Unlock()
+	asked := l.now()
 	room := roomgrant.Request{
 		ID: req.RoomID, Tokens: r.load.ReservedTokens, PromptTokens: r.load.UnreadTokens, MemoryShare: req.MemoryShare,
 		Priority: req.Priority, Move: req.Move,
@@ -211,7 +212,7 @@
 		l.roomCounts.unanswered.Inc(1)
 		return roomUnanswered
 	}
-	l.mergeAnswer(r.targetID, reply.Counts)
+	l.mergeAnswer(asked, r.targetID, reply.Counts)
 	switch {
 	case !reply.Decided:
 		l.roomCounts.unanswered.Inc(1)
@@ -229,11 +230,12 @@
 	return roomGranted
 }
 
-// mergeAnswer merges an owner's answer with all counts of a target.
-func (l *TargetLoads) mergeAnswer(target string, counts []targetload.HostLoad) {
+// mergeAnswer merges an owner's answer, with all counts of a target, to a question that
+// was sent at the given time.
+func (l *TargetLoads) mergeAnswer(asked time.Duration, target string, counts []targetload.HostLoad) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hostLoads.ReplaceTarget(l.now(), target, counts)
+	l.hostLoads.ReplaceTarget(asked, l.now(), target, counts)
 	l.confirmGrants(counts)
 	l.learnSpeeds(counts)
 }
--- a/internal/gateway/room_grants_test.go
+++ b/internal/gateway/room_grants_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -20,6 +21,7 @@
 // roomFleet is a fleet whose hosts reach the owner of all engines' counts by calls.
 type roomFleet struct {
 	now   time.Duration
+	clock func() time.Duration
 	view  *directory.View
 	hosts []*gateway.TargetLoads
 	// owner is the one that hosts reach; nil for none.
@@ -38,8 +40,10 @@
 func newRoomFleet(engines int) *roomFleet {
 	const hosts = 9
 	f := &roomFleet{now: time.Second}
+	f.clock = func() time.Duration { return f.now }
 	cfg := testConfig()
 	cfg.Services[1].Engine.MemoryTokens = roomFleetMemory
+	cfg.Routes[2].Priority, cfg.Routes[2].LatencyObjective, cfg.Routes[3].LatencyObjective = 2, 4*time.Second, 1500*time.Millisecond
 	targets := map[string]*directory.ObservedTarget{}
 	for i := range engines {
 		id := fmt.Sprintf("i-%d", i)
@@ -47,7 +51,7 @@
 	}
 	f.view = directory.NewView(1, cfg, targets, nil)
 	for i := range hosts {
-		l := gateway.NewTargetLoads(fmt.Sprintf("host-%d", i), "dc-1", func() time.Duration { return f.now })
+		l := gateway.NewTargetLoads(fmt.Sprintf("host-%d", i), "dc-1", func() time.Duration { return f.clock() })
 		l.SetHostCount(func() int { return hosts })
 		l.SetRand(rand.New(rand.NewPCG(1, uint64(i))))
 		l.SetOwnerQuery(f.query)
@@ -112,6 +116,24 @@
 	f.owner.MergeLoads("", f.hosts[host].PendingOwnLoads())
 }
 
+// concurrentOwners are the owners of a fleet's engines, reached by calls.
+type concurrentOwners struct {
+	view  *directory.View
+	hosts []*gateway.TargetLoads
+}
+
+func (o *concurrentOwners) of(target gateway.TargetRef) *gateway.TargetLoads {
+	return o.hosts[int(target.ID[len(target.ID)-1])%len(o.hosts)]
+}
+
+func (o *concurrentOwners) RequestRoom(target gateway.TargetRef, own targetload.HostLoad, r roomgrant.Request) (gateway.RoomReply, bool) {
+	return o.of(target).DecideRoom(o.view, own, r), true
+}
+
+func (o *concurrentOwners) SendCount(target gateway.TargetRef, own targetload.HostLoad) {
+	o.of(target).MergeLoads("", []targetload.HostLoad{own})
+}
+
 var _ = Describe("room that owners grant", func() {
 	one := targetload.Load{Running: 1, ReservedTokens: 6000, UnreadTokens: 6000}
 
@@ -325,20 +347,24 @@
 		Expect(placed).To(Equal(2))
 	})
 
-	// Guards against a generation that is moved and finds no room for it, because those
-	// that have not begun take each room that becomes free.
-	It("is kept for a move that was denied", func() {
-		f := newRoomFleet(1)
-		move := func(req *gateway.PlacementRequest) { req.Move = true }
-		running, _ := f.place(1)
-		_, outcome := f.place(2, move)
-		Expect(outcome).To(Equal(gateway.NoRoom))
-		running.Release()
-		_, outcome = f.place(3)
-		Expect(outcome).To(Equal(gateway.NoRoom))
-		_, outcome = f.place(2, move)
-		Expect(outcome).To(Equal(gateway.Placed))
-	})
+	// Guards against a generation that is moved, or is more urgent, and finds no room for
+	// it, because those that can wait take each room that becomes free.
+	DescribeTable("is kept for a request that goes first and was denied",
+		func(first func(*gateway.PlacementRequest), kept bool) {
+			f := newRoomFleet(1)
+			running, _ := f.place(1)
+			_, outcome := f.place(2, first)
+			Expect(outcome).To(Equal(gateway.NoRoom))
+			running.Release()
+			_, outcome = f.place(3)
+			Expect(outcome == gateway.NoRoom).To(Equal(kept))
+			_, outcome = f.place(2, first)
+			Expect(outcome == gateway.Placed).To(Equal(kept))
+		},
+		Entry("a move", func(req *gateway.PlacementRequest) { req.Move = true }, true),
+		Entry("of the most urgent", func(req *gateway.PlacementRequest) { req.Priority = 0 }, true),
+		Entry("but not for an equal one", func(*gateway.PlacementRequest) {}, false),
+	)
 
 	// Guards against prompts of several hosts that exceed the limit together.
 	It("is denied beyond the limit on unread prompts", func() {
@@ -353,6 +379,63 @@
 		Expect([]gateway.Outcome{outcome, other}).To(ConsistOf(gateway.Placed, gateway.NoRoom))
 	})
 
+	// Guards against room that is granted twice, or never freed, where the requests, counts
+	// and releases of hosts that are owners themselves cross.
+	It("is never exceeded by many searches at once, and free after them", func() {
+		f := newRoomFleet(6)
+		start := time.Now()
+		// Counts are compared by their times, and no grant is to expire.
+		f.clock = func() time.Duration { return time.Second + time.Since(start)/10 }
+		owners := &concurrentOwners{f.view, f.hosts}
+		var mu sync.Mutex
+		placed, atOnce, highest := 0, map[string]int{}, 0
+		var wg sync.WaitGroup
+		for i, l := range f.hosts {
+			l.SetOwnerQuery(func(target gateway.TargetRef, own []targetload.HostLoad) ([]targetload.HostLoad, bool) {
+				return owners.of(target).AnswerOwnerQuery(own), true
+			})
+			l.SetRoomOwners(owners)
+			for search := range 40 {
+				wg.Go(func() {
+					t, reservation, outcome := l.AcquireWithRoom(f.view, gateway.PlacementRequest{
+						Service: "llm", Prompt: call.Prompt{Tokens: 3000}, Locality: gateway.PreferLocal, MemoryShare: 1, GrantsRoom: true, Priority: search % 3, Move: search%7 == 0, RoomID: uint64(100*i + search),
+					})
+					if outcome != gateway.Placed {
+						return
+					}
+					mu.Lock()
+					placed++
+					atOnce[t.ID]++
+					highest = max(highest, atOnce[t.ID])
+					mu.Unlock()
+					if search%2 == 0 {
+						return
+					}
+					mu.Lock()
+					atOnce[t.ID]--
+					mu.Unlock()
+					reservation.Release()
+				})
+			}
+		}
+		wg.Wait()
+		AddReportEntry("placed", placed)
+		for _, l := range f.hosts {
+			for _, c := range l.PendingOwnLoads() {
+				owners.SendCount(gateway.TargetRef{ID: c.Target}, c)
+			}
+		}
+		Expect(placed).To(BeNumerically(">=", 6))
+		Expect(highest).To(BeNumerically("<=", roomFleetMemory/3000))
+		for id, running := range atOnce {
+			sum := 0
+			for _, c := range owners.of(gateway.TargetRef{ID: id}).AnswerOwnerQuery([]targetload.HostLoad{{Host: "host-9", Target: id}}) {
+				sum += c.Running
+			}
+			Expect(sum).To(Equal(running), id)
+		}
+	})
+
 	It("is not asked for without the setting and in a small fleet", func() {
 		f := newRoomFleet(1)
 		f.place(1, func(req *gateway.PlacementRequest) { req.GrantsRoom = false })
