Bound the hold of prompts by half of the time to spare; tests and a play of three limits

Cause: held for all of its time, a generation had no time left to wait for memory: those that are late may use less of it. Change: the limit rises to the whole objective and ends at half of the time. The play of a burst gets engines that are replaced, learned speeds, unanswered queries and mixes of prompts, and compares no limit, 2,500 tokens and the derived limit.

--- a/internal/decide/prefill/prefill.go
+++ b/internal/decide/prefill/prefill.go
@@ -29,10 +29,10 @@
 	// unknownPromptDivisor divides the most urgent objective; the quotient stands for the
 	// time to prefill an urgent prompt until the host has seen one.
 	unknownPromptDivisor = 4
-	// lastSearchTime is kept of the time in which a generation can still be in time, for
-	// at least one search without a limit. Searches are up to 150 ms apart, and a
-	// generation that is late may use less of an engine's memory.
-	lastSearchTime = 200 * time.Millisecond
+	// waitDivisor divides the time for which a generation can wait and be in time; the
+	// quotient is the longest wait for the limit. The rest is for memory: a generation that
+	// is late may use less of it.
+	waitDivisor = 2
 	// sampleTokens is the prompt for which the time per token is computed.
 	sampleTokens = 1000
 )
@@ -59,10 +59,11 @@
 // Next returns the limit for a search; nil if there is none. waited is the time since the
 // generation arrived, untilLate the time for which it can wait and still be in time.
 func Next(urgent Urgent, waited, untilLate time.Duration) *Limit {
-	if urgent.Objective <= 0 || untilLate <= lastSearchTime {
+	longest := (waited + untilLate) / waitDivisor
+	if urgent.Objective <= 0 || waited >= longest {
 		return nil
 	}
-	used := float64(waited) / float64(waited+untilLate-lastSearchTime)
+	used := float64(waited) / float64(longest)
 	// Beyond the whole objective of the urgent ones nothing is left to keep for them.
 	budget := urgent.Objective/budgetDivisor + time.Duration(used*float64(urgent.Objective-urgent.Objective/budgetDivisor))
 	if urgent.PromptTokens == 0 {
--- a/internal/gateway/burst_play_test.go
+++ b/internal/gateway/burst_play_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -11,6 +12,8 @@
 
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/decide/deferral"
+	"filbertdeck/internal/decide/enginespeed"
+	"filbertdeck/internal/decide/prefill"
 	"filbertdeck/internal/decide/targetload"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/gateway"
@@ -21,6 +24,8 @@
 type workClass struct {
 	urgent                        bool
 	promptTokens, promptDeviation float64
+	// sharedTokens is the number of leading tokens that all prompts have in common.
+	sharedTokens int
 	// outputTokens is the mean, outputDeviation the standard deviation of the
 	// logarithm.
 	outputTokens, outputDeviation float64
@@ -29,10 +34,28 @@
 }
 
 var (
-	longReports  = workClass{promptTokens: 3000, promptDeviation: 700, outputTokens: 750, outputDeviation: 0.8, maxOutputTokens: 1780, firstObjective: 4 * time.Second, timeout: 39 * time.Second}
+	longReports = workClass{promptTokens: 3000, promptDeviation: 700, outputTokens: 750, outputDeviation: 0.8, maxOutputTokens: 1780, firstObjective: 4 * time.Second, timeout: 39 * time.Second}
+	// sharedReports are longReports that have the first 2,000 tokens in common.
+	sharedReports = workClass{promptTokens: 3000, promptDeviation: 300, sharedTokens: 2000, outputTokens: 750, outputDeviation: 0.8, maxOutputTokens: 1780, firstObjective: 4 * time.Second, timeout: 39 * time.Second}
+	// longPrompts and shortPrompts are a mix in which a long prompt takes longer to read than
+	// the objective of a short one.
+	longPrompts  = workClass{promptTokens: 9000, promptDeviation: 1500, outputTokens: 150, outputDeviation: 0.8, maxOutputTokens: 400, firstObjective: 4 * time.Second, timeout: 39 * time.Second}
+	shortPrompts = workClass{urgent: true, promptTokens: 200, promptDeviation: 60, outputTokens: 8, outputDeviation: 0.8, maxOutputTokens: 28, firstObjective: 500 * time.Millisecond, timeout: 6 * time.Second}
 	shortAnswers = workClass{urgent: true, promptTokens: 2200, promptDeviation: 900, outputTokens: 8, outputDeviation: 0.8, maxOutputTokens: 28, firstObjective: 1500 * time.Millisecond, timeout: 6 * time.Second}
 )
 
+// sharedBlocks returns the hashes of the blocks that all prompts have in common.
+func (c *workClass) sharedBlocks() []uint64 {
+	blocks := make([]uint64, c.sharedTokens/model.BlockTokens)
+	for i := range blocks {
+		blocks[i] = uint64(i + 1)
+	}
+	return blocks
+}
+
+// maxPause is the longest pause between two events that callers accept.
+const maxPause = 180 * time.Millisecond
+
 // playedRequest is one generation in a play.
 type playedRequest struct {
 	class       *workClass
@@ -43,13 +66,14 @@
 	searchAt    time.Duration
 	reservation *gateway.Reservation
 	first, last time.Duration
+	target      string
+	window      enginespeed.Window
 	maxPause    time.Duration
 	finished    bool
 }
 
 // inTime reports whether the caller got the whole answer in time.
 func (r *playedRequest) inTime() bool {
-	const maxPause = 180 * time.Millisecond
 	return r.finished && r.first-r.arrived <= r.class.firstObjective && r.maxPause <= maxPause
 }
 
@@ -57,16 +81,37 @@
 // learn of each other's loads from the engines' owners.
 type burstPlay struct {
 	waits bool
+	load  playLoad
+	// limits says how the unread prompts at engines are limited, urgent holds the mean
+	// urgent prompt that each host has seen.
+	limits promptLimits
+	urgent map[*gateway.TargetLoads]*prefill.MeanTokens
 	// arrivals draws the load, draws the hosts' decisions.
 	arrivals, draws *rand.Rand
 	now             time.Duration
+	config          *directory.Config
 	view            *directory.View
-	hosts           []*gateway.TargetLoads
-	engines         map[string]*model.Engine
-	ids             []string
-	owners          map[string]*gateway.TargetLoads
-	waiting         []*playedRequest
-	requests        []*playedRequest
+	// targets are the engines that take generations, in the order in which they joined.
+	targets  []*directory.ObservedTarget
+	hosts    []*gateway.TargetLoads
+	engines  map[string]*model.Engine
+	ids      []string
+	owners   map[string]*gateway.TargetLoads
+	waiting  []*playedRequest
+	requests []*playedRequest
+}
+
+// playLoad is the load of a play.
+type playLoad struct {
+	long, short *workClass
+	// Rates of both classes are per second; the long ones come at burst times their rate
+	// for some seconds.
+	longPerSecond, shortPerSecond, burst float64
+	// turnover is the time after which a sixth of the engines is replaced; 0 for never.
+	// Those that leave take nothing new and end what they run.
+	turnover time.Duration
+	// unanswered is the share of queries without an answer.
+	unanswered float64
 }
 
 const (
@@ -80,48 +125,66 @@
 	playShareInterval = 100 * time.Millisecond
 )
 
-func newBurstPlay(seed uint64, hosts, engines int, waits bool) *burstPlay {
-	p := &burstPlay{waits: waits, arrivals: rand.New(rand.NewPCG(seed, 0)), draws: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*model.Engine{}, owners: map[string]*gateway.TargetLoads{}}
-	cfg := testConfig()
-	cfg.Services[1].Engine.MemoryTokens = playMemoryTokens
-	targets := map[string]*directory.ObservedTarget{}
+func newBurstPlay(seed uint64, hosts, engines int, waits bool, load playLoad) *burstPlay {
+	p := &burstPlay{waits: waits, load: load, urgent: map[*gateway.TargetLoads]*prefill.MeanTokens{}, config: testConfig(), arrivals: rand.New(rand.NewPCG(seed, 0)), draws: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*model.Engine{}, owners: map[string]*gateway.TargetLoads{}}
+	p.config.Services[1].Engine.MemoryTokens = playMemoryTokens
 	for i := range hosts {
 		l := gateway.NewTargetLoads(fmt.Sprintf("host-%d", i), "dc-1", func() time.Duration { return p.now })
 		l.SetHostCount(func() int { return hosts })
 		l.SetRand(rand.New(rand.NewPCG(seed, uint64(i)+2)))
 		l.SetOwnerQuery(p.queryOwner)
 		p.hosts = append(p.hosts, l)
+		p.urgent[l] = &prefill.MeanTokens{}
 	}
-	for i := range engines {
-		id := fmt.Sprintf("i-%d", i)
+	p.addEngines(engines)
+	return p
+}
+
+// addEngines has empty engines join.
+func (p *burstPlay) addEngines(count int) {
+	for range count {
+		id := fmt.Sprintf("i-%d", len(p.ids))
+		p.owners[id] = p.hosts[len(p.ids)%len(p.hosts)]
 		p.ids = append(p.ids, id)
-		p.owners[id] = p.hosts[i%hosts]
-		targets[id] = &directory.ObservedTarget{Published: true, Target: directory.Target{ID: id, Service: "llm", DataCentre: "dc-1", Slots: 24}}
+		p.targets = append(p.targets, &directory.ObservedTarget{Published: true, Target: directory.Target{ID: id, Service: "llm", DataCentre: "dc-1", Slots: 24}})
 		p.engines[id] = model.New(model.Config{
 			MemoryTokens: playMemoryTokens, MaxBatch: 24, MaxWaiting: 72, BaseStep: 7 * time.Millisecond, PerSequence: 120 * time.Microsecond,
-			PerPromptToken: 71 * time.Microsecond, PrefillChunk: 112, Seed: seed,
+			PerPromptToken: 71 * time.Microsecond, PrefillChunk: 112,
 		})
 	}
-	p.view = directory.NewView(1, cfg, targets, nil)
-	return p
+	targets := map[string]*directory.ObservedTarget{}
+	for _, t := range p.targets {
+		targets[t.ID] = t
+	}
+	p.view = directory.NewView(1, p.config, targets, nil)
 }
 
+// queryOwner answers a query, or not, by the target and the time: hosts query in parallel,
+// and a play has to give the same result each time.
 func (p *burstPlay) queryOwner(target gateway.TargetRef, own []targetload.HostLoad) ([]targetload.HostLoad, bool) {
-	return p.owners[target.ID].AnswerOwnerQuery(own), true
+	counts := p.owners[target.ID].AnswerOwnerQuery(own)
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, target.ID, own[0].Host, p.now)
+	return counts, float64(h.Sum64()%1000) >= 1000*p.load.unanswered
 }
 
-// run plays the load: rates of both classes are per second, and the long reports come
-// at burst times their rate for some seconds.
-func (p *burstPlay) run(longPerSecond, shortPerSecond, burst float64) {
-	nextShare := playShareInterval
+// run plays the load.
+func (p *burstPlay) run() {
+	nextShare, nextTurnover := playShareInterval, p.load.turnover
 	for ; p.now < playLength; p.now += playTick {
-		rate := longPerSecond
+		rate := p.load.longPerSecond
 		if p.now >= burstStart && p.now < burstEnd {
-			rate *= burst
+			rate *= p.load.burst
 		}
 		if p.now < arrivalsEnd {
-			p.arrive(&longReports, rate)
-			p.arrive(&shortAnswers, shortPerSecond)
+			p.arrive(p.load.long, rate)
+			p.arrive(p.load.short, p.load.shortPerSecond)
+		}
+		if p.load.turnover > 0 && p.now >= nextTurnover {
+			nextTurnover += p.load.turnover
+			leaving := len(p.targets) / 6
+			p.targets = p.targets[leaving:]
+			p.addEngines(leaving)
 		}
 		p.search()
 		for _, id := range p.ids {
@@ -166,19 +229,21 @@
 	req := gateway.PlacementRequest{Service: "llm", Prompt: r.prompt, FirstEventObjective: max(r.class.firstObjective-(p.now-r.arrived), 0), Locality: gateway.PreferLocal}
 	var search deferral.Search
 	if p.waits {
-		search = deferral.Next(deferral.Generation{
+		deferred := deferral.Generation{
 			Urgent: r.class.urgent, Waited: p.now - r.arrived, Timeout: r.class.timeout,
 			FirstTokenObjective: r.class.firstObjective, TimeToFirstToken: r.host.TimeToFirstToken(r.prompt),
-		}, p.draws.Float64())
+		}
+		search = deferral.Next(deferred, p.draws.Float64())
+		req.MemoryShare = search.MemoryShare
+		p.limitPrompts(r, deferred, &req)
 	}
-	req.MemoryShare = search.MemoryShare
 	target, reservation, outcome := r.host.AcquireWithRoom(p.view, req)
 	if outcome == gateway.NoRoom {
 		r.searchAt = p.now + search.Wait
 		return false
 	}
 	Expect(outcome).To(Equal(gateway.Placed))
-	r.reservation = reservation
+	r.reservation, r.target = reservation, target.ID
 	priority := 0
 	if r.class.urgent {
 		priority = 1
@@ -189,12 +254,39 @@
 			id = model.JobID(i)
 		}
 	}
-	if err := p.engines[target.ID].Submit(p.now, model.Job{ID: id, Priority: priority, PromptTokens: r.prompt.Tokens, OutputTokens: r.output}); err != nil {
+	if err := p.engines[target.ID].Submit(p.now, model.Job{ID: id, Priority: priority, PromptTokens: r.prompt.Tokens, OutputTokens: r.output, Prefix: r.class.sharedBlocks()}); err != nil {
 		reservation.Release()
 	}
 	return true
 }
 
+// promptLimits is a way to limit the unread prompts at engines.
+type promptLimits int
+
+const (
+	noLimit promptLimits = iota
+	// fixedLimit allows fixedUnreadTokens everywhere.
+	fixedLimit
+	// derivedLimit is that of decide/prefill.
+	derivedLimit
+)
+
+const fixedUnreadTokens = 2500
+
+// limitPrompts sets the limit on unread prompts for a search, as the gateway does.
+func (p *burstPlay) limitPrompts(r *playedRequest, deferred deferral.Generation, req *gateway.PlacementRequest) {
+	switch {
+	case r.class.urgent:
+		p.urgent[r.host].Add(r.prompt.Tokens)
+	case req.MemoryShare == 0 || p.limits == noLimit:
+	case p.limits == fixedLimit:
+		req.AnyRoom, req.PromptLimit = true, &prefill.Limit{UrgentTokens: -fixedUnreadTokens}
+	default:
+		urgent := prefill.Urgent{Objective: p.load.short.firstObjective, PromptTokens: p.urgent[r.host].Tokens()}
+		req.AnyRoom, req.PromptLimit = true, prefill.Next(urgent, deferred.Waited, deferral.UntilLate(deferred))
+	}
+}
+
 // take handles the events of an engine.
 func (p *burstPlay) take(events []model.Event) {
 	for _, e := range events {
@@ -208,6 +300,9 @@
 				r.maxPause = max(r.maxPause, e.At-r.last)
 			}
 			r.last = e.At
+			if mean, full := r.window.Add(e.At - r.arrived); full {
+				r.host.RecordStep(r.target, mean)
+			}
 		case model.EventFinished:
 			r.finished = true
 			r.reservation.Release()
@@ -230,17 +325,26 @@
 // when the engines should have recovered from the burst.
 type playResult struct {
 	longCount, longInTime, laterCount, laterInTime, shortCount, shortInTime, unfinished int
-	recomputedTokens, preemptions                                                       uint64
+	// Late ones had no first event within their objective, paused ones a pause over
+	// maxPause.
+	longLate, shortLate, paused   int
+	recomputedTokens, preemptions uint64
 }
 
 func (p *burstPlay) result() playResult {
 	var got playResult
 	for _, r := range p.requests {
-		count, inTime := &got.longCount, &got.longInTime
+		count, inTime, late := &got.longCount, &got.longInTime, &got.longLate
 		if r.class.urgent {
-			count, inTime = &got.shortCount, &got.shortInTime
+			count, inTime, late = &got.shortCount, &got.shortInTime, &got.shortLate
 		}
 		*count++
+		if r.first == 0 || r.first-r.arrived > r.class.firstObjective {
+			*late++
+		}
+		if r.maxPause > maxPause {
+			got.paused++
+		}
 		if r.inTime() {
 			*inTime++
 		}
@@ -265,8 +369,8 @@
 
 var _ = Describe("a burst of long generations beyond the engines' memory", func() {
 	play := func(seed uint64, waits bool) playResult {
-		p := newBurstPlay(seed, 18, 12, waits)
-		p.run(8, 7.4, 2.2)
+		p := newBurstPlay(seed, 18, 12, waits, playLoad{long: &longReports, short: &shortAnswers, longPerSecond: 8, shortPerSecond: 7.4, burst: 2.2})
+		p.run()
 		return p.result()
 	}
 
@@ -284,3 +388,45 @@
 		}
 	})
 })
+
+// add adds the counts of another play.
+func (r *playResult) add(o playResult) {
+	r.longCount += o.longCount
+	r.longLate += o.longLate
+	r.shortCount += o.shortCount
+	r.shortLate += o.shortLate
+	r.paused += o.paused
+	r.unfinished += o.unfinished
+}
+
+var _ = Describe("long prompts beside short urgent ones", func() {
+	// Guards against a limit that makes either kind late, and against one that suits only
+	// one mix of prompts. Two plays of one seed differ by some generations, as hosts query
+	// owners in parallel.
+	DescribeTable("are placed by a limit that follows from objectives and speeds", func(load playLoad) {
+		var sum [derivedLimit + 1]playResult
+		for seed := range uint64(3) {
+			for limits := range sum {
+				p := newBurstPlay(seed+1, 18, 12, true, load)
+				p.limits = promptLimits(limits)
+				p.run()
+				sum[limits].add(p.result())
+			}
+		}
+		for limits, name := range []string{"no limit", "2,500 tokens", "derived limit"} {
+			s := sum[limits]
+			AddReportEntry(name, fmt.Sprintf("long late %d of %d, short late %d of %d, paused %d", s.longLate, s.longCount, s.shortLate, s.shortCount, s.paused))
+		}
+		none, fixed, derived := sum[noLimit], sum[fixedLimit], sum[derivedLimit]
+		Expect(derived.unfinished).To(BeZero())
+		Expect(derived.longLate).To(BeNumerically("<=", none.longLate+derived.longCount/50))
+		Expect(derived.shortLate).To(BeNumerically("<=", none.shortLate+derived.shortCount/33))
+		Expect(derived.longLate + derived.shortLate).To(BeNumerically("<=", fixed.longLate+fixed.shortLate+derived.longCount/50))
+	},
+		Entry("a burst of long ones", playLoad{long: &longReports, short: &shortAnswers, longPerSecond: 8, shortPerSecond: 7.4, burst: 2.2, unanswered: 0.1}),
+		Entry("a burst of long ones, engines that are replaced", playLoad{long: &longReports, short: &shortAnswers, longPerSecond: 9, shortPerSecond: 7.4, burst: 2.2, turnover: 3300 * time.Millisecond, unanswered: 0.1}),
+		Entry("much longer ones, at an even rate", playLoad{long: &longPrompts, short: &shortPrompts, longPerSecond: 6, shortPerSecond: 7, burst: 1, unanswered: 0.1}),
+		Entry("long ones alone", playLoad{long: &longReports, short: &shortAnswers, longPerSecond: 9, burst: 2.2}),
+		Entry("long ones that share two thirds of their prompts", playLoad{long: &sharedReports, short: &shortAnswers, longPerSecond: 9, shortPerSecond: 7.4, burst: 2.2}),
+	)
+})
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -174,6 +174,11 @@
 }
 
 func startGatewayWith(dialect call.Codec, logs slog.Handler, relay gateway.Relay, targets ...*directory.ObservedTarget) *fixture {
+	return startScheduling(gateway.SchedulingModes{}, dialect, logs, relay, targets...)
+}
+
+// startScheduling starts a gateway with parts of the scheduling of generations.
+func startScheduling(modes gateway.SchedulingModes, dialect call.Codec, logs slog.Handler, relay gateway.Relay, targets ...*directory.ObservedTarget) *fixture {
 	board := &recordsync.Board{}
 	views, err := board.View.Claim()
 	Expect(err).NotTo(HaveOccurred())
@@ -185,7 +190,7 @@
 		Dialect: dialect, Relay: relay, OriginPeers: &gw.peers, Engines: platform.NewEngines().Through(gw.cut.transport()), Board: board,
 		Loads: gw.loads, CrashEvidence: gw.crashEvidence, RetryBudget: retrybudget.New(retrybudget.Config{}),
 		Client: targetclient.NewAtMostOnceClient(targetclient.Settings{ResponseHeaderTimeout: time.Minute, ReadIdleTimeout: time.Minute, DialTimeout: 700 * time.Millisecond, Connect: gw.cut.connect}), Migration: migration.Default(), Disconnected: gw.disconnected.Load, ViewCurrent: func() bool { return !gw.disconnected.Load() }, ViewAge: func() time.Duration { return 0 },
-		Log: slog.New(logs), Metrics: gw.metrics, Now: now,
+		Log: slog.New(logs), Metrics: gw.metrics, Now: now, Scheduling: modes,
 	})
 	gw.gateway = g
 	ctx, cancel := context.WithCancel(context.Background())
