--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -6,6 +6,7 @@
 
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/decide/placement"
+	"filbertdeck/internal/decide/prefill"
 	"filbertdeck/internal/decide/sampling"
 	"filbertdeck/internal/decide/streamorigin"
 	"filbertdeck/internal/decide/targetload"
@@ -38,12 +39,20 @@
 	// MemoryShare is the share of an engine's memory beyond which the request is not
 	// placed there; 0 for any.
 	MemoryShare float64
+	// AnyRoom is set if the request is placed at any sampled engine that has room for it.
+	// Else it is placed only if the best one by delay has.
+	AnyRoom bool
+	// PromptLimit limits the unread prompts at an engine; nil for none. It applies only
+	// with AnyRoom.
+	PromptLimit *prefill.Limit
 	// Priority is the generation's rank; 0 is the most urgent.
 	Priority int
 	// Move is set if the generation leaves another engine.
 	Move bool
 	// GrantsRoom is set if the owner of the target's counts must grant the room.
 	GrantsRoom bool
+	// RoomID identifies the generation in its requests for room.
+	RoomID uint64
 }
 
 // targets returns the targets among which the request's one is searched.
@@ -54,6 +63,20 @@
 	return view.ServiceTargets(req.Service)
 }
 
+// rulesOut reports whether a request that takes any engine with room is not placed at one.
+func (req PlacementRequest) rulesOut(c placement.Candidate) bool {
+	switch {
+	case !req.AnyRoom:
+		return false
+	case req.MemoryShare > 0 && !placement.HasMemory(c, expectedTokens(req.Prompt), req.MemoryShare):
+		return true
+	case req.PromptLimit == nil || req.PromptLimit.Allows(c):
+		return false
+	}
+	req.PromptLimit.Exceeded = true
+	return true
+}
+
 // Outcome is the result of a search for a target.
 type Outcome int
 
@@ -103,16 +126,23 @@
 	sampled, firstCount := l.sample(view, req)
 	answered := l.queryOwners(req, sampled[:firstCount])
 	reservation, crowded := l.reserveBest(view, req, sampled[:firstCount], firstCount < len(sampled))
+	queried := sampled[:firstCount]
 	if crowded {
+		queried = sampled
 		answered = l.queryOwners(req, sampled[firstCount:]) || answered
 		reservation, crowded = l.reserveBest(view, req, sampled, false)
 	}
 	switch {
+	case reservation == nil && crowded && answered:
+		return l.acquireUnknown(view, req, queried)
 	case reservation == nil && crowded:
 		return nil, nil, NoRoom
 	case reservation == nil:
 		return nil, nil, NoTarget
 	}
+	if answered && l.requestsRoom(req) {
+		return l.reserveGranted(view, req, queried, reservation)
+	}
 	if answered {
 		reservation = l.confirm(view, req, sampled, reservation)
 	}
@@ -210,11 +240,11 @@
 	c := targetCandidates{candidates: make([]placement.Candidate, 0, len(sampled)), targets: make([]*directory.ObservedTarget, 0, len(sampled))}
 	for _, t := range sampled {
 		if l.isAvailable(view, t) {
-			candidate := l.newCandidate(view, t, req.Locality, l.hostLoads.Total(l.now(), t.ID).OtherHostsLoad)
+			candidate := l.newCandidate(view, t, req.Locality, l.othersLoad(t.ID))
 			if req.Origin == nil && view.VersionLeaves(t.Service, t.Version) {
 				candidate.Penalty += leavingVersionPenalty
 			}
-			if l.overfillsBrittle(t.Target, candidate, expectedTokens(req.Prompt)) {
+			if l.overfillsBrittle(t.Target, candidate, expectedTokens(req.Prompt)) || req.rulesOut(candidate) {
 				c.full = true
 				continue
 			}
