Reserve room before a copy is asked for, and withdraw generations without an event

Change: where the room grants are on for a service, a move waits for its turn among the moves of its host, reserves room (memory share 1.0, as a move, with the generation's priority) in the source's data centre and then in any, and only then asks for a copy. It waits while there is none, and takes any engine in the last 400 ms. A move that waits ends with its generation, its caller or the stream of its engine. The time at which an engine stops is asked once for all moves of a host.

A generation without an event at a leaving engine is withdrawn once an engine is reserved for it. Delivery of an event and withdrawal exclude each other by the lock under which events are delivered, so that an event is either delivered or produced again by the next run. The withdrawn run counts as an attempt and by the retry budget, is no suspect of a crash, and a later refusal does not say that the request has not run. Where the policy is off, the moves are as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,6 +112,7 @@
 	cfg          Config
 	metrics      *gatewayMetrics
 	generations  *generationSet
+	moves        *moveQueue
 	paths        *targetPaths
 	checks       *failureChecks
 	versions     *serviceVersions
@@ -123,7 +124,7 @@
 
 // New returns a Gateway and registers its metrics in cfg.Metrics.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), generations: newGenerationSet(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks(), versions: newServiceVersions(cfg.Now, cfg.Log, cfg.Metrics)}
+	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), generations: newGenerationSet(), moves: newMoveQueue(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks(), versions: newServiceVersions(cfg.Now, cfg.Log, cfg.Metrics)}
 	g.origins = newStreamOrigins(cfg, g.versions)
 	running := func() int64 { return int64(g.generations.count()) }
 	_ = cfg.Metrics.Register("gateway.generations", gometrics.NewFunctionalGauge(running))
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -57,6 +57,11 @@
 	nextStream *engineStream
 	// closed is set once no further stream will be relayed.
 	closed bool
+	// fresh is the generation's present run if it was started anew; nil while there is
+	// none, and while a copy goes on.
+	fresh *freshRun
+	// withdrawn is set once the generation was withdrawn from an engine.
+	withdrawn bool
 
 	mu sync.Mutex
 	// target is the target where the generation runs.
@@ -85,7 +90,7 @@
 	switch err {
 	case errStreamEnded:
 		s.run.finish()
-	case errGenerationMoved:
+	case errGenerationMoved, errGenerationWithdrawn:
 		s.run.drop()
 	}
 	s.cancel()
@@ -102,6 +107,9 @@
 	// errGenerationMoved marks the end of a stream whose generation continues
 	// at another engine.
 	errGenerationMoved = failure.New(failure.KindInternal, "the generation was moved")
+	// errGenerationWithdrawn marks the end of a stream without an event whose generation
+	// starts again at another engine.
+	errGenerationWithdrawn = failure.New(failure.KindTargetLost, "the generation was withdrawn from its engine, which leaves").WithExecutionUnknown()
 	// errEngineAnswered marks that the engine's own failure is the answer to
 	// the caller.
 	errEngineAnswered = failure.New(failure.KindTargetFailed, "the engine answered with a failure").WithExecuted()
@@ -118,13 +126,22 @@
 	stream, err := gen.start()
 	for stream != nil {
 		err = gen.relay(stream)
-		if err != errStreamEnded && err != errGenerationMoved {
+		withdrawn := gen.endFreshRun()
+		if withdrawn != nil {
+			err = errGenerationWithdrawn
+		}
+		if err != errStreamEnded && err != errGenerationMoved && err != errGenerationWithdrawn {
 			gen.g.failRun(gen.ctx, stream.target, stream.run, err)
 		}
 		stream.close(err)
 		if err == errStreamEnded || ctx.Err() != nil {
+			withdrawn.releaseSuccessor()
 			break
 		}
+		if withdrawn != nil {
+			stream, err = gen.startFrom(withdrawn)
+			continue
+		}
 		stream, err = gen.continueElsewhere(err)
 	}
 	gen.closeNextStream()
@@ -136,12 +153,20 @@
 
 // start sends the request to an engine, and to another one when the first did
 // not run it and the route allows a retry.
-func (gen *generation) start() (*engineStream, error) {
+func (gen *generation) start() (*engineStream, error) { return gen.startFrom(nil) }
+
+// startFrom is start for a generation that was withdrawn from an engine, unless
+// withdrawn is nil.
+func (gen *generation) startFrom(withdrawn *freshRun) (*engineStream, error) {
 	var tried triedTargets
 	var lastErr error
-	var counts attemptCounts
+	counts := attemptCounts{sent: gen.attempts}
+	if withdrawn != nil {
+		tried, lastErr = withdrawn.tried, errGenerationWithdrawn
+	}
 	for {
-		selection, reservation, err := gen.acquire(gen.g.exclude(gen.exchange, tried))
+		selection, reservation, err := gen.successorOrAcquire(withdrawn, tried)
+		withdrawn = nil
 		if refusedAfterSend(err, counts) {
 			break
 		}
@@ -159,12 +184,20 @@
 			"running", reservation.candidate.Running, "promised", reservation.candidate.ReservedTokens, "unread", reservation.candidate.UnreadTokens, "step", reservation.candidate.TimePerToken)
 		s := gen.newSend(target)
 		s.ConfirmStart = gen.confirmsStart(target)
-		stream, err := gen.openStream(s, target, reservation, selection)
+		ctx, cancel := context.WithCancelCause(gen.ctx)
+		gen.beginFreshRun(reservation, counts.sent+1, tried, cancel)
+		stream, err := gen.openStreamIn(ctx, func() { cancel(nil) }, s, target, reservation, selection)
 		if err == nil {
 			gen.setStream(stream)
 			gen.attempts++
 			return stream, nil
 		}
+		if withdrawn = gen.endFreshRun(); withdrawn != nil {
+			tried, lastErr = withdrawn.tried, err
+			counts.sent++
+			gen.attempts = counts.sent
+			continue
+		}
 		if refusedAfterSend(err, counts) {
 			break
 		}
@@ -179,7 +212,7 @@
 	if lastErr == nil {
 		return nil, gen.g.noTargetError(gen.placementRequest(nil))
 	}
-	return nil, gen.g.withTimeToRoom(lastErr, gen.placementRequest(nil))
+	return nil, gen.asMaybeRun(gen.g.withTimeToRoom(lastErr, gen.placementRequest(nil)))
 }
 
 // acquire reserves an engine for a new run of the generation; nil when none accepts
@@ -296,6 +329,11 @@
 		timer := time.AfterFunc(limit, cancel)
 		defer timer.Stop()
 	}
+	return gen.openStreamIn(ctx, cancel, s, target, reservation, selection)
+}
+
+// openStreamIn is openStream with the context of the stream, which cancel ends.
+func (gen *generation) openStreamIn(ctx context.Context, cancel context.CancelFunc, s *call.Attempt, target *directory.ObservedTarget, reservation *Reservation, selection *selectionState) (*engineStream, error) {
 	newBackup := gen.placeBackup(s, target)
 	run := gen.g.cfg.CrashEvidence.begin(target, gen.identity)
 	selection.run = run
@@ -307,7 +345,11 @@
 		err = gen.readFailedAnswer(resp, answer)
 	}
 	if err != nil {
-		gen.g.failRun(ctx, target, run, err)
+		if context.Cause(ctx) == errGenerationWithdrawn {
+			run.drop()
+		} else {
+			gen.g.failRun(ctx, target, run, err)
+		}
 		cancel()
 		reservation.Release()
 		newBackup.release()
@@ -376,6 +418,9 @@
 	if gen.nextStream != nil {
 		return errGenerationMoved
 	}
+	if gen.fresh.isWithdrawn() {
+		return errGenerationWithdrawn
+	}
 	if gen.times.events == 0 {
 		gen.begin(from)
 	}
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -181,9 +181,9 @@
 	if gen.target == nil || gen.move != nil && !gen.move.timedOut.Load() || !gen.movable() || !leaves(gen.target) {
 		return nil, nil, false
 	}
-	next := &move{done: make(chan struct{})}
-	if gen.move != nil {
-		next.copy = gen.move.copy
+	next := &move{done: make(chan struct{}), streamEnded: make(chan struct{})}
+	if last := gen.move; last != nil {
+		next.copy, next.copiesAsked, next.retryRefused = last.copy, last.copiesAsked, last.retryRefused
 	}
 	gen.move = next
 	return gen.target, gen.move, true
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -38,6 +38,9 @@
 	copiesFailed                                          gometrics.Counter
 	// movesWithoutTarget counts moves that found no engine of the generation's version.
 	movesWithoutTarget gometrics.Counter
+	// movesWaiting counts moves that waited since no engine had room, withdrawn the
+	// generations without an event that were withdrawn from a leaving engine.
+	movesWaiting, withdrawn gometrics.Counter
 	// targetsRestarted counts requests that were not sent since their target had started
 	// again.
 	targetsRestarted gometrics.Counter
@@ -79,6 +82,7 @@
 		broken: counter("generations_broken"), callerLeft: counter("generations_left"), retries: counter("sent_again"),
 		movedByCopy: counter("moved.copy"), movedToBackup: counter("moved.backup"), resumedAfterLoss: counter("moved.after_loss"), newRuns: counter("moved.anew"),
 		copiesFailed: counter("copies_failed"), takenUp: counter("streams_taken_up"), targetsRestarted: counter("targets_restarted"), originsUnknown: counter("stream_origins_unknown"), movesWithoutTarget: counter("moves_without_target"), leavingAnswers: counter("answers_leaving"), restAnswers: counter("answers_rest"),
+		movesWaiting: counter("moves_waiting"), withdrawn: counter("withdrawn"),
 		unreadableFigures: counter("load_figures_unreadable"), searchesWithoutRoom: counter("searches_without_room"),
 		failuresReported: counter("failures_reported"), sendsRefused: counter("sends_refused"), emptyStreams: counter("streams_empty"),
 	}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,8 +61,25 @@
 	lost bool
 	// stays is set once it is logged that no engine may go on with the generation.
 	stays bool
+
+	// The fields below are used by moves that reserve room.
+
+	// streamEnded is closed when the stream from the target has ended, so that a move which
+	// waits for room has nothing left to copy.
+	streamEnded chan struct{}
+	endOnce     sync.Once
+	// copiesAsked counts the copies asked for, without those whose destination
+	// disappeared, in this move and those before it.
+	copiesAsked int
+	// retryRefused is set once the retry budget did not allow to withdraw the generation.
+	retryRefused bool
+	// waitsSince is when the move first found no room; zero while it did not.
+	waitsSince time.Time
 }
 
+// endWaits ends the move's waits for room.
+func (m *move) endWaits() { m.endOnce.Do(func() { close(m.streamEnded) }) }
+
 // moveAway continues the generation at another engine: at its backup, or from a
 // copy of its memory that is made while it runs on.
 func (gen *generation) moveAway(ctx context.Context, from *directory.ObservedTarget, m *move) {
@@ -69,6 +87,10 @@
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	defer func() { m.timedOut.Store(ctx.Err() != nil) }()
+	if gen.movesWithRoom() {
+		gen.moveWithRoom(ctx, from, m)
+		return
+	}
 	if !gen.waitForFirstEvent(ctx) || !gen.isAt(from) || gen.switchToBackup() {
 		return
 	}
@@ -139,15 +161,11 @@
 		if gen.g.checkVerdict(gen.exchange) != nil {
 			return exclude, true
 		}
-		to, reservation, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), PlacementRequest{Service: from.Service, Origin: gen.origin.Load(), Prompt: gen.Prompt, Locality: PreferDataCentre(from.DataCentre), Exclude: exclude})
+		to, reservation, ok := gen.g.cfg.Loads.Acquire(gen.g.view(), gen.moveRequest(from, exclude))
 		if !ok {
 			// All engines have refused. Starts over, since one may have room by
 			// now.
-			if !m.stays && len(exclude) == 1 {
-				m.stays = true
-				gen.g.metrics.movesWithoutTarget.Inc(1)
-				gen.g.cfg.Log.Info("no engine may go on with the generation", "request", gen.ID, "target", from.ID, "version", from.Version, "leaves_in", time.Until(stopTime))
-			}
+			gen.recordNoTarget(from, m, stopTime, exclude)
 			return []string{from.ID}, false
 		}
 		outcome := gen.copyTo(ctx, from, to, reservation, m, stopTime)
@@ -165,6 +183,21 @@
 	return exclude, false
 }
 
+// moveRequest returns the requirements for an engine that goes on with the generation.
+func (gen *generation) moveRequest(from *directory.ObservedTarget, exclude []string) PlacementRequest {
+	return PlacementRequest{Service: from.Service, Origin: gen.origin.Load(), Prompt: gen.Prompt, Locality: PreferDataCentre(from.DataCentre), Exclude: exclude}
+}
+
+// recordNoTarget records that no engine but those in exclude accepts the generation.
+func (gen *generation) recordNoTarget(from *directory.ObservedTarget, m *move, stopTime time.Time, exclude []string) {
+	if m.stays || len(exclude) > 1 {
+		return
+	}
+	m.stays = true
+	gen.g.metrics.movesWithoutTarget.Inc(1)
+	gen.g.cfg.Log.Info("no engine may go on with the generation", "request", gen.ID, "target", from.ID, "version", from.Version, "leaves_in", time.Until(stopTime))
+}
+
 // copyTo copies the generation's memory to another engine and switches to it.
 func (gen *generation) copyTo(ctx context.Context, from, to *directory.ObservedTarget, reservation *Reservation, m *move, stopTime time.Time) copyOutcome {
 	start := time.Now()
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -46,6 +46,9 @@
 	refusalDelay time.Duration
 	// refusedAddresses are the addresses that it cannot copy to.
 	refusedAddresses []string
+	// onMove is called with the number of the move request before it is answered; nil for
+	// nothing.
+	onMove func(n int64)
 	// unhealthy makes it answer 503 to health checks, busy makes that answer
 	// say that it has no free slot for the check.
 	unhealthy, busy atomic.Bool
@@ -62,8 +65,9 @@
 	// breakAfter is the number of events after which it breaks off a stream that it
 	// began; 0 for never.
 	breakAfter int
-	// started is the start that it reports of itself, in Unix milliseconds.
-	started atomic.Int64
+	// started is the start that it reports of itself, in Unix milliseconds, leavesIn the
+	// time until it stops, in milliseconds, 0 for none.
+	started, leavesIn atomic.Int64
 }
 
 func startEngine(id string, events int, eventInterval time.Duration) *fakeEngine {
@@ -75,7 +79,9 @@
 func (e *fakeEngine) serve(conn net.Conn, r *http.Request) {
 	switch r.URL.Path {
 	case standin.PathMove:
-		e.moveRequests.Add(1)
+		if n := e.moveRequests.Add(1); e.onMove != nil {
+			e.onMove(n)
+		}
 		body, _ := io.ReadAll(r.Body)
 		refused := func(address string) bool { return strings.Contains(string(body), address) }
 		if e.refuseMoves.Load() {
@@ -92,7 +98,7 @@
 	case healthPath:
 		e.health(conn, r)
 	case standin.PathReport:
-		report := fmt.Sprintf(`{"born":%d}`, e.started.Load())
+		report := fmt.Sprintf(`{"born":%d,"leaves_ms":%d}`, e.started.Load(), e.leavesIn.Load())
 		respond(fmt.Sprintf("HTTP/1.1 200 OK\nContent-Length: %d\n\n%s", len(report), report))(conn, r)
 		e.serveNext(conn)
 	default:
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -106,6 +106,7 @@
 	m, b, from := gen.move, gen.backup, gen.target
 	gen.mu.Unlock()
 	if m != nil {
+		m.endWaits()
 		select {
 		case <-m.done:
 		case <-gen.ctx.Done():
