--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -35,6 +35,8 @@
 	// the engines that it was sent to as a new run. The route limits the
 	// latter.
 	moves, attempts int
+	// roomID identifies the generation in its requests for room at engines.
+	roomID uint64
 	// failedAnswer is an engine's own failure answer, nil when there is none.
 	failedAnswer *completeAnswer
 	// progress is a copy of times that is read by the goroutine moving the
@@ -117,12 +119,13 @@
 
 // relayGeneration relays a generation.
 func (g *Gateway) relayGeneration(ctx context.Context, x *exchange) {
-	gen := &generation{exchange: x, g: g, ctx: ctx, ended: make(chan struct{})}
+	gen := &generation{exchange: x, g: g, ctx: ctx, ended: make(chan struct{}), roomID: rand.Uint64()}
 	defer close(gen.ended)
 	g.cfg.RetryBudget.RecordFirstAttempt(g.cfg.Now(), x.budgetKey())
 	g.generations.add(gen)
 	defer g.generations.remove(gen)
 	gen.origin.Store(x.origin)
+	gen.recordUrgentPrompt()
 	stream, err := gen.start()
 	for stream != nil {
 		err = gen.relay(stream)
@@ -181,7 +184,7 @@
 		gen.setTarget(target, nil, nil)
 		gen.g.cfg.Log.Info("generation placed", "request", gen.ID, "route", gen.route.Name, "target", target.ID, "version", target.Version, "started", target.StartedUnixMilli,
 			"tokens", expectedTokens(gen.Prompt), "prompt", gen.Prompt.Tokens, "max", gen.Prompt.MaxOutputTokens, "hint", gen.Prompt.LengthHint, "basis", selection, "tries", counts.sent+counts.unsent+1, "after", time.Since(gen.ArrivedAt),
-			"running", reservation.candidate.Running, "promised", reservation.candidate.ReservedTokens, "unread", reservation.candidate.UnreadTokens, "step", reservation.candidate.TimePerToken)
+			"running", reservation.candidate.Running, "promised", reservation.candidate.ReservedTokens, "unread", reservation.candidate.UnreadTokens, "step", reservation.candidate.TimePerToken, "room_granted", reservation.room.granted)
 		s := gen.newSend(target)
 		s.ConfirmStart = gen.confirmsStart(target)
 		ctx, cancel := context.WithCancelCause(gen.ctx)
@@ -218,8 +221,10 @@
 // acquire reserves an engine for a new run of the generation; nil when none accepts
 // it. While no engine has room the generation waits. The error says why it must not wait
 // here.
-func (gen *generation) acquire(exclude []string) (*selectionState, *Reservation, error) {
+func (gen *generation) acquire(exclude []string) (_ *selectionState, reserved *Reservation, _ error) {
 	req := gen.placementRequest(exclude)
+	var hold promptHold
+	defer func() { gen.recordHold(&hold, reserved != nil) }()
 	for {
 		if err := gen.g.checkVerdict(gen.exchange); err != nil {
 			return nil, nil, err
@@ -231,12 +236,14 @@
 		}
 		req.MemoryShare = search.MemoryShare
 		req.FirstEventObjective = gen.remainingObjective()
+		gen.limitPrompts(&req)
 		selection := gen.g.selectionState()
 		_, reservation, outcome := gen.g.cfg.Loads.AcquireWithRoom(selection.view, req)
 		if outcome != NoRoom {
 			return selection, reservation, nil
 		}
 		gen.g.metrics.searchesWithoutRoom.Inc(1)
+		hold.add(req.PromptLimit, time.Now())
 		wait := search.Wait
 		if search.MemoryShare == 0 {
 			var waits bool
@@ -282,7 +289,15 @@
 // placementRequest returns the requirements for an engine that starts a new run
 // of the generation.
 func (gen *generation) placementRequest(exclude []string) PlacementRequest {
-	return PlacementRequest{Service: gen.service.Name, Origin: gen.origin.Load(), Prompt: gen.Prompt, FirstEventObjective: gen.route.LatencyObjective, Locality: PreferLocal, Exclude: exclude}
+	return PlacementRequest{
+		Service: gen.service.Name, Origin: gen.origin.Load(), Prompt: gen.Prompt, FirstEventObjective: gen.route.LatencyObjective, Locality: PreferLocal, Exclude: exclude,
+		Priority: gen.priority(), GrantsRoom: gen.grantsRoom(), RoomID: gen.roomID,
+	}
+}
+
+// grantsRoom reports whether the owners of engines' counts grant the generation's room.
+func (gen *generation) grantsRoom() bool {
+	return gen.g.cfg.Scheduling.RoomGrants.On(gen.contentionPolicy())
 }
 
 // setTarget records where the generation runs. No move away from there has
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -87,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	defer func() { m.timedOut.Store(ctx.Err() != nil) }()
-	if gen.movesWithRoom() {
+	if gen.grantsRoom() {
 		gen.moveWithRoom(ctx, from, m)
 		return
 	}
--- a/internal/gateway/move_room.go
+++ b/internal/gateway/move_room.go
@@ -8,12 +8,6 @@
 	"filbertdeck/internal/directory"
 )
 
-// movesWithRoom reports whether the generation's moves reserve room before a copy is
-// asked for.
-func (gen *generation) movesWithRoom() bool {
-	return gen.g.cfg.Scheduling.RoomGrants.On(gen.g.view().ContentionPolicy(gen.service.Name))
-}
-
 // moveWithRoom is moveAway for a generation whose moves reserve room.
 func (gen *generation) moveWithRoom(ctx context.Context, from *directory.ObservedTarget, m *move) {
 	source := gen.g.moves.enter(from.Lifetime())
@@ -98,10 +92,11 @@
 // reserveForMove reserves an engine with room, the nearest data centre first. Shortly
 // before stopTime it reserves the engine where the generation does the least harm.
 func (gen *generation) reserveForMove(req PlacementRequest, m *move, stopTime time.Time) (*Reservation, Outcome) {
-	req.Priority, req.Move = gen.priority(), true
+	req.Priority, req.Move, req.RoomID = gen.priority(), true, gen.roomID
 	takesAny := migration.TakesAnyEngine(time.Until(stopTime))
+	req.AnyRoom, req.GrantsRoom = !takesAny, !takesAny
 	if !takesAny {
-		req.MemoryShare, req.GrantsRoom = migration.RoomShare, true
+		req.MemoryShare = migration.RoomShare
 	}
 	loads, view := gen.g.cfg.Loads, gen.g.view()
 	_, reservation, outcome := loads.AcquireWithRoom(view, req)
