Specs of denied room, of a withdrawal after the header and of its order with an event

Guards against a copy to an engine whose owner denies the room, against a generation that stays at a leaving engine once the header of its answer is there, and against an event that is delivered after its run was given up.

--- a/internal/gateway/move_room_test.go
+++ b/internal/gateway/move_room_test.go
@@ -17,6 +17,8 @@
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/decide/contention"
 	"filbertdeck/internal/decide/retrybudget"
+	"filbertdeck/internal/decide/roomgrant"
+	"filbertdeck/internal/decide/targetload"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/gateway"
 	"filbertdeck/platform/standin"
@@ -44,6 +46,22 @@
 
 func unchanged(*gateway.Config) {}
 
+// denyingOwners are the owners of engines' counts, which deny room until grants is set.
+type denyingOwners struct {
+	grants atomic.Bool
+	// moves counts the requests for room for moves.
+	moves atomic.Int64
+}
+
+func (o *denyingOwners) RequestRoom(_ gateway.TargetRef, _ targetload.HostLoad, r roomgrant.Request) (gateway.RoomReply, bool) {
+	if r.Move {
+		o.moves.Add(1)
+	}
+	return gateway.RoomReply{Decided: true, Granted: o.grants.Load()}, true
+}
+
+func (o *denyingOwners) SendCount(gateway.TargetRef, targetload.HostLoad) {}
+
 // sized returns a request for a generation of 2,600 expected tokens.
 func (gw *fixture) sized(id, path string) *http.Request {
 	req := gw.requestWithID(id, "POST", path)
@@ -123,6 +141,23 @@
 		Expect(second.requests()).To(BeEmpty())
 	})
 
+	// Guards against copies to engines whose room other hosts have taken, which this host
+	// does not know of.
+	It("ask for no copy while the owners of the engines' counts deny the room", func() {
+		gw := startContendedGateway(unchanged, entryOf(first))
+		done := begin(gw)
+		owners := &denyingOwners{}
+		gw.loads.SetHostCount(func() int { return 100 })
+		gw.loads.SetOwnerQuery(func(gateway.TargetRef, []targetload.HostLoad) ([]targetload.HostLoad, bool) { return nil, true })
+		gw.loads.SetRoomOwners(owners)
+		gw.publish(asLeaving(entryOf(first)), entryOf(second))
+		Eventually(owners.moves.Load).Should(BeNumerically(">", 2))
+		Expect(first.moveRequests.Load()).To(BeZero())
+		owners.grants.Store(true)
+		whole(done)
+		Expect(first.moveRequests.Load()).To(Equal(int64(1)))
+	})
+
 	// Guards against a generation that waits for room until its engine has stopped.
 	It("take a full engine shortly before theirs stops", func() {
 		gw := startContendedGateway(unchanged, entryOf(first))
@@ -279,7 +314,8 @@
 	}
 
 	// Guards against a generation that waits at a leaving engine until it is gone.
-	It("start at another one if they may run again", func() {
+	DescribeTable("start at another one if they may run again", func(header, event time.Duration) {
+		first.firstEventDelay, first.eventInterval = header, event
 		gw := startContendedGateway(unchanged, entryOf(first))
 		whole(leave(gw, "/brief/"))
 		Expect(newRuns(second)).To(Equal(1))
@@ -288,7 +324,10 @@
 		Expect(first.eventsSent.Load()).To(BeZero())
 		Eventually(func() int { return gw.loads.HostsUsing("i-1") + gw.loads.HostsUsing("i-2") }).Should(BeZero())
 		Expect(gw.crashCount()).To(BeZero())
-	})
+	},
+		Entry("before the header of the answer", 1500*time.Millisecond, time.Millisecond),
+		Entry("after it", time.Duration(0), 1500*time.Millisecond),
+	)
 
 	// Guards against a second run of a generation that may run once: a closed stream does
 	// not prove that the engine has not run it.
