Spec of a generation that may run once has attempts left

It passed with a withdrawal that ignores whether the route is resumable, since the route allowed one attempt. With two it fails on that change.

--- a/internal/gateway/move_room_test.go
+++ b/internal/gateway/move_room_test.go
@@ -332,7 +332,11 @@
 	// Guards against a second run of a generation that may run once: a closed stream does
 	// not prove that the engine has not run it.
 	It("stay if they may run only once", func() {
-		gw := startContendedGateway(unchanged, entryOf(first))
+		gw := startContendedGateway(unchanged)
+		for i := range gw.cfg.Routes {
+			gw.cfg.Routes[i].MaxAttempts = 2
+		}
+		gw.publish(entryOf(first))
 		whole(leave(gw, "/report/"))
 		Expect(newRuns(first, second)).To(Equal(1))
 		Expect(gw.counter("gateway.withdrawn")).To(BeZero())
