--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -183,7 +183,7 @@
 	}
 	next := &move{done: make(chan struct{}), streamEnded: make(chan struct{})}
 	if last := gen.move; last != nil {
-		next.copy, next.copiesAsked, next.retryRefused = last.copy, last.copiesAsked, last.retryRefused
+		next.copy, next.copiesAsked, next.retryRefused, next.waitsSince = last.copy, last.copiesAsked, last.retryRefused, last.waitsSince
 	}
 	gen.move = next
 	return gen.target, gen.move, true
