--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -17,6 +17,7 @@
 	msgGenerationBroke  = "generation broke"
 	msgGenerationCopied = "generation copied"
 	msgGenerationStays  = "generation stays"
+	msgMoveWaits        = "move waits for room"
 	msgBackupResumed    = "generation goes on at its backup"
 	msgTargetLeaves     = "target says that it leaves"
 	msgHealthCheckFails = "target's health check says that it leaves"
@@ -162,7 +163,7 @@
 		e.setCause(CauseOutlivedEngine, attempt, "")
 	case attempt.Message == msgBackupResumed:
 		e.setCause(CauseBackupRefused, attempt, attempt.Error)
-	case strings.HasPrefix(attempt.Error, "overloaded"):
+	case attempt.Message == msgMoveWaits, strings.HasPrefix(attempt.Error, "overloaded"):
 		e.setCause(CauseNoCapacity, attempt, attempt.Error)
 	default:
 		e.setCause(CauseCopyTooLate, attempt, copyDistance(attempt.Remote))
@@ -195,6 +196,7 @@
 		switch {
 		case line.Message == msgGenerationCopied && line.From == target,
 			line.Message == msgGenerationStays && line.Target == target,
+			line.Message == msgMoveWaits && line.Target == target,
 			line.Message == msgBackupResumed && line.Error != "":
 			return line
 		case line.Message == msgGenerationPlaced, line.Message == msgGenerationCopied:
--- a/internal/gateway/move_room.go
+++ b/internal/gateway/move_room.go
@@ -52,7 +52,7 @@
 func (gen *generation) copyInTurn(ctx context.Context, from *directory.ObservedTarget, m *move, turn *moveTurn, exclude []string) (*directory.ObservedTarget, copyOutcome) {
 	stopTime := turn.stopTime
 	for gen.awaitTurn(ctx, m, turn) && gen.isAt(from) && gen.g.checkVerdict(gen.exchange) == nil {
-		reservation, outcome := gen.reserveForMove(gen.moveRequest(from, exclude), m, stopTime)
+		reservation, outcome := gen.reserveForMove(from, gen.moveRequest(from, exclude), m, stopTime)
 		turn.endSearch()
 		if outcome != Placed {
 			if outcome == NoTarget {
@@ -91,7 +91,7 @@
 
 // reserveForMove reserves an engine with room, the nearest data centre first. Shortly
 // before stopTime it reserves the engine where the generation does the least harm.
-func (gen *generation) reserveForMove(req PlacementRequest, m *move, stopTime time.Time) (*Reservation, Outcome) {
+func (gen *generation) reserveForMove(from *directory.ObservedTarget, req PlacementRequest, m *move, stopTime time.Time) (*Reservation, Outcome) {
 	req.Priority, req.Move, req.RoomID = gen.priority(), true, gen.roomID
 	takesAny := migration.TakesAnyEngine(time.Until(stopTime))
 	req.AnyRoom, req.GrantsRoom = !takesAny, !takesAny
@@ -109,9 +109,9 @@
 	case outcome == NoRoom && m.waitsSince.IsZero():
 		m.waitsSince = time.Now()
 		gen.g.metrics.movesWaiting.Inc(1)
-		gen.g.cfg.Log.Info("move waits for room", "request", gen.ID, "tokens", expectedTokens(gen.Prompt), "leaves_in", time.Until(stopTime))
+		gen.g.cfg.Log.Info("move waits for room", "request", gen.ID, "target", from.ID, "tokens", expectedTokens(gen.Prompt), "leaves_in", time.Until(stopTime))
 	case outcome == Placed && !m.waitsSince.IsZero():
-		gen.g.cfg.Log.Info("move ends its wait for room", "request", gen.ID, "to", reservation.entry.ID, "waited", time.Since(m.waitsSince), "takes_any", takesAny, "leaves_in", time.Until(stopTime))
+		gen.g.cfg.Log.Info("move ends its wait for room", "request", gen.ID, "from", from.ID, "to", reservation.entry.ID, "waited", time.Since(m.waitsSince), "takes_any", takesAny, "leaves_in", time.Until(stopTime))
 	}
 	return reservation, outcome
 }
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -177,7 +177,7 @@
 	}
 	req := gen.placementRequest(slices.Concat(gen.g.exclude(gen.exchange, tried), []string{from.ID}))
 	req.FirstEventObjective = gen.remainingObjective()
-	reservation, outcome := gen.reserveForMove(req, m, source.stopTime)
+	reservation, outcome := gen.reserveForMove(from, req, m, source.stopTime)
 	if outcome != Placed {
 		return false
 	}
