Begin no round of moves while one searches

Found by reading: a move that had searched in vain, and was not back in the list yet, missed the round that began at that moment, and one with more time searched before it. The round now begins when the search ends.

--- a/internal/gateway/move_queue.go
+++ b/internal/gateway/move_queue.go
@@ -142,7 +142,12 @@
 func (q *moveQueue) beginRound() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.nextRound, q.roundStart = false, time.Now()
+	q.nextRound = false
+	if q.searching {
+		// The move that searches would miss its turn. The end of its search begins the round.
+		return
+	}
+	q.roundStart = time.Now()
 	for _, t := range q.waiting {
 		t.searched = false
 	}
--- a/internal/gateway/move_room.go
+++ b/internal/gateway/move_room.go
@@ -53,7 +53,6 @@
 	stopTime := turn.stopTime
 	for gen.awaitTurn(ctx, m, turn) && gen.isAt(from) && gen.g.checkVerdict(gen.exchange) == nil {
 		reservation, outcome := gen.reserveForMove(from, gen.moveRequest(from, exclude), m, stopTime)
-		turn.endSearch()
 		if outcome != Placed {
 			if outcome == NoTarget {
 				gen.recordNoTarget(from, m, stopTime, exclude)
@@ -62,6 +61,7 @@
 			turn.again()
 			continue
 		}
+		turn.endSearch()
 		to := reservation.entry
 		m.copiesAsked++
 		result := gen.copyTo(ctx, from, to, reservation, m, stopTime)
