Order the generations that wait for an engine over all hosts

Cause: each host polls for its own waiting generations.

Tests of the packages touched passed (gateway, gatewayhost, deferral).

--- a/internal/decide/deferral/deferral.go
+++ b/internal/decide/deferral/deferral.go
@@ -65,6 +65,19 @@
 	TimeToFirstToken time.Duration
 }
 
+// UntilLate returns the time until the generation can no longer be in time; not positive
+// if it is late.
+func (g Generation) UntilLate() time.Duration {
+	return g.FirstTokenObjective - firstTokenMargin*g.TimeToFirstToken - g.Waited
+}
+
+// Aged returns how far a late generation has come to the standing of those that can be in
+// time, from 0 when its objective is over to 1.
+func (g Generation) Aged() float64 {
+	aged := float64(g.Waited-g.FirstTokenObjective) / float64(agingFactor*g.FirstTokenObjective)
+	return min(max(aged, 0), 1)
+}
+
 // Search says where a generation may be placed now, and what follows if there is no
 // such engine.
 type Search struct {
@@ -78,7 +91,7 @@
 // Next returns the next search for an engine. draw, in [0, 1), spreads the searches of
 // generations that arrive together.
 func Next(g Generation, draw float64) Search {
-	untilLate := g.FirstTokenObjective - firstTokenMargin*g.TimeToFirstToken - g.Waited
+	untilLate := g.UntilLate()
 	switch {
 	case g.FirstTokenObjective <= 0, g.Urgent && untilLate <= 0:
 		return Search{}
@@ -102,8 +115,7 @@
 // shareOfLate returns the share of a late generation, which rises with the time that it
 // has waited beyond its objective.
 func shareOfLate(g Generation) float64 {
-	aged := float64(g.Waited-g.FirstTokenObjective) / float64(agingFactor*g.FirstTokenObjective)
-	return lateShare + (normalShare-lateShare)*min(max(aged, 0), 1)
+	return lateShare + (normalShare-lateShare)*g.Aged()
 }
 
 // spread returns a duration between half and one and a half of d.
--- /dev/null
+++ b/internal/decide/waitlist/waitlist.go
@@ -0,0 +1,282 @@
+// Package waitlist orders the generations of one service that wait at many hosts for an
+// engine with room.
+//
+// Each host that has a waiting generation reports it to the host that holds the list, again
+// and again, and is told whether the generation may search for an engine now. Without the
+// list, whichever generation searches first after another one has ended takes its room: of
+// two that wait, the later one went first as often as the earlier one.
+//
+// The list holds soft state only. Entries that are not reported again are dropped, and a
+// new holder has the list from the next reports.
+package waitlist
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"filbertdeck/internal/decide/deferral"
+	"filbertdeck/internal/decide/fairqueue"
+)
+
+const (
+	// ReportInterval is the longest time between two reports of a generation.
+	ReportInterval = 100 * time.Millisecond
+	// expiry is the time after which an entry is dropped that was not reported again: its
+	// host has died or is partitioned. Three reports in a row may be lost.
+	expiry = 400 * time.Millisecond
+	// minTurns is the least number of generations that may search at a time. One search
+	// sees only a part of the engines.
+	minTurns = 4
+	// marginWindow is the time whose placements are the margin of turns: the room that is
+	// free at once differs from interval to interval, and generations near the front that
+	// go before each other arrived within about this time.
+	marginWindow = 2 * ReportInterval
+	// rateWindow is the time over which the rate of placements is measured.
+	rateWindow = 2 * time.Second
+	// minRateSamples is the number of placements from which on the rate counts as known.
+	minRateSamples = 8
+	// sortInterval bounds how often the order is computed, which takes some hundred
+	// microseconds for a thousand entries.
+	sortInterval = 10 * time.Millisecond
+	// lateRanks is the number of ranks that a late generation passes until it ranks with
+	// those that can be in time.
+	lateRanks = 3
+	// maxEntries bounds the memory of a list.
+	maxEntries = 8192
+	// accountWeight is the weight of each account.
+	accountWeight = 1
+)
+
+// Entry is a generation that waits for an engine.
+type Entry struct {
+	// ID identifies the generation among those of all hosts.
+	ID      uint64
+	Service string
+	// Priority is the generation's rank; 0 is the most urgent.
+	Priority int
+	Account  string
+	// Waited is the time since the generation arrived.
+	Waited time.Duration
+	// Objective is the objective for the time to the first event, FirstToken the time that
+	// an engine with room is expected to take to it.
+	Objective, FirstToken time.Duration
+	// Tokens is the memory that the generation is expected to take.
+	Tokens int
+}
+
+// Answer says what a waiting generation does next.
+type Answer struct {
+	// Search is set if the generation may search for an engine now, once.
+	Search bool
+	// Ahead is the number of generations before it.
+	Ahead int
+	// ExpectedWait is the time until it is expected to have an engine, if it is known.
+	ExpectedWait      time.Duration
+	ExpectedWaitKnown bool
+}
+
+// Hopeless reports whether a generation is expected to wait until its caller has gone. left
+// is what is left of the caller's time, firstToken the expected time to the first token.
+func (a Answer) Hopeless(left, firstToken time.Duration) bool {
+	return !a.Search && a.ExpectedWaitKnown && a.ExpectedWait > left-firstToken
+}
+
+// RetryAfter returns when the caller of a hopeless generation should come back. draw, in
+// [0, 1), spreads the returns of those that are refused together.
+func (a Answer) RetryAfter(draw float64) time.Duration {
+	return time.Duration((0.5 + draw) * float64(a.ExpectedWait))
+}
+
+// waiting is an entry on the list.
+type waiting struct {
+	Entry
+	arrivedAt, reportedAt time.Duration
+	// request is the entry in the queue of the accounts.
+	request *fairqueue.Request[*waiting]
+	// lateRank is 0 for a generation that can be in time.
+	lateRank int
+	// startTag is what its account will have been admitted when it is its turn, in tokens.
+	startTag float64
+}
+
+// List is the list of one service's waiting generations. Times are those of the holder's
+// monotonic clock. It is not safe for concurrent use.
+type List struct {
+	entries map[uint64]*waiting
+	// ordered holds the entries, the first to search at the front.
+	ordered  []*waiting
+	sortedAt time.Duration
+	// accounts holds the accounts' admitted tokens.
+	accounts *fairqueue.Queue[*waiting]
+	// placements holds the times of the placements within rateWindow.
+	placements []time.Duration
+	usedAt     time.Duration
+}
+
+// New returns an empty list.
+func New() *List {
+	return &List{entries: map[uint64]*waiting{}, accounts: fairqueue.New[*waiting](maxEntries, 0)}
+}
+
+// Report records that a generation waits and returns whether it may search now.
+func (l *List) Report(now time.Duration, e Entry) Answer {
+	l.usedAt = now
+	w, known := l.entries[e.ID]
+	if !known {
+		if len(l.entries) >= maxEntries {
+			return l.answer(now, len(l.ordered))
+		}
+		w = &waiting{arrivedAt: now - e.Waited}
+		account := l.accounts.UpsertAccount(e.Account, accountWeight, 0)
+		w.request = l.accounts.Push(account, now, 0, w)
+		l.entries[e.ID] = w
+		l.ordered = append(l.ordered, w)
+	}
+	w.Entry, w.reportedAt = e, now
+	if !known || now-l.sortedAt >= sortInterval {
+		l.sort(now)
+	}
+	return l.answer(now, slices.Index(l.ordered, w))
+}
+
+// Done records that a generation waits no longer; placed is set if it has an engine. It may
+// be one that the list does not know, as after a change of the holder.
+func (l *List) Done(now time.Duration, e Entry, placed bool) {
+	l.usedAt = now
+	if placed {
+		l.placements = append(l.recentPlacements(now), now)
+	}
+	w, known := l.entries[e.ID]
+	switch {
+	case known:
+		l.remove(w, placed)
+	case placed:
+		l.accounts.Charge(l.accounts.UpsertAccount(e.Account, accountWeight, 0), float64(e.Tokens))
+	}
+}
+
+// remove takes an entry off the list, and charges its account if it was placed.
+func (l *List) remove(w *waiting, placed bool) {
+	delete(l.entries, w.ID)
+	if i := slices.Index(l.ordered, w); i >= 0 {
+		l.ordered = slices.Delete(l.ordered, i, i+1)
+	}
+	account, next := w.request.Account, l.accounts.Head()
+	switch {
+	case placed && next != nil && next.Account == account:
+		// The virtual time, from which accounts start that were idle, follows the accounts
+		// that were admitted least. It does not follow one whose generation went first by
+		// its priority or since those of others are late.
+		l.accounts.Start(w.request, float64(w.Tokens))
+		l.accounts.Finish(account, 0)
+	case placed:
+		l.accounts.Remove(w.request)
+		l.accounts.Charge(account, float64(w.Tokens))
+	default:
+		l.accounts.Remove(w.request)
+	}
+	l.accounts.Recycle(w.request)
+}
+
+// MostUrgent returns the priority of the most urgent waiting generation; false if none waits.
+func (l *List) MostUrgent(now time.Duration) (priority int, waits bool) {
+	l.dropExpired(now)
+	for _, w := range l.ordered {
+		if !waits || w.Priority < priority {
+			priority, waits = w.Priority, true
+		}
+	}
+	return priority, waits
+}
+
+// UsedAt returns the time of the last report or placement.
+func (l *List) UsedAt() time.Duration { return l.usedAt }
+
+// Len returns the number of entries.
+func (l *List) Len() int { return len(l.entries) }
+
+// answer returns the answer for the generation with the given number of others before it.
+func (l *List) answer(now time.Duration, ahead int) Answer {
+	a := Answer{Search: ahead < l.turns(now), Ahead: ahead}
+	if recent := l.recentPlacements(now); len(recent) >= minRateSamples {
+		a.ExpectedWait, a.ExpectedWaitKnown = time.Duration(ahead)*rateWindow/time.Duration(len(recent)), true
+	}
+	return a
+}
+
+// turns returns how many generations at the front may search.
+func (l *List) turns(now time.Duration) int {
+	inInterval, inMargin := 0, 0
+	for _, at := range l.placements {
+		if at > now-ReportInterval {
+			inInterval++
+		}
+		if at > now-marginWindow {
+			inMargin++
+		}
+	}
+	return max(inInterval+inMargin, minTurns)
+}
+
+// recentPlacements drops and returns the placements within the window of the rate.
+func (l *List) recentPlacements(now time.Duration) []time.Duration {
+	old := 0
+	for old < len(l.placements) && l.placements[old] <= now-rateWindow {
+		old++
+	}
+	l.placements = slices.Delete(l.placements, 0, old)
+	return l.placements
+}
+
+// dropExpired drops the entries that were not reported again.
+func (l *List) dropExpired(now time.Duration) {
+	for _, w := range slices.Clone(l.ordered) {
+		if now-w.reportedAt > expiry {
+			l.remove(w, false)
+		}
+	}
+}
+
+// sort brings the entries into their order.
+func (l *List) sort(now time.Duration) {
+	l.sortedAt = now
+	l.dropExpired(now)
+	for _, w := range l.ordered {
+		w.lateRank = w.lateRankAt(now)
+	}
+	slices.SortFunc(l.ordered, compareWithinAccount)
+	// The entries of an account follow each other as if each were admitted in its turn, as
+	// in start-time fair queueing.
+	admitted := map[string]float64{}
+	for _, w := range l.ordered {
+		tag, found := admitted[w.Account]
+		if !found {
+			tag = w.request.Account.NormalizedService()
+		}
+		w.startTag = tag
+		admitted[w.Account] = tag + float64(w.Tokens)/w.request.Account.Weight()
+	}
+	slices.SortFunc(l.ordered, func(a, b *waiting) int {
+		return cmp.Or(compareClass(a, b), cmp.Compare(a.startTag, b.startTag), compareArrival(a, b))
+	})
+}
+
+// lateRankAt returns the rank of a generation among the late ones.
+func (w *waiting) lateRankAt(now time.Duration) int {
+	g := deferral.Generation{Waited: now - w.arrivedAt, FirstTokenObjective: w.Objective, TimeToFirstToken: w.FirstToken}
+	if w.Objective <= 0 || g.UntilLate() > 0 {
+		return 0
+	}
+	return lateRanks - int(lateRanks*g.Aged())
+}
+
+func compareWithinAccount(a, b *waiting) int { return cmp.Or(compareClass(a, b), compareArrival(a, b)) }
+
+func compareClass(a, b *waiting) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.lateRank, b.lateRank))
+}
+
+func compareArrival(a, b *waiting) int {
+	return cmp.Or(cmp.Compare(a.arrivedAt, b.arrivedAt), cmp.Compare(a.ID, b.ID))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,9 @@
 	Relay Relay
 	// OriginPeers keep the origins of streams with this host; nil for none.
 	OriginPeers OriginPeers
+	// WaitingOrder orders the generations that wait for an engine over all hosts; nil for
+	// none.
+	WaitingOrder WaitingOrder
 	// Migration decides how generations are moved off an engine that stops.
 	Migration migration.Config
 	Log       *slog.Logger
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -187,6 +187,8 @@
 // here.
 func (gen *generation) acquire(exclude []string) (*selectionState, *Reservation, error) {
 	req := gen.placementRequest(exclude)
+	turns, placed := gen.newTurns(), false
+	defer func() { turns.end(placed) }()
 	for {
 		if err := gen.g.checkVerdict(gen.exchange); err != nil {
 			return nil, nil, err
@@ -196,31 +198,51 @@
 			// The caller waits in the middle of a stream, which few engines may go on with.
 			search.MemoryShare = 0
 		}
+		maySearch, untilReport, err := turns.maySearch(search)
+		if err != nil {
+			return nil, nil, err
+		}
+		if !maySearch {
+			if err := gen.waitForRoom(untilReport); err != nil {
+				return nil, nil, err
+			}
+			continue
+		}
 		req.MemoryShare = search.MemoryShare
 		req.FirstEventObjective = gen.remainingObjective()
 		selection := gen.g.selectionState()
 		_, reservation, outcome := gen.g.cfg.Loads.AcquireWithRoom(selection.view, req)
 		if outcome != NoRoom {
+			placed = reservation != nil
 			return selection, reservation, nil
 		}
 		gen.g.metrics.searchesWithoutRoom.Inc(1)
-		wait := search.Wait
+		wait := turns.limit(search.Wait)
 		if search.MemoryShare == 0 {
 			var waits bool
 			if wait, waits = deferral.WaitForRoom(gen.deferred(), rand.Float64()); !waits {
 				return nil, nil, failure.New(failure.KindOverloaded, "no engine has room for the generation").WithRetryAfter(engineFullRetryAfter)
 			}
 		}
-		wake.Sleep(gen.ctx, wait)
-		if err := gen.g.checkMayStart(gen.exchange); err != nil {
+		if err := gen.waitForRoom(wait); err != nil {
 			return nil, nil, err
 		}
-		if gen.ctx.Err() != nil {
-			return nil, nil, failure.New(failure.KindOverloaded, "the caller left or its deadline passed while no engine had memory")
-		}
 	}
 }
 
+// waitForRoom waits until the next search. The error says why the generation must not wait
+// here any longer.
+func (gen *generation) waitForRoom(wait time.Duration) error {
+	wake.Sleep(gen.ctx, wait)
+	if err := gen.g.checkMayStart(gen.exchange); err != nil {
+		return err
+	}
+	if gen.ctx.Err() != nil {
+		return failure.New(failure.KindOverloaded, "the caller left or its deadline passed while no engine had memory")
+	}
+	return nil
+}
+
 // remainingObjective returns the time that is left of the route's objective for the
 // first event; 0 when there is no objective, or none of it is left.
 func (gen *generation) remainingObjective() time.Duration {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -54,6 +54,11 @@
 	// searchesWithoutRoom counts the searches that found no engine with room for a
 	// generation, which then waited.
 	searchesWithoutRoom gometrics.Counter
+	// waitingTurns, waitingHeld and waitingUnanswered count the reports of waiting
+	// generations that were answered with a turn to search, that were answered without one,
+	// and that were not answered; waitingHopeless counts the generations refused since their
+	// wait would outlast their caller.
+	waitingTurns, waitingHeld, waitingUnanswered, waitingHopeless gometrics.Counter
 	// failuresReported counts the broken requests of which other hosts were told.
 	failuresReported gometrics.Counter
 	// emptyStreams counts the streams of engines that ended without an event.
@@ -80,6 +85,7 @@
 		movedByCopy: counter("moved.copy"), movedToBackup: counter("moved.backup"), resumedAfterLoss: counter("moved.after_loss"), newRuns: counter("moved.anew"),
 		copiesFailed: counter("copies_failed"), takenUp: counter("streams_taken_up"), targetsRestarted: counter("targets_restarted"), originsUnknown: counter("stream_origins_unknown"), movesWithoutTarget: counter("moves_without_target"), leavingAnswers: counter("answers_leaving"), restAnswers: counter("answers_rest"),
 		unreadableFigures: counter("load_figures_unreadable"), searchesWithoutRoom: counter("searches_without_room"),
+		waitingTurns: counter("waiting_turns"), waitingHeld: counter("waiting_held"), waitingUnanswered: counter("waiting_unanswered"), waitingHopeless: counter("waiting_hopeless"),
 		failuresReported: counter("failures_reported"), sendsRefused: counter("sends_refused"), emptyStreams: counter("streams_empty"),
 	}
 	for _, kind := range []directory.RequestKind{directory.AtMostOnce, directory.Repeatable, directory.Generation} {
--- /dev/null
+++ b/internal/gateway/waiting.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"filbertdeck/internal/decide/deferral"
+	"filbertdeck/internal/decide/waitlist"
+	"filbertdeck/internal/failure"
+)
+
+// WaitingOrder orders the generations that wait for an engine over all hosts.
+type WaitingOrder interface {
+	// Report tells the holder of the order that a generation waits, and returns its answer;
+	// false if there is none in time.
+	Report(ctx context.Context, e waitlist.Entry) (waitlist.Answer, bool)
+	// Done tells the holder that a generation waits no longer; placed is set if it has an
+	// engine. It waits for no answer.
+	Done(e waitlist.Entry, placed bool)
+	// OthersWait reports whether generations of a service were heard to wait that are at
+	// least as urgent as a priority.
+	OthersWait(service string, priority int) bool
+}
+
+// turns asks for a generation's turns to search for an engine while it waits. The nil value
+// asks for none.
+type turns struct {
+	gen   *generation
+	order WaitingOrder
+	id    uint64
+	// searched is set once the generation has searched, reported once the holder was told
+	// of it, answered if the holder answered the last report.
+	searched, reported, answered bool
+	// taken, held and unanswered count the reports by their outcome.
+	taken, held, unanswered int
+	// firstAhead is the number of generations before it at the first answer, -1 before it.
+	firstAhead int
+}
+
+// newTurns returns the turns of a generation; nil if those of its service wait without an
+// order over all hosts.
+func (gen *generation) newTurns() *turns {
+	g := gen.g
+	if g.cfg.WaitingOrder == nil || !g.cfg.Loads.SendsToOwnersOnly() || !g.cfg.Scheduling.WaitingOrder.On(gen.view.ContentionPolicy(gen.service.Name)) {
+		return nil
+	}
+	return &turns{gen: gen, order: g.cfg.WaitingOrder, id: rand.Uint64(), firstAhead: -1}
+}
+
+// entry returns the generation as one that waits.
+func (t *turns) entry() waitlist.Entry {
+	d := t.gen.deferred()
+	return waitlist.Entry{
+		ID: t.id, Service: t.gen.service.Name, Priority: t.gen.priority(), Account: accountName(t.gen.account),
+		Waited: d.Waited, Objective: d.FirstTokenObjective, FirstToken: d.TimeToFirstToken, Tokens: expectedTokens(t.gen.Prompt),
+	}
+}
+
+// maySearch reports whether the generation may search for an engine now. Otherwise it waits
+// for the returned time. The error refuses a generation that is expected to wait until its
+// caller has gone.
+func (t *turns) maySearch(search deferral.Search) (bool, time.Duration, error) {
+	if t == nil || search.MemoryShare == 0 {
+		return true, 0, nil
+	}
+	entry := t.entry()
+	if !t.reported && !t.searched && !t.order.OthersWait(entry.Service, entry.Priority) {
+		t.searched = true
+		return true, 0, nil
+	}
+	wait := t.limit(search.Wait)
+	answer, answered := t.report(entry)
+	switch {
+	case !answered && t.answered:
+		// One lost datagram costs an interval: searching at once would go before others.
+		t.answered = false
+		return false, wait, nil
+	case !answered || answer.Search:
+		t.answered = answered
+		return true, 0, nil
+	}
+	t.answered = true
+	if left := time.Until(t.gen.deadline); t.gen.attempts == 0 && answer.Hopeless(left, entry.FirstToken) {
+		t.gen.g.metrics.waitingHopeless.Inc(1)
+		t.gen.g.cfg.Log.Info("generation refused, as its wait would outlast its caller", "request", t.gen.ID, "ahead", answer.Ahead, "expected_wait", answer.ExpectedWait, "left", left)
+		return false, 0, failure.New(failure.KindOverloaded, "the wait for an engine is longer than the caller's time").WithRetryAfter(answer.RetryAfter(rand.Float64()))
+	}
+	return false, wait, nil
+}
+
+// report tells the holder that the generation waits.
+func (t *turns) report(entry waitlist.Entry) (waitlist.Answer, bool) {
+	t.reported = true
+	answer, answered := t.order.Report(t.gen.ctx, entry)
+	m := t.gen.g.metrics
+	switch {
+	case !answered:
+		t.unanswered++
+		m.waitingUnanswered.Inc(1)
+		return answer, false
+	case answer.Search:
+		t.taken++
+		m.waitingTurns.Inc(1)
+	default:
+		t.held++
+		m.waitingHeld.Inc(1)
+	}
+	if t.firstAhead < 0 {
+		t.firstAhead = answer.Ahead
+	}
+	return answer, true
+}
+
+// limit returns the time until the next report: entries expire that are not reported again.
+func (t *turns) limit(wait time.Duration) time.Duration {
+	if t == nil {
+		return wait
+	}
+	return min(wait, waitlist.ReportInterval)
+}
+
+// end tells the holder that the generation waits no longer; placed is set if it has an engine.
+func (t *turns) end(placed bool) {
+	if t == nil || !t.reported {
+		return
+	}
+	t.order.Done(t.entry(), placed)
+	t.gen.g.cfg.Log.Info("generation waited in the order of all hosts", "request", t.gen.ID, "placed", placed, "turns", t.taken, "held", t.held, "unanswered", t.unanswered,
+		"ahead", t.firstAhead, "priority", t.gen.priority(), "account", accountName(t.gen.account), "waited", time.Since(t.gen.ArrivedAt))
+}
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -83,10 +83,10 @@
 		fx.Provide(
 			newClock, newBoard, newPublished, newLoads, newSuspects, newBudget, newGateway, newLifecycle,
 			newPeerExchange, newFetcher, newReaderRoles, newFleetView, newOwnerExchange, newMembersBoard, newGossip,
-			newOriginPeers, newRelayClient, newRelayServer,
+			newOriginPeers, newWaitingOrder, newRelayClient, newRelayServer,
 		),
 		fx.Invoke(func() { debug.SetGCPercent(gcPercent) }),
-		fx.Invoke(runReload, runPublished, runPeerExchange, runOwnerExchange, runGateway, serveMetrics, serveReadiness, serveCallers),
+		fx.Invoke(runReload, runPublished, runPeerExchange, runWaitingOrder, runOwnerExchange, runGateway, serveMetrics, serveReadiness, serveCallers),
 	}
 }
 
@@ -136,12 +136,12 @@
 
 func newGateway(
 	s *Settings, board *recordsync.Board, roles *readerRoles, c *recordsync.Controller, loads *gateway.TargetLoads,
-	suspects *gateway.CrashEvidence, budget *retrybudget.Budget, peers *relay.Client, origins *originPeers, now Clock, log *slog.Logger, reg gometrics.Registry,
+	suspects *gateway.CrashEvidence, budget *retrybudget.Budget, peers *relay.Client, origins *originPeers, waiting *waitingOrder, now Clock, log *slog.Logger, reg gometrics.Registry,
 ) *gateway.Gateway {
 	client := targetclient.NewAtMostOnceClient(targetclient.Settings{DialTimeout: targetDialTimeout, ResponseHeaderTimeout: responseTimeout, ReadIdleTimeout: responseTimeout})
 	return gateway.New(gateway.Config{
 		Dialect: s.Deployment.Dialect, Engines: s.Deployment.Engines, Board: board, Loads: loads, CrashEvidence: suspects, RetryBudget: budget,
-		Client: client, Relay: peers, OriginPeers: origins, Migration: migration.Default(), Disconnected: func() bool { return mayMissChanges(c, roles) },
+		Client: client, Relay: peers, OriginPeers: origins, WaitingOrder: waiting, Migration: migration.Default(), Disconnected: func() bool { return mayMissChanges(c, roles) },
 		ViewAge:     func() time.Duration { return viewAge(c) },
 		ViewCurrent: func() bool { return isCurrent(c, s.Deployment.ConfigDeadline) }, Log: log, Metrics: reg, Now: now, Scheduling: schedulingModes(s),
 	})
--- a/internal/gatewayhost/owners.go
+++ b/internal/gatewayhost/owners.go
@@ -57,6 +57,8 @@
 
 	// origins keeps the origins of streams for other hosts; nil until it is known.
 	origins originKeeper
+	// waiting holds the order of waiting generations; nil until it is known.
+	waiting *waitingOrder
 
 	mu             sync.Mutex
 	conn           *net.UDPConn
@@ -303,6 +305,9 @@
 }
 
 func (o *ownerExchange) handle(sender netip.AddrPort, message *filbertv1.TargetLoads) {
+	if o.waiting != nil && o.waiting.handle(sender, message) {
+		return
+	}
 	if message.GetAnswer() {
 		o.mu.Lock()
 		answers := o.pendingQueries[message.GetQuestion()]
--- /dev/null
+++ b/internal/gatewayhost/waiting.go
@@ -0,0 +1,285 @@
+package gatewayhost
+
+import (
+	"context"
+	"fmt"
+	"math/bits"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/fx"
+
+	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/decide/membership"
+	"filbertdeck/internal/decide/waitlist"
+	"filbertdeck/internal/gateway"
+	"filbertdeck/internal/process"
+)
+
+const (
+	// holdersPerList is the number of hosts that may hold a list: the holder and the host
+	// that takes over when it fails.
+	holdersPerList = 2
+	// maxPartitionHosts is the largest number of hosts that share a list, and
+	// meanPartitionHosts the largest mean in a fleet of several partitions: hashing
+	// distributes hosts unevenly.
+	maxPartitionHosts, meanPartitionHosts = 128, 96
+	// announceInterval is the time between two announcements of a holder that generations
+	// wait. An announcement holds for announcementLifetime, so that one may be lost.
+	announceInterval     = 100 * time.Millisecond
+	announcementLifetime = 250 * time.Millisecond
+	// silenceBeforeTakeover is how long a holder must have left reports unanswered before
+	// the next host is told: one lost datagram must not divide a list between two holders.
+	silenceBeforeTakeover = 200 * time.Millisecond
+	// listRetention is how long a list without reports is kept. The admitted tokens of the
+	// accounts are kept with it.
+	listRetention = time.Minute
+	// maxWaitText bounds the length of the names of services and accounts, in bytes.
+	maxWaitText = 256
+)
+
+// waitingOrder implements gateway.WaitingOrder by datagrams. It reports generations of this
+// host, and holds the lists of which this host is the holder.
+type waitingOrder struct {
+	exchange *ownerExchange
+	fleet    *fleetView
+	now      Clock
+
+	mu    sync.Mutex
+	lists map[listKey]*waitlist.List
+	// announced holds the last announcement for each service, silent the time from which on
+	// a holder has left reports unanswered.
+	announced map[string]announcement
+	silent    map[string]time.Duration
+}
+
+// listKey identifies a list: a service's generations at the hosts of a partition.
+type listKey struct {
+	service   string
+	partition int
+}
+
+// announcement is the priority of the most urgent generation that waits, as heard at a time.
+type announcement struct {
+	priority int
+	at       time.Duration
+}
+
+var _ gateway.WaitingOrder = (*waitingOrder)(nil)
+
+func newWaitingOrder(exchange *ownerExchange, fleet *fleetView, now Clock) *waitingOrder {
+	return &waitingOrder{
+		exchange: exchange, fleet: fleet, now: now,
+		lists: map[listKey]*waitlist.List{}, announced: map[string]announcement{}, silent: map[string]time.Duration{},
+	}
+}
+
+func runWaitingOrder(lc fx.Lifecycle, w *waitingOrder) {
+	w.exchange.waiting = w
+	process.RunPeriodically(lc, announceInterval, w.announce)
+}
+
+// Report implements gateway.WaitingOrder.
+func (w *waitingOrder) Report(ctx context.Context, e waitlist.Entry) (waitlist.Answer, bool) {
+	holder, known := w.holder(e.Service)
+	if !known || ctx.Err() != nil {
+		return waitlist.Answer{}, false
+	}
+	if holder == w.fleet.self {
+		return w.record(holder, e), true
+	}
+	message, ok := w.exchange.queryWithin(queryTimeout, holder, &filbertv1.TargetLoads{WaitReport: encodeWaiting(e)})
+	w.recordAnswer(holder, ok)
+	// A host without this build answers without an answer to the report.
+	if message.GetWaitAnswer() == nil {
+		return waitlist.Answer{}, false
+	}
+	return decodeWaitAnswer(message.GetWaitAnswer()), true
+}
+
+// Done implements gateway.WaitingOrder.
+func (w *waitingOrder) Done(e waitlist.Entry, placed bool) {
+	holder, known := w.holder(e.Service)
+	switch {
+	case !known:
+	case holder == w.fleet.self:
+		w.recordDone(holder, e, placed)
+	default:
+		report := encodeWaiting(e)
+		report.Done, report.Placed = true, placed
+		w.exchange.send(holder, &filbertv1.TargetLoads{WaitReport: report})
+	}
+}
+
+// OthersWait implements gateway.WaitingOrder.
+func (w *waitingOrder) OthersWait(service string, priority int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a, heard := w.announced[service]
+	return heard && w.now()-a.at <= announcementLifetime && a.priority <= priority
+}
+
+// holder returns the host that holds the list of this host's generations of a service; false
+// if none is known.
+func (w *waitingOrder) holder(service string) (string, bool) {
+	key := listKey{service, w.partition(w.fleet.self)}
+	holders := membership.TopRanked(key.rankKey(), w.fleet.liveHosts(""), holdersPerList)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, host := range holders {
+		since, silent := w.silent[host]
+		if silentFor := w.now() - since; !silent || silentFor < silenceBeforeTakeover {
+			return host, true
+		} else if silentFor >= silenceBeforeTakeover+unresponsivePeriod {
+			// The host is tried again.
+			delete(w.silent, host)
+			return host, true
+		}
+	}
+	if len(holders) == 0 {
+		return "", false
+	}
+	return holders[0], true
+}
+
+// recordAnswer records whether a holder answered a report.
+func (w *waitingOrder) recordAnswer(holder string, answered bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if answered {
+		delete(w.silent, holder)
+	} else if _, silent := w.silent[holder]; !silent {
+		w.silent[holder] = w.now()
+	}
+}
+
+// rankKey returns the text by which hosts rank as holders of a list.
+func (k listKey) rankKey() string {
+	if k.partition == 0 {
+		return "waiting/" + k.service
+	}
+	return fmt.Sprintf("waiting/%s/%d", k.service, k.partition)
+}
+
+// partition returns the partition of a host. Their number is a power of two, so that it
+// rarely changes.
+func (w *waitingOrder) partition(host string) int {
+	live := len(w.fleet.liveHosts(""))
+	if live <= maxPartitionHosts {
+		return 0
+	}
+	partitions := uint64(1) << bits.Len(uint((live-1)/meanPartitionHosts))
+	return int(xxhash.Sum64String(host) % partitions)
+}
+
+// handle takes in a message of another host; false if it does not concern waiting
+// generations, or answers a query of this host.
+func (w *waitingOrder) handle(sender netip.AddrPort, message *filbertv1.TargetLoads) bool {
+	report := message.GetWaitReport()
+	switch {
+	case report == nil:
+		return false
+	case len(report.GetService()) > maxWaitText || len(report.GetAccount()) > maxWaitText:
+	case message.GetAnswer():
+		w.hear(report.GetService(), int(report.GetPriority()))
+	case report.GetDone():
+		w.recordDone(sender.String(), decodeWaiting(report), report.GetPlaced())
+	default:
+		answer := w.record(sender.String(), decodeWaiting(report))
+		if err := w.exchange.sendTo(sender, &filbertv1.TargetLoads{Question: message.GetQuestion(), Answer: true, WaitAnswer: encodeWaitAnswer(answer)}); err != nil {
+			w.exchange.log.Debug("sending the answer to a waiting generation failed", "to", sender, "error", err)
+		}
+	}
+	return true
+}
+
+// record records a report of a host and returns the answer.
+func (w *waitingOrder) record(host string, e waitlist.Entry) waitlist.Answer {
+	partition := w.partition(host)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.list(listKey{e.Service, partition}).Report(w.now(), e)
+}
+
+// recordDone records that a generation of a host waits no longer.
+func (w *waitingOrder) recordDone(host string, e waitlist.Entry, placed bool) {
+	partition := w.partition(host)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.list(listKey{e.Service, partition}).Done(w.now(), e, placed)
+}
+
+// list returns a list, which it creates if necessary. The caller holds the mutex.
+func (w *waitingOrder) list(key listKey) *waitlist.List {
+	l, found := w.lists[key]
+	if !found {
+		l = waitlist.New()
+		w.lists[key] = l
+	}
+	return l
+}
+
+// announce tells the hosts of each list held here that generations wait, so that one that
+// arrives there does not take the room of those by its first search. It drops lists that
+// are no longer used.
+func (w *waitingOrder) announce() {
+	for key, priority := range w.waitingClasses() {
+		// An answer without a question is ignored by hosts without this build.
+		message := &filbertv1.TargetLoads{Answer: true, WaitReport: &filbertv1.WaitReport{Service: key.service, Priority: int32(priority)}}
+		for _, host := range w.fleet.liveHosts("") {
+			switch {
+			case w.partition(host) != key.partition:
+			case host == w.fleet.self:
+				w.hear(key.service, priority)
+			default:
+				w.exchange.send(host, message)
+			}
+		}
+	}
+}
+
+// waitingClasses returns the most urgent priority that waits on each list held here.
+func (w *waitingOrder) waitingClasses() map[listKey]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	classes := map[listKey]int{}
+	for key, l := range w.lists {
+		if priority, waits := l.MostUrgent(w.now()); waits {
+			classes[key] = priority
+		} else if w.now()-l.UsedAt() > listRetention {
+			delete(w.lists, key)
+		}
+	}
+	return classes
+}
+
+// hear records an announcement.
+func (w *waitingOrder) hear(service string, priority int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.announced[service] = announcement{priority, w.now()}
+}
+
+func encodeWaiting(e waitlist.Entry) *filbertv1.WaitReport {
+	return &filbertv1.WaitReport{
+		Id: e.ID, Service: e.Service, Priority: int32(e.Priority), Account: e.Account, Tokens: toUint32(e.Tokens),
+		WaitedMs: toUint32(int(e.Waited.Milliseconds())), ObjectiveMs: toUint32(int(e.Objective.Milliseconds())), FirstTokenMs: toUint32(int(e.FirstToken.Milliseconds())),
+	}
+}
+
+func decodeWaiting(m *filbertv1.WaitReport) waitlist.Entry {
+	return waitlist.Entry{
+		ID: m.GetId(), Service: m.GetService(), Priority: int(m.GetPriority()), Account: m.GetAccount(), Tokens: int(m.GetTokens()),
+		Waited: fromWireMillis(m.GetWaitedMs()), Objective: fromWireMillis(m.GetObjectiveMs()), FirstToken: fromWireMillis(m.GetFirstTokenMs()),
+	}
+}
+
+func encodeWaitAnswer(a waitlist.Answer) *filbertv1.WaitAnswer {
+	return &filbertv1.WaitAnswer{Search: a.Search, Ahead: toUint32(a.Ahead), ExpectedWaitMs: toUint32(int(a.ExpectedWait.Milliseconds())), ExpectedWaitKnown: a.ExpectedWaitKnown}
+}
+
+func decodeWaitAnswer(m *filbertv1.WaitAnswer) waitlist.Answer {
+	return waitlist.Answer{Search: m.GetSearch(), Ahead: int(m.GetAhead()), ExpectedWait: fromWireMillis(m.GetExpectedWaitMs()), ExpectedWaitKnown: m.GetExpectedWaitKnown()}
+}
