--- a/internal/decide/waitlist/waitlist.go
+++ b/internal/decide/waitlist/waitlist.go
@@ -142,14 +142,10 @@
 		if len(l.entries) >= maxEntries {
 			return l.answer(now, len(l.ordered))
 		}
-		w = &waiting{arrivedAt: now - e.Waited}
-		account := l.accounts.UpsertAccount(e.Account, accountWeight, 0)
-		w.request = l.accounts.Push(account, now, 0, w)
-		l.entries[e.ID] = w
-		l.ordered = append(l.ordered, w)
+		w = l.add(now, e)
 	}
 	w.Entry, w.reportedAt = e, now
-	if !known || now-l.sortedAt >= sortInterval {
+	if now-l.sortedAt >= sortInterval {
 		l.sort(now)
 	}
 	return l.answer(now, slices.Index(l.ordered, w))
@@ -171,6 +167,17 @@
 	}
 }
 
+// add puts a generation on the list. Until the next sort it is not delayed for its account.
+func (l *List) add(now time.Duration, e Entry) *waiting {
+	w := &waiting{Entry: e, arrivedAt: now - e.Waited, rankAt: now - e.Waited}
+	w.lateRank = w.lateRankAt(now)
+	w.request = l.accounts.Push(l.accounts.UpsertAccount(e.Account, accountWeight, 0), now, 0, w)
+	l.entries[e.ID] = w
+	i, _ := slices.BinarySearchFunc(l.ordered, w, compareRank)
+	l.ordered = slices.Insert(l.ordered, i, w)
+	return w
+}
+
 // remove takes an entry off the list, and charges its account if it was placed.
 func (l *List) remove(w *waiting, placed bool) {
 	delete(l.entries, w.ID)
@@ -259,9 +266,7 @@
 	}
 	slices.SortFunc(l.ordered, func(a, b *waiting) int { return cmp.Or(compareClass(a, b), compareArrival(a, b)) })
 	l.delayByAccount(now)
-	slices.SortFunc(l.ordered, func(a, b *waiting) int {
-		return cmp.Or(compareClass(a, b), cmp.Compare(a.rankAt, b.rankAt), compareArrival(a, b))
-	})
+	slices.SortFunc(l.ordered, compareRank)
 }
 
 // delayByAccount sets when each entry ranks. An entry whose account is ahead of the others
@@ -301,6 +306,10 @@
 	return lateRanks - int(lateRanks*g.Aged())
 }
 
+func compareRank(a, b *waiting) int {
+	return cmp.Or(compareClass(a, b), cmp.Compare(a.rankAt, b.rankAt), compareArrival(a, b))
+}
+
 func compareClass(a, b *waiting) int {
 	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.lateRank, b.lateRank))
 }
