Test the order of waiting generations at the gateway and between hosts

The fixture's gateway takes a change to its configuration, and the test's owner exchange one before it runs.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -174,6 +174,11 @@
 }
 
 func startGatewayWith(dialect call.Codec, logs slog.Handler, relay gateway.Relay, targets ...*directory.ObservedTarget) *fixture {
+	return startGatewayConfigured(dialect, logs, func(c *gateway.Config) { c.Relay = relay }, targets...)
+}
+
+// startGatewayConfigured runs a gateway after a change to its configuration.
+func startGatewayConfigured(dialect call.Codec, logs slog.Handler, configure func(*gateway.Config), targets ...*directory.ObservedTarget) *fixture {
 	board := &recordsync.Board{}
 	views, err := board.View.Claim()
 	Expect(err).NotTo(HaveOccurred())
@@ -181,12 +186,14 @@
 	gw := &fixture{views: views, cfg: testConfig(), metrics: gometrics.NewRegistry()}
 	now := func() time.Duration { return time.Since(start) + time.Duration(gw.skipped.Load()) }
 	gw.loads, gw.crashEvidence = gateway.NewTargetLoads("host-1", "dc-1", now), gateway.NewCrashEvidence(now, slog.New(logs), gw.metrics)
-	g := gateway.New(gateway.Config{
-		Dialect: dialect, Relay: relay, OriginPeers: &gw.peers, Engines: platform.NewEngines().Through(gw.cut.transport()), Board: board,
+	cfg := gateway.Config{
+		Dialect: dialect, OriginPeers: &gw.peers, Engines: platform.NewEngines().Through(gw.cut.transport()), Board: board,
 		Loads: gw.loads, CrashEvidence: gw.crashEvidence, RetryBudget: retrybudget.New(retrybudget.Config{}),
 		Client: targetclient.NewAtMostOnceClient(targetclient.Settings{ResponseHeaderTimeout: time.Minute, ReadIdleTimeout: time.Minute, DialTimeout: 700 * time.Millisecond, Connect: gw.cut.connect}), Migration: migration.Default(), Disconnected: gw.disconnected.Load, ViewCurrent: func() bool { return !gw.disconnected.Load() }, ViewAge: func() time.Duration { return 0 },
 		Log: slog.New(logs), Metrics: gw.metrics, Now: now,
-	})
+	}
+	configure(&cfg)
+	g := gateway.New(cfg)
 	gw.gateway = g
 	ctx, cancel := context.WithCancel(context.Background())
 	go g.MoveGenerations(ctx)
--- a/internal/gatewayhost/owners_test.go
+++ b/internal/gatewayhost/owners_test.go
@@ -40,6 +40,12 @@
 // startOwnerExchange runs the owner exchange of one host whose membership view
 // has the given members.
 func startOwnerExchange(t *testing.T, self string, members []string) (*ownerExchange, *gateway.TargetLoads) {
+	t.Helper()
+	return startOwnerExchangeWith(t, self, members, func(*ownerExchange) {})
+}
+
+// startOwnerExchangeWith is startOwnerExchange with a change to the exchange before it runs.
+func startOwnerExchangeWith(t *testing.T, self string, members []string, change func(*ownerExchange)) (*ownerExchange, *gateway.TargetLoads) {
 	t.Helper()
 	board := &gossip.Board{}
 	out, err := board.Members.Claim()
@@ -57,6 +63,7 @@
 	s := &Settings{}
 	s.Deployment.ListenPeers = self
 	o := newOwnerExchange(s, loads, newFleetView(s, board, now), &recordsync.Board{}, now, slog.New(slog.DiscardHandler), gometrics.NewRegistry())
+	change(o)
 	if err := o.listen(); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/gatewayhost/waiting_test.go
@@ -0,0 +1,182 @@
+package gatewayhost
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/decide/membership"
+	"filbertdeck/internal/decide/waitlist"
+)
+
+// startWaitingOrder runs the exchange of one host with the order of waiting generations.
+func startWaitingOrder(t *testing.T, self string, members []string) *waitingOrder {
+	t.Helper()
+	var w *waitingOrder
+	startOwnerExchangeWith(t, self, members, func(o *ownerExchange) {
+		w = newWaitingOrder(o, o.fleet, o.now)
+		o.waiting = w
+	})
+	return w
+}
+
+// waitingHosts starts the hosts of a fleet, the first holder of the service's list first.
+func waitingHosts(t *testing.T, service string, count int) (hosts []*waitingOrder) {
+	t.Helper()
+	var addresses []string
+	for range count {
+		addresses = append(addresses, freeUDPAddress(t))
+	}
+	for _, address := range membership.Rank("waiting/"+service, addresses) {
+		hosts = append(hosts, startWaitingOrder(t, address, addresses))
+	}
+	return hosts
+}
+
+func waitingEntry(id uint64, waited time.Duration) waitlist.Entry {
+	return waitlist.Entry{ID: id, Service: "llm", Priority: 2, Account: "a", Waited: waited, Objective: 4 * time.Second, FirstToken: 250 * time.Millisecond, Tokens: 3000}
+}
+
+// Guards against generations of different hosts that are not ordered by one list.
+func TestWaitingGenerationsOfAllHostsAreOrdered(t *testing.T) {
+	hosts := waitingHosts(t, "llm", 3)
+	for i := range uint64(6) {
+		if _, ok := hosts[i%3].Report(t.Context(), waitingEntry(i+1, time.Duration(6-i)*100*time.Millisecond)); !ok {
+			t.Fatal("the holder did not answer")
+		}
+	}
+	answer, ok := hosts[2].Report(t.Context(), waitingEntry(6, 100*time.Millisecond))
+	if !ok || answer.Search || answer.Ahead != 5 {
+		t.Fatalf("the last of six generations has the answer %+v", answer)
+	}
+	for i := range uint64(3) {
+		hosts[1].Done(waitingEntry(i+1, time.Second), true)
+	}
+	deadline := time.Now().Add(2 * time.Second)
+	for !answer.Search {
+		if time.Now().After(deadline) {
+			t.Fatalf("it has no turn after three were placed: %+v", answer)
+		}
+		time.Sleep(10 * time.Millisecond)
+		answer, _ = hosts[2].Report(t.Context(), waitingEntry(6, 100*time.Millisecond))
+	}
+}
+
+// Guards against a holder's death that leaves the generations without order, and against
+// one lost report that divides the list between two holders.
+func TestSecondHostTakesOverFromSilentHolder(t *testing.T) {
+	hosts := waitingHosts(t, "llm", 3)
+	first, second, host := hosts[0], hosts[1], hosts[2]
+	_ = first.exchange.conn.Close()
+	if _, ok := host.Report(t.Context(), waitingEntry(1, time.Second)); ok {
+		t.Fatal("a dead holder answered")
+	}
+	if holder, _ := host.holder("llm"); holder != first.fleet.self {
+		t.Fatal("one report without an answer changed the holder")
+	}
+	time.Sleep(silenceBeforeTakeover)
+	if _, ok := host.Report(t.Context(), waitingEntry(1, time.Second)); !ok {
+		t.Fatal("the second host did not answer")
+	}
+	second.mu.Lock()
+	defer second.mu.Unlock()
+	if n := second.lists[listKey{"llm", 0}].Len(); n != 1 {
+		t.Fatalf("the second host has %d entries, want 1", n)
+	}
+}
+
+// Guards against a new generation that takes the room of those that wait elsewhere.
+func TestHostsHearThatOthersWait(t *testing.T) {
+	hosts := waitingHosts(t, "llm", 3)
+	if _, ok := hosts[1].Report(t.Context(), waitingEntry(1, time.Second)); !ok {
+		t.Fatal("the holder did not answer")
+	}
+	hosts[0].announce()
+	deadline := time.Now().Add(2 * time.Second)
+	for !hosts[2].OthersWait("llm", 2) {
+		if time.Now().After(deadline) {
+			t.Fatal("a host did not hear that others wait")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if !hosts[0].OthersWait("llm", 3) || hosts[0].OthersWait("llm", 1) || hosts[0].OthersWait("other", 2) {
+		t.Fatal("an announcement holds for generations that are as urgent or less, of its service")
+	}
+	time.Sleep(announcementLifetime + 10*time.Millisecond)
+	if hosts[2].OthersWait("llm", 2) {
+		t.Fatal("an announcement holds for ever")
+	}
+}
+
+// Guards against hosts that wait for turns from a holder that runs an older build.
+func TestHolderWithoutTheOrderIsNoAnswer(t *testing.T) {
+	ranked := membership.Rank("waiting/llm", []string{freeUDPAddress(t), freeUDPAddress(t)})
+	startOwnerExchange(t, ranked[0], ranked)
+	host := startWaitingOrder(t, ranked[1], ranked)
+	if _, ok := host.Report(t.Context(), waitingEntry(1, time.Second)); ok {
+		t.Fatal("an answer without a turn was taken for one")
+	}
+	host.mu.Lock()
+	defer host.mu.Unlock()
+	if len(host.silent) != 0 {
+		t.Fatal("a host that answers is taken for silent")
+	}
+}
+
+// Guards against one list for a fleet whose reports one host can't take.
+func TestLargeFleetIsDividedIntoPartitions(t *testing.T) {
+	for _, size := range []int{90, 128, 129, 300, 1000, 3300} {
+		members := make([]membership.Member, size)
+		for i := range members {
+			members[i].Address = fmt.Sprintf("10.0.%d.%d:81", i/250, i%250+1)
+		}
+		w := newWaitingOrder(nil, newTestFleetView(t, members[0].Address, members...), nil)
+		counts := map[int]int{}
+		for _, m := range members {
+			counts[w.partition(m.Address)]++
+		}
+		largest := 0
+		for _, n := range counts {
+			largest = max(largest, n)
+		}
+		if largest > maxPartitionHosts || size <= maxPartitionHosts && len(counts) != 1 {
+			t.Errorf("%d hosts have %d partitions, the largest of %d hosts", size, len(counts), largest)
+		}
+	}
+}
+
+// Guards against a message that is changed on the way.
+func TestWaitingMessagesAreKeptBetweenHosts(t *testing.T) {
+	entry := waitingEntry(1<<60, 1234*time.Millisecond)
+	if got := decodeWaiting(encodeWaiting(entry)); got != entry {
+		t.Errorf("decoded %+v, want %+v", got, entry)
+	}
+	answer := waitlist.Answer{Search: true, Ahead: 7, ExpectedWait: 1500 * time.Millisecond, ExpectedWaitKnown: true}
+	if got := decodeWaitAnswer(encodeWaitAnswer(answer)); got != answer {
+		t.Errorf("decoded %+v, want %+v", got, answer)
+	}
+}
+
+// Guards against lists and names without a bound that other hosts cause.
+func TestUnusedListsAndLongNamesAreNotKept(t *testing.T) {
+	now := time.Minute
+	w := newWaitingOrder(nil, newTestFleetView(t, "10.0.0.1:81", membership.Member{Address: "10.0.0.1:81"}), func() time.Duration { return now })
+	long := encodeWaiting(waitingEntry(1, 0))
+	long.Service = strings.Repeat("x", maxWaitText+1)
+	w.handle(netip.MustParseAddrPort("10.0.0.1:81"), &filbertv1.TargetLoads{WaitReport: long})
+	w.recordDone("10.0.0.1:81", waitingEntry(1, 0), true)
+	if len(w.lists) != 1 {
+		t.Fatalf("%d lists, want 1", len(w.lists))
+	}
+	now += listRetention + time.Second
+	w.announce()
+	if len(w.lists) != 0 {
+		t.Fatal("a list without reports is kept")
+	}
+	if _, ok := w.Report(t.Context(), waitingEntry(2, 0)); !ok {
+		t.Fatal("the holder itself has no answer for its generation")
+	}
+}
