--- a/internal/gateway/burst_play_test.go
+++ b/internal/gateway/burst_play_test.go
@@ -37,6 +37,7 @@
 type playedRequest struct {
 	class       *workClass
 	host        *gateway.TargetLoads
+	hostIndex   int
 	prompt      call.Prompt
 	output      int
 	arrived     time.Duration
@@ -145,7 +146,8 @@
 	}
 	deviate := class.outputDeviation * p.arrivals.NormFloat64()
 	output := min(max(int(class.outputTokens*math.Exp(deviate-class.outputDeviation*class.outputDeviation/2)), 1), class.maxOutputTokens)
-	r := &playedRequest{class: class, host: p.hosts[p.arrivals.IntN(len(p.hosts))], output: output, arrived: p.now, searchAt: p.now}
+	host := p.arrivals.IntN(len(p.hosts))
+	r := &playedRequest{class: class, host: p.hosts[host], hostIndex: host, output: output, arrived: p.now, searchAt: p.now}
 	r.prompt = call.Prompt{
 		Tokens: max(int(class.promptTokens+class.promptDeviation*p.arrivals.NormFloat64()), 100), MaxOutputTokens: class.maxOutputTokens,
 		LengthHint: max(int(float64(output)*math.Exp(1.2*p.arrivals.NormFloat64())), 1),
--- a/internal/gateway/waiting_play_test.go
+++ b/internal/gateway/waiting_play_test.go
@@ -15,7 +15,10 @@
 // playedOrder is the order of the waiting requests in a play, as hosts see it by reports and
 // announcements that take no time. The nil value lets every request search.
 type playedOrder struct {
-	list *waitlist.List
+	// holders holds the list of each holder, holderOf returns the one that a request's host
+	// reports to.
+	holders  [2]*waitlist.List
+	holderOf func(now time.Duration, r *playedRequest) int
 	// lost is the share of reports without an answer.
 	lost      float64
 	draws     *rand.Rand
@@ -40,7 +43,11 @@
 	}
 	if now-o.announcedAt >= waitlist.ReportInterval {
 		o.announcedAt = now
-		o.announcedPriority, o.announced = o.list.MostUrgent(now)
+		for _, list := range o.holders {
+			if o.announcedPriority, o.announced = list.MostUrgent(now); o.announced {
+				break
+			}
+		}
 	}
 	search.Wait = min(search.Wait, waitlist.ReportInterval)
 	state, known := o.reports[r]
@@ -63,7 +70,7 @@
 	if state.answered = o.draws.Float64() >= o.lost; !state.answered {
 		return search, !wasAnswered
 	}
-	if !o.list.Report(now, state.entry).Search {
+	if !o.holders[o.holderOf(now, r)].Report(now, state.entry).Search {
 		return search, false
 	}
 	return search.InTurn(), true
@@ -73,7 +80,7 @@
 	if o == nil || o.reports[r] == nil || !o.reports[r].reported {
 		return
 	}
-	o.list.Done(now, o.reports[r].entry, true)
+	o.holders[o.holderOf(now, r)].Done(now, o.reports[r].entry, true)
 }
 
 // playedAccounts distributes requests to accounts. The n-th account sends 1/n as much as
@@ -184,8 +191,34 @@
 }
 
 var _ = Describe("the order of generations that wait at several hosts", func() {
-	type way struct{ ordered, oneAccount bool }
-	play := func(w way, lost, longPerSecond, burst float64) *orderResult {
+	type way struct {
+		ordered, oneAccount bool
+		lost                float64
+		// failure is what happens at failureAt.
+		failure string
+	}
+	const failureAt, failureEnd = burstStart + 2*time.Second, burstStart + 4*time.Second
+	holderOf := map[string]func(time.Duration, *playedRequest) int{
+		"": func(time.Duration, *playedRequest) int { return 0 },
+		"holder dies": func(now time.Duration, _ *playedRequest) int {
+			if now < failureAt {
+				return 0
+			}
+			return 1
+		},
+		"two holders": func(now time.Duration, r *playedRequest) int {
+			if now < failureAt || now >= failureEnd {
+				return 0
+			}
+			return r.hostIndex % 2
+		},
+	}
+	results := map[string]*orderResult{}
+	play := func(w way, longPerSecond, burst float64) *orderResult {
+		title := fmt.Sprintf("%+v, %v a second, burst %v", w, longPerSecond, burst)
+		if result, played := results[title]; played {
+			return result
+		}
 		result := &orderResult{count: map[int]int{}, late: map[int]int{}}
 		for _, seed := range []uint64{1, 2, 3, 4} {
 			accounts := &playedAccounts{draws: rand.New(rand.NewPCG(seed, 1<<32)), byRequest: map[*playedRequest]int{}}
@@ -194,35 +227,38 @@
 			}
 			p := newBurstPlay(seed, 18, 12, true)
 			if w.ordered {
-				p.order = &playedOrder{list: waitlist.New(), lost: lost, draws: rand.New(rand.NewPCG(seed, 1<<33)), accountOf: accounts.of, reports: map[*playedRequest]*playedReports{}}
+				p.order = &playedOrder{holders: [2]*waitlist.List{waitlist.New(), waitlist.New()}, holderOf: holderOf[w.failure], lost: w.lost, draws: rand.New(rand.NewPCG(seed, 1<<33)), accountOf: accounts.of, reports: map[*playedRequest]*playedReports{}}
 			}
 			p.run(longPerSecond, 7.4, burst)
 			Expect(p.result().unfinished).To(BeZero())
 			Expect(share(p.result().shortInTime, p.result().shortCount)).To(BeNumerically(">=", 0.98))
 			result.add(p, accounts.of)
 		}
-		AddReportEntry(fmt.Sprintf("%+v, reports lost %v, %v a second, burst %v", w, lost, longPerSecond, burst), result.String())
+		AddReportEntry(title, result.String())
+		results[title] = result
 		return result
 	}
 
 	// Guards against an order by chance, against room that stays idle while generations
 	// wait, and against accounts that pay for others.
 	DescribeTable("is kept without a loss of throughput",
-		func(longPerSecond, burst, lost float64) {
-			polling, ordered := play(way{}, 0, longPerSecond, burst), play(way{ordered: true}, lost, longPerSecond, burst)
+		func(longPerSecond, burst, lost float64, failure string) {
+			polling, ordered := play(way{}, longPerSecond, burst), play(way{ordered: true, lost: lost, failure: failure}, longPerSecond, burst)
 			Expect(share(polling.equalInverted, polling.equalPairs)).To(BeNumerically(">", 0.3))
 			Expect(share(ordered.equalInverted, ordered.equalPairs)).To(BeNumerically("<", 0.1))
 			Expect(ordered.lateShare(allAccounts)).To(BeNumerically("<=", polling.lateShare(allAccounts)))
 			Expect(ordered.worstShare()).To(BeNumerically("<", 2*ordered.lateShare(allAccounts)))
 			Expect(ordered.end).To(BeNumerically("<", 1.03*float64(polling.end)))
 		},
-		Entry("in a heavy burst", 9.0, 3.0, 0.0),
-		Entry("in an overload that lasts, while some reports are lost", 10.0, 2.2, 0.02),
+		Entry("in a heavy burst", 9.0, 3.0, 0.0, ""),
+		Entry("in an overload that lasts, while some reports are lost", 10.0, 2.2, 0.02, ""),
+		Entry("when the holder dies in the burst", 10.0, 2.2, 0.0, "holder dies"),
+		Entry("while two hosts hold lists for two seconds of the burst", 10.0, 2.2, 0.0, "two holders"),
 	)
 
 	// Guards against a burst of one account that makes the generations of others late.
 	It("has a burst of one account cost that account", func() {
-		polling, ordered := play(way{oneAccount: true}, 0, 8, 3), play(way{ordered: true, oneAccount: true}, 0, 8, 3)
+		polling, ordered := play(way{oneAccount: true}, 8, 3), play(way{ordered: true, oneAccount: true}, 8, 3)
 		Expect(ordered.lateShare(otherAccounts)).To(BeNumerically("<", polling.lateShare(otherAccounts)/2))
 		Expect(ordered.lateShare(allAccounts)).To(BeNumerically("<=", polling.lateShare(allAccounts)))
 	})
