--- a/internal/decide/deferral/deferral.go
+++ b/internal/decide/deferral/deferral.go
@@ -65,6 +65,19 @@
 	TimeToFirstToken time.Duration
 }
 
+// UntilLate returns the time until the generation can no longer be in time; not positive
+// if it is late.
+func (g Generation) UntilLate() time.Duration {
+	return g.FirstTokenObjective - firstTokenMargin*g.TimeToFirstToken - g.Waited
+}
+
+// Aged returns how far a late generation has come to the standing of those that can be in
+// time, from 0 when its objective is over to 1.
+func (g Generation) Aged() float64 {
+	aged := float64(g.Waited-g.FirstTokenObjective) / float64(agingFactor*g.FirstTokenObjective)
+	return min(max(aged, 0), 1)
+}
+
 // Search says where a generation may be placed now, and what follows if there is no
 // such engine.
 type Search struct {
@@ -75,10 +88,20 @@
 	Wait time.Duration
 }
 
+// InTurn returns the search of a generation that has its turn in an order of all that wait.
+// Those that can be in time go first by the order, so that a late one leaves no room for
+// them.
+func (s Search) InTurn() Search {
+	if s.MemoryShare > 0 {
+		s.MemoryShare = max(s.MemoryShare, normalShare)
+	}
+	return s
+}
+
 // Next returns the next search for an engine. draw, in [0, 1), spreads the searches of
 // generations that arrive together.
 func Next(g Generation, draw float64) Search {
-	untilLate := UntilLate(g)
+	untilLate := g.UntilLate()
 	switch {
 	case g.FirstTokenObjective <= 0, g.Urgent && untilLate <= 0:
 		return Search{}
@@ -92,12 +115,6 @@
 	return Search{}
 }
 
-// UntilLate returns the time for which a generation can wait and is still in time; negative
-// if it is late.
-func UntilLate(g Generation) time.Duration {
-	return g.FirstTokenObjective - firstTokenMargin*g.TimeToFirstToken - g.Waited
-}
-
 // WaitForRoom returns the time until the next search of a generation that no longer
 // waits by Next, while every engine is full and must not be sent more than it has room
 // for; false when it is to be refused.
@@ -108,8 +125,7 @@
 // shareOfLate returns the share of a late generation, which rises with the time that it
 // has waited beyond its objective.
 func shareOfLate(g Generation) float64 {
-	aged := float64(g.Waited-g.FirstTokenObjective) / float64(agingFactor*g.FirstTokenObjective)
-	return lateShare + (normalShare-lateShare)*min(max(aged, 0), 1)
+	return lateShare + (normalShare-lateShare)*g.Aged()
 }
 
 // spread returns a duration between half and one and a half of d.
--- a/internal/gateway/burst_play_test.go
+++ b/internal/gateway/burst_play_test.go
@@ -60,11 +60,14 @@
 type playedRequest struct {
 	class       *workClass
 	host        *gateway.TargetLoads
+	hostIndex   int
 	prompt      call.Prompt
 	output      int
 	arrived     time.Duration
 	searchAt    time.Duration
 	reservation *gateway.Reservation
+	// placed is the time at which it was sent to an engine; 0 before.
+	placed      time.Duration
 	first, last time.Duration
 	target      string
 	window      enginespeed.Window
@@ -88,6 +91,8 @@
 	// urgent prompt that each host has seen.
 	limits promptLimits
 	urgent map[*gateway.TargetLoads]*prefill.MeanTokens
+	// order orders the waiting requests of all hosts; nil for none.
+	order *playedOrder
 	// arrivals draws the load, draws the hosts' decisions.
 	arrivals, draws *rand.Rand
 	now             time.Duration
@@ -206,7 +211,8 @@
 	}
 	deviate := class.outputDeviation * p.arrivals.NormFloat64()
 	output := min(max(int(class.outputTokens*math.Exp(deviate-class.outputDeviation*class.outputDeviation/2)), 1), class.maxOutputTokens)
-	r := &playedRequest{class: class, host: p.hosts[p.arrivals.IntN(len(p.hosts))], output: output, arrived: p.now, searchAt: p.now}
+	host := p.arrivals.IntN(len(p.hosts))
+	r := &playedRequest{class: class, host: p.hosts[host], hostIndex: host, output: output, arrived: p.now, searchAt: p.now}
 	r.prompt = call.Prompt{
 		Tokens: max(int(class.promptTokens+class.promptDeviation*p.arrivals.NormFloat64()), 100), MaxOutputTokens: class.maxOutputTokens,
 		LengthHint: max(int(float64(output)*math.Exp(1.2*p.arrivals.NormFloat64())), 1),
@@ -242,6 +248,12 @@
 	if p.beforeSearch != nil {
 		p.beforeSearch(r, &req)
 	}
+	search, maySearch := p.order.next(p.now, r, search)
+	if !maySearch {
+		r.searchAt = p.now + search.Wait
+		return false
+	}
+	req.MemoryShare = search.MemoryShare
 	target, reservation, outcome := r.host.AcquireWithRoom(p.view, req)
 	if outcome == gateway.NoRoom {
 		r.searchAt = p.now + search.Wait
@@ -249,6 +261,8 @@
 	}
 	Expect(outcome).To(Equal(gateway.Placed))
 	r.reservation, r.target = reservation, target.ID
+	r.placed = p.now
+	p.order.done(p.now, r)
 	priority := 0
 	if r.class.urgent {
 		priority = 1
@@ -288,7 +302,7 @@
 		req.AnyRoom, req.PromptLimit = true, &prefill.Limit{UrgentTokens: -fixedUnreadTokens}
 	default:
 		urgent := prefill.Urgent{Objective: p.load.short.firstObjective, PromptTokens: p.urgent[r.host].Tokens()}
-		req.AnyRoom, req.PromptLimit = true, prefill.Next(urgent, deferred.Waited, deferral.UntilLate(deferred))
+		req.AnyRoom, req.PromptLimit = true, prefill.Next(urgent, deferred.Waited, deferred.UntilLate())
 	}
 }
 
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -225,6 +225,8 @@
 	req := gen.placementRequest(exclude)
 	var hold promptHold
 	defer func() { gen.recordHold(&hold, reserved != nil) }()
+	turns, placed := gen.newTurns(), false
+	defer func() { turns.end(placed) }()
 	for {
 		if err := gen.g.checkVerdict(gen.exchange); err != nil {
 			return nil, nil, err
@@ -234,12 +236,23 @@
 			// The caller waits in the middle of a stream, which few engines may go on with.
 			search.MemoryShare = 0
 		}
+		search, maySearch, err := turns.next(search)
+		if err != nil {
+			return nil, nil, err
+		}
+		if !maySearch {
+			if err := gen.waitForRoom(search.Wait); err != nil {
+				return nil, nil, err
+			}
+			continue
+		}
 		req.MemoryShare = search.MemoryShare
 		req.FirstEventObjective = gen.remainingObjective()
 		gen.limitPrompts(&req)
 		selection := gen.g.selectionState()
 		_, reservation, outcome := gen.g.cfg.Loads.AcquireWithRoom(selection.view, req)
 		if outcome != NoRoom {
+			placed = reservation != nil
 			return selection, reservation, nil
 		}
 		gen.g.metrics.searchesWithoutRoom.Inc(1)
@@ -251,16 +264,25 @@
 				return nil, nil, failure.New(failure.KindOverloaded, "no engine has room for the generation").WithRetryAfter(engineFullRetryAfter)
 			}
 		}
-		wake.Sleep(gen.ctx, wait)
-		if err := gen.g.checkMayStart(gen.exchange); err != nil {
+		if err := gen.waitForRoom(wait); err != nil {
 			return nil, nil, err
 		}
-		if gen.ctx.Err() != nil {
-			return nil, nil, failure.New(failure.KindOverloaded, "the caller left or its deadline passed while no engine had memory")
-		}
 	}
 }
 
+// waitForRoom waits until the next search. The error says why the generation must not wait
+// here any longer.
+func (gen *generation) waitForRoom(wait time.Duration) error {
+	wake.Sleep(gen.ctx, wait)
+	if err := gen.g.checkMayStart(gen.exchange); err != nil {
+		return err
+	}
+	if gen.ctx.Err() != nil {
+		return failure.New(failure.KindOverloaded, "the caller left or its deadline passed while no engine had memory")
+	}
+	return nil
+}
+
 // remainingObjective returns the time that is left of the route's objective for the
 // first event; 0 when there is no objective, or none of it is left.
 func (gen *generation) remainingObjective() time.Duration {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -61,6 +61,11 @@
 	// unread prompts beyond the limit, promptHold is the time for which they did.
 	promptsHeld gometrics.Counter
 	promptHold  gometrics.Histogram
+	// waitingTurns, waitingHeld and waitingUnanswered count the reports of waiting
+	// generations that were answered with a turn to search, that were answered without one,
+	// and that were not answered; waitingHopeless counts the generations refused since their
+	// wait would outlast their caller.
+	waitingTurns, waitingHeld, waitingUnanswered, waitingHopeless gometrics.Counter
 	// failuresReported counts the broken requests of which other hosts were told.
 	failuresReported gometrics.Counter
 	// emptyStreams counts the streams of engines that ended without an event.
@@ -91,6 +96,7 @@
 		movesWaiting: counter("moves_waiting"), withdrawn: counter("withdrawn"),
 		unreadableFigures: counter("load_figures_unreadable"), searchesWithoutRoom: counter("searches_without_room"),
 		promptsHeld: counter("prompts_held"), promptHold: newHistogram("prompt_hold_us", r),
+		waitingTurns: counter("waiting_turns"), waitingHeld: counter("waiting_held"), waitingUnanswered: counter("waiting_unanswered"), waitingHopeless: counter("waiting_hopeless"),
 		failuresReported: counter("failures_reported"), sendsRefused: counter("sends_refused"), emptyStreams: counter("streams_empty"),
 		rooms: newRoomCounters(counter),
 	}
--- a/internal/gateway/prompt_limits.go
+++ b/internal/gateway/prompt_limits.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"filbertdeck/internal/decide/contention"
-	"filbertdeck/internal/decide/deferral"
 	"filbertdeck/internal/decide/prefill"
 )
 
@@ -77,7 +76,7 @@
 	}
 	d := gen.deferred()
 	urgent := prefill.Urgent{Objective: gen.contentionPolicy().MostUrgentObjective, PromptTokens: gen.g.urgentPrompts.meanTokens(gen.service.Name)}
-	req.AnyRoom, req.PromptLimit = true, prefill.Next(urgent, d.Waited, deferral.UntilLate(d))
+	req.AnyRoom, req.PromptLimit = true, prefill.Next(urgent, d.Waited, d.UntilLate())
 }
 
 // promptHold is the time for which a generation was held because of the limit on unread
