Hold prompts for as long as generations may wait, and place urgent ones where they are read in time

Cause: a limit that ended with half of the time to spare sent the late generations of a burst behind unread prompts, where urgent ones were late behind them. Urgent ones followed each other to engines that had just joined, as memory weighs more than time in the added delay. The waiting list had the urgent ones wait for turns, and took a caller to wait for its whole deadline, though callers abandon a stream after a gap that the route tells. Change: the limit holds while a generation may wait; the most urgent prefer engines that prefill their prompt in half of what is left of their objective; they don't wait for turns; a wait is hopeless beyond the gap after which callers leave (directory.Route.MaxEventGap).

--- a/internal/decide/prefill/prefill.go
+++ b/internal/decide/prefill/prefill.go
@@ -9,8 +9,9 @@
 // before its own leave the engine time for the prompt of a usual urgent generation.
 // Elsewhere it waits at its host, where it delays nobody.
 //
-// The wait is bounded by the objective of the generation itself. The limit rises while
-// that is used up, and ends before the generation would be late because of it.
+// The limit holds as long as the generation may wait for an engine at all, also once it is
+// late: late ones that are sent behind unread prompts make urgent ones late, and are served
+// no sooner.
 //
 // The functions are pure.
 package prefill
@@ -29,10 +30,6 @@
 	// unknownPromptDivisor divides the most urgent objective; the quotient stands for the
 	// time to prefill an urgent prompt until the host has seen one.
 	unknownPromptDivisor = 4
-	// waitDivisor divides the time for which a generation can wait and be in time; the
-	// quotient is the longest wait for the limit. The rest is for memory: a generation that
-	// is late may use less of it.
-	waitDivisor = 2
 	// sampleTokens is the prompt for which the time per token is computed.
 	sampleTokens = 1000
 )
@@ -56,22 +53,22 @@
 	Exceeded bool
 }
 
-// Next returns the limit for a search; nil if there is none. waited is the time since the
-// generation arrived, untilLate the time for which it can wait and still be in time.
-func Next(urgent Urgent, waited, untilLate time.Duration) *Limit {
-	longest := (waited + untilLate) / waitDivisor
-	if urgent.Objective <= 0 || waited >= longest {
+// For returns the limit for generations that yield to the most urgent ones; nil if those have
+// no objective.
+func For(urgent Urgent) *Limit {
+	switch {
+	case urgent.Objective <= 0:
 		return nil
+	case urgent.PromptTokens == 0:
+		return &Limit{Budget: urgent.Objective/budgetDivisor - urgent.Objective/unknownPromptDivisor}
 	}
-	used := float64(waited) / float64(longest)
-	// Beyond the whole objective of the urgent ones nothing is left to keep for them.
-	budget := urgent.Objective/budgetDivisor + time.Duration(used*float64(urgent.Objective-urgent.Objective/budgetDivisor))
-	if urgent.PromptTokens == 0 {
-		return &Limit{Budget: budget - urgent.Objective/unknownPromptDivisor}
-	}
-	return &Limit{Budget: budget, UrgentTokens: urgent.PromptTokens}
+	return &Limit{Budget: urgent.Objective / budgetDivisor, UrgentTokens: urgent.PromptTokens}
 }
 
+// Budget returns the time in which an engine is to have read the prompt of a most urgent
+// generation and those before it. left is what is left of its objective.
+func Budget(left time.Duration) time.Duration { return left / budgetDivisor }
+
 // Tokens returns the number of unread prompt tokens up to which an engine is sent the
 // generation. An engine with nothing unread always is.
 func (l *Limit) Tokens(c placement.Candidate) int {
--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -51,6 +51,9 @@
 	LatencyObjective time.Duration `json:"objective"`
 	// PauseObjective is the objective for the longest pause between two events.
 	PauseObjective time.Duration `json:"pause_objective"`
+	// MaxEventGap is the gap between events, or before the first one, after which callers
+	// abandon a stream; 0 if unknown.
+	MaxEventGap time.Duration `json:"max_event_gap,omitempty"`
 	// MaxAttempts is the maximum number of targets that one request is sent to.
 	MaxAttempts int `json:"attempts"`
 	// Priority orders requests; 0 is the most urgent.
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -45,6 +45,9 @@
 	// PromptLimit limits the unread prompts at an engine; nil for none. It applies only
 	// with AnyRoom.
 	PromptLimit *prefill.Limit
+	// PrefillBudget is the time in which the engine should prefill the prompt; 0 for no
+	// preference.
+	PrefillBudget time.Duration
 	// Priority is the generation's rank; 0 is the most urgent.
 	Priority int
 	// Move is set if the generation leaves another engine.
@@ -307,5 +310,8 @@
 	if req.Prompt.Tokens == 0 {
 		return placement.ChooseLeastLoaded(c.candidates, 0, rng.Float64())
 	}
+	if req.PrefillBudget > 0 {
+		return placement.ChooseEngineInTime(c.candidates, req.work(), req.PrefillBudget, req.MemoryShare, rng.Float64())
+	}
 	return placement.ChooseEngine(c.candidates, req.work(), rng.Float64())
 }
--- a/internal/gateway/prompt_limits.go
+++ b/internal/gateway/prompt_limits.go
@@ -66,17 +66,20 @@
 	return policy.Yields(gen.priority(), gen.route.LatencyObjective)
 }
 
-// limitPrompts sets the limit on unread prompts for a search. There is none for a
-// generation that must not wait, and for one that an engine was sent before: its caller
-// has waited for that engine.
+// limitPrompts sets what a search takes from the unread prompts at engines. There is no
+// limit for a generation that must not wait, and for one that an engine was sent before: its
+// caller has waited for that engine.
 func (gen *generation) limitPrompts(req *PlacementRequest) {
-	req.PromptLimit, req.AnyRoom = nil, false
-	if req.MemoryShare == 0 || req.Origin != nil || gen.attempts > 0 || !gen.yieldsToPrompts() {
-		return
+	req.PromptLimit, req.AnyRoom, req.PrefillBudget = nil, false, 0
+	policy := gen.contentionPolicy()
+	switch {
+	case !gen.g.cfg.Scheduling.PromptLimits.On(policy):
+	case gen.mostUrgent():
+		req.PrefillBudget = prefill.Budget(gen.remainingObjective())
+	case req.MemoryShare > 0 && req.Origin == nil && gen.attempts == 0 && gen.yieldsToPrompts():
+		urgent := prefill.Urgent{Objective: policy.MostUrgentObjective, PromptTokens: gen.g.urgentPrompts.meanTokens(gen.service.Name)}
+		req.AnyRoom, req.PromptLimit = true, prefill.For(urgent)
 	}
-	d := gen.deferred()
-	urgent := prefill.Urgent{Objective: gen.contentionPolicy().MostUrgentObjective, PromptTokens: gen.g.urgentPrompts.meanTokens(gen.service.Name)}
-	req.AnyRoom, req.PromptLimit = true, prefill.Next(urgent, d.Waited, d.UntilLate())
 }
 
 // promptHold is the time for which a generation was held because of the limit on unread
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -39,12 +39,16 @@
 }
 
 // newTurns returns the turns of a generation; nil if those of its service wait without an
-// order over all hosts.
+// order over all hosts. The most urgent ones go before all others and wait for as long as
+// they can be in time at most, so that a wait for a turn would only make them late.
 func (gen *generation) newTurns() *turns {
 	g := gen.g
 	if g.cfg.WaitingOrder == nil || !g.cfg.Loads.SendsToOwnersOnly() || !g.cfg.Scheduling.WaitingOrder.On(gen.view.ContentionPolicy(gen.service.Name)) {
 		return nil
 	}
+	if gen.mostUrgent() {
+		return nil
+	}
 	return &turns{gen: gen, order: g.cfg.WaitingOrder, id: rand.Uint64(), firstAhead: -1}
 }
 
@@ -87,7 +91,7 @@
 	if answer.Search {
 		return search.InTurn(), true, nil
 	}
-	if left := time.Until(t.gen.deadline); t.gen.attempts == 0 && answer.Hopeless(left, entry.FirstToken) {
+	if left := t.gen.callerTimeLeft(); t.gen.attempts == 0 && answer.Hopeless(left, entry.FirstToken) {
 		t.gen.g.metrics.waitingHopeless.Inc(1)
 		t.gen.g.cfg.Log.Info("generation refused, as its wait would outlast its caller", "request", t.gen.ID, "ahead", answer.Ahead, "expected_wait", answer.ExpectedWait, "left", left)
 		return search, false, failure.New(failure.KindOverloaded, "the wait for an engine is longer than the caller's time").WithRetryAfter(answer.RetryAfter(rand.Float64()))
@@ -95,6 +99,15 @@
 	return search, false, nil
 }
 
+// callerTimeLeft returns the time for which the caller still waits for a first event.
+func (gen *generation) callerTimeLeft() time.Duration {
+	left := time.Until(gen.deadline)
+	if gap := gen.route.MaxEventGap; gap > 0 {
+		left = min(left, gap-time.Since(gen.ArrivedAt))
+	}
+	return left
+}
+
 // report tells the holder that the generation waits.
 func (t *turns) report(entry waitlist.Entry) (waitlist.Answer, bool) {
 	t.reported = true
