Keep generations that find no room from stopping the waiting list

Cause: generations of a host that is cut off from engines, or that fit nowhere, would hold all turns until they are late, while others could be placed. Found in review; a new spec failed without the change.

Change: a generation that had 20 turns keeps them but takes none from others.

--- a/internal/decide/waitlist/waitlist.go
+++ b/internal/decide/waitlist/waitlist.go
@@ -34,6 +34,11 @@
 	// that becomes free differs from interval to interval. More of it loses order (with 8
 	// turns for 10 placements a second a quarter of the pairs) and gains no throughput.
 	turnsPerPlacement = 2
+	// maxTurns is the number of turns, some two seconds, after which a generation no longer
+	// takes a turn from others. Its host may be cut off from engines, or it may need more
+	// room than any engine has free: a few such generations must not stop the list. With 10,
+	// too many of those that only wait for room reach it, and order is lost.
+	maxTurns = 20
 	// rateWindow is the time over which the rate of placements is measured.
 	rateWindow = 2 * time.Second
 	// minRateSamples is the number of placements from which on the rate counts as known.
@@ -105,6 +110,8 @@
 	lateRank int
 	// startTag is what its account will have been admitted when it is its turn, in tokens.
 	startTag float64
+	// turns counts its turns.
+	turns int
 	// rankAt is the time of its arrival and the delay for its account.
 	rankAt time.Duration
 }
@@ -148,7 +155,22 @@
 	if now-l.sortedAt >= sortInterval {
 		l.sort(now)
 	}
-	return l.answer(now, slices.Index(l.ordered, w))
+	return l.answerTo(now, w)
+}
+
+// answerTo returns the answer for an entry.
+func (l *List) answerTo(now time.Duration, w *waiting) Answer {
+	ahead, contending := 0, 0
+	for ; l.ordered[ahead] != w; ahead++ {
+		if l.ordered[ahead].turns < maxTurns {
+			contending++
+		}
+	}
+	a := l.answer(now, ahead)
+	if a.Search = contending < l.turns(now); a.Search {
+		w.turns++
+	}
+	return a
 }
 
 // Done records that a generation waits no longer; placed is set if it has an engine. It may
@@ -226,9 +248,10 @@
 // Len returns the number of entries.
 func (l *List) Len() int { return len(l.entries) }
 
-// answer returns the answer for the generation with the given number of others before it.
+// answer returns the answer, without a turn, for a generation with the given number of others
+// before it.
 func (l *List) answer(now time.Duration, ahead int) Answer {
-	a := Answer{Search: ahead < l.turns(now), Ahead: ahead}
+	a := Answer{Ahead: ahead}
 	if recent := l.recentPlacements(now); len(recent) >= minRateSamples {
 		a.ExpectedWait, a.ExpectedWaitKnown = time.Duration(ahead)*rateWindow/time.Duration(len(recent)), true
 	}
--- a/internal/decide/waitlist/waitlist_test.go
+++ b/internal/decide/waitlist/waitlist_test.go
@@ -174,6 +174,19 @@
 		Expect(turns()).To(Equal(4))
 	})
 
+	// Guards against generations that find no room wherever they search, as those of a host
+	// that is cut off from engines, and stop the list.
+	It("gives turns to others when those at the front found no room for two seconds", func() {
+		for id := range uint64(5) {
+			f.wait(waitlist.Entry{ID: id + 1}, time.Duration(5-id)*time.Millisecond)
+		}
+		f.pass(1500 * time.Millisecond)
+		Expect(f.report(5).Search).To(BeFalse())
+		f.pass(500 * time.Millisecond)
+		Expect(f.report(5).Search).To(BeTrue())
+		Expect(f.report(1).Search).To(BeTrue())
+	})
+
 	// Guards against callers that are refused without evidence, or told to come back at
 	// the same time.
 	It("knows the expected wait from eight placements on", func() {
