Add filbertctl check-config

The library needs a command that operators and scripts can run before they publish a configuration.

`filbertctl check-config FILE [--against FILE] [--json]` prints findings and differences. Exit codes are those of the other commands: 1 for at least one error, 2 for a file that can't be read or decoded. Warnings alone give 0, so that an unused service does not stop a script that publishes.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -1,6 +1,6 @@
 // Package ctl implements the operators' command line: it checks and compares
-// table files, queries control processes for their state, and analyses logs. It
-// is read-only.
+// table files and configurations, queries control processes for their state, and
+// analyses logs. It is read-only.
 package ctl
 
 import (
@@ -20,8 +20,8 @@
 const (
 	// ExitOK means that the query succeeded and found no problem.
 	ExitOK = 0
-	// ExitFault means that the table has faults, a revision was refused, hosts
-	// differ, or a request was not served.
+	// ExitFault means that the table or the configuration has faults, a revision
+	// was refused, hosts differ, or a request was not served.
 	ExitFault = 1
 	// ExitUsage means that the command line, a setting or a file is invalid.
 	ExitUsage = 2
@@ -42,6 +42,8 @@
 	Targets  *struct{}     `arg:"subcommand:targets" help:"back ends and their load"`
 	Accounts *struct{}     `arg:"subcommand:accounts" help:"client accounts, their rows and what runs"`
 
+	CheckConfig *checkConfigCommand `arg:"subcommand:check-config" help:"check a configuration before it is published and compare it with another version"`
+
 	Explain *explainCommand `arg:"subcommand:explain" help:"how a request ended and why, from the hosts' logs"`
 }
 
@@ -65,7 +67,7 @@
 
 // Description implements arg.Described.
 func (settings) Description() string {
-	return "Checks the operators' table, shows what the control processes see and explains requests from logs. It only reads."
+	return "Checks the operators' table and configuration, shows what the control processes see and explains requests from logs. It only reads."
 }
 
 // Epilogue implements arg.Epilogued.
@@ -125,6 +127,8 @@
 		return c.printTargets(ctx)
 	case c.Accounts != nil:
 		return c.printAccounts(ctx)
+	case c.CheckConfig != nil:
+		return c.checkConfig(c.CheckConfig)
 	case c.Explain != nil:
 		return c.explain(c.Explain)
 	}
