Drop outdated announcements and silent holders of the waiting order

Cause: the maps of announcements and of silent holders kept an entry for each service ever announced and each address that ever left a report unanswered, as long as the process ran. Change: the periodic announcement drops announcements beyond their lifetime and silence after which the holder is tried again anyway. Answers do not change. Run: TestOutdatedAnnouncementsAndSilenceAreNotKept fails without the call ('1 announcements and 1 silent holders are kept') and passes with it; the specs of the waiting order in internal/gatewayhost pass.

--- a/internal/gatewayhost/waiting.go
+++ b/internal/gatewayhost/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/bits"
 	"net/netip"
 	"sync"
@@ -222,9 +223,10 @@
 }
 
 // announce tells the hosts of each list held here that generations wait, so that one that
-// arrives there does not take the room of those by its first search. It drops lists that
-// are no longer used.
+// arrives there does not take the room of those by its first search. It drops state that
+// is no longer used.
 func (w *waitingOrder) announce() {
+	w.dropOutdated()
 	for key, priority := range w.waitingClasses() {
 		// An answer without a question is ignored by hosts without this build.
 		message := &filbertv1.TargetLoads{Answer: true, WaitReport: &filbertv1.WaitReport{Service: key.service, Priority: int32(priority)}}
@@ -255,6 +257,16 @@
 	return classes
 }
 
+// dropOutdated drops announcements that hold no longer and the silence of holders that are
+// due to be tried again: services are removed, and hosts leave the fleet.
+func (w *waitingOrder) dropOutdated() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.now()
+	maps.DeleteFunc(w.announced, func(_ string, a announcement) bool { return now-a.at > announcementLifetime })
+	maps.DeleteFunc(w.silent, func(_ string, since time.Duration) bool { return now-since >= silenceBeforeTakeover+unresponsivePeriod })
+}
+
 // hear records an announcement.
 func (w *waitingOrder) hear(service string, priority int) {
 	w.mu.Lock()
--- a/internal/gatewayhost/waiting_test.go
+++ b/internal/gatewayhost/waiting_test.go
@@ -180,3 +180,22 @@
 		t.Fatal("the holder itself has no answer for its generation")
 	}
 }
+
+// Guards against announcements and silent holders that are kept after services were removed
+// and hosts have left.
+func TestOutdatedAnnouncementsAndSilenceAreNotKept(t *testing.T) {
+	now := time.Minute
+	w := newWaitingOrder(nil, newTestFleetView(t, "10.0.0.1:81", membership.Member{Address: "10.0.0.1:81"}), func() time.Duration { return now })
+	w.hear("llm", 2)
+	w.recordAnswer("10.0.0.9:81", false)
+	now += announcementLifetime
+	w.announce()
+	if !w.OthersWait("llm", 2) || len(w.silent) != 1 {
+		t.Fatal("an announcement or the silence of a holder is dropped too early")
+	}
+	now += silenceBeforeTakeover + unresponsivePeriod
+	w.announce()
+	if len(w.announced) != 0 || len(w.silent) != 0 {
+		t.Fatalf("%d announcements and %d silent holders are kept", len(w.announced), len(w.silent))
+	}
+}
