Limit prompts of less urgent accounts on the most urgent routes again

Cause: since the preference of the most urgent generations by time, the route's priority was looked at before the account's. Change: whether the generation yields is decided first. Run: the new spec 'is held on the most urgent route if its account is less urgent' fails without the change (0 held prompts) and passes with it; all 12 specs of unread prompts in internal/gateway pass.

--- a/internal/gateway/prompt_limits.go
+++ b/internal/gateway/prompt_limits.go
@@ -74,11 +74,15 @@
 	policy := gen.contentionPolicy()
 	switch {
 	case !gen.g.cfg.Scheduling.PromptLimits.On(policy):
-	case gen.mostUrgent():
-		req.PrefillBudget = prefill.Budget(gen.remainingObjective())
-	case req.MemoryShare > 0 && req.Origin == nil && gen.attempts == 0 && gen.yieldsToPrompts():
+	case gen.yieldsToPrompts():
+		// An account with a less urgent priority of its own yields on the most urgent routes.
+		if req.MemoryShare == 0 || req.Origin != nil || gen.attempts > 0 {
+			return
+		}
 		urgent := prefill.Urgent{Objective: policy.MostUrgentObjective, PromptTokens: gen.g.urgentPrompts.meanTokens(gen.service.Name)}
 		req.AnyRoom, req.PromptLimit = true, prefill.For(urgent)
+	case gen.mostUrgent():
+		req.PrefillBudget = prefill.Budget(gen.remainingObjective())
 	}
 }
 
--- a/internal/gateway/prompt_limits_test.go
+++ b/internal/gateway/prompt_limits_test.go
@@ -150,4 +150,16 @@
 		Expect(gw.do(request("/report/")).status).To(Equal(http.StatusOK))
 		Expect(held()).To(BeEquivalentTo(1))
 	})
+
+	// Guards against accounts of a less urgent priority whose prompts are not limited on the
+	// most urgent routes.
+	It("is held on the most urgent route if its account is less urgent", func() {
+		start(contention.Always, 800*time.Millisecond)
+		priority := 3
+		gw.cfg.Accounts[0].Priority = &priority
+		gw.cfg.Routes[3].LatencyObjective = time.Second
+		gw.publish(engine.directoryEntry("llm", "dc-1"))
+		Expect(gw.do(request("/brief/")).status).To(Equal(http.StatusOK))
+		Expect(held()).To(BeEquivalentTo(1))
+	})
 })
