Return the rate token of an engine at which a withdrawn generation is not started

Cause: when a withdrawal was given up after its engine had been reserved (an event arrived, no retry left, caller gone), the reservation was released, but its rate token and its place in the limit of a cold engine stayed used, though nothing was sent.

Change: such reservations are abandoned, as those that are denied room.

--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -37,8 +37,8 @@
 
 // releaseSuccessor releases the engine at which the generation would have started again.
 func (r *freshRun) releaseSuccessor() {
-	if r != nil {
-		r.successor.Release()
+	if r != nil && r.successor != nil {
+		r.successor.loads.abandon(r.successor)
 	}
 }
 
@@ -182,7 +182,7 @@
 		return false
 	}
 	if !gen.withdraw(from, reservation, m) {
-		reservation.Release()
+		gen.g.cfg.Loads.abandon(reservation)
 		return false
 	}
 	gen.g.metrics.withdrawn.Inc(1)
--- a/internal/gateway/withdraw_internal_test.go
+++ b/internal/gateway/withdraw_internal_test.go
@@ -69,4 +69,21 @@
 		Expect(withdraw()).To(BeFalse())
 		Expect(loads.HostsUsing("i-2")).To(BeZero())
 	})
+
+	// Guards against an engine that takes few requests a second and gets none, because a
+	// generation that was not started there after all counts as sent.
+	It("does not use up the rate of an engine at which it is not started", func() {
+		rate := 0.001
+		loads.ObserveRate("i-2", &rate)
+		withinRate := func() bool {
+			loads.mu.Lock()
+			defer loads.mu.Unlock()
+			return loads.withinRate("i-2")
+		}
+		Expect(withinRate()).To(BeTrue())
+		Expect(withdraw()).To(BeTrue())
+		Expect(withinRate()).To(BeFalse())
+		gen.endFreshRun().releaseSuccessor()
+		Expect(withinRate()).To(BeTrue())
+	})
 })
