Compare the gap after which callers leave, and test it

Cause: the spec that changes every field of the model failed on the field MaxEventGap, which the comparison of configurations did not know, and nothing tested the field.

--- a/internal/configcheck/diff.go
+++ b/internal/configcheck/diff.go
@@ -153,6 +153,7 @@
 		{"timeout", formatDuration(r.Timeout)},
 		{"objective", formatDuration(r.LatencyObjective)},
 		{"objective for pauses", formatDuration(r.PauseObjective)},
+		{"gap after which callers leave", formatDuration(r.MaxEventGap)},
 		{"attempts", strconv.Itoa(r.MaxAttempts)},
 		{"priority", strconv.Itoa(r.Priority)},
 		{"public", formatBool(r.Public)},
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -174,6 +174,18 @@
 		Expect(counter(gw, "waiting_hopeless")).To(Equal(int64(1)))
 	})
 
+	// Guards against a caller that gives up its stream without an answer before its deadline.
+	It("is refused at once when its wait would outlast the gap after which callers leave", func() {
+		gw, _ := start()
+		gw.cfg.Routes[2].MaxEventGap = time.Second
+		gw.publish(target.directoryEntry("llm", "dc-1"))
+		order.answer = waitlist.Answer{Ahead: 100, ExpectedWait: 2 * time.Second, ExpectedWaitKnown: true}
+		got := <-send(gw)
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(target.requestsToRun()).To(BeEmpty())
+		Expect(counter(gw, "waiting_hopeless")).To(Equal(int64(1)))
+	})
+
 	// Guards against entries that keep turns after their caller has left.
 	It("leaves the list when its caller leaves", func() {
 		gw, _ := start()
