Lift the limit on unread prompts where a prompt makes urgent ones late by itself

Change: no limit at an engine that would not read the prompt and an urgent one within the most urgent objective.

--- a/internal/decide/prefill/prefill.go
+++ b/internal/decide/prefill/prefill.go
@@ -17,6 +17,7 @@
 package prefill
 
 import (
+	"math"
 	"time"
 
 	"filbertdeck/internal/decide/placement"
@@ -48,32 +49,48 @@
 	Budget time.Duration
 	// UrgentTokens is taken from what the engine prefills in that time.
 	UrgentTokens int
+	// Objective is the most urgent objective, PromptTokens the length of the generation's
+	// own prompt. An engine that does not prefill it and an urgent one within the objective
+	// has no limit.
+	Objective    time.Duration
+	PromptTokens int
 	// Exceeded is set by a search that passed over an engine with memory because of this
 	// limit.
 	Exceeded bool
 }
 
-// For returns the limit for generations that yield to the most urgent ones; nil if those have
-// no objective.
-func For(urgent Urgent) *Limit {
-	switch {
-	case urgent.Objective <= 0:
+// For returns the limit for a generation with the given prompt that yields to the most urgent
+// ones; nil if those have no objective.
+func For(urgent Urgent, promptTokens int) *Limit {
+	if urgent.Objective <= 0 {
 		return nil
-	case urgent.PromptTokens == 0:
-		return &Limit{Budget: urgent.Objective/budgetDivisor - urgent.Objective/unknownPromptDivisor}
 	}
-	return &Limit{Budget: urgent.Objective / budgetDivisor, UrgentTokens: urgent.PromptTokens}
+	l := &Limit{Budget: urgent.Objective / budgetDivisor, UrgentTokens: urgent.PromptTokens, Objective: urgent.Objective, PromptTokens: promptTokens}
+	if urgent.PromptTokens == 0 {
+		l.Budget -= urgent.Objective / unknownPromptDivisor
+	}
+	return l
 }
 
 // Budget returns the time in which an engine is to have read the prompt of a most urgent
 // generation and those before it. left is what is left of its objective.
 func Budget(left time.Duration) time.Duration { return left / budgetDivisor }
 
+// noLimit is the limit at an engine that has none.
+const noLimit = math.MaxInt32
+
 // Tokens returns the number of unread prompt tokens up to which an engine is sent the
 // generation. An engine with nothing unread always is.
+//
+// There is no limit where the generation's own prompt makes urgent ones late that come after
+// it. Spread over all engines, such prompts would leave none for the urgent ones; behind each
+// other they leave the other engines free.
 func (l *Limit) Tokens(c placement.Candidate) int {
 	c.UnreadTokens = 0
 	perToken := float64(placement.PrefillTime(c, placement.Workload{PromptTokens: sampleTokens})) / sampleTokens
+	if l.Objective > 0 && float64(l.PromptTokens+l.UrgentTokens)*perToken > float64(l.Objective) {
+		return noLimit
+	}
 	return max(int(float64(l.Budget)/perToken)-l.UrgentTokens, 0)
 }
 
--- a/internal/gateway/prompt_limits.go
+++ b/internal/gateway/prompt_limits.go
@@ -80,7 +80,7 @@
 			return
 		}
 		urgent := prefill.Urgent{Objective: policy.MostUrgentObjective, PromptTokens: gen.g.urgentPrompts.meanTokens(gen.service.Name)}
-		req.AnyRoom, req.PromptLimit = true, prefill.For(urgent)
+		req.AnyRoom, req.PromptLimit = true, prefill.For(urgent, gen.Prompt.Tokens)
 	case gen.mostUrgent():
 		req.PrefillBudget = prefill.Budget(gen.remainingObjective())
 	}
