Find a target of a given owner among 200 engines in the specs of owners

The owner of a target is drawn by rendezvous hashing over hosts with random ports, and the specs looked at twelve targets: with three hosts (2/3)^12, one run in 130, finds none for a host. Change: 200 published engines. The checks are the same.

--- a/internal/gatewayhost/owners_test.go
+++ b/internal/gatewayhost/owners_test.go
@@ -80,12 +80,19 @@
 	return o, loads
 }
 
-// engineView returns a published state with twelve engines.
+// publishedEngines is the number of engines in engineView. The hosts have random ports, by
+// which the engines' owners are drawn: of twelve engines a host of three owns none in one run
+// of 130.
+const publishedEngines = 200
+
+func engineID(i int) string { return fmt.Sprint("i-", i+1) }
+
+// engineView returns a published state with engines of one service.
 func engineView() *directory.View {
 	cfg := &directory.Config{Services: []directory.Service{{Name: "llm", Engine: &directory.Engine{MemoryTokens: 10_000}}}}
 	targets := map[string]*directory.ObservedTarget{}
-	for i := range 12 {
-		id := fmt.Sprint("i-", i+1)
+	for i := range publishedEngines {
+		id := engineID(i)
 		targets[id] = &directory.ObservedTarget{Published: true, Target: directory.Target{ID: id, Service: "llm", Slots: 24}}
 	}
 	return directory.NewView(1, cfg, targets, nil)
@@ -94,8 +101,8 @@
 // targetOwnedBy returns a target that a given host owns.
 func targetOwnedBy(t *testing.T, o *ownerExchange, host string) gateway.TargetRef {
 	t.Helper()
-	for _, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8", "i-9", "i-10", "i-11", "i-12"} {
-		target := gateway.TargetRef{ID: id}
+	for i := range publishedEngines {
+		target := gateway.TargetRef{ID: engineID(i)}
 		if o.fleet.owners(target)[0] == host {
 			return target
 		}
