--- a/internal/configcheck/check.go
+++ b/internal/configcheck/check.go
@@ -106,15 +106,25 @@
 	}
 }
 
+// checkUnique reports a name that an earlier entry has, and records a new one in places. It
+// returns whether the name is new.
+func (c *checker) checkUnique(report func(place, format string, args ...any), places map[string]string, place, name string) bool {
+	first, exists := places[name]
+	if exists {
+		report(place+".name", "%s is also named %q", first, name)
+		return false
+	}
+	places[name] = place
+	return true
+}
+
 func (c *checker) checkServices() {
 	places := map[string]string{}
 	for i := range c.Config.Services {
 		s, place := &c.Config.Services[i], fmt.Sprintf("services[%d]", i)
 		if c.checkName(place, s.Name) {
-			if first, exists := places[s.Name]; exists {
-				c.errorf(place+".name", "%s is also named %q", first, s.Name)
-			} else {
-				places[s.Name], c.services[s.Name] = place, s
+			if c.checkUnique(c.errorf, places, place, s.Name) {
+				c.services[s.Name] = s
 			}
 		}
 		checkNotNegative(c, place+".max_connections", s.MaxConnections)
@@ -163,11 +173,7 @@
 	for i := range c.Config.Routes {
 		r, place := &c.Config.Routes[i], fmt.Sprintf("routes[%d]", i)
 		if c.checkName(place, r.Name) {
-			if first, exists := placeByName[r.Name]; exists {
-				c.warnf(place+".name", "%s is also named %q", first, r.Name)
-			} else {
-				placeByName[r.Name] = place
-			}
+			c.checkUnique(c.warnf, placeByName, place, r.Name)
 		}
 		if r.Host == "" {
 			c.errorf(place+".host", "the host is missing")
@@ -265,11 +271,7 @@
 	for i, a := range c.Config.Accounts {
 		place := fmt.Sprintf("accounts[%d]", i)
 		if c.checkName(place, a.Name) {
-			if first, exists := placeByName[a.Name]; exists {
-				c.errorf(place+".name", "%s is also named %q", first, a.Name)
-			} else {
-				placeByName[a.Name] = place
-			}
+			c.checkUnique(c.errorf, placeByName, place, a.Name)
 		}
 		if len(a.Keys) == 0 {
 			c.warnf(place+".keys", "account %q has no key, so that no request can be its", a.Name)
--- a/internal/decide/waitlist/waitlist.go
+++ b/internal/decide/waitlist/waitlist.go
@@ -31,13 +31,13 @@
 	minTurns = 4
 	// turnsPerPlacement multiplies the placements of the last interval; the product is the
 	// number of generations that may search. The part beyond one is the margin: the room
-	// that becomes free differs from interval to interval. More of it loses order (with 8
-	// turns for 10 placements a second a quarter of the pairs) and gains no throughput.
+	// that becomes free differs from interval to interval. A wider margin loses order and
+	// gains no throughput.
 	turnsPerPlacement = 2
 	// maxTurns is the number of turns, some two seconds, after which a generation no longer
 	// takes a turn from others. Its host may be cut off from engines, or it may need more
-	// room than any engine has free: a few such generations must not stop the list. With 10,
-	// too many of those that only wait for room reach it, and order is lost.
+	// room than any engine has free: a few such generations must not stop the list. Those
+	// that only wait for room must not reach it, since order is lost by them.
 	maxTurns = 20
 	// rateWindow is the time over which the rate of placements is measured.
 	rateWindow = 2 * time.Second
@@ -50,9 +50,8 @@
 	// those that can be in time.
 	lateRanks = 3
 	// maxAccountDelay is the share of its objective by which a generation goes later for what
-	// its account was admitted beyond others. Without a bound, the largest account was late
-	// in 0.39 of its generations where all were in 0.19 (play of a burst). With it, the
-	// others are late in 0.02 instead of 0.09 when one account bursts.
+	// its account was admitted beyond others. Without a bound, the largest accounts pay for
+	// an overload that all accounts cause.
 	maxAccountDelay = 0.2
 	// maxEntries bounds the memory of a list.
 	maxEntries = 8192
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,7 +129,7 @@
 
 // New returns a Gateway and registers its metrics in cfg.Metrics.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), generations: newGenerationSet(), moves: newMoveQueue(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks(), urgentPrompts: newUrgentPrompts(), versions: newServiceVersions(cfg.Now, cfg.Log, cfg.Metrics)}
+	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), generations: newGenerationSet(), moves: newMoveQueue(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks(), urgentPrompts: &urgentPrompts{}, versions: newServiceVersions(cfg.Now, cfg.Log, cfg.Metrics)}
 	g.origins = newStreamOrigins(cfg, g.versions)
 	if cfg.Loads != nil {
 		cfg.Loads.roomCounts = g.metrics.rooms
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -225,8 +225,8 @@
 	req := gen.placementRequest(exclude)
 	var hold promptHold
 	defer func() { gen.recordHold(&hold, reserved != nil) }()
-	turns, placed := gen.newTurns(), false
-	defer func() { turns.end(placed) }()
+	turns := gen.newTurns()
+	defer func() { turns.end(reserved != nil) }()
 	for {
 		if err := gen.g.checkVerdict(gen.exchange); err != nil {
 			return nil, nil, err
@@ -252,7 +252,6 @@
 		selection := gen.g.selectionState()
 		_, reservation, outcome := gen.g.cfg.Loads.AcquireWithRoom(selection.view, req)
 		if outcome != NoRoom {
-			placed = reservation != nil
 			return selection, reservation, nil
 		}
 		gen.g.metrics.searchesWithoutRoom.Inc(1)
--- a/internal/gateway/move_room_test.go
+++ b/internal/gateway/move_room_test.go
@@ -104,6 +104,15 @@
 	return count
 }
 
+// expectWhole expects the whole stream of a generation within a time.
+func expectWhole(events int, done chan result, within time.Duration) {
+	GinkgoHelper()
+	var got result
+	Eventually(done, within).Should(Receive(&got))
+	Expect(got.err).NotTo(HaveOccurred())
+	Expect(got.body).To(Equal(eventStream(events)))
+}
+
 var _ = Describe("moves that reserve room", func() {
 	const events = 120
 	var first, second, third *fakeEngine
@@ -118,16 +127,8 @@
 		Eventually(first.eventsSent.Load).Should(BeNumerically(">", 2))
 		return done
 	}
-	whole := func(done chan result) {
-		GinkgoHelper()
-		var got result
-		Eventually(done, "10s").Should(Receive(&got))
-		Expect(got.err).NotTo(HaveOccurred())
-		Expect(got.body).To(Equal(eventStream(events)))
-	}
 
-	// Guards against copies asked for by trial: 406 generations asked for 1,852, most of
-	// which full engines refused.
+	// Guards against copies that are asked for by trial and refused by full engines.
 	It("ask for no copy while the other engines are full", func() {
 		gw := startContendedGateway(unchanged, entryOf(first))
 		done := begin(gw)
@@ -136,7 +137,7 @@
 		Eventually(func() int64 { return gw.counter("gateway.moves_waiting") }).Should(Equal(int64(1)))
 		Consistently(first.moveRequests.Load, "300ms").Should(BeZero())
 		full[1].Release()
-		whole(done)
+		expectWhole(events, done, 10*time.Second)
 		Expect(first.moveRequests.Load()).To(Equal(int64(1)))
 		Expect(second.requests()).To(BeEmpty())
 	})
@@ -154,7 +155,7 @@
 		Eventually(owners.moves.Load).Should(BeNumerically(">", 2))
 		Expect(first.moveRequests.Load()).To(BeZero())
 		owners.grants.Store(true)
-		whole(done)
+		expectWhole(events, done, 10*time.Second)
 		Expect(first.moveRequests.Load()).To(Equal(int64(1)))
 	})
 
@@ -168,7 +169,7 @@
 		var asked atomic.Int64
 		first.onMove = func(int64) { asked.Store(int64(time.Since(begun))) }
 		gw.publish(asLeaving(entryOf(first)), entryOf(second))
-		whole(done)
+		expectWhole(events, done, 10*time.Second)
 		Expect(first.moveRequests.Load()).To(Equal(int64(1)))
 		Expect(time.Duration(asked.Load())).To(And(BeNumerically(">", 300*time.Millisecond), BeNumerically("<", 800*time.Millisecond)))
 	})
@@ -182,7 +183,7 @@
 		full := gw.fill(third)
 		first.onMove = func(int64) { full[0].Release() }
 		gw.publish(asLeaving(entryOf(first)), entryOf(second), entryOf(third))
-		whole(done)
+		expectWhole(events, done, 10*time.Second)
 		Expect(first.moveRequests.Load()).To(Equal(int64(2)))
 		Eventually(func() int { return gw.loads.HostsUsing("i-2") }).Should(BeZero())
 	})
@@ -193,7 +194,7 @@
 		gw := startContendedGateway(unchanged, entryOf(first))
 		done := begin(gw)
 		gw.publish(asLeaving(entryOf(first)), entryOf(second), entryOf(third))
-		whole(done)
+		expectWhole(events, done, 10*time.Second)
 		Expect(first.moveRequests.Load()).To(Equal(int64(2)))
 		Expect(newRuns(first, second, third)).To(Equal(1))
 	})
@@ -216,7 +217,7 @@
 			}
 		}
 		gw.publish(asLeaving(entryOf(first)), entryOf(second), entryOf(third), entryOf(fourth))
-		whole(done)
+		expectWhole(events, done, 10*time.Second)
 		Expect(first.moveRequests.Load()).To(Equal(int64(3)))
 	})
 
@@ -285,8 +286,8 @@
 		Eventually(last.moveRequests.Load).Should(Equal(int64(1)))
 		Expect(first.moveRequests.Load()).To(BeZero())
 		full[1].Release()
-		whole(done)
-		whole(other)
+		expectWhole(events, done, 10*time.Second)
+		expectWhole(events, other, 10*time.Second)
 	})
 })
 
@@ -305,19 +306,12 @@
 		gw.publish(asLeaving(entryOf(first)), entryOf(second))
 		return done
 	}
-	whole := func(done chan result) {
-		GinkgoHelper()
-		var got result
-		Eventually(done, "5s").Should(Receive(&got))
-		Expect(got.err).NotTo(HaveOccurred())
-		Expect(got.body).To(Equal(eventStream(events)))
-	}
 
 	// Guards against a generation that waits at a leaving engine until it is gone.
 	DescribeTable("start at another one if they may run again", func(header, event time.Duration) {
 		first.firstEventDelay, first.eventInterval = header, event
 		gw := startContendedGateway(unchanged, entryOf(first))
-		whole(leave(gw, "/brief/"))
+		expectWhole(events, leave(gw, "/brief/"), 5*time.Second)
 		Expect(newRuns(second)).To(Equal(1))
 		Expect(gw.counter("gateway.withdrawn")).To(Equal(int64(1)))
 		Expect(gw.counter("gateway.sent_again")).To(Equal(int64(1)))
@@ -337,7 +331,7 @@
 			gw.cfg.Routes[i].MaxAttempts = 2
 		}
 		gw.publish(entryOf(first))
-		whole(leave(gw, "/report/"))
+		expectWhole(events, leave(gw, "/report/"), 5*time.Second)
 		Expect(newRuns(first, second)).To(Equal(1))
 		Expect(gw.counter("gateway.withdrawn")).To(BeZero())
 	})
@@ -349,7 +343,7 @@
 			gw.cfg.Routes[i].MaxAttempts = 1
 		}
 		gw.publish(entryOf(first))
-		whole(leave(gw, "/brief/"))
+		expectWhole(events, leave(gw, "/brief/"), 5*time.Second)
 		Expect(newRuns(first, second)).To(Equal(1))
 	})
 
@@ -358,7 +352,7 @@
 		gw := startContendedGateway(func(cfg *gateway.Config) {
 			cfg.RetryBudget = retrybudget.New(retrybudget.Config{RetryRatio: 1e-9, Burst: 1e-9, ServiceBurst: 1e-9, RefillPerSecond: 1e-9, Draw: func() float64 { return 0.5 }})
 		}, entryOf(first))
-		whole(leave(gw, "/brief/"))
+		expectWhole(events, leave(gw, "/brief/"), 5*time.Second)
 		Expect(newRuns(first, second)).To(Equal(1))
 		Expect(gw.counter("gateway.withdrawn")).To(BeZero())
 	})
@@ -369,7 +363,7 @@
 		first.firstEventDelay = 200 * time.Millisecond
 		first.leavesIn.Store(10_000)
 		gw := startContendedGateway(unchanged, entryOf(first))
-		whole(leave(gw, "/brief/"))
+		expectWhole(events, leave(gw, "/brief/"), 5*time.Second)
 		Expect(newRuns(second)).To(BeZero())
 	})
 
@@ -384,7 +378,7 @@
 		left := time.Now()
 		Eventually(func() int { return newRuns(second) }, "3s").Should(Equal(1))
 		Expect(time.Since(left)).To(BeNumerically(">", 300*time.Millisecond))
-		whole(done)
+		expectWhole(events, done, 5*time.Second)
 	})
 
 	// The new engine turns the generation away, and another one cannot be tried. Guards
@@ -424,7 +418,7 @@
 			done := gw.start(gw.sized("r-1", "/brief/"))
 			Eventually(func() int { return newRuns(first) }, "1s", "1ms").Should(Equal(i + 1))
 			gw.publish(asLeaving(entryOf(first)), entryOf(second))
-			whole(done)
+			expectWhole(events, done, 5*time.Second)
 		}
 		withdrawn := int(gw.counter("gateway.withdrawn"))
 		AddReportEntry("withdrawn of 60", withdrawn)
--- a/internal/gateway/prompt_limits.go
+++ b/internal/gateway/prompt_limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"filbertdeck/internal/decide/contention"
@@ -11,30 +12,35 @@
 // urgentPrompts holds the mean length of the most urgent generations' prompts of each
 // service, as seen by this host. It is safe for concurrent use.
 type urgentPrompts struct {
-	mu        sync.Mutex
-	byService map[string]*prefill.MeanTokens
+	// byService holds an *atomic.Pointer[prefill.MeanTokens] for each service.
+	byService sync.Map
 }
 
-func newUrgentPrompts() *urgentPrompts {
-	return &urgentPrompts{byService: map[string]*prefill.MeanTokens{}}
+func (p *urgentPrompts) mean(service string) *atomic.Pointer[prefill.MeanTokens] {
+	m, found := p.byService.Load(service)
+	if !found {
+		m, _ = p.byService.LoadOrStore(service, &atomic.Pointer[prefill.MeanTokens]{})
+	}
+	return m.(*atomic.Pointer[prefill.MeanTokens])
 }
 
 func (p *urgentPrompts) add(service string, tokens int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	m := p.byService[service]
-	if m == nil {
-		m = &prefill.MeanTokens{}
-		p.byService[service] = m
+	for mean := p.mean(service); ; {
+		old := mean.Load()
+		var next prefill.MeanTokens
+		if old != nil {
+			next = *old
+		}
+		next.Add(tokens)
+		if mean.CompareAndSwap(old, &next) {
+			return
+		}
 	}
-	m.Add(tokens)
 }
 
 // meanTokens returns the mean length of a service's urgent prompts; 0 if none was seen.
 func (p *urgentPrompts) meanTokens(service string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if m := p.byService[service]; m != nil {
+	if m := p.mean(service).Load(); m != nil {
 		return m.Tokens()
 	}
 	return 0
--- a/internal/gatewayhost/owners_test.go
+++ b/internal/gatewayhost/owners_test.go
@@ -80,9 +80,8 @@
 	return o, loads
 }
 
-// publishedEngines is the number of engines in engineView. The hosts have random ports, by
-// which the engines' owners are drawn: of twelve engines a host of three owns none in one run
-// of 130.
+// publishedEngines is the number of engines in engineView. The engines' owners are drawn by
+// the hosts' random ports, so there must be enough for each host to own one.
 const publishedEngines = 200
 
 func engineID(i int) string { return fmt.Sprint("i-", i+1) }
--- a/internal/gatewayhost/waiting.go
+++ b/internal/gatewayhost/waiting.go
@@ -184,7 +184,7 @@
 		return false
 	case len(report.GetService()) > maxWaitText || len(report.GetAccount()) > maxWaitText:
 	case message.GetAnswer():
-		w.hear(report.GetService(), int(report.GetPriority()))
+		w.recordAnnouncement(report.GetService(), int(report.GetPriority()))
 	case report.GetDone():
 		w.recordDone(sender.String(), decodeWaiting(report), report.GetPlaced())
 	default:
@@ -234,7 +234,7 @@
 			switch {
 			case w.partition(host) != key.partition:
 			case host == w.fleet.self:
-				w.hear(key.service, priority)
+				w.recordAnnouncement(key.service, priority)
 			default:
 				w.exchange.send(host, message)
 			}
@@ -267,8 +267,8 @@
 	maps.DeleteFunc(w.silent, func(_ string, since time.Duration) bool { return now-since >= silenceBeforeTakeover+unresponsivePeriod })
 }
 
-// hear records an announcement.
-func (w *waitingOrder) hear(service string, priority int) {
+// recordAnnouncement records that generations of a service wait.
+func (w *waitingOrder) recordAnnouncement(service string, priority int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.announced[service] = announcement{priority, w.now()}
--- a/internal/gatewayhost/waiting_test.go
+++ b/internal/gatewayhost/waiting_test.go
@@ -186,7 +186,7 @@
 func TestOutdatedAnnouncementsAndSilenceAreNotKept(t *testing.T) {
 	now := time.Minute
 	w := newWaitingOrder(nil, newTestFleetView(t, "10.0.0.1:81", membership.Member{Address: "10.0.0.1:81"}), func() time.Duration { return now })
-	w.hear("llm", 2)
+	w.recordAnnouncement("llm", 2)
 	w.recordAnswer("10.0.0.9:81", false)
 	now += announcementLifetime
 	w.announce()
