Apply the configured limits on request headers and idle connections

Cause: the configuration's limits on the header's size, the time for it and the idle time of a connection were decoded and compared by check-config, but the gateway used constants (64 KiB, 10 s, 2 min); only the limit of the body was applied. Found by comparing what operators can publish with the code, field by field.

Change: a header beyond its limit is answered 431. Read deadlines are shortened on the connection to the timeouts in force, so that a new configuration applies to open connections; net/http fixes the timeouts of a server when it starts. The constants remain as upper bounds.

Weighed: one http.Server for each set of limits, which keeps old limits on open connections and needs an accept loop of its own.

Conclusion: these limits are served.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -174,11 +175,12 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	view := g.view()
-	limit := int64(defaultBodyLimitBytes)
-	if view != nil && view.Config != nil && view.Config.Limits.BodyBytes > 0 {
-		limit = view.Config.Limits.BodyBytes
+	limits := limitsOf(view)
+	if err := checkHeader(r, limits.HeaderBytes); err != nil {
+		g.refuse(w, nil, err)
+		return
 	}
-	body, err := readBody(r, limit)
+	body, err := readBody(r, cmp.Or(limits.BodyBytes, defaultBodyLimitBytes))
 	if err != nil {
 		g.refuse(w, nil, err)
 		return
@@ -224,6 +226,37 @@
 // defaultBodyLimitBytes applies when the configuration sets no limit.
 const defaultBodyLimitBytes = 4 << 20
 
+// CallerLimits returns the limits of the configuration in force; zero ones before the first
+// configuration.
+func (g *Gateway) CallerLimits() directory.Limits { return limitsOf(g.view()) }
+
+func limitsOf(view *directory.View) directory.Limits {
+	if view == nil || view.Config == nil {
+		return directory.Limits{}
+	}
+	return view.Config.Limits
+}
+
+// checkHeader refuses a request whose header is longer than the limit; 0 for none.
+func checkHeader(r *http.Request, limit int) error {
+	if limit > 0 && headerBytes(r) > limit {
+		return failure.New(failure.KindHeadersTooLarge, "the request header is longer than %d bytes", limit)
+	}
+	return nil
+}
+
+// headerBytes returns the size of a request's header as HTTP/1.1 writes it, without the
+// request line's spaces and version.
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len("Host: \r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
+
 // admit sets the request's route, account, service and deadline, or returns the
 // reason to refuse it.
 func (g *Gateway) admit(x *exchange) error {
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +33,24 @@
 	return ms
 }
 
+var _ = Describe("a request header", func() {
+	// Guards against headers that operators do not allow, which take a small host's memory.
+	It("is refused when it is longer than the configured limit", func() {
+		target := startTarget("i-1", respond(completeAnswer))
+		gw := startGateway()
+		gw.cfg.Limits.HeaderBytes = 2000
+		gw.add(target.directoryEntry("app", "dc-1"))
+		status := func(bytes int) int {
+			req := gw.request("GET", "/look/")
+			req.Header.Set("X-Long", strings.Repeat("a", bytes))
+			return gw.do(req).status
+		}
+		Expect(status(1000)).To(Equal(http.StatusOK))
+		Expect(status(2000)).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+		Expect(target.requestsToRun()).To(HaveLen(1))
+	})
+})
+
 var _ = Describe("a caller that disconnects", func() {
 	// A caller disconnects in the middle of a report. An engine that continued
 	// for half a minute would keep others waiting for its memory.
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -58,14 +58,14 @@
 	// targetDialTimeout bounds connecting to a target. Links have a latency of
 	// a few milliseconds; TCP sends a lost packet again after about a second.
 	targetDialTimeout = 700 * time.Millisecond
-	// callerIdleTimeout closes idle caller connections. Callers reuse a
-	// connection for up to four fifths of the idle timeout that operators
-	// publish, at most one minute.
+	// callerIdleTimeout closes idle caller connections unless the configuration has a
+	// shorter timeout.
 	callerIdleTimeout = 2 * time.Minute
 	// headerReadTimeout bounds the time in which a caller must send the request
-	// header.
+	// header, unless the configuration has a shorter timeout.
 	headerReadTimeout = 10 * time.Second
-	// maxHeaderBytes is the largest request header that is accepted, in bytes.
+	// maxHeaderBytes is the largest request header that is read, in bytes. The limit of
+	// the configuration applies to what was read.
 	maxHeaderBytes = 64 << 10
 	// gcPercent is the heap growth, in percent, that triggers a garbage
 	// collection. It is below Go's default because small hosts have more spare
@@ -245,9 +245,16 @@
 func serveCallers(lc fx.Lifecycle, s *Settings, g *gateway.Gateway, state *lifecycle.Lifecycle) {
 	server := &http.Server{
 		Handler: trackRequests(g, state), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: trackIdle,
+	}
+	listenLimited := func(address string) (net.Listener, error) {
+		l, err := listen(address)
+		return limitedListener{Listener: l, limits: g.CallerLimits}, err
 	}
 	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { return process.StartHTTP(server, listen, s.Deployment.ListenCallers) },
+		OnStart: func(context.Context) error {
+			return process.StartHTTP(server, listenLimited, s.Deployment.ListenCallers)
+		},
 		OnStop: func(ctx context.Context) error {
 			remaining := s.Deployment.StopGrace - stopMargin
 			ctx, cancel := context.WithTimeout(ctx, remaining)
