Don't count a host as failed when the request that it was asked for is withdrawn

A failed host is not asked for 2 s. The same happens when a direct connection stands while another host is asked: the way that was not chosen is cancelled.

Change: a request that is cancelled while a host is asked neither counts as that host's failure nor retires the connection. A deadline that passes counts as before, since the host did not answer in that time.

--- a/internal/gateway/cut_harness_test.go
+++ b/internal/gateway/cut_harness_test.go
@@ -24,10 +24,13 @@
 }
 
 // servePeer has a gateway send requests for other hosts, and returns its address.
-func servePeer(peer *fixture) string {
+func servePeer(peer *fixture) string { return servePeerAfter(func() {}, peer) }
+
+// servePeerAfter is servePeer with a function that runs before each request is taken.
+func servePeerAfter(before func(), peer *fixture) string {
 	server := rpc.NewServer(rpc.Credentials{})
 	filbertv1.RegisterRelayServer(server, relay.NewServer(relay.ServerConfig{
-		Sender: peer.gateway, IsHost: func(string) bool { return true }, Begin: func() (func(), error) { return func() {}, nil },
+		Sender: peer.gateway, IsHost: func(string) bool { return true }, Begin: func() (func(), error) { before(); return func() {}, nil },
 		Log: slog.New(slog.DiscardHandler), Metrics: peer.metrics,
 	}))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/gateway/peer_requests_test.go
+++ b/internal/gateway/peer_requests_test.go
@@ -16,6 +16,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/call"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/relay"
 	"filbertdeck/internal/rpc"
@@ -399,6 +400,37 @@
 		Expect(reply.GetFailure().GetHostAtFault()).To(BeTrue())
 	})
 
+	// Guards against a host that is not asked any more because a caller left, or a request
+	// went another way, before it had answered.
+	It("leads over a host that was asked for a request which was withdrawn", func() {
+		target := startTarget("app-1", respond(completeAnswer))
+		entry := target.directoryEntry("app", "dc-1")
+		var asked atomic.Int64
+		withdrawn := make(chan struct{})
+		client := relayThrough(servePeerAfter(func() { asked.Add(1); <-withdrawn }, startGateway(entry)))
+		ctx, cancel := context.WithCancel(context.Background())
+		ask := func(ctx context.Context) error {
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.address+"/book/1", nil)
+			Expect(err).NotTo(HaveOccurred())
+			resp, err := client.Do(req, &call.Attempt{Request: &call.Request{}, Target: entry.Target, Management: true}, ctx.Err)
+			if err == nil {
+				err = resp.Body.Close()
+			}
+			return err
+		}
+		ended := make(chan error, 1)
+		go func() {
+			defer GinkgoRecover()
+			ended <- ask(ctx)
+		}()
+		Eventually(asked.Load, "5s", "1ms").Should(BeEquivalentTo(1))
+		cancel()
+		Eventually(ended, "5s").Should(Receive(HaveOccurred()))
+		close(withdrawn)
+		Expect(ask(context.Background())).To(Succeed())
+		Expect(asked.Load()).To(BeEquivalentTo(2))
+	})
+
 	// Guards against a caller that is refused, or waits, because the first host that is
 	// asked does not answer.
 	It("leads over another host when one does not answer", func() {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -126,6 +126,9 @@
 		case err == nil:
 			c.record(host, s.Target.Service, nil)
 			return c.start(exchange, req, s, beforeWrite)
+		case failure.KindOf(err) == failure.KindControlLost && req.Context().Err() == context.Canceled:
+			// The caller has left, or the request goes another way, which says nothing about
+			// the host.
 		case failure.KindOf(err) == failure.KindControlLost:
 			c.record(host, s.Target.Service, err)
 			c.cfg.Log.Debug("host can't send the request", "request", s.ID, "host", host, "cause", err)
@@ -182,10 +185,10 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.KindControlLost, "host %s can't be asked", host)
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	streamCtx, cancel := context.WithCancel(ctx)
 	end := sync.OnceFunc(func() { cancel(); c.release(conn) })
 	timer := time.AfterFunc(timeout, cancel)
-	stream, err := filbertv1.NewRelayClient(conn.ClientConn).Send(ctx)
+	stream, err := filbertv1.NewRelayClient(conn.ClientConn).Send(streamCtx)
 	if err == nil {
 		err = stream.Send(&filbertv1.RelayCall{Step: &filbertv1.RelayCall_Request{Request: message}})
 	}
@@ -195,7 +198,9 @@
 	}
 	if !timer.Stop() || err != nil {
 		end()
-		c.retireNow(conn)
+		if ctx.Err() != context.Canceled {
+			c.retireNow(conn)
+		}
 		return nil, failure.Wrap(err, failure.KindControlLost, "host %s did not connect to the target in time", host)
 	}
 	if f := reply.GetFailure(); f != nil {
