Repeat a copy for a move when no host is found that reaches the leaving engine

Cause: a host that has lost a service asks for copies through another host. If none could be asked at that moment, the error was taken for an engine that is gone, and the move was given up although the engine ran on for its notice.

Change: such a copy is repeated like one of a run that has not begun, as long as the move may last. Nothing was asked of an engine, so nothing is copied twice.

Ruled out as its cause: an engine that refuses, or that is gone; both are handled as before.

--- a/internal/gateway/cut_harness_test.go
+++ b/internal/gateway/cut_harness_test.go
@@ -48,9 +48,14 @@
 
 // relayWithMetrics is relayThrough with the relay's metrics.
 func relayWithMetrics(addresses ...string) (*relay.Client, gometrics.Registry) {
+	return relayAmong(func() []string { return addresses })
+}
+
+// relayAmong is relayWithMetrics with hosts that change.
+func relayAmong(hosts func() []string) (*relay.Client, gometrics.Registry) {
 	start, registry := time.Now(), gometrics.NewRegistry()
 	c := relay.NewClient(relay.ClientConfig{
-		Hosts: func() (near, all []string) { return addresses, addresses },
+		Hosts: func() (near, all []string) { return hosts(), hosts() },
 		Log:   slog.New(slog.DiscardHandler), Metrics: registry, Now: func() time.Duration { return time.Since(start) },
 	})
 	DeferCleanup(c.Close)
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -140,8 +141,8 @@
 	// copyRefused means that the other engine refused it; another one may
 	// accept it.
 	copyRefused
-	// copyRetryLater means that there is no run to copy yet, or that it is
-	// being copied.
+	// copyRetryLater means that there is no run to copy yet, that it is being
+	// copied, or that no host was found that reaches the leaving engine.
 	copyRetryLater
 	// copyAborted means that the leaving engine is gone or the generation has
 	// ended.
@@ -226,8 +227,16 @@
 	return copyRefused
 }
 
+// errNoHostFound matches the error of a call that was not made since this host reaches the
+// engine neither itself nor through another host. The engine still runs the generation, and
+// other hosts are asked again after a while.
+var errNoHostFound = failure.New(failure.KindNoTarget, "no host was found")
+
 // copyFailureOutcome maps the error of a failed copy to its outcome.
 func copyFailureOutcome(err error) copyOutcome {
+	if errors.Is(err, errNoHostFound) {
+		return copyRetryLater
+	}
 	switch failure.KindOf(err) {
 	case failure.KindNotFound, failure.KindInProgress:
 		return copyRetryLater
--- a/internal/gateway/peer_requests_test.go
+++ b/internal/gateway/peer_requests_test.go
@@ -223,11 +223,10 @@
 })
 
 var _ = Describe("a generation whose connection lives on while new ones are refused", func() {
-	// Guards against generations that end with their engine because the host can't have
-	// them copied.
-	It("moves when its engine leaves", func() {
+	// leave runs a generation at an engine that leaves while the host is partitioned. It
+	// returns that engine once the host has been told, and the generation's result.
+	leave := func(host, peer *fixture) (*fakeEngine, <-chan result) {
 		first, second := startEngine("llm-1", 60, 20*time.Millisecond), startEngine("llm-2", 60, 20*time.Millisecond)
-		host, peer := startPeers()
 		for _, gw := range []*fixture{host, peer} {
 			gw.add(first.directoryEntry("llm", "dc-1"))
 		}
@@ -246,6 +245,37 @@
 		for _, gw := range []*fixture{host, peer} {
 			gw.publish(asLeaving(first.directoryEntry("llm", "dc-1")), second.directoryEntry("llm", "dc-1"))
 		}
+		return first, done
+	}
+
+	// Guards against generations that end with their engine because the host can't have
+	// them copied.
+	It("moves when its engine leaves", func() {
+		host, peer := startPeers()
+		first, done := leave(host, peer)
+		var res result
+		Eventually(done, "10s").Should(Receive(&res))
+		Expect(res.err).NotTo(HaveOccurred())
+		Expect(res.body).To(Equal(eventStream(60)))
+		Expect(first.moveRequests.Load()).To(BeNumerically(">", 0))
+	})
+
+	// Guards against a move that is given up because no other host could be asked when it
+	// began.
+	It("moves once another host can be asked", func() {
+		peer := startGateway()
+		addresses := []string{servePeer(peer)}
+		var found atomic.Bool
+		client, _ := relayAmong(func() []string {
+			if !found.Load() {
+				return nil
+			}
+			return addresses
+		})
+		host := startGatewayWithRelay(client)
+		first, done := leave(host, peer)
+		Eventually(gometrics.GetOrRegisterCounter("gateway.copies_failed", host.metrics).Count, "5s", "1ms").Should(BeNumerically(">", 0))
+		found.Store(true)
 		var res result
 		Eventually(done, "10s").Should(Receive(&res))
 		Expect(res.err).NotTo(HaveOccurred())
