--- a/internal/gateway/peer_requests_test.go
+++ b/internal/gateway/peer_requests_test.go
@@ -16,6 +16,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/call"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/relay"
 	"filbertdeck/internal/rpc"
@@ -222,11 +223,10 @@
 })
 
 var _ = Describe("a generation whose connection lives on while new ones are refused", func() {
-	// Guards against generations that end with their engine because the host can't have
-	// them copied.
-	It("moves when its engine leaves", func() {
+	// leave runs a generation at an engine that leaves while the host is partitioned. It
+	// returns that engine once the host has been told, and the generation's result.
+	leave := func(host, peer *fixture) (*fakeEngine, <-chan result) {
 		first, second := startEngine("llm-1", 60, 20*time.Millisecond), startEngine("llm-2", 60, 20*time.Millisecond)
-		host, peer := startPeers()
 		for _, gw := range []*fixture{host, peer} {
 			gw.add(first.directoryEntry("llm", "dc-1"))
 		}
@@ -245,6 +245,37 @@
 		for _, gw := range []*fixture{host, peer} {
 			gw.publish(asLeaving(first.directoryEntry("llm", "dc-1")), second.directoryEntry("llm", "dc-1"))
 		}
+		return first, done
+	}
+
+	// Guards against generations that end with their engine because the host can't have
+	// them copied.
+	It("moves when its engine leaves", func() {
+		host, peer := startPeers()
+		first, done := leave(host, peer)
+		var res result
+		Eventually(done, "10s").Should(Receive(&res))
+		Expect(res.err).NotTo(HaveOccurred())
+		Expect(res.body).To(Equal(eventStream(60)))
+		Expect(first.moveRequests.Load()).To(BeNumerically(">", 0))
+	})
+
+	// Guards against a move that is given up because no other host could be asked when it
+	// began.
+	It("moves once another host can be asked", func() {
+		peer := startGateway()
+		addresses := []string{servePeer(peer)}
+		var found atomic.Bool
+		client, _ := relayAmong(func() []string {
+			if !found.Load() {
+				return nil
+			}
+			return addresses
+		})
+		host := startGatewayWithRelay(client)
+		first, done := leave(host, peer)
+		Eventually(gometrics.GetOrRegisterCounter("gateway.copies_failed", host.metrics).Count, "5s", "1ms").Should(BeNumerically(">", 0))
+		found.Store(true)
 		var res result
 		Eventually(done, "10s").Should(Receive(&res))
 		Expect(res.err).NotTo(HaveOccurred())
@@ -399,6 +430,37 @@
 		Expect(reply.GetFailure().GetHostAtFault()).To(BeTrue())
 	})
 
+	// Guards against a host that is not asked any more because a caller left, or a request
+	// went another way, before it had answered.
+	It("leads over a host that was asked for a request which was withdrawn", func() {
+		target := startTarget("app-1", respond(completeAnswer))
+		entry := target.directoryEntry("app", "dc-1")
+		var asked atomic.Int64
+		withdrawn := make(chan struct{})
+		client := relayThrough(servePeerAfter(func() { asked.Add(1); <-withdrawn }, startGateway(entry)))
+		ctx, cancel := context.WithCancel(context.Background())
+		ask := func(ctx context.Context) error {
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.address+"/book/1", nil)
+			Expect(err).NotTo(HaveOccurred())
+			resp, err := client.Do(req, &call.Attempt{Request: &call.Request{}, Target: entry.Target, Management: true}, ctx.Err)
+			if err == nil {
+				err = resp.Body.Close()
+			}
+			return err
+		}
+		ended := make(chan error, 1)
+		go func() {
+			defer GinkgoRecover()
+			ended <- ask(ctx)
+		}()
+		Eventually(asked.Load, "5s", "1ms").Should(BeEquivalentTo(1))
+		cancel()
+		Eventually(ended, "5s").Should(Receive(HaveOccurred()))
+		close(withdrawn)
+		Expect(ask(context.Background())).To(Succeed())
+		Expect(asked.Load()).To(BeEquivalentTo(2))
+	})
+
 	// Guards against a caller that is refused, or waits, because the first host that is
 	// asked does not answer.
 	It("leads over another host when one does not answer", func() {
