Grant no room to a request whose generation has ended

Cause: a room request that arrived after a newer, empty count of its host was granted for 500 ms, although its generation had ended or was withdrawn. Empty counts are not among the counts that the ledger gets, so it did not see the newer version. Where the owner had not kept the empty count at all, the count that the request carries stayed as load as well, for up to six seconds.

Change: the ledger remembers the version of a host's last count without generations for 500 ms, in fleets with owners. A request with a lower version gets the decision Ended: no grant, no remembered denial, and its count is not merged. The same holds for a request that arrives after a newer one for the same generation; it took the place of the newer grant. Counts and answers are unchanged, so fleets without grants are served as before.

Bound (docs/design/room-grants.md): a request that arrives more than 500 ms after the empty count is held like any grant, for 500 ms. A late request that is denied while another generation of its host runs is remembered for 300 ms.

--- a/internal/decide/roomgrant/roomgrant.go
+++ b/internal/decide/roomgrant/roomgrant.go
@@ -16,6 +16,7 @@
 package roomgrant
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -30,6 +31,10 @@
 	// denialMemory is how long a denied request is remembered: generations that wait
 	// search again every 50 to 300 ms.
 	denialMemory = 300 * time.Millisecond
+	// idleMemory is how long the version of a host's count without generations is
+	// remembered, for requests that arrive after it. A later one is held for at most as
+	// long as any grant.
+	idleMemory = GrantLifetime
 )
 
 // Engine is the size of an engine.
@@ -90,11 +95,14 @@
 	TooManyUnread
 	// KeptForOther means that the room is kept for a request that goes first.
 	KeptForOther
+	// Ended means that the host no longer asks for the room: its generation has ended, or a
+	// newer request for it has arrived.
+	Ended
 )
 
 // String returns the decision as logs name it.
 func (d Decision) String() string {
-	return [...]string{"granted", "no memory", "too many unread prompt tokens", "kept for another request"}[d]
+	return [...]string{"granted", "no memory", "too many unread prompt tokens", "kept for another request", "ended"}[d]
 }
 
 // fit returns whether an engine with the given load has room for the request.
@@ -119,7 +127,18 @@
 	expired int
 }
 
-type engineEntries struct{ grants, denials []entry }
+type engineEntries struct {
+	grants, denials []entry
+	// idle holds the hosts' last counts without generations. They are missing from the
+	// counts that Decide gets.
+	idle map[string]idleCount
+}
+
+// idleCount is the version of a host's count without generations.
+type idleCount struct {
+	version uint64
+	until   time.Duration
+}
 
 type entry struct {
 	Request
@@ -134,12 +153,11 @@
 	for _, c := range counts {
 		l.Confirm(c.Host, e.ID, c.Version)
 	}
-	entries := l.engines[e.ID]
-	if entries == nil {
-		entries = &engineEntries{}
-		l.engines[e.ID] = entries
-	}
+	entries := l.entriesOf(e.ID)
 	l.expired += entries.expire(now)
+	if entries.hasEnded(r) {
+		return Ended
+	}
 	entries.forget(r)
 	load := entries.outstanding()
 	counted := false
@@ -164,6 +182,39 @@
 	return decision
 }
 
+// entriesOf returns what is held of an engine, for additions.
+func (l *Ledger) entriesOf(engine string) *engineEntries {
+	entries := l.engines[engine]
+	if entries == nil {
+		entries = &engineEntries{}
+		l.engines[engine] = entries
+	}
+	return entries
+}
+
+// HasEnded reports whether the host no longer asks for the room of a request.
+func (l *Ledger) HasEnded(now time.Duration, engine string, r Request) bool {
+	entries := l.engines[engine]
+	if entries == nil {
+		return false
+	}
+	l.expired += entries.expire(now)
+	return entries.hasEnded(r)
+}
+
+// RememberIdle remembers the version of a host's count without generations. All
+// generations of the host that asked for room with a lower version have ended, also those
+// whose requests arrive later.
+func (l *Ledger) RememberIdle(now time.Duration, host, engine string, version uint64) {
+	entries := l.entriesOf(engine)
+	if entries.idle == nil {
+		entries.idle = map[string]idleCount{}
+	}
+	if version >= entries.idle[host].version {
+		entries.idle[host] = idleCount{version, now + idleMemory}
+	}
+}
+
 // Confirm ends the grants to a host whose counts of an engine in the given version
 // include the granted generations, or no longer do as they have ended.
 func (l *Ledger) Confirm(host, engine string, version uint64) {
@@ -209,7 +260,7 @@
 func (l *Ledger) Expire(now time.Duration) int {
 	for id, entries := range l.engines {
 		l.expired += entries.expire(now)
-		if len(entries.grants)+len(entries.denials) == 0 {
+		if len(entries.grants)+len(entries.denials)+len(entries.idle) == 0 {
 			delete(l.engines, id)
 		}
 	}
@@ -225,9 +276,17 @@
 	before := len(s.grants)
 	s.grants = slices.DeleteFunc(s.grants, over)
 	s.denials = slices.DeleteFunc(s.denials, over)
+	maps.DeleteFunc(s.idle, func(_ string, c idleCount) bool { return c.until <= now })
 	return before - len(s.grants)
 }
 
+// hasEnded reports whether a request's host was idle in a later version, or has sent a
+// newer request for the same generation.
+func (s *engineEntries) hasEnded(r Request) bool {
+	newer := func(x entry) bool { return x.Host == r.Host && x.ID == r.ID && x.Version > r.Version }
+	return s.idle[r.Host].version > r.Version || slices.ContainsFunc(s.grants, newer) || slices.ContainsFunc(s.denials, newer)
+}
+
 // forget drops what is held of an earlier request for the same generation.
 func (s *engineEntries) forget(r Request) {
 	same := func(x entry) bool { return x.Host == r.Host && x.ID == r.ID }
--- a/internal/decide/roomgrant/roomgrant_test.go
+++ b/internal/decide/roomgrant/roomgrant_test.go
@@ -58,6 +58,51 @@
 		Expect(l.Outstanding(0, "e-1")).To(BeZero())
 	})
 
+	// Guards against room that is held for a generation that has ended: its request arrives
+	// after a newer count of its host, which is empty and thus not among the counts.
+	It("does not grant a request that an empty count of its host has overtaken", func() {
+		l := roomgrant.New()
+		l.RememberIdle(0, "a", "e-1", 6)
+		l.RememberIdle(0, "a", "e-1", 5)
+		late := request("a", 6000)
+		late.Priority = 0
+		Expect(l.Decide(time.Millisecond, engine, nil, late)).To(Equal(roomgrant.Ended))
+		Expect(l.Outstanding(time.Millisecond, "e-1")).To(BeZero())
+		Expect(l.Decide(time.Millisecond, engine, used(5000), request("b", 4000))).To(Equal(roomgrant.Granted), "no room is kept for it")
+		late.Version = 6
+		Expect(l.Decide(time.Millisecond, engine, nil, late)).To(Equal(roomgrant.Granted))
+	})
+
+	It("remembers an empty count for as long as a grant lasts, of the host and the engine only", func() {
+		for _, c := range []struct {
+			at           time.Duration
+			host, engine string
+			want         roomgrant.Decision
+		}{
+			{roomgrant.GrantLifetime - 1, "a", "e-1", roomgrant.Ended},
+			{roomgrant.GrantLifetime, "a", "e-1", roomgrant.Granted},
+			{0, "b", "e-1", roomgrant.Granted},
+			{0, "a", "e-2", roomgrant.Granted},
+		} {
+			l := roomgrant.New()
+			l.RememberIdle(0, c.host, c.engine, 6)
+			Expect(l.Decide(c.at, engine, nil, request("a", 6000))).To(Equal(c.want), fmt.Sprint(c))
+			l.Expire(c.at + roomgrant.GrantLifetime)
+			Expect(l.Size()).To(BeZero())
+		}
+	})
+
+	// Guards against a late request that takes the place of the grant to a newer request for
+	// the same generation.
+	It("does not grant a request when a newer one for the same generation has arrived", func() {
+		l := roomgrant.New()
+		newer := request("a", 6000)
+		newer.Version = 7
+		Expect(l.Decide(0, engine, nil, newer)).To(Equal(roomgrant.Granted))
+		Expect(l.Decide(0, engine, nil, request("a", 1000))).To(Equal(roomgrant.Ended))
+		Expect(l.Outstanding(0, "e-1").ReservedTokens).To(Equal(6000))
+	})
+
 	// Guards against room that nobody can use: it is kept although both requests fit, or
 	// although the request that goes first does not fit alone.
 	It("keeps room only for a request that goes first and fits instead", func() {
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -151,8 +151,14 @@
 func (l *TargetLoads) MergeLoads(host string, loads []targetload.HostLoad) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.mergeLoads(host, loads)
+}
+
+// mergeLoads is MergeLoads for callers that hold mu.
+func (l *TargetLoads) mergeLoads(host string, loads []targetload.HostLoad) {
 	l.hostLoads.Merge(l.now(), host, loads)
 	l.confirmGrants(loads)
+	l.rememberIdle(loads)
 	l.learnSpeeds(loads)
 }
 
--- a/internal/gateway/room_grants.go
+++ b/internal/gateway/room_grants.go
@@ -59,14 +59,18 @@
 // DecideRoom grants or denies a request for room at a target whose counts this host
 // owns. own is the asking host's count there without the generation.
 func (l *TargetLoads) DecideRoom(view *directory.View, own targetload.HostLoad, r roomgrant.Request) RoomReply {
-	l.MergeLoads("", []targetload.HostLoad{own})
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	r.Host, r.Version = own.Host, own.Version
+	if !l.rooms.HasEnded(l.now(), own.Target, r) {
+		// The count of a request that has ended is out of date as well. It would stay as load
+		// if the host's newer, empty count was not kept.
+		l.mergeLoads("", []targetload.HostLoad{own})
+	}
 	engine, known := engineSize(view, own.Target)
 	if !known {
 		return RoomReply{Counts: l.countsForHost(own.Host, own.Target)}
 	}
-	r.Host, r.Version = own.Host, own.Version
 	decision := l.rooms.Decide(l.now(), engine, l.hostLoads.ForTarget(l.now(), own.Target), r)
 	return RoomReply{Counts: l.countsForHost(own.Host, own.Target), Decided: true, Granted: decision == roomgrant.Granted}
 }
@@ -111,6 +115,19 @@
 	}
 }
 
+// rememberIdle remembers those of the counts that hosts sent here as to an owner which
+// hold no generations, for requests for room that these counts have overtaken.
+func (l *TargetLoads) rememberIdle(counts []targetload.HostLoad) {
+	if !l.SendsToOwnersOnly() {
+		return
+	}
+	for _, c := range counts {
+		if c.Running == 0 && c.Version > 0 {
+			l.rooms.RememberIdle(l.now(), c.Host, c.Target, c.Version)
+		}
+	}
+}
+
 // expireGrants drops grants and remembered requests that are no longer valid.
 func (l *TargetLoads) expireGrants() { l.roomCounts.expired.Inc(int64(l.rooms.Expire(l.now()))) }
 
--- a/internal/gateway/room_grants_test.go
+++ b/internal/gateway/room_grants_test.go
@@ -31,6 +31,9 @@
 	// losesAnswers is set if the owner's answers to requests for room are lost.
 	// withoutGrants is set if the owner does not know such requests.
 	losesAnswers, withoutGrants bool
+	// delaysRequests is set if requests for room arrive only when deliver is called.
+	delaysRequests bool
+	delayed        []func()
 	// requested holds the targets for which room was requested.
 	requested []string
 }
@@ -75,6 +78,10 @@
 		f.beforeRequest = nil
 		before()
 	}
+	if f.delaysRequests {
+		f.delayed = append(f.delayed, func() { f.owner.DecideRoom(f.view, own, r) })
+		return gateway.RoomReply{}, false
+	}
 	if f.owner == nil {
 		return gateway.RoomReply{}, false
 	}
@@ -91,6 +98,14 @@
 	}
 }
 
+// deliver has the delayed requests for room arrive at the owner.
+func (f *roomFleet) deliver() {
+	for _, arrive := range f.delayed {
+		arrive()
+	}
+	f.delayed = nil
+}
+
 // place has a host place a generation that takes 6,000 of an engine's 10,000 tokens.
 func (f *roomFleet) place(host int, change ...func(*gateway.PlacementRequest)) (*gateway.Reservation, gateway.Outcome) {
 	req := gateway.PlacementRequest{
@@ -300,6 +315,36 @@
 		Expect(f.load()).To(Equal(one))
 	})
 
+	// Guards against room that is taken for half a second, or for as long as a count lasts,
+	// by a request that arrives after the empty count with which its generation ended.
+	DescribeTable("is not taken by a request that arrives after its generation has ended",
+		func(runsAnother, ownerIsNew bool) {
+			f := newRoomFleet(1)
+			var other *gateway.Reservation
+			if runsAnother {
+				other = f.hosts[1].Reserve("i-0", call.Prompt{Tokens: 1000})
+			}
+			f.delaysRequests = true
+			reservation, outcome := f.place(1)
+			Expect(outcome).To(Equal(gateway.Placed))
+			if ownerIsNew {
+				f.owner = f.hosts[8]
+			}
+			reservation.Release()
+			other.Release()
+			f.share(1)
+			Expect(f.load()).To(BeZero())
+			f.deliver()
+			Expect(f.load()).To(BeZero())
+			f.delaysRequests = false
+			_, outcome = f.place(2)
+			Expect(outcome).To(Equal(gateway.Placed))
+		},
+		Entry("alone at its host", false, false),
+		Entry("beside another one that the owner counted", true, false),
+		Entry("beside another one that a new owner did not count", true, true),
+	)
+
 	It("is taken by this host's own counts if the owner does not decide", func() {
 		f := newRoomFleet(1)
 		f.withoutGrants = true
