Release room at once whose grant may have been lost with its answer

Cause: when the answer to a room request was lost, the host went on without the grant and did not treat the room as granted. If the reservation was then withdrawn, or the generation ended, the owner kept the room until the host's next regular count, some 100 ms, or for 500 ms if that count was lost.

Change: a request without an answer is treated as one that may have been granted. A release within 500 ms of it sends the host's count at once. A withdrawal sends one count, not two.

Before: "is free at once if the answer is lost and the generation ends" and "... goes on to wait" found 6000 tokens of load instead of none. A third spec, which passed before, checks that no count is sent for a release later than that.

Bound (docs/design/room-grants.md): the way of one datagram; if it is lost, the next count 100 ms later; if that is lost too, 500 ms after the request arrived. While the generation runs, the grant counts as its load.

--- a/internal/gateway/room_grants.go
+++ b/internal/gateway/room_grants.go
@@ -47,9 +47,10 @@
 	// its count with it.
 	before  targetload.Load
 	version uint64
-	// grantedAt is the time of the grant, if granted is set.
-	granted   bool
-	grantedAt time.Duration
+	// granted is set if the room was granted, unanswered if it may have been: no answer
+	// came. decidedAt is the time of either.
+	granted, unanswered bool
+	decidedAt           time.Duration
 }
 
 // SetRoomOwners sets how the owners of targets' counts are asked for room. Without it
@@ -227,6 +228,9 @@
 	reply, answered := l.roomOwners.RequestRoom(refOf(r.entry), own, room)
 	if !answered {
 		l.roomCounts.unanswered.Inc(1)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		r.room.unanswered, r.room.decidedAt = true, l.now()
 		return roomUnanswered
 	}
 	l.mergeAnswer(asked, r.targetID, reply.Counts)
@@ -243,7 +247,7 @@
 	l.roomCounts.granted.Inc(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r.room.granted, r.room.grantedAt = true, l.now()
+	r.room.granted, r.room.decidedAt = true, l.now()
 	return roomGranted
 }
 
@@ -258,11 +262,12 @@
 }
 
 // withdraw releases a reservation that got no room. The owners are told if counts
-// that include it were sent meanwhile.
+// that include it were sent meanwhile and none since the release.
 func (l *TargetLoads) withdraw(r *Reservation) {
 	l.abandon(r)
 	l.mu.Lock()
-	sent := l.loadOf(r.targetID).sentVersion >= r.room.version
+	sentVersion := l.loadOf(r.targetID).sentVersion
+	sent := sentVersion >= r.room.version && sentVersion < l.hostLoads.LocalCount(r.targetID).Version
 	l.mu.Unlock()
 	if sent {
 		l.sendCount(r.entry)
@@ -282,11 +287,11 @@
 }
 
 // releaseGrant tells the owners that a generation has ended whose room was granted a
-// moment ago. Its host's counts may not have followed the grant yet.
+// moment ago, or may have been. Its host's counts may not have followed the grant yet.
 func (r *Reservation) releaseGrant() {
 	r.loads.mu.Lock()
-	recent := r.room.granted && r.loads.now()-r.room.grantedAt < roomgrant.GrantLifetime
-	r.room.granted = false
+	recent := (r.room.granted || r.room.unanswered) && r.loads.now()-r.room.decidedAt < roomgrant.GrantLifetime
+	r.room.granted, r.room.unanswered = false, false
 	r.loads.mu.Unlock()
 	if recent {
 		r.loads.sendCount(r.entry)
--- a/internal/gateway/room_grants_test.go
+++ b/internal/gateway/room_grants_test.go
@@ -36,6 +36,8 @@
 	delayed        []func()
 	// requested holds the targets for which room was requested.
 	requested []string
+	// sent is the number of counts that hosts sent without a question.
+	sent int
 }
 
 const roomFleetMemory = 10_000
@@ -93,6 +95,7 @@
 }
 
 func (f *roomFleet) SendCount(_ gateway.TargetRef, own targetload.HostLoad) {
+	f.sent++
 	if f.owner != nil {
 		f.owner.MergeLoads("", []targetload.HostLoad{own})
 	}
@@ -345,6 +348,41 @@
 		Entry("beside another one that a new owner did not count", true, true),
 	)
 
+	// Guards against room that stays taken until the next regular count, because the host
+	// does not know that it was granted.
+	It("is free at once if the answer is lost and the generation ends", func() {
+		f := newRoomFleet(1)
+		f.losesAnswers = true
+		reservation, _ := f.place(1)
+		f.now += 400 * time.Millisecond
+		reservation.Release()
+		Expect(f.load()).To(BeZero())
+		f.losesAnswers = false
+		_, outcome := f.place(2)
+		Expect(outcome).To(Equal(gateway.Placed))
+	})
+
+	It("is free at once if the answer is lost and the generation goes on to wait", func() {
+		f := newRoomFleet(1)
+		running, _ := f.place(1)
+		f.share(1)
+		f.losesAnswers, f.beforeRequest = true, running.Release
+		_, outcome := f.place(2, func(req *gateway.PlacementRequest) { req.Move = true })
+		Expect(outcome).To(Equal(gateway.NoRoom))
+		Expect(f.load()).To(BeZero())
+		Expect(f.sent).To(Equal(2), "one count for each of the releases")
+	})
+
+	// Guards against a datagram for each generation of a fleet whose owner is down.
+	It("is not released by a count of its own if the answer was lost long ago", func() {
+		f := newRoomFleet(1)
+		f.losesAnswers = true
+		reservation, _ := f.place(1)
+		f.now += roomgrant.GrantLifetime
+		reservation.Release()
+		Expect(f.sent).To(BeZero())
+	})
+
 	It("is taken by this host's own counts if the owner does not decide", func() {
 		f := newRoomFleet(1)
 		f.withoutGrants = true
