--- a/internal/gateway/room_grants.go
+++ b/internal/gateway/room_grants.go
@@ -47,9 +47,10 @@
 	// its count with it.
 	before  targetload.Load
 	version uint64
-	// grantedAt is the time of the grant, if granted is set.
-	granted   bool
-	grantedAt time.Duration
+	// granted is set if the room was granted, unanswered if it may have been: no answer
+	// came. decidedAt is the time of either.
+	granted, unanswered bool
+	decidedAt           time.Duration
 }
 
 // SetRoomOwners sets how the owners of targets' counts are asked for room. Without it
@@ -59,14 +60,18 @@
 // DecideRoom grants or denies a request for room at a target whose counts this host
 // owns. own is the asking host's count there without the generation.
 func (l *TargetLoads) DecideRoom(view *directory.View, own targetload.HostLoad, r roomgrant.Request) RoomReply {
-	l.MergeLoads("", []targetload.HostLoad{own})
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	r.Host, r.Version = own.Host, own.Version
+	if !l.rooms.HasEnded(l.now(), own.Target, r) {
+		// The count of a request that has ended is out of date as well. It would stay as load
+		// if the host's newer, empty count was not kept.
+		l.mergeLoads("", []targetload.HostLoad{own})
+	}
 	engine, known := engineSize(view, own.Target)
 	if !known {
 		return RoomReply{Counts: l.countsForHost(own.Host, own.Target)}
 	}
-	r.Host, r.Version = own.Host, own.Version
 	decision := l.rooms.Decide(l.now(), engine, l.hostLoads.ForTarget(l.now(), own.Target), r)
 	return RoomReply{Counts: l.countsForHost(own.Host, own.Target), Decided: true, Granted: decision == roomgrant.Granted}
 }
@@ -88,8 +93,7 @@
 }
 
 // countsForHost returns all known counts of a target for a host that asks, with granted
-// room. This host itself gets the counts alone, since it would keep granted room as
-// counts that do not expire with the grants.
+// room. This host itself gets the counts alone, since it adds its grants where it chooses.
 func (l *TargetLoads) countsForHost(host, target string) []targetload.HostLoad {
 	counts := l.hostLoads.ForTarget(l.now(), target)
 	if host == l.address {
@@ -99,20 +103,38 @@
 }
 
 // othersLoad returns the load of other hosts at a target, with the room that this host
-// granted them.
+// granted them and the room that the target's owner reported as granted.
 func (l *TargetLoads) othersLoad(target string) targetload.Load {
-	return l.hostLoads.Total(l.now(), target).OtherHostsLoad.Add(l.rooms.Outstanding(l.now(), target))
+	granted := l.rooms.Outstanding(l.now(), target).Add(l.reportedRoom.Outstanding(l.now(), target))
+	return l.hostLoads.Total(l.now(), target).OtherHostsLoad.Add(granted)
 }
 
 // confirmGrants ends the grants that received counts follow.
 func (l *TargetLoads) confirmGrants(counts []targetload.HostLoad) {
 	for _, c := range counts {
 		l.rooms.Confirm(c.Host, c.Target, c.Version)
+		l.reportedRoom.Confirm(c.Host, c.Target, c.Version)
+	}
+}
+
+// rememberIdle remembers those of the counts that hosts sent here as to an owner which
+// hold no generations, for requests for room that these counts have overtaken.
+func (l *TargetLoads) rememberIdle(counts []targetload.HostLoad) {
+	if !l.SendsToOwnersOnly() {
+		return
+	}
+	for _, c := range counts {
+		if c.Running == 0 && c.Version > 0 {
+			l.rooms.RememberIdle(l.now(), c.Host, c.Target, c.Version)
+		}
 	}
 }
 
 // expireGrants drops grants and remembered requests that are no longer valid.
-func (l *TargetLoads) expireGrants() { l.roomCounts.expired.Inc(int64(l.rooms.Expire(l.now()))) }
+func (l *TargetLoads) expireGrants() {
+	l.roomCounts.expired.Inc(int64(l.rooms.Expire(l.now())))
+	l.reportedRoom.Expire(l.now())
+}
 
 // requestsRoom reports whether a request's room must be granted by owners.
 func (l *TargetLoads) requestsRoom(req PlacementRequest) bool {
@@ -210,6 +232,9 @@
 	reply, answered := l.roomOwners.RequestRoom(refOf(r.entry), own, room)
 	if !answered {
 		l.roomCounts.unanswered.Inc(1)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		r.room.unanswered, r.room.decidedAt = true, l.now()
 		return roomUnanswered
 	}
 	l.mergeAnswer(asked, r.targetID, reply.Counts)
@@ -226,7 +251,7 @@
 	l.roomCounts.granted.Inc(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r.room.granted, r.room.grantedAt = true, l.now()
+	r.room.granted, r.room.decidedAt = true, l.now()
 	return roomGranted
 }
 
@@ -235,17 +260,25 @@
 func (l *TargetLoads) mergeAnswer(asked time.Duration, target string, counts []targetload.HostLoad) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hostLoads.ReplaceTarget(asked, l.now(), target, counts)
-	l.confirmGrants(counts)
-	l.learnSpeeds(counts)
+	own := l.reportedRoom.Replace(asked, l.now(), l.address, target, counts)
+	l.hostLoads.ReplaceTarget(asked, l.now(), target, own)
+	for _, c := range counts {
+		if c.Granted != nil {
+			// The host's count that includes the room may have arrived before the answer.
+			l.reportedRoom.Confirm(c.Host, target, l.hostLoads.VersionOf(target, c.Host))
+		}
+	}
+	l.confirmGrants(own)
+	l.learnSpeeds(own)
 }
 
 // withdraw releases a reservation that got no room. The owners are told if counts
-// that include it were sent meanwhile.
+// that include it were sent meanwhile and none since the release.
 func (l *TargetLoads) withdraw(r *Reservation) {
 	l.abandon(r)
 	l.mu.Lock()
-	sent := l.loadOf(r.targetID).sentVersion >= r.room.version
+	sentVersion := l.loadOf(r.targetID).sentVersion
+	sent := sentVersion >= r.room.version && sentVersion < l.hostLoads.LocalCount(r.targetID).Version
 	l.mu.Unlock()
 	if sent {
 		l.sendCount(r.entry)
@@ -265,11 +298,11 @@
 }
 
 // releaseGrant tells the owners that a generation has ended whose room was granted a
-// moment ago. Its host's counts may not have followed the grant yet.
+// moment ago, or may have been. Its host's counts may not have followed the grant yet.
 func (r *Reservation) releaseGrant() {
 	r.loads.mu.Lock()
-	recent := r.room.granted && r.loads.now()-r.room.grantedAt < roomgrant.GrantLifetime
-	r.room.granted = false
+	recent := (r.room.granted || r.room.unanswered) && r.loads.now()-r.room.decidedAt < roomgrant.GrantLifetime
+	r.room.granted, r.room.unanswered = false, false
 	r.loads.mu.Unlock()
 	if recent {
 		r.loads.sendCount(r.entry)
--- a/internal/gateway/room_grants_test.go
+++ b/internal/gateway/room_grants_test.go
@@ -31,8 +31,13 @@
 	// losesAnswers is set if the owner's answers to requests for room are lost.
 	// withoutGrants is set if the owner does not know such requests.
 	losesAnswers, withoutGrants bool
+	// delaysRequests is set if requests for room arrive only when deliver is called.
+	delaysRequests bool
+	delayed        []func()
 	// requested holds the targets for which room was requested.
 	requested []string
+	// sent is the number of counts that hosts sent without a question.
+	sent int
 }
 
 const roomFleetMemory = 10_000
@@ -75,6 +80,10 @@
 		f.beforeRequest = nil
 		before()
 	}
+	if f.delaysRequests {
+		f.delayed = append(f.delayed, func() { f.owner.DecideRoom(f.view, own, r) })
+		return gateway.RoomReply{}, false
+	}
 	if f.owner == nil {
 		return gateway.RoomReply{}, false
 	}
@@ -86,11 +95,20 @@
 }
 
 func (f *roomFleet) SendCount(_ gateway.TargetRef, own targetload.HostLoad) {
+	f.sent++
 	if f.owner != nil {
 		f.owner.MergeLoads("", []targetload.HostLoad{own})
 	}
 }
 
+// deliver has the delayed requests for room arrive at the owner.
+func (f *roomFleet) deliver() {
+	for _, arrive := range f.delayed {
+		arrive()
+	}
+	f.delayed = nil
+}
+
 // place has a host place a generation that takes 6,000 of an engine's 10,000 tokens.
 func (f *roomFleet) place(host int, change ...func(*gateway.PlacementRequest)) (*gateway.Reservation, gateway.Outcome) {
 	req := gateway.PlacementRequest{
@@ -288,6 +306,82 @@
 		Expect(outcome).To(Equal(gateway.Placed))
 	})
 
+	// Guards against granted room that a third host counts for seconds, as the host to which
+	// it was granted has died.
+	It("expires with the grant at hosts that heard of it", func() {
+		f := newRoomFleet(1)
+		f.place(1)
+		_, outcome := f.place(3)
+		Expect(outcome).To(Equal(gateway.NoRoom))
+		owner := f.owner
+		f.owner = nil
+		f.now += roomgrant.GrantLifetime - time.Millisecond
+		_, outcome = f.place(3)
+		Expect(outcome).To(Equal(gateway.NoRoom))
+		f.now += time.Millisecond
+		reservation, outcome := f.place(3)
+		Expect(outcome).To(Equal(gateway.Placed))
+		reservation.Release()
+		f.owner = owner
+		_, outcome = f.place(4)
+		Expect(outcome).To(Equal(gateway.Placed))
+	})
+
+	// Guards against a host that ignores the owner's newest answer, as the count with the
+	// expired grant has a higher version.
+	It("is free for a third host when the owner no longer reports it", func() {
+		f := newRoomFleet(1)
+		f.hosts[1].Reserve("i-0", call.Prompt{Tokens: 1000})
+		f.share(1)
+		f.place(1)
+		_, outcome := f.place(3)
+		Expect(outcome).To(Equal(gateway.NoRoom))
+		f.now += roomgrant.GrantLifetime
+		_, outcome = f.place(3)
+		Expect(outcome).To(Equal(gateway.Placed))
+	})
+
+	// Guards against a third host that passes the grants of an earlier owner on as counts,
+	// once it is the owner.
+	It("is not passed on by a host that heard of it", func() {
+		f := newRoomFleet(1)
+		f.place(1)
+		f.place(3)
+		f.now += roomgrant.GrantLifetime
+		f.owner = f.hosts[3]
+		Expect(f.load()).To(BeZero())
+	})
+
+	// Guards against granted room that a third host counts once more beside the counts that
+	// include it, in whichever order the two arrive.
+	DescribeTable("is counted once at a third host when the counts follow",
+		func(arrive func(f *roomFleet, counts []targetload.HostLoad)) {
+			f := newRoomFleet(1)
+			smaller := func(req *gateway.PlacementRequest) { req.Prompt.Tokens = 3000 }
+			f.place(1, smaller)
+			counts := f.hosts[1].PendingOwnLoads()
+			arrive(f, counts)
+			f.owner = nil
+			_, outcome := f.place(3)
+			Expect(outcome).To(Equal(gateway.Placed))
+			_, outcome = f.place(3, smaller)
+			Expect(outcome).To(Equal(gateway.NoRoom))
+		},
+		Entry("by the owner's answer", func(f *roomFleet, counts []targetload.HostLoad) {
+			f.place(3, func(req *gateway.PlacementRequest) { req.Prompt.Tokens = 9000 })
+			f.owner.MergeLoads("", counts)
+			f.place(3, func(req *gateway.PlacementRequest) { req.Prompt.Tokens = 9000 })
+		}),
+		Entry("from the host itself", func(f *roomFleet, counts []targetload.HostLoad) {
+			f.place(3, func(req *gateway.PlacementRequest) { req.Prompt.Tokens = 9000 })
+			f.hosts[3].MergeLoads("", counts)
+		}),
+		Entry("from the host itself before the grant", func(f *roomFleet, counts []targetload.HostLoad) {
+			f.hosts[3].MergeLoads("", counts)
+			f.place(3, func(req *gateway.PlacementRequest) { req.Prompt.Tokens = 9000 })
+		}),
+	)
+
 	// Guards against a generation that waits because an answer was lost, and against room
 	// that is taken twice then.
 	It("is taken by this host's own counts if the answer is lost", func() {
@@ -300,6 +394,71 @@
 		Expect(f.load()).To(Equal(one))
 	})
 
+	// Guards against room that is taken for half a second, or for as long as a count lasts,
+	// by a request that arrives after the empty count with which its generation ended.
+	DescribeTable("is not taken by a request that arrives after its generation has ended",
+		func(runsAnother, ownerIsNew bool) {
+			f := newRoomFleet(1)
+			var other *gateway.Reservation
+			if runsAnother {
+				other = f.hosts[1].Reserve("i-0", call.Prompt{Tokens: 1000})
+			}
+			f.delaysRequests = true
+			reservation, outcome := f.place(1)
+			Expect(outcome).To(Equal(gateway.Placed))
+			if ownerIsNew {
+				f.owner = f.hosts[8]
+			}
+			reservation.Release()
+			other.Release()
+			f.share(1)
+			Expect(f.load()).To(BeZero())
+			f.deliver()
+			Expect(f.load()).To(BeZero())
+			f.delaysRequests = false
+			_, outcome = f.place(2)
+			Expect(outcome).To(Equal(gateway.Placed))
+		},
+		Entry("alone at its host", false, false),
+		Entry("beside another one that the owner counted", true, false),
+		Entry("beside another one that a new owner did not count", true, true),
+	)
+
+	// Guards against room that stays taken until the next regular count, because the host
+	// does not know that it was granted.
+	It("is free at once if the answer is lost and the generation ends", func() {
+		f := newRoomFleet(1)
+		f.losesAnswers = true
+		reservation, _ := f.place(1)
+		f.now += 400 * time.Millisecond
+		reservation.Release()
+		Expect(f.load()).To(BeZero())
+		f.losesAnswers = false
+		_, outcome := f.place(2)
+		Expect(outcome).To(Equal(gateway.Placed))
+	})
+
+	It("is free at once if the answer is lost and the generation goes on to wait", func() {
+		f := newRoomFleet(1)
+		running, _ := f.place(1)
+		f.share(1)
+		f.losesAnswers, f.beforeRequest = true, running.Release
+		_, outcome := f.place(2, func(req *gateway.PlacementRequest) { req.Move = true })
+		Expect(outcome).To(Equal(gateway.NoRoom))
+		Expect(f.load()).To(BeZero())
+		Expect(f.sent).To(Equal(2), "one count for each of the releases")
+	})
+
+	// Guards against a datagram for each generation of a fleet whose owner is down.
+	It("is not released by a count of its own if the answer was lost long ago", func() {
+		f := newRoomFleet(1)
+		f.losesAnswers = true
+		reservation, _ := f.place(1)
+		f.now += roomgrant.GrantLifetime
+		reservation.Release()
+		Expect(f.sent).To(BeZero())
+	})
+
 	It("is taken by this host's own counts if the owner does not decide", func() {
 		f := newRoomFleet(1)
 		f.withoutGrants = true
