Find the holder of a waiting list once for each version of the membership

Cause: waitingOrder.holder ranked all live hosts at every report and at every end of a wait, and partition took the lock of the fleet view at each. At 3,300 hosts each report cost 3,300 hashes. Change: waitlist.Fleet holds the live hosts of one version of the membership, their partitions and the holders of the lists that were asked for. It is immutable; waitingOrder replaces it by an atomic pointer, and ranks again after a new version or for a new list. The holders and partitions are the same as before, so that builds agree on them. The spec of partitions is now one of waitlist, with the same sizes and bounds. TestHolderIsNotRankedForEachReport failed before with 'finding the holder takes 3 allocations, want 0'. TestHolderFollowsMembership passes before and after: it guards against a cache that is kept too long. Conclusion: a report costs the same in every fleet; a membership change costs one ranking for each list. fleetView.owners still ranks for each count and question.

--- a/internal/gatewayhost/fleetview.go
+++ b/internal/gatewayhost/fleetview.go
@@ -95,6 +95,14 @@
 	return membership.TopRanked(target.ID, live, ownersPerTarget)
 }
 
+// version returns the version of the membership view; 0 before the first.
+func (f *fleetView) version() uint64 {
+	if view := f.members.Members.Get(); view != nil {
+		return view.Version
+	}
+	return 0
+}
+
 // liveHosts returns the live hosts of a data centre; an empty name selects all. The
 // caller must not modify the slice.
 func (f *fleetView) liveHosts(dataCentre string) []string {
--- a/internal/gatewayhost/waiting.go
+++ b/internal/gatewayhost/waiting.go
@@ -2,31 +2,21 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
-	"math/bits"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/fx"
 
 	"filbertdeck/internal/api/filbertv1"
-	"filbertdeck/internal/decide/membership"
 	"filbertdeck/internal/decide/waitlist"
 	"filbertdeck/internal/gateway"
 	"filbertdeck/internal/process"
 )
 
 const (
-	// holdersPerList is the number of hosts that may hold a list: the holder and the host
-	// that takes over when it fails.
-	holdersPerList = 2
-	// maxPartitionHosts is the largest number of hosts that share a list, and
-	// meanPartitionHosts the largest mean in a fleet of several partitions: hashing
-	// distributes hosts unevenly.
-	maxPartitionHosts, meanPartitionHosts = 128, 96
 	// announceInterval is the time between two announcements of a holder that generations
 	// wait. An announcement holds for announcementLifetime, so that one may be lost.
 	announceInterval     = 100 * time.Millisecond
@@ -47,21 +37,18 @@
 	exchange *ownerExchange
 	fleet    *fleetView
 	now      Clock
+	// live is the live hosts and the holders among them, for the last version of the
+	// membership that was used.
+	live atomic.Pointer[waitlist.Fleet]
 
 	mu    sync.Mutex
-	lists map[listKey]*waitlist.List
+	lists map[waitlist.Key]*waitlist.List
 	// announced holds the last announcement for each service, silent the time from which on
 	// a holder has left reports unanswered.
 	announced map[string]announcement
 	silent    map[string]time.Duration
 }
 
-// listKey identifies a list: a service's generations at the hosts of a partition.
-type listKey struct {
-	service   string
-	partition int
-}
-
 // announcement is the priority of the most urgent generation that waits, as heard at a time.
 type announcement struct {
 	priority int
@@ -73,7 +60,7 @@
 func newWaitingOrder(exchange *ownerExchange, fleet *fleetView, now Clock) *waitingOrder {
 	return &waitingOrder{
 		exchange: exchange, fleet: fleet, now: now,
-		lists: map[listKey]*waitlist.List{}, announced: map[string]announcement{}, silent: map[string]time.Duration{},
+		lists: map[waitlist.Key]*waitlist.List{}, announced: map[string]announcement{}, silent: map[string]time.Duration{},
 	}
 }
 
@@ -125,8 +112,7 @@
 // holder returns the host that holds the list of this host's generations of a service; false
 // if none is known.
 func (w *waitingOrder) holder(service string) (string, bool) {
-	key := listKey{service, w.partition(w.fleet.self)}
-	holders := membership.TopRanked(key.rankKey(), w.fleet.liveHosts(""), holdersPerList)
+	holders := w.holders(service)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, host := range holders {
@@ -145,6 +131,32 @@
 	return holders[0], true
 }
 
+// liveFleet returns the live hosts. A newer list of hosts that is stored with an older version
+// is replaced by the next call.
+func (w *waitingOrder) liveFleet() *waitlist.Fleet {
+	version := w.fleet.version()
+	if fleet := w.live.Load(); fleet != nil && fleet.Version == version {
+		return fleet
+	}
+	fleet := waitlist.NewFleet(version, w.fleet.liveHosts(""))
+	w.live.Store(fleet)
+	return fleet
+}
+
+// holders returns the hosts that may hold the list of this host's generations of a service.
+func (w *waitingOrder) holders(service string) []string {
+	fleet := w.liveFleet()
+	key := waitlist.Key{Service: service, Partition: fleet.Partition(w.fleet.self)}
+	holders, ranked := fleet.Holders(key)
+	if !ranked {
+		next := fleet.WithHolders(key)
+		// If another list was added meanwhile, the next report adds this one.
+		w.live.CompareAndSwap(fleet, next)
+		holders, _ = next.Holders(key)
+	}
+	return holders
+}
+
 // recordAnswer records whether a holder answered a report.
 func (w *waitingOrder) recordAnswer(holder string, answered bool) {
 	w.mu.Lock()
@@ -156,25 +168,6 @@
 	}
 }
 
-// rankKey returns the text by which hosts rank as holders of a list.
-func (k listKey) rankKey() string {
-	if k.partition == 0 {
-		return "waiting/" + k.service
-	}
-	return fmt.Sprintf("waiting/%s/%d", k.service, k.partition)
-}
-
-// partition returns the partition of a host. Their number is a power of two, so that it
-// rarely changes.
-func (w *waitingOrder) partition(host string) int {
-	live := len(w.fleet.liveHosts(""))
-	if live <= maxPartitionHosts {
-		return 0
-	}
-	partitions := uint64(1) << bits.Len(uint((live-1)/meanPartitionHosts))
-	return int(xxhash.Sum64String(host) % partitions)
-}
-
 // handle takes in a message of another host; false if it does not concern waiting
 // generations, or answers a query of this host.
 func (w *waitingOrder) handle(sender netip.AddrPort, message *filbertv1.TargetLoads) bool {
@@ -198,22 +191,22 @@
 
 // record records a report of a host and returns the answer.
 func (w *waitingOrder) record(host string, e waitlist.Entry) waitlist.Answer {
-	partition := w.partition(host)
+	partition := w.liveFleet().Partition(host)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.list(listKey{e.Service, partition}).Report(w.now(), e)
+	return w.list(waitlist.Key{Service: e.Service, Partition: partition}).Report(w.now(), e)
 }
 
 // recordDone records that a generation of a host waits no longer.
 func (w *waitingOrder) recordDone(host string, e waitlist.Entry, placed bool) {
-	partition := w.partition(host)
+	partition := w.liveFleet().Partition(host)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.list(listKey{e.Service, partition}).Done(w.now(), e, placed)
+	w.list(waitlist.Key{Service: e.Service, Partition: partition}).Done(w.now(), e, placed)
 }
 
 // list returns a list, which it creates if necessary. The caller holds the mutex.
-func (w *waitingOrder) list(key listKey) *waitlist.List {
+func (w *waitingOrder) list(key waitlist.Key) *waitlist.List {
 	l, found := w.lists[key]
 	if !found {
 		l = waitlist.New()
@@ -227,14 +220,15 @@
 // is no longer used.
 func (w *waitingOrder) announce() {
 	w.dropOutdated()
+	fleet := w.liveFleet()
 	for key, priority := range w.waitingClasses() {
 		// An answer without a question is ignored by hosts without this build.
-		message := &filbertv1.TargetLoads{Answer: true, WaitReport: &filbertv1.WaitReport{Service: key.service, Priority: int32(priority)}}
-		for _, host := range w.fleet.liveHosts("") {
+		message := &filbertv1.TargetLoads{Answer: true, WaitReport: &filbertv1.WaitReport{Service: key.Service, Priority: int32(priority)}}
+		for _, host := range fleet.Hosts() {
 			switch {
-			case w.partition(host) != key.partition:
+			case fleet.Partition(host) != key.Partition:
 			case host == w.fleet.self:
-				w.recordAnnouncement(key.service, priority)
+				w.recordAnnouncement(key.Service, priority)
 			default:
 				w.exchange.send(host, message)
 			}
@@ -243,10 +237,10 @@
 }
 
 // waitingClasses returns the most urgent priority that waits on each list held here.
-func (w *waitingOrder) waitingClasses() map[listKey]int {
+func (w *waitingOrder) waitingClasses() map[waitlist.Key]int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	classes := map[listKey]int{}
+	classes := map[waitlist.Key]int{}
 	for key, l := range w.lists {
 		if priority, waits := l.MostUrgent(w.now()); waits {
 			classes[key] = priority
--- a/internal/gatewayhost/waiting_test.go
+++ b/internal/gatewayhost/waiting_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/blackboard"
+	"filbertdeck/internal/controller/gossip"
 	"filbertdeck/internal/decide/membership"
 	"filbertdeck/internal/decide/waitlist"
 )
@@ -83,7 +86,7 @@
 	}
 	second.mu.Lock()
 	defer second.mu.Unlock()
-	if n := second.lists[listKey{"llm", 0}].Len(); n != 1 {
+	if n := second.lists[waitlist.Key{Service: "llm"}].Len(); n != 1 {
 		t.Fatalf("the second host has %d entries, want 1", n)
 	}
 }
@@ -126,26 +129,79 @@
 	}
 }
 
-// Guards against one list for a fleet whose reports one host can't take.
-func TestLargeFleetIsDividedIntoPartitions(t *testing.T) {
-	for _, size := range []int{90, 128, 129, 300, 1000, 3300} {
-		members := make([]membership.Member, size)
-		for i := range members {
-			members[i].Address = fmt.Sprintf("10.0.%d.%d:81", i/250, i%250+1)
-		}
-		w := newWaitingOrder(nil, newTestFleetView(t, members[0].Address, members...), nil)
-		counts := map[int]int{}
+// largeFleet returns the order of one of 3,300 hosts, with the writer of its membership.
+func largeFleet(tb testing.TB) (*waitingOrder, *blackboard.Writer[membership.View], []membership.Member) {
+	tb.Helper()
+	members := make([]membership.Member, 3300)
+	for i := range members {
+		members[i].Address = fmt.Sprintf("10.0.%d.%d:81", i/250, i%250+1)
+	}
+	board := &gossip.Board{}
+	out, err := board.Members.Claim()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	out.Publish(&membership.View{Version: 1, Members: members})
+	s := &Settings{}
+	s.Deployment.ListenPeers = members[0].Address
+	now := func() time.Duration { return time.Minute }
+	return newWaitingOrder(nil, newFleetView(s, board, now), now), out, members
+}
+
+// Guards against a ranking of all hosts for each report: it allocates the list of those
+// that rank first.
+func TestHolderIsNotRankedForEachReport(t *testing.T) {
+	w, _, _ := largeFleet(t)
+	if n := testing.AllocsPerRun(100, func() { w.holder("llm") }); n != 0 {
+		t.Fatalf("finding the holder takes %v allocations, want 0", n)
+	}
+}
+
+// Guards against a holder that is kept after the membership has changed, and against one of
+// another service.
+func TestHolderFollowsMembership(t *testing.T) {
+	w, out, members := largeFleet(t)
+	expect := func(service string, members []membership.Member) string {
+		t.Helper()
+		var live []string
 		for _, m := range members {
-			counts[w.partition(m.Address)]++
+			if m.State == membership.Alive {
+				live = append(live, m.Address)
+			}
+		}
+		key := "waiting/" + service
+		if partition := waitlist.NewFleet(1, live).Partition(w.fleet.self); partition > 0 {
+			key = fmt.Sprintf("%s/%d", key, partition)
 		}
-		largest := 0
-		for _, n := range counts {
-			largest = max(largest, n)
+		want := membership.Rank(key, live)[0]
+		if holder, known := w.holder(service); !known || holder != want {
+			t.Fatalf("the holder of %s is %s, want %s", service, holder, want)
 		}
-		if largest > maxPartitionHosts || size <= maxPartitionHosts && len(counts) != 1 {
-			t.Errorf("%d hosts have %d partitions, the largest of %d hosts", size, len(counts), largest)
+		return want
+	}
+	first := expect("llm", members)
+	expect("other", members)
+	changed := slices.Clone(members)
+	for i := range changed {
+		if changed[i].Address == first {
+			changed[i].State = membership.Dead
 		}
 	}
+	out.Publish(&membership.View{Version: 2, Members: changed})
+	if expect("llm", changed) == first {
+		t.Fatal("a dead host holds the list")
+	}
+	out.Publish(&membership.View{Version: 3, Members: members[:100]})
+	expect("llm", members[:100])
+}
+
+// BenchmarkHolder measures what a report or the end of a wait spends on finding the holder.
+func BenchmarkHolder(b *testing.B) {
+	w, _, _ := largeFleet(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.holder("llm")
+	}
 }
 
 // Guards against a message that is changed on the way.
