Bound the waiting lists that other hosts can cause

Within a list, a 'done' of an unknown generation added its account and a placement without a bound. A faulty host, or one with another configuration, could exhaust the memory. Change: waitlist.Lists holds the lists of a host. A report creates one, the end of a wait does not: without a report nobody waits whose order or expected wait depends on the placement. Lists are only created for services with engines by the holder's configuration; a holder without one, as after its start, takes any, so that a restart does not cost the order. A report without a list is answered as by a host without the order, so that its generation searches by itself. A list keeps 8,192 accounts (those beyond share one) and as many placements, the same number as entries: 128 hosts with 16 requests a second each place some 4,000 within the 2 s that count. Announcements of services without engines here are ignored: this host has no generations of theirs. TestUnusedListsAndLongNamesAreNotKept created its list by a 'done', which was the fault; it now creates it by a report and checks the same. Conclusion: the memory of the order has a bound. A service is without order until its configuration has reached the holder.

--- a/internal/decide/waitlist/waitlist.go
+++ b/internal/decide/waitlist/waitlist.go
@@ -53,8 +53,12 @@
 	// its account was admitted beyond others. Without a bound, the largest accounts pay for
 	// an overload that all accounts cause.
 	maxAccountDelay = 0.2
-	// maxEntries bounds the memory of a list.
+	// maxEntries bounds the memory of a list: the entries, the accounts, and the placements
+	// within rateWindow. The hosts of a partition place some 4,000 in that time when each
+	// of 128 has 16 requests a second.
 	maxEntries = 8192
+	// overflowAccount stands for the accounts beyond maxEntries.
+	overflowAccount = ""
 	// accountWeight is the weight of each account.
 	accountWeight = 1
 )
@@ -177,17 +181,34 @@
 func (l *List) Done(now time.Duration, e Entry, placed bool) {
 	l.usedAt = now
 	if placed {
-		l.placements = append(l.recentPlacements(now), placement{now, e.Tokens})
+		l.recordPlacement(now, e.Tokens)
 	}
 	w, known := l.entries[e.ID]
 	switch {
 	case known:
 		l.remove(w, placed)
 	case placed:
-		l.accounts.Charge(l.accounts.UpsertAccount(e.Account, accountWeight, 0), float64(e.Tokens))
+		l.accounts.Charge(l.account(e.Account), float64(e.Tokens))
 	}
 }
 
+// account returns the state of an account. Those beyond the bound share one.
+func (l *List) account(name string) *fairqueue.Account[*waiting] {
+	if l.accounts.Lookup(name) == nil && l.accounts.AccountCount() >= maxEntries {
+		name = overflowAccount
+	}
+	return l.accounts.UpsertAccount(name, accountWeight, 0)
+}
+
+// recordPlacement records a placement, in place of the oldest one if there are too many.
+func (l *List) recordPlacement(now time.Duration, tokens int) {
+	recent := l.recentPlacements(now)
+	if len(recent) >= maxEntries {
+		recent = slices.Delete(recent, 0, 1)
+	}
+	l.placements = append(recent, placement{now, tokens})
+}
+
 // add puts a generation on the list. Until the next sort it is delayed as much as the others
 // of its account are: it must not go before them.
 func (l *List) add(now time.Duration, e Entry) *waiting {
@@ -200,7 +221,7 @@
 	}
 	w.rankAt = w.arrivedAt + delay
 	w.lateRank = w.lateRankAt(now)
-	w.request = l.accounts.Push(l.accounts.UpsertAccount(e.Account, accountWeight, 0), now, 0, w)
+	w.request = l.accounts.Push(l.account(e.Account), now, 0, w)
 	l.entries[e.ID] = w
 	i, _ := slices.BinarySearchFunc(l.ordered, w, compareRank)
 	l.ordered = slices.Insert(l.ordered, i, w)
--- a/internal/decide/waitlist/waitlist_test.go
+++ b/internal/decide/waitlist/waitlist_test.go
@@ -221,6 +221,25 @@
 		Expect(f.Len()).To(Equal(8192))
 		Expect(f.Report(f.now, waitlist.Entry{ID: 9001}).Search).To(BeFalse())
 	})
+
+	// Guards against a faulty host that ends waits which the list does not know, each of
+	// another account.
+	It("keeps a bounded number of accounts and placements", func() {
+		for id := range uint64(9_000) {
+			f.Done(f.now, waitlist.Entry{ID: id + 1, Account: fmt.Sprint(id), Tokens: 1}, true)
+		}
+		Expect(f.AccountCount()).To(BeNumerically("<=", 8193))
+		Expect(f.PlacementCount()).To(Equal(8192))
+		// Those that were admitted before, by reports as well, are kept with their debt.
+		for id := range uint64(9_000) {
+			e := waitlist.Entry{ID: id + 1, Account: fmt.Sprint("r-", id), Tokens: 1}
+			f.Report(f.now, e)
+			f.Done(f.now, e, true)
+		}
+		Expect(f.AccountCount()).To(BeNumerically("<=", 8193))
+		f.wait(waitlist.Entry{ID: 1, Account: "one of too many"}, time.Second)
+		Expect(f.report(1).Search).To(BeTrue())
+	})
 })
 
 // BenchmarkReport measures a report to a list of a thousand entries, as a partition of 128
--- a/internal/gatewayhost/waiting.go
+++ b/internal/gatewayhost/waiting.go
@@ -11,7 +11,9 @@
 	"go.uber.org/fx"
 
 	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/controller/recordsync"
 	"filbertdeck/internal/decide/waitlist"
+	"filbertdeck/internal/directory"
 	"filbertdeck/internal/gateway"
 	"filbertdeck/internal/process"
 )
@@ -24,9 +26,6 @@
 	// silenceBeforeTakeover is how long a holder must have left reports unanswered before
 	// the next host is told: one lost datagram must not divide a list between two holders.
 	silenceBeforeTakeover = 200 * time.Millisecond
-	// listRetention is how long a list without reports is kept. The admitted tokens of the
-	// accounts are kept with it.
-	listRetention = time.Minute
 	// maxWaitText bounds the length of the names of services and accounts, in bytes.
 	maxWaitText = 256
 )
@@ -36,13 +35,14 @@
 type waitingOrder struct {
 	exchange *ownerExchange
 	fleet    *fleetView
+	board    *recordsync.Board
 	now      Clock
 	// live is the live hosts and the holders among them, for the last version of the
 	// membership that was used.
 	live atomic.Pointer[waitlist.Fleet]
 
 	mu    sync.Mutex
-	lists map[waitlist.Key]*waitlist.List
+	lists *waitlist.Lists
 	// announced holds the last announcement for each service, silent the time from which on
 	// a holder has left reports unanswered.
 	announced map[string]announcement
@@ -57,10 +57,10 @@
 
 var _ gateway.WaitingOrder = (*waitingOrder)(nil)
 
-func newWaitingOrder(exchange *ownerExchange, fleet *fleetView, now Clock) *waitingOrder {
+func newWaitingOrder(exchange *ownerExchange, fleet *fleetView, board *recordsync.Board, now Clock) *waitingOrder {
 	return &waitingOrder{
-		exchange: exchange, fleet: fleet, now: now,
-		lists: map[waitlist.Key]*waitlist.List{}, announced: map[string]announcement{}, silent: map[string]time.Duration{},
+		exchange: exchange, fleet: fleet, board: board, now: now,
+		lists: waitlist.NewLists(), announced: map[string]announcement{}, silent: map[string]time.Duration{},
 	}
 }
 
@@ -76,7 +76,7 @@
 		return waitlist.Answer{}, false
 	}
 	if holder == w.fleet.self {
-		return w.record(holder, e), true
+		return w.record(holder, e)
 	}
 	message, ok := w.exchange.queryWithin(queryTimeout, holder, &filbertv1.TargetLoads{WaitReport: encodeWaiting(e)})
 	w.recordAnswer(holder, ok)
@@ -181,38 +181,51 @@
 	case report.GetDone():
 		w.recordDone(sender.String(), decodeWaiting(report), report.GetPlaced())
 	default:
-		answer := w.record(sender.String(), decodeWaiting(report))
-		if err := w.exchange.sendTo(sender, &filbertv1.TargetLoads{Question: message.GetQuestion(), Answer: true, WaitAnswer: encodeWaitAnswer(answer)}); err != nil {
+		answer := &filbertv1.TargetLoads{Question: message.GetQuestion(), Answer: true}
+		// Without a list the answer is that of a host without the order: the generation
+		// searches by itself, and its host does not take this one for silent.
+		if a, ok := w.record(sender.String(), decodeWaiting(report)); ok {
+			answer.WaitAnswer = encodeWaitAnswer(a)
+		}
+		if err := w.exchange.sendTo(sender, answer); err != nil {
 			w.exchange.log.Debug("sending the answer to a waiting generation failed", "to", sender, "error", err)
 		}
 	}
 	return true
 }
 
-// record records a report of a host and returns the answer.
-func (w *waitingOrder) record(host string, e waitlist.Entry) waitlist.Answer {
-	partition := w.liveFleet().Partition(host)
+// record records a report of a host and returns the answer; false if there is no list for it.
+func (w *waitingOrder) record(host string, e waitlist.Entry) (waitlist.Answer, bool) {
+	key, create := w.keyOf(host, e.Service), w.mayHold(e.Service)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.list(waitlist.Key{Service: e.Service, Partition: partition}).Report(w.now(), e)
+	return w.lists.Report(w.now(), key, e, create)
 }
 
 // recordDone records that a generation of a host waits no longer.
 func (w *waitingOrder) recordDone(host string, e waitlist.Entry, placed bool) {
-	partition := w.liveFleet().Partition(host)
+	key := w.keyOf(host, e.Service)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.list(waitlist.Key{Service: e.Service, Partition: partition}).Done(w.now(), e, placed)
+	w.lists.Done(w.now(), key, e, placed)
 }
 
-// list returns a list, which it creates if necessary. The caller holds the mutex.
-func (w *waitingOrder) list(key waitlist.Key) *waitlist.List {
-	l, found := w.lists[key]
-	if !found {
-		l = waitlist.New()
-		w.lists[key] = l
-	}
-	return l
+// keyOf returns the key of the list for a host's generations of a service.
+func (w *waitingOrder) keyOf(host, service string) waitlist.Key {
+	return waitlist.Key{Service: service, Partition: w.liveFleet().Partition(host)}
+}
+
+// mayHold reports whether a list may be created for a service: one with engines by this
+// host's configuration, and any while this host has none. A new process may be a holder
+// before it has the configuration.
+func (w *waitingOrder) mayHold(service string) bool {
+	view := w.board.View.Get()
+	return view == nil || view.Config == nil || hasEngines(view, service)
+}
+
+func hasEngines(view *directory.View, service string) bool {
+	s, known := view.Service(service)
+	return known && s.Engine != nil
 }
 
 // announce tells the hosts of each list held here that generations wait, so that one that
@@ -236,19 +249,12 @@
 	}
 }
 
-// waitingClasses returns the most urgent priority that waits on each list held here.
+// waitingClasses returns the most urgent priority that waits on each list held here, and drops
+// lists that are no longer used.
 func (w *waitingOrder) waitingClasses() map[waitlist.Key]int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	classes := map[waitlist.Key]int{}
-	for key, l := range w.lists {
-		if priority, waits := l.MostUrgent(w.now()); waits {
-			classes[key] = priority
-		} else if w.now()-l.UsedAt() > listRetention {
-			delete(w.lists, key)
-		}
-	}
-	return classes
+	return w.lists.Waiting(w.now())
 }
 
 // dropOutdated drops announcements that hold no longer and the silence of holders that are
@@ -261,8 +267,12 @@
 	maps.DeleteFunc(w.silent, func(_ string, since time.Duration) bool { return now-since >= silenceBeforeTakeover+unresponsivePeriod })
 }
 
-// recordAnnouncement records that generations of a service wait.
+// recordAnnouncement records that generations of a service wait. Services without engines by
+// this host's configuration are left out: this host has no generations of theirs.
 func (w *waitingOrder) recordAnnouncement(service string, priority int) {
+	if view := w.board.View.Get(); view == nil || !hasEngines(view, service) {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.announced[service] = announcement{priority, w.now()}
--- a/internal/gatewayhost/waiting_test.go
+++ b/internal/gatewayhost/waiting_test.go
@@ -11,6 +11,7 @@
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/blackboard"
 	"filbertdeck/internal/controller/gossip"
+	"filbertdeck/internal/controller/recordsync"
 	"filbertdeck/internal/decide/membership"
 	"filbertdeck/internal/decide/waitlist"
 )
@@ -20,12 +21,25 @@
 	t.Helper()
 	var w *waitingOrder
 	startOwnerExchangeWith(t, self, members, func(o *ownerExchange) {
-		w = newWaitingOrder(o, o.fleet, o.now)
+		w = newWaitingOrder(o, o.fleet, o.board, o.now)
 		o.waiting = w
 	})
 	return w
 }
 
+// loneWaitingOrder returns the order of the only host of a fleet, with the configuration of
+// engineView.
+func loneWaitingOrder(t *testing.T, now Clock) *waitingOrder {
+	t.Helper()
+	board := &recordsync.Board{}
+	publish, err := board.View.Claim()
+	if err != nil {
+		t.Fatal(err)
+	}
+	publish.Publish(engineView())
+	return newWaitingOrder(nil, newTestFleetView(t, "10.0.0.1:81", membership.Member{Address: "10.0.0.1:81"}), board, now)
+}
+
 // waitingHosts starts the hosts of a fleet, the first holder of the service's list first.
 func waitingHosts(t *testing.T, service string, count int) (hosts []*waitingOrder) {
 	t.Helper()
@@ -86,7 +100,7 @@
 	}
 	second.mu.Lock()
 	defer second.mu.Unlock()
-	if n := second.lists[waitlist.Key{Service: "llm"}].Len(); n != 1 {
+	if n := second.lists.EntryCount(waitlist.Key{Service: "llm"}); n != 1 {
 		t.Fatalf("the second host has %d entries, want 1", n)
 	}
 }
@@ -145,7 +159,7 @@
 	s := &Settings{}
 	s.Deployment.ListenPeers = members[0].Address
 	now := func() time.Duration { return time.Minute }
-	return newWaitingOrder(nil, newFleetView(s, board, now), now), out, members
+	return newWaitingOrder(nil, newFleetView(s, board, now), &recordsync.Board{}, now), out, members
 }
 
 // Guards against a ranking of all hosts for each report: it allocates the list of those
@@ -219,17 +233,17 @@
 // Guards against lists and names without a bound that other hosts cause.
 func TestUnusedListsAndLongNamesAreNotKept(t *testing.T) {
 	now := time.Minute
-	w := newWaitingOrder(nil, newTestFleetView(t, "10.0.0.1:81", membership.Member{Address: "10.0.0.1:81"}), func() time.Duration { return now })
+	w := loneWaitingOrder(t, func() time.Duration { return now })
 	long := encodeWaiting(waitingEntry(1, 0))
 	long.Service = strings.Repeat("x", maxWaitText+1)
 	w.handle(netip.MustParseAddrPort("10.0.0.1:81"), &filbertv1.TargetLoads{WaitReport: long})
-	w.recordDone("10.0.0.1:81", waitingEntry(1, 0), true)
-	if len(w.lists) != 1 {
-		t.Fatalf("%d lists, want 1", len(w.lists))
+	w.record("10.0.0.1:81", waitingEntry(1, 0))
+	if n := w.lists.Len(); n != 1 {
+		t.Fatalf("%d lists, want 1", n)
 	}
-	now += listRetention + time.Second
+	now += time.Minute + time.Second
 	w.announce()
-	if len(w.lists) != 0 {
+	if w.lists.Len() != 0 {
 		t.Fatal("a list without reports is kept")
 	}
 	if _, ok := w.Report(t.Context(), waitingEntry(2, 0)); !ok {
@@ -237,11 +251,61 @@
 	}
 }
 
+// Guards against memory that a faulty host, or one with another configuration, takes by
+// messages about services without engines here.
+func TestUnknownServicesTakeNoMemory(t *testing.T) {
+	w := loneWaitingOrder(t, func() time.Duration { return time.Minute })
+	sender := netip.MustParseAddrPort("10.0.0.1:81")
+	for i := range 1000 {
+		report := encodeWaiting(waitingEntry(uint64(i), 0))
+		report.Service, report.Done, report.Placed = fmt.Sprint("s-", i), true, true
+		w.handle(sender, &filbertv1.TargetLoads{WaitReport: report})
+		w.handle(sender, &filbertv1.TargetLoads{Answer: true, WaitReport: &filbertv1.WaitReport{Service: report.Service}})
+		if _, ok := w.record("10.0.0.1:81", decodeWaiting(report)); ok {
+			t.Fatal("a report of an unknown service has a list")
+		}
+	}
+	if w.lists.Len() != 0 || len(w.announced) != 0 {
+		t.Fatalf("%d lists and %d announcements of unknown services are kept", w.lists.Len(), len(w.announced))
+	}
+	if _, ok := w.record("10.0.0.1:81", waitingEntry(1, 0)); !ok {
+		t.Fatal("a report of a known service has no list")
+	}
+}
+
+// Guards against generations without an order after their holder was restarted, until it has
+// the configuration.
+func TestHolderWithoutConfigurationHoldsLists(t *testing.T) {
+	fleet := newTestFleetView(t, "10.0.0.1:81", membership.Member{Address: "10.0.0.1:81"})
+	w := newWaitingOrder(nil, fleet, &recordsync.Board{}, func() time.Duration { return time.Minute })
+	if _, ok := w.record("10.0.0.1:81", waitingEntry(1, 0)); !ok {
+		t.Fatal("a report has no list")
+	}
+}
+
+// Guards against a holder that is taken for silent, or an answer that holds generations back,
+// when it has no list for them.
+func TestReportWithoutListIsNotAnswered(t *testing.T) {
+	hosts := waitingHosts(t, "unknown", 2)
+	entry := waitingEntry(1, time.Second)
+	entry.Service = "unknown"
+	for _, host := range hosts {
+		if _, ok := host.Report(t.Context(), entry); ok {
+			t.Fatal("a report without a list has an answer")
+		}
+	}
+	hosts[1].mu.Lock()
+	defer hosts[1].mu.Unlock()
+	if len(hosts[1].silent) != 0 {
+		t.Fatal("a host that answers is taken for silent")
+	}
+}
+
 // Guards against announcements and silent holders that are kept after services were removed
 // and hosts have left.
 func TestOutdatedAnnouncementsAndSilenceAreNotKept(t *testing.T) {
 	now := time.Minute
-	w := newWaitingOrder(nil, newTestFleetView(t, "10.0.0.1:81", membership.Member{Address: "10.0.0.1:81"}), func() time.Duration { return now })
+	w := loneWaitingOrder(t, func() time.Duration { return now })
 	w.recordAnnouncement("llm", 2)
 	w.recordAnswer("10.0.0.9:81", false)
 	now += announcementLifetime
