Have specs of owners and holders wait for the answer that they check

Cause: TestOwnerGrantsRoomOnce, TestRoomAtUnknownEngineIsNotDecided and TestHostsHearThatOthersWait failed on a busy machine. They are not about the time of an answer, but needed each within 15 ms (queryTimeout) over loopback. - TestOwnerGrantsRoomOnce also failed when the grant expired (500 ms) before the second host asked or before the owner asked for itself. Its wait for the released room was 100 tries without a bound in time, so that on a slow machine the grant could expire instead of being released. - TestRoomAtUnknownEngineIsNotDecided took a late answer for none. - TestHostsHearThatOthersWait also failed when the report expired (400 ms) before the announcement, or the announcement (250 ms) before the holder's own check. Change: ownerExchange.answerTimeout is queryTimeout in the product; these specs set 10 s.

--- a/internal/gatewayhost/owners.go
+++ b/internal/gatewayhost/owners.go
@@ -52,6 +52,9 @@
 	now   Clock
 	log   *slog.Logger
 
+	// answerTimeout is queryTimeout outside of tests.
+	answerTimeout time.Duration
+
 	queries, unansweredQueries gometrics.Counter
 	// borrowedRequests and refusedRequests count the requests of targets' rate
 	// limits that other hosts lent or refused to lend.
@@ -74,7 +77,7 @@
 	s *Settings, loads *gateway.TargetLoads, fleet *fleetView, board *recordsync.Board, now Clock, log *slog.Logger, reg gometrics.Registry,
 ) *ownerExchange {
 	return &ownerExchange{
-		self: s.Deployment.ListenPeers, loads: loads, fleet: fleet, board: board, now: now, log: log,
+		self: s.Deployment.ListenPeers, loads: loads, fleet: fleet, board: board, now: now, log: log, answerTimeout: queryTimeout,
 		pendingQueries: map[uint64]chan *filbertv1.TargetLoads{}, unansweredAt: map[string]time.Time{},
 		queries: gometrics.GetOrRegisterCounter("owners.asked", reg), unansweredQueries: gometrics.GetOrRegisterCounter("owners.unanswered", reg),
 		borrowedRequests: gometrics.GetOrRegisterCounter("rates.borrowed", reg), refusedRequests: gometrics.GetOrRegisterCounter("rates.refused", reg),
@@ -174,7 +177,7 @@
 // arrives in time. A host that does not answer is marked as unresponsive.
 func (o *ownerExchange) query(host string, message *filbertv1.TargetLoads) (*filbertv1.TargetLoads, bool) {
 	o.queries.Inc(1)
-	answer, ok := o.queryWithin(queryTimeout, host, message)
+	answer, ok := o.queryWithin(o.answerTimeout, host, message)
 	if !ok {
 		o.unansweredQueries.Inc(1)
 		o.markUnresponsive(host)
--- a/internal/gatewayhost/waiting.go
+++ b/internal/gatewayhost/waiting.go
@@ -78,7 +78,7 @@
 	if holder == w.fleet.self {
 		return w.record(holder, e)
 	}
-	message, ok := w.exchange.queryWithin(queryTimeout, holder, &filbertv1.TargetLoads{WaitReport: encodeWaiting(e)})
+	message, ok := w.exchange.queryWithin(w.exchange.answerTimeout, holder, &filbertv1.TargetLoads{WaitReport: encodeWaiting(e)})
 	w.recordAnswer(holder, ok)
 	// A host without this build answers without an answer to the report.
 	if message.GetWaitAnswer() == nil {
