--- a/internal/gatewayhost/waiting.go
+++ b/internal/gatewayhost/waiting.go
@@ -2,31 +2,23 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
-	"math/bits"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/fx"
 
 	"filbertdeck/internal/api/filbertv1"
-	"filbertdeck/internal/decide/membership"
+	"filbertdeck/internal/controller/recordsync"
 	"filbertdeck/internal/decide/waitlist"
+	"filbertdeck/internal/directory"
 	"filbertdeck/internal/gateway"
 	"filbertdeck/internal/process"
 )
 
 const (
-	// holdersPerList is the number of hosts that may hold a list: the holder and the host
-	// that takes over when it fails.
-	holdersPerList = 2
-	// maxPartitionHosts is the largest number of hosts that share a list, and
-	// meanPartitionHosts the largest mean in a fleet of several partitions: hashing
-	// distributes hosts unevenly.
-	maxPartitionHosts, meanPartitionHosts = 128, 96
 	// announceInterval is the time between two announcements of a holder that generations
 	// wait. An announcement holds for announcementLifetime, so that one may be lost.
 	announceInterval     = 100 * time.Millisecond
@@ -34,9 +26,6 @@
 	// silenceBeforeTakeover is how long a holder must have left reports unanswered before
 	// the next host is told: one lost datagram must not divide a list between two holders.
 	silenceBeforeTakeover = 200 * time.Millisecond
-	// listRetention is how long a list without reports is kept. The admitted tokens of the
-	// accounts are kept with it.
-	listRetention = time.Minute
 	// maxWaitText bounds the length of the names of services and accounts, in bytes.
 	maxWaitText = 256
 )
@@ -46,22 +35,20 @@
 type waitingOrder struct {
 	exchange *ownerExchange
 	fleet    *fleetView
+	board    *recordsync.Board
 	now      Clock
+	// live is the live hosts and the holders among them, for the last version of the
+	// membership that was used.
+	live atomic.Pointer[waitlist.Fleet]
 
 	mu    sync.Mutex
-	lists map[listKey]*waitlist.List
+	lists *waitlist.Lists
 	// announced holds the last announcement for each service, silent the time from which on
 	// a holder has left reports unanswered.
 	announced map[string]announcement
 	silent    map[string]time.Duration
 }
 
-// listKey identifies a list: a service's generations at the hosts of a partition.
-type listKey struct {
-	service   string
-	partition int
-}
-
 // announcement is the priority of the most urgent generation that waits, as heard at a time.
 type announcement struct {
 	priority int
@@ -70,10 +57,10 @@
 
 var _ gateway.WaitingOrder = (*waitingOrder)(nil)
 
-func newWaitingOrder(exchange *ownerExchange, fleet *fleetView, now Clock) *waitingOrder {
+func newWaitingOrder(exchange *ownerExchange, fleet *fleetView, board *recordsync.Board, now Clock) *waitingOrder {
 	return &waitingOrder{
-		exchange: exchange, fleet: fleet, now: now,
-		lists: map[listKey]*waitlist.List{}, announced: map[string]announcement{}, silent: map[string]time.Duration{},
+		exchange: exchange, fleet: fleet, board: board, now: now,
+		lists: waitlist.NewLists(), announced: map[string]announcement{}, silent: map[string]time.Duration{},
 	}
 }
 
@@ -89,9 +76,9 @@
 		return waitlist.Answer{}, false
 	}
 	if holder == w.fleet.self {
-		return w.record(holder, e), true
+		return w.record(holder, e)
 	}
-	message, ok := w.exchange.queryWithin(queryTimeout, holder, &filbertv1.TargetLoads{WaitReport: encodeWaiting(e)})
+	message, ok := w.exchange.queryWithin(w.exchange.answerTimeout, holder, &filbertv1.TargetLoads{WaitReport: encodeWaiting(e)})
 	w.recordAnswer(holder, ok)
 	// A host without this build answers without an answer to the report.
 	if message.GetWaitAnswer() == nil {
@@ -125,8 +112,7 @@
 // holder returns the host that holds the list of this host's generations of a service; false
 // if none is known.
 func (w *waitingOrder) holder(service string) (string, bool) {
-	key := listKey{service, w.partition(w.fleet.self)}
-	holders := membership.TopRanked(key.rankKey(), w.fleet.liveHosts(""), holdersPerList)
+	holders := w.holders(service)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, host := range holders {
@@ -145,6 +131,32 @@
 	return holders[0], true
 }
 
+// liveFleet returns the live hosts. A newer list of hosts that is stored with an older version
+// is replaced by the next call.
+func (w *waitingOrder) liveFleet() *waitlist.Fleet {
+	version := w.fleet.version()
+	if fleet := w.live.Load(); fleet != nil && fleet.Version == version {
+		return fleet
+	}
+	fleet := waitlist.NewFleet(version, w.fleet.liveHosts(""))
+	w.live.Store(fleet)
+	return fleet
+}
+
+// holders returns the hosts that may hold the list of this host's generations of a service.
+func (w *waitingOrder) holders(service string) []string {
+	fleet := w.liveFleet()
+	key := waitlist.Key{Service: service, Partition: fleet.Partition(w.fleet.self)}
+	holders, ranked := fleet.Holders(key)
+	if !ranked {
+		next := fleet.WithHolders(key)
+		// If another list was added meanwhile, the next report adds this one.
+		w.live.CompareAndSwap(fleet, next)
+		holders, _ = next.Holders(key)
+	}
+	return holders
+}
+
 // recordAnswer records whether a holder answered a report.
 func (w *waitingOrder) recordAnswer(holder string, answered bool) {
 	w.mu.Lock()
@@ -156,25 +168,6 @@
 	}
 }
 
-// rankKey returns the text by which hosts rank as holders of a list.
-func (k listKey) rankKey() string {
-	if k.partition == 0 {
-		return "waiting/" + k.service
-	}
-	return fmt.Sprintf("waiting/%s/%d", k.service, k.partition)
-}
-
-// partition returns the partition of a host. Their number is a power of two, so that it
-// rarely changes.
-func (w *waitingOrder) partition(host string) int {
-	live := len(w.fleet.liveHosts(""))
-	if live <= maxPartitionHosts {
-		return 0
-	}
-	partitions := uint64(1) << bits.Len(uint((live-1)/meanPartitionHosts))
-	return int(xxhash.Sum64String(host) % partitions)
-}
-
 // handle takes in a message of another host; false if it does not concern waiting
 // generations, or answers a query of this host.
 func (w *waitingOrder) handle(sender netip.AddrPort, message *filbertv1.TargetLoads) bool {
@@ -188,38 +181,51 @@
 	case report.GetDone():
 		w.recordDone(sender.String(), decodeWaiting(report), report.GetPlaced())
 	default:
-		answer := w.record(sender.String(), decodeWaiting(report))
-		if err := w.exchange.sendTo(sender, &filbertv1.TargetLoads{Question: message.GetQuestion(), Answer: true, WaitAnswer: encodeWaitAnswer(answer)}); err != nil {
+		answer := &filbertv1.TargetLoads{Question: message.GetQuestion(), Answer: true}
+		// Without a list the answer is that of a host without the order: the generation
+		// searches by itself, and its host does not take this one for silent.
+		if a, ok := w.record(sender.String(), decodeWaiting(report)); ok {
+			answer.WaitAnswer = encodeWaitAnswer(a)
+		}
+		if err := w.exchange.sendTo(sender, answer); err != nil {
 			w.exchange.log.Debug("sending the answer to a waiting generation failed", "to", sender, "error", err)
 		}
 	}
 	return true
 }
 
-// record records a report of a host and returns the answer.
-func (w *waitingOrder) record(host string, e waitlist.Entry) waitlist.Answer {
-	partition := w.partition(host)
+// record records a report of a host and returns the answer; false if there is no list for it.
+func (w *waitingOrder) record(host string, e waitlist.Entry) (waitlist.Answer, bool) {
+	key, create := w.keyOf(host, e.Service), w.mayHold(e.Service)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.list(listKey{e.Service, partition}).Report(w.now(), e)
+	return w.lists.Report(w.now(), key, e, create)
 }
 
 // recordDone records that a generation of a host waits no longer.
 func (w *waitingOrder) recordDone(host string, e waitlist.Entry, placed bool) {
-	partition := w.partition(host)
+	key := w.keyOf(host, e.Service)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.list(listKey{e.Service, partition}).Done(w.now(), e, placed)
+	w.lists.Done(w.now(), key, e, placed)
 }
 
-// list returns a list, which it creates if necessary. The caller holds the mutex.
-func (w *waitingOrder) list(key listKey) *waitlist.List {
-	l, found := w.lists[key]
-	if !found {
-		l = waitlist.New()
-		w.lists[key] = l
-	}
-	return l
+// keyOf returns the key of the list for a host's generations of a service.
+func (w *waitingOrder) keyOf(host, service string) waitlist.Key {
+	return waitlist.Key{Service: service, Partition: w.liveFleet().Partition(host)}
+}
+
+// mayHold reports whether a list may be created for a service: one with engines by this
+// host's configuration, and any while this host has none. A new process may be a holder
+// before it has the configuration.
+func (w *waitingOrder) mayHold(service string) bool {
+	view := w.board.View.Get()
+	return view == nil || view.Config == nil || hasEngines(view, service)
+}
+
+func hasEngines(view *directory.View, service string) bool {
+	s, known := view.Service(service)
+	return known && s.Engine != nil
 }
 
 // announce tells the hosts of each list held here that generations wait, so that one that
@@ -227,14 +233,15 @@
 // is no longer used.
 func (w *waitingOrder) announce() {
 	w.dropOutdated()
+	fleet := w.liveFleet()
 	for key, priority := range w.waitingClasses() {
 		// An answer without a question is ignored by hosts without this build.
-		message := &filbertv1.TargetLoads{Answer: true, WaitReport: &filbertv1.WaitReport{Service: key.service, Priority: int32(priority)}}
-		for _, host := range w.fleet.liveHosts("") {
+		message := &filbertv1.TargetLoads{Answer: true, WaitReport: &filbertv1.WaitReport{Service: key.Service, Priority: int32(priority)}}
+		for _, host := range fleet.Hosts() {
 			switch {
-			case w.partition(host) != key.partition:
+			case fleet.Partition(host) != key.Partition:
 			case host == w.fleet.self:
-				w.recordAnnouncement(key.service, priority)
+				w.recordAnnouncement(key.Service, priority)
 			default:
 				w.exchange.send(host, message)
 			}
@@ -242,19 +249,12 @@
 	}
 }
 
-// waitingClasses returns the most urgent priority that waits on each list held here.
-func (w *waitingOrder) waitingClasses() map[listKey]int {
+// waitingClasses returns the most urgent priority that waits on each list held here, and drops
+// lists that are no longer used.
+func (w *waitingOrder) waitingClasses() map[waitlist.Key]int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	classes := map[listKey]int{}
-	for key, l := range w.lists {
-		if priority, waits := l.MostUrgent(w.now()); waits {
-			classes[key] = priority
-		} else if w.now()-l.UsedAt() > listRetention {
-			delete(w.lists, key)
-		}
-	}
-	return classes
+	return w.lists.Waiting(w.now())
 }
 
 // dropOutdated drops announcements that hold no longer and the silence of holders that are
@@ -267,8 +267,12 @@
 	maps.DeleteFunc(w.silent, func(_ string, since time.Duration) bool { return now-since >= silenceBeforeTakeover+unresponsivePeriod })
 }
 
-// recordAnnouncement records that generations of a service wait.
+// recordAnnouncement records that generations of a service wait. Services without engines by
+// this host's configuration are left out: this host has no generations of theirs.
 func (w *waitingOrder) recordAnnouncement(service string, priority int) {
+	if view := w.board.View.Get(); view == nil || !hasEngines(view, service) {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.announced[service] = announcement{priority, w.now()}
