--- a/internal/decide/contention/contention.go
+++ b/internal/decide/contention/contention.go
@@ -60,10 +60,6 @@
 	return p.MostUrgentObjective > 0 && priority > p.MostUrgentPriority && objective >= yieldFactor*p.MostUrgentObjective
 }
 
-// MostUrgent reports whether no generation of the service is more urgent than one of the given
-// priority, of an account or a route. Engines support no priority below 0.
-func (p Policy) MostUrgent(priority int) bool { return priority <= max(p.MostUrgentPriority, 0) }
-
 // shorter returns the shorter of two objectives, of which 0 means none.
 func shorter(a, b time.Duration) time.Duration {
 	if a <= 0 {
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -296,7 +296,7 @@
 // deferred returns the generation as one that waits for an engine with room.
 func (gen *generation) deferred() deferral.Generation {
 	return deferral.Generation{
-		Urgent: gen.waitsAsMostUrgent(), Waited: time.Since(gen.ArrivedAt), Timeout: gen.deadline.Sub(gen.ArrivedAt),
+		Urgent: gen.mostUrgent(), Waited: time.Since(gen.ArrivedAt), Timeout: gen.deadline.Sub(gen.ArrivedAt),
 		FirstTokenObjective: gen.route.LatencyObjective, TimeToFirstToken: gen.g.cfg.Loads.TimeToFirstToken(gen.Prompt),
 	}
 }
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -38,31 +38,18 @@
 	firstAhead int
 }
 
-// newTurns returns the turns of a generation; nil if it waits without an order over all hosts.
-// The most urgent ones go before all others and wait for as long as they can be in time at
-// most, so that a wait for a turn would only make them late.
+// newTurns returns the turns of a generation; nil if those of its service wait without an
+// order over all hosts. The most urgent ones go before all others and wait for as long as
+// they can be in time at most, so that a wait for a turn would only make them late.
 func (gen *generation) newTurns() *turns {
 	g := gen.g
-	if !gen.waitsInOrder() || gen.waitsAsMostUrgent() {
+	if g.cfg.WaitingOrder == nil || !g.cfg.Loads.SendsToOwnersOnly() || !g.cfg.Scheduling.WaitingOrder.On(gen.view.ContentionPolicy(gen.service.Name)) {
 		return nil
 	}
-	return &turns{gen: gen, order: g.cfg.WaitingOrder, id: rand.Uint64(), firstAhead: -1}
-}
-
-// waitsInOrder reports whether the generations of the service wait in an order over all hosts.
-func (gen *generation) waitsInOrder() bool {
-	g := gen.g
-	return g.cfg.WaitingOrder != nil && g.cfg.Loads.SendsToOwnersOnly() && g.cfg.Scheduling.WaitingOrder.On(gen.contentionPolicy())
-}
-
-// waitsAsMostUrgent reports whether no waiting generation of the service precedes the
-// generation. In the order of all hosts its own priority decides this, as at engines: an
-// account's, if it has one. Without the order the priority of the route does.
-func (gen *generation) waitsAsMostUrgent() bool {
-	if gen.waitsInOrder() {
-		return gen.contentionPolicy().MostUrgent(gen.priority())
+	if gen.mostUrgent() {
+		return nil
 	}
-	return gen.mostUrgent()
+	return &turns{gen: gen, order: g.cfg.WaitingOrder, id: rand.Uint64(), firstAhead: -1}
 }
 
 // entry returns the generation as one that waits.
