Give the second host that is asked for a request as long as the first

Cause: a host that does not answer takes 250 ms of the 400 ms for all hosts, which leaves the next one at most 150 ms. The timer that gives up the silent host fires late in a process that is delayed, and then no other host is asked, although the caller has seconds left.

Change: the first two hosts have 250 ms each. Further ones have what is left of 400 ms, as before. A caller whose hosts are all silent waits for 500 ms instead of 400. The time for one host can be set, for the spec.

Ruled out: a connection to the target that is used again (each request has its own), a choice of the silent host twice (it is left out for 2 s).

Conclusion: a fault of the product is mended.

--- a/internal/gateway/cut_harness_test.go
+++ b/internal/gateway/cut_harness_test.go
@@ -48,15 +48,16 @@
 
 // relayWithMetrics is relayThrough with the relay's metrics.
 func relayWithMetrics(addresses ...string) (*relay.Client, gometrics.Registry) {
-	return relayAmong(func() []string { return addresses })
+	return relayAmong(func() (near, all []string) { return addresses, addresses }, 0)
 }
 
-// relayAmong is relayWithMetrics with hosts that change.
-func relayAmong(hosts func() []string) (*relay.Client, gometrics.Registry) {
+// relayAmong is relayWithMetrics with hosts that change, and the time for one host, 0 for
+// the default.
+func relayAmong(hosts relay.Hosts, hostTimeout time.Duration) (*relay.Client, gometrics.Registry) {
 	start, registry := time.Now(), gometrics.NewRegistry()
 	c := relay.NewClient(relay.ClientConfig{
-		Hosts: func() (near, all []string) { return hosts(), hosts() },
-		Log:   slog.New(slog.DiscardHandler), Metrics: registry, Now: func() time.Duration { return time.Since(start) },
+		Hosts: hosts, HostTimeout: hostTimeout,
+		Log: slog.New(slog.DiscardHandler), Metrics: registry, Now: func() time.Duration { return time.Since(start) },
 	})
 	DeferCleanup(c.Close)
 	return c, registry
--- a/internal/gateway/peer_requests_test.go
+++ b/internal/gateway/peer_requests_test.go
@@ -266,12 +266,12 @@
 		peer := startGateway()
 		addresses := []string{servePeer(peer)}
 		var found atomic.Bool
-		client, _ := relayAmong(func() []string {
+		client, _ := relayAmong(func() (near, all []string) {
 			if !found.Load() {
-				return nil
+				return nil, nil
 			}
-			return addresses
-		})
+			return addresses, addresses
+		}, 0)
 		host := startGatewayWithRelay(client)
 		first, done := leave(host, peer)
 		Eventually(gometrics.GetOrRegisterCounter("gateway.copies_failed", host.metrics).Count, "5s", "1ms").Should(BeNumerically(">", 0))
@@ -477,4 +477,19 @@
 			Expect(strings.TrimSpace(res.header.Get(standin.HeaderSeal))).To(Equal("s1"))
 		}
 	})
+
+	// Guards against a host that is left too little time, because one that was asked before
+	// did not answer. The first one takes longer than the time for all hosts.
+	It("leads over a host that is asked late", func() {
+		target := startTarget("app-1", respond(completeAnswer))
+		dead, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(dead.Close)
+		peer := startGateway(target.directoryEntry("app", "dc-1"))
+		address := servePeer(peer)
+		client, _ := relayAmong(func() (near, all []string) { return []string{dead.Addr().String()}, []string{address} }, time.Second)
+		host := startGatewayWithRelay(client, target.directoryEntry("app", "dc-1"))
+		host.cut.set(refused)
+		Expect(host.do(host.request(http.MethodPost, "/book/1")).status).To(Equal(http.StatusOK))
+	})
 })
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -33,13 +33,17 @@
 const (
 	// maxHosts limits the hosts that are asked for one request.
 	maxHosts = 4
-	// hostTimeout bounds the time in which one host must have connected to the
+	// defaultHostTimeout bounds the time in which one host must have connected to the
 	// target. A round trip between data centres and a connection take some ten
 	// milliseconds.
-	hostTimeout = 250 * time.Millisecond
+	defaultHostTimeout = 250 * time.Millisecond
 	// findTimeout bounds the time for all of them, in which the deadline that is
 	// written in the request grows stale.
 	findTimeout = 400 * time.Millisecond
+	// minHosts is the number of hosts that are each given the whole time for one host
+	// even if findTimeout passes meanwhile. Otherwise a host that does not answer leaves
+	// the next one 150 ms, and none if this process is delayed.
+	minHosts = 2
 	// notFoundRetryAfter is returned when no host was found. Partitions heal, and
 	// targets are replaced, within a few seconds.
 	notFoundRetryAfter = 500 * time.Millisecond
@@ -61,10 +65,13 @@
 type ClientConfig struct {
 	// Hosts returns the hosts of this host's data centre, and those of all data
 	// centres in its region.
-	Hosts   Hosts
-	Creds   rpc.Credentials
-	Log     *slog.Logger
-	Metrics gometrics.Registry
+	Hosts Hosts
+	// HostTimeout bounds the time in which one host must have connected to the target; 0
+	// for the default.
+	HostTimeout time.Duration
+	Creds       rpc.Credentials
+	Log         *slog.Logger
+	Metrics     gometrics.Registry
 	// Now returns the time of the process's monotonic clock.
 	Now func() time.Duration
 }
@@ -83,6 +90,9 @@
 
 // NewClient returns a client without connections.
 func NewClient(cfg ClientConfig) *Client {
+	if cfg.HostTimeout == 0 {
+		cfg.HostTimeout = defaultHostTimeout
+	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Client{
 		cfg: cfg, selector: relaypeers.New(rng), conns: map[string]*connection{},
@@ -115,13 +125,17 @@
 	// unreachable is the failure of the first host that could not reach the target. A
 	// second one is asked, since the first may have just been partitioned itself.
 	var unreachable error
-	for len(tried) < maxHosts && time.Now().Before(findBy) && req.Context().Err() == nil {
+	for len(tried) < maxHosts && (len(tried) < minHosts || time.Now().Before(findBy)) && req.Context().Err() == nil {
 		host, ok := c.choose(s.Target.Service, tried)
 		if !ok {
 			break
 		}
+		timeout := c.cfg.HostTimeout
+		if len(tried) >= minHosts {
+			timeout = min(timeout, time.Until(findBy))
+		}
 		tried = append(tried, host)
-		exchange, err := c.connect(req.Context(), host, message, min(hostTimeout, time.Until(findBy)))
+		exchange, err := c.connect(req.Context(), host, message, timeout)
 		switch {
 		case err == nil:
 			c.record(host, s.Target.Service, nil)
