--- a/internal/gateway/move_room_test.go
+++ b/internal/gateway/move_room_test.go
@@ -323,29 +323,23 @@
 		Entry("after it", time.Duration(0), 1500*time.Millisecond),
 	)
 
-	// Guards against a second run of a generation that may run once: a closed stream does
-	// not prove that the engine has not run it.
-	It("stay if they may run only once", func() {
-		gw := startContendedGateway(unchanged)
-		for i := range gw.cfg.Routes {
-			gw.cfg.Routes[i].MaxAttempts = 2
-		}
-		gw.publish(entryOf(first))
-		expectWhole(events, leave(gw, "/report/"), 5*time.Second)
-		Expect(newRuns(first, second)).To(Equal(1))
-		Expect(gw.counter("gateway.withdrawn")).To(BeZero())
-	})
-
-	// Guards against more runs than the route allows.
-	It("stay if their attempts are used up", func() {
-		gw := startContendedGateway(unchanged)
-		for i := range gw.cfg.Routes {
-			gw.cfg.Routes[i].MaxAttempts = 1
-		}
-		gw.publish(entryOf(first))
-		expectWhole(events, leave(gw, "/brief/"), 5*time.Second)
-		Expect(newRuns(first, second)).To(Equal(1))
-	})
+	DescribeTable("stay",
+		func(attempts int, path string) {
+			gw := startContendedGateway(unchanged)
+			for i := range gw.cfg.Routes {
+				gw.cfg.Routes[i].MaxAttempts = attempts
+			}
+			gw.publish(entryOf(first))
+			expectWhole(events, leave(gw, path), 5*time.Second)
+			Expect(newRuns(first, second)).To(Equal(1))
+			Expect(gw.counter("gateway.withdrawn")).To(BeZero())
+		},
+		// Guards against a second run of a generation that may run once: a closed stream does
+		// not prove that the engine has not run it.
+		Entry("if they may run only once", 2, "/report/"),
+		// Guards against more runs than the route allows.
+		Entry("if their attempts are used up", 1, "/brief/"),
+	)
 
 	// Guards against withdrawals that add load beyond the retries that a service may cause.
 	It("stay if the retry budget is used up", func() {
--- a/internal/gateway/room_grants_play_test.go
+++ b/internal/gateway/room_grants_play_test.go
@@ -87,8 +87,7 @@
 
 var _ = Describe("a burst with simultaneous searches", func() {
 	// Guards against hosts that take the same room at once, so that engines preempt
-	// streams which have begun, and against a remedy that makes first events late. Two plays
-	// of one seed differ by some preemptions, as hosts query owners in parallel.
+	// streams which have begun, and against a remedy that makes first events late.
 	It("preempts less when owners grant the room", func() {
 		var preemptions [2]uint64
 		var late [2]int
