Log why a request that is in three crashes is not refused

A host that holds three crashes of a request and does not refuse it said nothing, so that crashes that count once, crashes that weigh little since the request had completed, and crashes that are not there looked alike.

Adds a line and a gauge for undecided features (crashes, weight, span, whether completed before), a line for each crash learned from another host, and the crash's id in 'target crashed'.

--- a/internal/decide/poison/causes.go
+++ b/internal/decide/poison/causes.go
@@ -43,11 +43,13 @@
 // them is taken first, and the crashes that it explains no longer count against the
 // others, which were only in its company.
 func (d *Detector) findCauses(now time.Duration) {
-	candidates := d.tallies(now)
+	counted := d.countedCrashes(now)
+	candidates := d.candidates(now, counted)
 	explained := make([]bool, len(d.crashes))
 	for {
 		best := d.mostUnexplained(candidates, explained)
 		if best == nil {
+			d.undecided = d.findUndecided(counted, explained)
 			return
 		}
 		for _, t := range candidates {
@@ -89,12 +91,42 @@
 	d.evidence[t.feature] = e
 }
 
-// tallies returns the features with enough evidence to be a cause of crashes, in the
+// Undecided is a feature that is in as many crashes as lead to a refusal, and is not refused.
+type Undecided struct {
+	Feature uint64
+	// Part is set for a part of prompts.
+	Part bool
+	// Crashes is the number of crashes since the last completion that no refused feature
+	// explains, Weight what they count together, Span the time from the
+	// first to the last.
+	Crashes, Weight int
+	Span            time.Duration
+	// Completed is set if a request with the feature has completed.
+	Completed bool
+}
+
+// findUndecided returns the features that are in enough crashes which are not explained,
+// and do not weigh enough, in the order of the features.
+func (d *Detector) findUndecided(counted map[uint64]*tally, explained []bool) []Undecided {
+	var out []Undecided
+	for f, t := range counted {
+		open := slices.DeleteFunc(slices.Clone(t.crashes), func(i int) bool { return explained[i] })
+		if len(open) < crashesToRefuse {
+			continue
+		}
+		span := d.crashes[open[len(open)-1]].at - d.crashes[open[0]].at
+		out = append(out, Undecided{Feature: f, Part: t.part, Crashes: len(open), Weight: d.unexplainedWeight(*t, explained), Span: span, Completed: t.known})
+	}
+	slices.SortFunc(out, func(a, b Undecided) int { return cmp.Compare(a.Feature, b.Feature) })
+	return out
+}
+
+// candidates returns the features with enough evidence to be a cause of crashes, in the
 // order of the features.
-func (d *Detector) tallies(now time.Duration) []tally {
+func (d *Detector) candidates(now time.Duration, counted map[uint64]*tally) []tally {
 	var enough []tally
 	none := make([]bool, len(d.crashes))
-	for _, t := range d.countedCrashes(now) {
+	for _, t := range counted {
 		if d.unexplainedWeight(*t, none) < blockedWeight {
 			continue
 		}
--- a/internal/decide/poison/detector.go
+++ b/internal/decide/poison/detector.go
@@ -124,6 +124,8 @@
 	evidence map[uint64]featureEvidence
 	// outdated is set if evidence has not been computed since the last news.
 	outdated bool
+	// undecided are the features in many crashes that are not refused.
+	undecided []Undecided
 	// nextExpiry is when the evidence changes without news.
 	nextExpiry  time.Duration
 	completions recentCompletions
@@ -317,6 +319,18 @@
 	return refused
 }
 
+// Undecided returns the features that are in as many crashes as lead to a refusal, and are
+// not refused.
+func (d *Detector) Undecided(now time.Duration) []Undecided {
+	d.refresh(now)
+	return d.undecided
+}
+
+// Knows reports whether a crash is among the evidence.
+func (d *Detector) Knows(id uint64) bool {
+	return slices.ContainsFunc(d.crashes, func(c crash) bool { return c.id == id })
+}
+
 // SuspectCount returns the number of features for which there is evidence.
 func (d *Detector) SuspectCount(now time.Duration) int {
 	d.refresh(now)
--- a/internal/decide/poison/evidence.go
+++ b/internal/decide/poison/evidence.go
@@ -14,9 +14,12 @@
 	fullWeight      = 4
 	weakWeight      = 1
 	exclusiveWeight = 2 * fullWeight
-	blockedWeight   = 3 * fullWeight
+	blockedWeight   = crashesToRefuse * fullWeight
 )
 
+// crashesToRefuse is the number of crashes that lead to a refusal if each counts in full.
+const crashesToRefuse = 3
+
 // CrashID identifies the death of one incarnation of a target, so that a death
 // that several processes report counts once.
 func CrashID(target string, incarnation uint64) uint64 {
--- a/internal/gateway/crash_evidence.go
+++ b/internal/gateway/crash_evidence.go
@@ -55,6 +55,9 @@
 	sweptAt time.Duration
 	// refused holds the verdicts that were logged last, by feature.
 	refused map[uint64]int
+	// undecided holds the numbers of crashes that were logged last for features that are not
+	// refused, by feature.
+	undecided map[uint64]int
 	// changed is signalled when there is new evidence for other hosts.
 	changed chan struct{}
 }
@@ -70,6 +73,7 @@
 		testRuns:   gometrics.GetOrRegisterCounter("gateway.crash_test_runs", reg),
 	}
 	_ = reg.Register("gateway.crash_suspects", gometrics.NewFunctionalGauge(s.suspectCount))
+	_ = reg.Register("gateway.crash_undecided", gometrics.NewFunctionalGauge(s.undecidedCount))
 	_ = reg.Register("gateway.crash_verdicts", gometrics.NewFunctionalGauge(s.verdictCount))
 	return s
 }
@@ -82,8 +86,31 @@
 	return int64(len(s.refused))
 }
 
+// undecidedCount returns the number of features in many crashes that are not refused.
+func (s *CrashEvidence) undecidedCount() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.logVerdicts()
+	return int64(len(s.undecided))
+}
+
+// logUndecided logs which features are in many crashes and not refused, again after each
+// further crash. The caller holds the mutex.
+func (s *CrashEvidence) logUndecided() {
+	undecided := map[uint64]int{}
+	for _, u := range s.detector.Undecided(s.now()) {
+		undecided[u.Feature] = u.Crashes
+		if u.Crashes > s.undecided[u.Feature] {
+			s.log.Info("not refused in spite of crashes", "feature", fmt.Sprintf("%016x", u.Feature), "part", u.Part,
+				"crashes", u.Crashes, "weight", u.Weight, "span", u.Span, "completed", u.Completed)
+		}
+	}
+	s.undecided = undecided
+}
+
 // logVerdicts logs which verdicts came and went. The caller holds the mutex.
 func (s *CrashEvidence) logVerdicts() {
+	s.logUndecided()
 	refused := s.detector.Refused(s.now())
 	for f, crashes := range refused {
 		if _, before := s.refused[f]; !before {
@@ -188,9 +215,10 @@
 func (s *CrashEvidence) recordCrash(target *directory.ObservedTarget, suspects []poison.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.detector.AddCrash(s.now(), poison.CrashID(target.ID, uint64(target.StartedUnixMilli)), suspects)
+	id := poison.CrashID(target.ID, uint64(target.StartedUnixMilli))
+	s.detector.AddCrash(s.now(), id, suspects)
 	s.recorded.Inc(1)
-	s.log.Warn("target crashed", "target", target.ID, "started", target.StartedUnixMilli, "suspects", len(suspects))
+	s.log.Warn("target crashed", "target", target.ID, "started", target.StartedUnixMilli, "crash", fmt.Sprintf("%016x", id), "suspects", len(suspects))
 	s.logVerdicts()
 	wake.Signal(s.changed)
 }
@@ -220,6 +248,11 @@
 func (s *CrashEvidence) Merge(crashes []poison.Crash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, c := range crashes {
+		if !s.detector.Knows(c.ID) {
+			s.log.Info("crash learned from another host", "crash", fmt.Sprintf("%016x", c.ID), "age", c.Age, "suspects", len(c.Suspects))
+		}
+	}
 	if s.detector.Merge(s.now(), crashes) {
 		s.learned.Inc(1)
 		s.logVerdicts()
