Specs of a request that ends all targets of a service together, red

Five losses of a rack pass; counting each crash alone refuses 41 to 222 requests for sound content in four of these.

The specs of what must not be refused pass: a rack's loss with new content or a new part on some of its targets, frequent content after the loss of all targets, a deadly request beside a rack's loss.

--- a/internal/decide/poison/fleet_test.go
+++ b/internal/decide/poison/fleet_test.go
@@ -1,6 +1,7 @@
 package poison_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -58,11 +59,33 @@
 	joinAt time.Duration
 	// lossRate is the share of the messages between hosts that is lost.
 	lossRate float64
+	// hostCount and targets are the dimensions if they differ from the usual ones. A play
+	// with targets of its own sends each request to the one with the fewest runs.
+	hostCount, targets int
+	// tick is the length of a step if it differs from the usual one.
+	tick time.Duration
+	// copies is the number of deadly requests that come at the same time; 0 for one.
+	copies int
+	// certaintySpread is how much later than verifyTime a host may be certain of an end.
+	certaintySpread time.Duration
+	// soundUntil is the time from which on what crashes targets does so; it completes before.
+	soundUntil time.Duration
+	// rackAt is when the targets of a rack end, rackSize their number, rackSpread the time
+	// in which they do.
+	rackAt     time.Duration
+	rackSize   int
+	rackSpread time.Duration
+	// askedAt is when a new sound content comes for the first time, askedCopies times at once,
+	// then every askedPeriod.
+	askedAt     time.Duration
+	askedCopies int
+	askedPeriod time.Duration
 }
 
 // weigher is a way of weighing crashes, one instance a host.
 type weigher interface {
-	addCrash(now time.Duration, id uint64, suspects []poison.Request)
+	// addCrash records at a time a crash whose connections broke at another.
+	addCrash(now, endedAt time.Duration, id uint64, suspects []poison.Request)
 	// addCompletion reports whether other hosts should be told.
 	addCompletion(now time.Duration, r poison.Request) bool
 	refuses(now time.Duration, r poison.Request) bool
@@ -72,7 +95,7 @@
 // detectorWeigher weighs with the detector.
 type detectorWeigher struct{ *poison.Detector }
 
-func (w detectorWeigher) addCrash(now time.Duration, id uint64, suspects []poison.Request) {
+func (w detectorWeigher) addCrash(now, _ time.Duration, id uint64, suspects []poison.Request) {
 	w.AddCrash(now, id, suspects)
 }
 func (w detectorWeigher) addCompletion(now time.Duration, r poison.Request) bool {
@@ -102,7 +125,7 @@
 func newCountingWeigher() countingWeigher {
 	return countingWeigher{map[uint64][]uint64{}, map[uint64]bool{}}
 }
-func (w countingWeigher) addCrash(_ time.Duration, id uint64, suspects []poison.Request) {
+func (w countingWeigher) addCrash(_, _ time.Duration, id uint64, suspects []poison.Request) {
 	for _, r := range suspects {
 		w.crashes[id] = slices.Concat(w.crashes[id], features(r))
 	}
@@ -155,22 +178,29 @@
 	// sound and refused count the sound requests and those of them that were refused,
 	// afterwards and refusedAfterwards those later than 2 x knownAfter.
 	sound, refused, afterwards, refusedAfterwards int
+	// asked and askedRefused count the requests for the new sound content, askedUntil is the
+	// longest time from its first request to the last one that was refused.
+	asked, askedRefused int
+	askedUntil          time.Duration
 }
 
 func (r *playResult) add(o playResult) {
 	r.ended, r.late = max(r.ended, o.ended), max(r.late, o.late)
 	r.sound, r.refused = r.sound+o.sound, r.refused+o.refused
 	r.afterwards, r.refusedAfterwards = r.afterwards+o.afterwards, r.refusedAfterwards+o.refusedAfterwards
+	r.asked, r.askedRefused, r.askedUntil = r.asked+o.asked, r.askedRefused+o.askedRefused, max(r.askedUntil, o.askedUntil)
 }
 
 // theatre is the state of one play.
 type theatre struct {
 	play
 	*rand.Rand
-	now      time.Duration
-	newHost  func(spread float64) weigher
-	hosts    []weigher
-	upAgain  [playTargets]time.Duration
+	now     time.Duration
+	newHost func(spread float64) weigher
+	hosts   []weigher
+	upAgain []time.Duration
+	// rackEnds are the times at which the targets of the rack end, 0 for the others.
+	rackEnds []time.Duration
 	runs     []run
 	started  int
 	reports  []report
@@ -183,7 +213,9 @@
 
 // report is a crash that a host becomes certain of, or a completion that it tells.
 type report struct {
-	at       time.Duration
+	at time.Duration
+	// endedAt is when the connections of the crashed target broke.
+	endedAt  time.Duration
 	host     int
 	id       uint64
 	suspects []poison.Request
@@ -195,10 +227,18 @@
 
 func playTheatre(p play, seed uint64, newHost func(spread float64) weigher) *theatre {
 	t := &theatre{play: p, Rand: rand.New(rand.NewPCG(seed, 50)), newHost: newHost, next: 1000, crashed: map[int][]time.Duration{}, arrivals: map[int][]time.Duration{}}
-	for i := range playHosts {
-		t.hosts = append(t.hosts, newHost(float64(i)/playHosts))
+	t.upAgain = make([]time.Duration, cmp.Or(p.targets, playTargets))
+	t.rackEnds = make([]time.Duration, len(t.upAgain))
+	hosts := cmp.Or(p.hostCount, playHosts)
+	for i := range hosts {
+		t.hosts = append(t.hosts, newHost(float64(i)/float64(hosts)))
 	}
-	for ; t.now < playDuration; t.now += playTick {
+	if p.rackSize > 0 {
+		for _, target := range t.Perm(len(t.upAgain))[:p.rackSize] {
+			t.rackEnds[target] = p.rackAt + time.Duration(t.Int64N(int64(p.rackSpread)+1)).Truncate(cmp.Or(p.tick, playTick))
+		}
+	}
+	for ; t.now < playDuration; t.now += cmp.Or(p.tick, playTick) {
 		t.step()
 	}
 	needed := crashesToKnow
@@ -229,7 +269,12 @@
 	}
 	t.endRuns()
 	if due(t.now, t.deaths) {
-		t.end(t.IntN(playTargets))
+		t.end(t.IntN(len(t.upAgain)))
+	}
+	for target, at := range t.rackEnds {
+		if at > 0 && at == t.now {
+			t.end(target)
+		}
 	}
 	t.deliverReports()
 	if t.now%second == 0 {
@@ -239,9 +284,19 @@
 	}
 	for i := range t.deadly {
 		if phase := t.deadlyFrom + (t.deadlyPeriod / time.Duration(t.deadly) * time.Duration(i)).Truncate(playTick); t.now >= phase && due(t.now-phase, t.deadlyPeriod) {
-			t.send(run{request: t.deadlyRequest(1 + i), kind: 1 + i, triesLeft: 2})
+			for range max(t.copies, 1) {
+				t.send(run{request: t.deadlyRequest(1 + i), kind: 1 + i, triesLeft: 2})
+			}
 		}
 	}
+	if t.askedCopies > 0 && t.now == t.askedAt {
+		for range t.askedCopies {
+			t.send(run{request: askedRequest, triesLeft: 2})
+		}
+	}
+	if t.askedCopies > 0 && t.now > t.askedAt && due(t.now-t.askedAt, t.askedPeriod) {
+		t.send(run{request: askedRequest, triesLeft: 2})
+	}
 	if due(t.now, t.soundPeriod) {
 		t.send(run{request: t.soundRequest(), triesLeft: 2})
 	}
@@ -250,6 +305,9 @@
 // Parts of the prompts: one that all share, and some of which each has one.
 const systemPart, firstTemplate, templates = 10_001, 10_002, 4
 
+// askedRequest is the new sound content that many ask for.
+var askedRequest = poison.Request{Fingerprint: 90, Parts: []uint64{systemPart, firstTemplate}}
+
 // deadlyRequest returns a request of a kind that crashes targets.
 func (t *theatre) deadlyRequest(kind int) poison.Request {
 	if !t.parts {
@@ -279,7 +337,15 @@
 			t.result.afterwards++
 		}
 	}
+	asked := first && r.request.Fingerprint == askedRequest.Fingerprint
+	if asked {
+		t.result.asked++
+	}
 	if t.hosts[r.host].refuses(t.now, r.request) {
+		if asked {
+			t.result.askedRefused++
+			t.result.askedUntil = t.now - t.askedAt
+		}
 		if first {
 			t.result.refused++
 			if t.now > 2*knownAfter {
@@ -298,7 +364,13 @@
 		return
 	}
 	r.target = up[t.IntN(len(up))]
+	if t.targets > 0 {
+		r.target = t.leastLoaded(up)
+	}
 	r.endsAt = t.now + crashAfter
+	if t.now < t.soundUntil {
+		r.kind = 0
+	}
 	if r.kind == 0 {
 		r.endsAt = t.now + 200*time.Millisecond + time.Duration(t.Int64N(int64(800*time.Millisecond)))
 	} else {
@@ -309,6 +381,16 @@
 	t.runs = append(t.runs, r)
 }
 
+// leastLoaded returns one of some targets with the fewest runs.
+func (t *theatre) leastLoaded(targets []int) int {
+	runs := map[int]int{}
+	for _, r := range t.runs {
+		runs[r.target]++
+	}
+	t.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	return slices.MinFunc(targets, func(a, b int) int { return cmp.Compare(runs[a], runs[b]) })
+}
+
 // endRuns ends the runs that are complete, and the targets whose deadly runs begin.
 func (t *theatre) endRuns() {
 	for _, r := range slices.Clone(t.runs) {
@@ -347,7 +429,11 @@
 	})
 	for host := range t.hosts {
 		if s := suspects[host]; len(s) > 0 {
-			t.reports = append(t.reports, report{t.now + verifyTime, host, t.crashes, s})
+			var late time.Duration
+			if t.certaintySpread > 0 {
+				late = time.Duration(t.Int64N(int64(t.certaintySpread))).Truncate(cmp.Or(t.tick, playTick))
+			}
+			t.reports = append(t.reports, report{at: t.now + verifyTime + late, endedAt: t.now, host: host, id: t.crashes, suspects: s})
 		}
 	}
 	for _, r := range lost {
@@ -360,7 +446,7 @@
 func (t *theatre) deliverReports() {
 	for _, r := range t.reports {
 		if r.at == t.now && len(r.suspects) > 0 {
-			t.hosts[r.host].addCrash(t.now, r.id, r.suspects)
+			t.hosts[r.host].addCrash(t.now, r.endedAt, r.id, r.suspects)
 		}
 		if r.at+tellTime != t.now {
 			continue
@@ -408,6 +494,61 @@
 	return defaultPlaySeeds
 }
 
+// together are the loads in which targets end at about the same time.
+var together = []play{
+	{name: "one request on all three targets", deadly: 1, deadlyPeriod: 80 * time.Millisecond, copies: 3, targets: 3},
+	{name: "one request, many copies at once", deadly: 1, deadlyPeriod: 400 * time.Millisecond, copies: 8, targets: 3},
+	{name: "one request on both targets", deadly: 1, deadlyPeriod: 80 * time.Millisecond, copies: 2, targets: 2},
+	{name: "one request, one target", deadly: 1, deadlyPeriod: 80 * time.Millisecond, copies: 2, targets: 1},
+	{name: "one request on three of 24 targets", deadly: 1, deadlyPeriod: 400 * time.Millisecond, copies: 3, targets: 24},
+	{name: "two requests, three targets", deadly: 2, deadlyPeriod: 80 * time.Millisecond, copies: 2, targets: 3},
+	{name: "one request, three targets, a third of the messages lost", deadly: 1, deadlyPeriod: 80 * time.Millisecond, copies: 3, targets: 3, lossRate: 0.33},
+	{name: "one request, three targets, a host that starts later", deadly: 1, deadlyPeriod: 80 * time.Millisecond, copies: 3, targets: 3, joinAt: 10 * second},
+	{name: "one request that completed before", deadly: 1, deadlyPeriod: 80 * time.Millisecond, copies: 3, targets: 3, soundUntil: 5 * second},
+	{name: "one request beside the loss of a rack", deadly: 1, deadlyPeriod: 400 * time.Millisecond, deadlyFrom: 5 * second, copies: 2, targets: 12, rackAt: 5400 * time.Millisecond, rackSize: 6, rackSpread: 10 * time.Millisecond},
+}
+
+// racks are the losses of a rack while a sound content is new and many ask for it.
+var racks = []play{
+	{name: "six of twelve, three with the new content", targets: 12, rackSize: 6, askedCopies: 6},
+	{name: "six of twelve, all with the new content", targets: 12, rackSize: 6, askedCopies: 12},
+	{name: "three of twelve, all with the new content", targets: 12, rackSize: 3, askedCopies: 12},
+	{name: "all three targets, all with the new content", targets: 3, rackSize: 3, askedCopies: 3},
+	{name: "all three targets, hosts certain within 25 ms", targets: 3, rackSize: 3, askedCopies: 3, certaintySpread: 25 * time.Millisecond},
+}
+
+const (
+	// togetherTick resolves ends that are milliseconds apart.
+	togetherTick = 2 * time.Millisecond
+	// wronglyRefused is how long a sound content may be refused after all targets that ran
+	// it ended at the same time.
+	wronglyRefused = 35 * second
+)
+
+var _ = Describe("targets that end at the same time", func() {
+	detect := func(spread float64) weigher { return detectorWeigher{poison.New(poison.Config{TestSpread: spread})} }
+	count := func(float64) weigher { return newCountingWeigher() }
+	for _, p := range together {
+		p.tick, p.certaintySpread = togetherTick, 24*time.Millisecond
+		// Guards against a request that ends all targets of a service together, again and again.
+		It("have ended by the request that ran on each: "+p.name, func() {
+			got, counting := playAll(p, detect), playAll(p, count)
+			AddReportEntry("with the detector, and by counting alone", fmt.Sprintf("%+v, %+v", got, counting))
+			Expect(got.late).To(BeNumerically("<=", lateAllowed))
+		})
+	}
+	for _, p := range racks {
+		p.tick, p.rackAt, p.rackSpread = togetherTick, 5*second, 10*time.Millisecond
+		p.askedAt, p.askedPeriod = p.rackAt-100*time.Millisecond, 100*time.Millisecond
+		// Guards against sound content that is refused since a rack lost power while it ran there.
+		It("have ended by another cause: "+p.name, func() {
+			got, counting := playAll(p, detect), playAll(p, count)
+			AddReportEntry("with the detector, and by counting alone", fmt.Sprintf("%+v, %+v", got, counting))
+			Expect(got.askedUntil).To(BeNumerically("<=", wronglyRefused))
+		})
+	}
+})
+
 // playAll plays a load over many seeds.
 func playAll(p play, newHost func(spread float64) weigher) playResult {
 	p.soundPeriod, p.repeated = 30*time.Millisecond, 0.3
--- a/test/gateway/crash_test.go
+++ b/test/gateway/crash_test.go
@@ -81,10 +81,15 @@
 }
 
 func newCrashPlay(seed uint64, kindOf func(crashRequest) string) *crashPlay {
+	return newCrashPlayOf(seed, crashEngines, kindOf)
+}
+
+// newCrashPlayOf returns a play with a number of engines.
+func newCrashPlayOf(seed uint64, engines int, kindOf func(crashRequest) string) *crashPlay {
 	p := &crashPlay{rng: rand.New(rand.NewPCG(seed, 50)), store: standin.New(), kindOf: kindOf, ends: map[string][]time.Time{}, arrivals: map[string][]time.Time{}}
 	DeferCleanup(p.store.Close)
 	p.store.PutRetriedStreamConfig(1, "llm", 2, "key-1")
-	for range crashEngines {
+	for range engines {
 		address, err := fleet.FreeLoopbackAddress()
 		Expect(err).NotTo(HaveOccurred())
 		e := &crashEngine{play: p, address: address}
@@ -450,6 +455,20 @@
 		p.expectRefusedInTime(3)
 	})
 
+	// Guards against a request that ends all engines of a small service together, each time that they are back.
+	It("refuse a request that several callers send at once to a service of three engines", func() {
+		p := newCrashPlayOf(3, 3, byBody)
+		var calls sync.WaitGroup
+		p.every(200*time.Millisecond, &calls, func(n int) {
+			for caller := range 4 {
+				calls.Go(func() { p.call(fmt.Sprintf("deadly-%d-%d", n, caller), crashRequest{body: "deadly"}) })
+			}
+		})
+		calls.Wait()
+		p.report(3)
+		Expect(p.late(3)["deadly"]).To(BeNumerically("<=", lateArrivals))
+	})
+
 	// Guards against a request that hides behind the ends of engines for other reasons.
 	It("refuse a request that crashes engines while others end for other reasons", func() {
 		p := newCrashPlay(2, byBody)
