Count each crash against what ran on all targets that ended together

Callers saw: all three targets of a service end within 10 to 110 ms, nothing is refused, and when the targets are back the same request ends them again.

Cause: crashes within 20 ms of each other counted once against every feature, so that a rack's loss refuses nothing. A request that ends all targets of a small service together leaves two crashes that count, and no target that could bring the third. The users' evidence and our lines say so: three crashes, weight 8 of 12, on all eight hosts.

Change: what tells the two apart is what ended without the request. A group of crashes counts once against a feature only if another target, which did not run it, ended at the same time. A verdict whose crashes all came at the same time may be wrong, as when a whole service ends by another cause, so it is tested after 30 s instead of 60.

Not mended by this: crashes that are not recorded while no target is left, content that completed before.

--- a/internal/decide/poison/causes.go
+++ b/internal/decide/poison/causes.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// simultaneousWindow is the time within which crashes count once against a feature:
-	// the targets of a rack that loses power end together, with whatever runs there.
+	// simultaneousWindow is the time within which targets end that have a common cause, as
+	// when a rack loses power. Their crashes count once against what ran on some of them
+	// only, and each against what ran on all.
 	simultaneousWindow = 20 * time.Millisecond
 	// knownSpacing is the same for a feature of requests that completed before. One has
 	// time to complete again between two crashes that count.
@@ -87,7 +88,8 @@
 
 func (d *Detector) refuse(t tally) {
 	e := d.evidence[t.feature]
-	e.refused, e.with = true, t.with
+	first, last := t.crashes[0], t.crashes[len(t.crashes)-1]
+	e.refused, e.with, e.sameTime = true, t.with, d.crashes[last].at-d.crashes[first].at < simultaneousWindow
 	d.evidence[t.feature] = e
 }
 
@@ -209,16 +211,49 @@
 
 // unexplainedWeight returns the weight of the crashes that nothing else explains.
 func (d *Detector) unexplainedWeight(t tally, explained []bool) int {
-	each, spacing := fullWeight, simultaneousWindow
 	if t.known {
-		each, spacing = weakWeight, knownSpacing
+		return weakWeight * len(d.rounds(t, explained, knownSpacing))
 	}
-	weight, counted := 0, false
-	var last time.Duration
+	crashes := 0
+	for _, round := range d.rounds(t, explained, simultaneousWindow) {
+		if d.endedWithout(t.feature, round, explained) {
+			crashes++
+		} else {
+			crashes += len(round)
+		}
+	}
+	return fullWeight * crashes
+}
+
+// rounds divides the crashes of a feature that nothing else explains into groups. A group
+// holds the crashes within a time from its first one.
+func (d *Detector) rounds(t tally, explained []bool, within time.Duration) [][]int {
+	var rounds [][]int
 	for _, i := range t.crashes {
-		if at := d.crashes[i].at; !explained[i] && (!counted || at-last >= spacing) {
-			weight, last, counted = weight+each, at, true
+		if explained[i] {
+			continue
+		}
+		if n := len(rounds); n > 0 && d.crashes[i].at-d.crashes[rounds[n-1][0]].at < within {
+			rounds[n-1] = append(rounds[n-1], i)
+		} else {
+			rounds = append(rounds, []int{i})
+		}
+	}
+	return rounds
+}
+
+// endedWithout reports whether a target that did not run a request with the feature ended at
+// the same time as those of a round. A common cause, such as the loss of a rack, is likely
+// then.
+func (d *Detector) endedWithout(feature uint64, round []int, explained []bool) bool {
+	from, to := d.crashes[round[0]].at-simultaneousWindow, d.crashes[round[len(round)-1]].at+simultaneousWindow
+	for i, c := range d.crashes {
+		if c.at <= from || c.at >= to || explained[i] {
+			continue
+		}
+		if _, found := slices.BinarySearch(c.features, feature); !found {
+			return true
 		}
 	}
-	return weight
+	return false
 }
--- a/internal/decide/poison/doc.go
+++ b/internal/decide/poison/doc.go
@@ -43,8 +43,10 @@
 //     refused. Processes tell each other the completions of suspects.
 //   - A refused request runs once now and then, to see whether the verdict still
 //     holds: nothing else would complete with its features.
-//   - Crashes within simultaneousWindow count once: a rack that loses power ends
-//     all its targets together.
+//   - Targets that end within simultaneousWindow may have a common cause, such as a
+//     rack that loses power. Their crashes count once against a feature that ran on
+//     some of them only, and each against one that ran on all. If all crashes of a
+//     refused request came at the same time, it runs again sooner to test the verdict.
 //   - When MassFailureTargets or more targets die within MassFailureWindow (a
 //     rack, a switch, a reclaim of hosts), the crashes say little, and they hold
 //     and isolate requests only with a quarter of their weight, unless one
--- a/internal/decide/poison/evidence.go
+++ b/internal/decide/poison/evidence.go
@@ -53,6 +53,8 @@
 	// features in with, which every suspect with it had.
 	refused bool
 	with    []uint64
+	// sameTime is set for a refused feature whose crashes all came at the same time.
+	sameTime bool
 	// lastCompletion is when a request with the feature last completed, if one ever did.
 	lastCompletion completion
 }
--- a/internal/decide/poison/testrun.go
+++ b/internal/decide/poison/testrun.go
@@ -8,6 +8,9 @@
 	// contentDelayFactor multiplies the time until a test run of a request that is refused
 	// for all of its content: a wrong verdict concerns no other requests.
 	contentDelayFactor = 4
+	// sameTimeDelayFactor is that for content whose crashes all came at the same time, which
+	// another cause of these would explain as well.
+	sameTimeDelayFactor = 2
 )
 
 // testRuns decides when a request that is refused may run once, to see whether the verdict
@@ -29,7 +32,10 @@
 // that of the feature within the request.
 func (t *testRuns) isDue(now time.Duration, number int, feature uint64, e featureEvidence) bool {
 	delay := t.interval << min(e.rounds, maxTestDelayDoublings)
-	if number == 0 {
+	switch {
+	case number == 0 && e.sameTime:
+		delay *= sameTimeDelayFactor
+	case number == 0:
 		delay *= contentDelayFactor
 	}
 	delay = min(delay, t.longest)
