Date a crash by its broken connections, and let the earliest date stand

Cause: each host dated a crash by the end of its own verification, 60 ms and a probe later, or by the age in the message that told it first. The same crash differed by up to 25 ms between hosts, more than the window within which targets count as ended together, and nothing made the dates equal afterwards.

Change: a crash is dated by when this host's connections to the target broke. Where hosts differ the earliest date stands, so that hosts with the same evidence come to the same dates but for a message's way; a better date alone is not pushed on, the exchange brings it.

--- a/internal/decide/poison/detector.go
+++ b/internal/decide/poison/detector.go
@@ -141,11 +141,11 @@
 	}
 }
 
-// AddCrash records that a target died while it ran some requests, the latest start
-// first. The death of an idle target is recorded too, because it can indicate a mass
+// AddCrash records that a target died at a time while it ran some requests, the latest
+// start first. The death of an idle target is recorded too, because it can indicate a mass
 // failure.
-func (d *Detector) AddCrash(now time.Duration, id uint64, suspects []Request) {
-	if d.add(crash{id: id, at: now, suspects: suspects}) {
+func (d *Detector) AddCrash(at time.Duration, id uint64, suspects []Request) {
+	if d.add(crash{id: id, at: at, suspects: suspects}) {
 		d.outdated = true
 	}
 }
--- a/internal/decide/poison/evidence.go
+++ b/internal/decide/poison/evidence.go
@@ -68,7 +68,9 @@
 
 // add adds a crash and reports whether it contained anything new. Two
 // allocators may each know some of the requests that ran on the target, so
-// their suspects are merged.
+// their suspects are merged. The earliest date is kept, which is the closest to
+// the death, so that all processes come to agree on it; a better date alone is
+// not worth passing on at once.
 func (d *Detector) add(c crash) bool {
 	i := slices.IndexFunc(d.crashes, func(k crash) bool { return k.id == c.id })
 	if i < 0 {
@@ -76,10 +78,18 @@
 		c.features = featuresOf(c.suspects)
 		return d.insert(c)
 	}
-	known := &d.crashes[i]
+	known := d.crashes[i]
 	merged := mergeSuspects(known.suspects, c.suspects, d.cfg.MaxSuspectsPerCrash)
 	grown := len(merged) > len(known.suspects)
 	known.suspects, known.features = merged, featuresOf(merged)
+	if c.at >= known.at {
+		d.crashes[i] = known
+		return grown
+	}
+	known.at = c.at
+	d.crashes = slices.Delete(d.crashes, i, i+1)
+	d.insert(known)
+	d.outdated = true
 	return grown
 }
 
--- a/internal/decide/poison/fleet_test.go
+++ b/internal/decide/poison/fleet_test.go
@@ -97,8 +97,8 @@
 // detectorWeigher weighs with the detector.
 type detectorWeigher struct{ *poison.Detector }
 
-func (w detectorWeigher) addCrash(now, _ time.Duration, id uint64, suspects []poison.Request) {
-	w.AddCrash(now, id, suspects)
+func (w detectorWeigher) addCrash(_, endedAt time.Duration, id uint64, suspects []poison.Request) {
+	w.AddCrash(endedAt, id, suspects)
 }
 func (w detectorWeigher) addCompletion(now time.Duration, r poison.Request) bool {
 	return w.AddCompletion(now, r)
--- a/internal/decide/poison/simultaneous_test.go
+++ b/internal/decide/poison/simultaneous_test.go
@@ -62,6 +62,26 @@
 		}
 	})
 
+	// Guards against hosts that stay apart on whether another target ended at the same time.
+	It("lead to the same verdict on hosts that dated them differently and told each other", func() {
+		for gap := 10 * ms; gap <= 30*ms; gap += ms {
+			for late := 0 * ms; late <= 25*ms; late += ms {
+				hosts := []*evidenceHost{newEvidenceHost(), newEvidenceHost()}
+				for i, h := range hosts {
+					for n := range serviceTargets {
+						h.crash(time.Duration(n)*ms+late*time.Duration((n+i)%2), deadly)
+					}
+					h.crash(2*ms+gap+late*time.Duration(i), other(0))
+				}
+				for range 2 {
+					hosts[0].Merge(second, hosts[1].Export(second, 32))
+					hosts[1].Merge(second, hosts[0].Export(second, 32))
+				}
+				Expect(hosts[1].refuses(second, deadly)).To(Equal(hosts[0].refuses(second, deadly)), "%v apart, dated %v late", gap, late)
+			}
+		}
+	})
+
 	// Guards against sound content that is refused since a rack lost power while it ran on some of its targets.
 	DescribeTable("count once against what ran on some of the targets that ended", func(suspect func(n int) poison.Request, again poison.Request) {
 		h := newEvidenceHost()
--- a/internal/gateway/crash_evidence.go
+++ b/internal/gateway/crash_evidence.go
@@ -211,14 +211,14 @@
 	return failure.New(failure.KindPoison, "%s crashed every target that ran it: %d crashes, the last %s ago", what, a.Crashes, a.SinceLast).WithRetryAfter(poisonRetryAfter)
 }
 
-// recordCrash records that a target has crashed while it ran the suspects.
-func (s *CrashEvidence) recordCrash(target *directory.ObservedTarget, suspects []poison.Request) {
+// recordCrash records that a target crashed at a time while it ran the suspects.
+func (s *CrashEvidence) recordCrash(target *directory.ObservedTarget, at time.Duration, suspects []poison.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	id := poison.CrashID(target.ID, uint64(target.StartedUnixMilli))
-	s.detector.AddCrash(s.now(), id, suspects)
+	s.detector.AddCrash(at, id, suspects)
 	s.recorded.Inc(1)
-	s.log.Warn("target crashed", "target", target.ID, "started", target.StartedUnixMilli, "crash", fmt.Sprintf("%016x", id), "suspects", len(suspects))
+	s.log.Warn("target crashed", "target", target.ID, "started", target.StartedUnixMilli, "crash", fmt.Sprintf("%016x", id), "age", s.now()-at, "suspects", len(suspects))
 	s.logVerdicts()
 	wake.Signal(s.changed)
 }
--- a/internal/gateway/partition.go
+++ b/internal/gateway/partition.go
@@ -108,7 +108,7 @@
 		case !crashed:
 			g.cfg.CrashEvidence.recordUnverified(t, len(check.suspects), "it accepts connections or does not answer")
 		case reaches || g.reachesOtherServices(t.Service):
-			g.cfg.CrashEvidence.recordCrash(t, check.suspects)
+			g.cfg.CrashEvidence.recordCrash(t, failedAt, check.suspects)
 		default:
 			g.cfg.CrashEvidence.recordUnverified(t, len(check.suspects), "this host may be partitioned")
 		}
