Refuse content that turned deadly after its second round of crashes

Cause: crashes of content that had completed before counted a quarter, at most one a second, so that frequent content is not refused for the targets that end with it. Content that was sound until something changed needed twelve seconds with crashes: in a service of three targets 24 ends and more without a verdict.

Change: the crashes within a second count in full, as two at most. One loss of all targets does not refuse frequent content; a further crash without any completion in between does. Since that may be another cause that goes on, as when targets of a bad build end at once after each start, the verdict is tested after 15 s like that of a part, not after 60. Parts are weighed as before: a wrong verdict on a part that all prompts share would stop a service.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 # The specs that KNOWN-RED.txt lists run apart: CI prints and passes over these
 # alone.
 RED_PACKAGES = internal/gateway internal/decide/poison test/gateway
-RED_SPECS = leads over another host when one does not answer|three requests, three targets|four requests, six targets$$|one request that completed before|is refused once its crashes go on|several callers send at once
+RED_SPECS = leads over another host when one does not answer|three requests, three targets|four requests, six targets$$|targets that are back later|several callers send at once
 
 .PHONY: build test fmt-check vet lint generate generate-check reference reference-check unit demo faults
 
--- a/internal/decide/poison/causes.go
+++ b/internal/decide/poison/causes.go
@@ -11,9 +11,14 @@
 	// when a rack loses power. Their crashes count once against what ran on some of them
 	// only, and each against what ran on all.
 	simultaneousWindow = 20 * time.Millisecond
-	// knownSpacing is the same for a feature of requests that completed before. One has
-	// time to complete again between two crashes that count.
+	// knownSpacing is the time within which the crashes of a feature with which requests
+	// completed before count as one occasion. One has time to complete again between two
+	// occasions.
 	knownSpacing = time.Second
+	// maxKnownCrashes is the number of crashes of one such occasion that count against
+	// content that completed before. The end of all targets of a service alone is not
+	// enough for a refusal, a further crash without a completion in between is.
+	maxKnownCrashes = crashesToRefuse - 1
 	// ambiguityWait is the time from the first crash that counts against a part until it is
 	// refused, if little is known of completions yet, as in a fleet that has just started,
 	// or the suspects with it have other parts that never completed either. Requests with a
@@ -89,7 +94,8 @@
 func (d *Detector) refuse(t tally) {
 	e := d.evidence[t.feature]
 	first, last := t.crashes[0], t.crashes[len(t.crashes)-1]
-	e.refused, e.with, e.sameTime = true, t.with, d.crashes[last].at-d.crashes[first].at < simultaneousWindow
+	e.refused, e.with, e.completedBefore = true, t.with, t.known
+	e.sameTime = d.crashes[last].at-d.crashes[first].at < simultaneousWindow
 	d.evidence[t.feature] = e
 }
 
@@ -211,15 +217,19 @@
 
 // unexplainedWeight returns the weight of the crashes that nothing else explains.
 func (d *Detector) unexplainedWeight(t tally, explained []bool) int {
-	if t.known {
+	if t.known && t.part {
 		return weakWeight * len(d.rounds(t, explained, knownSpacing))
 	}
+	within, most := simultaneousWindow, len(d.crashes)
+	if t.known {
+		within, most = knownSpacing, maxKnownCrashes
+	}
 	crashes := 0
-	for _, round := range d.rounds(t, explained, simultaneousWindow) {
+	for _, round := range d.rounds(t, explained, within) {
 		if d.endedWithout(t.feature, round, explained) {
 			crashes++
 		} else {
-			crashes += len(round)
+			crashes += min(len(round), most)
 		}
 	}
 	return fullWeight * crashes
--- a/internal/decide/poison/doc.go
+++ b/internal/decide/poison/doc.go
@@ -27,9 +27,9 @@
 //   - After two crashes it runs alone on a target.
 //   - A feature that explains three crashes is refused at once, together with
 //     the features that came with it in each of them and never completed: what
-//     shares only some of them may be sound. The number is three so that an innocent request that shared a target with a poison
-//     request, and was then on a target that died for another reason, has one
-//     more attempt.
+//     shares only some of them may be sound. The number is three so that an
+//     innocent request that shared a target with a poison request, and was then
+//     on a target that died for another reason, has one more attempt.
 //   - The feature that explains most crashes is refused first, and the crashes
 //     that it explains no longer count against others: what was only in its
 //     company has none left. Further features are refused if they explain three
@@ -38,9 +38,10 @@
 //     own three crashes.
 //   - A crash counts only until a request with the feature completes somewhere,
 //     because poison crashes every target that runs it. If one has completed
-//     before, a crash counts a quarter, and at most once in knownSpacing. This
-//     keeps a frequent feature, which is on most targets that die, from being
-//     refused. Processes tell each other the completions of suspects.
+//     before, the crashes within knownSpacing count as two at most, and those of a
+//     part a quarter. This keeps a frequent feature, which is on most targets
+//     that die, from being refused after one loss of all targets. Processes tell
+//     each other the completions of suspects.
 //   - A refused request runs once now and then, to see whether the verdict still
 //     holds: nothing else would complete with its features.
 //   - Targets that end within simultaneousWindow may have a common cause, such as a
--- a/internal/decide/poison/evidence.go
+++ b/internal/decide/poison/evidence.go
@@ -55,6 +55,9 @@
 	with    []uint64
 	// sameTime is set for a refused feature whose crashes all came at the same time.
 	sameTime bool
+	// completedBefore is set for a refused feature with which a request completed before its
+	// crashes.
+	completedBefore bool
 	// lastCompletion is when a request with the feature last completed, if one ever did.
 	lastCompletion completion
 }
--- a/internal/decide/poison/fleet_test.go
+++ b/internal/decide/poison/fleet_test.go
@@ -72,11 +72,15 @@
 	certaintySpread time.Duration
 	// soundUntil is the time from which on what crashes targets does so; it completes before.
 	soundUntil time.Duration
+	// restart is the time from a target's end to its return if it differs from restartTime.
+	restart time.Duration
 	// rackAt is when the targets of a rack end, rackSize their number, rackSpread the time
-	// in which they do.
+	// in which they do. They end rackTimes, 0 for once, every rackPeriod.
 	rackAt     time.Duration
 	rackSize   int
 	rackSpread time.Duration
+	rackTimes  int
+	rackPeriod time.Duration
 	// askedAt is when a new sound content comes for the first time, askedCopies times at once,
 	// then every askedPeriod.
 	askedAt     time.Duration
@@ -274,7 +278,7 @@
 		t.end(t.IntN(len(t.upAgain)))
 	}
 	for target, at := range t.rackEnds {
-		if at > 0 && at == t.now {
+		if at > 0 && t.now >= at && (t.now == at || t.now < at+time.Duration(t.rackTimes)*t.rackPeriod && due(t.now-at, t.rackPeriod)) {
 			t.end(target)
 		}
 	}
@@ -420,7 +424,7 @@
 		return
 	}
 	t.crashes++
-	t.upAgain[target] = t.now + restartTime
+	t.upAgain[target] = t.now + cmp.Or(t.restart, restartTime)
 	suspects := map[int][]poison.Request{}
 	var lost []run
 	t.runs = slices.DeleteFunc(t.runs, func(r run) bool {
@@ -509,6 +513,7 @@
 	{name: "one request, three targets, a third of the messages lost", deadly: 1, deadlyPeriod: 80 * time.Millisecond, copies: 3, targets: 3, lossRate: 0.33},
 	{name: "one request, three targets, a host that starts later", deadly: 1, deadlyPeriod: 80 * time.Millisecond, copies: 3, targets: 3, joinAt: 10 * second, settleTime: knownAfter},
 	{name: "one request that completed before", deadly: 1, deadlyPeriod: 80 * time.Millisecond, copies: 3, targets: 3, soundUntil: 5 * second},
+	{name: "one request that completed before, targets that are back later", deadly: 1, deadlyPeriod: 80 * time.Millisecond, copies: 3, targets: 3, soundUntil: 5 * second, restart: 3300 * time.Millisecond},
 	{name: "one request beside the loss of a rack", deadly: 1, deadlyPeriod: 400 * time.Millisecond, deadlyFrom: 5 * second, copies: 2, targets: 12, rackAt: 5400 * time.Millisecond, rackSize: 6, rackSpread: 10 * time.Millisecond},
 }
 
@@ -535,6 +540,14 @@
 	{name: "all three targets, hosts certain within 25 ms", targets: 3, rackSize: 3, askedCopies: 3, certaintySpread: 25 * time.Millisecond},
 }
 
+// known are the losses of all targets while a frequent sound content runs there.
+var known = []play{
+	{name: "once", targets: 3, rackSize: 3},
+	{name: "three times, each time back for 1.7 s", targets: 3, rackSize: 3, rackTimes: 3, rackPeriod: 3700 * time.Millisecond},
+	{name: "three times, each time back for 0.2 s", targets: 3, rackSize: 3, rackTimes: 3, rackPeriod: 2200 * time.Millisecond},
+	{name: "six of twelve, three times", targets: 12, rackSize: 6, rackTimes: 3, rackPeriod: 2200 * time.Millisecond},
+}
+
 const (
 	// togetherTick resolves ends that are milliseconds apart.
 	togetherTick = 2 * time.Millisecond
@@ -577,6 +590,19 @@
 	}
 })
 
+var _ = Describe("frequent content that ran on all targets as they ended by another cause", func() {
+	for _, p := range known {
+		p.tick, p.duration, p.certaintySpread = togetherTick, rackDuration, 24*time.Millisecond
+		p.rackAt, p.rackSpread, p.askedAt, p.askedCopies, p.askedPeriod = 5*second, 10*time.Millisecond, second, 3, 100*time.Millisecond
+		// Guards against frequent sound content that is refused since its targets ended again and again.
+		It("is served again soon: "+p.name, func() {
+			got := playAll(p, func(spread float64) weigher { return detectorWeigher{poison.New(poison.Config{TestSpread: spread})} })
+			AddReportEntry("with the detector", fmt.Sprintf("%+v", got))
+			Expect(got.askedUntil).To(BeNumerically("<=", p.rackAt-p.askedAt+wronglyRefused))
+		})
+	}
+})
+
 // playAll plays a load over many seeds.
 func playAll(p play, newHost func(spread float64) weigher) playResult {
 	p.soundPeriod, p.repeated = 30*time.Millisecond, 0.3
--- a/internal/decide/poison/testrun.go
+++ b/internal/decide/poison/testrun.go
@@ -6,7 +6,8 @@
 	// maxTestDelayDoublings bounds the growth of the time until a test run.
 	maxTestDelayDoublings = 6
 	// contentDelayFactor multiplies the time until a test run of a request that is refused
-	// for all of its content: a wrong verdict concerns no other requests.
+	// for all of its content, unless it completed before: a wrong verdict concerns no other
+	// requests.
 	contentDelayFactor = 4
 	// sameTimeDelayFactor is that for content whose crashes all came at the same time, which
 	// another cause of these would explain as well.
@@ -33,9 +34,10 @@
 func (t *testRuns) isDue(now time.Duration, number int, feature uint64, e featureEvidence) bool {
 	delay := t.interval << min(e.rounds, maxTestDelayDoublings)
 	switch {
-	case number == 0 && e.sameTime:
+	case number > 0 || e.completedBefore:
+	case e.sameTime:
 		delay *= sameTimeDelayFactor
-	case number == 0:
+	default:
 		delay *= contentDelayFactor
 	}
 	delay = min(delay, t.longest)
