Bound the memory of all buffered answers together

Cause: each plain answer is buffered until it is whole, up to 8 MiB, in a slice that doubles, with no bound over all of them.

Change: bodies are read into chunks that are used again, and a limiter without network or clock (decide/answerlimit) divides 16 MiB among all of them. When it is used up the largest answer is given up (502, may have run), one without an announced length counting as four times its size, so that small and announced ones go on. A length beyond 8 MiB is refused without reading. The memory is held until the caller has the answer. A target whose answer is given up has failed, as before; it is no crash suspect.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,6 +115,7 @@
 type Gateway struct {
 	cfg          Config
 	metrics      *gatewayMetrics
+	answers      *answerBuffers
 	generations  *generationSet
 	moves        *moveQueue
 	paths        *targetPaths
@@ -130,7 +131,7 @@
 
 // New returns a Gateway and registers its metrics in cfg.Metrics.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), generations: newGenerationSet(), moves: newMoveQueue(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks(), urgentPrompts: &urgentPrompts{}, versions: newServiceVersions(cfg.Now, cfg.Log, cfg.Metrics)}
+	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), answers: newAnswerBuffers(cfg.Metrics), generations: newGenerationSet(), moves: newMoveQueue(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks(), urgentPrompts: &urgentPrompts{}, versions: newServiceVersions(cfg.Now, cfg.Log, cfg.Metrics)}
 	g.origins = newStreamOrigins(cfg, g.versions)
 	if cfg.Loads != nil {
 		cfg.Loads.roomCounts = g.metrics.rooms
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -398,14 +398,15 @@
 // caller when no other engine serves the request. Once a caller has events, no
 // other answer can follow them.
 func (gen *generation) readFailedAnswer(resp *http.Response, answer call.ResponseHeader) error {
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := gen.g.answers.read(resp)
 	if err != nil {
-		return failure.Wrap(err, failure.KindTargetLost, "reading the engine's answer failed").WithExecutionUnknown()
+		return err
 	}
 	if gen.headerSent {
+		body.release()
 		return failure.New(failure.KindTargetFailed, "the engine answered with status %d instead of continuing the stream", resp.StatusCode).WithExecutionUnknown()
 	}
+	gen.failedAnswer.release()
 	gen.failedAnswer = &completeAnswer{ResponseHeader: answer, header: resp.Header, body: body}
 	return errEngineAnswered
 }
@@ -502,6 +503,7 @@
 // finish ends the answer: regularly when it is complete, else in a way that the
 // caller cannot take for a complete answer.
 func (gen *generation) finish(err error) {
+	defer gen.failedAnswer.release()
 	switch {
 	case err == errStreamEnded:
 		gen.g.averageTimes.add(gen.times)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -14,14 +13,18 @@
 	"filbertdeck/internal/failure"
 )
 
-// maxAnswerBytes limits an answer that is buffered until it is complete.
-const maxAnswerBytes = 8 << 20
-
 // completeAnswer is a target's complete answer.
 type completeAnswer struct {
 	call.ResponseHeader
 	header http.Header
-	body   []byte
+	body   *bufferedBody
+}
+
+// release gives the answer's memory back; nil has none.
+func (a *completeAnswer) release() {
+	if a != nil {
+		a.body.release()
+	}
 }
 
 // relayPlain relays a request that is not a generation, such as one to a plain
@@ -33,6 +36,7 @@
 	var tried triedTargets
 	var lastErr error
 	var answer *completeAnswer
+	defer func() { answer.release() }()
 	var counts attemptCounts
 	var targetID string
 	var selection *selectionState
@@ -48,6 +52,7 @@
 		if refusedAfterSend(err, counts) {
 			break
 		}
+		answer.release()
 		answer, lastErr = newAnswer, err
 		counts.add(lastErr)
 		if !g.shouldRetry(ctx, x, retryMayHelp(answer, lastErr), lastErr, counts) {
@@ -220,13 +225,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err != nil {
-		err = failure.Wrap(err, failure.KindTargetLost, "reading the answer failed").WithExecutionUnknown()
-	} else if len(body) > maxAnswerBytes {
-		err = failure.New(failure.KindTargetFailed, "the answer is longer than %d bytes", maxAnswerBytes).WithExecutionUnknown()
-	}
+	body, err := g.answers.read(resp)
 	if err != nil {
 		return nil, err
 	}
@@ -367,10 +366,10 @@
 	h := x.w.Header()
 	g.cfg.Dialect.CopyResponseHeader(h, a.header)
 	if mayHaveBody(x.Method, a.Status) {
-		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+		h.Set("Content-Length", strconv.Itoa(a.body.size))
 	}
 	x.w.WriteHeader(a.Status)
-	if _, err := x.w.Write(a.body); err != nil && len(a.body) > 0 {
+	if err := a.body.writeTo(x.w); err != nil {
 		g.cfg.Log.Debug("writing the answer to the caller failed", "request", x.ID, "error", err)
 	}
 }
