Send a stream's header with its first event

Callers saw: a closed connection without a status when an engine ended, or sent an event without end, before the first event, though nothing had been sent to them.

Cause: the stream took its header for sent as soon as the engine's header came, and a failure after that can only close the connection.

Change: the header goes out right before the first event, or with the end of a stream without one. Until then the caller gets 502, another engine's run or the engine's own failure.

'break off visibly when their engine dies' had an engine that dies inside its first event, which is no longer in the middle of an answer; it now dies inside its second one and the caller must have the first, as strict as before (passes on the code before, too).

--- a/internal/gateway/crash_evidence_test.go
+++ b/internal/gateway/crash_evidence_test.go
@@ -207,6 +207,18 @@
 		Entry("before its first event", ""),
 	)
 
+	// Guards against callers that get a closed connection without a status though nothing was sent to them.
+	DescribeTable("has an answer with a status when its stream fails before its first event", func(stream string) {
+		target := startTarget("i-1", respond("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\nContent-Length: 200000\n\n"+stream))
+		gw := startGateway(target.directoryEntry("llm", "dc-1"))
+		got := gw.do(gw.request("POST", "/report/"))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.status).To(Equal(http.StatusBadGateway))
+	},
+		Entry("since it ends", "id: 1\nda"),
+		Entry("since the event has no end", "data: "+strings.Repeat("x", 150_000)),
+	)
+
 	// Guards against a stream that looks complete though it ended inside an event.
 	DescribeTable("does not end as complete inside an event", func(stream string) {
 		crashing, _ := startTargetThatEnds("i-1", "HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\n\n"+stream)
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -413,20 +413,22 @@
 
 // relay passes whole events on until the engine's stream ends.
 func (gen *generation) relay(stream *engineStream) error {
-	gen.writeHeader(stream.resp)
 	split := sse.NewSplitter(stream.resp.Body, 0)
 	var window enginespeed.Window
 	var block sse.RawEvent
 	for {
 		if err := split.Next(&block); err != nil {
 			if errors.Is(err, io.EOF) {
-				return gen.checkNotEmpty(stream)
+				err = gen.checkNotEmpty(stream)
+			}
+			if err == errStreamEnded {
+				gen.writeHeader(stream.resp)
 			}
 			return err
 		}
 		stream.reservation.MarkPromptRead()
 		stream.run.recordEvent()
-		if err := gen.deliver(&block, stream.target); err != nil {
+		if err := gen.deliver(&block, stream); err != nil {
 			return err
 		}
 		if mean, full := window.Add(gen.times.last); full && gen.service.Engine != nil {
@@ -449,7 +451,7 @@
 
 // deliver passes one event of an engine to the caller, unless the generation has
 // switched to another engine, which produces the event again.
-func (gen *generation) deliver(block *sse.RawEvent, from *directory.ObservedTarget) error {
+func (gen *generation) deliver(block *sse.RawEvent, from *engineStream) error {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
 	if gen.nextStream != nil {
@@ -459,8 +461,9 @@
 		return errGenerationWithdrawn
 	}
 	if gen.times.events == 0 {
-		gen.begin(from)
+		gen.begin(from.target)
 	}
+	gen.writeHeader(from.resp)
 	if _, err := gen.w.Write(block.Bytes); err != nil {
 		return failure.Wrap(err, failure.KindTargetLost, "writing to the caller failed")
 	}
@@ -488,7 +491,8 @@
 	}
 }
 
-// writeHeader passes the header of the first engine's answer to the caller.
+// writeHeader passes the header of the first engine's answer to the caller, right before
+// the first event. Until then the caller can still get another answer.
 func (gen *generation) writeHeader(resp *http.Response) {
 	if gen.headerSent {
 		return
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -410,11 +410,12 @@
 	// caller must see that the stream is incomplete, and no second run may be
 	// appended to it.
 	It("that may run once break off visibly when their engine dies", func() {
-		dying := startTarget("i-1", respond("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\nTransfer-Encoding: chunked\n\n5\nid: 1\n"))
+		dying := startTarget("i-1", respond("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\nTransfer-Encoding: chunked\n\n12\nid: 1\ndata: a\n\n\n5\nid: 2\n"))
 		other := startEngine("i-2", events, time.Millisecond)
 		gw := startGateway(dying.directoryEntry("llm", "dc-1"))
 		got := gw.do(gw.request("POST", "/report/"))
 		Expect(got.err).To(HaveOccurred())
+		Expect(got.body).To(ContainSubstring("data: a"))
 		Expect(other.requests()).To(BeEmpty())
 	})
 })
--- a/internal/gateway/withdraw_internal_test.go
+++ b/internal/gateway/withdraw_internal_test.go
@@ -21,7 +21,9 @@
 	var caller *httptest.ResponseRecorder
 	var loads *TargetLoads
 	var ctx context.Context
-	deliver := func() error { return gen.deliver(&sse.RawEvent{Bytes: []byte("data: 1\n\n")}, target) }
+	deliver := func() error {
+		return gen.deliver(&sse.RawEvent{Bytes: []byte("data: 1\n\n")}, &engineStream{target: target})
+	}
 	withdraw := func() bool {
 		successor := loads.Reserve("i-2", call.Prompt{Tokens: 10})
 		withdrawn := gen.withdraw(target, successor, &move{})
@@ -35,7 +37,7 @@
 		now := func() time.Duration { return 0 }
 		loads = NewTargetLoads("host-1", "dc-1", now)
 		g := &Gateway{metrics: newGatewayMetrics(gometrics.NewRegistry()), cfg: Config{Loads: loads, Now: now, RetryBudget: retrybudget.New(retrybudget.Config{})}}
-		gen = &generation{exchange: &exchange{Request: &call.Request{}, w: caller, route: &directory.Route{}, service: &directory.Service{}}, g: g}
+		gen = &generation{exchange: &exchange{Request: &call.Request{}, w: caller, route: &directory.Route{}, service: &directory.Service{}}, g: g, headerSent: true}
 		var cancel context.CancelCauseFunc
 		ctx, cancel = context.WithCancelCause(context.Background())
 		gen.beginFreshRun(&Reservation{entry: target}, 1, triedTargets{}, cancel)
