End runs of refused generations at their engines

Cause: copies that were sent before the verdict wait at engines and end them when they are begun; nothing withdrew them.

Change: when a request comes to be refused, its runs that have no event yet are ended here, unless they are test runs. Their callers get 502, since they may have run, and no other engine is tried. Plain requests go on: they last tens of milliseconds, and some must not be cut while they run.

A spec of one host failed before (the copy stayed at its engine) and passes; a sound generation at the same engine goes on.

--- a/internal/gateway/crash_evidence.go
+++ b/internal/gateway/crash_evidence.go
@@ -46,6 +46,8 @@
 	// testRuns counts the requests known to crash targets that ran to see whether that was
 	// still so.
 	testRuns gometrics.Counter
+	// runsEnded counts the runs that were ended since their requests had come to be refused.
+	runsEnded gometrics.Counter
 
 	mu       sync.Mutex
 	detector *poison.Detector
@@ -70,6 +72,7 @@
 		recorded:   gometrics.GetOrRegisterCounter("gateway.crashes_recorded", reg),
 		learned:    gometrics.GetOrRegisterCounter("gateway.crashes_learned", reg),
 		unverified: gometrics.GetOrRegisterCounter("gateway.crashes_unverified", reg),
+		runsEnded:  gometrics.GetOrRegisterCounter("gateway.crash_runs_ended", reg),
 		testRuns:   gometrics.GetOrRegisterCounter("gateway.crash_test_runs", reg),
 	}
 	_ = reg.Register("gateway.crash_suspects", gometrics.NewFunctionalGauge(s.suspectCount))
@@ -112,8 +115,10 @@
 func (s *CrashEvidence) logVerdicts() {
 	s.logUndecided()
 	refused := s.detector.Refused(s.now())
+	isNew := false
 	for f, crashes := range refused {
 		if _, before := s.refused[f]; !before {
+			isNew = true
 			s.log.Warn("requests are refused since they crash targets", "feature", fmt.Sprintf("%016x", f), "crashes", crashes)
 		}
 	}
@@ -123,6 +128,9 @@
 		}
 	}
 	s.refused = refused
+	if isNew {
+		s.endRefusedRuns()
+	}
 }
 
 // suspectCount returns the number of requests, and of parts of prompts, for which there is
--- a/internal/gateway/crash_evidence_test.go
+++ b/internal/gateway/crash_evidence_test.go
@@ -207,6 +207,36 @@
 		Entry("before its first event", ""),
 	)
 
+	// Guards against copies of a request that wait at engines and end these once they are begun, though the request is refused by then.
+	It("is ended at engines that have not begun to answer when it comes to be refused, and others go on", func() {
+		open := make(chan struct{})
+		waiting := startTarget("i-0", func(conn net.Conn, r *http.Request) {
+			if strings.Contains(r.URL.Path, "sound") {
+				<-open
+				respond("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\n\nid: 1\ndata: a\n\n")(conn, r)
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1))
+		})
+		gw := startGateway(waiting.directoryEntry("llm", "dc-1"))
+		ended, sound := make(chan result, 1), make(chan result, 1)
+		go func() { ended <- gw.do(gw.request("POST", "/report/poison")) }()
+		go func() { sound <- gw.do(gw.requestWithID("r-sound", "POST", "/report/sound")) }()
+		Eventually(waiting.requestsToRun).Should(HaveLen(2))
+		for i := range 3 {
+			crashing, _ := startTargetThatEnds(fmt.Sprintf("i-%d", 1+i), "")
+			gw.publish(crashing)
+			gw.do(gw.requestWithID(fmt.Sprintf("r-%d", i), "POST", "/report/poison"))
+			Eventually(gw.crashCount).Should(Equal(1 + i))
+		}
+		var got result
+		Eventually(ended).Should(Receive(&got))
+		Expect(got.status).To(Equal(http.StatusBadGateway), "it may have run")
+		close(open)
+		Eventually(sound).Should(Receive(&got))
+		Expect(got.status).To(Equal(http.StatusOK))
+	})
+
 	// Guards against callers that get a closed connection without a status though nothing was sent to them.
 	DescribeTable("has an answer with a status when its stream fails before its first event", func(stream string) {
 		target := startTarget("i-1", respond("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\nContent-Length: 200000\n\n"+stream))
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -85,6 +85,9 @@
 	cancel      context.CancelFunc
 	backup      *backup
 	run         *targetRun
+	// isRefused reports whether the stream was ended since its request is known to crash
+	// targets.
+	isRefused func() bool
 }
 
 // close ends the stream. err is why it ended.
@@ -94,6 +97,8 @@
 		s.run.finish()
 	case errGenerationMoved, errGenerationWithdrawn:
 		s.run.drop()
+	case errRunRefused:
+		s.run.fail(err)
 	}
 	s.cancel()
 	_ = s.resp.Body.Close()
@@ -112,6 +117,9 @@
 	// errGenerationWithdrawn marks the end of a stream without an event whose generation
 	// starts again at another engine.
 	errGenerationWithdrawn = failure.New(failure.KindTargetLost, "the generation was withdrawn from its engine, which leaves").WithExecutionUnknown()
+	// errRunRefused marks the end of a stream without an event whose request is known to
+	// crash targets since it was sent.
+	errRunRefused = failure.New(failure.KindTargetLost, "the run was ended since its request crashes targets").WithExecutionUnknown()
 	// errEngineAnswered marks that the engine's own failure is the answer to
 	// the caller.
 	errEngineAnswered = failure.New(failure.KindTargetFailed, "the engine answered with a failure").WithExecuted()
@@ -133,11 +141,14 @@
 		if withdrawn != nil {
 			err = errGenerationWithdrawn
 		}
-		if err != errStreamEnded && err != errGenerationMoved && err != errGenerationWithdrawn {
+		if stream.isRefused() && err != errStreamEnded {
+			err = errRunRefused
+		}
+		if err != errStreamEnded && err != errGenerationMoved && err != errGenerationWithdrawn && err != errRunRefused {
 			gen.g.failRun(gen.ctx, stream.target, stream.run, err)
 		}
 		stream.close(err)
-		if err == errStreamEnded || ctx.Err() != nil {
+		if err == errStreamEnded || err == errRunRefused || ctx.Err() != nil {
 			withdrawn.releaseSuccessor()
 			break
 		}
@@ -371,7 +382,20 @@
 // openStreamIn is openStream with the context of the stream, which cancel ends.
 func (gen *generation) openStreamIn(ctx context.Context, cancel context.CancelFunc, s *call.Attempt, target *directory.ObservedTarget, reservation *Reservation, selection *selectionState) (*engineStream, error) {
 	newBackup := gen.placeBackup(s, target)
+	ctx, refuse := context.WithCancelCause(ctx)
+	end := func() {
+		refuse(nil)
+		cancel()
+	}
 	run := gen.g.cfg.CrashEvidence.begin(target, gen.identity)
+	if !s.TestRun {
+		run.endWhenRefused(func() {
+			if gen.progress.Load() == nil {
+				refuse(errRunRefused)
+			}
+		})
+	}
+	isRefused := func() bool { return context.Cause(ctx) == errRunRefused }
 	selection.run = run
 	resp, answer, err := gen.g.send(ctx, s, selection)
 	if answer.ShuttingDown && gen.movable() {
@@ -381,17 +405,21 @@
 		err = gen.readFailedAnswer(resp, answer)
 	}
 	if err != nil {
-		if context.Cause(ctx) == errGenerationWithdrawn {
+		switch {
+		case context.Cause(ctx) == errGenerationWithdrawn:
 			run.drop()
-		} else {
+		case isRefused():
+			err = errRunRefused
+			run.fail(err)
+		default:
 			gen.g.failRun(ctx, target, run, err)
 		}
-		cancel()
+		end()
 		reservation.Release()
 		newBackup.release()
 		return nil, err
 	}
-	return &engineStream{target: target, resp: resp, reservation: reservation, cancel: cancel, backup: newBackup, run: run}, nil
+	return &engineStream{target: target, resp: resp, reservation: reservation, cancel: end, backup: newBackup, run: run, isRefused: isRefused}, nil
 }
 
 // readFailedAnswer reads an engine's own failure answer, which is passed to the
--- a/internal/gateway/target_run.go
+++ b/internal/gateway/target_run.go
@@ -37,6 +37,8 @@
 
 	// sent is set once this host may have written the request.
 	sent bool
+	// refuse ends the run once its request is refused; nil for a run that goes on.
+	refuse func()
 	// cleared is set once the run can no longer end the target.
 	cleared bool
 	// over is set when the run has ended, endedAt is when.
@@ -92,6 +94,29 @@
 	return s.detector.IsSuspected(s.now(), request)
 }
 
+// endWhenRefused has refuse called once the request is known to crash targets while the run is
+// in progress. It must not block.
+func (r *targetRun) endWhenRefused(refuse func()) {
+	r.evidence.mu.Lock()
+	defer r.evidence.mu.Unlock()
+	r.refuse = refuse
+}
+
+// endRefusedRuns ends the runs in progress whose requests are known to crash targets. A target
+// drops what it has not begun to run. The caller holds the mutex.
+func (s *CrashEvidence) endRefusedRuns() {
+	for _, runs := range s.runs {
+		for _, r := range runs {
+			if r.refuse == nil || r.over || r.cleared || refusalOf(s.detector.Assess(s.now(), r.request)) == nil {
+				continue
+			}
+			r.refuse()
+			r.refuse = nil
+			s.runsEnded.Inc(1)
+		}
+	}
+}
+
 // markSent records that the request may be written from now on.
 func (r *targetRun) markSent() {
 	r.evidence.mu.Lock()
