--- a/internal/decide/poison/doc.go
+++ b/internal/decide/poison/doc.go
@@ -13,9 +13,8 @@
 // content, and the shared parts of its prompt.
 //
 // The evidence is a set of crashes, each with the requests that ran on the target
-// when it died. Sets are bounded, expire, and are merged
-// by gossip as unions, so the order and number of deliveries make no
-// difference.
+// when it died. Sets are bounded, expire, and are merged by gossip as unions, so the
+// order and number of deliveries make no difference.
 //
 //   - Merge reports whether evidence was new. A process that learns of a crash
 //     pushes it at once to a few peers, so the whole fleet knows within
@@ -56,8 +55,15 @@
 // A caller of this package that can't hold or isolate requests, such as the
 // gateway, whose targets run what they are sent, uses only the refusals.
 //
+// All processes date a crash by the earliest report of it, so that those with the
+// same evidence reach the same verdict, but for crashes that lie at the edge of a
+// window by less than a message's way.
+//
 // Limits: equal poison requests that run at the same moment on several targets
 // crash all of these, and so does one that is resent before the evidence arrives.
-// During a partition each side counts for itself. A caller that varies all
-// of its prompt creates new features.
+// Sound content that ran on every target that ended at the same time looks like
+// them, until its test run completes. Of several poison requests that share
+// crashes, about one is recognized in each round of crashes. During a partition
+// each side counts for itself. A caller that varies all of its prompt creates new
+// features.
 package poison
