--- a/internal/decide/poison/causes.go
+++ b/internal/decide/poison/causes.go
@@ -105,8 +105,7 @@
 	// Part is set for a part of prompts.
 	Part bool
 	// Crashes is the number of crashes since the last completion that no refused feature
-	// explains, Weight what they count together, Span the time from the
-	// first to the last.
+	// explains, Weight what they count together, Span the time from the first to the last.
 	Crashes, Weight int
 	Span            time.Duration
 	// Completed is set if a request with the feature has completed.
@@ -118,6 +117,9 @@
 func (d *Detector) findUndecided(counted map[uint64]*tally, explained []bool) []Undecided {
 	var out []Undecided
 	for f, t := range counted {
+		if len(t.crashes) < crashesToRefuse {
+			continue
+		}
 		open := slices.DeleteFunc(slices.Clone(t.crashes), func(i int) bool { return explained[i] })
 		if len(open) < crashesToRefuse {
 			continue
@@ -135,7 +137,7 @@
 	var enough []tally
 	none := make([]bool, len(d.crashes))
 	for _, t := range counted {
-		if d.unexplainedWeight(*t, none) < blockedWeight {
+		if len(t.crashes) < crashesToRefuse || d.unexplainedWeight(*t, none) < blockedWeight {
 			continue
 		}
 		first := d.crashes[t.crashes[0]].at
--- a/internal/gateway/answer_buffer.go
+++ b/internal/gateway/answer_buffer.go
@@ -15,8 +15,8 @@
 	// maxAnswerBytes limits an answer that is buffered until it is complete.
 	maxAnswerBytes = 8 << 20
 	// maxBufferedBytes limits all answers that are buffered at the same time: two of the
-	// longest ones.
-	maxBufferedBytes = 2 * maxAnswerBytes
+	// longest ones, and short ones beside them.
+	maxBufferedBytes = 2*maxAnswerBytes + 1<<20
 	// firstChunkBytes is the size of an answer's first chunk, which holds the answers of most
 	// plain services; chunkBytes that of the others.
 	firstChunkBytes = 4 << 10
