--- a/review/standin/cut_answer.go
+++ b/review/standin/cut_answer.go
@@ -21,7 +21,7 @@
 		"version": version, "routes": []any{route("r-1", "/s/", "streaming"), route("r-2", "/b/", "unsafe")},
 		"services": []any{map[string]any{
 			"name": service, "health_path": "/health", "max_conns": 282, "warmup_s": 0, "warmup_per_s": 0,
-			"engine": map[string]any{"slots": 24, "kv_capacity_tokens": 34289, "kv_token_bytes": 18432, "link_mbps": 2700.0, "moves": true, "backups": false, "stride": 4, "handle_s": 5.0, "pin_ms": 4000, "hold_ms": 2000},
+			"engine": map[string]any{"slots": 24, "kv_capacity_tokens": 34289, "kv_token_bytes": 18432, "link_mbps": 2700.0, "moves": true, "backups": true, "stride": 4, "handle_s": 5.0, "pin_ms": 4000, "hold_ms": 2000},
 		}},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{map[string]any{"name": "clinic", "api_keys": []string{"key-1"}}},
@@ -54,7 +54,7 @@
 		}
 		p.logf("client sends POST %s as %s", target, id)
 		got := send(h.callers, "POST", target, id, header, "{}", 30*time.Second)
-		whole := wholeBody(id, stream, events)
+		whole := first.wholeBody(id, stream)
 		p.logf("client got for %s: status %d, sealed %t, looks complete %t, %d of %d bytes, error %v", id, got.status, got.sealed, got.complete, len(got.body), len(whole), got.err)
 		switch {
 		case got.complete && got.status/100 == 2 && got.body != whole:
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,7 +17,9 @@
 )
 
 var cases = map[string]func(*play) bool{
-	"cut-answer": playCutAnswer,
+	"cut-answer":     playCutAnswer,
+	"large-bodies":   playLargeBodies,
+	"mixed-versions": playMixedVersions,
 }
 
 func main() {
--- a/review/standin/play.go
+++ b/review/standin/play.go
@@ -54,7 +54,9 @@
 			code = exitNotRun
 		}
 		_ = record.Close()
-		_ = os.RemoveAll(dir)
+		if os.Getenv("KEEP") == "" {
+			_ = os.RemoveAll(dir)
+		}
 	}()
 	p.storeAddress = freeAddress()
 	go func() { _ = http.ListenAndServe(p.storeAddress, p.store) }()
@@ -94,7 +96,7 @@
 }
 
 func (p *play) start(cmd *exec.Cmd, logName string) *exec.Cmd {
-	log, err := os.Create(filepath.Join(p.dir, logName))
+	log, err := os.OpenFile(filepath.Join(p.dir, logName), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		p.fail("%v", err)
 	}
@@ -126,7 +128,7 @@
 type host struct {
 	callers, ready, peers string
 	cmd                   *exec.Cmd
-	logPath               string
+	name, settings        string
 }
 
 // newHost returns a host with free addresses.
@@ -152,17 +154,22 @@
 		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 			p.fail("%v", err)
 		}
-		cmd := exec.Command("target/filbert-gateway", "--log-format", "json")
-		cmd.Env = append(os.Environ(), platform.SettingsPathVariable+"="+settings, "GOMAXPROCS=1")
-		h.logPath = filepath.Join(p.dir, name+".log")
-		h.cmd = p.start(cmd, name+".log")
-		p.logf("gateway %s started", name)
+		h.name, h.settings = name, settings
+		p.restart(h)
 	}
 	for _, h := range hosts {
 		p.waitReady(h)
 	}
 }
 
+// restart starts a host's process. As on the platform's machines there is one core.
+func (p *play) restart(h *host) {
+	cmd := exec.Command("target/filbert-gateway", "--log-format", "json")
+	cmd.Env = append(os.Environ(), platform.SettingsPathVariable+"="+h.settings, "GOMAXPROCS=1")
+	h.cmd = p.start(cmd, h.name+".log")
+	p.logf("gateway %s started", h.name)
+}
+
 func (p *play) waitReady(h *host) {
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		resp, err := http.Get("http://" + h.ready + standin.PathReady)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -25,12 +26,14 @@
 	gap    time.Duration
 	// unframed answers have neither a length nor chunks and end with their channel.
 	unframed bool
+	// version is that of the server's software. Versions write different texts.
+	version string
 }
 
 // startServer starts a server as a process of its own. Each line that it writes says what it
 // runs.
 func (p *play) startServer(o serverOptions) *exec.Cmd {
-	cmd := exec.Command(os.Args[0], "server", "--id", o.id, "--address", o.address, "--events", fmt.Sprint(o.events), "--gap", o.gap.String(), fmt.Sprintf("--unframed=%t", o.unframed))
+	cmd := exec.Command(os.Args[0], "server", "--id", o.id, "--address", o.address, "--events", fmt.Sprint(o.events), "--gap", o.gap.String(), fmt.Sprintf("--unframed=%t", o.unframed), "--version", o.version)
 	cmd = p.start(cmd, o.id+".log")
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		conn, err := net.Dial("tcp", o.address)
@@ -64,25 +67,42 @@
 	}
 }
 
-// eventText returns one event of a stream.
-func eventText(request string, number int) string {
-	return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", number, request, number)
+// ranRequests returns the ids of the requests that a server ran.
+func (p *play) ranRequests(id string) map[string]bool {
+	log, err := os.ReadFile(filepath.Join(p.dir, id+".log"))
+	if err != nil {
+		p.fail("%v", err)
+	}
+	ran := map[string]bool{}
+	for _, line := range strings.Split(string(log), "\n") {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "runs" {
+			ran[fields[1]] = true
+		}
+	}
+	return ran
 }
 
-// partText returns one part of a plain answer.
-func partText(request string, number int) string {
-	return fmt.Sprintf("%s part %3d of the answer\n", request, number)
+// part returns one event of a stream, or one part of a plain answer.
+func (o serverOptions) part(request string, stream bool, number int) string {
+	switch {
+	case !stream:
+		return fmt.Sprintf("%s part %3d of the answer\n", request, number)
+	case o.version == "":
+		return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", number, request, number)
+	}
+	return fmt.Sprintf("id: %d\ndata: %s piece %d of version %s\n\n", number, request, number, o.version)
 }
 
 // wholeBody returns the whole body of a server's answer to a request.
-func wholeBody(request string, stream bool, events int) string {
+func (o serverOptions) wholeBody(request string, stream bool) string {
+	return o.bodyFrom(1, request, stream)
+}
+
+// bodyFrom returns the body from a part on.
+func (o serverOptions) bodyFrom(first int, request string, stream bool) string {
 	var out strings.Builder
-	for i := 1; i <= events; i++ {
-		if stream {
-			out.WriteString(eventText(request, i))
-		} else {
-			out.WriteString(partText(request, i))
-		}
+	for i := first; i <= o.events; i++ {
+		out.WriteString(o.part(request, stream, i))
 	}
 	return out.String()
 }
@@ -97,7 +117,9 @@
 	flags.IntVar(&o.events, "events", 1, "events of a stream")
 	flags.DurationVar(&o.gap, "gap", 0, "time between events")
 	flags.BoolVar(&o.unframed, "unframed", false, "answers end with their channel")
+	flags.StringVar(&o.version, "version", "", "version of the server's software, which stands in what it writes; empty for none")
 	_ = flags.Parse(args)
+	copies := newCopies()
 	born := time.Now().UnixMilli()
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
@@ -106,10 +128,16 @@
 			_ = json.NewEncoder(w).Encode(map[string]any{"stage": "any", "busy": false, "seq": 1, "queued": 0, "active": 1, "kv_used": 100, "kv_total": 30000, "handles": 0, "state": "ready", "born": born, "runs": []any{}})
 		case r.URL.Path == "/health":
 			w.Header().Set("X-Filbertdeck-Instance-Id", o.id)
+		case strings.HasPrefix(r.URL.Path, pathCopy):
+			copies.add(strings.TrimPrefix(r.URL.Path, pathCopy))
 		case strings.HasPrefix(r.URL.Path, "/api/"):
 			w.WriteHeader(http.StatusServiceUnavailable)
 		case r.Header.Get(standin.HeaderExpectInstance) != o.id:
 			w.WriteHeader(http.StatusMisdirectedRequest)
+		case r.Header.Get(standin.HeaderKVFrom) != "" && !copies.take(r.Header.Get(standin.HeaderKVFrom)):
+			w.Header().Set(standin.HeaderNotExecuted, "1")
+			w.Header().Set(standin.HeaderRequestID, r.Header.Get(standin.HeaderRequestID))
+			w.WriteHeader(http.StatusServiceUnavailable)
 		default:
 			o.answer(w, r)
 		}
@@ -136,21 +164,27 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	body := wholeBody(request, stream, o.events)
+	// A run that goes on from a copy continues behind the last event that the client has.
+	first := 1
+	if r.Header.Get(standin.HeaderKVFrom) != "" {
+		last, _ := strconv.Atoi(r.Header.Get(standin.HeaderLastEventID))
+		first = last + 1
+		fmt.Printf("goes on with %s behind event %d\n", request, last)
+	}
 	if o.unframed {
 		head += "Connection: close\r\n"
 	} else {
-		head += fmt.Sprintf("Content-Length: %d\r\nConnection: close\r\n", len(body))
+		head += fmt.Sprintf("Content-Length: %d\r\nConnection: close\r\n", len(o.bodyFrom(first, request, stream)))
 	}
 	out := buffered.Writer
 	write(out, "HTTP/1.1 200 OK\r\n"+head+"\r\n")
-	for i := 1; i <= o.events; i++ {
+	backup := r.Header.Get(standin.HeaderBackup)
+	for i := first; i <= o.events; i++ {
 		time.Sleep(o.gap)
-		if stream {
-			write(out, eventText(request, i))
-		} else {
-			write(out, partText(request, i))
+		if backup != "" {
+			go sendCopy(backup, request)
 		}
+		write(out, o.part(request, stream, i))
 		fmt.Printf("%s: wrote %d of %d\n", request, i, o.events)
 	}
 	fmt.Printf("ends %s\n", request)
