Review case 2: stopping hosts take requests that they cut off before they end

Cause: requests are taken until 1.5 s before the end of the grace, whatever time they have; streams of services without engines are not checked.

--- a/review/standin/cut_answer.go
+++ b/review/standin/cut_answer.go
@@ -8,17 +8,22 @@
 // service is the service of the model servers in the cases.
 const service = "llm"
 
+// route returns a route to the service of the cases.
+func (p *play) route(name, prefix, kind string) map[string]any {
+	return map[string]any{
+		"name": name, "host": "a.example", "prefix": prefix, "route_type": kind, "timeout_ms": 39000, "latency_target_ms": 1800,
+		"gap_target_ms": 1000, "priority": 1, "service": service, "max_attempts": 1, "public": false, "sticky": true, "resumable": false,
+	}
+}
+
 // putConfig writes a desired state with a streaming and an unsafe route to a service of model
 // servers.
-func (p *play) putConfig(version int) {
-	route := func(name, prefix, kind string) map[string]any {
-		return map[string]any{
-			"name": name, "host": "a.example", "prefix": prefix, "route_type": kind, "timeout_ms": 39000, "latency_target_ms": 1800,
-			"gap_target_ms": 1000, "priority": 1, "service": service, "max_attempts": 1, "public": false, "sticky": true, "resumable": false,
-		}
-	}
+func (p *play) putConfig(version int) { p.putConfigWith(version) }
+
+// putConfigWith is putConfig with further routes.
+func (p *play) putConfigWith(version int, further ...any) {
 	p.store.Put("op/config", map[string]any{
-		"version": version, "routes": []any{route("r-1", "/s/", "streaming"), route("r-2", "/b/", "unsafe")},
+		"version": version, "routes": append([]any{p.route("r-1", "/s/", "streaming"), p.route("r-2", "/b/", "unsafe")}, further...),
 		"services": []any{map[string]any{
 			"name": service, "health_path": "/health", "max_conns": 282, "warmup_s": 0, "warmup_per_s": 0,
 			"engine": map[string]any{"slots": 24, "kv_capacity_tokens": 34289, "kv_token_bytes": 18432, "link_mbps": 2700.0, "moves": true, "backups": true, "stride": 4, "handle_s": 5.0, "pin_ms": 4000, "hold_ms": 2000},
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,8 @@
 	"cut-answer":     playCutAnswer,
 	"large-bodies":   playLargeBodies,
 	"mixed-versions": playMixedVersions,
+	"double-slash":   playDoubleSlash,
+	"late-accept":    playLateAccept,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -28,12 +28,14 @@
 	unframed bool
 	// version is that of the server's software. Versions write different texts.
 	version string
+	// plainTime is the time that a plain answer takes in all, if it is not events times gap.
+	plainTime time.Duration
 }
 
 // startServer starts a server as a process of its own. Each line that it writes says what it
 // runs.
 func (p *play) startServer(o serverOptions) *exec.Cmd {
-	cmd := exec.Command(os.Args[0], "server", "--id", o.id, "--address", o.address, "--events", fmt.Sprint(o.events), "--gap", o.gap.String(), fmt.Sprintf("--unframed=%t", o.unframed), "--version", o.version)
+	cmd := exec.Command(os.Args[0], "server", "--id", o.id, "--address", o.address, "--events", fmt.Sprint(o.events), "--gap", o.gap.String(), fmt.Sprintf("--unframed=%t", o.unframed), "--version", o.version, "--plain-time", o.plainTime.String())
 	cmd = p.start(cmd, o.id+".log")
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		conn, err := net.Dial("tcp", o.address)
@@ -118,6 +120,7 @@
 	flags.DurationVar(&o.gap, "gap", 0, "time between events")
 	flags.BoolVar(&o.unframed, "unframed", false, "answers end with their channel")
 	flags.StringVar(&o.version, "version", "", "version of the server's software, which stands in what it writes; empty for none")
+	flags.DurationVar(&o.plainTime, "plain-time", 0, "time of a plain answer; 0 for events times gap")
 	_ = flags.Parse(args)
 	copies := newCopies()
 	born := time.Now().UnixMilli()
@@ -177,6 +180,10 @@
 		head += fmt.Sprintf("Content-Length: %d\r\nConnection: close\r\n", len(o.bodyFrom(first, request, stream)))
 	}
 	out := buffered.Writer
+	if !stream && o.plainTime > 0 {
+		time.Sleep(o.plainTime)
+		o.gap = 0
+	}
 	write(out, "HTTP/1.1 200 OK\r\n"+head+"\r\n")
 	backup := r.Header.Get(standin.HeaderBackup)
 	for i := first; i <= o.events; i++ {
