Tell callers cut off by a stop that the outcome is unknown, and log each of them

What callers saw: at the end of a stop's grace period their connections were closed without an answer; a booking's caller could not tell whether it had run.

Cause: the process closed its server with requests in progress.

Now EndRequests ends them: who has no part of an answer gets 502 with executed=unknown (503 if nothing was sent), a begun stream is broken off as before. Line 'request cut off by the exit of the process' and counter gateway.requests_cut_off.

--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -28,11 +28,14 @@
 func (g *Gateway) deliver(req *http.Request, s *call.Attempt, selection *selectionState) (*http.Response, error) {
 	s.LastResort = selection.lastResort
 	check := func() error {
-		selection.recordSend()
 		if err := g.checkSendable(s); err != nil {
 			return err
 		}
-		return req.Context().Err()
+		if err := req.Context().Err(); err != nil {
+			return err
+		}
+		selection.recordSend()
+		return nil
 	}
 	d := &delivery{g: g, req: req, attempt: s, run: selection.run, check: check}
 	if g.cfg.Relay != nil && g.paths.isLost(s.Target.Service) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -29,6 +29,8 @@
 	identity poison.Request
 	// testRun is set while a request that is known to crash targets may still be sent once.
 	testRun atomic.Bool
+	// sentAt is when the request was last sent to a target; nil before.
+	sentAt atomic.Pointer[time.Time]
 }
 
 // checkVerdict returns an error if a request must not be sent since it is known to crash
@@ -49,6 +51,8 @@
 	// published state to the selection; negative when it was never confirmed.
 	viewAge    time.Duration
 	selectedAt time.Time
+	// exchange is the request.
+	exchange *exchange
 	// run is the request's run at the target.
 	run *targetRun
 	// lastResort is set when the request can be served by no other target.
@@ -59,12 +63,16 @@
 }
 
 // selectionState returns the state from which a target is selected now.
-func (g *Gateway) selectionState() *selectionState {
-	return &selectionState{view: g.view(), viewAge: g.cfg.ViewAge(), selectedAt: time.Now()}
+func (g *Gateway) selectionState(x *exchange) *selectionState {
+	return &selectionState{exchange: x, view: g.view(), viewAge: g.cfg.ViewAge(), selectedAt: time.Now()}
 }
 
 // recordSend records that the first byte is sent.
-func (s *selectionState) recordSend() { s.sendDelayNanos.Store(int64(time.Since(s.selectedAt))) }
+func (s *selectionState) recordSend() {
+	now := time.Now()
+	s.sendDelayNanos.Store(int64(now.Sub(s.selectedAt)))
+	s.exchange.sentAt.Store(&now)
+}
 
 // LogValue returns the attributes for a log line.
 func (s *selectionState) LogValue() slog.Value {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,12 +127,16 @@
 	urgentPrompts *urgentPrompts
 	// shutdown is set once the process shuts down.
 	shutdown atomic.Pointer[shutdownTimes]
+	// cutOff is done once the requests in progress are cut off, by endRequests.
+	cutOff      context.Context
+	endRequests context.CancelFunc
 }
 
 // New returns a Gateway and registers its metrics in cfg.Metrics.
 func New(cfg Config) *Gateway {
 	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), answers: newAnswerBuffers(cfg.Metrics), generations: newGenerationSet(), moves: newMoveQueue(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks(), urgentPrompts: &urgentPrompts{}, versions: newServiceVersions(cfg.Now, cfg.Log, cfg.Metrics)}
 	g.origins = newStreamOrigins(cfg, g.versions)
+	g.cutOff, g.endRequests = context.WithCancel(context.Background())
 	if cfg.Loads != nil {
 		cfg.Loads.roomCounts = g.metrics.rooms
 	}
@@ -145,15 +149,6 @@
 	return g
 }
 
-// shutdownTimes holds the times of a process shutdown.
-type shutdownTimes struct{ lastStart, exit time.Time }
-
-// AnnounceShutdown announces that the process shuts down: it starts no
-// generation after lastStart and exits at exit.
-func (g *Gateway) AnnounceShutdown(lastStart, exit time.Time) {
-	g.shutdown.Store(&shutdownTimes{lastStart, exit})
-}
-
 // exitsBeforeEnd reports whether the process is likely to exit before a
 // generation has ended. The generation would be cut off and may run only once,
 // so its caller should try another host at once. Length estimates are sometimes
@@ -196,7 +191,7 @@
 		g.refuse(w, req, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	ctx, cancel := g.requestContext(r.Context(), x)
 	defer cancel()
 	if x.route.Kind == directory.Generation {
 		if x.takesUp() {
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -260,7 +260,7 @@
 		req.MemoryShare = search.MemoryShare
 		req.FirstEventObjective = gen.remainingObjective()
 		gen.limitPrompts(&req)
-		selection := gen.g.selectionState()
+		selection := gen.g.selectionState(gen.exchange)
 		_, reservation, outcome := gen.g.cfg.Loads.AcquireWithRoom(selection.view, req)
 		if outcome != NoRoom {
 			return selection, reservation, nil
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -73,6 +73,8 @@
 	// sendsRefused counts the sends that did not take place since the request had become
 	// known to crash targets.
 	sendsRefused gometrics.Counter
+	// cutOff counts the requests that were cut off by the exit of the process.
+	cutOff gometrics.Counter
 	// rooms count grants of engines' room, and searches without an engine in time.
 	rooms roomCounters
 }
@@ -97,7 +99,7 @@
 		unreadableFigures: counter("load_figures_unreadable"), searchesWithoutRoom: counter("searches_without_room"),
 		promptsHeld: counter("prompts_held"), promptHold: newHistogram("prompt_hold_us", r),
 		waitingTurns: counter("waiting_turns"), waitingHeld: counter("waiting_held"), waitingUnanswered: counter("waiting_unanswered"), waitingHopeless: counter("waiting_hopeless"),
-		failuresReported: counter("failures_reported"), sendsRefused: counter("sends_refused"), emptyStreams: counter("streams_empty"),
+		failuresReported: counter("failures_reported"), sendsRefused: counter("sends_refused"), emptyStreams: counter("streams_empty"), cutOff: counter("requests_cut_off"),
 		rooms: newRoomCounters(counter),
 	}
 	for _, kind := range []directory.RequestKind{directory.AtMostOnce, directory.Repeatable, directory.Generation} {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -41,7 +41,7 @@
 	var targetID string
 	var selection *selectionState
 	for {
-		latest := g.selectionState()
+		latest := g.selectionState(x)
 		target, reservation, ok := g.cfg.Loads.Acquire(latest.view, plainPlacementRequest(x, g.exclude(x, tried)))
 		if !ok {
 			break
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -44,7 +44,7 @@
 		reservation.Release()
 		return errStreamEnded
 	}
-	stream, err := gen.resume(c, reservation, gen.g.selectionState())
+	stream, err := gen.resume(c, reservation, gen.g.selectionState(gen.exchange))
 	if err != nil {
 		return err
 	}
@@ -165,7 +165,7 @@
 	if !ok {
 		return nil, false
 	}
-	selection := gen.g.selectionState()
+	selection := gen.g.selectionState(gen.exchange)
 	selection.lastResort = true
 	stream, err := gen.resume(c, reservation, selection)
 	gen.g.cfg.Log.Info("generation comes back from a copy", "request", gen.ID, "to", c.target.ID, "to_version", c.target.Version, "events", gen.times.events,
@@ -198,7 +198,7 @@
 	if !gen.g.cfg.RetryBudget.AllowRetry(gen.g.cfg.Now(), gen.budgetKey()) {
 		return nil, cause
 	}
-	selection := gen.g.selectionState()
+	selection := gen.g.selectionState(gen.exchange)
 	target, reservation, ok := gen.g.cfg.Loads.Acquire(selection.view, gen.placementRequest([]string{from.ID}))
 	if !ok {
 		return nil, cause
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,11 +1,14 @@
 package gateway_test
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	gometrics "github.com/rcrowley/go-metrics"
 )
 
 var _ = Describe("a process that shuts down", func() {
@@ -34,4 +37,59 @@
 		gw.gateway.AnnounceShutdown(time.Now().Add(-time.Second), time.Now())
 		Expect(gw.do(gw.request("POST", "/book/")).status).To(Equal(http.StatusOK))
 	})
+
+	// Guards against an exit that closes the connections of requests that may run: their
+	// callers would not learn that the outcome is unknown.
+	It("tells the callers of requests in progress at its exit that they may have run", func() {
+		sent := make(chan struct{}, 4)
+		hold := make(chan struct{})
+		DeferCleanup(func() { close(hold) })
+		held := func(text string) connHandler {
+			return func(conn net.Conn, r *http.Request) {
+				respond(text)(conn, r)
+				sent <- struct{}{}
+				<-hold
+			}
+		}
+		plain, engine := startTarget("i-1", held("")), startTarget("i-2", held(""))
+		gw := startGateway(plain.directoryEntry("app", "dc-1"), engine.directoryEntry("llm", "dc-1"))
+		gw.gateway.AnnounceShutdown(time.Now().Add(time.Hour), time.Now().Add(time.Hour))
+		paths := []string{"/book/", "/look/", "/report/"}
+		results := make(chan result, len(paths))
+		for _, path := range paths {
+			req := gw.request("POST", path)
+			go func() { results <- gw.do(req) }()
+		}
+		for range paths {
+			Eventually(sent, "10s").Should(Receive())
+		}
+		gw.gateway.EndRequests()
+		for range paths {
+			var got result
+			Eventually(results, "10s").Should(Receive(&got))
+			Expect(got.err).NotTo(HaveOccurred())
+			Expect(got.status).To(Equal(http.StatusBadGateway))
+			Expect(got.body).To(ContainSubstring("unknown"))
+		}
+		Expect(gw.metrics.Get("gateway.requests_cut_off").(gometrics.Counter).Count()).To(BeEquivalentTo(len(paths)))
+	})
+
+	// Guards against an answer that looks complete although the exit cut it off.
+	It("breaks off a stream that has begun", func() {
+		hold := make(chan struct{})
+		DeferCleanup(func() { close(hold) })
+		engine := startTarget("i-1", func(conn net.Conn, r *http.Request) {
+			respond("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\nContent-Type: text/event-stream\n\nid: 1\ndata: a\n\n")(conn, r)
+			<-hold
+		})
+		gw := startGateway(engine.directoryEntry("llm", "dc-1"))
+		gw.gateway.AnnounceShutdown(time.Now().Add(time.Hour), time.Now().Add(time.Hour))
+		resp, err := gw.client.Do(gw.request("POST", "/report/"))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = resp.Body.Close() }()
+		Expect(io.ReadAtLeast(resp.Body, make([]byte, 64), len("id: 1"))).To(BeNumerically(">", 0))
+		gw.gateway.EndRequests()
+		_, err = io.ReadAll(resp.Body)
+		Expect(err).To(HaveOccurred())
+	})
 })
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -76,7 +76,7 @@
 		withdrawn.releaseSuccessor()
 		return nil, nil, errGenerationWithdrawn
 	}
-	return gen.g.selectionState(), withdrawn.successor, nil
+	return gen.g.selectionState(gen.exchange), withdrawn.successor, nil
 }
 
 // asMaybeRun returns the failure of a generation that may have run at the engine from
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -33,6 +33,9 @@
 	// to write the last bytes and to exit before the platform kills the
 	// process.
 	stopMargin = 250 * time.Millisecond
+	// cutOffTimeout is the part of stopMargin in which the requests that are
+	// cut off receive their answers.
+	cutOffTimeout = 100 * time.Millisecond
 	// drainNotice is how long a stopping process accepts requests after its
 	// readiness check starts to fail. The load balancer probes once a second
 	// and removes a host after the second failed probe.
@@ -262,11 +265,23 @@
 			g.AnnounceShutdown(time.Now().Add(newGenerationWindow), time.Now().Add(remaining))
 			server.SetKeepAlivesEnabled(false)
 			err := state.Stop(ctx)
+			if err != nil {
+				endRequests(g, state)
+			}
 			return errors.Join(err, server.Close())
 		},
 	})
 }
 
+// endRequests ends the requests in progress and waits for their answers to be
+// written.
+func endRequests(g *gateway.Gateway, state *lifecycle.Lifecycle) {
+	ctx, cancel := context.WithTimeout(context.Background(), cutOffTimeout)
+	defer cancel()
+	g.EndRequests()
+	state.AwaitIdle(ctx)
+}
+
 // trackRequests counts the requests in progress, so that shutdown waits for
 // them.
 func trackRequests(g *gateway.Gateway, state *lifecycle.Lifecycle) http.Handler {
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -106,6 +106,19 @@
 	return nil
 }
 
+// AwaitIdle waits until no request is in progress or ctx is done.
+func (l *Lifecycle) AwaitIdle(ctx context.Context) {
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for l.InProgress() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (l *Lifecycle) step() (done bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
