Refuse requests that a stopping process could cut off

Cause: the check whether a request ends before the exit looked at generations of services with engines only; for all others the door was closed by time alone.

Now each request is checked once its body is read (decide/drain, StopTimes): - one whose deadline is before the exit always starts; - until load balancers have removed the host (2.5 s), others start if the longest time that requests of their route took lately fits, which is kept per route; - later they are refused with 503 and Retry-After 20 ms: another host serves them. Generations of services with engines are checked as before.

The spec 'still serves plain requests' announced an exit at once and expected a request of 5 s to be accepted: it asked for this fault. It now asks that a request be served that ends before the exit; the new specs hold both sides of that.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,6 +123,7 @@
 	versions     *serviceVersions
 	origins      *streamOrigins
 	averageTimes averageTimes
+	longestTimes longestTimes
 	// urgentPrompts holds the usual length of the prompts for which others are held.
 	urgentPrompts *urgentPrompts
 	// shutdown is set once the process shuts down.
@@ -149,19 +150,6 @@
 	return g
 }
 
-// exitsBeforeEnd reports whether the process is likely to exit before a
-// generation has ended. The generation would be cut off and may run only once,
-// so its caller should try another host at once. Length estimates are sometimes
-// far off, so after lastStart no generation is started at all.
-func (g *Gateway) exitsBeforeEnd(x *exchange) bool {
-	shutdown := g.shutdown.Load()
-	if shutdown == nil || x.service.Engine == nil {
-		return false
-	}
-	now := time.Now()
-	return now.After(shutdown.lastStart) || now.Add(g.averageTimes.expectedDuration(x.Prompt, x.service.Engine.TokensPerEvent)).After(shutdown.exit)
-}
-
 // view returns the state published most recently. A request keeps the route and
 // account that it was admitted with, but each send selects its target from the
 // current view: a retry may come seconds later, when the first target has left.
@@ -193,6 +181,7 @@
 	}
 	ctx, cancel := g.requestContext(r.Context(), x)
 	defer cancel()
+	defer g.recordEnd(ctx, x)
 	if x.route.Kind == directory.Generation {
 		if x.takesUp() {
 			if err := g.bindToOrigin(ctx, x); err != nil {
@@ -290,17 +279,5 @@
 	if testRun {
 		g.cfg.Log.Info("request runs as a test, as it is known to crash targets", "request", x.ID, "route", x.route.Name)
 	}
-	if x.route.Kind == directory.Generation {
-		return g.checkMayStart(x)
-	}
-	return nil
-}
-
-// checkMayStart returns an error when the process is expected to exit before a
-// generation ends.
-func (g *Gateway) checkMayStart(x *exchange) error {
-	if g.exitsBeforeEnd(x) {
-		return failure.New(failure.KindStopping, "the process is expected to exit before the generation ends").WithRetryAfter(stoppingRetryAfter)
-	}
-	return nil
+	return g.checkMayStart(x)
 }
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -72,6 +72,7 @@
 			g.moveFromLeavingTargets(ctx, view)
 			g.cfg.Loads.Prune(view)
 			g.paths.prune(view)
+			g.longestTimes.prune(view.Config)
 			g.versions.observe(view)
 			g.origins.tellPending()
 		}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	gometrics "github.com/rcrowley/go-metrics"
+
+	"filbertdeck/internal/directory"
 )
 
 var _ = Describe("a process that shuts down", func() {
@@ -31,10 +33,43 @@
 		Expect(e.requests()).To(HaveLen(1))
 	})
 
-	It("still serves plain requests", func() {
+	It("still serves plain requests that end before it exits", func() {
+		t := startTarget("i-1", respond(completeAnswer))
+		gw := startGateway(t.directoryEntry("app", "dc-1"))
+		gw.gateway.AnnounceShutdown(time.Now().Add(-time.Second), time.Now().Add(time.Hour))
+		Expect(gw.do(gw.request("POST", "/book/")).status).To(Equal(http.StatusOK))
+	})
+
+	// Guards against a booking, or a stream of a service without engines, that is accepted
+	// although it may last longer than the process, which then cuts it off.
+	It("refuses what may outlast it, once load balancers have removed it", func() {
 		t := startTarget("i-1", respond(completeAnswer))
 		gw := startGateway(t.directoryEntry("app", "dc-1"))
-		gw.gateway.AnnounceShutdown(time.Now().Add(-time.Second), time.Now())
+		gw.cfg.Routes = append(gw.cfg.Routes, directory.Route{
+			Name: "/feed/", Host: "a.example", Prefix: "/feed/", Kind: directory.Generation, Timeout: 5 * time.Second, MaxAttempts: 1,
+			Backends: []directory.Backend{{Service: "app", Weight: 1}},
+		})
+		gw.publish(t.directoryEntry("app", "dc-1"))
+		gw.gateway.AnnounceShutdown(time.Now().Add(-time.Second), time.Now().Add(4*time.Second))
+		for _, path := range []string{"/book/", "/look/", "/feed/"} {
+			got := gw.do(gw.request("POST", path))
+			Expect(got.status).To(Equal(http.StatusServiceUnavailable), path)
+			Expect(got.body).To(ContainSubstring("stopping"))
+			Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		}
+		Expect(t.requests()).To(BeEmpty())
+	})
+
+	// Guards against refusals in vain while load balancers still send most callers here.
+	It("starts what its route's requests are known to take, until load balancers have removed it", func() {
+		t := startTarget("i-1", respond(completeAnswer))
+		gw := startGateway(t.directoryEntry("app", "dc-1"))
+		announce := func() { gw.gateway.AnnounceShutdown(time.Now().Add(time.Hour), time.Now().Add(4*time.Second)) }
+		announce()
+		Expect(gw.do(gw.request("POST", "/book/")).status).To(Equal(http.StatusServiceUnavailable), "nothing is known of the route")
+		gw.gateway.AnnounceShutdown(time.Now().Add(time.Hour), time.Now().Add(time.Hour))
+		Expect(gw.do(gw.request("POST", "/book/")).status).To(Equal(http.StatusOK))
+		announce()
 		Expect(gw.do(gw.request("POST", "/book/")).status).To(Equal(http.StatusOK))
 	})
 
