Check right before a request is sent that it ends before the exit

What callers saw: a request that a stopping process accepted in time and sent late, after a wait for a connection or as a repeat, could be cut off by the exit.

Cause: the time left was checked on arrival and in waits for room, not when the first byte is written.

Now the last check before a write, on the direct way and through another host, asks it again for sends that start a request; copies and backups of generations in progress go on. What was not sent before is refused as not run; what was sent before gets the outcome of that send.

--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -31,6 +31,11 @@
 		if err := g.checkSendable(s); err != nil {
 			return err
 		}
+		if selection.starts {
+			if err := g.checkMayStart(selection.exchange); err != nil {
+				return err
+			}
+		}
 		if err := req.Context().Err(); err != nil {
 			return err
 		}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -53,6 +53,8 @@
 	selectedAt time.Time
 	// exchange is the request.
 	exchange *exchange
+	// starts is set when the send starts the request and does not continue a generation.
+	starts bool
 	// run is the request's run at the target.
 	run *targetRun
 	// lastResort is set when the request can be served by no other target.
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -191,6 +191,7 @@
 		if reservation == nil {
 			break
 		}
+		selection.starts = true
 		target := reservation.entry
 		gen.setTarget(target, nil, nil)
 		gen.g.cfg.Log.Info("generation placed", "request", gen.ID, "route", gen.route.Name, "target", target.ID, "version", target.Version, "started", target.StartedUnixMilli,
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -42,6 +42,7 @@
 	var selection *selectionState
 	for {
 		latest := g.selectionState(x)
+		latest.starts = true
 		target, reservation, ok := g.cfg.Loads.Acquire(latest.view, plainPlacementRequest(x, g.exclude(x, tried)))
 		if !ok {
 			break
@@ -164,10 +165,17 @@
 }
 
 // refusedAfterSend reports whether a request that was sent before is not sent again since
-// it is known to crash targets. Its caller is told how the earlier send ended, since it may
-// have run.
+// no target may get it. Its caller is told how the earlier send ended, since it may have
+// run.
 func refusedAfterSend(err error, before attemptCounts) bool {
-	return failure.KindOf(err) == failure.KindPoison && before.sent > 0
+	return isRefusedEverywhere(err) && before.sent > 0
+}
+
+// isRefusedEverywhere reports whether a request may not be sent to any target: it is known to
+// crash targets, or the process may exit before it has ended.
+func isRefusedEverywhere(err error) bool {
+	kind := failure.KindOf(err)
+	return kind == failure.KindPoison || kind == failure.KindStopping
 }
 
 // isUnreached reports whether no connection to the target could be established.
@@ -185,7 +193,7 @@
 	if !failed || ctx.Err() != nil {
 		return false
 	}
-	if kind := failure.KindOf(err); kind == failure.KindNoTarget || kind == failure.KindPoison {
+	if failure.KindOf(err) == failure.KindNoTarget || isRefusedEverywhere(err) {
 		return false
 	}
 	if requestUnsent(err) {
@@ -336,7 +344,7 @@
 		return
 	}
 	switch failure.KindOf(err) {
-	case failure.KindTargetLeft, failure.KindTargetResting, failure.KindPoison:
+	case failure.KindTargetLeft, failure.KindTargetResting, failure.KindPoison, failure.KindStopping:
 		return
 	}
 	mayHaveCrashed := sent && failure.KindOf(err) == failure.KindTargetLost && g.notStopping(target)
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -73,6 +73,30 @@
 		Expect(gw.do(gw.request("POST", "/book/")).status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against a request that is accepted in time and sent too late: it waited for a
+	// connection or was sent before, and the exit cuts it off.
+	It("does not send what may outlast it by now, and says whether it may have run", func() {
+		for path, want := range map[string]struct {
+			answer connHandler
+			status int
+		}{
+			"/book/": {respond(notExecuted), http.StatusServiceUnavailable},
+			"/look/": {func(net.Conn, *http.Request) {}, http.StatusBadGateway},
+		} {
+			var gw *fixture
+			received := make(chan string, 2)
+			answer := func(conn net.Conn, r *http.Request) {
+				received <- r.URL.Path
+				gw.gateway.AnnounceShutdown(time.Now().Add(-time.Second), time.Now().Add(time.Second))
+				want.answer(conn, r)
+			}
+			first, second := startTarget("i-1", answer), startTarget("i-2", answer)
+			gw = startGateway(first.directoryEntry("app", "dc-1"), second.directoryEntry("app", "dc-1"))
+			Expect(gw.do(gw.request("POST", path)).status).To(Equal(want.status), path)
+			Expect(received).To(HaveLen(1), path)
+		}
+	})
+
 	// Guards against an exit that closes the connections of requests that may run: their
 	// callers would not learn that the outcome is unknown.
 	It("tells the callers of requests in progress at its exit that they may have run", func() {
