Don't take over another host's request that the exit could cut off

What callers saw: a request that their host sends through another one could be cut off when that other host stops: it takes no new ones once it is not ready, but one that waited for its connection when the stop began was still sent.

Cause: as for the host's own requests; the check stood on the callers' way alone. Now it is asked once the connection stands, before the other host is told to start: the request goes on only if its deadline is before the exit, else that host asks another one.

--- a/internal/gateway/peer_requests.go
+++ b/internal/gateway/peer_requests.go
@@ -4,8 +4,10 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"filbertdeck/internal/call"
+	"filbertdeck/internal/decide/drain"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
 )
@@ -26,6 +28,20 @@
 	return t, nil
 }
 
+// checkMayRelay returns an error if the process may exit before another host's request, whose
+// context is ctx, has ended. That host asks another one.
+func (g *Gateway) checkMayRelay(ctx context.Context) error {
+	shutdown := g.shutdown.Load()
+	if shutdown == nil {
+		return nil
+	}
+	left := drain.StopTimes{UntilExit: time.Until(shutdown.exit)}
+	if deadline, ok := ctx.Deadline(); ok && left.MayStart(drain.Work{UntilDeadline: time.Until(deadline)}) {
+		return nil
+	}
+	return failure.New(failure.KindNotReady, "the process exits in %s and the request may take longer", left.UntilExit)
+}
+
 // errLostHereToo is returned to a host that asks to send to a service that this host
 // has lost as well.
 var errLostHereToo = failure.New(failure.KindNotReady, "this host can't reach targets of the service either")
@@ -43,6 +59,9 @@
 		if err := g.checkAttempt(s); err != nil {
 			return err
 		}
+		if err := g.checkMayRelay(req.Context()); err != nil {
+			return err
+		}
 		if err := ready(); err != nil {
 			return err
 		}
--- a/internal/gateway/peer_requests_test.go
+++ b/internal/gateway/peer_requests_test.go
@@ -67,6 +67,19 @@
 		Expect(target.requests()).To(HaveLen(1))
 	})
 
+	// Guards against a host that takes a request over while it stops, and cuts it off.
+	It("is not sent by a host that may exit before it has ended", func() {
+		target := startTarget("app-1", respond(completeAnswer))
+		host, peer := start(target)
+		peer.gateway.AnnounceShutdown(time.Now().Add(time.Hour), time.Now().Add(20*time.Second))
+		quick := host.request(http.MethodPost, "/book/1")
+		quick.Header.Set(standin.HeaderDeadline, "2000")
+		Expect(host.do(quick).status).To(Equal(http.StatusOK))
+		peer.gateway.AnnounceShutdown(time.Now().Add(time.Hour), time.Now().Add(time.Second))
+		Expect(host.do(host.request(http.MethodPost, "/book/2")).status).To(Equal(http.StatusServiceUnavailable))
+		Expect(target.requests()).To(HaveLen(1))
+	})
+
 	// Guards against answers that look complete although the target broke off.
 	It("does not end as complete when the answer breaks off", func() {
 		target := startTarget("app-1", respond("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s-1\nContent-Length: 40\n\nhalf"))
