Join no streams from two versions when clients wait longer than their route

What callers saw (the users' report): two versions in service or the old one just gone, all hosts killed and back; streams that were taken up ended whole, the first part from one version and the rest from another.

Cause: hosts that know of no other version for the time that a stream may last take the version that they see for the stream's. That time was two timeouts of the route and 2 s. A client may wait for longer than its route's timeout, whatever its tries are, and configurations change timeouts; hosts that were all replaced have no record that would contradict them.

Now the time follows from the longest timeout that clients of the account have had on the route, if that is longer; in a later try a client's timeout may be what is left of the first one. Records are kept for as long. Accounts don't affect each other.

--- a/internal/gateway/confirm_start.go
+++ b/internal/gateway/confirm_start.go
@@ -51,7 +51,7 @@
 	if gen.service.Engine == nil || t.StartedUnixMilli == 0 || !gen.route.Resumable {
 		return false
 	}
-	return gen.origin.Load() != nil || !gen.g.origins.followsFromVersions(gen.route) || gen.g.cfg.Loads.mayHaveRestarted(t.ID)
+	return gen.origin.Load() != nil || !gen.g.origins.followsFromVersions(gen.route, gen.g.origins.streamLifetime(gen.exchange)) || gen.g.cfg.Loads.mayHaveRestarted(t.ID)
 }
 
 // recordColdSend counts a call against this host's share of what a cold target takes.
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -516,7 +516,7 @@
 		gen.origin.Store(origin)
 	}
 	if gen.route.Resumable {
-		gen.g.origins.begin(gen.streamKey(), *origin, gen.route)
+		gen.g.origins.begin(gen.exchange, *origin)
 	}
 }
 
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -74,6 +74,7 @@
 			g.paths.prune(view)
 			g.longestTimes.prune(view.Config)
 			g.versions.observe(view)
+			g.origins.prune(view.Config)
 			g.origins.tellPending()
 		}
 		select {
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -23,7 +24,7 @@
 
 const (
 	// triesPerStream is the number of tries in which a client may take a stream up, each
-	// as long as the route's timeout.
+	// as long as the route's timeout or its own.
 	triesPerStream = 2
 	// lifetimeMargin is added to the time in which a stream may be taken up, for the way
 	// between client and host.
@@ -58,12 +59,21 @@
 	registry *streamorigin.Registry
 	// untold holds the streams of this host of which others have not been told.
 	untold map[streamorigin.Key]untoldStream
+	// clientTimeouts holds the longest timeout that clients of an account had on a route.
+	clientTimeouts map[clientsOfRoute]time.Duration
+	// prunedFor is the configuration for which clientTimeouts was pruned last.
+	prunedFor *directory.Config
 }
 
+// clientsOfRoute are the clients of an account that use a route.
+type clientsOfRoute struct{ account, route string }
+
 type untoldStream struct {
-	record  streamorigin.Record
-	route   *directory.Route
-	expires time.Duration
+	record streamorigin.Record
+	route  *directory.Route
+	// lifetime is how long the stream may be taken up from its start on.
+	lifetime time.Duration
+	expires  time.Duration
 	// tellAt is the time from which others may be told.
 	tellAt time.Duration
 }
@@ -71,13 +81,39 @@
 func newStreamOrigins(cfg Config, versions *serviceVersions) *streamOrigins {
 	return &streamOrigins{
 		now: cfg.Now, versions: versions, disconnected: cfg.Disconnected, peers: cfg.OriginPeers,
-		registry: streamorigin.NewRegistry(), untold: map[streamorigin.Key]untoldStream{},
+		registry: streamorigin.NewRegistry(), untold: map[streamorigin.Key]untoldStream{}, clientTimeouts: map[clientsOfRoute]time.Duration{},
 	}
 }
 
-// streamLifetime returns the time within which a stream of a route is taken up.
-func streamLifetime(r *directory.Route) time.Duration {
-	return triesPerStream*cmp.Or(r.Timeout, defaultTimeout) + lifetimeMargin
+// streamLifetime returns the time within which the stream of a request is taken up. A client
+// may wait for longer than its route's timeout. In a later try its timeout may be what is
+// left of the first one, so that the longest one of its account counts.
+func (o *streamOrigins) streamLifetime(x *exchange) time.Duration {
+	clients := clientsOfRoute{accountName(x.account), x.route.Name}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	longest := max(o.clientTimeouts[clients], x.ClientTimeout)
+	o.clientTimeouts[clients] = longest
+	return triesPerStream*max(cmp.Or(x.route.Timeout, defaultTimeout), longest) + lifetimeMargin
+}
+
+// prune forgets the clients of accounts and routes that are no longer configured. It is not
+// called concurrently with itself.
+func (o *streamOrigins) prune(cfg *directory.Config) {
+	if cfg == nil || cfg == o.prunedFor {
+		return
+	}
+	o.prunedFor = cfg
+	routes, accounts := map[string]bool{}, map[string]bool{accountName(nil): true}
+	for i := range cfg.Routes {
+		routes[cfg.Routes[i].Name] = true
+	}
+	for i := range cfg.Accounts {
+		accounts[cfg.Accounts[i].Name] = true
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	maps.DeleteFunc(o.clientTimeouts, func(c clientsOfRoute, _ time.Duration) bool { return !routes[c.route] || !accounts[c.account] })
 }
 
 // onlyService returns the only service that may begin a route's streams; empty if there
@@ -97,9 +133,9 @@
 }
 
 // followsFromVersions reports whether every host knows the version of the streams that
-// the route begins, since its service has had no other.
-func (o *streamOrigins) followsFromVersions(r *directory.Route) bool {
-	return o.statement(onlyService(r), streamLifetime(r)).Versions == streamorigin.One
+// the route begins, since its service has had no other for the lifetime of a stream.
+func (o *streamOrigins) followsFromVersions(r *directory.Route, lifetime time.Duration) bool {
+	return o.statement(onlyService(r), lifetime).Versions == streamorigin.One
 }
 
 // statement returns what this host says about the versions of a service.
@@ -119,9 +155,10 @@
 
 // begin records where a stream began, and tells other hosts of it if they need it. It
 // runs before the first event is passed on: this host may be lost right after.
-func (o *streamOrigins) begin(key streamorigin.Key, origin streamorigin.Origin, r *directory.Route) {
-	record := streamorigin.Record{Key: key, Origin: origin, Lifetime: streamLifetime(r)}
-	follows := o.followsFromVersions(r)
+func (o *streamOrigins) begin(x *exchange, origin streamorigin.Origin) {
+	key, lifetime := x.streamKey(), o.streamLifetime(x)
+	record := streamorigin.Record{Key: key, Origin: origin, Lifetime: lifetime}
+	follows := o.followsFromVersions(x.route, lifetime)
 	final := !follows && (o.peers == nil || o.peers.Tell([]streamorigin.Record{record}))
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -129,7 +166,7 @@
 	if final {
 		return
 	}
-	s := untoldStream{record: record, route: r, expires: o.now() + record.Lifetime}
+	s := untoldStream{record: record, route: x.route, lifetime: lifetime, expires: o.now() + lifetime}
 	if !follows {
 		s.tellAt = o.now() + retellInterval
 	}
@@ -168,7 +205,7 @@
 			return records
 		case s.expires <= o.now():
 			delete(o.untold, key)
-		case s.tellAt <= o.now() && !o.followsFromVersions(s.route):
+		case s.tellAt <= o.now() && !o.followsFromVersions(s.route, s.lifetime):
 			s.record.Lifetime = s.expires - o.now()
 			records = append(records, s.record)
 			s.tellAt = o.now() + retellInterval
@@ -181,7 +218,7 @@
 // find concludes where the stream began that a request takes up. answers is the number
 // of hosts that answered, this one included.
 func (o *streamOrigins) find(ctx context.Context, x *exchange) (origin *streamorigin.Origin, basis streamorigin.Basis, answers int) {
-	q := streamorigin.Question{Key: x.streamKey(), Service: onlyService(x.route), Window: streamLifetime(x.route)}
+	q := streamorigin.Question{Key: x.streamKey(), Service: onlyService(x.route), Window: o.streamLifetime(x)}
 	all := []streamorigin.Answer{o.answer(q)}
 	if all[0].Origin == nil && o.peers != nil {
 		all = append(all, o.peers.Ask(ctx, q)...)
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -181,6 +181,21 @@
 			}
 		})
 
+		// Guards against a host that has run for as long as a route's timeouts last, and takes
+		// the version that it sees for that of a stream whose client waits for longer.
+		It("refuses one of clients that may have begun it before the host started", func() {
+			takeUp := func(id string, timeout time.Duration) int {
+				req := gw.takeUp(id, "elsewhere-"+id, 3)
+				req.Header.Set(standin.HeaderDeadline, fmt.Sprint(timeout.Milliseconds()))
+				return gw.do(req).status
+			}
+			Expect(takeUp("t-1", 5*time.Second)).To(Equal(http.StatusOK))
+			Expect(takeUp("t-2", observed)).To(Equal(http.StatusServiceUnavailable))
+			Expect(takeUp("t-3", 5*time.Second)).To(Equal(http.StatusServiceUnavailable), "this may be what is left of a longer timeout")
+			gw.skip(2 * observed)
+			Expect(takeUp("t-4", observed)).To(Equal(http.StatusOK))
+		})
+
 		// Guards against a host whose view is older than those of the hosts that it asks.
 		It("refuses one if another host knows of a second version", func() {
 			gw.peers.answer(streamorigin.Answer{Versions: streamorigin.One, Version: "v1"}, streamorigin.Answer{Versions: streamorigin.Several})
--- a/test/gateway/versions_test.go
+++ b/test/gateway/versions_test.go
@@ -236,6 +236,31 @@
 		Expect(old.ran.Load() + current.ran.Load()).To(Equal(ran))
 	})
 
+	// Guards against hosts that were all replaced and take the version that they find for the
+	// only one: a client may wait for longer than its route's timeout, and take up a stream
+	// of a version that has left since.
+	It("join no streams from two versions after all of them were killed", func() {
+		store.PutTimedStreamConfig(2, "llm", time.Second, "key-1")
+		startVersionedEngine(store, "i-old", "v1", nil)
+		startHosts(2)
+		begun := beginAll(hosts[0])
+		for _, h := range hosts {
+			Expect(h.cmd.Process.Kill()).To(Succeed())
+			<-h.exited
+		}
+		startVersionedEngine(store, "i-new", "v2", nil)
+		store.RemoveServer("i-old")
+		first := startReplacement(address)
+		second := startReplacement(address, first.peerAddress)
+		Eventually(first.isReady, stepTimeout).Should(BeTrue())
+		Eventually(second.isReady, stepTimeout).Should(BeTrue())
+		// Twice the route's timeout, and as much again.
+		for range 8 {
+			Expect(takeUpAll(begun, first, second).other).To(BeZero())
+			time.Sleep(time.Second)
+		}
+	})
+
 	// Guards against an engine that started again under its id with another version, which
 	// runs what was meant for the one before it until the hosts learn of that.
 	It("send no stream of an earlier version to an engine that has started again", func() {
