Let quick requests start at a stopping process until late

Cause, from the logs: requests that take 60 ms were refused since their clients wait for 2.5 s. The longest time of a route did not help: it held requests that had run into their own timeouts.

Now only answered requests count for the longest time of a route, and after the removal of the host those still start that take half of the time left at most. Streams don't: they can't be told that they were cut off, and a plain request that is cut off all the same gets an answer that says so.

--- a/internal/decide/drain/admission.go
+++ b/internal/decide/drain/admission.go
@@ -16,23 +16,35 @@
 	// UntilDeadline is the time after which the request ends, whatever its target
 	// does.
 	UntilDeadline time.Duration
-	// Longest is the longest time that requests of its route took lately; 0 if none
-	// has ended.
+	// Longest is the longest time in which requests of its route were answered lately; 0
+	// if none was.
 	Longest time.Duration
+	// Stream is set if parts of the answer are passed on before it is complete, so that
+	// a caller that is cut off can't be told so.
+	Stream bool
 }
 
-// answerMargin is the time that the answer to a request takes after its deadline.
-const answerMargin = 100 * time.Millisecond
+const (
+	// answerMargin is the time that the answer to a request takes after its deadline.
+	answerMargin = 100 * time.Millisecond
+	// lateStartFactor multiplies the longest time of a request that starts after the
+	// removal of the process: its target may have just turned slow.
+	lateStartFactor = 2
+)
 
-// MayStart reports whether a request may start. Until load balancers have removed the
-// process, most callers that it refuses would have been served, so that requests start
-// that are expected to end. Later only those start that end before the exit in any case:
-// a target that has just turned slow makes every expectation too short, and a request
-// that is cut off may run only once. A refused caller is served by another process at
-// once.
+// MayStart reports whether a request may start. One that ends before the exit in any case
+// always does. Until load balancers have removed the process, most callers that it refuses
+// would have been served, so that requests start that are expected to end. Later only those
+// start that are expected to leave time to spare, and no streams: a refused caller is served
+// by another process at once, unless most processes stop at the same time.
 func (s StopTimes) MayStart(w Work) bool {
-	if w.UntilDeadline+answerMargin <= s.UntilExit {
+	switch {
+	case w.UntilDeadline+answerMargin <= s.UntilExit:
 		return true
+	case w.Longest == 0:
+		return false
+	case s.UntilRemoved > 0:
+		return w.Longest <= s.UntilExit
 	}
-	return s.UntilRemoved > 0 && w.Longest > 0 && w.Longest <= s.UntilExit
+	return !w.Stream && lateStartFactor*w.Longest <= s.UntilExit
 }
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -540,6 +540,7 @@
 	switch {
 	case err == errStreamEnded:
 		gen.g.averageTimes.add(gen.times)
+		gen.g.longestTimes.record(gen.route.Name, gen.times.last)
 		gen.g.metrics.countAnswered(gen.route.Kind, gen.times.last)
 		gen.g.metrics.recordServed(gen.times)
 		gen.g.cfg.Log.Info("generation served", "request", gen.ID, "target", gen.target.ID, "version", gen.target.Version, "route", gen.route.Name, "account", accountName(gen.account),
--- a/internal/gateway/longest_times.go
+++ b/internal/gateway/longest_times.go
@@ -12,7 +12,7 @@
 // shortens it: by 1/256 of the difference.
 const longestTimeDecay = 256
 
-// longestTimes keeps the longest time that requests of each route took lately. It is safe
+// longestTimes keeps the longest time in which requests of each route were answered lately. It is safe
 // for concurrent use.
 type longestTimes struct {
 	// byRoute holds a *atomic.Int64 in nanoseconds for the name of each route.
@@ -21,7 +21,7 @@
 	prunedFor *directory.Config
 }
 
-// record records a request that has ended.
+// record records a request that was answered.
 func (l *longestTimes) record(route string, took time.Duration) {
 	entry, known := l.byRoute.Load(route)
 	if !known {
@@ -37,7 +37,7 @@
 	}
 }
 
-// of returns the longest time of a route; 0 if none of its requests has ended.
+// of returns the longest time of a route; 0 if none of its requests was answered.
 func (l *longestTimes) of(route string) time.Duration {
 	entry, known := l.byRoute.Load(route)
 	if !known {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -64,6 +64,7 @@
 	switch {
 	case answer != nil:
 		g.metrics.countAnswered(x.route.Kind, time.Since(x.ArrivedAt))
+		g.longestTimes.record(x.route.Name, time.Since(x.ArrivedAt))
 		g.cfg.Log.Info("request answered", "request", x.ID, "route", x.route.Name, "account", accountName(x.account),
 			"config", x.view.Config.Version, "target", targetID, "status", answer.Status, "target_leaving", answer.Leaving, "sends", counts.sent, "unreached", counts.unsent,
 			"basis", selection, "took", time.Since(x.ArrivedAt))
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"filbertdeck/internal/decide/drain"
+	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
 )
 
@@ -34,7 +35,7 @@
 		return nil
 	}
 	left := drain.StopTimes{UntilExit: shutdown.exit.Sub(now), UntilRemoved: shutdown.lastStart.Sub(now)}
-	work := drain.Work{UntilDeadline: x.deadline.Sub(now), Longest: g.longestTimes.of(x.route.Name)}
+	work := drain.Work{UntilDeadline: x.deadline.Sub(now), Longest: g.longestTimes.of(x.route.Name), Stream: x.route.Kind == directory.Generation}
 	if !left.MayStart(work) {
 		return errMayOutlastProcess(left.UntilExit, work.UntilDeadline)
 	}
@@ -69,9 +70,6 @@
 
 // recordEnd records the end of a request that was relayed in ctx.
 func (g *Gateway) recordEnd(ctx context.Context, x *exchange) {
-	if x.service.Engine == nil && x.sentAt.Load() != nil {
-		g.longestTimes.record(x.route.Name, time.Since(x.ArrivedAt))
-	}
 	if context.Cause(ctx) == errCutOff {
 		g.recordCutOff(x)
 	}
