--- a/internal/decide/drain/stop.go
+++ b/internal/decide/drain/stop.go
@@ -49,8 +49,7 @@
 	// progress, up to the maximum time above: the process can't end before that
 	// work does. A load balancer that has lost half of a data centre's hosts
 	// also sends to hosts that are not ready, so refusing there costs callers
-	// an attempt for nothing (21 refusals on a day on which three of eight
-	// hosts were stopped in turn).
+	// an attempt for nothing. StopTimes says which requests may start.
 	AcceptWhileBusy bool
 	// LingerDuration is the time from the end of the last request to the exit. The
 	// default is 1 s.
--- a/internal/gateway/longest_times.go
+++ b/internal/gateway/longest_times.go
@@ -12,8 +12,8 @@
 // shortens it: by 1/256 of the difference.
 const longestTimeDecay = 256
 
-// longestTimes keeps the longest time in which requests of each route were answered lately. It is safe
-// for concurrent use.
+// longestTimes keeps the longest time in which requests of each route were answered
+// lately. It is safe for concurrent use.
 type longestTimes struct {
 	// byRoute holds a *atomic.Int64 in nanoseconds for the name of each route.
 	byRoute sync.Map
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -26,6 +26,9 @@
 	// triesPerStream is the number of tries in which a client may take a stream up, each
 	// as long as the route's timeout or its own.
 	triesPerStream = 2
+	// maxClientTimeout bounds the timeouts of clients that count. Versions are not vouched
+	// for over as long a time.
+	maxClientTimeout = time.Hour
 	// lifetimeMargin is added to the time in which a stream may be taken up, for the way
 	// between client and host.
 	lifetimeMargin = 2 * time.Second
@@ -92,7 +95,7 @@
 	clients := clientsOfRoute{accountName(x.account), x.route.Name}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	longest := max(o.clientTimeouts[clients], x.ClientTimeout)
+	longest := max(o.clientTimeouts[clients], min(x.ClientTimeout, maxClientTimeout))
 	o.clientTimeouts[clients] = longest
 	return triesPerStream*max(cmp.Or(x.route.Timeout, defaultTimeout), longest) + lifetimeMargin
 }
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -194,6 +194,7 @@
 			Expect(takeUp("t-3", 5*time.Second)).To(Equal(http.StatusServiceUnavailable), "this may be what is left of a longer timeout")
 			gw.skip(2 * observed)
 			Expect(takeUp("t-4", observed)).To(Equal(http.StatusOK))
+			Expect(takeUp("t-5", 24*time.Hour)).To(Equal(http.StatusServiceUnavailable))
 		})
 
 		// Guards against a host whose view is older than those of the hosts that it asks.
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -12,8 +12,9 @@
 // shutdownTimes holds the times of a process shutdown.
 type shutdownTimes struct{ announced, lastStart, exit time.Time }
 
-// AnnounceShutdown announces that the process shuts down and exits at exit. After lastStart
-// it starts no generation, and only requests that end before the exit in any case.
+// AnnounceShutdown announces that the process shuts down and exits at exit. At lastStart load
+// balancers are taken to have removed it: it starts no generation any more, and of other
+// requests those that drain.StopTimes allows.
 func (g *Gateway) AnnounceShutdown(lastStart, exit time.Time) {
 	g.shutdown.Store(&shutdownTimes{time.Now(), lastStart, exit})
 }
