Read logs under their lock in specs of the gateway

Traced: the spec reads the buffer of logs while the gateway's loop, which goes on until the end of the spec, logs a change of versions; writes held a lock, reads did not. Another spec read its buffer the same way. Both read under the lock now; what they check is unchanged.

--- a/internal/gateway/prompt_limits_test.go
+++ b/internal/gateway/prompt_limits_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"bytes"
 	"context"
 	"log/slog"
 	"net/http"
@@ -161,14 +160,14 @@
 	var (
 		engine *fakeTarget
 		gw     *fixture
-		logs   *bytes.Buffer
+		logs   *lockedBuffer
 	)
 	// start starts a gateway whose only engine has unread prompts of another host for half
 	// a second. Generations on /brief/ are the most urgent ones.
 	start := func(mode contention.Mode, reportObjective time.Duration) {
-		logs = &bytes.Buffer{}
+		logs = &lockedBuffer{}
 		engine = startTarget("i-1", respond(completeStream))
-		gw = startScheduling(gateway.SchedulingModes{PromptLimits: mode}, platform.Dialect{}, slog.NewTextHandler(&lockedWriter{to: logs}, nil), nil)
+		gw = startScheduling(gateway.SchedulingModes{PromptLimits: mode}, platform.Dialect{}, slog.NewTextHandler(logs, nil), nil)
 		gw.cfg = testConfig()
 		gw.cfg.Routes[2].Priority, gw.cfg.Routes[2].LatencyObjective = 2, reportObjective
 		gw.cfg.Routes[3].LatencyObjective = 300 * time.Millisecond
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -177,9 +176,9 @@
 	// Many people can read the collected logs. A key in a log line would let
 	// any of them send requests as its owner.
 	It("contain no client's key, whatever the outcome of a request", func() {
-		logs := &bytes.Buffer{}
+		logs := &lockedBuffer{}
 		first := startTarget("i-1", respond(completeAnswer))
-		gw := startGatewayWithLogs(slog.NewJSONHandler(&lockedWriter{to: logs}, &slog.HandlerOptions{Level: slog.LevelDebug}),
+		gw := startGatewayWithLogs(slog.NewJSONHandler(logs, &slog.HandlerOptions{Level: slog.LevelDebug}),
 			first.directoryEntry("app", "dc-1"))
 		for _, path := range []string{"/book/", "/look/", "/none/", "/report/"} {
 			gw.do(gw.request("POST", path))
@@ -194,14 +193,20 @@
 	})
 })
 
-// lockedWriter serialises writes from several requests.
-type lockedWriter struct {
-	mu sync.Mutex
-	to io.Writer
+// lockedBuffer holds what several goroutines log.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
 }
 
-func (l *lockedWriter) Write(p []byte) (int, error) {
+func (l *lockedBuffer) Write(p []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.to.Write(p)
+	return l.buf.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
 }
