Take configured names from the view's index when pruning

The view's index is built once when a configuration is published and holds the names now; pruning allocates nothing and reads nothing else.

The package's specs of moves with room, of stops and of streams that are taken up pass with -race.

--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -44,6 +44,8 @@
 	servicesByName map[string]*Service
 	accountsByKey  map[string]*Account
 	routesByHost   map[string][]*Route
+	// routeNames and accountNames hold the names of all routes and client accounts.
+	routeNames, accountNames map[string]struct{}
 	// mostUrgent holds the lowest priority value of each service's generation
 	// routes.
 	mostUrgent map[string]int
@@ -53,7 +55,7 @@
 
 // NewIndex builds the index of a configuration, which may be nil.
 func NewIndex(cfg *Config) *Index {
-	index := &Index{config: cfg, servicesByName: map[string]*Service{}, accountsByKey: map[string]*Account{}, routesByHost: map[string][]*Route{}, mostUrgent: map[string]int{}, contention: map[string]contention.Policy{}}
+	index := &Index{config: cfg, servicesByName: map[string]*Service{}, accountsByKey: map[string]*Account{}, routesByHost: map[string][]*Route{}, routeNames: map[string]struct{}{}, accountNames: map[string]struct{}{}, mostUrgent: map[string]int{}, contention: map[string]contention.Policy{}}
 	if cfg == nil {
 		return index
 	}
@@ -61,12 +63,14 @@
 		index.servicesByName[cfg.Services[i].Name] = &cfg.Services[i]
 	}
 	for i := range cfg.Accounts {
+		index.accountNames[cfg.Accounts[i].Name] = struct{}{}
 		for _, key := range cfg.Accounts[i].Keys {
 			index.accountsByKey[key] = &cfg.Accounts[i]
 		}
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
+		index.routeNames[r.Name] = struct{}{}
 		index.routesByHost[r.Host] = append(index.routesByHost[r.Host], r)
 		index.addPriority(r)
 	}
@@ -167,6 +171,18 @@
 	return nil, false
 }
 
+// HasRoute reports whether a route with a name is configured.
+func (v *View) HasRoute(name string) bool {
+	_, ok := v.index.routeNames[name]
+	return ok
+}
+
+// HasAccount reports whether a client account with a name is configured.
+func (v *View) HasAccount(name string) bool {
+	_, ok := v.index.accountNames[name]
+	return ok
+}
+
 // NeedsKey reports whether requests of a route need a client account's key.
 func (v *View) NeedsKey(r *Route) bool { return v.Config.Accounts != nil && !r.Public }
 
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -72,9 +72,9 @@
 			g.moveFromLeavingTargets(ctx, view)
 			g.cfg.Loads.Prune(view)
 			g.paths.prune(view)
-			g.longestTimes.prune(view.Config)
+			g.longestTimes.prune(view)
 			g.versions.observe(view)
-			g.origins.prune(view.Config)
+			g.origins.prune(view)
 			g.origins.tellPending()
 		}
 		select {
--- a/internal/gateway/longest_times.go
+++ b/internal/gateway/longest_times.go
@@ -48,17 +48,13 @@
 
 // prune removes the routes that are no longer configured. It is not called concurrently
 // with itself.
-func (l *longestTimes) prune(cfg *directory.Config) {
-	if cfg == nil || cfg == l.prunedFor {
+func (l *longestTimes) prune(view *directory.View) {
+	if view.Config == nil || view.Config == l.prunedFor {
 		return
 	}
-	l.prunedFor = cfg
-	configured := make(map[string]struct{}, len(cfg.Routes))
-	for i := range cfg.Routes {
-		configured[cfg.Routes[i].Name] = struct{}{}
-	}
+	l.prunedFor = view.Config
 	l.byRoute.Range(func(name, _ any) bool {
-		if _, known := configured[name.(string)]; !known {
+		if !view.HasRoute(name.(string)) {
 			l.byRoute.Delete(name)
 		}
 		return true
--- a/internal/gateway/longest_times_internal_test.go
+++ b/internal/gateway/longest_times_internal_test.go
@@ -33,7 +33,7 @@
 	var l longestTimes
 	l.record("r-1", time.Second)
 	l.record("r-2", time.Second)
-	l.prune(&directory.Config{Routes: []directory.Route{{Name: "r-2"}}})
+	l.prune(directory.NewView(1, &directory.Config{Routes: []directory.Route{{Name: "r-2"}}}, nil, nil))
 	if l.of("r-1") != 0 || l.of("r-2") == 0 {
 		t.Errorf("after the change of the routes: r-1 %s, r-2 %s", l.of("r-1"), l.of("r-2"))
 	}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -102,21 +102,17 @@
 
 // prune forgets the clients of accounts and routes that are no longer configured. It is not
 // called concurrently with itself.
-func (o *streamOrigins) prune(cfg *directory.Config) {
-	if cfg == nil || cfg == o.prunedFor {
+func (o *streamOrigins) prune(view *directory.View) {
+	if view.Config == nil || view.Config == o.prunedFor {
 		return
 	}
-	o.prunedFor = cfg
-	routes, accounts := map[string]bool{}, map[string]bool{accountName(nil): true}
-	for i := range cfg.Routes {
-		routes[cfg.Routes[i].Name] = true
-	}
-	for i := range cfg.Accounts {
-		accounts[cfg.Accounts[i].Name] = true
-	}
+	o.prunedFor = view.Config
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	maps.DeleteFunc(o.clientTimeouts, func(c clientsOfRoute, _ time.Duration) bool { return !routes[c.route] || !accounts[c.account] })
+	maps.DeleteFunc(o.clientTimeouts, func(c clientsOfRoute, _ time.Duration) bool {
+		known := c.account == accountName(nil) || view.HasAccount(c.account)
+		return !known || !view.HasRoute(c.route)
+	})
 }
 
 // onlyService returns the only service that may begin a route's streams; empty if there
