Say who ended a stream, and how long switches take

Added without a change of any decision: streams end with a cause; 'generation broke' says who ended the last stream, the time to the deadline and, after a switch, when it was and how long header and first event took, and is a warning while the caller waits; 'generation switched' and 'stream ended after a switch without an event'; histograms of header and first event after a switch, counters of switches that failed, ran out of time or were lost.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -65,11 +65,16 @@
 	// withdrawn is set once the generation was withdrawn from an engine.
 	withdrawn bool
 
+	// endedBy and lastSwitch describe the last stream that ended early. Only the goroutine
+	// that relays the generation uses them.
+	endedBy    streamEnder
+	lastSwitch *streamSwitch
+
 	mu sync.Mutex
 	// target is the target where the generation runs.
 	target *directory.ObservedTarget
 	// cancelStream ends the stream from target.
-	cancelStream context.CancelFunc
+	cancelStream context.CancelCauseFunc
 	// backup is the backup of the generation's memory, nil when there is none.
 	backup *backup
 	// move is the move away from target, in progress or done; nil when there is
@@ -79,15 +84,19 @@
 
 // engineStream is the part of a generation's stream that one engine produces.
 type engineStream struct {
+	// ctx is the context of the stream, cancel ends it for a reason.
+	ctx         context.Context
+	cancel      context.CancelCauseFunc
 	target      *directory.ObservedTarget
 	resp        *http.Response
 	reservation *Reservation
-	cancel      context.CancelFunc
 	backup      *backup
 	run         *targetRun
 	// isRefused reports whether the stream was ended since its request is known to crash
 	// targets.
 	isRefused func() bool
+	// switched is the switch that opened the stream; nil for another one.
+	switched *streamSwitch
 }
 
 // close ends the stream. err is why it ended.
@@ -100,7 +109,7 @@
 	case errRunRefused:
 		s.run.fail(err)
 	}
-	s.cancel()
+	s.cancel(err)
 	_ = s.resp.Body.Close()
 	s.reservation.Release()
 	s.backup.release()
@@ -146,6 +155,7 @@
 		}
 		if err != errStreamEnded && err != errGenerationMoved && err != errGenerationWithdrawn && err != errRunRefused {
 			gen.g.failRun(gen.ctx, stream.target, stream.run, err)
+			gen.recordStreamEnd(stream, err)
 		}
 		stream.close(err)
 		if err == errStreamEnded || err == errRunRefused || ctx.Err() != nil {
@@ -201,7 +211,7 @@
 		s.ConfirmStart = gen.confirmsStart(target)
 		ctx, cancel := context.WithCancelCause(gen.ctx)
 		gen.beginFreshRun(reservation, counts.sent+1, tried, cancel)
-		stream, err := gen.openStreamIn(ctx, func() { cancel(nil) }, s, target, reservation, selection)
+		stream, err := gen.openStreamIn(ctx, cancel, s, target, reservation, selection)
 		if err == nil {
 			gen.setStream(stream)
 			gen.attempts++
@@ -335,7 +345,7 @@
 
 // setTarget records where the generation runs. No move away from there has
 // begun.
-func (gen *generation) setTarget(target *directory.ObservedTarget, cancel context.CancelFunc, b *backup) {
+func (gen *generation) setTarget(target *directory.ObservedTarget, cancel context.CancelCauseFunc, b *backup) {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
 	gen.target, gen.cancelStream, gen.backup, gen.move = target, cancel, b, nil
@@ -372,21 +382,21 @@
 
 // openStreamWithin is openStream with a time limit; 0 means none.
 func (gen *generation) openStreamWithin(limit time.Duration, s *call.Attempt, target *directory.ObservedTarget, reservation *Reservation, selection *selectionState) (*engineStream, error) {
-	ctx, cancel := context.WithCancel(gen.ctx)
+	ctx, cancel := context.WithCancelCause(gen.ctx)
 	if limit > 0 {
-		timer := time.AfterFunc(limit, cancel)
+		timer := time.AfterFunc(limit, func() { cancel(errSwitchTimeout) })
 		defer timer.Stop()
 	}
 	return gen.openStreamIn(ctx, cancel, s, target, reservation, selection)
 }
 
 // openStreamIn is openStream with the context of the stream, which cancel ends.
-func (gen *generation) openStreamIn(ctx context.Context, cancel context.CancelFunc, s *call.Attempt, target *directory.ObservedTarget, reservation *Reservation, selection *selectionState) (*engineStream, error) {
+func (gen *generation) openStreamIn(ctx context.Context, cancel context.CancelCauseFunc, s *call.Attempt, target *directory.ObservedTarget, reservation *Reservation, selection *selectionState) (*engineStream, error) {
 	newBackup := gen.placeBackup(s, target)
 	ctx, refuse := context.WithCancelCause(ctx)
-	end := func() {
-		refuse(nil)
-		cancel()
+	end := func(cause error) {
+		refuse(cause)
+		cancel(cause)
 	}
 	run := gen.g.cfg.CrashEvidence.begin(target, gen.identity)
 	if !s.TestRun {
@@ -415,12 +425,12 @@
 		default:
 			gen.g.failRun(ctx, target, run, err)
 		}
-		end()
+		end(err)
 		reservation.Release()
 		newBackup.release()
 		return nil, err
 	}
-	return &engineStream{target: target, resp: resp, reservation: reservation, cancel: end, backup: newBackup, run: run, isRefused: isRefused}, nil
+	return &engineStream{ctx: ctx, cancel: end, target: target, resp: resp, reservation: reservation, backup: newBackup, run: run, isRefused: isRefused}, nil
 }
 
 // readFailedAnswer reads an engine's own failure answer, which is passed to the
@@ -457,6 +467,7 @@
 		}
 		stream.reservation.MarkPromptRead()
 		stream.run.recordEvent()
+		gen.g.metrics.recordFirstEvent(stream.switched)
 		if err := gen.deliver(&block, stream); err != nil {
 			return err
 		}
@@ -555,6 +566,6 @@
 		return
 	}
 	gen.g.metrics.countBroken(gen.ctx.Err() != nil)
-	gen.g.cfg.Log.Info("generation broke", "request", gen.ID, "target", gen.target.ID, "version", gen.target.Version, "events", gen.times.events, "caller_left", gen.ctx.Err() != nil, "cause", err)
+	gen.logBroken(err)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -214,12 +214,13 @@
 		return copyFailureOutcome(err)
 	}
 	m.copy = &memoryCopy{target: to, handoff: call.CacheCopy{Source: from.Address, Handle: result.Handle}}
+	switchStart := time.Now()
 	err = gen.switchTo(m.copy, reservation)
 	if err == nil {
 		gen.g.metrics.movedByCopy.Inc(1)
 		return copySucceeded
 	}
-	gen.g.cfg.Log.Info("switching to the copy failed", "request", gen.ID, "to", to.ID, "error", err)
+	gen.g.cfg.Log.Info("switching to the copy failed", "request", gen.ID, "from", from.ID, "to", to.ID, "took", time.Since(switchStart), "error", err)
 	gen.dropCopy(from, m)
 	if err == errStreamEnded {
 		return copyAborted
--- a/internal/gateway/partition.go
+++ b/internal/gateway/partition.go
@@ -305,6 +305,6 @@
 	cancel := gen.cancelStream
 	gen.mu.Unlock()
 	if cancel != nil {
-		cancel()
+		cancel(errStreamSilent)
 	}
 }
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -44,15 +44,17 @@
 		reservation.Release()
 		return errStreamEnded
 	}
+	sentAt := time.Now()
 	stream, err := gen.resume(c, reservation, gen.g.selectionState(gen.exchange))
+	gen.mu.Lock()
+	from, cancelOld := gen.target, gen.cancelStream
+	gen.mu.Unlock()
+	gen.recordSwitch(from, c.target, sentAt, stream, err)
 	if err != nil {
 		return err
 	}
-	gen.mu.Lock()
-	cancelOld := gen.cancelStream
-	gen.mu.Unlock()
 	if cancelOld != nil {
-		cancelOld()
+		cancelOld(errGenerationMoved)
 	}
 	gen.nextStream = stream
 	gen.setTarget(c.target, stream.cancel, stream.backup)
--- /dev/null
+++ b/internal/gateway/stream_end.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/failure"
+)
+
+// streamEnder says who ended an engine's stream, for the logs.
+type streamEnder string
+
+const (
+	endedByEngine      streamEnder = "engine"
+	endedByCaller      streamEnder = "caller"
+	endedByDeadline    streamEnder = "deadline"
+	endedByExit        streamEnder = "exit"
+	endedBySwitchLimit streamEnder = "switch-limit"
+	endedByMove        streamEnder = "move"
+	endedByWithdrawal  streamEnder = "withdrawal"
+	endedByRefusal     streamEnder = "refusal"
+	endedBySilence     streamEnder = "silence"
+)
+
+// errSwitchTimeout is the cause of the end of a switch that took longer than switchTimeout.
+var errSwitchTimeout = failure.New(failure.KindTargetTimeout, "the switch to a copy took longer than %s", switchTimeout).WithExecutionUnknown()
+
+// errStreamSilent is the cause of the end of a silent stream from a service that this host has
+// lost, where another run goes on.
+var errStreamSilent = failure.New(failure.KindTargetLost, "the stream was silent").WithExecutionUnknown()
+
+// enderOf returns who ended the stream that belongs to a context: its engine, unless the
+// context is done.
+func enderOf(ctx context.Context) streamEnder {
+	switch cause := context.Cause(ctx); {
+	case cause == nil:
+		return endedByEngine
+	case cause == errCutOff:
+		return endedByExit
+	case cause == errSwitchTimeout:
+		return endedBySwitchLimit
+	case cause == errGenerationMoved:
+		return endedByMove
+	case cause == errGenerationWithdrawn:
+		return endedByWithdrawal
+	case cause == errRunRefused:
+		return endedByRefusal
+	case cause == errStreamSilent:
+		return endedBySilence
+	case errors.Is(cause, context.DeadlineExceeded):
+		return endedByDeadline
+	}
+	return endedByCaller
+}
+
+// streamSwitch describes the switch by which a stream goes on with its generation, for the
+// logs and metrics.
+type streamSwitch struct {
+	from *directory.ObservedTarget
+	// sentAt is when the request to go on was sent, header the time until the header of its
+	// answer, firstEvent that until the first event, 0 while there is none.
+	sentAt             time.Time
+	header, firstEvent time.Duration
+}
+
+// recordSwitch records the outcome of a switch that was sent at sentAt.
+func (gen *generation) recordSwitch(from, to *directory.ObservedTarget, sentAt time.Time, stream *engineStream, err error) {
+	took := time.Since(sentAt)
+	m := gen.g.metrics
+	if err != nil {
+		m.switchesFailed.Inc(1)
+		if took >= switchTimeout {
+			m.switchesTimedOut.Inc(1)
+		}
+		return
+	}
+	stream.switched = &streamSwitch{from: from, sentAt: sentAt, header: took}
+	m.switchHeader.Update(took.Microseconds())
+	gen.g.cfg.Log.Info("generation switched", "request", gen.ID, "from", idOf(from), "to", to.ID, "header_after", took)
+}
+
+// recordFirstEvent records the first event of a stream that a generation has switched to.
+func (m *gatewayMetrics) recordFirstEvent(s *streamSwitch) {
+	if s == nil || s.firstEvent > 0 {
+		return
+	}
+	s.firstEvent = time.Since(s.sentAt)
+	m.switchFirstEvent.Update(s.firstEvent.Microseconds())
+}
+
+// recordStreamEnd records that a stream ended early, because of err.
+func (gen *generation) recordStreamEnd(stream *engineStream, err error) {
+	gen.endedBy, gen.lastSwitch = enderOf(stream.ctx), stream.switched
+	if s := stream.switched; s != nil && s.firstEvent == 0 && gen.ctx.Err() == nil {
+		gen.g.metrics.switchesLost.Inc(1)
+		gen.g.cfg.Log.Warn("stream ended after a switch without an event", "request", gen.ID, "from", idOf(s.from), "to", stream.target.ID, "header_after", s.header, "ended_after", time.Since(s.sentAt), "ended_by", gen.endedBy, "cause", err)
+	}
+}
+
+// logBroken logs that the answer broke off because of err.
+func (gen *generation) logBroken(err error) {
+	left := gen.ctx.Err() != nil
+	args := []any{
+		"request", gen.ID, "route", gen.route.Name, "target", gen.target.ID, "version", gen.target.Version, "config", gen.view.Config.Version, "events", gen.times.events, "moves", gen.moves,
+		"caller_left", left, "ended_by", gen.endedBy, "took", time.Since(gen.ArrivedAt), "deadline_in", time.Until(gen.deadline), "silent_for", gen.sinceLastEvent(), "cause", err,
+	}
+	if s := gen.lastSwitch; s != nil {
+		args = append(args, "switched_from", idOf(s.from), "switched_ago", time.Since(s.sentAt), "switch_header_after", s.header, "switch_event_after", s.firstEvent)
+	}
+	if left {
+		gen.g.cfg.Log.Info("generation broke", args...)
+		return
+	}
+	gen.g.cfg.Log.Warn("generation broke", args...)
+}
+
+func idOf(t *directory.ObservedTarget) string {
+	if t == nil {
+		return ""
+	}
+	return t.ID
+}
