--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -1,7 +1,11 @@
 package gateway
 
-// CopyTimeout limits one attempt to move a generation.
-const CopyTimeout = copyTimeout
+const (
+	// CopyTimeout limits one attempt to move a generation.
+	CopyTimeout = copyTimeout
+	// SwitchTimeout limits the wait for the engine that a generation switches to.
+	SwitchTimeout = switchTimeout
+)
 
 // MovesInProgress returns the number of moves that reserve room and are not over.
 func (g *Gateway) MovesInProgress() int {
