Wait for a copy's engine while no other engine runs the generation

Class: a limit that belongs to one situation is a property of a step that several situations share.

The limit is an argument of the step now. After a loss it holds only while another way is left, a backup beside the copy or a new run; else the caller's deadline bounds the wait.

Spec 'continue from their backup that goes on late' failed before (unexpected EOF), passes now.

--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -452,9 +452,10 @@
 	// Engines of a data centre die without notice. Their generations may run
 	// only once; with a copy at another engine each continues as the same run
 	// after the last whole event that the caller has.
-	It("continue from their backup", func() {
+	DescribeTable("continue from their backup", func(answerDelay time.Duration) {
 		const events = 40
 		second := startEngine("i-2", events, time.Millisecond)
+		second.firstEventDelay = answerDelay
 		dying := startTarget("i-1", func(conn net.Conn, r *http.Request) {
 			respond("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s1\nTransfer-Encoding: chunked\n\n")(conn, r)
 			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event(1)), event(1))
@@ -465,7 +466,11 @@
 		Expect(got.err).NotTo(HaveOccurred())
 		Expect(got.body).To(Equal(eventStream(events)))
 		Expect(second.requests()[0].Header.Get(standin.HeaderKVFrom)).To(Equal(second.address + "/r-1"))
-	})
+	},
+		Entry("that goes on at once", time.Duration(0)),
+		// Guards against a limit that protects a previous engine which no longer runs.
+		Entry("that goes on late", gateway.SwitchTimeout+150*time.Millisecond),
+	)
 })
 
 var _ = Describe("summaries that a new run may continue", func() {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -36,7 +36,8 @@
 // switchTo sends the request to an engine that holds a copy and, when that
 // engine accepts it, ends the stream from the previous engine: closing the
 // connection makes an engine drop the run. No event is delivered meanwhile. A
-// refusal changes nothing.
+// refusal changes nothing. The previous engine still runs, so the answer must come
+// within switchTimeout.
 func (gen *generation) switchTo(c *memoryCopy, reservation *Reservation) error {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
@@ -45,7 +46,7 @@
 		return errStreamEnded
 	}
 	sentAt := time.Now()
-	stream, err := gen.resume(c, reservation, gen.g.selectionState(gen.exchange))
+	stream, err := gen.resume(switchTimeout, c, reservation, gen.g.selectionState(gen.exchange))
 	gen.mu.Lock()
 	from, cancelOld := gen.target, gen.cancelStream
 	gen.mu.Unlock()
@@ -62,9 +63,9 @@
 }
 
 // resume sends the request to an engine that holds a copy, to continue after
-// the last event that the caller has. The previous engine may still run, so the
-// answer must come within switchTimeout.
-func (gen *generation) resume(c *memoryCopy, reservation *Reservation, selection *selectionState) (*engineStream, error) {
+// the last event that the caller has. The header of the answer must come within a time
+// limit; 0 means none.
+func (gen *generation) resume(limit time.Duration, c *memoryCopy, reservation *Reservation, selection *selectionState) (*engineStream, error) {
 	if !acceptsNewWork(selection.view, c.target.Target) {
 		reservation.Release()
 		return nil, failure.New(failure.KindNoTarget, "engine %s accepts no new work", c.target.ID)
@@ -79,7 +80,7 @@
 	}
 	s := gen.newSend(c.target)
 	s.Resume, s.LastEventID = &c.handoff, gen.lastEventID
-	stream, err := gen.openStreamWithin(switchTimeout, s, c.target, reservation, selection)
+	stream, err := gen.openStreamWithin(limit, s, c.target, reservation, selection)
 	if requestUnsent(err) {
 		c.unclaim()
 	}
@@ -117,12 +118,18 @@
 		if stream := gen.takeNextStream(); stream != nil {
 			return stream, nil
 		}
-		if stream, ok := gen.resumeFromCopy(m.copy); ok {
+		// Without another way the engine's answer is worth waiting for: the previous one no
+		// longer runs the generation.
+		var limit time.Duration
+		if b != nil && b.available() || gen.route.Resumable {
+			limit = switchTimeout
+		}
+		if stream, ok := gen.resumeFromCopy(limit, m.copy); ok {
 			return stream, nil
 		}
 	}
 	if b != nil {
-		if stream, ok := gen.resumeFromCopy(b.memoryCopy); ok {
+		if stream, ok := gen.resumeFromCopy(0, b.memoryCopy); ok {
 			return stream, nil
 		}
 	}
@@ -158,8 +165,9 @@
 }
 
 // resumeFromCopy continues from a copy after the previous engine has ended;
-// false when there is none to offer or its engine refuses it.
-func (gen *generation) resumeFromCopy(c *memoryCopy) (*engineStream, bool) {
+// false when there is none to offer, or its engine refuses it or does not answer within a
+// time limit; 0 means none.
+func (gen *generation) resumeFromCopy(limit time.Duration, c *memoryCopy) (*engineStream, bool) {
 	if !c.available() {
 		return nil, false
 	}
@@ -169,7 +177,7 @@
 	}
 	selection := gen.g.selectionState(gen.exchange)
 	selection.lastResort = true
-	stream, err := gen.resume(c, reservation, selection)
+	stream, err := gen.resume(limit, c, reservation, selection)
 	gen.g.cfg.Log.Info("generation comes back from a copy", "request", gen.ID, "to", c.target.ID, "to_version", c.target.Version, "events", gen.times.events,
 		"silent_for", gen.sinceLastEvent(), "error", err)
 	if err != nil {
