Keep the previous engine's run until the next one has sent an event

Cause: a switch took the header of the new engine's answer for the run, and ended the old run with it. An engine that then broke off, was silent or ended without an event took the answer with it: nothing was left to go back to. The last of these gave the caller a complete-looking part, since a stream without chunks or events of its own counts as ended. Class: a promise of work is taken for work, and what could still be gone back to is given up for it.

A switch now takes effect with the first event, which is read ahead within the same limit and passed on as the new stream's first. The old stream waits undelivered meanwhile, as before, and goes on if no event comes. A copy after a loss waits for its first event too, so that the backup is still tried when the copy's engine breaks off.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -73,10 +73,8 @@
 	mu sync.Mutex
 	// target is the target where the generation runs.
 	target *directory.ObservedTarget
-	// cancelStream ends the stream from target.
-	cancelStream context.CancelCauseFunc
-	// backup is the backup of the generation's memory, nil when there is none.
-	backup *backup
+	// stream is the stream from target, nil until the header of its answer has arrived.
+	stream *engineStream
 	// move is the move away from target, in progress or done; nil when there is
 	// none.
 	move *move
@@ -90,15 +88,46 @@
 	target      *directory.ObservedTarget
 	resp        *http.Response
 	reservation *Reservation
-	backup      *backup
-	run         *targetRun
+	// headerAt is when the header of the answer arrived.
+	headerAt time.Time
+	backup   *backup
+	run      *targetRun
 	// isRefused reports whether the stream was ended since its request is known to crash
 	// targets.
 	isRefused func() bool
+	// events reads the stream's events. ahead is the first one if it was read before the
+	// stream is relayed, with hasAhead set.
+	events   *sse.Splitter
+	ahead    sse.RawEvent
+	hasAhead bool
+	// over is set once no further event can be read.
+	over atomic.Bool
 	// switched is the switch that opened the stream; nil for another one.
 	switched *streamSwitch
 }
 
+// next reads the next event, unless it was read ahead.
+func (s *engineStream) next(block *sse.RawEvent) error {
+	if s.hasAhead {
+		*block, s.hasAhead = s.ahead, false
+		return nil
+	}
+	err := s.events.Next(block)
+	if err != nil {
+		s.over.Store(true)
+	}
+	return err
+}
+
+// readAhead reads the first event of a stream that is not relayed yet.
+func (s *engineStream) readAhead() error {
+	if err := s.next(&s.ahead); err != nil {
+		return err
+	}
+	s.hasAhead = true
+	return nil
+}
+
 // close ends the stream. err is why it ended.
 func (s *engineStream) close(err error) {
 	switch err {
@@ -155,7 +184,7 @@
 		}
 		if err != errStreamEnded && err != errGenerationMoved && err != errGenerationWithdrawn && err != errRunRefused {
 			gen.g.failRun(gen.ctx, stream.target, stream.run, err)
-			gen.recordStreamEnd(stream, err)
+			gen.recordStreamEnd(stream)
 		}
 		stream.close(err)
 		if err == errStreamEnded || err == errRunRefused || ctx.Err() != nil {
@@ -203,7 +232,7 @@
 		}
 		selection.starts = true
 		target := reservation.entry
-		gen.setTarget(target, nil, nil)
+		gen.setTarget(target, nil)
 		gen.g.cfg.Log.Info("generation placed", "request", gen.ID, "route", gen.route.Name, "target", target.ID, "version", target.Version, "started", target.StartedUnixMilli,
 			"tokens", expectedTokens(gen.Prompt), "prompt", gen.Prompt.Tokens, "max", gen.Prompt.MaxOutputTokens, "hint", gen.Prompt.LengthHint, "basis", selection, "tries", counts.sent+counts.unsent+1, "after", time.Since(gen.ArrivedAt),
 			"running", reservation.candidate.Running, "promised", reservation.candidate.ReservedTokens, "unread", reservation.candidate.UnreadTokens, "step", reservation.candidate.TimePerToken, "room_granted", reservation.room.granted)
@@ -343,12 +372,12 @@
 	return gen.g.cfg.Scheduling.RoomGrants.On(gen.contentionPolicy())
 }
 
-// setTarget records where the generation runs. No move away from there has
-// begun.
-func (gen *generation) setTarget(target *directory.ObservedTarget, cancel context.CancelCauseFunc, b *backup) {
+// setTarget records where the generation runs, and the stream from there if it has begun. No
+// move away from there has begun.
+func (gen *generation) setTarget(target *directory.ObservedTarget, stream *engineStream) {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
-	gen.target, gen.cancelStream, gen.backup, gen.move = target, cancel, b, nil
+	gen.target, gen.stream, gen.move = target, stream, nil
 }
 
 // setStream records the stream of the target where the generation runs. A move
@@ -357,7 +386,15 @@
 func (gen *generation) setStream(stream *engineStream) {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
-	gen.cancelStream, gen.backup = stream.cancel, stream.backup
+	gen.stream = stream
+}
+
+// current returns the target where the generation runs and the stream from there, nil before
+// there are any.
+func (gen *generation) current() (*directory.ObservedTarget, *engineStream) {
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	return gen.target, gen.stream
 }
 
 // currentTarget returns the target where the generation runs, nil before there is one.
@@ -377,25 +414,8 @@
 // openStream sends the request to an engine and waits for the header of the
 // answer.
 func (gen *generation) openStream(s *call.Attempt, target *directory.ObservedTarget, reservation *Reservation, selection *selectionState) (*engineStream, error) {
-	return gen.openStreamWithin(0, s, target, reservation, selection)
-}
-
-// openStreamWithin is openStream with a time limit; 0 means none.
-func (gen *generation) openStreamWithin(limit time.Duration, s *call.Attempt, target *directory.ObservedTarget, reservation *Reservation, selection *selectionState) (*engineStream, error) {
 	ctx, cancel := context.WithCancelCause(gen.ctx)
-	if limit == 0 {
-		return gen.openStreamIn(ctx, cancel, s, target, reservation, selection)
-	}
-	timer := time.AfterFunc(limit, func() { cancel(errSwitchTimeout) })
-	stream, err := gen.openStreamIn(ctx, cancel, s, target, reservation, selection)
-	if inTime := timer.Stop(); err != nil || inTime {
-		return stream, err
-	}
-	// The timer has ended the stream after its header arrived, or is about to.
-	cancel(errSwitchTimeout)
-	gen.g.failRun(stream.ctx, target, stream.run, errSwitchTimeout)
-	stream.close(errSwitchTimeout)
-	return nil, errSwitchTimeout
+	return gen.openStreamIn(ctx, cancel, s, target, reservation, selection)
 }
 
 // openStreamIn is openStream with the context of the stream, which cancel ends.
@@ -438,7 +458,7 @@
 		newBackup.release()
 		return nil, err
 	}
-	return &engineStream{ctx: ctx, cancel: end, target: target, resp: resp, reservation: reservation, backup: newBackup, run: run, isRefused: isRefused}, nil
+	return &engineStream{ctx: ctx, cancel: end, target: target, resp: resp, headerAt: time.Now(), events: sse.NewSplitter(resp.Body, 0), reservation: reservation, backup: newBackup, run: run, isRefused: isRefused}, nil
 }
 
 // readFailedAnswer reads an engine's own failure answer, which is passed to the
@@ -460,11 +480,10 @@
 
 // relay passes whole events on until the engine's stream ends.
 func (gen *generation) relay(stream *engineStream) error {
-	split := sse.NewSplitter(stream.resp.Body, 0)
 	var window enginespeed.Window
 	var block sse.RawEvent
 	for {
-		if err := split.Next(&block); err != nil {
+		if err := stream.next(&block); err != nil {
 			if errors.Is(err, io.EOF) {
 				err = gen.checkNotEmpty(stream)
 			}
@@ -475,7 +494,6 @@
 		}
 		stream.reservation.MarkPromptRead()
 		stream.run.recordEvent()
-		gen.g.metrics.recordFirstEvent(stream.switched)
 		if err := gen.deliver(&block, stream); err != nil {
 			return err
 		}
--- a/internal/gateway/partition.go
+++ b/internal/gateway/partition.go
@@ -301,10 +301,7 @@
 
 // endStream ends the stream from the generation's present target.
 func (gen *generation) endStream() {
-	gen.mu.Lock()
-	cancel := gen.cancelStream
-	gen.mu.Unlock()
-	if cancel != nil {
-		cancel(errStreamSilent)
+	if _, stream := gen.current(); stream != nil {
+		stream.cancel(errStreamSilent)
 	}
 }
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -4,18 +4,16 @@
 	"time"
 
 	"filbertdeck/internal/directory"
-	"filbertdeck/internal/failure"
 )
 
 // switchToBackup switches to the generation's backup if it has one, at an
 // engine that is not leaving.
 func (gen *generation) switchToBackup() bool {
-	gen.mu.Lock()
-	b := gen.backup
-	gen.mu.Unlock()
-	if b == nil || !b.available() {
+	_, stream := gen.current()
+	if stream == nil || stream.backup == nil || !stream.backup.available() {
 		return false
 	}
+	b := stream.backup
 	target := b.target
 	if gen.g.cfg.Loads.IsLeaving(target.Target) {
 		return false
@@ -33,70 +31,6 @@
 	return err == nil
 }
 
-// switchTo sends the request to an engine that holds a copy and, when that
-// engine accepts it, ends the stream from the previous engine: closing the
-// connection makes an engine drop the run. No event is delivered meanwhile. A
-// refusal changes nothing. The previous engine still runs, so the answer must come
-// within switchTimeout.
-func (gen *generation) switchTo(c *memoryCopy, reservation *Reservation) error {
-	gen.deliveryMu.Lock()
-	defer gen.deliveryMu.Unlock()
-	if gen.closed {
-		reservation.Release()
-		return errStreamEnded
-	}
-	sentAt := time.Now()
-	stream, err := gen.resume(switchTimeout, c, reservation, gen.g.selectionState(gen.exchange))
-	gen.mu.Lock()
-	from, cancelOld := gen.target, gen.cancelStream
-	gen.mu.Unlock()
-	gen.recordSwitch(from, c.target, sentAt, stream, err)
-	if err != nil {
-		return err
-	}
-	if cancelOld != nil {
-		cancelOld(errGenerationMoved)
-	}
-	gen.nextStream = stream
-	gen.setTarget(c.target, stream.cancel, stream.backup)
-	return nil
-}
-
-// resume sends the request to an engine that holds a copy, to continue after
-// the last event that the caller has. The header of the answer must come within a time
-// limit; 0 means none.
-func (gen *generation) resume(limit time.Duration, c *memoryCopy, reservation *Reservation, selection *selectionState) (*engineStream, error) {
-	if !acceptsNewWork(selection.view, c.target.Target) {
-		reservation.Release()
-		return nil, failure.New(failure.KindNoTarget, "engine %s accepts no new work", c.target.ID)
-	}
-	if idle := gen.sinceLastEvent(); idle > gen.copyRetention() {
-		reservation.Release()
-		return nil, failure.New(failure.KindNoTarget, "the copy at engine %s expired after %s without an event", c.target.ID, idle)
-	}
-	if !c.claim() {
-		reservation.Release()
-		return nil, failure.New(failure.KindNoTarget, "the copy was already offered to engine %s", c.target.ID)
-	}
-	s := gen.newSend(c.target)
-	s.Resume, s.LastEventID = &c.handoff, gen.lastEventID
-	stream, err := gen.openStreamWithin(limit, s, c.target, reservation, selection)
-	if requestUnsent(err) {
-		c.unclaim()
-	}
-	if err == nil {
-		gen.moves++
-	}
-	return stream, err
-}
-
-// acceptsNewWork reports whether a target taken from an earlier view still
-// accepts work; false when it has restarted since.
-func acceptsNewWork(view *directory.View, t directory.Target) bool {
-	now, known := view.Target(t.ID)
-	return known && now.StartedUnixMilli == t.StartedUnixMilli && view.AcceptsNewRequests(now)
-}
-
 // continueElsewhere finds where a generation continues whose stream ended early
 // because of cause: at the engine that it has switched to, from a copy or a
 // backup, or, where the route allows a new run to continue it, at any other
@@ -106,7 +40,7 @@
 		return stream, nil
 	}
 	gen.mu.Lock()
-	m, b, from := gen.move, gen.backup, gen.target
+	m, b, from := gen.move, gen.stream.backup, gen.target
 	gen.mu.Unlock()
 	if m != nil {
 		m.endWaits()
@@ -165,7 +99,7 @@
 }
 
 // resumeFromCopy continues from a copy after the previous engine has ended;
-// false when there is none to offer, or its engine refuses it or does not answer within a
+// false when there is none to offer, or its engine refuses it or does not go on within a
 // time limit; 0 means none.
 func (gen *generation) resumeFromCopy(limit time.Duration, c *memoryCopy) (*engineStream, bool) {
 	if !c.available() {
@@ -177,14 +111,14 @@
 	}
 	selection := gen.g.selectionState(gen.exchange)
 	selection.lastResort = true
-	stream, err := gen.resume(limit, c, reservation, selection)
+	stream, err := gen.resumeWithin(limit, c, reservation, selection)
 	gen.g.cfg.Log.Info("generation comes back from a copy", "request", gen.ID, "to", c.target.ID, "to_version", c.target.Version, "events", gen.times.events,
 		"silent_for", gen.sinceLastEvent(), "error", err)
 	if err != nil {
 		return nil, false
 	}
 	gen.g.metrics.resumedAfterLoss.Inc(1)
-	gen.setTarget(c.target, stream.cancel, stream.backup)
+	gen.setTarget(c.target, stream)
 	return stream, true
 }
 
@@ -219,7 +153,7 @@
 	if err != nil {
 		return nil, cause
 	}
-	gen.setTarget(target, stream.cancel, stream.backup)
+	gen.setTarget(target, stream)
 	gen.moves++
 	gen.attempts++
 	gen.g.metrics.newRuns.Inc(1)
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -59,44 +59,32 @@
 // logs and metrics.
 type streamSwitch struct {
 	from *directory.ObservedTarget
-	// sentAt is when the request to go on was sent, header the time until the header of its
-	// answer, firstEvent that until the first event, 0 while there is none.
+	// sentAt is when the request to go on was sent, header and firstEvent are the times until
+	// the header and the first event of its answer.
 	sentAt             time.Time
 	header, firstEvent time.Duration
 }
 
 // recordSwitch records the outcome of a switch that was sent at sentAt.
 func (gen *generation) recordSwitch(from, to *directory.ObservedTarget, sentAt time.Time, stream *engineStream, err error) {
-	took := time.Since(sentAt)
 	m := gen.g.metrics
 	if err != nil {
 		m.switchesFailed.Inc(1)
-		if took >= switchTimeout {
+		if err == errSwitchTimeout {
 			m.switchesTimedOut.Inc(1)
 		}
 		return
 	}
-	stream.switched = &streamSwitch{from: from, sentAt: sentAt, header: took}
-	m.switchHeader.Update(took.Microseconds())
-	gen.g.cfg.Log.Info("generation switched", "request", gen.ID, "from", idOf(from), "to", to.ID, "header_after", took)
-}
-
-// recordFirstEvent records the first event of a stream that a generation has switched to.
-func (m *gatewayMetrics) recordFirstEvent(s *streamSwitch) {
-	if s == nil || s.firstEvent > 0 {
-		return
-	}
-	s.firstEvent = time.Since(s.sentAt)
+	s := &streamSwitch{from: from, sentAt: sentAt, header: stream.headerAt.Sub(sentAt), firstEvent: time.Since(sentAt)}
+	stream.switched = s
+	m.switchHeader.Update(s.header.Microseconds())
 	m.switchFirstEvent.Update(s.firstEvent.Microseconds())
+	gen.g.cfg.Log.Info("generation switched", "request", gen.ID, "from", idOf(from), "to", to.ID, "header_after", s.header, "event_after", s.firstEvent)
 }
 
-// recordStreamEnd records that a stream ended early, because of err.
-func (gen *generation) recordStreamEnd(stream *engineStream, err error) {
+// recordStreamEnd records that a stream ended early.
+func (gen *generation) recordStreamEnd(stream *engineStream) {
 	gen.endedBy, gen.lastSwitch = enderOf(stream.ctx), stream.switched
-	if s := stream.switched; s != nil && s.firstEvent == 0 && gen.ctx.Err() == nil {
-		gen.g.metrics.switchesLost.Inc(1)
-		gen.g.cfg.Log.Warn("stream ended after a switch without an event", "request", gen.ID, "from", idOf(s.from), "to", stream.target.ID, "header_after", s.header, "ended_after", time.Since(s.sentAt), "ended_by", gen.endedBy, "cause", err)
-	}
 }
 
 // logBroken logs that the answer broke off because of err.
--- a/internal/gateway/switch_test.go
+++ b/internal/gateway/switch_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -10,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"filbertdeck/internal/call"
+	"filbertdeck/internal/directory"
 	"filbertdeck/internal/gateway"
 	"filbertdeck/platform"
 	"filbertdeck/platform/standin"
@@ -31,6 +34,45 @@
 	return c.Codec.ParseResponseHeader(resp)
 }
 
+// resumingEngine is an engine that answers the first request to go on with a generation by
+// resume, and further ones as it should.
+type resumingEngine struct {
+	*fakeEngine
+	resumes atomic.Int64
+	resume  connHandler
+}
+
+func startResumingEngine(id string, events int, resume connHandler) *resumingEngine {
+	e := &resumingEngine{fakeEngine: &fakeEngine{events: events, eventInterval: 5 * time.Millisecond}, resume: resume}
+	e.fakeTarget = startTarget(id, func(conn net.Conn, r *http.Request) {
+		if r.Header.Get(standin.HeaderKVFrom) != "" && e.resumes.Add(1) == 1 {
+			e.resume(conn, r)
+			return
+		}
+		e.serve(conn, r)
+	})
+	return e
+}
+
+// respondStreamHeader begins a stream that has no event yet.
+var respondStreamHeader = respond("HTTP/1.1 200 OK\n" + requestID + ": ID\n" + seal + ": s-i-2\nTransfer-Encoding: chunked\n\n")
+
+// generationOn starts a generation at an engine, has the engine leave once it has sent a
+// few events, and returns the caller's answer.
+func (gw *fixture) generationOn(from *fakeEngine, to ...*fakeEngine) result {
+	done := make(chan result, 1)
+	go func() { done <- gw.do(gw.request("POST", "/report/")) }()
+	Eventually(from.eventsSent.Load).Should(BeNumerically(">", 5))
+	entries := []*directory.ObservedTarget{asLeaving(from.directoryEntry("llm", "dc-1"))}
+	for _, e := range to {
+		entries = append(entries, e.directoryEntry("llm", "dc-1"))
+	}
+	gw.publish(entries...)
+	var got result
+	Eventually(done, "5s").Should(Receive(&got))
+	return got
+}
+
 var _ = Describe("a switch to another engine that is answered", func() {
 	const events = 60
 
@@ -40,14 +82,33 @@
 		first, second := startEngine("i-1", events, 20*time.Millisecond), startEngine("i-2", events, 5*time.Millisecond)
 		codec := stallingCodec{platform.Dialect{}, gateway.SwitchTimeout + 50*time.Millisecond, &atomic.Bool{}}
 		gw := startGatewayWithDialect(codec, slog.DiscardHandler, first.directoryEntry("llm", "dc-1"))
-		done := make(chan result, 1)
-		go func() { done <- gw.do(gw.request("POST", "/report/")) }()
-		Eventually(first.eventsSent.Load).Should(BeNumerically(">", 5))
-		gw.publish(asLeaving(first.directoryEntry("llm", "dc-1")), second.directoryEntry("llm", "dc-1"))
-		var got result
-		Eventually(done, "5s").Should(Receive(&got))
+		got := gw.generationOn(first, second)
 		Expect(codec.done.Load()).To(BeTrue())
 		Expect(got.err).NotTo(HaveOccurred())
 		Expect(got.body).To(Equal(eventStream(events)))
 	})
+
+	// Guards against ending the previous engine's run before the next one has gone on with it.
+	DescribeTable("by an engine that", func(resume connHandler) {
+		first, second := startEngine("i-1", events, 20*time.Millisecond), startResumingEngine("i-2", events, resume)
+		gw := startGateway(first.directoryEntry("llm", "dc-1"))
+		got := gw.generationOn(first, second.fakeEngine)
+		Expect(second.resumes.Load()).To(BeNumerically(">", 0))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(eventStream(events)))
+	},
+		Entry("breaks off before its first event leaves the generation where it is", respondStreamHeader),
+		Entry("breaks off within its first event leaves the generation where it is", connHandler(func(conn net.Conn, r *http.Request) {
+			respondStreamHeader(conn, r)
+			_, _ = io.WriteString(conn, "5\r\nid: 7\r\n")
+		})),
+		Entry("ends without an event leaves the generation where it is", connHandler(func(conn net.Conn, r *http.Request) {
+			respondStreamHeader(conn, r)
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+		})),
+		Entry("then is silent leaves the generation where it is", connHandler(func(conn net.Conn, r *http.Request) {
+			respondStreamHeader(conn, r)
+			_, _ = io.Copy(io.Discard, conn)
+		})),
+	)
 })
