Count no failure of an engine whose stream this host ended by a switch

When a generation had moved, the end of its old stream counted as a failure of the engine that it left, on this host and, by report, on all others, and its request stayed a suspect for half a second should that engine end. Whoever asked saw 'context canceled' as the cause.

Cause: the end of a stream was judged by its error alone, which is the same whoever ends it. Class: an end that this process causes is taken for one that it observes.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -489,6 +489,8 @@
 			}
 			if err == errStreamEnded {
 				gen.writeHeader(stream.resp)
+			} else if context.Cause(stream.ctx) == errGenerationMoved {
+				return errGenerationMoved
 			}
 			return err
 		}
--- a/internal/gateway/switch_test.go
+++ b/internal/gateway/switch_test.go
@@ -112,3 +112,16 @@
 		})),
 	)
 })
+
+var _ = Describe("the stream of an engine that a generation has left", func() {
+	// Guards against engines that count as failed, at all hosts, since this host closed their
+	// streams.
+	It("ends without a failure of the engine", func() {
+		first, second := startEngine("i-1", 60, 20*time.Millisecond), startEngine("i-2", 60, 5*time.Millisecond)
+		logs := &lockedBuffer{}
+		gw := startGatewayWithLogs(slog.NewJSONHandler(logs, &slog.HandlerOptions{Level: slog.LevelDebug}), first.directoryEntry("llm", "dc-1"))
+		Expect(gw.generationOn(first, second).body).To(Equal(eventStream(60)))
+		Expect(logged(logs, "generation switched")).To(HaveLen(1))
+		Expect(logged(logs, "target failed")).To(BeEmpty())
+	})
+})
