Leave a generation to the engine of its copy when its own stops before another try

Cause: when the time of a switch is over one of two streams must end, and it was always the new one, whatever was left of the old one. The notice's end was known and not asked. Class: a limit that protects one party is carried out against the one that would have survived.

When the time is over and the old engine stops before another copy could be made and answered (by the time that the last copy took), or its stream has ended, the old stream is ended and the new engine is waited for. Else the new one is ended as before: the old one still has time. A target that this host has lost is left out: it may run on behind a stream that has ended.

Spec 'is waited for if the previous engine stops before another copy could be made' failed before (unexpected EOF); 'is given up if the previous engine goes on' holds both before and now.

--- a/internal/decide/migration/migration.go
+++ b/internal/decide/migration/migration.go
@@ -69,6 +69,17 @@
 	return time.Duration(float64(copyTime) * c.CopyWaitFactor)
 }
 
+// WaitsForCopy reports whether a generation is left to the engine of its copy, which has not
+// answered in time, and its source is given up: the source stops before another copy could be
+// made and answered. untilStop is the time until it stops, copyTime what the last copy took and
+// answerTime what an engine is given to answer.
+//
+// A copy can be offered once. Without this, a generation whose engine stops a moment later loses
+// its only copy to an engine that is slow to answer.
+func WaitsForCopy(untilStop, copyTime, answerTime time.Duration) bool {
+	return untilStop < copyTime+answerTime
+}
+
 // unknownRemaining is the remaining time if nothing is known about it.
 const unknownRemaining = time.Duration(1<<63 - 1)
 
--- a/internal/decide/migration/migration_test.go
+++ b/internal/decide/migration/migration_test.go
@@ -43,6 +43,20 @@
 	)
 })
 
+var _ = Describe("a generation whose copy is not answered in time", func() {
+	// Guards against giving up the only copy for an engine that stops, and an engine that goes
+	// on for one that does not answer.
+	DescribeTable("waits for it if its engine stops before another copy would be answered", func(untilStop time.Duration, waits bool) {
+		Expect(migration.WaitsForCopy(untilStop, 400*time.Millisecond, 300*time.Millisecond)).To(Equal(waits))
+	},
+		Entry("the engine should have stopped", -100*time.Millisecond, true),
+		Entry("no time for another copy", 300*time.Millisecond, true),
+		Entry("time for another copy, not for its answer", 600*time.Millisecond, true),
+		Entry("time for both", 700*time.Millisecond, false),
+		Entry("long to go", 5*time.Second, false),
+	)
+})
+
 var _ = Describe("copies that a link cannot all carry in time", func() {
 	// completedCopies simulates the copies from one stopping engine, which queue
 	// on its link in the order in which hosts request them, and returns the
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -119,6 +119,9 @@
 	return err
 }
 
+// isOver reports whether the stream has ended or was ended.
+func (s *engineStream) isOver() bool { return s.over.Load() || s.ctx.Err() != nil }
+
 // readAhead reads the first event of a stream that is not relayed yet.
 func (s *engineStream) readAhead() error {
 	if err := s.next(&s.ahead); err != nil {
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -81,6 +81,11 @@
 // endWaits ends the move's waits for room.
 func (m *move) endWaits() { m.endOnce.Do(func() { close(m.streamEnded) }) }
 
+// streamIsOver reports whether the stream from the target that the generation leaves has ended, so
+// that the target no longer runs the generation. A target that this host has lost may still do
+// so.
+func (m *move) streamIsOver(stream *engineStream) bool { return !m.lost && stream.isOver() }
+
 // moveAway continues the generation at another engine: at its backup, or from a
 // copy of its memory that is made while it runs on.
 func (gen *generation) moveAway(ctx context.Context, from *directory.ObservedTarget, m *move) {
@@ -92,7 +97,7 @@
 		gen.moveWithRoom(ctx, from, m)
 		return
 	}
-	if !gen.waitForFirstEvent(ctx) || !gen.isAt(from) || gen.switchToBackup() {
+	if !gen.waitForFirstEvent(ctx) || !gen.isAt(from) || gen.switchToBackup(m) {
 		return
 	}
 	stopTime := time.Now().Add(gen.timeUntilStop(ctx, from))
@@ -114,7 +119,7 @@
 	defer cancel()
 	defer func() { m.timedOut.Store(ctx.Err() != nil) }()
 	m.lost = true
-	if gen.isAt(from) && !gen.switchToBackup() {
+	if gen.isAt(from) && !gen.switchToBackup(m) {
 		gen.copyAway(ctx, from, m, time.Now().Add(copyTimeout))
 	}
 }
@@ -213,16 +218,20 @@
 		}
 		return copyFailureOutcome(err)
 	}
+	copyTime := time.Since(start)
 	m.copy = &memoryCopy{target: to, handoff: call.CacheCopy{Source: from.Address, Handle: result.Handle}}
 	switchStart := time.Now()
-	err = gen.switchTo(m.copy, reservation)
+	_, stream := gen.current()
+	err = gen.switchTo(m.copy, reservation, func(old *engineStream) bool {
+		return m.streamIsOver(old) || !m.lost && migration.WaitsForCopy(time.Until(stopTime), copyTime, switchTimeout)
+	})
 	if err == nil {
 		gen.g.metrics.movedByCopy.Inc(1)
 		return copySucceeded
 	}
 	gen.g.cfg.Log.Info("switching to the copy failed", "request", gen.ID, "from", from.ID, "to", to.ID, "took", time.Since(switchStart), "error", err)
 	gen.dropCopy(from, m)
-	if err == errStreamEnded {
+	if err == errStreamEnded || m.streamIsOver(stream) {
 		return copyAborted
 	}
 	return copyRefused
--- a/internal/gateway/move_room.go
+++ b/internal/gateway/move_room.go
@@ -15,7 +15,7 @@
 	stopTime := func() time.Time {
 		return source.stopsAt(func() time.Duration { return gen.timeUntilStop(ctx, from) })
 	}
-	if !gen.awaitFirstEvent(ctx, from, m, source, stopTime) || !gen.isAt(from) || gen.switchToBackup() {
+	if !gen.awaitFirstEvent(ctx, from, m, source, stopTime) || !gen.isAt(from) || gen.switchToBackup(m) {
 		return
 	}
 	if untilStop := time.Until(stopTime()); gen.endsWithin(untilStop) {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -8,7 +8,7 @@
 
 // switchToBackup switches to the generation's backup if it has one, at an
 // engine that is not leaving.
-func (gen *generation) switchToBackup() bool {
+func (gen *generation) switchToBackup(m *move) bool {
 	_, stream := gen.current()
 	if stream == nil || stream.backup == nil || !stream.backup.available() {
 		return false
@@ -23,7 +23,7 @@
 		return false
 	}
 	start := time.Now()
-	err := gen.switchTo(b.memoryCopy, reservation)
+	err := gen.switchTo(b.memoryCopy, reservation, m.streamIsOver)
 	gen.g.cfg.Log.Info("generation goes on at its backup", "request", gen.ID, "to", target.ID, "to_version", target.Version, "took", time.Since(start), "silent_for", gen.sinceLastEvent(), "error", err)
 	if err == nil {
 		gen.g.metrics.movedToBackup.Inc(1)
@@ -111,7 +111,7 @@
 	}
 	selection := gen.g.selectionState(gen.exchange)
 	selection.lastResort = true
-	stream, err := gen.resumeWithin(limit, c, reservation, selection)
+	stream, err := gen.resumeWithin(&switchLimit{timeout: limit}, c, reservation, selection)
 	gen.g.cfg.Log.Info("generation comes back from a copy", "request", gen.ID, "to", c.target.ID, "to_version", c.target.Version, "events", gen.times.events,
 		"silent_for", gen.sinceLastEvent(), "error", err)
 	if err != nil {
--- a/internal/gateway/switch.go
+++ b/internal/gateway/switch.go
@@ -12,9 +12,11 @@
 // switchTo sends the request to an engine that holds a copy and, with the first event of
 // the answer, ends the stream from the previous engine: closing the connection makes an
 // engine drop the run. No event is delivered meanwhile. Without that event nothing changes,
-// and the previous engine goes on. Both must not work for long, so the event must come
-// within switchTimeout.
-func (gen *generation) switchTo(c *memoryCopy, reservation *Reservation) error {
+// and the previous engine goes on.
+//
+// Both must not work for long. Without an event within switchTimeout, handsOver decides which
+// stream ends.
+func (gen *generation) switchTo(c *memoryCopy, reservation *Reservation, handsOver func(old *engineStream) bool) error {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
 	if gen.closed {
@@ -23,36 +25,72 @@
 	}
 	sentAt := time.Now()
 	from, old := gen.current()
-	stream, err := gen.resumeWithin(switchTimeout, c, reservation, gen.g.selectionState(gen.exchange))
+	limit := &switchLimit{timeout: switchTimeout, old: old, handsOver: handsOver}
+	stream, err := gen.resumeWithin(limit, c, reservation, gen.g.selectionState(gen.exchange))
 	gen.recordSwitch(from, c.target, sentAt, stream, err)
 	if err != nil {
 		return err
 	}
-	if old != nil {
-		old.cancel(errGenerationMoved)
-	}
+	old.cancel(errGenerationMoved)
 	gen.nextStream = stream
 	gen.setTarget(c.target, stream)
 	return nil
 }
 
+// switchLimit bounds the time in which two engines may work on a generation.
+type switchLimit struct {
+	// timeout is the limit; 0 means none.
+	timeout time.Duration
+	// old is the previous engine's stream, handsOver decides whether it is ended when the time
+	// is over, and not the new one. Without them the new one is ended.
+	old       *engineStream
+	handsOver func(old *engineStream) bool
+
+	timer *time.Timer
+	// decided is closed when the time is over and one of the streams was ended, handedOver
+	// is then set if that was the old one.
+	decided    chan struct{}
+	handedOver bool
+}
+
+// start starts the time. cancelNew ends the new stream.
+func (l *switchLimit) start(cancelNew context.CancelCauseFunc) {
+	if l.timeout == 0 {
+		return
+	}
+	l.decided = make(chan struct{})
+	l.timer = time.AfterFunc(l.timeout, func() {
+		defer close(l.decided)
+		if l.handsOver != nil && l.handsOver(l.old) {
+			l.handedOver = true
+			l.old.cancel(errGenerationMoved)
+			return
+		}
+		cancelNew(errSwitchTimeout)
+	})
+}
+
+// end ends the limit. It reports whether the new stream was not ended.
+func (l *switchLimit) end() bool {
+	if l.timer == nil || l.timer.Stop() {
+		return true
+	}
+	<-l.decided
+	return l.handedOver
+}
+
 // resumeWithin sends the request to an engine that holds a copy, to continue after the last
 // event that the caller has, and waits for the first event of its answer: a header alone does
-// not show that the engine goes on. The event must come within a time limit; 0 means none.
-func (gen *generation) resumeWithin(limit time.Duration, c *memoryCopy, reservation *Reservation, selection *selectionState) (*engineStream, error) {
+// not show that the engine goes on.
+func (gen *generation) resumeWithin(limit *switchLimit, c *memoryCopy, reservation *Reservation, selection *selectionState) (*engineStream, error) {
 	ctx, cancel := context.WithCancelCause(gen.ctx)
-	endLimit := func() (inTime bool) { return true }
-	if limit > 0 {
-		endLimit = time.AfterFunc(limit, func() { cancel(errSwitchTimeout) }).Stop
-	}
+	limit.start(cancel)
 	stream, err := gen.resume(ctx, cancel, c, reservation, selection)
 	if err == nil {
 		err = gen.awaitFirstEventOf(stream)
 	}
-	if inTime := endLimit(); !inTime {
-		// The timer has ended the stream, or is about to.
+	if !limit.end() {
 		if err == nil {
-			cancel(errSwitchTimeout)
 			gen.closeUnused(stream, errSwitchTimeout)
 		}
 		err = errSwitchTimeout
--- a/internal/gateway/switch_test.go
+++ b/internal/gateway/switch_test.go
@@ -113,6 +113,65 @@
 	)
 })
 
+// respondLate begins to answer after a delay, unless the caller closes the connection before, and
+// then sends the events after Last-Event-Id.
+func respondLate(delay time.Duration, events int) connHandler {
+	late := &fakeEngine{fakeTarget: &fakeTarget{id: "i-2"}, events: events, eventInterval: 5 * time.Millisecond, firstEventDelay: delay}
+	return late.generate
+}
+
+// stopAfter has an engine stop after a number of events, before which it makes one copy.
+func stopAfter(e *fakeEngine, events int) {
+	e.breakAfter = events
+	e.onMove = func(n int64) { e.refuseMoves.Store(n > 1) }
+	go func() {
+		for e.eventsSent.Load() < int64(events) {
+			time.Sleep(time.Millisecond)
+		}
+		e.close()
+	}()
+}
+
+var _ = Describe("a switch to another engine that is answered late", func() {
+	const events = 60
+	const answerDelay = gateway.SwitchTimeout + 150*time.Millisecond
+
+	// Guards against giving up the only copy of a generation whose engine stops a moment later.
+	It("is waited for if the previous engine stops before another copy could be made", func() {
+		first := startEngine("i-1", events, 20*time.Millisecond)
+		first.copyDelay = 100 * time.Millisecond
+		first.leavesIn.Store(500)
+		stopAfter(first, 30)
+		second := startResumingEngine("i-2", events, respondLate(answerDelay, events))
+		gw := startGateway(first.directoryEntry("llm", "dc-1"))
+		got := gw.generationOn(first, second.fakeEngine)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(eventStream(events)))
+		Expect(second.resumes.Load()).To(Equal(int64(1)))
+	})
+
+	// Guards against two engines that work on one generation for long, and against leaving an
+	// engine that goes on for one that does not answer.
+	It("is given up if the previous engine goes on", func() {
+		first := startEngine("i-1", events, 20*time.Millisecond)
+		first.leavesIn.Store(5000)
+		var worked atomic.Int64
+		second := startResumingEngine("i-2", events, func(conn net.Conn, r *http.Request) {
+			started := time.Now()
+			_, _ = io.Copy(io.Discard, conn)
+			worked.Store(int64(time.Since(started)))
+		})
+		gw := startGateway(first.directoryEntry("llm", "dc-1"))
+		got := gw.generationOn(first, second.fakeEngine)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(eventStream(events)))
+		Expect(time.Duration(worked.Load())).To(And(BeNumerically(">", 0), BeNumerically("<", bothAtWork)))
+	})
+})
+
+// bothAtWork is how long two engines may work on one generation.
+const bothAtWork = 400 * time.Millisecond
+
 var _ = Describe("the stream of an engine that a generation has left", func() {
 	// Guards against engines that count as failed, at all hosts, since this host closed their
 	// streams.
