Read on from the previous engine while a generation switches

Callers saw an answer break off although the engine of its copy would have gone on: their engine ended while the switch was in progress, and nobody noticed before the switch had been given up.

Cause: the goroutine that reads the old stream waited with an event in its hands until the switch was over, so that neither the end of the stream nor its completion was seen. Class: what decides between two ways can't see that one of them has gone.

Events that arrive meanwhile are held, at most 64 KiB, and passed on if the switch fails. A stream that breaks off leaves the generation to the new engine without a limit; one that is complete ends the switch. A stream without length or chunks decides nothing by its end.

Spec 'is waited for if the previous engine has ended meanwhile' failed before (unexpected EOF).

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -47,11 +47,12 @@
 	// ended is closed when the caller has its answer.
 	ended chan struct{}
 
-	// deliveryMu is held while an event is delivered and while the generation
-	// switches to another engine: no event of the old engine may follow the
-	// switch.
+	// deliveryMu is held while an event is delivered.
 	deliveryMu sync.Mutex
-	times      eventTimes
+	// held holds the events that arrive while the generation switches to another engine: no
+	// event of the old engine may follow the switch.
+	held  heldEvents
+	times eventTimes
 	// lastEventID is the id of the last whole event that the caller got.
 	lastEventID string
 	// nextStream is the stream that continues the generation once the current
@@ -100,8 +101,8 @@
 	events   *sse.Splitter
 	ahead    sse.RawEvent
 	hasAhead bool
-	// over is set once no further event can be read.
-	over atomic.Bool
+	// broken is set once the stream has broken off.
+	broken atomic.Bool
 	// switched is the switch that opened the stream; nil for another one.
 	switched *streamSwitch
 }
@@ -113,14 +114,20 @@
 		return nil
 	}
 	err := s.events.Next(block)
-	if err != nil {
-		s.over.Store(true)
+	if err != nil && err != io.EOF {
+		s.broken.Store(true)
 	}
 	return err
 }
 
-// isOver reports whether the stream has ended or was ended.
-func (s *engineStream) isOver() bool { return s.over.Load() || s.ctx.Err() != nil }
+// isDelimited reports whether the end of the stream shows that it is complete. Another one ends
+// with its connection, and so does one that was broken off.
+func (s *engineStream) isDelimited() bool {
+	return s.resp.ContentLength >= 0 || len(s.resp.TransferEncoding) > 0
+}
+
+// isLost reports whether the stream has broken off or was ended.
+func (s *engineStream) isLost() bool { return s.broken.Load() || s.ctx.Err() != nil }
 
 // readAhead reads the first event of a stream that is not relayed yet.
 func (s *engineStream) readAhead() error {
@@ -487,6 +494,9 @@
 	var block sse.RawEvent
 	for {
 		if err := stream.next(&block); err != nil {
+			if gen.awaitSwitch(err == io.EOF && stream.isDelimited()) {
+				return errGenerationMoved
+			}
 			if errors.Is(err, io.EOF) {
 				err = gen.checkNotEmpty(stream)
 			}
@@ -499,10 +509,11 @@
 		}
 		stream.reservation.MarkPromptRead()
 		stream.run.recordEvent()
+		arrivedAfter := time.Since(gen.ArrivedAt)
 		if err := gen.deliver(&block, stream); err != nil {
 			return err
 		}
-		if mean, full := window.Add(gen.times.last); full && gen.service.Engine != nil {
+		if mean, full := window.Add(arrivedAfter); full && gen.service.Engine != nil {
 			gen.g.cfg.Loads.RecordStep(stream.target.ID, mean/time.Duration(max(gen.service.Engine.TokensPerEvent, 1)))
 		}
 	}
@@ -521,20 +532,35 @@
 }
 
 // deliver passes one event of an engine to the caller, unless the generation has
-// switched to another engine, which produces the event again.
+// switched to another engine, which produces the event again. While it switches, the event
+// is held.
 func (gen *generation) deliver(block *sse.RawEvent, from *engineStream) error {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
+	for gen.held.switching() {
+		if gen.held.add(block) {
+			return nil
+		}
+		gen.awaitSwitchLocked()
+	}
 	if gen.nextStream != nil {
 		return errGenerationMoved
 	}
 	if gen.fresh.isWithdrawn() {
 		return errGenerationWithdrawn
 	}
+	if gen.held.err != nil {
+		return gen.held.err
+	}
 	if gen.times.events == 0 {
 		gen.begin(from.target)
 	}
 	gen.writeHeader(from.resp)
+	return gen.write(block)
+}
+
+// write passes one event to the caller. The caller of write holds deliveryMu.
+func (gen *generation) write(block *sse.RawEvent) error {
 	if _, err := gen.w.Write(block.Bytes); err != nil {
 		return failure.Wrap(err, failure.KindTargetLost, "writing to the caller failed")
 	}
--- /dev/null
+++ b/internal/gateway/held_events.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"bytes"
+
+	"filbertdeck/internal/sse"
+)
+
+// maxHeldBytes limits the events of one generation that are held. An engine that sends more
+// while the generation switches is not read until the switch is over.
+const maxHeldBytes = 64 << 10
+
+// heldEvents holds the events of a generation's stream that arrive while it switches to another
+// engine. They are passed on if the switch fails, and dropped if it succeeds. Reading on shows
+// whether the stream ends meanwhile. It is guarded by the generation's deliveryMu.
+type heldEvents struct {
+	events []sse.RawEvent
+	bytes  int
+	// over is closed when the switch is over, abandon ends it; nil while there is none.
+	over    chan struct{}
+	abandon func()
+	// err is the error of passing on events that were held.
+	err error
+}
+
+// begin begins a switch, which abandon ends early.
+func (h *heldEvents) begin(abandon func()) { h.over, h.abandon = make(chan struct{}), abandon }
+
+// switching reports whether a switch is in progress.
+func (h *heldEvents) switching() bool { return h.over != nil }
+
+// add holds an event, unless there is no room for it.
+func (h *heldEvents) add(block *sse.RawEvent) bool {
+	if h.bytes+len(block.Bytes) > maxHeldBytes {
+		return false
+	}
+	h.bytes += len(block.Bytes)
+	h.events = append(h.events, sse.RawEvent{Bytes: bytes.Clone(block.Bytes), ID: bytes.Clone(block.ID)})
+	return true
+}
+
+// end ends the switch and returns the events that were held.
+func (h *heldEvents) end() []sse.RawEvent {
+	held := h.events
+	close(h.over)
+	h.events, h.bytes, h.over, h.abandon = nil, 0, nil, nil
+	return held
+}
+
+// beginSwitch has events held until endSwitch is called. abandon ends the switch early. It returns
+// false if no further stream will be relayed.
+func (gen *generation) beginSwitch(abandon func()) bool {
+	gen.deliveryMu.Lock()
+	defer gen.deliveryMu.Unlock()
+	if gen.closed {
+		return false
+	}
+	gen.held.begin(abandon)
+	return true
+}
+
+// endSwitch ends a switch: the generation goes on with a stream or, if that is nil, with the
+// events that were held.
+func (gen *generation) endSwitch(next *engineStream) {
+	gen.deliveryMu.Lock()
+	defer gen.deliveryMu.Unlock()
+	held := gen.held.end()
+	if next != nil {
+		gen.nextStream = next
+		gen.setTarget(next.target, next)
+		return
+	}
+	for i := range held {
+		if gen.held.err = gen.write(&held[i]); gen.held.err != nil {
+			return
+		}
+	}
+}
+
+// awaitSwitch waits until no switch is in progress and reports whether the generation goes on
+// with another stream. If the present one is complete, a switch in progress is abandoned.
+func (gen *generation) awaitSwitch(complete bool) (switched bool) {
+	gen.deliveryMu.Lock()
+	defer gen.deliveryMu.Unlock()
+	if complete && gen.held.switching() {
+		gen.held.abandon()
+	}
+	gen.awaitSwitchLocked()
+	return gen.nextStream != nil
+}
+
+// awaitSwitchLocked is awaitSwitch for a caller that holds deliveryMu, which it releases
+// meanwhile.
+func (gen *generation) awaitSwitchLocked() {
+	for gen.held.switching() {
+		over := gen.held.over
+		gen.deliveryMu.Unlock()
+		<-over
+		gen.deliveryMu.Lock()
+	}
+}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -81,10 +81,10 @@
 // endWaits ends the move's waits for room.
 func (m *move) endWaits() { m.endOnce.Do(func() { close(m.streamEnded) }) }
 
-// streamIsOver reports whether the stream from the target that the generation leaves has ended, so
-// that the target no longer runs the generation. A target that this host has lost may still do
-// so.
-func (m *move) streamIsOver(stream *engineStream) bool { return !m.lost && stream.isOver() }
+// hasLostStream reports whether the stream from the target that the generation leaves has broken
+// off, so that the target no longer runs the generation. A target that this host has lost may
+// still do so.
+func (m *move) hasLostStream(stream *engineStream) bool { return !m.lost && stream.isLost() }
 
 // moveAway continues the generation at another engine: at its backup, or from a
 // copy of its memory that is made while it runs on.
@@ -223,7 +223,7 @@
 	switchStart := time.Now()
 	_, stream := gen.current()
 	err = gen.switchTo(m.copy, reservation, func(old *engineStream) bool {
-		return m.streamIsOver(old) || !m.lost && migration.WaitsForCopy(time.Until(stopTime), copyTime, switchTimeout)
+		return m.hasLostStream(old) || !m.lost && migration.WaitsForCopy(time.Until(stopTime), copyTime, switchTimeout)
 	})
 	if err == nil {
 		gen.g.metrics.movedByCopy.Inc(1)
@@ -231,7 +231,7 @@
 	}
 	gen.g.cfg.Log.Info("switching to the copy failed", "request", gen.ID, "from", from.ID, "to", to.ID, "took", time.Since(switchStart), "error", err)
 	gen.dropCopy(from, m)
-	if err == errStreamEnded || m.streamIsOver(stream) {
+	if err == errStreamEnded || m.hasLostStream(stream) {
 		return copyAborted
 	}
 	return copyRefused
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"filbertdeck/internal/directory"
@@ -23,7 +24,7 @@
 		return false
 	}
 	start := time.Now()
-	err := gen.switchTo(b.memoryCopy, reservation, m.streamIsOver)
+	err := gen.switchTo(b.memoryCopy, reservation, m.hasLostStream)
 	gen.g.cfg.Log.Info("generation goes on at its backup", "request", gen.ID, "to", target.ID, "to_version", target.Version, "took", time.Since(start), "silent_for", gen.sinceLastEvent(), "error", err)
 	if err == nil {
 		gen.g.metrics.movedToBackup.Inc(1)
@@ -78,6 +79,7 @@
 func (gen *generation) takeNextStream() *engineStream {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
+	gen.awaitSwitchLocked()
 	stream := gen.nextStream
 	gen.nextStream = nil
 	return stream
@@ -90,6 +92,7 @@
 func (gen *generation) closeNextStream() {
 	gen.deliveryMu.Lock()
 	gen.closed = true
+	gen.awaitSwitchLocked()
 	stream := gen.nextStream
 	gen.nextStream = nil
 	gen.deliveryMu.Unlock()
@@ -111,7 +114,8 @@
 	}
 	selection := gen.g.selectionState(gen.exchange)
 	selection.lastResort = true
-	stream, err := gen.resumeWithin(&switchLimit{timeout: limit}, c, reservation, selection)
+	ctx, cancel := context.WithCancelCause(gen.ctx)
+	stream, err := gen.resumeWithin(ctx, cancel, &switchLimit{timeout: limit}, c, reservation, selection)
 	gen.g.cfg.Log.Info("generation comes back from a copy", "request", gen.ID, "to", c.target.ID, "to_version", c.target.Version, "events", gen.times.events,
 		"silent_for", gen.sinceLastEvent(), "error", err)
 	if err != nil {
--- a/internal/gateway/switch.go
+++ b/internal/gateway/switch.go
@@ -11,30 +11,28 @@
 
 // switchTo sends the request to an engine that holds a copy and, with the first event of
 // the answer, ends the stream from the previous engine: closing the connection makes an
-// engine drop the run. No event is delivered meanwhile. Without that event nothing changes,
-// and the previous engine goes on.
+// engine drop the run. Events are held meanwhile. Without that event the previous engine
+// goes on.
 //
 // Both must not work for long. Without an event within switchTimeout, handsOver decides which
 // stream ends.
 func (gen *generation) switchTo(c *memoryCopy, reservation *Reservation, handsOver func(old *engineStream) bool) error {
-	gen.deliveryMu.Lock()
-	defer gen.deliveryMu.Unlock()
-	if gen.closed {
+	ctx, cancel := context.WithCancelCause(gen.ctx)
+	if !gen.beginSwitch(func() { cancel(errStreamEnded) }) {
+		cancel(errStreamEnded)
 		reservation.Release()
 		return errStreamEnded
 	}
 	sentAt := time.Now()
 	from, old := gen.current()
 	limit := &switchLimit{timeout: switchTimeout, old: old, handsOver: handsOver}
-	stream, err := gen.resumeWithin(limit, c, reservation, gen.g.selectionState(gen.exchange))
+	stream, err := gen.resumeWithin(ctx, cancel, limit, c, reservation, gen.g.selectionState(gen.exchange))
 	gen.recordSwitch(from, c.target, sentAt, stream, err)
-	if err != nil {
-		return err
+	if err == nil {
+		old.cancel(errGenerationMoved)
 	}
-	old.cancel(errGenerationMoved)
-	gen.nextStream = stream
-	gen.setTarget(c.target, stream)
-	return nil
+	gen.endSwitch(stream)
+	return err
 }
 
 // switchLimit bounds the time in which two engines may work on a generation.
@@ -81,9 +79,8 @@
 
 // resumeWithin sends the request to an engine that holds a copy, to continue after the last
 // event that the caller has, and waits for the first event of its answer: a header alone does
-// not show that the engine goes on.
-func (gen *generation) resumeWithin(limit *switchLimit, c *memoryCopy, reservation *Reservation, selection *selectionState) (*engineStream, error) {
-	ctx, cancel := context.WithCancelCause(gen.ctx)
+// not show that the engine goes on. cancel ends the context, which is that of the stream.
+func (gen *generation) resumeWithin(ctx context.Context, cancel context.CancelCauseFunc, limit *switchLimit, c *memoryCopy, reservation *Reservation, selection *selectionState) (*engineStream, error) {
 	limit.start(cancel)
 	stream, err := gen.resume(ctx, cancel, c, reservation, selection)
 	if err == nil {
--- a/internal/gateway/switch_test.go
+++ b/internal/gateway/switch_test.go
@@ -135,6 +135,9 @@
 var _ = Describe("a switch to another engine that is answered late", func() {
 	const events = 60
 	const answerDelay = gateway.SwitchTimeout + 150*time.Millisecond
+	// bothAtWork is how long two engines may work on one generation.
+	const bothAtWork = 400 * time.Millisecond
+	const eventInterval = 20 * time.Millisecond
 
 	// Guards against giving up the only copy of a generation whose engine stops a moment later.
 	It("is waited for if the previous engine stops before another copy could be made", func() {
@@ -150,28 +153,51 @@
 		Expect(second.resumes.Load()).To(Equal(int64(1)))
 	})
 
+	// Guards against giving up the only copy of a generation whose engine has just ended.
+	It("is waited for if the previous engine has ended meanwhile", func() {
+		first := startEngine("i-1", events, 20*time.Millisecond)
+		stopAfter(first, 12)
+		first.leavesIn.Store(5000)
+		second := startResumingEngine("i-2", events, respondLate(answerDelay, events))
+		gw := startGateway(first.directoryEntry("llm", "dc-1"))
+		got := gw.generationOn(first, second.fakeEngine)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(eventStream(events)))
+		Expect(second.resumes.Load()).To(Equal(int64(1)))
+	})
+
+	// Guards against callers that wait for an engine that has nothing to add.
+	It("is given up if the previous engine has completed the answer", func() {
+		const few = 12
+		first := startEngine("i-1", few, 20*time.Millisecond)
+		first.leavesIn.Store(5000)
+		second := startResumingEngine("i-2", few, func(conn net.Conn, r *http.Request) { _, _ = io.Copy(io.Discard, conn) })
+		gw := startGateway(first.directoryEntry("llm", "dc-1"))
+		got := gw.generationOn(first, second.fakeEngine)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(eventStream(few)))
+		Expect(second.resumes.Load()).To(Equal(int64(1)))
+	})
+
 	// Guards against two engines that work on one generation for long, and against leaving an
 	// engine that goes on for one that does not answer.
 	It("is given up if the previous engine goes on", func() {
 		first := startEngine("i-1", events, 20*time.Millisecond)
 		first.leavesIn.Store(5000)
-		var worked atomic.Int64
+		var sentMeanwhile atomic.Int64
 		second := startResumingEngine("i-2", events, func(conn net.Conn, r *http.Request) {
-			started := time.Now()
+			before := first.eventsSent.Load()
 			_, _ = io.Copy(io.Discard, conn)
-			worked.Store(int64(time.Since(started)))
+			sentMeanwhile.Store(first.eventsSent.Load() - before)
 		})
 		gw := startGateway(first.directoryEntry("llm", "dc-1"))
 		got := gw.generationOn(first, second.fakeEngine)
 		Expect(got.err).NotTo(HaveOccurred())
 		Expect(got.body).To(Equal(eventStream(events)))
-		Expect(time.Duration(worked.Load())).To(And(BeNumerically(">", 0), BeNumerically("<", bothAtWork)))
+		Expect(sentMeanwhile.Load()).To(And(BeNumerically(">", 0), BeNumerically("<=", bothAtWork/eventInterval)))
 	})
 })
 
-// bothAtWork is how long two engines may work on one generation.
-const bothAtWork = 400 * time.Millisecond
-
 var _ = Describe("the stream of an engine that a generation has left", func() {
 	// Guards against engines that count as failed, at all hosts, since this host closed their
 	// streams.
