--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -223,7 +223,11 @@
 	switchStart := time.Now()
 	_, stream := gen.current()
 	err = gen.switchTo(m.copy, reservation, func(old *engineStream) bool {
-		return m.hasLostStream(old) || !m.lost && migration.WaitsForCopy(time.Until(stopTime), copyTime, switchTimeout)
+		if m.lost {
+			return false
+		}
+		untilStop := time.Until(stopTime)
+		return old.isLost() || migration.WaitsForCopy(untilStop, copyTime, switchTimeout) && !gen.endsWithin(untilStop)
 	})
 	if err == nil {
 		gen.g.metrics.movedByCopy.Inc(1)
