Decide under one lock whether a switch is taken or abandoned

Whether the switch is taken is decided where the held events are released, in one lock with the completion. The end of a stream that was left for the next one is recorded too, and the context of a switch that failed is ended.

Spec 'is not taken' (the completion comes before the release).

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -194,6 +194,8 @@
 		}
 		if err != errStreamEnded && err != errGenerationMoved && err != errGenerationWithdrawn && err != errRunRefused {
 			gen.g.failRun(gen.ctx, stream.target, stream.run, err)
+		}
+		if err != errStreamEnded {
 			gen.recordStreamEnd(stream)
 		}
 		stream.close(err)
--- a/internal/gateway/held_events.go
+++ b/internal/gateway/held_events.go
@@ -16,15 +16,19 @@
 type heldEvents struct {
 	events []sse.RawEvent
 	bytes  int
-	// over is closed when the switch is over, abandon ends it; nil while there is none.
-	over    chan struct{}
-	abandon func()
+	// over is closed when the switch is over, abandon ends it; nil while there is none. abandoned
+	// is set once it was called.
+	over      chan struct{}
+	abandon   func()
+	abandoned bool
 	// err is the error of passing on events that were held.
 	err error
 }
 
 // begin begins a switch, which abandon ends early.
-func (h *heldEvents) begin(abandon func()) { h.over, h.abandon = make(chan struct{}), abandon }
+func (h *heldEvents) begin(abandon func()) {
+	h.over, h.abandon, h.abandoned = make(chan struct{}), abandon, false
+}
 
 // switching reports whether a switch is in progress.
 func (h *heldEvents) switching() bool { return h.over != nil }
@@ -59,22 +63,26 @@
 	return true
 }
 
-// endSwitch ends a switch: the generation goes on with a stream or, if that is nil, with the
-// events that were held.
-func (gen *generation) endSwitch(next *engineStream) {
+// endSwitch ends a switch from a stream to the next one, nil for none. It reports whether the
+// generation goes on with that; else it goes on with the events that were held.
+func (gen *generation) endSwitch(old, next *engineStream) (taken bool) {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
+	taken = next != nil && !gen.held.abandoned
 	held := gen.held.end()
-	if next != nil {
+	if taken {
+		old.cancel(errGenerationMoved)
 		gen.nextStream = next
+		gen.moves++
 		gen.setTarget(next.target, next)
-		return
+		return true
 	}
 	for i := range held {
 		if gen.held.err = gen.write(&held[i]); gen.held.err != nil {
-			return
+			break
 		}
 	}
+	return false
 }
 
 // awaitSwitch waits until no switch is in progress and reports whether the generation goes on
@@ -83,6 +91,7 @@
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
 	if complete && gen.held.switching() {
+		gen.held.abandoned = true
 		gen.held.abandon()
 	}
 	gen.awaitSwitchLocked()
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -235,7 +235,7 @@
 	}
 	gen.g.cfg.Log.Info("switching to the copy failed", "request", gen.ID, "from", from.ID, "to", to.ID, "took", time.Since(switchStart), "error", err)
 	gen.dropCopy(from, m)
-	if err == errStreamEnded || m.hasLostStream(stream) {
+	if err == errStreamEnded || err == errSwitchAbandoned || m.hasLostStream(stream) {
 		return copyAborted
 	}
 	return copyRefused
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -122,6 +122,7 @@
 		return nil, false
 	}
 	gen.g.metrics.resumedAfterLoss.Inc(1)
+	gen.moves++
 	gen.setTarget(c.target, stream)
 	return stream, true
 }
--- a/internal/gateway/resume_internal_test.go
+++ b/internal/gateway/resume_internal_test.go
@@ -32,3 +32,22 @@
 		Expect(loads.HostsUsing("i-1")).To(BeZero())
 	})
 })
+
+var _ = Describe("a switch that is answered just after its answer was completed elsewhere", func() {
+	// Guards against a generation that goes on with the stream that its completion has ended.
+	It("is not taken", func() {
+		gen := &generation{ctx: context.Background(), exchange: &exchange{Request: &call.Request{}}, g: &Gateway{}}
+		ended := false
+		Expect(gen.beginSwitch(func() { ended = true })).To(BeTrue())
+		switched := make(chan bool)
+		go func() { switched <- gen.awaitSwitch(true) }()
+		Eventually(func() bool {
+			gen.deliveryMu.Lock()
+			defer gen.deliveryMu.Unlock()
+			return ended
+		}).Should(BeTrue())
+		Expect(gen.endSwitch(&engineStream{}, &engineStream{})).To(BeFalse())
+		Eventually(switched).Should(Receive(BeFalse()))
+		Expect(gen.nextStream).To(BeNil())
+	})
+})
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -65,8 +65,19 @@
 	header, firstEvent time.Duration
 }
 
-// recordSwitch records the outcome of a switch that was sent at sentAt.
-func (gen *generation) recordSwitch(from, to *directory.ObservedTarget, sentAt time.Time, stream *engineStream, err error) {
+// newStreamSwitch returns the description of a switch that was sent at sentAt and that opened a
+// stream, nil for none, and records it in the stream.
+func newStreamSwitch(from *directory.ObservedTarget, sentAt time.Time, stream *engineStream) *streamSwitch {
+	s := &streamSwitch{from: from, sentAt: sentAt}
+	if stream != nil {
+		s.header, s.firstEvent = stream.headerAt.Sub(sentAt), time.Since(sentAt)
+		stream.switched = s
+	}
+	return s
+}
+
+// recordSwitch records the outcome of a switch.
+func (gen *generation) recordSwitch(s *streamSwitch, to *directory.ObservedTarget, err error) {
 	m := gen.g.metrics
 	if err != nil {
 		m.switchesFailed.Inc(1)
@@ -75,11 +86,9 @@
 		}
 		return
 	}
-	s := &streamSwitch{from: from, sentAt: sentAt, header: stream.headerAt.Sub(sentAt), firstEvent: time.Since(sentAt)}
-	stream.switched = s
 	m.switchHeader.Update(s.header.Microseconds())
 	m.switchFirstEvent.Update(s.firstEvent.Microseconds())
-	gen.g.cfg.Log.Info("generation switched", "request", gen.ID, "from", idOf(from), "to", to.ID, "header_after", s.header, "event_after", s.firstEvent)
+	gen.g.cfg.Log.Info("generation switched", "request", gen.ID, "from", idOf(s.from), "to", to.ID, "header_after", s.header, "event_after", s.firstEvent)
 }
 
 // recordStreamEnd records that a stream ended early.
--- a/internal/gateway/switch.go
+++ b/internal/gateway/switch.go
@@ -18,8 +18,8 @@
 // stream ends.
 func (gen *generation) switchTo(c *memoryCopy, reservation *Reservation, handsOver func(old *engineStream) bool) error {
 	ctx, cancel := context.WithCancelCause(gen.ctx)
-	if !gen.beginSwitch(func() { cancel(errStreamEnded) }) {
-		cancel(errStreamEnded)
+	if !gen.beginSwitch(func() { cancel(errSwitchAbandoned) }) {
+		cancel(errSwitchAbandoned)
 		reservation.Release()
 		return errStreamEnded
 	}
@@ -27,14 +27,21 @@
 	from, old := gen.current()
 	limit := &switchLimit{timeout: switchTimeout, old: old, handsOver: handsOver}
 	stream, err := gen.resumeWithin(ctx, cancel, limit, c, reservation, gen.g.selectionState(gen.exchange))
-	gen.recordSwitch(from, c.target, sentAt, stream, err)
-	if err == nil {
-		old.cancel(errGenerationMoved)
+	sw := newStreamSwitch(from, sentAt, stream)
+	if taken := gen.endSwitch(old, stream); err == nil && !taken {
+		gen.closeUnused(stream, errSwitchAbandoned)
+	}
+	if context.Cause(ctx) == errSwitchAbandoned {
+		err = errSwitchAbandoned
 	}
-	gen.endSwitch(stream)
+	gen.recordSwitch(sw, c.target, err)
 	return err
 }
 
+// errSwitchAbandoned marks a switch that was abandoned since the previous engine has completed the
+// answer.
+var errSwitchAbandoned = failure.New(failure.KindInternal, "the answer was complete before the switch").WithExecuted()
+
 // switchLimit bounds the time in which two engines may work on a generation.
 type switchLimit struct {
 	// timeout is the limit; 0 means none.
@@ -93,9 +100,9 @@
 		err = errSwitchTimeout
 	}
 	if err != nil {
+		cancel(err)
 		return nil, err
 	}
-	gen.moves++
 	return stream, nil
 }
 
