Refuse a relayed answer whose exchange has ended by silence

Callers whose request went through another host could get the status of an answer whose body then broke off at once, with bytes of it never read.

The header was then passed on, although the exchange had been ended here and nothing could follow it.

The timer is asked now. If it has run, the header is no answer: the request is lost, whether it ran is unknown, and its host may still go another way with it, which it can't once the caller has a status. A failure that arrives then is still told, since it says whether the request ran.

A scripted stream forces the order: its reply arrives when the exchange has been ended.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -190,6 +190,9 @@
 	// end ends the exchange, at both hosts and at the target. It may be called more
 	// than once.
 	end func()
+	// silent is set when the host said nothing for aliveTimeout, which has ended the
+	// exchange.
+	silent bool
 }
 
 // connect has a host connect to the target. The error is of kind KindControlLost if
@@ -240,6 +243,9 @@
 		return nil, connectionLost(err, x.host)
 	}
 	reply, err := x.receive()
+	if err == nil && x.silent {
+		err = hostSilent(x.host)
+	}
 	if err != nil {
 		x.end()
 		return nil, err
@@ -253,12 +259,15 @@
 }
 
 // receive returns the host's next message that says something. io.EOF is the end of
-// a complete answer.
+// a complete answer. A message may arrive just when the host has been silent for too
+// long; nothing follows it then.
 func (x *exchange) receive() (*filbertv1.RelayReply, error) {
 	for {
 		silent := time.AfterFunc(aliveTimeout, x.end)
 		reply, err := x.stream.Recv()
-		silent.Stop()
+		if !silent.Stop() {
+			x.silent = true
+		}
 		switch {
 		case err == io.EOF:
 			return nil, io.EOF
@@ -272,6 +281,12 @@
 	}
 }
 
+// hostSilent returns the failure of a request whose exchange ended because the sending
+// host said nothing for too long after the start.
+func hostSilent(host string) error {
+	return failure.New(failure.KindTargetLost, "host %s said nothing for %s", host, aliveTimeout).WithExecutionUnknown()
+}
+
 // connectionLost returns the failure of a request whose connection to the sending host broke
 // after the start.
 func connectionLost(cause error, host string) error {
--- /dev/null
+++ b/internal/relay/client_test.go
@@ -0,0 +1,103 @@
+package relay_test
+
+import (
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	gometrics "github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/failure"
+	"filbertdeck/internal/relay"
+)
+
+var suiteT *testing.T
+
+func TestRelay(t *testing.T) {
+	suiteT = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "relay")
+}
+
+// inFakeTime runs f with a clock that advances when all goroutines wait. Expectations
+// belong after it.
+func inFakeTime(f func()) { synctest.Test(suiteT, func(*testing.T) { f() }) }
+
+var answerReply = &filbertv1.RelayReply{Step: &filbertv1.RelayReply_Answer{Answer: &filbertv1.RelayAnswer{Status: http.StatusOK}}}
+
+func failureReply(kind failure.Kind) *filbertv1.RelayReply {
+	return &filbertv1.RelayReply{Step: &filbertv1.RelayReply_Failure{Failure: &filbertv1.RelayFailure{Kind: string(kind), Executed: string(failure.ExecutedNo)}}}
+}
+
+// scriptedStream is a stream to a host. Its replies arrive at once, except the late one,
+// which arrives when the stream has been ended.
+type scriptedStream struct {
+	grpc.ClientStream
+	replies []*filbertv1.RelayReply
+	late    *filbertv1.RelayReply
+	ended   chan struct{}
+	end     func()
+}
+
+func newScriptedStream(late *filbertv1.RelayReply, replies ...*filbertv1.RelayReply) *scriptedStream {
+	ended := make(chan struct{})
+	return &scriptedStream{replies: replies, late: late, ended: ended, end: sync.OnceFunc(func() { close(ended) })}
+}
+
+func (*scriptedStream) Send(*filbertv1.RelayCall) error { return nil }
+
+func (s *scriptedStream) Recv() (*filbertv1.RelayReply, error) {
+	if len(s.replies) > 0 {
+		reply := s.replies[0]
+		s.replies = s.replies[1:]
+		return reply, nil
+	}
+	<-s.ended
+	if late := s.late; late != nil {
+		s.late = nil
+		return late, nil
+	}
+	return nil, status.Error(codes.Canceled, "context canceled")
+}
+
+func startOn(stream *scriptedStream) (*http.Response, error) {
+	client := relay.NewClient(relay.ClientConfig{
+		Log: slog.New(slog.DiscardHandler), Metrics: gometrics.NewRegistry(), Now: func() time.Duration { return 0 },
+	})
+	attempt := &call.Attempt{Request: &call.Request{ID: "r-1"}, Target: directory.Target{ID: "i-1", Service: "app"}}
+	return client.StartOn(stream, stream.end, httptest.NewRequest(http.MethodGet, "http://127.0.0.1:1/", nil), attempt)
+}
+
+var _ = Describe("a host that says nothing for too long", func() {
+	// Guards against an answer on an exchange that has been ended: its caller would get a
+	// status whose body can't be read.
+	It("has not answered with a header that arrives when the exchange is ended", func() {
+		var resp *http.Response
+		var err error
+		inFakeTime(func() { resp, err = startOn(newScriptedStream(answerReply)) })
+		Expect(resp).To(BeNil())
+		Expect(failure.KindOf(err)).To(Equal(failure.KindTargetLost))
+		Expect(failure.FromError(err).Executed).To(Equal(failure.ExecutedUnknown))
+		Expect(err).To(MatchError(ContainSubstring("said nothing")))
+	})
+
+	// Guards against the loss of a refusal, which says that the request did not run.
+	It("has refused the request with a failure that arrives when the exchange is ended", func() {
+		var err error
+		inFakeTime(func() { _, err = startOn(newScriptedStream(failureReply(failure.KindTargetFailed))) })
+		Expect(failure.KindOf(err)).To(Equal(failure.KindTargetFailed))
+		Expect(failure.FromError(err).Executed).To(Equal(failure.ExecutedNo))
+	})
+})
