Say that a host was silent when that ended a relayed request

A request whose exchange this host ended after 3 s without a word from the sending host was told and logged as "the connection to host ... broke: context canceled", as if the connection had been seen to break; after a late part of a body likewise.

Cause: the error of the stream was taken as observed, whoever had ended it. The exchange knows now that silence ended it, and the failure says so. Kind (target-lost) and "may have run" stay.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -271,6 +271,8 @@
 		switch {
 		case err == io.EOF:
 			return nil, io.EOF
+		case err != nil && x.silent:
+			return nil, hostSilent(x.host)
 		case err != nil:
 			return nil, connectionLost(err, x.host)
 		case reply.GetFailure() != nil:
--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -35,7 +36,14 @@
 // belong after it.
 func inFakeTime(f func()) { synctest.Test(suiteT, func(*testing.T) { f() }) }
 
-var answerReply = &filbertv1.RelayReply{Step: &filbertv1.RelayReply_Answer{Answer: &filbertv1.RelayAnswer{Status: http.StatusOK}}}
+var (
+	answerReply = &filbertv1.RelayReply{Step: &filbertv1.RelayReply_Answer{Answer: &filbertv1.RelayAnswer{Status: http.StatusOK}}}
+	aliveReply  = &filbertv1.RelayReply{Step: &filbertv1.RelayReply_Alive{Alive: &filbertv1.RelayAlive{}}}
+)
+
+func bodyReply(text string) *filbertv1.RelayReply {
+	return &filbertv1.RelayReply{Step: &filbertv1.RelayReply_Body{Body: []byte(text)}}
+}
 
 func failureReply(kind failure.Kind) *filbertv1.RelayReply {
 	return &filbertv1.RelayReply{Step: &filbertv1.RelayReply_Failure{Failure: &filbertv1.RelayFailure{Kind: string(kind), Executed: string(failure.ExecutedNo)}}}
@@ -93,6 +101,18 @@
 		Expect(err).To(MatchError(ContainSubstring("said nothing")))
 	})
 
+	// Guards against the end of an exchange by this host that is told as a broken connection.
+	DescribeTable("is named as the cause", func(late *filbertv1.RelayReply) {
+		var err error
+		inFakeTime(func() { _, err = startOn(newScriptedStream(late)) })
+		Expect(failure.KindOf(err)).To(Equal(failure.KindTargetLost))
+		Expect(failure.FromError(err).Executed).To(Equal(failure.ExecutedUnknown))
+		Expect(err).To(MatchError(ContainSubstring("said nothing")))
+	},
+		Entry("when nothing arrives", nil),
+		Entry("when a keep-alive arrives at the end", aliveReply),
+	)
+
 	// Guards against the loss of a refusal, which says that the request did not run.
 	It("has refused the request with a failure that arrives when the exchange is ended", func() {
 		var err error
@@ -100,4 +120,20 @@
 		Expect(failure.KindOf(err)).To(Equal(failure.KindTargetFailed))
 		Expect(failure.FromError(err).Executed).To(Equal(failure.ExecutedNo))
 	})
+
+	// Guards against the loss of a last event that has arrived.
+	It("ends a body after what has arrived of it", func() {
+		var text []byte
+		var err, bodyErr error
+		inFakeTime(func() {
+			var resp *http.Response
+			if resp, err = startOn(newScriptedStream(bodyReply("last"), answerReply, bodyReply("first "))); err == nil {
+				text, bodyErr = io.ReadAll(resp.Body)
+			}
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(Equal("first last"))
+		Expect(failure.KindOf(bodyErr)).To(Equal(failure.KindTargetLost))
+		Expect(bodyErr).To(MatchError(ContainSubstring("said nothing")))
+	})
 })
