Keep the connection to a key's owner when a caller leaves

Callers whose at-most-once calls were forwarded to the entry that owns their keys got idempotency-owner-lost, outcome unknown, because another caller of the same owner had left.

Cause: an ended call closed the connection to the owner, as one on which calls fail. All calls forwarded to that owner use the connection, and an end by the caller of one of them was taken for a failure of the owner.

The connection is closed only while the caller of the failed call is still there.

--- a/internal/entry/servicecall/forward.go
+++ b/internal/entry/servicecall/forward.go
@@ -72,15 +72,18 @@
 	if err != nil {
 		return nil, false, idempotency.OwnerUnreachable(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, atMostOnceTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, atMostOnceTimeout)
 	defer cancel()
-	reply, err := filbertv1.NewForwardClient(conn).RunOnce(ctx, &filbertv1.RunOnceRequest{
+	reply, err := filbertv1.NewForwardClient(conn).RunOnce(callCtx, &filbertv1.RunOnceRequest{
 		Key: key, Account: call.Account.Name, Service: call.Service.Name,
 		Method: call.Method, Path: call.Path, Headers: forwardedHeaders(call.Header), Body: call.Body,
 		Incarnation: owner.Incarnation, HostsRevision: revision, DeadlineMs: uint32(atMostOnceTimeout.Milliseconds()),
 	})
 	if err != nil {
-		p.closeConn(owner.Address, conn)
+		// A caller that has left says nothing about the connection, which other calls use.
+		if ctx.Err() == nil {
+			p.closeConn(owner.Address, conn)
+		}
 		return nil, false, idempotency.OwnerUnreachable(err)
 	}
 	if reply.Problem != "" {
