Count an engine's silence only while its stream is read

The older interface broke off the stream of an engine that was sending, whenever the caller read nothing for more than 3 s, and asked for the rest on a new connection; by reading, an engine that no longer holds the generation by then makes the caller lose the answer, and the lease is settled as a crash of the target.

Cause: the watchdog that ends a silent connection ran on while an event was written to the caller, which may take 15 s, so this process's own wait was taken for the engine's silence. It also ran on from the request through the header to the first event: an engine that answered after 2.9 s had 0.1 s for its first event.

The watchdog runs while the header is waited for and during each read, each with the whole time. At the header it is asked whether it has run; until now the ended stream was returned as open and failed at its first read.

--- a/internal/entry/generation/engine_client.go
+++ b/internal/entry/generation/engine_client.go
@@ -35,15 +35,17 @@
 	events *sse.Reader
 	body   io.ReadCloser
 	cancel context.CancelFunc
-	// watchdog cancels the request when nothing was received for silenceTimeout:
-	// an open connection can go silent permanently, and the read would block
-	// forever.
+	// watchdog cancels the request when a read received nothing for
+	// silenceTimeout: an open connection can go silent permanently, and the read
+	// would block forever. It is stopped between reads, in which a slow caller can
+	// take longer.
 	watchdog *time.Timer
 }
 
 func (s *engineStream) next(ev *sse.Event) error {
-	err := s.events.Next(ev)
 	s.watchdog.Reset(silenceTimeout)
+	err := s.events.Next(ev)
+	s.watchdog.Stop()
 	return err
 }
 
@@ -97,11 +99,15 @@
 		return nil, streamError(err)
 	}
 	s := &engineStream{events: sse.NewReader(resp.Body, 0), body: resp.Body, cancel: cancel, watchdog: watchdog}
-	if resp.StatusCode == http.StatusOK {
-		return s, nil
+	if resp.StatusCode != http.StatusOK {
+		defer s.close()
+		return nil, statusError(resp)
+	}
+	if !watchdog.Stop() {
+		s.close()
+		return nil, failure.New(failure.KindTargetLost, "the target was silent for %s", silenceTimeout).WithExecutionUnknown()
 	}
-	defer s.close()
-	return nil, statusError(resp)
+	return s, nil
 }
 
 // statusError converts a target's error status to a typed error.
--- a/internal/entry/generation/frame_test.go
+++ b/internal/entry/generation/frame_test.go
@@ -11,6 +11,7 @@
 )
 
 func TestGeneration(t *testing.T) {
+	suiteT = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "generation")
 }
