Start the read timeout of a target's connection with the request

A lookup or generation of the older interface that reused a connection which had been idle for almost 15 s failed with target-timeout, outcome unknown, although its target answered in time; the target was then settled as failed.

Cause: http.Transport reads from idle connections. The deadline of that read (5 s and 10 s by default) had begun when the connection became idle, and ended the wait for the answer to a request that was sent later. The same holds for a request whose first write is held back or whose body is sent slowly.

A write sets the deadline anew. What was ruled out: a deadline only for reads that follow a write, since the connection can't tell where an answer ends.

Not covered: a request that takes the connection in the very moment in which the idle read times out, as with any close by the other side.

--- a/internal/targetclient/once.go
+++ b/internal/targetclient/once.go
@@ -210,12 +210,21 @@
 	return c.Conn.Write(p)
 }
 
-// readTimeoutConn fails a read that receives no data within the timeout.
+// readTimeoutConn fails a read that receives no data within the timeout. The time starts
+// again when something is written: http.Transport reads from idle connections as well, and a
+// request may follow just before that read has timed out.
 type readTimeoutConn struct {
 	net.Conn
 	timeout time.Duration
 }
 
+func (c *readTimeoutConn) Write(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
 func (c *readTimeoutConn) Read(p []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
 		return 0, err
--- a/internal/targetclient/targetclient_test.go
+++ b/internal/targetclient/targetclient_test.go
@@ -26,6 +26,7 @@
 )
 
 func TestTargetClient(t *testing.T) {
+	suiteT = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "target client")
 }
