Replace the connection to an account's owner when a stream opens too late

An owner of accounts over a connection that had stopped working was asked on it once more: the parts of its accounts arrive a renewal later, during which requests of limited accounts may wait.

Cause: the timer that ends the opening of a stream after 500 ms was stopped without asking whether it had run. The dead stream then carried the request, which failed at once, before the timer of the request: so the connection did not count as one that had not answered in time, and stayed.

The timer is asked. If it has run, the request has timed out and the next one opens a new connection, as after any other request without an answer in time.

An interceptor returns the stream when its context has ended.

--- a/internal/control/quota/peers.go
+++ b/internal/control/quota/peers.go
@@ -74,11 +74,14 @@
 		streamCtx, p.cancel = context.WithCancel(ctx)
 		stop := time.AfterFunc(callTimeout, p.cancel)
 		p.stream, err = filbertv1.NewQuotaClient(p.conn).Renew(streamCtx)
+		timedOut = !stop.Stop()
+		if err == nil && timedOut {
+			err = context.DeadlineExceeded
+		}
 		if err != nil {
 			p.reset()
-			return nil, !stop.Stop(), err
+			return nil, timedOut, err
 		}
-		stop.Stop()
 	} else {
 		req.From, req.Incarnation = "", 0
 	}
--- a/internal/control/quota/peers_test.go
+++ b/internal/control/quota/peers_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/grpc"
 
 	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/control/quota"
@@ -116,4 +117,37 @@
 		peers.Close()
 		Expect(failure.KindOf(renew())).To(Equal(failure.KindStopping))
 	})
+
+	// Guards against a stream that is taken for open when its time was over: the request on
+	// it would fail as if the owner had answered it with an error, and the next one would use
+	// the same connection.
+	It("is replaced after its stream was opened too late", func() {
+		sim := newSimulation(1, 1, parkAccount)
+		server := rpc.NewServer(rpc.Credentials{})
+		filbertv1.RegisterQuotaServer(server, sim.nodes[0].controller)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		go func() { _ = server.Serve(l) }()
+		defer server.Stop()
+		owner := l.Addr().String()
+		late, err := rpc.Dial(owner, rpc.Credentials{}, grpc.WithStreamInterceptor(openLate))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = late.Close() }()
+		peers := quota.NewPeers(rpc.Credentials{})
+		defer peers.Close()
+		peers.Use(owner, late)
+		renew := func() error {
+			_, err := peers.Renew(context.Background(), owner, &filbertv1.RenewQuotaRequest{From: "127.0.0.1:9", Incarnation: 1, SentUs: 1})
+			return err
+		}
+		Expect(failure.KindOf(renew())).To(Equal(failure.KindControlLost))
+		Eventually(renew, "20s").Should(Succeed())
+	})
 })
+
+// openLate opens a stream and returns it when its context has ended.
+func openLate(ctx context.Context, desc *grpc.StreamDesc, conn *grpc.ClientConn, method string, open grpc.Streamer, options ...grpc.CallOption) (grpc.ClientStream, error) {
+	stream, err := open(ctx, desc, conn, method, options...)
+	<-ctx.Done()
+	return stream, err
+}
