Take an owner's answer that has arrived when the time is over

When a host was delayed by more than 15 ms between sending a query to another host and looking for its answer, it threw away an answer that had arrived in time about every second time: the other host was skipped for a second, and a place or a share of a rate limit that it had lent was lost to both until it fell back to the lender.

Cause: with answer and timeout both ready, a select takes either. This process's own delay was taken for the silence of the other host. The answer goes first now.

--- a/internal/gatewayhost/owners.go
+++ b/internal/gatewayhost/owners.go
@@ -196,10 +196,21 @@
 	}
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
+	return awaitAnswer(answers, timer.C)
+}
+
+// awaitAnswer returns the answer to a query, or false when none has arrived and the time is
+// over.
+func awaitAnswer(answers <-chan *filbertv1.TargetLoads, timeout <-chan time.Time) (*filbertv1.TargetLoads, bool) {
 	select {
 	case answer := <-answers:
 		return answer, true
-	case <-timer.C:
+	case <-timeout:
+	}
+	select {
+	case answer := <-answers:
+		return answer, true
+	default:
 		return nil, false
 	}
 }
--- a/internal/gatewayhost/owners_test.go
+++ b/internal/gatewayhost/owners_test.go
@@ -13,6 +13,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/controller/gossip"
 	"filbertdeck/internal/controller/recordsync"
@@ -362,3 +363,20 @@
 		t.Fatal("the owner did not answer")
 	}
 }
+
+// Guards against an answer that is thrown away because this process was delayed and the time
+// is over as well: the other host would be skipped for a second, and what it lent is lost.
+func TestAnswerThatHasArrivedIsTaken(t *testing.T) {
+	timeout := make(chan time.Time)
+	close(timeout)
+	for range 100 {
+		answers := make(chan *filbertv1.TargetLoads, 1)
+		answers <- &filbertv1.TargetLoads{Lent: true}
+		if answer, ok := awaitAnswer(answers, timeout); !ok || !answer.GetLent() {
+			t.Fatal("the answer was not taken")
+		}
+	}
+	if _, ok := awaitAnswer(make(chan *filbertv1.TargetLoads), timeout); ok {
+		t.Fatal("an answer was taken that has not arrived")
+	}
+}
