Stand-in engine: begin the grace period anew with each lost connection

A generation whose connection was lost, taken up again and lost once more was cancelled at the end of the first grace period: callers in tests of the older interface that resume a second time within 10 s could be told that the engine no longer holds the generation, which looks like a fault of the system under test.

Cause: the timer of the first disconnection ran on and looked only at whether a connection is there now. It belongs to its disconnection now and does nothing if another one has followed.

--- a/internal/standin/engine/generation.go
+++ b/internal/standin/engine/generation.go
@@ -47,6 +47,8 @@
 	state          State
 	endedAt        time.Time
 	streams        map[*stream]struct{}
+	// disconnections counts how often the last stream was detached.
+	disconnections int
 }
 
 // notify wakes the generation's streams.
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -20,6 +20,7 @@
 )
 
 func TestEngine(t *testing.T) {
+	suiteT = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "simulated engine")
 }
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -68,10 +68,12 @@
 	if len(g.streams) > 0 || g.state != StateRunning {
 		return
 	}
+	g.disconnections++
+	disconnection := g.disconnections
 	time.AfterFunc(s.cfg.DisconnectGrace, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if len(g.streams) == 0 {
+		if len(g.streams) == 0 && g.disconnections == disconnection {
 			s.cancelGeneration(g)
 		}
 	})
