--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -140,9 +140,8 @@
 		case err == nil:
 			c.record(host, s.Target.Service, nil)
 			return c.start(exchange, req, s, beforeWrite)
-		case failure.KindOf(err) == failure.KindControlLost && req.Context().Err() == context.Canceled:
-			// The caller has left, or the request goes another way, which says nothing about
-			// the host.
+		case err == errRequestEnded:
+			// That says nothing about the host.
 		case failure.KindOf(err) == failure.KindControlLost:
 			c.record(host, s.Target.Service, err)
 			c.cfg.Log.Debug("host can't send the request", "request", s.ID, "host", host, "cause", err)
@@ -190,10 +189,17 @@
 	// end ends the exchange, at both hosts and at the target. It may be called more
 	// than once.
 	end func()
+	// silent is set when the host said nothing for aliveTimeout, which has ended the
+	// exchange.
+	silent bool
 }
 
+// errRequestEnded says that a request ended before a host had its whole time: its caller
+// has left, its deadline has passed, or it goes another way.
+var errRequestEnded = failure.New(failure.KindDeadline, "the request ended while a host connected to the target")
+
 // connect has a host connect to the target. The error is of kind KindControlLost if
-// another host may be asked.
+// another host may be asked, and errRequestEnded if the request has ended.
 func (c *Client) connect(ctx context.Context, host string, message *filbertv1.RelayRequest, timeout time.Duration) (*exchange, error) {
 	conn, err := c.acquire(host)
 	if err != nil {
@@ -210,11 +216,14 @@
 	if err == nil {
 		reply, err = stream.Recv()
 	}
-	if !timer.Stop() || err != nil {
+	inTime := timer.Stop()
+	if inTime && err != nil && ctx.Err() != nil {
 		end()
-		if ctx.Err() != context.Canceled {
-			c.retireNow(conn)
-		}
+		return nil, errRequestEnded
+	}
+	if !inTime || err != nil {
+		end()
+		c.retireNow(conn)
 		return nil, failure.Wrap(err, failure.KindControlLost, "host %s did not connect to the target in time", host)
 	}
 	if f := reply.GetFailure(); f != nil {
@@ -240,6 +249,9 @@
 		return nil, connectionLost(err, x.host)
 	}
 	reply, err := x.receive()
+	if err == nil && x.silent {
+		err = hostSilent(x.host)
+	}
 	if err != nil {
 		x.end()
 		return nil, err
@@ -253,15 +265,20 @@
 }
 
 // receive returns the host's next message that says something. io.EOF is the end of
-// a complete answer.
+// a complete answer. A message may arrive just when the host has been silent for too
+// long; nothing follows it then.
 func (x *exchange) receive() (*filbertv1.RelayReply, error) {
 	for {
 		silent := time.AfterFunc(aliveTimeout, x.end)
 		reply, err := x.stream.Recv()
-		silent.Stop()
+		if !silent.Stop() {
+			x.silent = true
+		}
 		switch {
 		case err == io.EOF:
 			return nil, io.EOF
+		case err != nil && x.silent:
+			return nil, hostSilent(x.host)
 		case err != nil:
 			return nil, connectionLost(err, x.host)
 		case reply.GetFailure() != nil:
@@ -272,6 +289,12 @@
 	}
 }
 
+// hostSilent returns the failure of a request whose exchange ended because the sending
+// host said nothing for too long after the start.
+func hostSilent(host string) error {
+	return failure.New(failure.KindTargetLost, "host %s said nothing for %s", host, aliveTimeout).WithExecutionUnknown()
+}
+
 // connectionLost returns the failure of a request whose connection to the sending host broke
 // after the start.
 func connectionLost(cause error, host string) error {
