Go on with the stream of a move that began while the generation looked for another

Callers would see a generation end with a closed connection although another engine had taken it over: its engine's stream breaks off, and before the host offers the generation to the engine of its backup, the engine is published as leaving or gone. The move that begins then offers the backup first. The search finds the backup claimed, knows no other way, gives the generation up, and closes the stream that the move has just opened.

Cause: continueElsewhere looked for a move in progress once, before its own offer, and closeNextStream takes whatever a later move opens for unused.

The fix asks once more for the stream of a move before the generation is given up or a new run is started. takeNextStream waits for a switch in progress, as closeNextStream did, so that nobody waits for longer than before.

Not claimed: that the users' case was this one. The window is the time between two steps of one goroutine, and the engine's stream has to break off in it.

--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -68,6 +68,10 @@
 			return stream, nil
 		}
 	}
+	// A move that began meanwhile may have offered the backup first.
+	if stream := gen.takeNextStream(); stream != nil {
+		return stream, nil
+	}
 	if gen.route.Resumable {
 		return gen.startNewRun(from, cause)
 	}
