Move a generation again when its engine leaves for the second time

Callers would lose a generation with its engine although the engine gave its whole notice and others had room: the engine is published as leaving, then as ready again, and leaves later. Its record is withdrawn and written again, or it expires while the engine's heartbeats do not get through. The host moves the generation at most once off an engine unless that move ran out of time; a move that ended because the generation was expected to end in time counts as that once.

Cause: beginMoveIf begins no move while the generation has an earlier one from the same engine that did not time out, however old it is.

Evidence: in the spec the engine first says that it leaves in 60 s ("generation stays"), becomes ready, and then leaves in half a second. On the code before, the second engine got no request in either entry (drains; its record expires).

A look at the published state that finds the engine ready ends the validity of the move that is over. Moves that were begun since this host had lost the engine are left out: such an engine is not published as leaving, and each look would allow another move. The flag timedOut is now called mayRepeat for that.

--- a/internal/gateway/config_change_test.go
+++ b/internal/gateway/config_change_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"filbertdeck/internal/directory"
 	"filbertdeck/internal/gateway"
 	"filbertdeck/platform/standin"
 )
@@ -58,3 +59,39 @@
 		Expect(second.resumes.Load()).To(Equal(int64(1)))
 	})
 })
+
+var _ = Describe("an engine that is published as leaving, then as ready, then as leaving", func() {
+	// Guards against generations that stay at a stopping engine since an earlier move of them
+	// has ended.
+	DescribeTable("has its generations moved", func(withdrawn func(*directory.ObservedTarget) []*directory.ObservedTarget) {
+		const events = 200
+		first, second := startEngine("i-1", events, 10*time.Millisecond), startEngine("i-2", events, time.Millisecond)
+		first.leavesIn.Store(60_000)
+		logs := &lockedBuffer{}
+		// checks counts the rounds in which the host looks for engines that leave.
+		var checks atomic.Int64
+		countChecks := func() bool { checks.Add(1); return false }
+		gw := startGatewayConfigured(func(cfg *gateway.Config) { cfg.Disconnected = countChecks }, slog.NewJSONHandler(logs, nil), first.directoryEntry("llm", "dc-1"))
+		req := gw.request("POST", "/report/")
+		req.Header.Set(standin.HeaderTokenUsage, fmt.Sprintf("100,%d", events))
+		done := make(chan result, 1)
+		go func() { done <- gw.do(req) }()
+		Eventually(first.eventsSent.Load).Should(BeNumerically(">", 5))
+		gw.publish(withdrawn(first.directoryEntry("llm", "dc-1"))...)
+		Eventually(func() int { return len(logged(logs, "generation stays")) }).Should(Equal(1))
+		gw.publish(first.directoryEntry("llm", "dc-1"), second.directoryEntry("llm", "dc-1"))
+		before := checks.Load()
+		Eventually(checks.Load).Should(BeNumerically(">=", before+2))
+		first.leavesIn.Store(500)
+		gw.publish(append(withdrawn(first.directoryEntry("llm", "dc-1")), second.directoryEntry("llm", "dc-1"))...)
+		var got result
+		Eventually(done, "10s").Should(Receive(&got))
+		Expect(got.body).To(Equal(eventStream(events)))
+		Expect(second.generationRequests()).To(HaveLen(1))
+	},
+		Entry("when it drains", func(t *directory.ObservedTarget) []*directory.ObservedTarget {
+			return []*directory.ObservedTarget{asLeaving(t)}
+		}),
+		Entry("when its record expires", func(*directory.ObservedTarget) []*directory.ObservedTarget { return nil }),
+	)
+})
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -168,19 +168,31 @@
 }
 
 // beginMove begins a move if the generation's target leaves and no move was
-// begun, or the last one timed out.
+// begun, or another may follow the last one.
 func (gen *generation) beginMove(view *directory.View, loads *TargetLoads) (*directory.ObservedTarget, *move, bool) {
-	return gen.beginMoveIf(func(target *directory.ObservedTarget) bool {
+	leaves := func(target *directory.ObservedTarget) bool {
 		now, known := view.Target(target.ID)
 		return !known || !now.Published || now.Leaving || loads.IsLeaving(target.Target)
-	})
+	}
+	gen.allowNextMove(leaves)
+	return gen.beginMoveIf(leaves)
+}
+
+// allowNextMove has another move follow one that has ended, once the target no longer leaves:
+// what was found out about its stop does not hold when it leaves again.
+func (gen *generation) allowNextMove(leaves func(target *directory.ObservedTarget) bool) {
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	if m := gen.move; m != nil && m.isDone() && !m.lost && !leaves(gen.target) {
+		m.mayRepeat.Store(true)
+	}
 }
 
 // beginMoveIf is beginMove for another reason to leave the target.
 func (gen *generation) beginMoveIf(leaves func(target *directory.ObservedTarget) bool) (*directory.ObservedTarget, *move, bool) {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
-	if gen.target == nil || gen.move != nil && !gen.move.timedOut.Load() || !gen.movable() || !leaves(gen.target) {
+	if gen.target == nil || gen.move != nil && !gen.move.mayRepeat.Load() || !gen.movable() || !leaves(gen.target) {
 		return nil, nil, false
 	}
 	next := &move{done: make(chan struct{}), streamEnded: make(chan struct{})}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -54,9 +54,10 @@
 	// copy is the last copy that was made, nil when there is none. It is set
 	// before done is closed.
 	copy *memoryCopy
-	// timedOut is set when no engine took the generation in time. Another move
-	// may follow, because the notice may last for longer than one.
-	timedOut atomic.Bool
+	// mayRepeat is set when another move may follow: no engine took the generation in
+	// time, and the notice may last for longer than one move, or the target no longer
+	// leaves.
+	mayRepeat atomic.Bool
 	// lost is set when the target was lost after the first event, so that a run that
 	// it does not know is over.
 	lost bool
@@ -78,6 +79,16 @@
 	waitsSince time.Time
 }
 
+// isDone reports whether the move has ended.
+func (m *move) isDone() bool {
+	select {
+	case <-m.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // endWaits ends the move's waits for room.
 func (m *move) endWaits() { m.endOnce.Do(func() { close(m.streamEnded) }) }
 
@@ -92,7 +103,7 @@
 	defer close(m.done)
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	defer func() { m.timedOut.Store(ctx.Err() != nil) }()
+	defer func() { m.mayRepeat.Store(ctx.Err() != nil) }()
 	if gen.grantsRoom() {
 		gen.moveWithRoom(ctx, from, m)
 		return
@@ -117,7 +128,7 @@
 	defer close(m.done)
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	defer func() { m.timedOut.Store(ctx.Err() != nil) }()
+	defer func() { m.mayRepeat.Store(ctx.Err() != nil) }()
 	m.lost = true
 	if gen.isAt(from) && !gen.switchToBackup(m) {
 		gen.copyAway(ctx, from, m, time.Now().Add(copyTimeout))
