Keep a switch that has succeeded when the previous engine completes the answer

Callers saw an answer end with a closed connection before its last events while both engines were sound: the previous engine completes the stream in the moment in which the switch has its first event. No engine broke it off.

Cause: the end of the previous stream abandons a switch in progress by ending the context of its stream. Between the first event of that stream and endSwitch nothing said that the switch had succeeded, so that its stream was ended and relayed all the same; the events held from the previous engine, the last ones of the answer, were dropped.

The fix decides under deliveryMu: the switch is either kept, and can't be abandoned any more, or it was abandoned, and then fails, so that the events that were held are passed on and the answer is whole. A move is counted in the generation's log line once it is kept.

--- a/internal/gateway/held_events.go
+++ b/internal/gateway/held_events.go
@@ -16,8 +16,9 @@
 type heldEvents struct {
 	events []sse.RawEvent
 	bytes  int
-	// over is closed when the switch is over, abandon ends it; nil while there is none.
-	over    chan struct{}
+	// over is closed when the switch is over; nil while there is none.
+	over chan struct{}
+	// abandon ends the switch early; nil once it was ended, and once it is kept.
 	abandon func()
 	// err is the error of passing on events that were held.
 	err error
@@ -47,6 +48,16 @@
 	return held
 }
 
+// keepSwitch has a switch in progress succeed: it is not abandoned any more. It returns false if
+// it was abandoned.
+func (gen *generation) keepSwitch() bool {
+	gen.deliveryMu.Lock()
+	defer gen.deliveryMu.Unlock()
+	kept := gen.held.abandon != nil
+	gen.held.abandon = nil
+	return kept
+}
+
 // beginSwitch has events held until endSwitch is called. abandon ends the switch early. It returns
 // false if no further stream will be relayed.
 func (gen *generation) beginSwitch(abandon func()) bool {
@@ -82,8 +93,9 @@
 func (gen *generation) awaitSwitch(complete bool) (switched bool) {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
-	if complete && gen.held.switching() {
+	if complete && gen.held.abandon != nil {
 		gen.held.abandon()
+		gen.held.abandon = nil
 	}
 	gen.awaitSwitchLocked()
 	return gen.nextStream != nil
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -125,6 +125,7 @@
 	if err != nil {
 		return nil, false
 	}
+	gen.moves++
 	gen.g.metrics.resumedAfterLoss.Inc(1)
 	gen.setTarget(c.target, stream)
 	return stream, true
--- a/internal/gateway/switch.go
+++ b/internal/gateway/switch.go
@@ -27,8 +27,14 @@
 	from, old := gen.current()
 	limit := &switchLimit{timeout: switchTimeout, old: old, handsOver: handsOver}
 	stream, err := gen.resumeWithin(ctx, cancel, limit, c, reservation, gen.g.selectionState(gen.exchange))
+	if err == nil && !gen.keepSwitch() {
+		// The context of the stream is done.
+		stream.close(errGenerationMoved)
+		stream, err = nil, errStreamEnded
+	}
 	gen.recordSwitch(from, c.target, sentAt, stream, err)
 	if err == nil {
+		gen.moves++
 		old.cancel(errGenerationMoved)
 	}
 	gen.endSwitch(stream)
@@ -95,7 +101,6 @@
 	if err != nil {
 		return nil, err
 	}
-	gen.moves++
 	return stream, nil
 }
 
