Close the stream of a switch that another switch overtakes

Hosts would see an engine as more loaded than it is, for good: a generation switches to an engine that begins to leave at that moment, and switches on to a third one before the stream of the second was relayed. The answer is whole; the second engine's stream is never closed, its reservation stays counted at this host and by gossip at the others, and its run stays among the suspects should the engine crash.

Cause: endSwitch put the new stream in the place of one that nobody had taken.

Evidence: the spec delays the close of the first engine's connection, after which the next stream is taken, until the third engine goes on.

The fix closes the stream that is replaced, as closeNextStream closes one that comes too late.

--- a/internal/gateway/config_change_test.go
+++ b/internal/gateway/config_change_test.go
@@ -1,10 +1,12 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +15,7 @@
 
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/gateway"
+	"filbertdeck/internal/targetclient"
 	"filbertdeck/platform/standin"
 )
 
@@ -95,3 +98,55 @@
 		Entry("when its record expires", func(*directory.ObservedTarget) []*directory.ObservedTarget { return nil }),
 	)
 })
+
+// slowlyClosed is a connection that takes until a channel is closed to close.
+type slowlyClosed struct {
+	net.Conn
+	allowed <-chan struct{}
+}
+
+// Close implements io.Closer.
+func (c slowlyClosed) Close() error {
+	err := c.Conn.Close()
+	<-c.allowed
+	return err
+}
+
+var _ = Describe("a generation that switches to an engine that begins to leave at that moment", func() {
+	const events = 60
+
+	// Guards against reservations that stay counted at an engine that a generation left before
+	// its stream was relayed.
+	It("is answered whole and leaves no reservation", func() {
+		first, second, third := startEngine("i-1", events, 10*time.Millisecond), startEngine("i-2", events, 10*time.Millisecond), startEngine("i-3", events, 10*time.Millisecond)
+		mayClose := make(chan struct{})
+		allowClose := sync.OnceFunc(func() { close(mayClose) })
+		DeferCleanup(allowClose)
+		connect := func(ctx context.Context, network, address string, timeout time.Duration) (net.Conn, error) {
+			conn, err := targetclient.Dial(ctx, network, address, timeout)
+			if err == nil && address == first.address {
+				conn = slowlyClosed{conn, mayClose}
+			}
+			return conn, err
+		}
+		gw := startGatewayConfigured(func(cfg *gateway.Config) {
+			cfg.Client = targetclient.NewAtMostOnceClient(targetclient.Settings{ResponseHeaderTimeout: time.Minute, ReadIdleTimeout: time.Minute, DialTimeout: time.Second, Connect: connect})
+		}, slog.DiscardHandler, first.directoryEntry("llm", "dc-1"))
+		done := make(chan result, 1)
+		go func() { done <- gw.do(gw.request("POST", "/report/")) }()
+		Eventually(first.eventsSent.Load).Should(BeNumerically(">", 5))
+		gw.publish(asLeaving(first.directoryEntry("llm", "dc-1")), second.directoryEntry("llm", "dc-1"))
+		Eventually(second.eventsSent.Load, "5s").Should(BeNumerically(">", 0))
+		gw.publish(asLeaving(first.directoryEntry("llm", "dc-1")), asLeaving(second.directoryEntry("llm", "dc-1")), third.directoryEntry("llm", "dc-1"))
+		Eventually(third.eventsSent.Load, "5s").Should(BeNumerically(">", 0))
+		Eventually(second.connClosed.Load, "5s").Should(BeTrue())
+		allowClose()
+		var got result
+		Eventually(done, "5s").Should(Receive(&got))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(eventStream(events)))
+		for _, id := range []string{"i-1", "i-2", "i-3"} {
+			Eventually(func() int { return gw.loads.HostsUsing(id) }, "2s").Should(BeZero(), id)
+		}
+	})
+})
--- a/internal/gateway/held_events.go
+++ b/internal/gateway/held_events.go
@@ -73,14 +73,22 @@
 // endSwitch ends a switch: the generation goes on with a stream or, if that is nil, with the
 // events that were held.
 func (gen *generation) endSwitch(next *engineStream) {
+	if next == nil {
+		gen.writeHeld()
+		return
+	}
+	// The generation may have switched once more before the stream of the previous switch
+	// was relayed.
+	if unused := gen.replaceNextStream(next); unused != nil {
+		unused.close(errGenerationMoved)
+	}
+}
+
+// writeHeld ends a switch that failed, and passes on the events that were held.
+func (gen *generation) writeHeld() {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
 	held := gen.held.end()
-	if next != nil {
-		gen.nextStream = next
-		gen.setTarget(next.target, next)
-		return
-	}
 	for i := range held {
 		if gen.held.err = gen.write(&held[i]); gen.held.err != nil {
 			return
@@ -88,6 +96,18 @@
 	}
 }
 
+// replaceNextStream ends a switch that succeeded, and returns the stream of an earlier switch
+// that was not relayed; nil if there is none.
+func (gen *generation) replaceNextStream(next *engineStream) *engineStream {
+	gen.deliveryMu.Lock()
+	defer gen.deliveryMu.Unlock()
+	gen.held.end()
+	unused := gen.nextStream
+	gen.nextStream = next
+	gen.setTarget(next.target, next)
+	return unused
+}
+
 // awaitSwitch waits until no switch is in progress and reports whether the generation goes on
 // with another stream. If the present one is complete, a switch in progress is abandoned.
 func (gen *generation) awaitSwitch(complete bool) (switched bool) {
