Pass no event of an engine on that the generation has switched away from

Callers got an event twice in an answer that ended as complete: the generation has switched to a second engine, of whose stream the first event was read ahead, and begins another switch before that stream was relayed. An event of the first engine that is delivered in that time was held like one of the present engine, and passed on when the second switch failed; then the second engine's stream began with the same event.

Cause: deliver asked whether a switch was in progress before it asked whether one had succeeded.

--- a/internal/gateway/config_change_test.go
+++ b/internal/gateway/config_change_test.go
@@ -99,6 +99,21 @@
 	)
 })
 
+// startGatewayConnecting is startGateway with an engine, and with a wrapper of the connections on
+// which it runs generations.
+func startGatewayConnecting(e *fakeEngine, wrap func(net.Conn) net.Conn) *fixture {
+	connect := func(ctx context.Context, network, address string, timeout time.Duration) (net.Conn, error) {
+		conn, err := targetclient.Dial(ctx, network, address, timeout)
+		if err == nil && address == e.address {
+			conn = wrap(conn)
+		}
+		return conn, err
+	}
+	return startGatewayConfigured(func(cfg *gateway.Config) {
+		cfg.Client = targetclient.NewAtMostOnceClient(targetclient.Settings{ResponseHeaderTimeout: time.Minute, ReadIdleTimeout: time.Minute, DialTimeout: time.Second, Connect: connect})
+	}, slog.DiscardHandler, e.directoryEntry("llm", "dc-1"))
+}
+
 // slowlyClosed is a connection that takes until a channel is closed to close.
 type slowlyClosed struct {
 	net.Conn
@@ -122,16 +137,7 @@
 		mayClose := make(chan struct{})
 		allowClose := sync.OnceFunc(func() { close(mayClose) })
 		DeferCleanup(allowClose)
-		connect := func(ctx context.Context, network, address string, timeout time.Duration) (net.Conn, error) {
-			conn, err := targetclient.Dial(ctx, network, address, timeout)
-			if err == nil && address == first.address {
-				conn = slowlyClosed{conn, mayClose}
-			}
-			return conn, err
-		}
-		gw := startGatewayConfigured(func(cfg *gateway.Config) {
-			cfg.Client = targetclient.NewAtMostOnceClient(targetclient.Settings{ResponseHeaderTimeout: time.Minute, ReadIdleTimeout: time.Minute, DialTimeout: time.Second, Connect: connect})
-		}, slog.DiscardHandler, first.directoryEntry("llm", "dc-1"))
+		gw := startGatewayConnecting(first, func(conn net.Conn) net.Conn { return slowlyClosed{conn, mayClose} })
 		done := make(chan result, 1)
 		go func() { done <- gw.do(gw.request("POST", "/report/")) }()
 		Eventually(first.eventsSent.Load).Should(BeNumerically(">", 5))
@@ -150,3 +156,51 @@
 		}
 	})
 })
+
+// delayedConn is a connection that returns what it has read, once it is set to delay, only
+// after a channel is closed.
+type delayedConn struct {
+	net.Conn
+	delays  *atomic.Bool
+	allowed <-chan struct{}
+}
+
+// Read implements io.Reader.
+func (c delayedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.delays.Load() {
+		<-c.allowed
+	}
+	return n, err
+}
+
+var _ = Describe("a generation that has switched and switches again in vain", func() {
+	// Guards against events of the first engine that are passed on after the switch, and come
+	// twice.
+	It("gets no further event from the first engine", func() {
+		const events = 40
+		first, second := startEngine("i-1", events, 10*time.Millisecond), startEngine("i-2", events, 10*time.Millisecond)
+		var delays atomic.Bool
+		mayRead := make(chan struct{})
+		allowRead := sync.OnceFunc(func() { close(mayRead) })
+		DeferCleanup(allowRead)
+		third := startResumingEngine("i-3", events, func(conn net.Conn, r *http.Request) {
+			respondStreamHeader(conn, r)
+			allowRead()
+			time.Sleep(50 * time.Millisecond)
+		})
+		gw := startGatewayConnecting(first, func(conn net.Conn) net.Conn { return delayedConn{conn, &delays, mayRead} })
+		done := make(chan result, 1)
+		go func() { done <- gw.do(gw.request("POST", "/report/")) }()
+		Eventually(first.eventsSent.Load).Should(BeNumerically(">", 5))
+		delays.Store(true)
+		gw.publish(asLeaving(first.directoryEntry("llm", "dc-1")), second.directoryEntry("llm", "dc-1"))
+		Eventually(first.connClosed.Load, "5s").Should(BeTrue())
+		gw.publish(asLeaving(first.directoryEntry("llm", "dc-1")), asLeaving(second.directoryEntry("llm", "dc-1")), third.directoryEntry("llm", "dc-1"))
+		var got result
+		Eventually(done, "5s").Should(Receive(&got))
+		Expect(third.resumes.Load()).To(BeNumerically(">", 0))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(eventStream(events)))
+	})
+})
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -537,7 +537,7 @@
 func (gen *generation) deliver(block *sse.RawEvent, from *engineStream) error {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
-	for gen.held.switching() {
+	for gen.nextStream == nil && gen.held.switching() {
 		if gen.held.add(block) {
 			return nil
 		}
