Log a panic of the request handler with the request's id

Operators who look for the cause of a closed connection would find nothing: a panic of the handler closes it as net/http does, which writes "http: panic serving ADDRESS" and the stack to standard error as plain text. That is no JSON, has no request id, no service in our format and no counter, so that neither "filbertctl explain" nor a search for the id shows it.

Evidence: a route without a service, published past the check of the platform's records, makes the handler panic with "index out of range [-1]" in PickService. On the code before, the spec saw the plain lines and no line of ours. No panic was found that the published state can cause: platform/ refuses such a route, sets the attempts to at least 1, and a configuration never goes back to none.

The handler recovers, logs `request handler panicked` (id, kind, executed, stack), counts `gateway.panics`, and panics with http.ErrAbortHandler: callers see what they saw before. Answers that are broken off on purpose end that way already and are not counted. Panics in goroutines that outlive a request (moves, health checks) still end the process, with the runtime's plain text on standard error.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,6 +157,8 @@
 
 // ServeHTTP relays one request to a target of its route.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var req *call.Request
+	defer g.logPanic(&req)
 	arrived := time.Now()
 	view := g.view()
 	limits := limitsOf(view)
@@ -169,7 +171,7 @@
 		g.refuse(w, nil, err)
 		return
 	}
-	req, err := g.cfg.Dialect.ParseRequest(r, body, arrived)
+	req, err = g.cfg.Dialect.ParseRequest(r, body, arrived)
 	if err != nil {
 		g.refuse(w, nil, err)
 		return
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -81,6 +81,8 @@
 	sendsRefused gometrics.Counter
 	// cutOff counts the requests that were cut off by the exit of the process.
 	cutOff gometrics.Counter
+	// panics counts the requests whose handler panicked.
+	panics gometrics.Counter
 	// rooms count grants of engines' room, and searches without an engine in time.
 	rooms roomCounters
 }
@@ -107,7 +109,7 @@
 		unreadableFigures: counter("load_figures_unreadable"), searchesWithoutRoom: counter("searches_without_room"),
 		promptsHeld: counter("prompts_held"), promptHold: newHistogram("prompt_hold_us", r),
 		waitingTurns: counter("waiting_turns"), waitingHeld: counter("waiting_held"), waitingUnanswered: counter("waiting_unanswered"), waitingHopeless: counter("waiting_hopeless"),
-		failuresReported: counter("failures_reported"), sendsRefused: counter("sends_refused"), emptyStreams: counter("streams_empty"), cutOff: counter("requests_cut_off"),
+		failuresReported: counter("failures_reported"), sendsRefused: counter("sends_refused"), emptyStreams: counter("streams_empty"), cutOff: counter("requests_cut_off"), panics: counter("panics"),
 		rooms: newRoomCounters(counter),
 	}
 	for _, kind := range []directory.RequestKind{directory.AtMostOnce, directory.Repeatable, directory.Generation} {
