--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -31,10 +31,10 @@
 	ctx context.Context
 	// headerSent is set once the caller has the header of the answer.
 	headerSent bool
-	// moves counts the engines at which the generation was continued, attempts
-	// the engines that it was sent to as a new run. The route limits the
-	// latter.
-	moves, attempts int
+	// moves counts the engines at which the generation was continued.
+	moves atomic.Int32
+	// attempts counts the engines that it was sent to as a new run, which the route limits.
+	attempts int
 	// roomID identifies the generation in its requests for room at engines.
 	roomID uint64
 	// failedAnswer is an engine's own failure answer, nil when there is none.
@@ -539,7 +539,7 @@
 func (gen *generation) deliver(block *sse.RawEvent, from *engineStream) error {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
-	for gen.held.switching() {
+	for gen.nextStream == nil && gen.held.switching() {
 		if gen.held.add(block) {
 			return nil
 		}
@@ -615,7 +615,7 @@
 		gen.g.metrics.recordServed(gen.times)
 		gen.g.cfg.Log.Info("generation served", "request", gen.ID, "target", gen.target.ID, "version", gen.target.Version, "route", gen.route.Name, "account", accountName(gen.account),
 			"config", gen.view.Config.Version, "events", gen.times.events,
-			"moves", gen.moves, "first", gen.times.first, "longest_pause", gen.times.longestGap, "pause_at", gen.times.longestGapEnd, "took", gen.times.last)
+			"moves", gen.moves.Load(), "first", gen.times.first, "longest_pause", gen.times.longestGap, "pause_at", gen.times.longestGapEnd, "took", gen.times.last)
 		return
 	case !gen.headerSent && gen.failedAnswer != nil:
 		gen.g.writeAnswer(gen.exchange, gen.failedAnswer)
--- a/internal/gateway/held_events.go
+++ b/internal/gateway/held_events.go
@@ -66,23 +66,32 @@
 // endSwitch ends a switch from a stream to the next one, nil for none. It reports whether the
 // generation goes on with that; else it goes on with the events that were held.
 func (gen *generation) endSwitch(old, next *engineStream) (taken bool) {
+	unused, taken := gen.takeOrPassOn(old, next)
+	if unused != nil {
+		unused.close(errGenerationMoved)
+	}
+	return taken
+}
+
+// takeOrPassOn is endSwitch but for closing the stream of an earlier switch that was not relayed
+// before this one; unused is nil if there is none.
+func (gen *generation) takeOrPassOn(old, next *engineStream) (unused *engineStream, taken bool) {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
-	taken = next != nil && !gen.held.abandoned
-	held := gen.held.end()
-	if taken {
+	abandoned, held := gen.held.abandoned, gen.held.end()
+	if next != nil && !abandoned {
 		old.cancel(errGenerationMoved)
-		gen.nextStream = next
-		gen.moves++
+		unused, gen.nextStream = gen.nextStream, next
+		gen.moves.Add(1)
 		gen.setTarget(next.target, next)
-		return true
+		return unused, true
 	}
 	for i := range held {
 		if gen.held.err = gen.write(&held[i]); gen.held.err != nil {
 			break
 		}
 	}
-	return false
+	return nil, false
 }
 
 // awaitSwitch waits until no switch is in progress and reports whether the generation goes on
@@ -90,7 +99,7 @@
 func (gen *generation) awaitSwitch(complete bool) (switched bool) {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
-	if complete && gen.held.switching() {
+	if complete && gen.held.switching() && gen.nextStream == nil {
 		gen.held.abandoned = true
 		gen.held.abandon()
 	}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -68,6 +68,10 @@
 			return stream, nil
 		}
 	}
+	// A move that began meanwhile may have offered the backup first.
+	if stream := gen.takeNextStream(); stream != nil {
+		return stream, nil
+	}
 	if gen.route.Resumable {
 		return gen.startNewRun(from, cause)
 	}
@@ -121,8 +125,8 @@
 	if err != nil {
 		return nil, false
 	}
+	gen.moves.Add(1)
 	gen.g.metrics.resumedAfterLoss.Inc(1)
-	gen.moves++
 	gen.setTarget(c.target, stream)
 	return stream, true
 }
@@ -159,7 +163,7 @@
 		return nil, cause
 	}
 	gen.setTarget(target, stream)
-	gen.moves++
+	gen.moves.Add(1)
 	gen.attempts++
 	gen.g.metrics.newRuns.Inc(1)
 	gen.g.cfg.Log.Info("generation continued by a new run", "request", gen.ID, "from", from.ID, "from_version", from.Version, "to", target.ID, "to_version", target.Version, "events", gen.times.events)
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -100,7 +100,7 @@
 func (gen *generation) logBroken(err error) {
 	left := gen.ctx.Err() != nil
 	args := []any{
-		"request", gen.ID, "route", gen.route.Name, "target", gen.target.ID, "version", gen.target.Version, "config", gen.view.Config.Version, "events", gen.times.events, "moves", gen.moves,
+		"request", gen.ID, "route", gen.route.Name, "target", gen.target.ID, "version", gen.target.Version, "config", gen.view.Config.Version, "events", gen.times.events, "moves", gen.moves.Load(),
 		"caller_left", left, "ended_by", gen.endedBy, "took", time.Since(gen.ArrivedAt), "deadline_in", time.Until(gen.deadline), "silent_for", gen.sinceLastEvent(), "cause", err,
 	}
 	if s := gen.lastSwitch; s != nil {
