Spec of a switch to a silent engine where a new run may go on, red

The old engine breaks off during the switch, the new one says nothing, the route allows a new run. Seen on: 'unexpected EOF' at the deadline (5 s); the switch has no limit once the old stream is lost, whatever other way is left.

--- /dev/null
+++ b/internal/gateway/switch_ways_test.go
@@ -0,0 +1,43 @@
+package gateway_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// silent keeps a request without an answer until the caller closes the connection.
+func silent(conn net.Conn, _ *http.Request) { _, _ = io.Copy(io.Discard, conn) }
+
+// moved starts a generation on a route, has its engine leave once it has sent a few events, and
+// returns the caller's answer.
+func (gw *fixture) moved(path string, from *fakeEngine, to *fakeEngine) result {
+	done := make(chan result, 1)
+	go func() { done <- gw.do(gw.request("POST", path)) }()
+	Eventually(from.eventsSent.Load).Should(BeNumerically(">", 5))
+	gw.publish(asLeaving(from.directoryEntry("llm", "dc-1")), to.directoryEntry("llm", "dc-1"))
+	var got result
+	Eventually(done, "10s").Should(Receive(&got))
+	return got
+}
+
+var _ = Describe("a switch to an engine that does not go on", func() {
+	const events = 60
+
+	// Guards against a wait until the deadline for an engine that is silent, where a new run may
+	// go on with the stream.
+	It("is given up if the previous engine has ended and a new run may go on", func() {
+		first := startEngine("i-1", events, 20*time.Millisecond)
+		stopAfter(first, 12)
+		first.leavesIn.Store(5000)
+		second := startResumingEngine("i-2", events, silent)
+		gw := startGateway(first.directoryEntry("llm", "dc-1"))
+		got := gw.moved("/brief/", first, second.fakeEngine)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(eventStream(events)))
+	})
+})
