Spec of an engine that has not said when it stops and is given up for a silent one, red

The old engine states no stop time and goes on for four seconds, a copy takes 1.2 s, the new engine is silent at its first offer. Seen on: 'unexpected EOF' at the deadline. The time until the stop is then a default of 1.5 s, counted from the start of the move, and a guess ends the stream that would have been whole.

--- a/internal/gateway/switch_ways_test.go
+++ b/internal/gateway/switch_ways_test.go
@@ -40,4 +40,16 @@
 		Expect(got.err).NotTo(HaveOccurred())
 		Expect(got.body).To(Equal(eventStream(events)))
 	})
+
+	// Guards against ending a run for an engine that is silent since its engine might stop.
+	It("leaves the generation to an engine that goes on and has not said when it stops", func() {
+		const events = 200
+		first := startEngine("i-1", events, 20*time.Millisecond)
+		first.copyDelay = 1200 * time.Millisecond
+		second := startResumingEngine("i-2", events, silent)
+		gw := startGateway(first.directoryEntry("llm", "dc-1"))
+		got := gw.moved("/report/", first, second.fakeEngine)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(eventStream(events)))
+	})
 })
