--- a/internal/gateway/switch_ways_test.go
+++ b/internal/gateway/switch_ways_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -52,4 +53,34 @@
 		Expect(got.err).NotTo(HaveOccurred())
 		Expect(got.body).To(Equal(eventStream(events)))
 	})
+
+	// Guards against a complete answer that is held until the deadline, for an engine that is
+	// silent: a stream without length or chunks, as all are that come through another host.
+	It("is given up if the previous engine has completed an answer without length or chunks", func() {
+		const few = 12
+		first := &fakeEngine{}
+		first.leavesIn.Store(300)
+		first.fakeTarget = startTarget("i-1", func(conn net.Conn, r *http.Request) {
+			if !strings.HasPrefix(r.URL.Path, "/report/") {
+				first.serve(conn, r)
+				return
+			}
+			respond("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s-1\nConnection: close\n\n")(conn, r)
+			for n := 1; n <= few; n++ {
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(conn, event(n))
+				first.eventsSent.Store(int64(n))
+			}
+		})
+		second := startResumingEngine("i-2", few, silent)
+		gw := startGateway(first.directoryEntry("llm", "dc-1"))
+		for i := range gw.cfg.Routes {
+			gw.cfg.Routes[i].Timeout = time.Minute
+		}
+		gw.publish(first.directoryEntry("llm", "dc-1"))
+		got := gw.moved("/report/", first, second.fakeEngine)
+		Expect(second.resumes.Load()).To(Equal(int64(1)))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(eventStream(few)))
+	})
 })
