Spec of an engine that has nothing to add after a loss, red

The old engine breaks off after its last event, before the end of the stream; the backup's engine answers with a complete stream without an event. Seen on: 'unexpected EOF' although the caller has every event.

--- a/internal/gateway/switch_ways_test.go
+++ b/internal/gateway/switch_ways_test.go
@@ -84,3 +84,27 @@
 		Expect(got.body).To(Equal(eventStream(few)))
 	})
 })
+
+var _ = Describe("an engine that goes on after the loss of another one", func() {
+	const events = 5
+	// dying sends events and breaks off.
+	dying := func(id string, count int) *fakeTarget {
+		return startTarget(id, func(conn net.Conn, r *http.Request) {
+			playHeader(conn, r)
+			for n := 1; n <= count; n++ {
+				writeEvent(conn, n)
+			}
+			time.Sleep(50 * time.Millisecond)
+		})
+	}
+
+	// Guards against breaking off an answer of which the caller has every event.
+	It("completes the answer if nothing is left of it", func() {
+		first, second := dying("i-1", events), startEngine("i-2", events, time.Millisecond)
+		gw := startGateway(first.directoryEntry("llm", "dc-1"), second.directoryEntry("llm", "dc-2"))
+		got := gw.do(gw.request("POST", "/report/"))
+		Expect(second.requests()).NotTo(BeEmpty())
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(eventStream(events)))
+	})
+})
