Spec of a new run that ends before its first event, red

The old engine breaks off after one event, the new run's answer has neither length nor chunks and ends at once. Seen on: the caller's answer ends without an error after 1 event. checkNotEmpty asks whether the generation has events, not whether this stream had one.

--- a/internal/gateway/switch_ways_test.go
+++ b/internal/gateway/switch_ways_test.go
@@ -107,4 +107,21 @@
 		Expect(got.err).NotTo(HaveOccurred())
 		Expect(got.body).To(Equal(eventStream(events)))
 	})
+
+	// Guards against an incomplete answer that looks complete: a stream without length or chunks
+	// that ends before its first event.
+	It("does not complete the answer by a new run that ends before its first event", func() {
+		first := dying("i-1", 1)
+		second := startTarget("i-2", respond("HTTP/1.1 200 OK\n"+requestID+": ID\n"+seal+": s-i-2\nConnection: close\n\n"))
+		gw := startGateway(first.directoryEntry("llm", "dc-1"))
+		done := make(chan result, 1)
+		go func() { done <- gw.do(gw.request("POST", "/brief/")) }()
+		Eventually(first.requestsToRun).ShouldNot(BeEmpty())
+		gw.publish(first.directoryEntry("llm", "dc-1"), second.directoryEntry("llm", "dc-1"))
+		var got result
+		Eventually(done, "5s").Should(Receive(&got))
+		Expect(second.requestsToRun()).NotTo(BeEmpty())
+		Expect(got.body).To(Equal(event(1)))
+		Expect(got.err).To(HaveOccurred())
+	})
 })
