Spec of engines that have left and count as unreachable, red

Two generations wait for silent engines after their own have left. Seen on: four warnings 'targets can't be reached from this host' in five seconds. A generation counts as being at the old engine until the new one has sent an event; with a wait without limit probeSilentTargets probes that engine each second, and two such engines make the service lost: new requests go through other hosts.

--- a/internal/gateway/switch_ways_test.go
+++ b/internal/gateway/switch_ways_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -9,6 +10,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"filbertdeck/internal/directory"
 )
 
 // silent keeps a request without an answer until the caller closes the connection.
@@ -83,6 +86,38 @@
 		Expect(got.err).NotTo(HaveOccurred())
 		Expect(got.body).To(Equal(eventStream(few)))
 	})
+
+	// Guards against a host that takes its targets for lost since engines that have left do not
+	// answer it.
+	It("does not count the engines that have left as unreachable", func() {
+		logs := &lockedBuffer{}
+		gw := startGatewayWithLogs(slog.NewJSONHandler(logs, nil))
+		third, fourth := startTarget("i-3", silent), startTarget("i-4", silent)
+		gw.cfg.Services[1].Engine.KeepsBackups = false
+		var staying, leaving []*directory.ObservedTarget
+		var engines []*fakeEngine
+		done := make(chan result, 2)
+		for _, id := range []string{"i-1", "i-2"} {
+			first := startEngine(id, events, 20*time.Millisecond)
+			first.copyDelay = 100 * time.Millisecond
+			first.leavesIn.Store(500)
+			engines = append(engines, first)
+			staying = append(staying, first.directoryEntry("llm", "dc-1"))
+			leaving = append(leaving, asLeaving(first.directoryEntry("llm", "dc-1")))
+			gw.publish(staying...)
+			go func() { done <- gw.do(gw.requestWithID("r-"+id, "POST", "/report/")) }()
+			Eventually(first.eventsSent.Load).Should(BeNumerically(">", 2))
+		}
+		gw.publish(append(leaving, third.directoryEntry("llm", "dc-1"), fourth.directoryEntry("llm", "dc-1"))...)
+		Eventually(func() int { return len(third.requestsToRun()) + len(fourth.requestsToRun()) }).Should(BeNumerically(">=", 2))
+		for _, e := range engines {
+			e.close()
+		}
+		for range 2 {
+			Eventually(done, "10s").Should(Receive())
+		}
+		Expect(logged(logs, "targets can't be reached from this host")).To(BeEmpty())
+	})
 })
 
 var _ = Describe("an engine that goes on after the loss of another one", func() {
