--- a/internal/gateway/switch_ways_test.go
+++ b/internal/gateway/switch_ways_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"filbertdeck/internal/directory"
+	"filbertdeck/internal/gateway"
 )
 
 // silent keeps a request without an answer until the caller closes the connection.
@@ -118,6 +119,31 @@
 		}
 		Expect(logged(logs, "targets can't be reached from this host")).To(BeEmpty())
 	})
+
+	// Guards against broken answers of which nobody can tell who ended them.
+	DescribeTable("is named as what ended the answer", func(timeout time.Duration, resume connHandler, endedBy any) {
+		first := startEngine("i-1", events, 20*time.Millisecond)
+		first.copyDelay = 100 * time.Millisecond
+		first.leavesIn.Store(500)
+		stopAfter(first, 30)
+		second := startResumingEngine("i-2", events, resume)
+		logs := &lockedBuffer{}
+		gw := startGatewayWithLogs(slog.NewJSONHandler(logs, nil))
+		for i := range gw.cfg.Routes {
+			gw.cfg.Routes[i].Timeout = timeout
+		}
+		gw.publish(first.directoryEntry("llm", "dc-1"))
+		Expect(gw.moved("/report/", first, second.fakeEngine).err).To(HaveOccurred())
+		Expect(second.resumes.Load()).To(Equal(int64(1)))
+		broken := func() []map[string]any { return logged(logs, "generation broke") }
+		Eventually(broken, "5s").Should(HaveLen(1))
+		Expect(broken()[0]).To(HaveKeyWithValue("ended_by", endedBy))
+	},
+		Entry("when it breaks off", time.Minute, connHandler(func(conn net.Conn, _ *http.Request) {
+			time.Sleep(gateway.SwitchTimeout + 150*time.Millisecond)
+		}), Not(BeEmpty())),
+		Entry("until the deadline", 1500*time.Millisecond, connHandler(silent), Equal("deadline")),
+	)
 })
 
 var _ = Describe("an engine that goes on after the loss of another one", func() {
