Spec of held events that make a copy look fresh, red

Seen on: 18 microseconds since the last event, 50 ms after it was held. Held events are recorded when they are passed on; copyRetention relies on the time at which the engine sent its last one, as the copy is kept up to date until then.

--- a/internal/gateway/held_events_internal_test.go
+++ b/internal/gateway/held_events_internal_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/sse"
 )
 
 var _ = Describe("a switch in progress", func() {
@@ -20,4 +25,16 @@
 		go func() { defer close(closed); gen.closeNextStream() }()
 		Eventually(closed).Should(BeClosed())
 	})
+
+	// Guards against a copy that is offered after it has expired, and may run as a new request:
+	// events that were held do not show that the copy was kept up to date since.
+	It("does not make the generation's last event later by passing on held ones", func() {
+		gen := &generation{ctx: context.Background(), exchange: &exchange{Request: &call.Request{ArrivedAt: time.Now()}, w: httptest.NewRecorder()}}
+		Expect(gen.beginSwitch(func() {})).To(BeTrue())
+		Expect(gen.deliver(&sse.RawEvent{Bytes: []byte("data: a\n\n")}, nil)).To(Succeed())
+		time.Sleep(50 * time.Millisecond)
+		gen.endSwitch(nil)
+		Expect(gen.progress.Load()).NotTo(BeNil())
+		Expect(gen.sinceLastEvent()).To(BeNumerically(">=", 50*time.Millisecond))
+	})
 })
