Spec of a second switch of one generation, red

beginSwitch replaces the switch in progress. Seen on: true, expected false. Whoever waits for the first would wait for ever, and the second endSwitch closes a nil channel, which ends the process. Nothing but the order of moves prevents it.

--- a/internal/gateway/held_events_internal_test.go
+++ b/internal/gateway/held_events_internal_test.go
@@ -37,4 +37,12 @@
 		Expect(gen.progress.Load()).NotTo(BeNil())
 		Expect(gen.sinceLastEvent()).To(BeNumerically(">=", 50*time.Millisecond))
 	})
+
+	// Guards against a second move whose switch replaces the one in progress: whoever waits for
+	// the first would wait for ever, and its end would end the process.
+	It("is the only one of its generation", func() {
+		gen := &generation{ctx: context.Background()}
+		Expect(gen.beginSwitch(func() {})).To(BeTrue())
+		Expect(gen.beginSwitch(func() {})).To(BeFalse())
+	})
 })
