Leave a generation to its copy only where nothing else is left, and end each wait

The faults are mended together, since they meet in the same few lines:

- S1: a switch was waited for without a limit although a backup or a new run was left.
Only a stated stop counts.
- S3: an answer without length or chunks that had ended was held until the deadline.
- S4: an engine with nothing to add after a loss counted as failed; its empty stream with a visible end completes the answer now.
While the previous engine runs it is no failure either.
- S6: a switch that began after the last event was waited for, not abandoned.
- S7: a second switch of one generation replaced the first; a switch whose generation has left the engine of the copy, and a move while the generation is continued after a loss, are not begun.
- S8: engines that had left were probed while their generations waited, and made the service lost.
- S9: an answer whose switch was handed over named nobody as what ended it; an exit is a warning; handed over switches are counted and logged.
- S10: events that were held made a copy look fresh.
- S11: the wait after a loss has its limit where the target may still run the generation.

Callers saw, or would see: answers that break off at their deadline (S1, S2, S3, S6), that break off although whole (S4), that end as if complete (S5), and a process that ends (S7, by reading).

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -42,6 +42,11 @@
 	// progress is a copy of times that is read by the goroutine moving the
 	// generation.
 	progress atomic.Pointer[eventTimes]
+	// awaitsEngine is set while an engine is asked to go on with the generation.
+	awaitsEngine atomic.Bool
+	// lastArrival is the time from the request's arrival to that of the last event, in
+	// nanoseconds. The event may not have been passed on yet.
+	lastArrival atomic.Int64
 	// origin is where the generation's first event was made; nil before it.
 	origin atomic.Pointer[streamorigin.Origin]
 	// ended is closed when the caller has its answer.
@@ -79,6 +84,9 @@
 	// move is the move away from target, in progress or done; nil when there is
 	// none.
 	move *move
+	// continuing is set while the generation is continued after the loss of its stream, so
+	// that no move begins.
+	continuing bool
 }
 
 // engineStream is the part of a generation's stream that one engine produces.
@@ -101,8 +109,11 @@
 	events   *sse.Splitter
 	ahead    sse.RawEvent
 	hasAhead bool
-	// broken is set once the stream has broken off.
-	broken atomic.Bool
+	// hadEvent is set once an event was read.
+	hadEvent bool
+	// ended is set once the stream has ended between two events, broken once it has broken
+	// off.
+	ended, broken atomic.Bool
 	// switched is the switch that opened the stream; nil for another one.
 	switched *streamSwitch
 }
@@ -114,7 +125,12 @@
 		return nil
 	}
 	err := s.events.Next(block)
-	if err != nil && err != io.EOF {
+	switch err {
+	case nil:
+		s.hadEvent = true
+	case io.EOF:
+		s.ended.Store(true)
+	default:
 		s.broken.Store(true)
 	}
 	return err
@@ -521,11 +537,12 @@
 	}
 }
 
-// checkNotEmpty returns the end of a stream that ended between two events. One that ended
-// before the first event of its generation was broken off: without a length or chunks
-// nothing else shows that.
+// checkNotEmpty returns the end of a stream that ended between two events. One without an event
+// was broken off, unless the generation has begun before and the stream shows its end:
+// without a length or chunks nothing else does.
 func (gen *generation) checkNotEmpty(stream *engineStream) error {
-	if gen.times.events > 0 || gen.takesUp() {
+	begun := gen.times.events > 0
+	if stream.hadEvent || begun && stream.isDelimited() || !begun && gen.takesUp() {
 		return errStreamEnded
 	}
 	gen.g.metrics.emptyStreams.Inc(1)
@@ -537,6 +554,7 @@
 // switched to another engine, which produces the event again. While it switches, the event
 // is held.
 func (gen *generation) deliver(block *sse.RawEvent, from *engineStream) error {
+	gen.lastArrival.Store(int64(time.Since(gen.ArrivedAt)))
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
 	for gen.nextStream == nil && gen.held.switching() {
--- a/internal/gateway/held_events.go
+++ b/internal/gateway/held_events.go
@@ -33,6 +33,14 @@
 // switching reports whether a switch is in progress.
 func (h *heldEvents) switching() bool { return h.over != nil }
 
+// abandonSwitch ends the switch in progress, if there is one, without the next stream.
+func (h *heldEvents) abandonSwitch() {
+	if h.switching() {
+		h.abandoned = true
+		h.abandon()
+	}
+}
+
 // add holds an event, unless there is no room for it.
 func (h *heldEvents) add(block *sse.RawEvent) bool {
 	if h.bytes+len(block.Bytes) > maxHeldBytes {
@@ -52,11 +60,11 @@
 }
 
 // beginSwitch has events held until endSwitch is called. abandon ends the switch early. It returns
-// false if no further stream will be relayed.
+// false if no further stream will be relayed, or another switch is in progress.
 func (gen *generation) beginSwitch(abandon func()) bool {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
-	if gen.closed {
+	if gen.closed || gen.held.switching() {
 		return false
 	}
 	gen.held.begin(abandon)
@@ -99,9 +107,8 @@
 func (gen *generation) awaitSwitch(complete bool) (switched bool) {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
-	if complete && gen.held.switching() && gen.nextStream == nil {
-		gen.held.abandoned = true
-		gen.held.abandon()
+	if complete && gen.nextStream == nil {
+		gen.held.abandonSwitch()
 	}
 	gen.awaitSwitchLocked()
 	return gen.nextStream != nil
--- a/internal/gateway/held_events_internal_test.go
+++ b/internal/gateway/held_events_internal_test.go
@@ -18,7 +18,7 @@
 	// switch began after the last event had been relayed.
 	It("is abandoned when its generation has ended", func() {
 		gen := &generation{ctx: context.Background()}
-		end := sync.OnceFunc(func() { gen.endSwitch(nil) })
+		end := sync.OnceFunc(func() { gen.endSwitch(nil, nil) })
 		DeferCleanup(end)
 		Expect(gen.beginSwitch(func() { go end() })).To(BeTrue())
 		closed := make(chan struct{})
@@ -33,7 +33,7 @@
 		Expect(gen.beginSwitch(func() {})).To(BeTrue())
 		Expect(gen.deliver(&sse.RawEvent{Bytes: []byte("data: a\n\n")}, nil)).To(Succeed())
 		time.Sleep(50 * time.Millisecond)
-		gen.endSwitch(nil)
+		gen.endSwitch(nil, nil)
 		Expect(gen.progress.Load()).NotTo(BeNil())
 		Expect(gen.sinceLastEvent()).To(BeNumerically(">=", 50*time.Millisecond))
 	})
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -192,7 +192,7 @@
 func (gen *generation) beginMoveIf(leaves func(target *directory.ObservedTarget) bool) (*directory.ObservedTarget, *move, bool) {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
-	if gen.target == nil || gen.move != nil && !gen.move.mayRepeat.Load() || !gen.movable() || !leaves(gen.target) {
+	if gen.target == nil || gen.continuing || gen.move != nil && !gen.move.mayRepeat.Load() || !gen.movable() || !leaves(gen.target) {
 		return nil, nil, false
 	}
 	next := &move{done: make(chan struct{}), streamEnded: make(chan struct{})}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,6 +42,9 @@
 	// switchesFailed counts such requests that were not accepted or whose answer ended without
 	// an event, switchesTimedOut those of them that took longer than switchTimeout.
 	switchesFailed, switchesTimedOut gometrics.Counter
+	// switchesHandedOver counts the switches whose time was over and that ended the stream
+	// from the previous engine.
+	switchesHandedOver gometrics.Counter
 	// movesWithoutTarget counts moves that found no engine of the generation's version.
 	movesWithoutTarget gometrics.Counter
 	// movesWaiting counts moves that waited since no engine had room, withdrawn the
@@ -104,7 +107,7 @@
 		movedByCopy: counter("moved.copy"), movedToBackup: counter("moved.backup"), resumedAfterLoss: counter("moved.after_loss"), newRuns: counter("moved.anew"),
 		copiesFailed: counter("copies_failed"), takenUp: counter("streams_taken_up"), targetsRestarted: counter("targets_restarted"), originsUnknown: counter("stream_origins_unknown"), movesWithoutTarget: counter("moves_without_target"), leavingAnswers: counter("answers_leaving"), restAnswers: counter("answers_rest"),
 		switchHeader: newHistogram("switch_header_us", r), switchFirstEvent: newHistogram("switch_first_event_us", r),
-		switchesFailed: counter("switches_failed"), switchesTimedOut: counter("switches_timed_out"),
+		switchesFailed: counter("switches_failed"), switchesTimedOut: counter("switches_timed_out"), switchesHandedOver: counter("switches_handed_over"),
 		movesWaiting: counter("moves_waiting"), withdrawn: counter("withdrawn"),
 		unreadableFigures: counter("load_figures_unreadable"), searchesWithoutRoom: counter("searches_without_room"),
 		promptsHeld: counter("prompts_held"), promptHold: newHistogram("prompt_hold_us", r),
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -58,6 +58,8 @@
 	// time, and the notice may last for longer than one move, or the target no longer
 	// leaves.
 	mayRepeat atomic.Bool
+	// stopStated is set if the target has said when it stops.
+	stopStated bool
 	// lost is set when the target was lost after the first event, so that a run that
 	// it does not know is over.
 	lost bool
@@ -92,6 +94,22 @@
 // endWaits ends the move's waits for room.
 func (m *move) endWaits() { m.endOnce.Do(func() { close(m.streamEnded) }) }
 
+// isLeftToCopy reports whether a generation is left to the engine of its copy, which has not
+// answered in time, and the stream from the previous one is ended. untilStop is the time until
+// that one stops, copyTime what the copy took.
+func (gen *generation) isLeftToCopy(m *move, old *engineStream, untilStop, copyTime time.Duration) bool {
+	if m.lost || old.ended.Load() || gen.hasOtherWay(old) {
+		return false
+	}
+	return old.isLost() || m.stopStated && migration.WaitsForCopy(untilStop, copyTime, switchTimeout) && !gen.endsWithin(untilStop)
+}
+
+// hasOtherWay reports whether the generation could go on without its copy if a stream broke off:
+// from a backup or by a new run.
+func (gen *generation) hasOtherWay(stream *engineStream) bool {
+	return stream.backup != nil && stream.backup.available() || gen.route.Resumable
+}
+
 // hasLostStream reports whether the stream from the target that the generation leaves has broken
 // off, so that the target no longer runs the generation. A target that this host has lost may
 // still do so.
@@ -111,7 +129,9 @@
 	if !gen.waitForFirstEvent(ctx) || !gen.isAt(from) || gen.switchToBackup(m) {
 		return
 	}
-	stopTime := time.Now().Add(gen.timeUntilStop(ctx, from))
+	untilStop, stated := gen.timeUntilStop(ctx, from)
+	stopTime := time.Now().Add(untilStop)
+	m.stopStated = stated
 	if gen.endsWithin(time.Until(stopTime)) {
 		gen.g.cfg.Log.Info("generation stays", "request", gen.ID, "target", from.ID, "leaves_in", time.Until(stopTime))
 		return
@@ -233,12 +253,8 @@
 	m.copy = &memoryCopy{target: to, handoff: call.CacheCopy{Source: from.Address, Handle: result.Handle}}
 	switchStart := time.Now()
 	_, stream := gen.current()
-	err = gen.switchTo(m.copy, reservation, func(old *engineStream) bool {
-		if m.lost {
-			return false
-		}
-		untilStop := time.Until(stopTime)
-		return old.isLost() || migration.WaitsForCopy(untilStop, copyTime, switchTimeout) && !gen.endsWithin(untilStop)
+	err = gen.switchTo(from, m.copy, reservation, func(old *engineStream) bool {
+		return gen.isLeftToCopy(m, old, time.Until(stopTime), copyTime)
 	})
 	if err == nil {
 		gen.g.metrics.movedByCopy.Inc(1)
@@ -246,7 +262,7 @@
 	}
 	gen.g.cfg.Log.Info("switching to the copy failed", "request", gen.ID, "from", from.ID, "to", to.ID, "took", time.Since(switchStart), "error", err)
 	gen.dropCopy(from, m)
-	if err == errStreamEnded || err == errSwitchAbandoned || m.hasLostStream(stream) {
+	if err == errStreamEnded || err == errSwitchAbandoned || err == errGenerationMoved || m.hasLostStream(stream) {
 		return copyAborted
 	}
 	return copyRefused
@@ -309,21 +325,20 @@
 	}
 }
 
-// timeUntilStop returns the time until an engine stops, as the engine reports
-// it; without a report, the configured stop notice. An engine that rests is not
-// asked.
-func (gen *generation) timeUntilStop(ctx context.Context, from *directory.ObservedTarget) time.Duration {
+// timeUntilStop returns the time until an engine stops, and whether the engine has stated it;
+// else it is the configured stop notice. An engine that rests is not asked.
+func (gen *generation) timeUntilStop(ctx context.Context, from *directory.ObservedTarget) (untilStop time.Duration, stated bool) {
 	if gen.g.cfg.Loads.RestRemaining(from.Target) > 0 {
-		return gen.g.cfg.Migration.Notice
+		return gen.g.cfg.Migration.Notice, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := gen.g.engineClient(from.Target).Report(ctx, from.Address)
 	gen.g.observeNotice(from.Target, report.TargetNotice, "report")
 	if err != nil || report.ShutdownIn <= 0 {
-		return gen.g.cfg.Migration.Notice
+		return gen.g.cfg.Migration.Notice, false
 	}
-	return report.ShutdownIn
+	return report.ShutdownIn, true
 }
 
 // endsWithin reports whether the generation will end on its own before its
--- a/internal/gateway/move_queue.go
+++ b/internal/gateway/move_queue.go
@@ -31,13 +31,18 @@
 	// by the queue's mutex.
 	moves, copies int
 	ask           sync.Once
-	stopTime      time.Time
+	// stopTime is when the engine stops, stopStated is set if it has said so.
+	stopTime   time.Time
+	stopStated bool
 }
 
 // stopsAt returns when the engine stops. It asks the engine by ask for the first of its
 // moves only: with times of their own, moves from one engine would not go by their size.
-func (s *moveSource) stopsAt(ask func() time.Duration) time.Time {
-	s.ask.Do(func() { s.stopTime = time.Now().Add(ask()) })
+func (s *moveSource) stopsAt(ask func() (untilStop time.Duration, stated bool)) time.Time {
+	s.ask.Do(func() {
+		untilStop, stated := ask()
+		s.stopTime, s.stopStated = time.Now().Add(untilStop), stated
+	})
 	return s.stopTime
 }
 
--- a/internal/gateway/move_room.go
+++ b/internal/gateway/move_room.go
@@ -13,12 +13,14 @@
 	source := gen.g.moves.enter(from.Lifetime())
 	defer gen.g.moves.leave(source)
 	stopTime := func() time.Time {
-		return source.stopsAt(func() time.Duration { return gen.timeUntilStop(ctx, from) })
+		return source.stopsAt(func() (time.Duration, bool) { return gen.timeUntilStop(ctx, from) })
 	}
 	if !gen.awaitFirstEvent(ctx, from, m, source, stopTime) || !gen.isAt(from) || gen.switchToBackup(m) {
 		return
 	}
-	if untilStop := time.Until(stopTime()); gen.endsWithin(untilStop) {
+	untilStop := time.Until(stopTime())
+	m.stopStated = source.stopStated
+	if gen.endsWithin(untilStop) {
 		gen.g.cfg.Log.Info("generation stays", "request", gen.ID, "target", from.ID, "leaves_in", untilStop)
 		return
 	}
--- a/internal/gateway/partition.go
+++ b/internal/gateway/partition.go
@@ -255,7 +255,7 @@
 	maps.DeleteFunc(probedAt, func(_ string, at time.Duration) bool { return now-at >= silentProbeInterval })
 	for _, gen := range g.generations.list() {
 		t := gen.currentTarget()
-		if t == nil || gen.progress.Load() == nil || gen.sinceLastEvent() < suspiciousSilence {
+		if t == nil || gen.progress.Load() == nil || gen.awaitsEngine.Load() || gen.sinceLastEvent() < suspiciousSilence {
 			continue
 		}
 		if _, probed := probedAt[t.ID]; probed || g.paths.isLost(t.Service) {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -10,7 +10,7 @@
 // switchToBackup switches to the generation's backup if it has one, at an
 // engine that is not leaving.
 func (gen *generation) switchToBackup(m *move) bool {
-	_, stream := gen.current()
+	from, stream := gen.current()
 	if stream == nil || stream.backup == nil || !stream.backup.available() {
 		return false
 	}
@@ -24,7 +24,9 @@
 		return false
 	}
 	start := time.Now()
-	err := gen.switchTo(b.memoryCopy, reservation, m.hasLostStream)
+	err := gen.switchTo(from, b.memoryCopy, reservation, func(old *engineStream) bool {
+		return m.hasLostStream(old) && !old.ended.Load() && !gen.route.Resumable
+	})
 	gen.g.cfg.Log.Info("generation goes on at its backup", "request", gen.ID, "to", target.ID, "to_version", target.Version, "took", time.Since(start), "silent_for", gen.sinceLastEvent(), "error", err)
 	if err == nil {
 		gen.g.metrics.movedToBackup.Inc(1)
@@ -40,9 +42,8 @@
 	if stream := gen.takeNextStream(); stream != nil {
 		return stream, nil
 	}
-	gen.mu.Lock()
-	m, b, from := gen.move, gen.stream.backup, gen.target
-	gen.mu.Unlock()
+	m, lost, from := gen.beginContinue()
+	defer gen.endContinue()
 	if m != nil {
 		m.endWaits()
 		select {
@@ -56,14 +57,14 @@
 		// Without another way the engine's answer is worth waiting for: the previous one no
 		// longer runs the generation.
 		var limit time.Duration
-		if b != nil && b.available() || gen.route.Resumable {
+		if m.lost || gen.hasOtherWay(lost) {
 			limit = switchTimeout
 		}
 		if stream, ok := gen.resumeFromCopy(limit, m.copy); ok {
 			return stream, nil
 		}
 	}
-	if b != nil {
+	if b := lost.backup; b != nil {
 		if stream, ok := gen.resumeFromCopy(0, b.memoryCopy); ok {
 			return stream, nil
 		}
@@ -78,6 +79,21 @@
 	return nil, cause
 }
 
+// beginContinue has no move begin until endContinue is called. It returns the last move, nil if
+// there was none, the stream that was lost and its target.
+func (gen *generation) beginContinue() (*move, *engineStream, *directory.ObservedTarget) {
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	gen.continuing = true
+	return gen.move, gen.stream, gen.target
+}
+
+func (gen *generation) endContinue() {
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	gen.continuing = false
+}
+
 // takeNextStream returns the stream that the generation has switched to, nil
 // when there is none.
 func (gen *generation) takeNextStream() *engineStream {
@@ -96,6 +112,7 @@
 func (gen *generation) closeNextStream() {
 	gen.deliveryMu.Lock()
 	gen.closed = true
+	gen.held.abandonSwitch()
 	gen.awaitSwitchLocked()
 	stream := gen.nextStream
 	gen.nextStream = nil
@@ -131,12 +148,12 @@
 	return stream, true
 }
 
-// sinceLastEvent returns the time since the last event, or since the request
+// sinceLastEvent returns the time since the last event arrived, or since the request
 // arrived if there is none.
 func (gen *generation) sinceLastEvent() time.Duration {
 	since := time.Since(gen.ArrivedAt)
-	if progress := gen.progress.Load(); progress != nil {
-		since -= progress.last
+	if gen.progress.Load() != nil {
+		since -= time.Duration(gen.lastArrival.Load())
 	}
 	return since
 }
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -76,14 +76,23 @@
 	return s
 }
 
-// recordSwitch records the outcome of a switch.
-func (gen *generation) recordSwitch(s *streamSwitch, to *directory.ObservedTarget, err error) {
+// recordSwitch records the outcome of a switch. handedOver is set if its time was over and the
+// stream from the previous engine was ended.
+func (gen *generation) recordSwitch(s *streamSwitch, to *directory.ObservedTarget, handedOver bool, err error) {
 	m := gen.g.metrics
-	if err != nil {
+	if handedOver {
+		m.switchesHandedOver.Inc(1)
+		gen.g.cfg.Log.Info("generation was left to the engine of its copy", "request", gen.ID, "from", idOf(s.from), "to", to.ID, "took", time.Since(s.sentAt), "error", err)
+	}
+	switch err {
+	case nil:
+	case errSwitchAbandoned:
+		return
+	case errSwitchTimeout:
+		m.switchesTimedOut.Inc(1)
+		fallthrough
+	default:
 		m.switchesFailed.Inc(1)
-		if err == errSwitchTimeout {
-			m.switchesTimedOut.Inc(1)
-		}
 		return
 	}
 	m.switchHeader.Update(s.header.Microseconds())
@@ -99,6 +108,9 @@
 // logBroken logs that the answer broke off because of err.
 func (gen *generation) logBroken(err error) {
 	left := gen.ctx.Err() != nil
+	if left {
+		gen.endedBy = enderOf(gen.ctx)
+	}
 	args := []any{
 		"request", gen.ID, "route", gen.route.Name, "target", gen.target.ID, "version", gen.target.Version, "config", gen.view.Config.Version, "events", gen.times.events, "moves", gen.moves.Load(),
 		"caller_left", left, "ended_by", gen.endedBy, "took", time.Since(gen.ArrivedAt), "deadline_in", time.Until(gen.deadline), "silent_for", gen.sinceLastEvent(), "cause", err,
@@ -106,11 +118,12 @@
 	if s := gen.lastSwitch; s != nil {
 		args = append(args, "switched_from", idOf(s.from), "switched_ago", time.Since(s.sentAt), "switch_header_after", s.header, "switch_event_after", s.firstEvent)
 	}
-	if left {
+	switch gen.endedBy {
+	case endedByCaller, endedByDeadline:
 		gen.g.cfg.Log.Info("generation broke", args...)
-		return
+	default:
+		gen.g.cfg.Log.Warn("generation broke", args...)
 	}
-	gen.g.cfg.Log.Warn("generation broke", args...)
 }
 
 func idOf(t *directory.ObservedTarget) string {
--- a/internal/gateway/switch.go
+++ b/internal/gateway/switch.go
@@ -16,15 +16,23 @@
 //
 // Both must not work for long. Without an event within switchTimeout, handsOver decides which
 // stream ends.
-func (gen *generation) switchTo(c *memoryCopy, reservation *Reservation, handsOver func(old *engineStream) bool) error {
+//
+// A generation that has left from, the engine of which c is a copy, is not switched.
+func (gen *generation) switchTo(from *directory.ObservedTarget, c *memoryCopy, reservation *Reservation, handsOver func(old *engineStream) bool) error {
 	ctx, cancel := context.WithCancelCause(gen.ctx)
 	if !gen.beginSwitch(func() { cancel(errSwitchAbandoned) }) {
 		cancel(errSwitchAbandoned)
 		reservation.Release()
 		return errStreamEnded
 	}
+	at, old := gen.current()
+	if at != from {
+		gen.endSwitch(old, nil)
+		cancel(errGenerationMoved)
+		reservation.Release()
+		return errGenerationMoved
+	}
 	sentAt := time.Now()
-	from, old := gen.current()
 	limit := &switchLimit{timeout: switchTimeout, old: old, handsOver: handsOver}
 	stream, err := gen.resumeWithin(ctx, cancel, limit, c, reservation, gen.g.selectionState(gen.exchange))
 	sw := newStreamSwitch(from, sentAt, stream)
@@ -34,7 +42,7 @@
 	if context.Cause(ctx) == errSwitchAbandoned {
 		err = errSwitchAbandoned
 	}
-	gen.recordSwitch(sw, c.target, err)
+	gen.recordSwitch(sw, c.target, limit.handedOver, err)
 	return err
 }
 
@@ -89,9 +97,11 @@
 // not show that the engine goes on. cancel ends the context, which is that of the stream.
 func (gen *generation) resumeWithin(ctx context.Context, cancel context.CancelCauseFunc, limit *switchLimit, c *memoryCopy, reservation *Reservation, selection *selectionState) (*engineStream, error) {
 	limit.start(cancel)
+	gen.awaitsEngine.Store(true)
+	defer gen.awaitsEngine.Store(false)
 	stream, err := gen.resume(ctx, cancel, c, reservation, selection)
 	if err == nil {
-		err = gen.awaitFirstEventOf(stream)
+		err = gen.awaitFirstEventOf(stream, limit.old == nil)
 	}
 	if !limit.end() {
 		if err == nil {
@@ -107,20 +117,24 @@
 }
 
 // awaitFirstEventOf waits for the first event of a stream. If there is none, it closes the
-// stream.
-func (gen *generation) awaitFirstEventOf(stream *engineStream) error {
+// stream. A stream that ends without one says that nothing is left of the answer, if it shows its
+// end: after a loss that completes the answer, while the previous engine still knows better.
+func (gen *generation) awaitFirstEventOf(stream *engineStream, afterLoss bool) error {
 	err := stream.readAhead()
-	if err == io.EOF {
+	switch {
+	case err == nil, err == io.EOF && stream.isDelimited() && afterLoss:
+		return nil
+	case err == io.EOF && stream.isDelimited():
+		stream.close(errGenerationMoved)
+		return errNoEvent
+	case err == io.EOF:
 		err = errNoEvent
 	}
-	if err != nil {
-		gen.closeUnused(stream, err)
-	}
+	gen.closeUnused(stream, err)
 	return err
 }
 
-// errNoEvent marks an answer to a switch that ended without an event. The previous engine
-// knows whether the generation has more.
+// errNoEvent marks an answer to a switch that ended without an event.
 var errNoEvent = failure.New(failure.KindTargetLost, "the stream ended before its first event").WithExecutionUnknown()
 
 // closeUnused closes a stream that is not relayed, because of err.
