Let a generation switch to one engine at a time

All callers of a host would see their connections closed: the process ended with "panic: close of nil channel" in a move's goroutine, which writes no line in our format. No engine breaks those streams off.

Cause: two moves of one generation may switch at the same time. The engine's stream breaks off, and while the search for a way on takes the backup, the engine is published as leaving: a move begins and switches to a copy. The generation then runs at the backup's engine; that one leaves as well, its move switches too, begins the hold of events a second time, and whichever ends last closes a channel that is nil. Whoever waited for the first hold would wait for good.

beginSwitch waits for a switch in progress, and begins none for a move whose engine the generation has left meanwhile. The generation's own look for a way on is not affected.

--- a/internal/gateway/config_change_test.go
+++ b/internal/gateway/config_change_test.go
@@ -204,3 +204,49 @@
 		Expect(got.body).To(Equal(eventStream(events)))
 	})
 })
+
+var _ = Describe("a generation that goes on at its backup while a move switches it to another engine", func() {
+	// Guards against two switches at a time, of which the second one's end is a panic that ends
+	// the process.
+	It("does not switch again before that switch is over", func() {
+		const events = 40
+		// dying breaks the stream off, but still copies the generation.
+		dying := startEngine("i-1", events, time.Millisecond)
+		dying.breakAfter = 1
+		second := startEngine("i-2", events, 20*time.Millisecond)
+		fourth := startEngine("i-4", events, time.Millisecond)
+		asked := make(chan struct{})
+		third := startResumingEngine("i-3", events, nil)
+		third.resume = func(conn net.Conn, r *http.Request) {
+			close(asked)
+			time.Sleep(gateway.SwitchTimeout)
+			third.serve(conn, r)
+		}
+		var gw *fixture
+		publish := func(first *directory.ObservedTarget, others ...*fakeEngine) {
+			entries := []*directory.ObservedTarget{first}
+			for _, e := range others {
+				entries = append(entries, e.directoryEntry("llm", "dc-2"))
+			}
+			gw.publish(entries...)
+		}
+		var selections atomic.Int64
+		leaveDuringSecond := func() time.Duration {
+			if selections.Add(1) == 2 {
+				gw.loads.SetLeaving("i-2")
+				publish(asLeaving(dying.directoryEntry("llm", "dc-1")), second, third.fakeEngine)
+				<-asked
+				publish(asLeaving(dying.directoryEntry("llm", "dc-1")), second, fourth)
+			}
+			return 0
+		}
+		gw = startGatewayConfigured(func(cfg *gateway.Config) { cfg.ViewAge = leaveDuringSecond }, slog.DiscardHandler)
+		gw.loads.RecordFailure("i-2")
+		publish(dying.directoryEntry("llm", "dc-1"), second)
+		got := gw.do(gw.request("POST", "/report/"))
+		Expect(third.resumes.Load()).To(Equal(int64(1)))
+		Expect(second.generationRequests()).To(HaveLen(1))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(eventStream(events)))
+	})
+})
--- a/internal/gateway/held_events.go
+++ b/internal/gateway/held_events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 
+	"filbertdeck/internal/directory"
 	"filbertdeck/internal/sse"
 )
 
@@ -58,12 +59,14 @@
 	return kept
 }
 
-// beginSwitch has events held until endSwitch is called. abandon ends the switch early. It returns
-// false if no further stream will be relayed.
-func (gen *generation) beginSwitch(abandon func()) bool {
+// beginSwitch has events held until endSwitch is called. abandon ends the switch early. A switch
+// in progress is waited for: the generation may have left its target while that was in progress.
+// It returns false if the generation is no longer at from or no further stream will be relayed.
+func (gen *generation) beginSwitch(from *directory.ObservedTarget, abandon func()) bool {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
-	if gen.closed {
+	gen.awaitSwitchLocked()
+	if gen.closed || !gen.isAt(from) {
 		return false
 	}
 	gen.held.begin(abandon)
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -233,7 +233,7 @@
 	m.copy = &memoryCopy{target: to, handoff: call.CacheCopy{Source: from.Address, Handle: result.Handle}}
 	switchStart := time.Now()
 	_, stream := gen.current()
-	err = gen.switchTo(m.copy, reservation, func(old *engineStream) bool {
+	err = gen.switchTo(from, m.copy, reservation, func(old *engineStream) bool {
 		return m.hasLostStream(old) || !m.lost && migration.WaitsForCopy(time.Until(stopTime), copyTime, switchTimeout)
 	})
 	if err == nil {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -10,7 +10,7 @@
 // switchToBackup switches to the generation's backup if it has one, at an
 // engine that is not leaving.
 func (gen *generation) switchToBackup(m *move) bool {
-	_, stream := gen.current()
+	from, stream := gen.current()
 	if stream == nil || stream.backup == nil || !stream.backup.available() {
 		return false
 	}
@@ -24,7 +24,7 @@
 		return false
 	}
 	start := time.Now()
-	err := gen.switchTo(b.memoryCopy, reservation, m.hasLostStream)
+	err := gen.switchTo(from, b.memoryCopy, reservation, m.hasLostStream)
 	gen.g.cfg.Log.Info("generation goes on at its backup", "request", gen.ID, "to", target.ID, "to_version", target.Version, "took", time.Since(start), "silent_for", gen.sinceLastEvent(), "error", err)
 	if err == nil {
 		gen.g.metrics.movedToBackup.Inc(1)
--- a/internal/gateway/resume_internal_test.go
+++ b/internal/gateway/resume_internal_test.go
@@ -27,7 +27,7 @@
 		gen := &generation{exchange: &exchange{Request: &call.Request{}}, g: &Gateway{cfg: Config{Loads: loads, Board: board}}}
 		reservation := loads.Reserve("i-1", call.Prompt{Tokens: 10})
 		gen.closeNextStream()
-		Expect(gen.switchTo(&memoryCopy{target: target}, reservation, nil)).To(MatchError(errStreamEnded))
+		Expect(gen.switchTo(nil, &memoryCopy{target: target}, reservation, nil)).To(MatchError(errStreamEnded))
 		Expect(loads.HostsUsing("i-1")).To(BeZero())
 	})
 })
--- a/internal/gateway/switch.go
+++ b/internal/gateway/switch.go
@@ -9,22 +9,22 @@
 	"filbertdeck/internal/failure"
 )
 
-// switchTo sends the request to an engine that holds a copy and, with the first event of
-// the answer, ends the stream from the previous engine: closing the connection makes an
-// engine drop the run. Events are held meanwhile. Without that event the previous engine
-// goes on.
+// switchTo switches the generation from its engine: it sends the request to an engine that holds
+// a copy and, with the first event of the answer, ends the stream from the previous engine:
+// closing the connection makes an engine drop the run. Events are held meanwhile. Without that
+// event the previous engine goes on.
 //
 // Both must not work for long. Without an event within switchTimeout, handsOver decides which
 // stream ends.
-func (gen *generation) switchTo(c *memoryCopy, reservation *Reservation, handsOver func(old *engineStream) bool) error {
+func (gen *generation) switchTo(from *directory.ObservedTarget, c *memoryCopy, reservation *Reservation, handsOver func(old *engineStream) bool) error {
 	ctx, cancel := context.WithCancelCause(gen.ctx)
-	if !gen.beginSwitch(func() { cancel(errStreamEnded) }) {
+	if !gen.beginSwitch(from, func() { cancel(errStreamEnded) }) {
 		cancel(errStreamEnded)
 		reservation.Release()
 		return errStreamEnded
 	}
 	sentAt := time.Now()
-	from, old := gen.current()
+	_, old := gen.current()
 	limit := &switchLimit{timeout: switchTimeout, old: old, handsOver: handsOver}
 	stream, err := gen.resumeWithin(ctx, cancel, limit, c, reservation, gen.g.selectionState(gen.exchange))
 	if err == nil && !gen.keepSwitch() {
