--- a/internal/gateway/held_events.go
+++ b/internal/gateway/held_events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 
+	"filbertdeck/internal/directory"
 	"filbertdeck/internal/sse"
 )
 
@@ -60,11 +61,12 @@
 }
 
 // beginSwitch has events held until endSwitch is called. abandon ends the switch early. It returns
-// false if no further stream will be relayed, or another switch is in progress.
-func (gen *generation) beginSwitch(abandon func()) bool {
+// false if the generation is no longer at from, no further stream will be relayed, or another
+// switch is in progress.
+func (gen *generation) beginSwitch(from *directory.ObservedTarget, abandon func()) bool {
 	gen.deliveryMu.Lock()
 	defer gen.deliveryMu.Unlock()
-	if gen.closed || gen.held.switching() {
+	if gen.closed || gen.held.switching() || !gen.isAt(from) {
 		return false
 	}
 	gen.held.begin(abandon)
