Tell the end of a relayed request by its deadline, too

Cause, as traced (2 cases in 150 runs): the other side's gRPC ends the stream at the deadline that the request carries, "stream terminated by RST_STREAM with error code: CANCEL", 2.0 and 2.2 ms after the deadline, before the timer of this side's context had run, so that the context had no error yet.

A request has ended when its deadline has passed, whether or not its context says so.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -217,7 +217,7 @@
 		reply, err = stream.Recv()
 	}
 	inTime := timer.Stop()
-	if inTime && err != nil && ctx.Err() != nil {
+	if inTime && err != nil && hasEnded(ctx) {
 		end()
 		return nil, errRequestEnded
 	}
@@ -236,6 +236,13 @@
 	return &exchange{host: host, stream: stream, end: end}, nil
 }
 
+// hasEnded reports whether a request has ended. Its deadline may be noticed by the other side
+// first, before the timer of the context has run.
+func hasEnded(ctx context.Context) bool {
+	deadline, limited := ctx.Deadline()
+	return ctx.Err() != nil || limited && !time.Now().Before(deadline)
+}
+
 // start has the host write the request, and waits for the header of the answer.
 func (c *Client) start(x *exchange, req *http.Request, s *call.Attempt, beforeWrite func() error) (*http.Response, error) {
 	if err := beforeWrite(); err != nil {
--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -152,6 +152,14 @@
 	return s.immediateSender.SendForPeer(req, t, a, ready)
 }
 
+// lateContext is a context whose deadline has passed and whose timer has not run yet.
+type lateContext struct {
+	context.Context
+	deadline time.Time
+}
+
+func (c lateContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
 var _ = Describe("a request that ends while a host connects to its target", func() {
 	// Guards against a deadline that counts as a failure of the host: each request with
 	// little time left would take a sound host from those that follow.
@@ -185,6 +193,9 @@
 		Entry("when its deadline passes", func() (context.Context, context.CancelFunc) {
 			return context.WithTimeout(context.Background(), 100*time.Millisecond)
 		}),
+		Entry("when its deadline has passed and its context has not ended yet", func() (context.Context, context.CancelFunc) {
+			return lateContext{context.Background(), time.Now()}, func() {}
+		}),
 		Entry("when its caller leaves", func() (context.Context, context.CancelFunc) {
 			ctx, cancel := context.WithCancel(context.Background())
 			time.AfterFunc(100*time.Millisecond, cancel)
