Have the callers of the move play ask again when they are refused

The spec failed 4 times in 7 runs when other specs ran before it ("0 to be > 0", after 0.02 s): its first change of the configuration dropped the routes, the callers used all their requests on refusals, and no generation ran. That is a fault of the spec, not of the host.

Each caller now asks until it has eight whole answers, which is stricter: every answer must be whole, where any one was enough.

--- a/internal/gateway/config_play_test.go
+++ b/internal/gateway/config_play_test.go
@@ -186,18 +186,30 @@
 	}
 }
 
+// askUntilAccepted asks for a generation until it is accepted or its answer breaks off: some
+// configurations have no route, no key or no engine for it.
+func (p *movePlay) askUntilAccepted(id string) result {
+	for {
+		got := p.gw.do(p.gw.requestWithID(id, "POST", "/report/"))
+		if got.err != nil || got.status == http.StatusOK {
+			return got
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 var _ = Describe("generations that move while the configuration changes", func() {
 	// Guards against answers that break off, or that lose or repeat events, although no engine
 	// has broken off a stream.
 	DescribeTable("are answered whole", func(seed uint64) {
-		const engines, callers, requests, events = 6, 24, 15, 30
+		const engines, callers, answers, events = 6, 24, 8, 30
 		p := startMovePlay(seed, engines, events)
-		results := make(chan result, callers*requests)
+		results := make(chan result, callers*answers)
 		var running sync.WaitGroup
 		for caller := range callers {
 			running.Go(func() {
-				for n := range requests {
-					results <- p.gw.do(p.gw.requestWithID(fmt.Sprint("r-", caller, "-", n), "POST", "/report/"))
+				for n := range answers {
+					results <- p.askUntilAccepted(fmt.Sprint("r-", caller, "-", n))
 				}
 			})
 		}
@@ -207,15 +219,10 @@
 		close(stop)
 		<-stopped
 		close(results)
-		whole := 0
 		for got := range results {
 			Expect(got.err).NotTo(HaveOccurred())
-			if got.status == http.StatusOK {
-				Expect(got.body).To(Equal(eventStream(events)))
-				whole++
-			}
+			Expect(got.body).To(Equal(eventStream(events)))
 		}
-		Expect(whole).To(BeNumerically(">", 0))
 		p.publish(p.gw.cfg, nil, nil)
 		for _, e := range p.engines {
 			Eventually(func() int { return p.gw.loads.HostsUsing(e.id) }, "5s").Should(BeZero(), e.id)
