Give the generation of a spec its context

The spec builds a generation without the context that each one has; on that context nothing of the spec depends. What it expects is unchanged, and it passes.

--- a/internal/gateway/resume_internal_test.go
+++ b/internal/gateway/resume_internal_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -24,7 +25,7 @@
 		views, err := board.View.Claim()
 		Expect(err).NotTo(HaveOccurred())
 		views.Publish(directory.NewView(1, nil, map[string]*directory.ObservedTarget{"i-1": target}, nil))
-		gen := &generation{exchange: &exchange{Request: &call.Request{}}, g: &Gateway{cfg: Config{Loads: loads, Board: board}}}
+		gen := &generation{ctx: context.Background(), exchange: &exchange{Request: &call.Request{}}, g: &Gateway{cfg: Config{Loads: loads, Board: board}}}
 		reservation := loads.Reserve("i-1", call.Prompt{Tokens: 10})
 		gen.closeNextStream()
 		Expect(gen.switchTo(nil, &memoryCopy{target: target}, reservation, nil)).To(MatchError(errStreamEnded))
