--- a/test/gateway/moves_soak_test.go
+++ b/test/gateway/moves_soak_test.go
@@ -164,7 +164,8 @@
 	disorder string
 }
 
-// begin begins a stream.
+// begin begins a stream: four of six on the first route, one of eight with the key that changes
+// add and take away.
 func (s *movesSoak) begin(rng *rand.Rand) {
 	t := &movedStream{id: fmt.Sprintf("g-%d", len(s.streams)), host: s.hosts[rng.IntN(len(s.hosts))], maxEvents: 40 + rng.IntN(120)}
 	t.route = movesRoutes[max(rng.IntN(6)-3, 0)]
