Read what has arrived before a switch that ends late is decided

The new engine's first event had come after 23 ms and the old engine had exited, both unread; the limit ran first, ended the new stream, and nothing was left.

Cause: after a pause of the process the timer, the event and the end of the old stream are all due at once, and the timer's word counted. Class: a delay of this process is taken for one of the peer.

A limit that ends 30 ms late or more lets what has arrived be read for 30 ms and asks again.

--- a/internal/gateway/switch.go
+++ b/internal/gateway/switch.go
@@ -51,37 +51,69 @@
 	old       *engineStream
 	handsOver func(old *engineStream) bool
 
-	timer *time.Timer
-	// decided is closed when the time is over and one of the streams was ended, handedOver
-	// is then set if that was the old one.
-	decided    chan struct{}
-	handedOver bool
+	startedAt time.Time
+	timer     *time.Timer
+	// answered is closed when the first event has arrived.
+	answered chan struct{}
+	// decided is closed when the time is over and it was decided which stream ends. newEnded
+	// is then set if that was the new one, handedOver if it was the old one.
+	decided              chan struct{}
+	newEnded, handedOver bool
 }
 
+// lateBy is how much later than its limit a switch must end for this process to have been held
+// up. What has arrived meanwhile is then read for as long, before one of the streams is ended.
+const lateBy = 30 * time.Millisecond
+
 // start starts the time. cancelNew ends the new stream.
 func (l *switchLimit) start(cancelNew context.CancelCauseFunc) {
 	if l.timeout == 0 {
 		return
 	}
-	l.decided = make(chan struct{})
+	l.startedAt, l.answered, l.decided = time.Now(), make(chan struct{}), make(chan struct{})
 	l.timer = time.AfterFunc(l.timeout, func() {
 		defer close(l.decided)
+		if l.answeredLate() {
+			return
+		}
 		if l.handsOver != nil && l.handsOver(l.old) {
 			l.handedOver = true
 			l.old.cancel(errGenerationMoved)
 			return
 		}
+		l.newEnded = true
 		cancelNew(errSwitchTimeout)
 	})
 }
 
-// end ends the limit. It reports whether the new stream was not ended.
-func (l *switchLimit) end() bool {
-	if l.timer == nil || l.timer.Stop() {
+// answeredLate reports whether the first event had arrived when the limit ended late since this
+// process was held up.
+func (l *switchLimit) answeredLate() bool {
+	if time.Since(l.startedAt) < l.timeout+lateBy {
+		return false
+	}
+	select {
+	case <-l.answered:
+		return true
+	case <-time.After(lateBy):
+		return false
+	}
+}
+
+// end ends the limit; answered is set if the first event has arrived. It reports whether the new
+// stream was not ended.
+func (l *switchLimit) end(answered bool) bool {
+	if l.timer == nil {
+		return true
+	}
+	if answered {
+		close(l.answered)
+	}
+	if l.timer.Stop() {
 		return true
 	}
 	<-l.decided
-	return l.handedOver
+	return !l.newEnded
 }
 
 // resumeWithin sends the request to an engine that holds a copy, to continue after the last
@@ -95,7 +127,7 @@
 	if err == nil {
 		err = gen.awaitFirstEventOf(stream, limit.old == nil)
 	}
-	if !limit.end() {
+	if !limit.end(err == nil) {
 		if err == nil {
 			gen.closeUnused(stream, errSwitchTimeout)
 		}
