--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -126,6 +126,7 @@
 	}
 }
 
+// idOf returns the id of a target, "" for nil.
 func idOf(t *directory.ObservedTarget) string {
 	if t == nil {
 		return ""
--- a/internal/gateway/switch.go
+++ b/internal/gateway/switch.go
@@ -10,9 +10,9 @@
 )
 
 // switchTo switches the generation from its engine: it sends the request to an engine that
-// holds a copy and, with the first event of the answer, ends the stream from the previous engine: closing the connection makes an
-// engine drop the run. Events are held meanwhile. Without that event the previous engine
-// goes on.
+// holds a copy and, with the first event of the answer, ends the stream from the previous
+// engine: closing the connection makes an engine drop the run. Events are held meanwhile.
+// Without that event the previous engine goes on.
 //
 // Both must not work for long. Without an event within switchTimeout, handsOver decides which
 // stream ends.
