--- a/test/gateway/moves_engines_test.go
+++ b/test/gateway/moves_engines_test.go
@@ -139,7 +139,7 @@
 	case r.URL.Path == standin.PathReport:
 		_ = json.NewEncoder(w).Encode(e.report())
 	case r.URL.Path == "/health":
-		w.Header().Set("X-Filbertdeck-Instance-Id", e.id)
+		w.Header().Set(standin.HeaderInstanceID, e.id)
 		if !e.stops.IsZero() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
