--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -96,6 +96,9 @@
 	return startHostWith(standin.ProcessSettings{StoreAddress: store, Replaced: true}, peers...)
 }
 
+// startOutput is the standard output of the processes that start; nil for their log file.
+var startOutput *os.File
+
 // startHostWith runs a gateway process with settings that lack the addresses of the
 // host and the seeds.
 func startHostWith(values standin.ProcessSettings, peers ...string) *host {
@@ -116,6 +119,9 @@
 	h.cmd = exec.Command(filepath.Join(binDir, "filbert-gateway"), "--metrics-listen", h.metricsAddress, "--log-format", "json")
 	h.cmd.Env = append(os.Environ(), platform.SettingsPathVariable+"="+settings)
 	h.cmd.Stdout, h.cmd.Stderr = logFile, logFile
+	if startOutput != nil {
+		h.cmd.Stdout = startOutput
+	}
 	Expect(h.cmd.Start()).To(Succeed())
 	go func() { h.exited <- h.cmd.Wait(); close(h.exited) }()
 	DeferCleanup(func() { _ = h.cmd.Process.Kill(); <-h.exited; _ = logFile.Close() })
