Bound the queued log lines by bytes

What callers saw: a process with a slow standard output ended for want of memory while clients sent ids of 13 KB of odd bytes.

The queue now also holds at most 512 KB; lines beyond are dropped and counted as before.

--- a/internal/process/logwriter.go
+++ b/internal/process/logwriter.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// logQueueLines is the maximum number of queued lines, about 400 KB.
+	// logQueueLines and logQueueBytes bound the queued lines.
 	logQueueLines = 2048
+	logQueueBytes = 512 << 10
 	// logFlushTimeout is how long Close waits for the queued lines to be written.
 	logFlushTimeout = 200 * time.Millisecond
 )
@@ -22,6 +23,7 @@
 type LogWriter struct {
 	out       io.Writer
 	lines     chan []byte
+	queued    atomic.Int64
 	dropped   atomic.Int64
 	done      chan struct{}
 	closeOnce sync.Once
@@ -41,14 +43,25 @@
 // Write implements io.Writer. It never fails, since a dropped log line must not
 // fail a request.
 func (w *LogWriter) Write(line []byte) (int, error) {
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
+	if !w.enqueue(line) {
 		w.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// enqueue adds a line to the queue, unless the queue is full.
+func (w *LogWriter) enqueue(line []byte) bool {
+	if w.queued.Add(int64(len(line))) <= logQueueBytes {
+		select {
+		case w.lines <- append([]byte(nil), line...):
+			return true
+		default:
+		}
+	}
+	w.queued.Add(-int64(len(line)))
+	return false
+}
+
 // Close writes the queued lines and returns after a timeout at the latest. It
 // never fails.
 func (w *LogWriter) Close() error {
@@ -89,4 +102,5 @@
 		_, _ = fmt.Fprintf(w.out, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
 	}
 	_, _ = w.out.Write(line)
+	w.queued.Add(-int64(len(line)))
 }
--- a/internal/process/logwriter_test.go
+++ b/internal/process/logwriter_test.go
@@ -51,6 +51,20 @@
 		Expect(string(buf)).To(Equal("line 0\nline 1\nline 2\n"))
 	})
 
+	// Guards against long lines that fill the memory of a host while the output is slow.
+	It("drops lines beyond the bytes that it may queue", func() {
+		out := &blockedWriter{unblock: make(chan struct{})}
+		w := process.NewLogWriter(out)
+		long := bytes.Repeat([]byte("x"), 90<<10)
+		for range 100 {
+			_, _ = w.Write(append(long, '\n'))
+		}
+		close(out.unblock)
+		Expect(w.Close()).To(Succeed())
+		Expect(len(out.text())).To(BeNumerically("<", 1<<20))
+		_, _ = w.Write([]byte("later\n"))
+	})
+
 	// If logging blocked while the consumer of the output has stopped reading,
 	// every request would stall.
 	It("drops and counts lines instead of blocking", func() {
