Count a request header without optional white space

What callers saw: a request whose header has exactly the longest allowed length is refused with 431, which is not retried, if its lines have no space after the colon.

Cause: the length was counted as net/http would write the header, with a space in each line. Counted is now the least that it can have had. The spec "with a head of short lines of the longest allowed length" got 431 on and passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -232,13 +232,13 @@
 	return nil
 }
 
-// headerBytes returns the size of a request's header as HTTP/1.1 writes it, without the
-// request line's spaces and version.
+// headerBytes returns the least size that a request's header can have had in HTTP/1.1, without
+// the request line's spaces and version: white space around values is optional.
 func headerBytes(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI) + len("Host: \r\n") + len(r.Host)
+	size := len(r.Method) + len(r.RequestURI) + len("Host:\r\n") + len(r.Host)
 	for name, values := range r.Header {
 		for _, value := range values {
-			size += len(name) + len(value) + len(": \r\n")
+			size += len(name) + len(value) + len(":\r\n")
 		}
 	}
 	return size
