Bound what the connections of a host hold together

What callers saw: a process ended for want of memory while clients sent legal heads of many short lines, heads over the limit, or bodies without their last byte; silent connections took all descriptors, and no target could be dialled.

Cause: every bound was one connection's. Nothing bounded their sum, and the memory and the descriptors of the host were not read.

Now the settings of the platform name both. internal/decide/connbudget divides them, and decides who gets memory: a connection reserves it before it reads (a head by its bytes and lines, a body by its length), and gives it back when its request has ended. Without room the connection goes that has held the most for the longest while its peer is slow; a request that is served is never cut off, others are refused with 503, not run. internal/callerconn counts, in the connections of callers, of the readiness check, of the counters and of other hosts. The runtime's memory limit is set below that of the host.

Bodies of known length are read into one buffer, those over the limit refused unread; a body or an answer that does not move for 30 s ends its connection.

--- a/internal/gatewayhost/callerstreams_test.go
+++ b/internal/callerconn/streams_test.go
@@ -1,4 +1,4 @@
-package gatewayhost
+package callerconn
 
 import (
 	"bufio"
@@ -11,6 +11,7 @@
 	"time"
 
 	"filbertdeck/internal/directory"
+	"filbertdeck/internal/failure"
 )
 
 const (
@@ -31,11 +32,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{ReadHeaderTimeout: headerReadTimeout, IdleTimeout: callerIdleTimeout, ConnState: trackIdle,
+	server := &http.Server{ReadHeaderTimeout: longTimeout, IdleTimeout: longTimeout, ConnState: TrackState, ConnContext: Context,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			conn := FromContext(r.Context())
+			if err := conn.Begin(r); err != nil {
+				t.Errorf("the request is refused: %v", err)
+			}
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
 				t.Errorf("reading the body: %v", err)
 			}
+			if !conn.Serve() {
+				t.Error("the connection was evicted")
+			}
 			for i := range streamEvents {
 				change(i, set)
 				select {
@@ -48,7 +56,10 @@
 				w.(http.Flusher).Flush()
 			}
 		})}
-	go func() { _ = server.Serve(limitedListener{l, func() directory.Limits { return *current.Load() }}) }()
+	limited := ListenHTTP(l, HTTPConfig{
+		Budget: newTestBudget(1<<20, 100), Limits: func() directory.Limits { return *current.Load() }, StallTimeout: longTimeout, WriteError: failure.Write,
+	})
+	go func() { _ = server.Serve(limited) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return l.Addr().String()
 }
--- a/internal/gatewayhost/callerlimits_test.go
+++ b/internal/callerconn/timeouts_test.go
@@ -1,4 +1,4 @@
-package gatewayhost
+package callerconn
 
 import (
 	"bufio"
@@ -10,10 +10,13 @@
 	"time"
 
 	"filbertdeck/internal/directory"
+	"filbertdeck/internal/failure"
 )
 
 const (
 	shortTimeout = 100 * time.Millisecond
+	// longTimeout is the timeout of the server itself.
+	longTimeout = 10 * time.Second
 	// closedWithin is far below the server's own timeouts.
 	closedWithin = 3 * time.Second
 )
@@ -27,13 +30,21 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{ReadHeaderTimeout: headerReadTimeout, IdleTimeout: callerIdleTimeout, ConnState: trackIdle,
+	server := &http.Server{ReadHeaderTimeout: longTimeout, IdleTimeout: longTimeout, ConnState: TrackState, ConnContext: Context,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			conn := FromContext(r.Context())
+			if conn == nil || conn.Begin(r) != nil {
+				t.Error("the request has no connection with limits")
+			}
 			_, _ = io.Copy(io.Discard, r.Body)
+			conn.Serve()
 			time.Sleep(2 * shortTimeout)
 			w.WriteHeader(http.StatusNoContent)
 		})}
-	go func() { _ = server.Serve(limitedListener{l, func() directory.Limits { return *current.Load() }}) }()
+	limited := ListenHTTP(l, HTTPConfig{
+		Budget: newTestBudget(1<<20, 100), Limits: func() directory.Limits { return *current.Load() }, StallTimeout: longTimeout, WriteError: failure.Write,
+	})
+	go func() { _ = server.Serve(limited) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return l.Addr().String(), func(limits directory.Limits) { current.Store(&limits) }
 }
--- a/internal/gateway/answer_buffer.go
+++ b/internal/gateway/answer_buffer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"sync"
@@ -14,9 +15,11 @@
 const (
 	// maxAnswerBytes limits an answer that is buffered until it is complete.
 	maxAnswerBytes = 8 << 20
-	// maxBufferedBytes limits all answers that are buffered at the same time: two of the
-	// longest ones, and short ones beside them.
-	maxBufferedBytes = 2*maxAnswerBytes + 1<<20
+	// MaxBufferedBytes limits all answers that are buffered at the same time: two of the
+	// longest ones, and short ones beside them. MinBufferedBytes is the least limit, with which
+	// an answer of the longest length still fits.
+	MaxBufferedBytes = 2*maxAnswerBytes + 1<<20
+	MinBufferedBytes = maxAnswerBytes + 1<<19
 	// firstChunkBytes is the size of an answer's first chunk, which holds the answers of most
 	// plain services; chunkBytes that of the others.
 	firstChunkBytes = 4 << 10
@@ -33,9 +36,9 @@
 	limiter *answerlimit.Limiter
 }
 
-func newAnswerBuffers(reg gometrics.Registry) *answerBuffers {
+func newAnswerBuffers(limit int64, reg gometrics.Registry) *answerBuffers {
 	b := &answerBuffers{
-		limiter: answerlimit.New(maxBufferedBytes), chunks: sync.Pool{New: func() any { return new([chunkBytes]byte) }},
+		limiter: answerlimit.New(int(cmp.Or(limit, MaxBufferedBytes))), chunks: sync.Pool{New: func() any { return new([chunkBytes]byte) }},
 		evicted: gometrics.GetOrRegisterCounter("gateway.answers_evicted", reg),
 	}
 	_ = reg.Register("gateway.answers_buffered_bytes", gometrics.NewFunctionalGauge(b.usedBytes))
@@ -153,7 +156,7 @@
 
 func (body *bufferedBody) evictedError() error {
 	body.buffers.evicted.Inc(1)
-	return failure.New(failure.KindTargetFailed, "the answer was given up after %d bytes: all answers together exceed %d bytes", body.size, maxBufferedBytes).WithExecutionUnknown()
+	return failure.New(failure.KindTargetFailed, "the answer was given up after %d bytes: all answers together exceed the limit", body.size).WithExecutionUnknown()
 }
 
 // writeTo writes the body.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"filbertdeck/internal/call"
+	"filbertdeck/internal/callerconn"
 	"filbertdeck/internal/decide/poison"
 	"filbertdeck/internal/decide/retrybudget"
 	"filbertdeck/internal/decide/streamorigin"
@@ -16,7 +17,9 @@
 // exchange is one caller's request and the state of relaying it.
 type exchange struct {
 	*call.Request
-	w       http.ResponseWriter
+	w http.ResponseWriter
+	// conn is the connection of the caller; nil for one without limits.
+	conn    *callerconn.Conn
 	view    *directory.View
 	route   *directory.Route
 	service *directory.Service
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,7 +11,6 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -21,6 +20,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"filbertdeck/internal/call"
+	"filbertdeck/internal/callerconn"
 	"filbertdeck/internal/controller/recordsync"
 	"filbertdeck/internal/decide/contention"
 	"filbertdeck/internal/decide/migration"
@@ -97,6 +97,9 @@
 	Disconnected func() bool
 	// Now returns the time of the process's monotonic clock.
 	Now func() time.Duration
+	// AnswerBytes limits the memory of all answers that are buffered; 0 for the default. An
+	// answer of the longest length must fit.
+	AnswerBytes int64
 	// Scheduling says which parts of the scheduling of generations take effect.
 	Scheduling SchedulingModes
 }
@@ -135,7 +138,7 @@
 
 // New returns a Gateway and registers its metrics in cfg.Metrics.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), answers: newAnswerBuffers(cfg.Metrics), generations: newGenerationSet(), moves: newMoveQueue(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks(), urgentPrompts: &urgentPrompts{}, versions: newServiceVersions(cfg.Now, cfg.Log, cfg.Metrics)}
+	g := &Gateway{cfg: cfg, metrics: newGatewayMetrics(cfg.Metrics), answers: newAnswerBuffers(cfg.AnswerBytes, cfg.Metrics), generations: newGenerationSet(), moves: newMoveQueue(), paths: newTargetPaths(cfg.Now, cfg.Log, cfg.Metrics), checks: newFailureChecks(), urgentPrompts: &urgentPrompts{}, versions: newServiceVersions(cfg.Now, cfg.Log, cfg.Metrics)}
 	g.origins = newStreamOrigins(cfg, g.versions)
 	g.cutOff, g.endRequests = context.WithCancel(context.Background())
 	if cfg.Loads != nil {
@@ -168,7 +171,7 @@
 	}
 	body, err := readBody(r, cmp.Or(limits.BodyBytes, defaultBodyLimitBytes))
 	if err != nil {
-		g.refuse(w, nil, err)
+		g.refuseUnread(w, r, err)
 		return
 	}
 	req, err = g.cfg.Dialect.ParseRequest(r, body, arrived)
@@ -176,7 +179,7 @@
 		g.refuse(w, nil, err)
 		return
 	}
-	x := &exchange{Request: req, w: w, view: view}
+	x := &exchange{Request: req, w: w, conn: callerconn.FromContext(r.Context()), view: view}
 	if err := g.admit(x); err != nil {
 		g.refuse(w, req, err)
 		return
@@ -197,22 +200,6 @@
 	g.relayPlain(ctx, x)
 }
 
-// readBody reads the whole body: it may have to be sent again, and a target
-// must never receive less than the caller sent.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, failure.Wrap(err, failure.KindBadRequest, "reading the request body failed")
-	}
-	if int64(len(body)) > limit {
-		return nil, failure.New(failure.KindBodyTooLarge, "the request body is longer than %d bytes", limit)
-	}
-	return body, nil
-}
-
-// defaultBodyLimitBytes applies when the configuration sets no limit.
-const defaultBodyLimitBytes = 4 << 20
-
 // CallerLimits returns the limits of the configuration in force; zero ones before the first
 // configuration.
 func (g *Gateway) CallerLimits() directory.Limits { return limitsOf(g.view()) }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -87,3 +87,10 @@
 	}
 	return false
 }
+
+// WriteError answers a request whose head was not read to its end.
+func (g *Gateway) WriteError(w http.ResponseWriter, err error) {
+	f := failure.FromError(err)
+	g.metrics.countRefused(f.Kind)
+	g.cfg.Dialect.WriteError(w, "", f)
+}
--- a/internal/gatewayhost/exchange.go
+++ b/internal/gatewayhost/exchange.go
@@ -446,11 +446,11 @@
 // leaveTimeout bounds notifying the neighbours of a planned stop.
 const leaveTimeout = 300 * time.Millisecond
 
-func runPeerExchange(lc fx.Lifecycle, s *Settings, e *peerExchange, c *gossip.Controller, relays *relay.Server) {
+func runPeerExchange(lc fx.Lifecycle, s *Settings, e *peerExchange, c *gossip.Controller, relays *relay.Server, budgets *hostBudgets) {
 	server := rpc.NewServer(rpc.Credentials{})
 	c.Register(server)
 	filbertv1.RegisterRelayServer(server, relays)
-	process.ServeRPC(lc, server, listen, s.Deployment.ListenPeers)
+	process.ServeRPC(lc, server, budgets.listenPeers, s.Deployment.ListenPeers)
 	process.RunInBackground(lc, c.Run)
 	process.RunInBackground(lc, func(ctx context.Context) { e.announceChanges(ctx, c) })
 	process.RunInBackground(lc, e.announceEvidence)
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -13,6 +13,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
+	"filbertdeck/internal/callerconn"
 	"filbertdeck/internal/controller/recordsync"
 	"filbertdeck/internal/decide/contention"
 	"filbertdeck/internal/decide/drain"
@@ -86,9 +87,12 @@
 		fx.Provide(
 			newClock, newBoard, newPublished, newLoads, newSuspects, newBudget, newGateway, newLifecycle,
 			newPeerExchange, newFetcher, newReaderRoles, newFleetView, newOwnerExchange, newMembersBoard, newGossip,
-			newOriginPeers, newWaitingOrder, newRelayClient, newRelayServer,
+			newOriginPeers, newWaitingOrder, newRelayClient, newRelayServer, newHostBudgets,
 		),
-		fx.Invoke(func() { debug.SetGCPercent(gcPercent) }),
+		fx.Invoke(func(h *hostBudgets) {
+			debug.SetGCPercent(gcPercent)
+			debug.SetMemoryLimit(h.shares.RuntimeBytes)
+		}),
 		fx.Invoke(runReload, runPublished, runPeerExchange, runWaitingOrder, runOwnerExchange, runGateway, serveMetrics, serveReadiness, serveCallers),
 	}
 }
@@ -139,14 +143,14 @@
 
 func newGateway(
 	s *Settings, board *recordsync.Board, roles *readerRoles, c *recordsync.Controller, loads *gateway.TargetLoads,
-	suspects *gateway.CrashEvidence, budget *retrybudget.Budget, peers *relay.Client, origins *originPeers, waiting *waitingOrder, now Clock, log *slog.Logger, reg gometrics.Registry,
+	suspects *gateway.CrashEvidence, budget *retrybudget.Budget, peers *relay.Client, origins *originPeers, waiting *waitingOrder, budgets *hostBudgets, now Clock, log *slog.Logger, reg gometrics.Registry,
 ) *gateway.Gateway {
 	client := targetclient.NewAtMostOnceClient(targetclient.Settings{DialTimeout: targetDialTimeout, ResponseHeaderTimeout: responseTimeout, ReadIdleTimeout: responseTimeout})
 	return gateway.New(gateway.Config{
 		Dialect: s.Deployment.Dialect, Engines: s.Deployment.Engines, Board: board, Loads: loads, CrashEvidence: suspects, RetryBudget: budget,
 		Client: client, Relay: peers, OriginPeers: origins, WaitingOrder: waiting, Migration: migration.Default(), Disconnected: func() bool { return mayMissChanges(c, roles) },
 		ViewAge:     func() time.Duration { return viewAge(c) },
-		ViewCurrent: func() bool { return isCurrent(c, s.Deployment.ConfigDeadline) }, Log: log, Metrics: reg, Now: now, Scheduling: schedulingModes(s),
+		ViewCurrent: func() bool { return isCurrent(c, s.Deployment.ConfigDeadline) }, Log: log, Metrics: reg, Now: now, Scheduling: schedulingModes(s), AnswerBytes: budgets.shares.AnswerBytes,
 	})
 }
 
@@ -211,14 +215,14 @@
 	process.RunInBackground(lc, g.WatchPaths)
 }
 
-func serveMetrics(lc fx.Lifecycle, s *Settings, reg gometrics.Registry) {
+func serveMetrics(lc fx.Lifecycle, s *Settings, budgets *hostBudgets, reg gometrics.Registry) {
 	r := mux.NewRouter()
 	metrics.Mount(r, reg)
-	process.ServeAdmin(lc, r, listen, s.MetricsListen)
+	process.ServeAdmin(lc, r, budgets.listenAdmin("metrics"), s.MetricsListen)
 }
 
-func serveReadiness(lc fx.Lifecycle, s *Settings, state *lifecycle.Lifecycle) {
-	process.ServeAdmin(lc, readinessHandler(state), listen, s.Deployment.ListenReady)
+func serveReadiness(lc fx.Lifecycle, s *Settings, budgets *hostBudgets, state *lifecycle.Lifecycle) {
+	process.ServeAdmin(lc, readinessHandler(state), budgets.listenAdmin("readiness"), s.Deployment.ListenReady)
 }
 
 // readinessHandler serves the load balancer's readiness check. The load
@@ -245,18 +249,14 @@
 // the first to stop. On stop the readiness check fails at once, the server
 // accepts requests until the load balancer has removed the host, waits for the
 // requests in progress and then closes.
-func serveCallers(lc fx.Lifecycle, s *Settings, g *gateway.Gateway, state *lifecycle.Lifecycle) {
+func serveCallers(lc fx.Lifecycle, s *Settings, g *gateway.Gateway, budgets *hostBudgets, state *lifecycle.Lifecycle) {
 	server := &http.Server{
 		Handler: trackRequests(g, state), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: trackIdle,
-	}
-	listenLimited := func(address string) (net.Listener, error) {
-		l, err := listen(address)
-		return limitedListener{Listener: l, limits: g.CallerLimits}, err
+		ConnState: callerconn.TrackState, ConnContext: callerconn.Context,
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			return process.StartHTTP(server, listenLimited, s.Deployment.ListenCallers)
+			return process.StartHTTP(server, budgets.listenCallers(g), s.Deployment.ListenCallers)
 		},
 		OnStop: func(ctx context.Context) error {
 			remaining := s.Deployment.StopGrace - stopMargin
@@ -287,11 +287,14 @@
 func trackRequests(g *gateway.Gateway, state *lifecycle.Lifecycle) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		finish, err := state.BeginRequest()
+		if err == nil {
+			defer finish()
+			err = callerconn.FromContext(r.Context()).Begin(r)
+		}
 		if err != nil {
 			g.Refuse(w, r, err)
 			return
 		}
-		defer finish()
 		g.ServeHTTP(w, r)
 	})
 }
--- a/internal/gatewayhost/settings.go
+++ b/internal/gatewayhost/settings.go
@@ -8,6 +8,7 @@
 
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/controller/recordsync"
+	"filbertdeck/internal/decide/connbudget"
 	"filbertdeck/internal/settings"
 )
 
@@ -28,6 +29,12 @@
 	WaitingOrder string `arg:"--waiting-order,env:FILBERT_GATEWAY_WAITING_ORDER" check:"auto|on|off" default:"auto" help:"one order over all hosts of the generations that wait for an engine: as for prompt limits"`
 	RoomGrants   string `arg:"--room-grants,env:FILBERT_GATEWAY_ROOM_GRANTS" check:"auto|on|off" default:"auto" help:"grants of an engine's room by the host that counts its load: as for prompt limits"`
 
+	CallerMemoryMB     int           `arg:"--caller-memory-mb,env:FILBERT_GATEWAY_CALLER_MEMORY_MB" check:"0..1048576" help:"MB (1,000,000 bytes) that all requests of callers may hold; 0 for what the host's memory leaves"`
+	CallerConnections  int           `arg:"--caller-connections,env:FILBERT_GATEWAY_CALLER_CONNECTIONS" check:"0..1000000" help:"connections of callers at a time; 0 for what the host's descriptors leave"`
+	CallerGrace        time.Duration `arg:"--caller-grace,env:FILBERT_GATEWAY_CALLER_GRACE" check:"100ms..1h" default:"1s" help:"time in which a caller may be slow to send a request or read an answer while the memory or the connections are used up"`
+	CallerMinRate      int           `arg:"--caller-min-rate,env:FILBERT_GATEWAY_CALLER_MIN_RATE" check:"1..1000000000" default:"16384" help:"bytes per second below which a caller is slow"`
+	CallerStallTimeout time.Duration `arg:"--caller-stall-timeout,env:FILBERT_GATEWAY_CALLER_STALL_TIMEOUT" check:"1s..24h" default:"30s" help:"time in which a caller may send nothing more of a body, or read nothing of an answer"`
+
 	// Deployment is filled in from the settings that the platform provides.
 	Deployment Deployment `arg:"-"`
 	// ReloadDeployment reads the deployment settings again.
@@ -46,6 +53,8 @@
 	Regions map[string]string
 	// FirstStart is set when all hosts start for the first time.
 	FirstStart bool
+	// Host holds the limits of the host; a zero one is not known.
+	Host connbudget.HostLimits
 	// StopGrace is the time between the stop signal and the kill.
 	StopGrace time.Duration
 	// Retry limits the retries to a service, summed over all hosts.
--- a/internal/process/background.go
+++ b/internal/process/background.go
@@ -8,6 +8,9 @@
 
 	"go.uber.org/fx"
 	"google.golang.org/grpc"
+
+	"filbertdeck/internal/callerconn"
+	"filbertdeck/internal/failure"
 )
 
 // RunInBackground starts run in a goroutine when the program starts. When the
@@ -65,14 +68,23 @@
 	})
 }
 
-// adminReadHeaderTimeout is the timeout for reading the headers of an
-// administration request.
-const adminReadHeaderTimeout = 10 * time.Second
+// Limits of administration requests.
+const (
+	// adminReadHeaderTimeout is the timeout for reading the headers of a request,
+	// adminIdleTimeout that of an idle connection.
+	adminReadHeaderTimeout = 10 * time.Second
+	adminIdleTimeout       = 2 * time.Minute
+	// adminHeaderBytes is the largest request header that is read, in bytes.
+	adminHeaderBytes = 8 << 10
+)
 
 // ServeAdmin serves an administration interface from the program's start to
 // its stop.
 func ServeAdmin(lc fx.Lifecycle, handler http.Handler, listen ListenFunc, address string) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: adminReadHeaderTimeout}
+	server := &http.Server{
+		Handler: callerconn.Handler(handler, failure.Write), ReadHeaderTimeout: adminReadHeaderTimeout, IdleTimeout: adminIdleTimeout, MaxHeaderBytes: adminHeaderBytes,
+		ConnState: callerconn.TrackState, ConnContext: callerconn.Context,
+	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return StartHTTP(server, listen, address) },
 		OnStop:  func(context.Context) error { return server.Close() },
