Leave memory for ordinary connections; a stalled peer is slow at once

A peer that sent a body of 1 MB at once earned a minute in which it was not slow, so that none was evicted; now it is slow when it has moved nothing for the grace time, whatever came before. And large requests could reserve all memory that new connections need; a sixteenth of a budget is left to these now.

The specs also keep four ordinary clients beside each crowd that send on connections they keep: not more than three of their requests may run and lose their connection.

--- a/internal/callerconn/budget.go
+++ b/internal/callerconn/budget.go
@@ -101,7 +101,7 @@
 func (b *Budget) move(c *connbudget.Conn, bytes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.decide.Move(c, bytes)
+	b.decide.Move(c, b.now(), bytes)
 }
 
 // finish releases what a request held, whose connection becomes idle.
--- a/internal/decide/connbudget/budget.go
+++ b/internal/decide/connbudget/budget.go
@@ -20,9 +20,12 @@
 	MaxConns int
 	// ConnBytes is what a connection holds while it is open, in bytes.
 	ConnBytes int64
-	// Grace is how long a peer may take to send or to read something before its rate counts.
-	Grace time.Duration
-	// MinRate is the rate in bytes per second below which a peer is slow.
+	// ConnReserve is the part of MaxBytes that only open connections may take, so that
+	// ordinary requests, which reserve nothing more, are served beside large ones.
+	ConnReserve int64
+	// A peer is slow if it has not sent or read anything for Grace, or if it has done so at less
+	// than MinRate, in bytes per second, for Grace and longer.
+	Grace   time.Duration
 	MinRate float64
 }
 
@@ -51,8 +54,10 @@
 
 	phase Phase
 	since time.Duration
-	// moved is the number of bytes that were transferred in this phase.
-	moved int64
+	// moved is the number of bytes that were transferred in this phase, movedAt when the last
+	// of them were, or when the phase began.
+	moved   int64
+	movedAt time.Duration
 	// held is the reserved memory in bytes, ConnBytes included.
 	held int64
 	// used is set once the peer has sent something.
@@ -62,10 +67,11 @@
 
 // Budget divides the limits among connections.
 type Budget struct {
-	cfg     Config
-	held    int64
-	conns   map[*Conn]struct{}
-	evicted int64
+	cfg Config
+	// held is the memory of all connections, reserved the part of it beyond ConnBytes of each.
+	held, reserved int64
+	conns          map[*Conn]struct{}
+	evicted        int64
 }
 
 // New returns a budget without connections.
@@ -84,7 +90,7 @@
 		}
 		b.evictConn(victim)
 	}
-	c := &Conn{evict: evict, since: now, held: b.cfg.ConnBytes}
+	c := &Conn{evict: evict, since: now, movedAt: now, held: b.cfg.ConnBytes}
 	b.conns[c] = struct{}{}
 	b.held += c.held
 	return c
@@ -96,7 +102,7 @@
 	if !b.fits(bytes) {
 		return false
 	}
-	for !c.closed && b.held+bytes > b.cfg.MaxBytes {
+	for !c.closed && (b.held+bytes > b.cfg.MaxBytes || b.reserved+bytes > b.cfg.MaxBytes-b.cfg.ConnReserve) {
 		victim := b.slowest(now)
 		if victim == nil {
 			return false
@@ -108,11 +114,14 @@
 	}
 	c.held += bytes
 	b.held += bytes
+	b.reserved += bytes
 	return true
 }
 
 // fits reports whether a single connection may hold this many bytes.
-func (b *Budget) fits(bytes int64) bool { return bytes <= b.cfg.MaxBytes-b.cfg.ConnBytes }
+func (b *Budget) fits(bytes int64) bool {
+	return bytes <= b.cfg.MaxBytes-max(b.cfg.ConnBytes, b.cfg.ConnReserve)
+}
 
 // Release gives back all that a connection has reserved beyond bytes.
 func (b *Budget) Release(c *Conn, bytes int64) {
@@ -122,6 +131,7 @@
 	if more := c.held - b.cfg.ConnBytes - bytes; more > 0 {
 		c.held -= more
 		b.held -= more
+		b.reserved -= more
 	}
 }
 
@@ -131,7 +141,7 @@
 	if c.closed {
 		return false
 	}
-	c.phase, c.since, c.moved = phase, now, 0
+	c.phase, c.since, c.moved, c.movedAt = phase, now, 0, now
 	return true
 }
 
@@ -142,9 +152,10 @@
 func (c *Conn) Held() int64 { return c.held }
 
 // Move records that bytes were transferred.
-func (b *Budget) Move(c *Conn, bytes int) {
+func (b *Budget) Move(c *Conn, now time.Duration, bytes int) {
 	c.used = true
 	c.moved += int64(bytes)
+	c.movedAt = now
 }
 
 // Close removes a connection. Closing it again has no effect.
@@ -152,6 +163,7 @@
 	if c.closed {
 		return
 	}
+	b.Release(c, 0)
 	c.closed = true
 	delete(b.conns, c)
 	b.held -= c.held
@@ -164,6 +176,9 @@
 	if c.closed || (c.phase != Receiving && c.phase != Sending) {
 		return false
 	}
+	if now-c.movedAt > b.cfg.Grace {
+		return true
+	}
 	allowed := b.cfg.Grace + time.Duration(float64(c.moved)/b.cfg.MinRate*float64(time.Second))
 	return now-c.since > allowed
 }
--- a/internal/decide/connbudget/budget_test.go
+++ b/internal/decide/connbudget/budget_test.go
@@ -58,11 +58,12 @@
 			if b.Reserve(other, grace, 70) {
 				t.Fatal("a peer is evicted within its grace period")
 			}
-			b.Move(slow, 100)
+			b.Move(slow, grace, 100)
 			if b.Reserve(other, 2*grace, 70) {
 				t.Fatal("a peer is evicted that keeps the minimum rate")
 			}
-			if !b.Reserve(other, 2*grace+time.Millisecond, 70) || !*evicted {
+			b.Move(slow, 2*grace, 1)
+			if !b.Reserve(other, 2*grace+100*time.Millisecond, 70) || !*evicted {
 				t.Fatal("a slow peer keeps its memory")
 			}
 			if b.Enter(slow, 3*grace, Serving) {
@@ -72,6 +73,19 @@
 	}
 }
 
+// Guards against a peer that sends nearly all of a request at once, and then nothing.
+func TestFastBeginningEarnsNoTime(t *testing.T) {
+	b := newBudget(100, 10)
+	stalled, evicted := open(t, b, 0)
+	b.Reserve(stalled, 0, 70)
+	b.Enter(stalled, 0, Receiving)
+	b.Move(stalled, 0, 1<<20)
+	other, _ := open(t, b, 0)
+	if !b.Reserve(other, grace+time.Millisecond, 70) || !*evicted {
+		t.Fatal("a stalled peer keeps its memory")
+	}
+}
+
 // Guards against a request that is cut off after it may have run.
 func TestServedRequestIsNeverEvicted(t *testing.T) {
 	b := newBudget(100, 2)
@@ -104,7 +118,7 @@
 func TestSilentConnectionYieldsToNewOne(t *testing.T) {
 	b := newBudget(100, 2)
 	kept, keptEvicted := open(t, b, 0)
-	b.Move(kept, 1)
+	b.Move(kept, 0, 1)
 	_, silentEvicted := open(t, b, 0)
 	open(t, b, 10*time.Second)
 	if !*silentEvicted || *keptEvicted {
@@ -116,7 +130,7 @@
 func TestKeptConnectionStaysWithinGrace(t *testing.T) {
 	b := newBudget(100, 1)
 	kept, evicted := open(t, b, 0)
-	b.Move(kept, 1)
+	b.Move(kept, 0, 1)
 	b.Enter(kept, 10*time.Second, Idle)
 	if b.Open(10*time.Second+grace, func() {}) != nil {
 		t.Fatal("a connection that was just used is evicted")
@@ -127,6 +141,23 @@
 	}
 }
 
+// Guards against ordinary callers that find no place beside a few large requests.
+func TestLargeRequestsLeaveRoomForConnections(t *testing.T) {
+	b := New(Config{MaxBytes: 100, MaxConns: 10, ConnBytes: connBytes, ConnReserve: 30, Grace: grace, MinRate: 100})
+	large, _ := open(t, b, 0)
+	if b.Reserve(large, 0, 71) || !b.Reserve(large, 0, 70) {
+		t.Fatal("a request takes the memory of connections, or not all of the rest")
+	}
+	b.Enter(large, 0, Serving)
+	open(t, b, 0)
+	open(t, b, 0)
+	b.Close(large)
+	third, _ := open(t, b, 0)
+	if !b.Reserve(third, 0, 70) {
+		t.Fatal("a closed connection keeps memory")
+	}
+}
+
 // Guards against a request larger than the budget that evicts others in vain.
 func TestRequestBeyondBudgetEvictsNobody(t *testing.T) {
 	b := newBudget(100, 10)
--- a/internal/gatewayhost/budgets.go
+++ b/internal/gatewayhost/budgets.go
@@ -21,7 +21,10 @@
 	// adminBytes is what all requests to an administration port may hold beyond their
 	// connections, in bytes.
 	adminBytes = 2 << 20
-	bytesPerMB = 1_000_000
+	// connReserveDivisor divides a budget; the quotient is left for connections with ordinary
+	// requests.
+	connReserveDivisor = 16
+	bytesPerMB         = 1_000_000
 )
 
 // hostBudgets are the budgets of the listeners of a process, from the limits of its host.
@@ -87,7 +90,7 @@
 
 func (b *hostBudgets) newBudget(name string, maxBytes int64, maxConns int, connBytes int64) *callerconn.Budget {
 	return callerconn.NewBudget(name, connbudget.Config{
-		MaxBytes: maxBytes, MaxConns: maxConns, ConnBytes: connBytes,
+		MaxBytes: maxBytes, MaxConns: maxConns, ConnBytes: connBytes, ConnReserve: maxBytes / connReserveDivisor,
 		Grace: b.settings.CallerGrace, MinRate: float64(b.settings.CallerMinRate),
 	}, b.log, b.reg)
 }
--- a/internal/gatewayhost/reload.go
+++ b/internal/gatewayhost/reload.go
@@ -63,5 +63,8 @@
 	if next.ListenCallers != current.ListenCallers || next.ListenReady != current.ListenReady || next.ListenPeers != current.ListenPeers {
 		log.Warn("listen addresses have changed; a restart is needed to apply them", "callers", next.ListenCallers, "ready", next.ListenReady, "peers", next.ListenPeers)
 	}
+	if next.Host != current.Host {
+		log.Warn("limits of the host have changed; a restart is needed to apply them", "memory_bytes", next.Host.MemoryBytes, "sockets", next.Host.Sockets)
+	}
 	return current
 }
--- a/test/gateway/hostile_clients_test.go
+++ b/test/gateway/hostile_clients_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +31,9 @@
 	headLimit, bodyLimit = 16384, 1 << 20
 	// headCrowd, bodyCrowd and silentCrowd are the numbers of connections of a crowd.
 	headCrowd, bodyCrowd, silentCrowd = 300, 60, 500
+	// keptClients is the number of ordinary clients that keep their connections beside a crowd,
+	// lostAllowed how many requests such connections may lose.
+	keptClients, lostAllowed = 4, 3
 	// sendTimeout is how long a client of a crowd tries to send.
 	sendTimeout = 2 * time.Second
 	// holdTime is how long a crowd keeps its connections when it has sent all that it could.
@@ -120,6 +125,8 @@
 	memoryMB    int
 	maxFDs      int
 	stop, ended chan struct{}
+	// ran holds the ids of the requests that the target ran.
+	ran sync.Map
 	// peakBytes and peakSockets are the most that the process was seen to hold.
 	peakBytes, peakSockets int
 }
@@ -128,20 +135,21 @@
 // and with events without end below /endless.
 func newCrowdHost(maxFDs int, alter func(*standin.Store)) *crowdHost {
 	store := standin.New()
-	target := httptest.NewServer(http.HandlerFunc(serveCrowdTarget))
+	h := &crowdHost{store: store, memoryMB: hostMemoryMB, maxFDs: maxFDs, stop: make(chan struct{}), ended: make(chan struct{})}
+	target := httptest.NewServer(http.HandlerFunc(h.serveTarget))
 	DeferCleanup(func() { store.Close(); target.CloseClientConnections(); target.Close() })
 	store.PutLimitedConfig(1, "app", bodyLimit, "key-1")
 	store.PutServer("i-1", "app", hostPort(target), "ready")
 	if alter != nil {
 		alter(store)
 	}
-	h := &crowdHost{store: store, memoryMB: hostMemoryMB, maxFDs: maxFDs, stop: make(chan struct{}), ended: make(chan struct{})}
 	h.host = startHostWith(standin.ProcessSettings{StoreAddress: serveStore(store), MemoryMB: h.memoryMB, MaxFDs: maxFDs})
 	return h
 }
 
-func serveCrowdTarget(rw http.ResponseWriter, r *http.Request) {
+func (h *crowdHost) serveTarget(rw http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
+	h.ran.Store(r.Header.Get(standin.HeaderRequestID), true)
 	rw.Header().Set(standin.HeaderRequestID, r.Header.Get(standin.HeaderRequestID))
 	rw.Header().Set(standin.HeaderSeal, "s-1")
 	switch {
@@ -225,18 +233,71 @@
 	Expect(h.metricsText()).To(ContainSubstring("gateway."))
 }
 
+// keptClient sends ordinary requests one after the other on a connection that it keeps, until
+// stop is closed, and counts those that the target ran and whose connection was closed without an
+// answer although it had carried answers before.
+func (h *crowdHost) keptClient(name string, stop <-chan struct{}) (lost int) {
+	var conn net.Conn
+	var in *bufio.Reader
+	answered := 0
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return lost
+		case <-time.After(5 * time.Millisecond):
+		}
+		if conn == nil {
+			var err error
+			if conn, err = net.DialTimeout("tcp", h.clientAddress, sendTimeout); err != nil {
+				continue
+			}
+			in, answered = bufio.NewReader(conn), 0
+		}
+		id := fmt.Sprintf("%s-%d", name, n)
+		_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+		_, _ = io.WriteString(conn, requestHead("/b/x", id, withBody)+"\r\n0123456789")
+		resp, err := http.ReadResponse(in, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		if err == nil && !resp.Close {
+			answered++
+			continue
+		}
+		if _, ran := h.ran.Load(id); err != nil && ran && answered > 0 {
+			lost++
+		}
+		_ = conn.Close()
+		conn = nil
+	}
+}
+
+// keepClients starts kept clients, and returns a function that ends them and returns how many
+// requests they lost.
+func (h *crowdHost) keepClients() (end func() int) {
+	stop := make(chan struct{})
+	var lost atomic.Int64
+	var clients sync.WaitGroup
+	for i := range keptClients {
+		clients.Go(func() { lost.Add(int64(h.keptClient(fmt.Sprintf("kept-%d", i), stop))) })
+	}
+	return func() int { close(stop); clients.Wait(); return int(lost.Load()) }
+}
+
 // play starts a process, has a crowd come and stay, and checks what must hold meanwhile and
 // after it has left.
 func play(maxFDs int, attack func(h *crowdHost, c *crowd)) {
 	h := newCrowdHost(maxFDs, nil)
 	h.expectOrdinaryServed()
 	h.watch()
+	endKept := h.keepClients()
 	c := newCrowd()
 	attack(h, c)
 	time.Sleep(holdTime)
 	h.expectOrdinaryServed()
 	c.leave()
 	h.expectOrdinaryServed()
+	Expect(endKept()).To(BeNumerically("<=", lostAllowed), "requests lost on kept connections")
 	h.expectAliveWithinLimits()
 }
 
