--- a/internal/decide/connbudget/budget.go
+++ b/internal/decide/connbudget/budget.go
@@ -148,9 +148,6 @@
 // Phase returns the phase of a connection.
 func (c *Conn) Phase() Phase { return c.phase }
 
-// Held returns the memory that a connection has reserved, in bytes.
-func (c *Conn) Held() int64 { return c.held }
-
 // Move records that bytes were transferred.
 func (b *Budget) Move(c *Conn, now time.Duration, bytes int) {
 	c.used = true
@@ -218,8 +215,11 @@
 	c.evict()
 }
 
-// Held returns the memory that all connections hold, in bytes, Conns their number, and Evicted
-// the number of connections that were evicted.
-func (b *Budget) Held() int64    { return b.held }
-func (b *Budget) Conns() int     { return len(b.conns) }
+// Held returns the memory that all connections hold, in bytes.
+func (b *Budget) Held() int64 { return b.held }
+
+// Conns returns the number of connections.
+func (b *Budget) Conns() int { return len(b.conns) }
+
+// Evicted returns the number of connections that were evicted.
 func (b *Budget) Evicted() int64 { return b.evicted }
--- a/internal/gatewayhost/module.go
+++ b/internal/gatewayhost/module.go
@@ -286,10 +286,11 @@
 // them.
 func trackRequests(g *gateway.Gateway, state *lifecycle.Lifecycle) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		noMemory := callerconn.FromContext(r.Context()).Begin(r)
 		finish, err := state.BeginRequest()
 		if err == nil {
 			defer finish()
-			err = callerconn.FromContext(r.Context()).Begin(r)
+			err = noMemory
 		}
 		if err != nil {
 			g.Refuse(w, r, err)
