--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -88,6 +88,9 @@
 	return n, err
 }
 
+// NetConn returns the connection below.
+func (c *streamConn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *streamConn) Close() error {
 	c.budget.close(c.hold)
--- a/internal/gatewayhost/budgets.go
+++ b/internal/gatewayhost/budgets.go
@@ -13,6 +13,7 @@
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/gateway"
 	"filbertdeck/internal/process"
+	"filbertdeck/internal/rpc"
 )
 
 const (
@@ -123,5 +124,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return callerconn.ListenStreams(l, b.peers), nil
+	return callerconn.ListenStreams(rpc.LimitUnacknowledged(l), b.peers), nil
 }
--- a/internal/gatewayhost/budgets_test.go
+++ b/internal/gatewayhost/budgets_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"log/slog"
+	"net"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
 
 	"filbertdeck/internal/decide/connbudget"
 	"filbertdeck/internal/failure"
@@ -74,3 +76,40 @@
 		t.Errorf("got %+v, %v", host, err)
 	}
 }
+
+// Guards against a host that goes on with a request for another one long after it has lost that
+// host, where the request goes on elsewhere.
+func TestPeerConnectionsEndWithoutAcknowledgement(t *testing.T) {
+	budgets, err := newHostBudgets(hostSettings(134, 3900), slog.New(slog.DiscardHandler), gometrics.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := budgets.listenPeers("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = peer.Close() })
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	raw, err := conn.(interface{ NetConn() net.Conn }).NetConn().(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var millis int
+	controlErr := raw.Control(func(fd uintptr) { millis, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) })
+	if controlErr != nil || err != nil {
+		t.Fatal(controlErr, err)
+	}
+	const want = 2 * time.Second
+	if got := time.Duration(millis) * time.Millisecond; got != want {
+		t.Errorf("unacknowledged data ends the connection after %s, want %s", got, want)
+	}
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -12,9 +12,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
@@ -96,6 +98,40 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// LimitUnacknowledged returns a listener whose connections end when what was sent on them stays
+// unacknowledged for as long as a keepalive ping. A server sets that itself, but only on
+// connections that nothing wraps.
+func LimitUnacknowledged(l net.Listener) net.Listener { return timeoutListener{l} }
+
+type timeoutListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l timeoutListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	// The option can fail only on a connection that has ended already, which its reader notices.
+	_ = setTCPUserTimeout(conn, keepaliveTimeout)
+	return conn, nil
+}
+
+func setTCPUserTimeout(conn net.Conn, timeout time.Duration) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	return errors.Join(err, setErr)
+}
+
 // NewServer returns a server that permits the keepalive pings of Dial's
 // connections.
 func NewServer(c Credentials) *grpc.Server {
