Keep decisions out of platform/: host limits as settings of the gateway

platform/ imported decide/connbudget for a type; the settings have their own now, converted where the budgets are made. No behaviour changes.

--- a/internal/gatewayhost/budgets.go
+++ b/internal/gatewayhost/budgets.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &hostBudgets{settings: s, shares: connbudget.Share(host, gateway.MinBufferedBytes, gateway.MaxBufferedBytes), log: log, reg: reg}
+	b := &hostBudgets{settings: s, shares: connbudget.Share(connbudget.HostLimits(host), gateway.MinBufferedBytes, gateway.MaxBufferedBytes), log: log, reg: reg}
 	if err := b.applySettings(host); err != nil {
 		return nil, err
 	}
@@ -55,7 +55,7 @@
 
 // applySettings replaces the shares that the settings name. Errors: KindSettingInvalid if the host
 // has less.
-func (b *hostBudgets) applySettings(host connbudget.HostLimits) error {
+func (b *hostBudgets) applySettings(host HostLimits) error {
 	mostMB := (b.shares.RuntimeBytes - b.shares.AnswerBytes - b.shares.PeerBytes) / bytesPerMB
 	if named := int64(b.settings.CallerMemoryMB); named > mostMB {
 		return failure.New(failure.KindSettingInvalid, "setting caller-memory-mb is %d; allowed on this host: up to %d", named, mostMB)
@@ -71,7 +71,7 @@
 
 // hostLimits completes the limits that the platform does not name with those of the operating
 // system.
-func hostLimits(host connbudget.HostLimits) (connbudget.HostLimits, error) {
+func hostLimits(host HostLimits) (HostLimits, error) {
 	if host.MemoryBytes == 0 {
 		var info unix.Sysinfo_t
 		if err := unix.Sysinfo(&info); err != nil {
--- a/internal/gatewayhost/budgets_test.go
+++ b/internal/gatewayhost/budgets_test.go
@@ -11,14 +11,13 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
 
-	"filbertdeck/internal/decide/connbudget"
 	"filbertdeck/internal/failure"
 )
 
 func hostSettings(memoryMB int64, sockets int) *Settings {
 	return &Settings{
 		CallerGrace: time.Second, CallerMinRate: 1 << 14, CallerStallTimeout: time.Minute,
-		Deployment: Deployment{Host: connbudget.HostLimits{MemoryBytes: memoryMB * bytesPerMB, Sockets: sockets}},
+		Deployment: Deployment{Host: HostLimits{MemoryBytes: memoryMB * bytesPerMB, Sockets: sockets}},
 	}
 }
 
@@ -71,7 +70,7 @@
 
 // Guards against a process without limits where the platform names none.
 func TestUnknownHostLimitsComeFromSystem(t *testing.T) {
-	host, err := hostLimits(connbudget.HostLimits{})
+	host, err := hostLimits(HostLimits{})
 	if err != nil || host.MemoryBytes <= 0 || host.Sockets <= 0 {
 		t.Errorf("got %+v, %v", host, err)
 	}
--- a/internal/gatewayhost/settings.go
+++ b/internal/gatewayhost/settings.go
@@ -8,7 +8,6 @@
 
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/controller/recordsync"
-	"filbertdeck/internal/decide/connbudget"
 	"filbertdeck/internal/settings"
 )
 
@@ -54,7 +53,7 @@
 	// FirstStart is set when all hosts start for the first time.
 	FirstStart bool
 	// Host holds the limits of the host; a zero one is not known.
-	Host connbudget.HostLimits
+	Host HostLimits
 	// StopGrace is the time between the stop signal and the kill.
 	StopGrace time.Duration
 	// Retry limits the retries to a service, summed over all hosts.
@@ -71,6 +70,13 @@
 	Source  recordsync.Source
 }
 
+// HostLimits are the limits of the host: the memory in bytes beyond which the process is killed,
+// and the number of its sockets.
+type HostLimits struct {
+	MemoryBytes int64
+	Sockets     int
+}
+
 // RetryLimit limits retries in any window of a few seconds to Share of a
 // service's requests plus the fixed number Extra.
 type RetryLimit struct{ Share, Extra float64 }
--- a/test/gateway/hostile_clients_test.go
+++ b/test/gateway/hostile_clients_test.go
@@ -284,9 +284,9 @@
 	return func() int { close(stop); clients.Wait(); return int(lost.Load()) }
 }
 
-// play starts a process, has a crowd come and stay, and checks what must hold meanwhile and
+// runCrowd starts a process, has a crowd come and stay, and checks what must hold meanwhile and
 // after it has left.
-func play(maxFDs int, attack func(h *crowdHost, c *crowd)) {
+func runCrowd(maxFDs int, attack func(h *crowdHost, c *crowd)) {
 	h := newCrowdHost(maxFDs, nil)
 	h.expectOrdinaryServed()
 	h.watch()
@@ -341,7 +341,7 @@
 
 var _ = Describe("a gateway process before clients that don't behave", Serial, func() {
 	// Guards against a process that ends since callers make it hold more than its host has.
-	DescribeTable("stays within its host's memory", func(attack func(h *crowdHost, c *crowd)) { play(4100, attack) },
+	DescribeTable("stays within its host's memory", func(attack func(h *crowdHost, c *crowd)) { runCrowd(4100, attack) },
 		Entry("legal heads of many short lines that wait for a body", heldHeads("/b/x", withBody, shortLines(legalHead))),
 		Entry("legal heads of many short lines whose target does not answer", heldHeads("/b/held", "Content-Length: 0\r\n", shortLines(legalHead))),
 		Entry("the same for a stream", heldHeads("/s/x", withBody, shortLines(legalHead))),
@@ -414,7 +414,7 @@
 
 	// Guards against a host on which no target can be dialled since callers hold all descriptors.
 	DescribeTable("keeps descriptors for targets", func(address func(h *crowdHost) string, begin string) {
-		play(hostFDs, func(h *crowdHost, c *crowd) {
+		runCrowd(hostFDs, func(h *crowdHost, c *crowd) {
 			c.send(address(h), silentCrowd, func(conn net.Conn, _ int) { _, _ = io.WriteString(conn, begin) })
 		})
 	},
@@ -434,7 +434,7 @@
 		DeferCleanup(func() { _ = output.Close(); _ = slow.Close() })
 		startOutput = output
 		DeferCleanup(func() { startOutput = nil })
-		play(4100, func(h *crowdHost, c *crowd) {
+		runCrowd(4100, func(h *crowdHost, c *crowd) {
 			request := requestHead("/none/x", strings.Repeat("\xff", legalHead), "Content-Length: 0\r\n") + "\r\n"
 			c.send(h.clientAddress, 30, func(conn net.Conn, _ int) {
 				go func() { _, _ = io.Copy(io.Discard, conn) }()
@@ -447,7 +447,7 @@
 
 	// Guards against limits that apply only to a process in its usual state.
 	It("stays within its limits while it reloads and the limits change", func() {
-		play(4100, func(h *crowdHost, c *crowd) {
+		runCrowd(4100, func(h *crowdHost, c *crowd) {
 			var crowds sync.WaitGroup
 			crowds.Go(func() { heldHeads("/b/x", withBody, shortLines(legalHead))(h, c) })
 			crowds.Go(func() { heldBodies("/b/x")(h, c) })
