Ask an engine again when its report of its stop timed out

What callers saw: a generation is copied away after its engine has stopped, and lost.

Cause: a host asks a leaving engine once when it stops. A process that was held up for 100 ms finds that request timed out, and assumes 1.5 s from then on for all moves from that engine: the copy was asked for after 1.21 s where the engine had said 0.8 s.

The new spec "stay at an engine that says too late for once that it outlives them" asked for one copy before and for none now.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -27,6 +27,9 @@
 	// reportTimeout limits the request for the time at which an engine stops,
 	// and the request to drop a copy.
 	reportTimeout = 100 * time.Millisecond
+	// maxReportTries limits the requests for the time at which an engine stops: a process that
+	// was held up for a moment finds the first one timed out.
+	maxReportTries = 3
 	// healthTimeout limits a health check, which waits for a free slot at the
 	// engine.
 	healthTimeout = 300 * time.Millisecond
@@ -331,14 +334,25 @@
 	if gen.g.cfg.Loads.RestRemaining(from.Target) > 0 {
 		return gen.g.cfg.Migration.Notice, false
 	}
+	for range maxReportTries {
+		report, err := gen.g.requestReport(ctx, from)
+		if err == nil && report.ShutdownIn > 0 {
+			return report.ShutdownIn, true
+		}
+		if !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
+			break
+		}
+	}
+	return gen.g.cfg.Migration.Notice, false
+}
+
+// requestReport asks an engine what it says of itself, within reportTimeout.
+func (g *Gateway) requestReport(ctx context.Context, from *directory.ObservedTarget) (call.EngineReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	report, err := gen.g.engineClient(from.Target).Report(ctx, from.Address)
-	gen.g.observeNotice(from.Target, report.TargetNotice, "report")
-	if err != nil || report.ShutdownIn <= 0 {
-		return gen.g.cfg.Migration.Notice, false
-	}
-	return report.ShutdownIn, true
+	report, err := g.engineClient(from.Target).Report(ctx, from.Address)
+	g.observeNotice(from.Target, report.TargetNotice, "report")
+	return report, err
 }
 
 // endsWithin reports whether the generation will end on its own before its
--- a/internal/gateway/move_room_test.go
+++ b/internal/gateway/move_room_test.go
@@ -174,6 +174,20 @@
 		Expect(time.Duration(asked.Load())).To(And(BeNumerically(">", 300*time.Millisecond), BeNumerically("<", 800*time.Millisecond)))
 	})
 
+	// Guards against a process that was held up for a moment and assumes a time until its
+	// engine stops from then on.
+	It("stay at an engine that says too late for once that it outlives them", func() {
+		first.leavesIn.Store(600_000)
+		first.lateReports.Store(1)
+		first.reportDelay = 200 * time.Millisecond
+		gw := startContendedGateway(unchanged, entryOf(first))
+		done := begin(gw)
+		gw.publish(asLeaving(entryOf(first)), entryOf(second))
+		expectWhole(events, done, 10*time.Second)
+		Expect(first.moveRequests.Load()).To(BeZero())
+		Expect(second.requests()).To(BeEmpty())
+	})
+
 	// Guards against a generation that is lost because the counts of one engine were out of
 	// date, and against a reservation that stays there.
 	It("go to the next engine if one refuses although it has room by its counts", func() {
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -68,6 +68,9 @@
 	// started is the start that it reports of itself, in Unix milliseconds, leavesIn the
 	// time until it stops, in milliseconds, 0 for none.
 	started, leavesIn atomic.Int64
+	// lateReports is the number of reports that it answers after reportDelay.
+	lateReports atomic.Int64
+	reportDelay time.Duration
 }
 
 func startEngine(id string, events int, eventInterval time.Duration) *fakeEngine {
@@ -98,6 +101,9 @@
 	case healthPath:
 		e.health(conn, r)
 	case standin.PathReport:
+		if e.lateReports.Add(-1) >= 0 {
+			time.Sleep(e.reportDelay)
+		}
 		report := fmt.Sprintf(`{"born":%d,"leaves_ms":%d}`, e.started.Load(), e.leavesIn.Load())
 		respond(fmt.Sprintf("HTTP/1.1 200 OK\nContent-Length: %d\n\n%s", len(report), report))(conn, r)
 		e.serveNext(conn)
