--- a/test/gateway/hostile_clients_test.go
+++ b/test/gateway/hostile_clients_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -18,7 +21,13 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	gometrics "github.com/rcrowley/go-metrics"
 
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/fleet"
+	"filbertdeck/internal/relay"
+	"filbertdeck/platform"
 	"filbertdeck/platform/standin"
 )
 
@@ -147,6 +156,74 @@
 	return h
 }
 
+// newCutHost starts a process that reaches no target itself, and another one on a host with more
+// memory through which it does.
+func newCutHost() *crowdHost {
+	through := newCrowdHost(4100, nil)
+	through.expectOrdinaryServed()
+	store := standin.New()
+	DeferCleanup(store.Close)
+	store.PutLimitedConfig(1, "app", bodyLimit, "key-1")
+	unreachable, err := fleet.FreeLoopbackAddress()
+	Expect(err).NotTo(HaveOccurred())
+	store.PutServer("i-1", "app", unreachable, "ready")
+	cut := &crowdHost{store: store, memoryMB: hostMemoryMB, maxFDs: 4100, stop: make(chan struct{}), ended: make(chan struct{})}
+	cut.host = startHostWith(standin.ProcessSettings{StoreAddress: serveStore(store), MemoryMB: hostMemoryMB, MaxFDs: 4100}, through.peerAddress)
+	return cut
+}
+
+// peerCrowd sends requests through a process as another host does, until the crowd leaves.
+type peerCrowd struct {
+	ctx      context.Context
+	client   *relay.Client
+	requests sync.WaitGroup
+}
+
+func newPeerCrowd(h *crowdHost) *peerCrowd {
+	start := time.Now()
+	hosts := []string{h.peerAddress}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &peerCrowd{ctx: ctx, client: relay.NewClient(relay.ClientConfig{
+		Hosts: func() (near, all []string) { return hosts, hosts }, HostTimeout: sendTimeout,
+		Log: slog.New(slog.DiscardHandler), Metrics: gometrics.NewRegistry(), Now: func() time.Duration { return time.Since(start) },
+	})}
+	DeferCleanup(func() { cancel(); p.requests.Wait(); p.client.Close() })
+	// The process must know this host as one.
+	Eventually(func() error { return p.send("/b/x", []byte("x")) }, stepTimeout).Should(Succeed())
+	return p
+}
+
+// send sends one request, whose header has empty values of the names.
+func (p *peerCrowd) send(path string, body []byte, names ...string) error {
+	header := http.Header{}
+	for _, name := range names {
+		header.Set(name, "")
+	}
+	attempt := &call.Attempt{
+		Request: &call.Request{ID: "relayed", Method: http.MethodPost, Host: "a.example", URI: path, Header: header, Body: body},
+		Target:  directory.Target{ID: "i-1", Service: "app", Address: "127.0.0.1:1", StartedUnixMilli: startedTarget}, TimeRemaining: time.Minute, Priority: -1,
+	}
+	req, err := platform.Dialect{}.BuildRequest(p.ctx, attempt)
+	if err != nil {
+		return err
+	}
+	resp, err := p.client.Do(req, attempt, func() error { return nil })
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// crowd sends n requests at once.
+func (p *peerCrowd) crowd(n int, path string, body []byte, names ...string) {
+	for range n {
+		p.requests.Go(func() { _ = p.send(path, body, names...) })
+	}
+	time.Sleep(sendTimeout)
+}
+
 func (h *crowdHost) serveTarget(rw http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	h.ran.Store(r.Header.Get(standin.HeaderRequestID), true)
@@ -320,12 +397,41 @@
 		}
 	}
 	repeated = func(clients int, begin string, piece string) func(h *crowdHost, c *crowd) {
-		return func(h *crowdHost, c *crowd) {
-			c.send(h.clientAddress, clients, func(conn net.Conn, _ int) { writeForever(conn, begin, piece) })
-		}
+		return repeatedAt(func(h *crowdHost) string { return h.clientAddress }, clients, begin, piece)
 	}
 )
 
+// repeatedAt is an attack on a port: clients that send a piece without end.
+func repeatedAt(address func(h *crowdHost) string, clients int, begin, piece string) func(h *crowdHost, c *crowd) {
+	return func(h *crowdHost, c *crowd) {
+		c.send(address(h), clients, func(conn net.Conn, _ int) { writeForever(conn, begin, piece) })
+	}
+}
+
+// http2Begin is the beginning of an HTTP/2 connection whose client grants each stream a window.
+func http2Begin(window uint32) string {
+	setting := binary.BigEndian.AppendUint32([]byte{0, 4}, window)
+	return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + http2Frame(4, 0, 0, setting)
+}
+
+// http2Frame is one frame of a stream.
+func http2Frame(kind, flags byte, stream int, payload []byte) string {
+	head := []byte{byte(len(payload) >> 16), byte(len(payload) >> 8), byte(len(payload)), kind, flags}
+	return string(binary.BigEndian.AppendUint32(head, uint32(stream))) + string(payload)
+}
+
+// http2Call is the header of a gRPC call, written without compression.
+func http2Call(stream int, method string) string {
+	var fields []byte
+	for _, field := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", method}, {":authority", "a"}, {"content-type", "application/grpc"}, {"te", "trailers"}} {
+		fields = append(fields, 0, byte(len(field[0])))
+		fields = append(fields, field[0]...)
+		fields = append(fields, byte(len(field[1])))
+		fields = append(fields, field[1]...)
+	}
+	return http2Frame(1, 4, stream, fields)
+}
+
 // writeForever writes until the connection is closed or its deadline has passed.
 func writeForever(conn net.Conn, begin, piece string) {
 	_, err := io.WriteString(conn, begin)
@@ -410,8 +516,82 @@
 				writeForever(conn, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00"+frame(1), frame(9))
 			})
 		}),
+		Entry("calls sent ahead whose answers are unread at the port of other hosts", func(h *crowdHost, c *crowd) {
+			c.send(h.peerAddress, bodyCrowd, func(conn net.Conn, _ int) {
+				go func() { _, _ = io.Copy(io.Discard, conn) }()
+				_, err := io.WriteString(conn, http2Begin(0))
+				for stream := 1; err == nil; stream += 2 {
+					_, err = io.WriteString(conn, http2Call(stream, "/filbert.v1.Gossip/Exchange")+http2Frame(0, 1, stream, make([]byte, 5)))
+				}
+			})
+		}),
+		Entry("calls whose messages don't end at the port of other hosts", func(h *crowdHost, c *crowd) {
+			c.send(h.peerAddress, bodyCrowd, func(conn net.Conn, _ int) {
+				go func() { _, _ = io.Copy(io.Discard, conn) }()
+				const messageBytes = 8 << 20
+				message := append([]byte{0, 0, 0x80, 0, 0}, make([]byte, 1<<14-5)...)
+				_, err := io.WriteString(conn, http2Begin(1<<16)+http2Call(1, "/filbert.v1.Gossip/Exchange")+http2Frame(0, 0, 1, message))
+				for sent := 1 << 14; err == nil && sent < messageBytes; sent += 1 << 14 {
+					time.Sleep(time.Millisecond)
+					_, err = io.WriteString(conn, http2Frame(0, 0, 1, make([]byte, 1<<14)))
+				}
+			})
+		}),
+		Entry("empty lines without end at the readiness port", func(h *crowdHost, c *crowd) {
+			c.send(h.readyAddress, headCrowd, func(conn net.Conn, _ int) { writeForever(conn, "\r\n", strings.Repeat("\r\n", 2048)) })
+		}),
+		Entry("requests sent ahead to the readiness port that are unread", func(h *crowdHost, c *crowd) {
+			c.send(h.readyAddress, bodyCrowd, func(conn net.Conn, _ int) {
+				writeForever(conn, "", "GET /api/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+			})
+		}),
+		Entry("requests without end of a body at the readiness port", repeatedAt(func(h *crowdHost) string { return h.readyAddress }, bodyCrowd,
+			requestHead("/api/ready", "chunks", "Transfer-Encoding: chunked\r\n")+"\r\n", "1000\r\n"+strings.Repeat("x", 4096)+"\r\n")),
+		Entry("empty lines without end at the port of the counters", func(h *crowdHost, c *crowd) {
+			c.send(h.metricsAddress, headCrowd, func(conn net.Conn, _ int) { writeForever(conn, "\r\n", strings.Repeat("\r\n", 2048)) })
+		}),
+		Entry("long heads at the port of the counters", func(h *crowdHost, c *crowd) {
+			c.send(h.metricsAddress, headCrowd, func(conn net.Conn, _ int) { writeForever(conn, requestHead("/metrics", "metrics"), shortLines(1200)) })
+		}),
+		Entry("requests without end of a body at the port of the counters", repeatedAt(func(h *crowdHost) string { return h.metricsAddress }, bodyCrowd,
+			requestHead("/metrics", "chunks", "Transfer-Encoding: chunked\r\n")+"\r\n", "1000\r\n"+strings.Repeat("x", 4096)+"\r\n")),
 	)
 
+	// Guards against a host that other hosts make hold what it bounds for its own callers.
+	DescribeTable("stays within its host's memory before other hosts that send large requests through it", func(path string) {
+		runCrowd(4100, func(h *crowdHost, _ *crowd) {
+			newPeerCrowd(h).crowd(bodyCrowd, path, make([]byte, bodyLimit))
+		})
+	},
+		Entry("whose target does not answer", "/b/held"),
+		Entry("whose target answers", "/b/x"),
+	)
+
+	It("stays within its host's memory before other hosts that send heads of many short lines through it", func() {
+		runCrowd(4100, func(h *crowdHost, _ *crowd) {
+			newPeerCrowd(h).crowd(headCrowd, "/b/held", []byte("x"), strings.Split(shortLines(legalHead), ":\r\n")...)
+		})
+	})
+
+	// Guards against a host whose copies of a body that it sends through another host are not
+	// counted.
+	It("stays within its host's memory while it sends large requests through another host", func() {
+		cut := newCutHost()
+		Eventually(func() int { return cut.post("/b/x", "key-1") }, stepTimeout).Should(Equal(http.StatusOK))
+		Expect(cut.metricsText()).To(MatchRegexp(`"relay.sent":\s*\{\s*"count":\s*[1-9]`))
+		cut.watch()
+		c := newCrowd()
+		c.send(cut.clientAddress, bodyCrowd, func(conn net.Conn, client int) {
+			_, _ = io.WriteString(conn, requestHead("/b/held", fmt.Sprintf("whole-%d", client), fmt.Sprintf("Content-Length: %d\r\n", bodyLimit))+"\r\n")
+			_, _ = conn.Write(make([]byte, bodyLimit))
+		})
+		time.Sleep(holdTime)
+		Eventually(func() int { return cut.post("/b/x", "key-1") }, stepTimeout).Should(Equal(http.StatusOK))
+		c.leave()
+		Eventually(func() int { return cut.post("/b/x", "key-1") }, stepTimeout).Should(Equal(http.StatusOK))
+		cut.expectAliveWithinLimits()
+	})
+
 	// Guards against a host on which no target can be dialled since callers hold all descriptors.
 	DescribeTable("keeps descriptors for targets", func(address func(h *crowdHost) string, begin string) {
 		runCrowd(hostFDs, func(h *crowdHost, c *crowd) {
