Reserve memory for requests that go through another host

What callers saw: while a host is cut off from its targets, large requests at it end its process, or that of the host they are sent through, for want of memory.

Cause: the limits of callers counted a request once, at the connection that it came on. A host that sends it through another one keeps a copy and an encoded message more, and the other one, whose callers did not send it, two that nothing counted.

Both hosts reserve what a relayed request takes from the budget of their callers now: the sending one until the other has read it, the other before it reads it (the size comes with the call; a host of an earlier version names none, then it is reserved when it has been read) until it has ended. Without memory the other host says so at once and the next one is asked; without memory of its own the request is refused, not run, with a Retry-After. A call on which no request arrives within 5 s ends, and its memory is free. The body is copied once instead of growing.

--- a/internal/callerconn/budget.go
+++ b/internal/callerconn/budget.go
@@ -70,10 +70,15 @@
 }
 
 func (b *Budget) reserve(c *connbudget.Conn, bytes int64) bool {
+	return b.grant(func(now time.Duration) bool { return b.decide.Reserve(c, now, bytes) })
+}
+
+// grant decides about memory by a function, and counts and logs what did not fit.
+func (b *Budget) grant(decide func(now time.Duration) bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	evicted := b.decide.Evicted()
-	granted := b.decide.Reserve(c, b.now(), bytes)
+	granted := decide(b.now())
 	if !granted {
 		b.refused.Inc(1)
 	}
@@ -83,6 +88,23 @@
 	return granted
 }
 
+// Take reserves memory for a request that no connection of this budget carries. It returns false
+// if there is none. release gives the memory back, and may be called more than once. A nil Budget
+// grants everything.
+func (b *Budget) Take(bytes int64) (release func(), ok bool) {
+	if b == nil {
+		return func() {}, true
+	}
+	if !b.grant(func(now time.Duration) bool { return b.decide.Take(now, bytes) }) {
+		return nil, false
+	}
+	return sync.OnceFunc(func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.decide.Give(bytes)
+	}), true
+}
+
 func (b *Budget) enter(c *connbudget.Conn, phase connbudget.Phase) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/decide/connbudget/budget.go
+++ b/internal/decide/connbudget/budget.go
@@ -99,26 +99,52 @@
 // Reserve adds to the memory that a connection holds. It returns false if there is no room, or
 // if the connection has been closed; nothing is added then.
 func (b *Budget) Reserve(c *Conn, now time.Duration, bytes int64) bool {
+	if !b.makeRoom(now, bytes, func() bool { return c.closed }) {
+		return false
+	}
+	c.held += bytes
+	b.take(bytes)
+	return true
+}
+
+// Take reserves memory that no connection holds, until it is given back. It returns false if
+// there is no room; nothing is reserved then.
+func (b *Budget) Take(now time.Duration, bytes int64) bool {
+	if !b.makeRoom(now, bytes, func() bool { return false }) {
+		return false
+	}
+	b.take(bytes)
+	return true
+}
+
+// Give gives back memory that was reserved with Take.
+func (b *Budget) Give(bytes int64) {
+	b.held -= bytes
+	b.reserved -= bytes
+}
+
+func (b *Budget) take(bytes int64) {
+	b.held += bytes
+	b.reserved += bytes
+}
+
+// makeRoom evicts slow connections until bytes more may be reserved. It returns false if there
+// is no room, or once isClosed says that who asks for it is closed.
+func (b *Budget) makeRoom(now time.Duration, bytes int64, isClosed func() bool) bool {
 	if !b.fits(bytes) {
 		return false
 	}
-	for !c.closed && (b.held+bytes > b.cfg.MaxBytes || b.reserved+bytes > b.cfg.MaxBytes-b.cfg.ConnReserve) {
+	for !isClosed() && (b.held+bytes > b.cfg.MaxBytes || b.reserved+bytes > b.cfg.MaxBytes-b.cfg.ConnReserve) {
 		victim := b.slowest(now)
 		if victim == nil {
 			return false
 		}
 		b.evictConn(victim)
 	}
-	if c.closed {
-		return false
-	}
-	c.held += bytes
-	b.held += bytes
-	b.reserved += bytes
-	return true
+	return !isClosed()
 }
 
-// fits reports whether a single connection may hold this many bytes.
+// fits reports whether one request may hold this many bytes.
 func (b *Budget) fits(bytes int64) bool {
 	return bytes <= b.cfg.MaxBytes-max(b.cfg.ConnBytes, b.cfg.ConnReserve)
 }
--- a/internal/decide/connbudget/budget_test.go
+++ b/internal/decide/connbudget/budget_test.go
@@ -169,6 +169,31 @@
 	}
 }
 
+// Guards against requests without a connection of the budget that are not part of the sum.
+func TestTakeBoundsTheSum(t *testing.T) {
+	b := newBudget(100, 10)
+	c, _ := open(t, b, 0)
+	if !b.Take(0, 60) || b.Take(0, 40) || b.Reserve(c, 0, 40) {
+		t.Fatal("more than 100 bytes are held, or 70 are refused")
+	}
+	b.Give(60)
+	if b.Held() != connBytes || !b.Reserve(c, 0, 40) {
+		t.Fatalf("memory that was given back is not free: %d held", b.Held())
+	}
+}
+
+// Guards against a request without a connection that finds no memory since others hold it and do
+// nothing.
+func TestTakeEvictsSlowPeer(t *testing.T) {
+	b := newBudget(100, 10)
+	slow, evicted := open(t, b, 0)
+	b.Reserve(slow, 0, 70)
+	b.Enter(slow, 0, Receiving)
+	if b.Take(grace, 70) || !b.Take(grace+time.Millisecond, 70) || !*evicted {
+		t.Fatal("a slow peer keeps its memory, or loses it within its grace period")
+	}
+}
+
 func TestSharesStayWithinHost(t *testing.T) {
 	for _, host := range []HostLimits{{MemoryBytes: 88e6, Sockets: 3900}, {MemoryBytes: 64e6, Sockets: 200}, {MemoryBytes: 536e6, Sockets: 10050}} {
 		s := Share(host, 8<<20, 17<<20)
--- a/internal/gatewayhost/relay.go
+++ b/internal/gatewayhost/relay.go
@@ -16,20 +16,20 @@
 
 // newRelayClient creates the client that sends requests through other hosts. A request
 // leaves its region on no account: a route or a client account may be bound to it.
-func newRelayClient(lc fx.Lifecycle, s *Settings, fleet *fleetView, now Clock, log *slog.Logger, reg gometrics.Registry) *relay.Client {
+func newRelayClient(lc fx.Lifecycle, s *Settings, fleet *fleetView, budgets *hostBudgets, now Clock, log *slog.Logger, reg gometrics.Registry) *relay.Client {
 	c := relay.NewClient(relay.ClientConfig{
 		Hosts: func() (near, all []string) {
 			return fleet.otherLiveHosts(s.DataCentre), fleet.otherLiveHosts(s.Deployment.regionDataCentres(s.DataCentre)...)
 		},
-		Log: log, Metrics: reg, Now: now,
+		Reserve: budgets.callers.Take, Log: log, Metrics: reg, Now: now,
 	})
 	lc.Append(fx.StopHook(c.Close))
 	return c
 }
 
-func newRelayServer(g *gateway.Gateway, fleet *fleetView, state *lifecycle.Lifecycle, log *slog.Logger, reg gometrics.Registry) *relay.Server {
+func newRelayServer(g *gateway.Gateway, fleet *fleetView, budgets *hostBudgets, state *lifecycle.Lifecycle, log *slog.Logger, reg gometrics.Registry) *relay.Server {
 	return relay.NewServer(relay.ServerConfig{
-		Sender: g, IsHost: fleet.isHost, Log: log, Metrics: reg,
+		Sender: g, IsHost: fleet.isHost, Reserve: budgets.callers.Take, Log: log, Metrics: reg,
 		Begin: func() (end func(), err error) {
 			if err := state.Ready(); err != nil {
 				return nil, err
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -69,9 +69,12 @@
 	// HostTimeout bounds the time in which one host must have connected to the target; 0
 	// for the default.
 	HostTimeout time.Duration
-	Creds       rpc.Credentials
-	Log         *slog.Logger
-	Metrics     gometrics.Registry
+	// Reserve reserves the memory that a request takes until another host has read it; nil for
+	// no limit.
+	Reserve ReserveFunc
+	Creds   rpc.Credentials
+	Log     *slog.Logger
+	Metrics gometrics.Registry
 	// Now returns the time of the process's monotonic clock.
 	Now func() time.Duration
 }
@@ -93,6 +96,9 @@
 	if cfg.HostTimeout == 0 {
 		cfg.HostTimeout = defaultHostTimeout
 	}
+	if cfg.Reserve == nil {
+		cfg.Reserve = unlimited
+	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Client{
 		cfg: cfg, selector: relaypeers.New(rng), conns: map[string]*connection{},
@@ -114,12 +120,29 @@
 // once that host has connected to the target; if it returns an error, nothing is
 // written and Do returns that error. Errors state whether the request ran, like those
 // of targetclient.AtMostOnceClient. An error of kind KindNoTarget means that no host
-// was found that reaches the service's targets.
+// was found that reaches the service's targets, or that there is no memory to send the request.
 func (c *Client) Do(req *http.Request, s *call.Attempt, beforeWrite func() error) (*http.Response, error) {
+	x, err := c.find(req, s)
+	if err != nil {
+		return nil, err
+	}
+	return c.start(x, req, s, beforeWrite)
+}
+
+// find sends the request to a host that has connected to the target then. Until it returns, the
+// request takes the memory that is reserved for it.
+func (c *Client) find(req *http.Request, s *call.Attempt) (*exchange, error) {
+	size := sizeOfRequest(req)
+	release, ok := c.cfg.Reserve(size.memory())
+	if !ok {
+		return nil, failure.New(failure.KindNoTarget, "there is no memory to send the request through another host").WithRetryAfter(notFoundRetryAfter)
+	}
+	defer release()
 	message, err := encodeRequest(req, s)
 	if err != nil {
 		return nil, err
 	}
+	ctx := size.announce(req.Context())
 	findBy := time.Now().Add(findTimeout)
 	var tried []string
 	// unreachable is the failure of the first host that could not reach the target. A
@@ -135,11 +158,11 @@
 			timeout = min(timeout, time.Until(findBy))
 		}
 		tried = append(tried, host)
-		exchange, err := c.connect(req.Context(), host, message, timeout)
+		exchange, err := c.connect(ctx, host, message, timeout)
 		switch {
 		case err == nil:
 			c.record(host, s.Target.Service, nil)
-			return c.start(exchange, req, s, beforeWrite)
+			return exchange, nil
 		case err == errRequestEnded:
 			// That says nothing about the host.
 		case failure.KindOf(err) == failure.KindControlLost:
@@ -213,7 +236,8 @@
 		err = stream.Send(&filbertv1.RelayCall{Step: &filbertv1.RelayCall_Request{Request: message}})
 	}
 	var reply *filbertv1.RelayReply
-	if err == nil {
+	if err == nil || err == io.EOF {
+		// io.EOF says that the host has answered before it had read the request.
 		reply, err = stream.Recv()
 	}
 	inTime := timer.Stop()
--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -225,10 +226,15 @@
 
 // serveRelay serves the requests of other hosts until the spec ends, and returns the address.
 func serveRelay(sender relay.Sender) string {
+	return serveRelayWithin(sender, newMemory(math.MaxInt64))
+}
+
+// serveRelayWithin is serveRelay with limited memory.
+func serveRelayWithin(sender relay.Sender, m *memory) string {
 	server := rpc.NewServer(rpc.Credentials{})
 	filbertv1.RegisterRelayServer(server, relay.NewServer(relay.ServerConfig{
 		Sender: sender, IsHost: func(string) bool { return true }, Begin: func() (func(), error) { return func() {}, nil },
-		Log: slog.New(slog.DiscardHandler), Metrics: gometrics.NewRegistry(),
+		Reserve: m.reserve, Log: slog.New(slog.DiscardHandler), Metrics: gometrics.NewRegistry(),
 	}))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -21,7 +21,7 @@
 	if req.GetBody != nil {
 		reader, err := req.GetBody()
 		if err == nil {
-			body, err = io.ReadAll(reader)
+			body, err = readBody(reader, req.ContentLength)
 		}
 		if err != nil {
 			return nil, failure.Wrap(err, failure.KindInternal, "the request body can't be read again")
@@ -37,6 +37,16 @@
 	return message, nil
 }
 
+// readBody reads a body; a negative length is not known.
+func readBody(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
 // decodeRequest returns the request that a message describes, for the address of its
 // target.
 func decodeRequest(ctx context.Context, message *filbertv1.RelayRequest, address string) (*http.Request, error) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -25,6 +25,8 @@
 	// maxConcurrent limits the requests of other hosts in progress here, so that they
 	// leave room for this host's own callers.
 	maxConcurrent = 256
+	// requestTimeout bounds the wait for a request, for which memory is reserved.
+	requestTimeout = 5 * time.Second
 	// startTimeout bounds the wait for the word to start, in which the connection
 	// takes a place at the target.
 	startTimeout = 500 * time.Millisecond
@@ -51,7 +53,9 @@
 	IsHost func(ip string) bool
 	// Begin counts a request as in progress until end is called. It fails while this
 	// host takes no new ones.
-	Begin   func() (end func(), err error)
+	Begin func() (end func(), err error)
+	// Reserve reserves the memory that a request takes until it has ended; nil for no limit.
+	Reserve ReserveFunc
 	Log     *slog.Logger
 	Metrics gometrics.Registry
 }
@@ -66,6 +70,9 @@
 
 // NewServer returns a server.
 func NewServer(cfg ServerConfig) *Server {
+	if cfg.Reserve == nil {
+		cfg.Reserve = unlimited
+	}
 	return &Server{cfg: cfg, slots: make(chan struct{}, maxConcurrent), relayed: gometrics.GetOrRegisterCounter("relay.for_peers", cfg.Metrics)}
 }
 
@@ -74,7 +81,12 @@
 	if !s.isFromHost(stream.Context()) {
 		return status.Error(codes.PermissionDenied, "only hosts may send requests")
 	}
-	first, err := stream.Recv()
+	hold := &hold{reserve: s.cfg.Reserve}
+	defer hold.release()
+	if err := hold.extend(announcedSize(stream.Context())); err != nil {
+		return stream.Send(encodeFailure(err, true))
+	}
+	first, err := receiveWithin(stream.Context(), stream, requestTimeout)
 	if err != nil {
 		return err
 	}
@@ -82,6 +94,9 @@
 	if message == nil {
 		return status.Error(codes.InvalidArgument, "the first message is not a request")
 	}
+	if err := hold.extend(sizeOfMessage(message)); err != nil {
+		return stream.Send(encodeFailure(err, true))
+	}
 	end, err := s.begin()
 	if err != nil {
 		return stream.Send(encodeFailure(err, true))
@@ -92,6 +107,35 @@
 	return s.relay(stream, replies, message)
 }
 
+// hold is the memory that is reserved for one request.
+type hold struct {
+	reserve  ReserveFunc
+	bytes    int64
+	releases []func()
+}
+
+// extend reserves what a request of a size takes beyond what is reserved for it already: a host
+// of an earlier version announces no size. The error is of kind KindOverloaded.
+func (h *hold) extend(size requestSize) error {
+	more := size.memory() - h.bytes
+	if more <= 0 {
+		return nil
+	}
+	release, ok := h.reserve(more)
+	if !ok {
+		return failure.New(failure.KindOverloaded, "there is no memory for a request of %d bytes of another host", size.bodyBytes+size.headerBytes)
+	}
+	h.bytes += more
+	h.releases = append(h.releases, release)
+	return nil
+}
+
+func (h *hold) release() {
+	for _, release := range h.releases {
+		release()
+	}
+}
+
 // isFromHost reports whether a call comes from the address of a host.
 func (s *Server) isFromHost(ctx context.Context) bool {
 	p, ok := peer.FromContext(ctx)
@@ -152,29 +196,43 @@
 	if err := replies.send(&filbertv1.RelayReply{Step: &filbertv1.RelayReply_Connected{Connected: &filbertv1.RelayConnected{}}}); err != nil {
 		return failure.Wrap(err, failure.KindControlLost, "the host of the request is gone")
 	}
-	started := make(chan error, 1)
+	next, err := receiveWithin(ctx, stream, startTimeout)
+	switch {
+	case err != nil:
+		return failure.Wrap(err, failure.KindControlLost, "the request was not started")
+	case next.GetStart() == nil:
+		return failure.New(failure.KindControlLost, "the second message is not the word to start")
+	}
+	s.relayed.Inc(1)
+	s.cfg.Log.Info("request sent for another host", "request", id)
+	return nil
+}
+
+// errSilent says that the other host sent nothing in time.
+var errSilent = failure.New(failure.KindControlLost, "the other host sent nothing in time")
+
+// receiveWithin returns the next message that arrives within a time. A stream on which none has
+// must be ended.
+func receiveWithin(ctx context.Context, stream filbertv1.Relay_SendServer, timeout time.Duration) (*filbertv1.RelayCall, error) {
+	type received struct {
+		message *filbertv1.RelayCall
+		err     error
+	}
+	done := make(chan received, 1)
 	go func() {
-		next, err := stream.Recv()
-		if err == nil && next.GetStart() == nil {
-			err = failure.New(failure.KindBadRequest, "the second message is not the word to start")
-		}
-		started <- err
+		message, err := stream.Recv()
+		done <- received{message, err}
 	}()
-	timer := time.NewTimer(startTimeout)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case err := <-started:
-		if err != nil {
-			return failure.Wrap(err, failure.KindControlLost, "the request was not started")
-		}
+	case r := <-done:
+		return r.message, r.err
 	case <-timer.C:
-		return failure.New(failure.KindControlLost, "the request was not started in time")
+		return nil, errSilent
 	case <-ctx.Done():
-		return failure.Wrap(ctx.Err(), failure.KindControlLost, "the request was not started")
+		return nil, ctx.Err()
 	}
-	s.relayed.Inc(1)
-	s.cfg.Log.Info("request sent for another host", "request", id)
-	return nil
 }
 
 // replyWriter writes the replies of one request, and says that it is alive when there
