Spec of streams that a host serves beside a crowd

Four callers read a stream of 4 s each while bodies without their last byte and legal heads of many short lines come: all streams arrive whole, and the process stays within its memory.

--- a/test/gateway/hostile_clients_test.go
+++ b/test/gateway/hostile_clients_test.go
@@ -45,6 +45,9 @@
 	keptClients, lostAllowed = 4, 3
 	// sendTimeout is how long a client of a crowd tries to send.
 	sendTimeout = 2 * time.Second
+	// slowEvents is the number of events of a stream below /slow, slowEventPause the time between
+	// two of them: such a stream is longer than a crowd takes to come.
+	slowEvents, slowEventPause = 80, 50 * time.Millisecond
 	// holdTime is how long a crowd keeps its connections when it has sent all that it could.
 	holdTime = time.Second
 )
@@ -140,8 +143,8 @@
 	peakBytes, peakSockets int
 }
 
-// newCrowdHost starts a process before a target that answers with longAnswer bytes below /long
-// and with events without end below /endless.
+// newCrowdHost starts a process before a target that answers with longAnswer bytes below /long,
+// with events without end below /endless, and with slowEvents below /slow.
 func newCrowdHost(maxFDs int, alter func(*standin.Store)) *crowdHost {
 	store := standin.New()
 	h := &crowdHost{store: store, memoryMB: hostMemoryMB, maxFDs: maxFDs, stop: make(chan struct{}), ended: make(chan struct{})}
@@ -237,6 +240,13 @@
 				return
 			}
 		}
+	case strings.Contains(r.URL.Path, "/slow"):
+		rw.Header().Set("Content-Type", "text/event-stream")
+		for n := range slowEvents {
+			_, _ = fmt.Fprintf(rw, "id: %d\ndata: x\n\n", n)
+			rw.(http.Flusher).Flush()
+			time.Sleep(slowEventPause)
+		}
 	case strings.Contains(r.URL.Path, "/held"):
 		<-r.Context().Done()
 	case strings.Contains(r.URL.Path, "/long"):
@@ -349,6 +359,25 @@
 	}
 }
 
+// readStream requests a stream and returns the number of its events when it ends.
+func (h *crowdHost) readStream(path, id string) (events int) {
+	conn, err := net.Dial("tcp", h.clientAddress)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, requestHead(path, id, withBody)+"\r\n0123456789")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0
+	}
+	return bytes.Count(text, []byte("data:"))
+}
+
 // keepClients starts kept clients, and returns a function that ends them and returns how many
 // requests they lost.
 func (h *crowdHost) keepClients() (end func() int) {
@@ -641,6 +670,40 @@
 		})
 	})
 
+	// Guards against a stream that its caller reads and that is cut off since others hold what the
+	// host has.
+	It("ends no stream that it serves", func() {
+		h := newCrowdHost(4100, nil)
+		h.expectOrdinaryServed()
+		h.watch()
+		var streams sync.WaitGroup
+		var whole atomic.Int64
+		for i := range keptClients {
+			streams.Go(func() {
+				if events := h.readStream("/s/slow", fmt.Sprintf("stream-%d", i)); events == slowEvents {
+					whole.Add(1)
+				}
+			})
+		}
+		Eventually(func() (begun int) {
+			h.ran.Range(func(id, _ any) bool {
+				if strings.HasPrefix(id.(string), "stream-") {
+					begun++
+				}
+				return true
+			})
+			return begun
+		}, stepTimeout).Should(Equal(keptClients))
+		c := newCrowd()
+		heldBodies("/b/x")(h, c)
+		heldHeads("/s/x", withBody, shortLines(legalHead))(h, c)
+		streams.Wait()
+		Expect(whole.Load()).To(BeEquivalentTo(keptClients))
+		c.leave()
+		h.expectOrdinaryServed()
+		h.expectAliveWithinLimits()
+	})
+
 	It("stays within its limits before the first configuration", func() {
 		h := newCrowdHost(4100, func(store *standin.Store) { store.SetMode(standin.Unresponsive) })
 		Eventually(func() int { return h.post("/b/x", "key-1") }, stepTimeout).Should(Equal(http.StatusServiceUnavailable))
