--- a/internal/callerconn/streams.go
+++ b/internal/callerconn/streams.go
@@ -14,8 +14,8 @@
 	// the HTTP/2 transport, and the stacks of its goroutines.
 	callBytes = 8 << 10
 	// roomPollInterval is the time between two checks for room, roomTimeout the time after which
-	// a connection is closed on which more has arrived than there is room for. Peers whose calls
-	// stand still have become slow by then and are evicted.
+	// a connection is closed on which more has arrived than there is room for. With the default
+	// grace time, peers whose calls stand still have been evicted by then.
 	roomPollInterval = 10 * time.Millisecond
 	roomTimeout      = 2 * time.Second
 )
--- a/internal/relay/memory_test.go
+++ b/internal/relay/memory_test.go
@@ -1,8 +1,10 @@
 package relay_test
 
 import (
+	"context"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -11,7 +13,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	gometrics "github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc/peer"
 
+	"filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
@@ -60,6 +64,19 @@
 	return string(body), err
 }
 
+// silentStream is a call on which nothing is sent until its context ends.
+type silentStream struct {
+	filbertv1.Relay_SendServer
+	ctx context.Context
+}
+
+func (s *silentStream) Context() context.Context { return s.ctx }
+
+func (s *silentStream) Recv() (*filbertv1.RelayCall, error) {
+	<-s.ctx.Done()
+	return nil, s.ctx.Err()
+}
+
 var _ = Describe("a request that goes through another host", func() {
 	answer := strings.Repeat("x", 800)
 
@@ -81,6 +98,21 @@
 		Expect(peer.peak.Load()).To(BeNumerically(">=", 2*bodyBytes))
 	})
 
+	// Guards against memory that a host keeps reserved for a request that never comes.
+	It("holds no memory of a host for longer than it may take to come", func() {
+		peerMemory := newMemory(plenty)
+		var err error
+		inFakeTime(func() {
+			server := relay.NewServer(relay.ServerConfig{IsHost: func(string) bool { return true }, Reserve: peerMemory.reserve, Metrics: gometrics.NewRegistry()})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			err = server.Send(&silentStream{ctx: peer.NewContext(ctx, &peer.Peer{Addr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}})})
+		})
+		Expect(failure.KindOf(err)).To(Equal(failure.KindControlLost))
+		Expect(peerMemory.peak.Load()).To(BeNumerically(">", 0))
+		Expect(peerMemory.used.Load()).To(BeZero())
+	})
+
 	It("is not sent without memory of its own host", func() {
 		peer := newMemory(plenty)
 		_, err := sendThrough(newMemory(bodyBytes), serveRelayWithin(immediateSender{}, peer))
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -81,9 +81,9 @@
 	if !s.isFromHost(stream.Context()) {
 		return status.Error(codes.PermissionDenied, "only hosts may send requests")
 	}
-	hold := &hold{reserve: s.cfg.Reserve}
-	defer hold.release()
-	if err := hold.extend(announcedSize(stream.Context())); err != nil {
+	memory := &reservation{reserve: s.cfg.Reserve}
+	defer memory.release()
+	if err := memory.extend(announcedSize(stream.Context())); err != nil {
 		return stream.Send(encodeFailure(err, true))
 	}
 	first, err := receiveWithin(stream.Context(), stream, requestTimeout)
@@ -94,7 +94,7 @@
 	if message == nil {
 		return status.Error(codes.InvalidArgument, "the first message is not a request")
 	}
-	if err := hold.extend(sizeOfMessage(message)); err != nil {
+	if err := memory.extend(sizeOfMessage(message)); err != nil {
 		return stream.Send(encodeFailure(err, true))
 	}
 	end, err := s.begin()
@@ -107,35 +107,6 @@
 	return s.relay(stream, replies, message)
 }
 
-// hold is the memory that is reserved for one request.
-type hold struct {
-	reserve  ReserveFunc
-	bytes    int64
-	releases []func()
-}
-
-// extend reserves what a request of a size takes beyond what is reserved for it already: a host
-// of an earlier version announces no size. The error is of kind KindOverloaded.
-func (h *hold) extend(size requestSize) error {
-	more := size.memory() - h.bytes
-	if more <= 0 {
-		return nil
-	}
-	release, ok := h.reserve(more)
-	if !ok {
-		return failure.New(failure.KindOverloaded, "there is no memory for a request of %d bytes of another host", size.bodyBytes+size.headerBytes)
-	}
-	h.bytes += more
-	h.releases = append(h.releases, release)
-	return nil
-}
-
-func (h *hold) release() {
-	for _, release := range h.releases {
-		release()
-	}
-}
-
 // isFromHost reports whether a call comes from the address of a host.
 func (s *Server) isFromHost(ctx context.Context) bool {
 	p, ok := peer.FromContext(ctx)
--- a/internal/relay/size.go
+++ b/internal/relay/size.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/metadata"
 
 	"filbertdeck/internal/api/filbertv1"
+	"filbertdeck/internal/failure"
 )
 
 // ReserveFunc reserves memory of this host, in bytes, until release is called. It returns false
@@ -87,3 +88,32 @@
 	}
 	return requestSize{bodyBytes: number(bodyBytesKey), headerBytes: number(headerBytesKey), headerLines: number(headerLinesKey)}
 }
+
+// reservation is the memory that is reserved for one request.
+type reservation struct {
+	reserve  ReserveFunc
+	bytes    int64
+	releases []func()
+}
+
+// extend reserves what a request of a size takes beyond what is reserved for it already: a host
+// of an earlier version announces no size. The error is of kind KindOverloaded.
+func (r *reservation) extend(size requestSize) error {
+	more := size.memory() - r.bytes
+	if more <= 0 {
+		return nil
+	}
+	release, ok := r.reserve(more)
+	if !ok {
+		return failure.New(failure.KindOverloaded, "there is no memory for a request of %d bytes of another host", size.bodyBytes+size.headerBytes)
+	}
+	r.bytes += more
+	r.releases = append(r.releases, release)
+	return nil
+}
+
+func (r *reservation) release() {
+	for _, release := range r.releases {
+		release()
+	}
+}
