--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -4,4 +4,5 @@
 var cases = map[string]func(*rig) (broken bool, err error){
 	"evacuated-crash": evacuatedCrash,
 	"leaving-server":  leavingServer,
+	"changed-path":    changedPath,
 }
