Review case 9: heads of short lines without end exceed the memory

Cause: the heads of answers are limited by their bytes, not by their lines, and no budget counts them.

Change: a script case with its stand-in; nothing of the program.

--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -5,4 +5,5 @@
 	"evacuated-crash": evacuatedCrash,
 	"leaving-server":  leavingServer,
 	"changed-path":    changedPath,
+	"endless-heads":   endlessHeads,
 }
