Review case 10: OPTIONS * gets a success without a seal

Cause: the HTTP server answers this request itself.

Change: a script case with its stand-in; nothing of the program.

--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -6,4 +6,5 @@
 	"leaving-server":  leavingServer,
 	"changed-path":    changedPath,
 	"endless-heads":   endlessHeads,
+	"no-seal":         unsealedSuccess,
 }
