--- a/review/rig/path.go
+++ b/review/rig/path.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,8 +31,9 @@
 	}
 }
 
-// changedPath adds a route for the rest of a host, and has clients book on paths of it. The rule is
-// broken if the server runs a booking with another path than its client sent.
+// changedPath adds a public route for the rest of a host, and has clients send requests to it, some
+// without a key. The rule is broken if the server runs a request with another path than its client
+// sent.
 func changedPath(r *rig) (bool, error) {
 	var mu sync.Mutex
 	ran := map[string]string{}
@@ -43,7 +45,7 @@
 		mu.Lock()
 		ran[id] = req.URL.Path
 		mu.Unlock()
-		r.log("server runs %s: %s, path %s", id, req.RequestURI, req.URL.Path)
+		r.log("server runs %s: %s %s, path %s, tenant %q", id, req.Method, req.RequestURI, req.URL.Path, req.Header.Get(standin.HeaderTenant))
 		w.Header().Set(standin.HeaderRequestID, id)
 		w.Header().Set(standin.HeaderSeal, "seal-"+id)
 		_, _ = io.WriteString(w, "booked "+req.URL.Path)
@@ -61,17 +63,29 @@
 		return false, err
 	}
 	if r.trouble {
-		r.log("version 2 adds a route with the prefix /")
-		r.store.Put("op/config", pathConfig(2, "app", pathRoute("r-1", "/b/", "app"), pathRoute("r-2", "/", "app")))
+		r.log("version 2 adds a public route with the prefix /")
+		rest := pathRoute("r-2", "/", "app")
+		rest["public"] = true
+		r.store.Put("op/config", pathConfig(2, "app", pathRoute("r-1", "/b/", "app"), rest))
 		time.Sleep(3 * time.Second)
 	}
 	sent := map[string]string{}
-	for i, path := range []string{"/b/crew/7", "/c/crew/7", "/c//crew/7", "//crew/7", "//crew/b/cancel/7", "//c/crew/7"} {
+	for i, q := range []struct {
+		path string
+		key  bool
+	}{
+		{"/b/cancel/7", true}, {"/b/cancel/7", false}, {"/c/crew/7", false}, {"/c//crew/7", false},
+		{"//crew/7", false}, {"//crew/b/cancel/7", false}, {"//crew/b/cancel/7?all=1", true},
+	} {
 		id := fmt.Sprintf("r-%d", i+1)
-		sent[id] = path
-		r.log("client sends %s: POST %s", id, path)
-		got := send(g.front, head("POST", path, id, "Content-Length: 0"), 10*time.Second)
-		r.log("client got %s: %s %q", id, got, got.body)
+		sent[id], _, _ = strings.Cut(q.path, "?")
+		request := head("POST", q.path, id, "Content-Length: 0")
+		if !q.key {
+			request = strings.Replace(request, "Authorization: Bearer "+apiKey+"\r\n", "", 1)
+		}
+		r.log("client sends %s: POST %s, with a key %t", id, q.path, q.key)
+		got := send(g.front, request, 10*time.Second)
+		r.log("client got %s: %s", id, got)
 	}
 	mu.Lock()
 	defer mu.Unlock()
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -44,7 +43,6 @@
 	out      *os.File
 	started  time.Time
 	gateways []*gatewayProcess
-	children []*exec.Cmd
 }
 
 // newRig serves an empty store and opens the record in the folder of the case.
@@ -166,15 +164,7 @@
 		_ = g.cmd.Process.Kill()
 		<-g.exited
 	}
-	for _, c := range r.children {
-		_ = c.Process.Kill()
-		_ = c.Wait()
-	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(r.dir)
-	} else {
-		fmt.Println("kept", r.dir)
-	}
+	_ = os.RemoveAll(r.dir)
 	_ = r.out.Close()
 }
 
@@ -224,14 +214,6 @@
 }
 
 func main() {
-	if len(os.Args) == 4 && os.Args[1] == "server" {
-		ms, err := strconv.Atoi(os.Args[3])
-		if err == nil {
-			err = runServer(os.Args[2], time.Duration(ms)*time.Millisecond)
-		}
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(couldNotRun)
-	}
 	if len(os.Args) < 3 {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
 		os.Exit(couldNotRun)
