--- a/review/rig/route.go
+++ b/review/rig/route.go
@@ -4,15 +4,16 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
 	"filbertdeck/platform/standin"
 )
 
-// wrongRoute splits a route, and has clients book on paths of both parts, some with a slash inside
-// of a segment. The rule is broken if a booking is run by the service of a route whose prefix
-// doesn't begin its path, as it was sent.
+// wrongRoute splits a public part off a route, and has clients book on paths of both, some with a
+// slash inside of a segment, one without a key. The rule is broken if a booking is run by the service
+// of a route whose prefix doesn't begin its path, as it was sent.
 func wrongRoute(r *rig) (bool, error) {
 	var mu sync.Mutex
 	ranBy := map[string]string{}
@@ -53,21 +54,35 @@
 	}
 	split := "app"
 	if r.trouble {
-		r.log("version 2 adds a route with the prefix /b/crew/ to the service crew")
-		r.store.Put("op/config", config(2, pathRoute("r-2", "/b/crew/", "crew")))
+		r.log("version 2 adds a public route with the prefix /b/crew/ to the service crew")
+		crew := pathRoute("r-2", "/b/crew/", "crew")
+		crew["public"] = true
+		r.store.Put("op/config", config(2, crew))
 		time.Sleep(3 * time.Second)
 		split = "crew"
 	}
-	requests := [][2]string{{"/b/order/7", "app"}, {"/b/crew/7", split}, {"/b/crew", "app"}, {"/b/crew%2F7", "app"}, {"/b/crew%2f7/confirm", "app"}, {"/b/order%2F7", "app"}}
+	// allowed is the service to which the longest prefix that begins the path leads; none without the
+	// key that its route needs.
+	requests := []struct {
+		path, allowed string
+		key           bool
+	}{
+		{"/b/order/7", "app", true}, {"/b/order/7", "none", false}, {"/b/crew/7", split, true}, {"/b/crew", "app", true},
+		{"/b/order%2F7", "app", true}, {"/b/crew%2F7", "app", true}, {"/b/crew%2f7/confirm", "app", true}, {"/b/crew%2F7", "none", false},
+	}
 	broken := false
 	for i, q := range requests {
 		id := fmt.Sprintf("r-%d", i+1)
-		r.log("client sends %s: POST %s", id, q[0])
-		got := send(g.front, head("POST", q[0], id, "Content-Length: 0"), 10*time.Second)
+		request := head("POST", q.path, id, "Content-Length: 0")
+		if !q.key {
+			request = strings.Replace(request, "Authorization: Bearer "+apiKey+"\r\n", "", 1)
+		}
+		r.log("client sends %s: POST %s, with a key %t", id, q.path, q.key)
+		got := send(g.front, request, 10*time.Second)
 		r.log("client got %s: %s %q", id, got, got.body)
 		mu.Lock()
-		if by := ranBy[id]; by != "" && by != q[1] {
-			r.log("%s with the path %s was run by %s; the longest prefix that begins it leads to %s", id, q[0], by, q[1])
+		if by := ranBy[id]; by != "" && by != q.allowed {
+			r.log("%s with the path %s, with a key %t, was run by %s; allowed: %s", id, q.path, q.key, by, q.allowed)
 			broken = true
 		}
 		mu.Unlock()
