Check the status of an answer where it enters the process

What callers saw: an answer with status 000 closed their connection without any answer, one with 600, 999 or 101 was passed on with that status, plain requests and streams alike.

Cause: net/http takes any three characters that parse as a number for a status, and 101 for a final one, and the gateway took what net/http returns as checked. Writing is stricter: WriteHeader panics for a status below 100 ("request handler panicked" in the log).

Change: internal/httpcheck checks the bytes of each head as they are read from the connection, before net/http has parsed them; the transports of internal/targetclient send with it. An invalid answer is a failure of kind target-failed with unknown execution (502): the target answered, so it is no evidence of a crash, and a request that may have run is not sent again. The read ends before the end of the invalid line, so that net/http takes no head as complete and closes the connection itself; one that was put back into the pool before anyone could check it would not be safe. The gateway logs "target's answer is invalid" with request, target and status, and counts it.

Ruled out: a check of the parsed response alone. An answer without a body is back in the pool when http.Transport returns it, and what net/http deletes from a head can't be checked afterwards.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/httpcheck"
 )
 
 // Size and decay of the histograms' samples. 512 values, weighted towards the
@@ -86,6 +87,8 @@
 	cutOff gometrics.Counter
 	// panics counts the requests whose handler panicked.
 	panics gometrics.Counter
+	// invalidAnswers counts the invalid answers of targets, by the part that is invalid.
+	invalidAnswers map[httpcheck.Part]gometrics.Counter
 	// rooms count grants of engines' room, and searches without an engine in time.
 	rooms roomCounters
 }
@@ -113,7 +116,8 @@
 		promptsHeld: counter("prompts_held"), promptHold: newHistogram("prompt_hold_us", r),
 		waitingTurns: counter("waiting_turns"), waitingHeld: counter("waiting_held"), waitingUnanswered: counter("waiting_unanswered"), waitingHopeless: counter("waiting_hopeless"),
 		failuresReported: counter("failures_reported"), sendsRefused: counter("sends_refused"), emptyStreams: counter("streams_empty"), cutOff: counter("requests_cut_off"), panics: counter("panics"),
-		rooms: newRoomCounters(counter),
+		invalidAnswers: newInvalidAnswerCounters(counter),
+		rooms:          newRoomCounters(counter),
 	}
 	for _, kind := range []directory.RequestKind{directory.AtMostOnce, directory.Repeatable, directory.Generation} {
 		m.byKind[kind] = &kindMetrics{
--- a/internal/gateway/peer_requests.go
+++ b/internal/gateway/peer_requests.go
@@ -78,6 +78,7 @@
 		}
 	}
 	if err != nil {
+		g.recordInvalidAnswer(s.Target, err, requestAttr(s.ID))
 		g.recordPeerFailure(req.Context(), target, s, err)
 		run.fail(err)
 		return nil, err
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -253,6 +253,7 @@
 	}
 	resp, err := g.deliver(req, s, selection)
 	if err != nil {
+		g.recordInvalidAnswer(s.Target, err, requestAttr(s.ID))
 		return nil, call.ResponseHeader{}, err
 	}
 	answer := g.cfg.Dialect.ParseResponseHeader(resp)
--- /dev/null
+++ b/internal/httpcheck/rules.go
@@ -0,0 +1,73 @@
+package httpcheck
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"filbertdeck/internal/failure"
+)
+
+// Part is a part of a response.
+type Part string
+
+// The parts of a response that are checked.
+const (
+	// PartStatus is the status code.
+	PartStatus Part = "status"
+)
+
+// Parts returns all parts that are checked.
+func Parts() []Part {
+	return []Part{PartStatus}
+}
+
+// maxQuotedBytes bounds the text of a response that an Error quotes.
+const maxQuotedBytes = 64
+
+// Error says which part of a response is invalid.
+type Error struct {
+	Part Part
+	// Text is the invalid part.
+	Text string
+}
+
+func newError(part Part, text string) *Error {
+	return &Error{Part: part, Text: strings.Clone(text[:min(len(text), maxQuotedBytes)])}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("invalid response: %s %q", strings.ReplaceAll(string(e.Part), "_", " "), e.Text)
+}
+
+// Failure returns the failure of a request whose response is invalid. The target answered, so
+// the request may have run.
+func (e *Error) Failure() *failure.Error {
+	return failure.Wrap(e, failure.KindTargetFailed, "the target's answer is invalid").WithExecutionUnknown()
+}
+
+// The status codes of RFC 9110, section 15, and the first one that is final.
+const (
+	minStatus, minFinalStatus, maxStatus = 100, 200, 599
+	statusDigits                         = 3
+)
+
+// parseStatus returns a status code.
+func parseStatus(text string) (int, *Error) {
+	status, err := strconv.ParseUint(text, 10, 16)
+	if err != nil || len(text) != statusDigits {
+		return 0, newError(PartStatus, text)
+	}
+	return int(status), checkStatus(int(status))
+}
+
+// checkStatus checks a status code. No request asks for another protocol, so that none may be
+// switched to (RFC 9110, section 15.2.2).
+func checkStatus(status int) *Error {
+	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return newError(PartStatus, fmt.Sprintf("%03d", status))
+	}
+	return nil
+}
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -8,6 +8,8 @@
 // sent again, so neither client of this package retries: the at-most-once
 // client sends each request on a connection of its own, and Client removes from
 // a request whatever makes Go retry it.
+//
+// Both check their responses with package httpcheck.
 package targetclient
 
 import (
@@ -16,6 +18,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"filbertdeck/internal/httpcheck"
 )
 
 // Settings holds the timeouts and limits of calls to a target. The zero value
@@ -178,7 +182,7 @@
 // Client calls targets whose requests the entry may decide to send again. It
 // reuses connections. It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
+	transport *httpcheck.Transport
 }
 
 // New returns a client for lookups and generations.
@@ -187,7 +191,7 @@
 	t := s.transport()
 	t.DialContext = s.dialWithReadTimeout
 	t.DialTLSContext = s.dialWithReadTimeout
-	return &Client{transport: t}
+	return &Client{transport: httpcheck.NewTransport(t)}
 }
 
 func (s Settings) dialWithReadTimeout(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/targetclient/once.go
+++ b/internal/targetclient/once.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/httpcheck"
 )
 
 // ExecutedHeader is the response header in which a target states that it did
@@ -37,8 +38,9 @@
 // the write.
 //
 // Errors state whether the call ran: ExecutedNo before the first byte was
-// written, ExecutedUnknown afterwards. A target can state in its response that
-// it did not run the call, see ReportsNotExecuted.
+// written, ExecutedUnknown afterwards. One after an invalid response wraps an
+// *httpcheck.Error. A target can state in its response that it did not run the
+// call, see ReportsNotExecuted.
 func (o *AtMostOnceClient) Do(req *http.Request, beforeWrite func() error) (*http.Response, error) {
 	return o.DoConfirmed(req, nil, beforeWrite)
 }
@@ -71,7 +73,7 @@
 		return &gatedConn{Conn: conn, gate: gate}, nil
 	}
 	t.DialContext, t.DialTLSContext = connect, connect
-	resp, err := t.RoundTrip(withoutAutoRetry(req))
+	resp, err := httpcheck.NewTransport(t).RoundTrip(withoutAutoRetry(req))
 	if err != nil {
 		sent, checkErr := gate.close()
 		if checkErr != nil {
@@ -243,6 +245,10 @@
 // classifyError converts an error of the transport. sent is set when the first
 // byte may have been sent; otherwise the call certainly did not run.
 func classifyError(err error, sent bool) *failure.Error {
+	var invalid *httpcheck.Error
+	if sent && errors.As(err, &invalid) {
+		return invalid.Failure()
+	}
 	kind, text := failure.KindTargetLost, "the connection to the target broke"
 	switch {
 	case isTimeout(err):
--- a/internal/targetclient/targetclient_test.go
+++ b/internal/targetclient/targetclient_test.go
@@ -22,6 +22,7 @@
 
 	filbertv1 "filbertdeck/internal/api/filbertv1"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/httpcheck"
 	"filbertdeck/internal/targetclient"
 )
 
@@ -289,3 +290,30 @@
 		}, "100ms", "10ms").Should(BeZero())
 	})
 })
+
+var _ = Describe("an invalid response", func() {
+	// Guards against a response that is passed on, or learned from, by a caller of either client
+	// though it is invalid, and against one after which its call counts as not run.
+	DescribeTable("is a failure after which the call may have run", func(response string, part httpcheck.Part) {
+		for name, send := range map[string]func(*http.Request) (*http.Response, error){
+			"once": func(req *http.Request) (*http.Response, error) {
+				return targetclient.NewAtMostOnceClient(targetclient.Settings{}).Do(req, nil)
+			},
+			"ordinary": targetclient.New(targetclient.Settings{}).Do,
+		} {
+			for _, method := range []string{"POST", "GET"} {
+				target := newRecordingTarget(0, func(conn net.Conn) { _, _ = io.WriteString(conn, response) })
+				resp, err := send(target.request(method, "booking", ""))
+				Expect(resp).To(BeNil(), name)
+				Expect(failure.KindOf(err)).To(Equal(failure.KindTargetFailed), name)
+				Expect(failure.FromError(err).Executed).To(Equal(failure.ExecutedUnknown), name)
+				var invalid *httpcheck.Error
+				Expect(errors.As(err, &invalid)).To(BeTrue(), name)
+				Expect(invalid.Part).To(Equal(part), name)
+				Expect(target.executions("booking")).To(Equal(1), name)
+			}
+		}
+	},
+		Entry("status 000", "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok", httpcheck.PartStatus),
+	)
+})
--- /dev/null
+++ b/test/gateway/invalid_answers_test.go
@@ -0,0 +1,232 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"filbertdeck/platform/standin"
+)
+
+// payload is the body of each answer of a rawTarget: a stream of one event.
+const payload = "id: 1\ndata: payload\n\n"
+
+// sized is the field with its length.
+var sized = fmt.Sprintf("Content-Length: %d", len(payload))
+
+// answerHead returns the head of an answer with the request's id and a seal. The last of fields
+// may hold further lines.
+func answerHead(statusLine string, fields ...string) string {
+	lines := append([]string{statusLine, standin.HeaderRequestID + ": @id@", standin.HeaderSeal + ": s-1"}, fields...)
+	return strings.Join(lines, "\r\n") + "\r\n\r\n"
+}
+
+// chunks is the payload as one chunk, with an extension, and a trailer section.
+func chunks(extension, trailer string) string {
+	return fmt.Sprintf("%x%s\r\n%s\r\n0\r\n%s\r\n", len(payload), extension, payload, trailer)
+}
+
+// rawTarget is a target that writes the bytes of its answers itself and closes the connection
+// after each. It answers requests for its report as a sound engine.
+type rawTarget struct {
+	address string
+	answer  func(r *http.Request) string
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func startRawTarget(answer func(r *http.Request) string) *rawTarget {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	t := &rawTarget{address: l.Addr().String(), answer: answer, runs: map[string]int{}}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go t.serve(conn)
+		}
+	}()
+	return t
+}
+
+func (t *rawTarget) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if r.URL.Path == standin.PathReport {
+			report := fmt.Sprintf(`{"born":%d}`, int64(startedTarget))
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+			continue
+		}
+		id := r.Header.Get(standin.HeaderRequestID)
+		t.mu.Lock()
+		t.runs[id]++
+		t.mu.Unlock()
+		_, _ = io.WriteString(conn, strings.ReplaceAll(t.answer(r), "@id@", id))
+		return
+	}
+}
+
+// ran returns how often a request ran.
+func (t *rawTarget) ran(id string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.runs[id]
+}
+
+// bytesOf sends a request and returns every byte of the answer.
+func (h *host) bytesOf(path, id string, fields ...string) string {
+	conn, err := net.Dial("tcp", h.clientAddress)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	lines := append([]string{
+		"POST " + path + " HTTP/1.1", "Host: a.example", "Connection: close", "Content-Length: 1", "Authorization: Bearer key-1",
+		standin.HeaderRequestID + ": " + id, standin.HeaderDeadline + ": 8000", standin.HeaderTokenUsage + ": 10,10",
+	}, fields...)
+	_, err = io.WriteString(conn, strings.Join(lines, "\r\n")+"\r\n\r\nx")
+	Expect(err).NotTo(HaveOccurred())
+	text, err := io.ReadAll(conn)
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
+// parsed returns an answer's status, header and body.
+func parsed(answer string) (*http.Response, string) {
+	resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(answer)), nil)
+	Expect(err).NotTo(HaveOccurred(), answer)
+	body, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred(), answer)
+	return resp, string(body)
+}
+
+// invalidAnswer is an answer that RFC 9110 or RFC 9112 does not allow, and the part of it that is
+// invalid.
+type invalidAnswer struct{ name, part, text string }
+
+func invalidAnswers() []invalidAnswer {
+	withStatus := func(line string) string { return answerHead(line, "Marker: m", sized) + payload }
+	return []invalidAnswer{
+		{"status 000", "status", withStatus("HTTP/1.1 000 Trouble")},
+		{"status 099", "status", withStatus("HTTP/1.1 099 Trouble")},
+		{"status 600", "status", withStatus("HTTP/1.1 600 Trouble")},
+		{"status 999", "status", withStatus("HTTP/1.1 999 Trouble")},
+		{"a status with a sign", "status", withStatus("HTTP/1.1 +20 OK")},
+		{"a switch of protocols", "status", withStatus("HTTP/1.1 101 Switching Protocols")},
+		{"a switch of protocols that names one", "status", answerHead("HTTP/1.1 101 Switching Protocols", "Connection: Upgrade", "Upgrade: marker") + payload},
+	}
+}
+
+// soundAnswer is an answer that a client must get: its status, its body and the value of its
+// field X-Marker.
+type soundAnswer struct {
+	name, text   string
+	status       int
+	body, marker string
+}
+
+func soundAnswers() []soundAnswer {
+	const ok = "HTTP/1.1 200 OK"
+	const headLike = "HTTP/1.1 000 Trouble\r\nX Marker: m\r\nTransfer-Encoding : chunked\r\n\r\n" + payload
+	withStatus := func(line string, status int) soundAnswer {
+		return soundAnswer{line, answerHead(line, sized, "X-Marker: m") + payload, status, payload, "m"}
+	}
+	withField := func(name, field, value string) soundAnswer {
+		return soundAnswer{name, answerHead(ok, sized, field) + payload, 200, payload, value}
+	}
+	return []soundAnswer{
+		withStatus("HTTP/1.1 200 ", 200), withStatus("HTTP/1.1 200", 200), withStatus("HTTP/1.1  200  OK", 200), withStatus("HTTP/1.1 299 Odd", 299),
+		withStatus("HTTP/1.1 499 Odd", 499), withStatus("HTTP/1.1 599 Odd", 599), withStatus("HTTP/1.1 200 \xe9t\xe9", 200), withStatus("HTTP/1.0 200 OK", 200), withStatus("HTTP/1.2 200 OK", 200),
+		withField("every byte of a token", "!#$%&'*+-.^_`|~09azAZ: v\r\nX-Marker: m", "m"),
+		withField("bytes beyond ASCII in a value", "X-Marker: \xe9\xff", "\xe9\xff"),
+		withField("a tab in a value", "X-Marker: m\tm", "m\tm"),
+		withField("blanks around a value", "X-Marker: \t m \t", "m"),
+		withField("an empty value", "X-Marker:", ""),
+		withField("a folded value", "X-Marker: m\r\n  m", "m m"),
+		withField("a value that is folded at once", "X-Marker:\r\n\tm", "m"),
+		withField("the length twice", sized+"\r\nX-Marker: m", "m"),
+		{"a folded name of the chunks", answerHead(ok, "X-Marker: m", "Transfer-Encoding:\r\n chunked") + chunks("", ""), 200, payload, "m"},
+		{"lines that end with LF", strings.ReplaceAll(answerHead(ok, "X-Marker: m", sized), "\r\n", "\n") + payload, 200, payload, "m"},
+		{"no length", answerHead(ok, "X-Marker: m") + payload, 200, payload, "m"},
+		{"no length in the older version", answerHead("HTTP/1.0 200 OK", "X-Marker: m") + payload, 200, payload, "m"},
+		{"chunks with an extension", answerHead(ok, "X-Marker: m", "Transfer-Encoding: chunked") + chunks(";name=value", ""), 200, payload, "m"},
+		{"a trailer", answerHead(ok, "X-Marker: m", "Transfer-Encoding: Chunked") + chunks("", "X-Checksum: \xe9\r\n"), 200, payload, "m"},
+		{"a length beside chunks", answerHead(ok, "X-Marker: m", "Transfer-Encoding: chunked", "Content-Length: 3") + chunks("", ""), 200, payload, "m"},
+		{"interim answers", "HTTP/1.1 100 Continue\r\n\r\n" + strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 8) + answerHead(ok, sized, "X-Marker: m") + payload, 200, payload, "m"},
+		{"a body that looks like a head", answerHead(ok, fmt.Sprintf("Content-Length: %d", len(headLike)), "X-Marker: m") + headLike, 200, headLike, "m"},
+	}
+}
+
+var _ = Describe("a gateway process before a target with invalid answers", Ordered, ContinueOnFailure, func() {
+	var h *host
+	var target *rawTarget
+	answers := map[string]string{}
+	BeforeAll(func() {
+		store := standin.New()
+		DeferCleanup(store.Close)
+		target = startRawTarget(func(r *http.Request) string { return answers[r.Header.Get(standin.HeaderRequestID)] })
+		store.PutMixedConfig(1, "app", "llm", 1, "key-1")
+		store.PutServer("t-plain", "app", target.address, "ready")
+		store.PutServer("t-engine", "llm", target.address, "ready")
+		h = startHost(serveStore(store))
+		Eventually(h.isReady, stepTimeout).Should(BeTrue())
+	})
+	idOf := func(kind, name string) string { return kind + "-" + strings.ReplaceAll(name, " ", "-") }
+	for _, kind := range []string{"plain", "stream"} {
+		path := map[string]string{"plain": "/b/x", "stream": "/s/x"}[kind]
+		for n, a := range invalidAnswers() {
+			// Guards against an answer that is passed on though it is invalid, or that leaves its
+			// client without one.
+			It(fmt.Sprintf("refuses %s (%s)", a.name, kind), func() {
+				id := idOf(kind, fmt.Sprint("invalid ", n))
+				answers[id] = a.text
+				got := h.bytesOf(path, id)
+				Expect(got).To(HavePrefix("HTTP/1.1 502 "))
+				Expect(got).To(ContainSubstring(`"executed":"unknown"`))
+				Expect(strings.ToLower(got)).NotTo(Or(ContainSubstring("payload"), ContainSubstring("marker")))
+				Expect(target.ran(id)).To(Equal(1))
+			})
+			// Guards against broken answers that an operator can't find.
+			It(fmt.Sprintf("names %s in a log line and in a counter (%s)", a.name, kind), func() {
+				id := idOf(kind, fmt.Sprint("named ", n))
+				answers[id] = a.text
+				counter := "gateway.answers_invalid." + a.part
+				before := h.sumCounters(counter)
+				h.bytesOf(path, id)
+				Expect(h.sumCounters(counter) - before).To(Equal(1))
+				Eventually(h.logText, stepTimeout).Should(MatchRegexp(`"msg":"target's answer is invalid".*"request":"%s".*"target":"t-.*".*"part":"%s"`, id, a.part))
+			})
+		}
+		for n, a := range soundAnswers() {
+			// Guards against a check that refuses what the RFCs allow.
+			It(fmt.Sprintf("passes on %q (%s)", a.name, kind), func() {
+				id := idOf(kind, fmt.Sprint("sound ", n))
+				answers[id] = a.text
+				resp, body := parsed(h.bytesOf(path, id))
+				Expect(resp.StatusCode).To(Equal(a.status))
+				Expect(body).To(Equal(a.body))
+				Expect(resp.Header.Get("X-Marker")).To(Equal(a.marker))
+				Expect(target.ran(id)).To(Equal(1))
+			})
+		}
+	}
+})
