Check names, values and lines of an answer's head where it enters

What callers saw: an answer with a blank in the name of a field came as a success without that line. With a blank before the colon of Content-Length its length was taken from the end of the connection; before that of Transfer-Encoding the framing of the chunks was the body. A stream went on with such an answer of another engine. A 503 that says "not run" in such a head was believed, though nothing of it can be trusted.

Cause: net/http keeps a name with blanks as it is, under a key that no reader of Header.Get meets, and drops the line when it writes the answer.

Change: httpcheck checks each field line with golang.org/x/net/http/httpguts as it is read, also those of interim answers and the further lines of a folded value. That covers the control bytes, names beyond ASCII and lines without a colon which net/http refused already: these are target-failed instead of target-lost now, both 502 and "unknown", are logged and counted like the others, and are no evidence of a crash any more. A blank before a colon, which a proxy may remove (RFC 9112, section 5.1), is refused too, since what decides the length of the body may stand there. The log has the name, quoted and bounded, and never a value.

--- a/internal/httpcheck/head.go
+++ b/internal/httpcheck/head.go
@@ -13,6 +13,8 @@
 	// hasStatus is set once the status line of a head is read.
 	hasStatus bool
 	interim   bool
+	// field is the name of the last field, whose value may go on in the next line.
+	field string
 	// done is set once the final head was checked.
 	done bool
 }
@@ -47,8 +49,15 @@
 	case line == "":
 		h.end()
 		return nil
+	case line[0] == ' ' || line[0] == '\t':
+		return h.continueField(line)
 	}
-	return nil
+	name, value, found := strings.Cut(line, ":")
+	if !found {
+		return newError(PartFieldLine, "")
+	}
+	h.field = name
+	return checkField(name, trimBlanks(value))
 }
 
 // checkStatusLine checks the line's status, before which there may be several blanks (RFC 9112,
@@ -69,7 +78,18 @@
 	return nil
 }
 
+// continueField adds a line to the value of the last field (RFC 9112, section 5.2).
+func (h *headChecker) continueField(line string) *Error {
+	if h.field == "" {
+		return newError(PartFieldLine, "")
+	}
+	return checkField(h.field, trimBlanks(line))
+}
+
 // end ends a head. Another one follows that of an interim response.
 func (h *headChecker) end() {
 	*h = headChecker{line: h.line, done: !h.interim}
 }
+
+// trimBlanks removes the optional white space around a value (RFC 9110, section 5.6.3).
+func trimBlanks(text string) string { return strings.Trim(text, " \t") }
--- a/internal/httpcheck/httpcheck_test.go
+++ b/internal/httpcheck/httpcheck_test.go
@@ -57,13 +57,25 @@
 const sized = "Content-Length: 2\r\n\r\nok"
 
 var invalidResponses = map[string]httpcheck.Part{
-	"HTTP/1.1 000 Trouble\r\n" + sized:                              httpcheck.PartStatus,
-	"HTTP/1.1 600 Trouble\r\n" + sized:                              httpcheck.PartStatus,
-	"HTTP/1.1 +20 OK\r\n" + sized:                                   httpcheck.PartStatus,
-	"HTTP/1.1 2000 OK\r\n" + sized:                                  httpcheck.PartStatus,
-	"HTTP/1.1\r\n" + sized:                                          httpcheck.PartStatus,
-	"HTTP/1.1 101 Switching Protocols\r\n\r\n":                      httpcheck.PartStatus,
-	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble\r\n" + sized: httpcheck.PartStatus,
+	"HTTP/1.1 000 Trouble\r\n" + sized:                                httpcheck.PartStatus,
+	"HTTP/1.1 600 Trouble\r\n" + sized:                                httpcheck.PartStatus,
+	"HTTP/1.1 +20 OK\r\n" + sized:                                     httpcheck.PartStatus,
+	"HTTP/1.1 2000 OK\r\n" + sized:                                    httpcheck.PartStatus,
+	"HTTP/1.1\r\n" + sized:                                            httpcheck.PartStatus,
+	"HTTP/1.1 101 Switching Protocols\r\n\r\n":                        httpcheck.PartStatus,
+	"HTTP/1.1 200 OK\r\nA B: c\r\n" + sized:                           httpcheck.PartFieldName,
+	"HTTP/1.1 200 OK\r\nA : c\r\n" + sized:                            httpcheck.PartFieldName,
+	"HTTP/1.1 200 OK\nA : c\n\n":                                      httpcheck.PartFieldName,
+	"HTTP/1.1 200 OK\r\nA\x7f: c\r\n" + sized:                         httpcheck.PartFieldName,
+	"HTTP/1.1 200 OK\r\n: c\r\n" + sized:                              httpcheck.PartFieldName,
+	"HTTP/1.1 200 OK\r\nA: \x00\r\n" + sized:                          httpcheck.PartFieldValue,
+	"HTTP/1.1 200 OK\r\nA: b\r\r\n" + sized:                           httpcheck.PartFieldValue,
+	"HTTP/1.1 200 OK\r\nA: b\r\n \x01\r\n" + sized:                    httpcheck.PartFieldValue,
+	"HTTP/1.1 200 OK\r\nA\r\n" + sized:                                httpcheck.PartFieldLine,
+	"HTTP/1.1 200 OK\r\n A: b\r\n" + sized:                            httpcheck.PartFieldLine,
+	"HTTP/1.1 200 OK\r\n\r\r\n" + sized:                               httpcheck.PartFieldLine,
+	"HTTP/1.1 103 Hints\r\nA B: c\r\n\r\nHTTP/1.1 200 OK\r\n" + sized: httpcheck.PartFieldName,
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble\r\n" + sized:   httpcheck.PartStatus,
 }
 
 var soundResponses = []string{
@@ -116,6 +128,18 @@
 		Expect(partOf(err)).To(BeEmpty())
 	})
 
+	// Guards against values, which may be secret, and names without bound in logs.
+	It("is named without its values, and in part", func() {
+		_, _, err := read(strings.NewReader("HTTP/1.1 200 OK\r\nA: secret\x01\r\n\r\n"))
+		Expect(err).To(MatchError(`invalid response: field value "A"`))
+		_, _, err = read(strings.NewReader("HTTP/1.1 200 OK\r\nsecret\r\n\r\n"))
+		Expect(err).To(MatchError(`invalid response: field line ""`))
+		_, _, err = read(strings.NewReader("HTTP/1.1 200 OK\r\n " + strings.Repeat("x", 1000) + "\r\n\r\n"))
+		Expect(len(err.Error())).To(BeNumerically("<", 200))
+		_, _, err = read(strings.NewReader("HTTP/1.1 200 OK\r\nA " + strings.Repeat("x", 1000) + ": b\r\n\r\n"))
+		Expect(len(err.Error())).To(BeNumerically("<", 200))
+	})
+
 	// Guards against a target that answered and counts as one that did not run the request.
 	It("leaves open whether its request ran if it is invalid", func() {
 		_, _, err := read(strings.NewReader("HTTP/1.1 000 Trouble\r\n\r\n"))
@@ -188,6 +212,7 @@
 		Expect(connections.Load()).To(BeEquivalentTo(2))
 	},
 		Entry("with a status", "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n"),
+		Entry("with a name", "HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 0\r\n\r\n"),
 	)
 
 	// Guards against a check of the first response of a connection alone, and against one of
@@ -209,7 +234,7 @@
 				return
 			}
 			in := bufio.NewReader(conn)
-			for _, answer := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n"} {
+			for _, answer := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 0\r\n\r\n"} {
 				r, err := http.ReadRequest(in)
 				if err != nil {
 					return
@@ -219,6 +244,6 @@
 			}
 		}()
 		Expect(send(t, "http://"+l.Addr().String())).To(Succeed())
-		Expect(partOf(send(t, "http://"+l.Addr().String()))).To(Equal(httpcheck.PartStatus))
+		Expect(partOf(send(t, "http://"+l.Addr().String()))).To(Equal(httpcheck.PartFieldName))
 	})
 })
--- a/internal/httpcheck/rules.go
+++ b/internal/httpcheck/rules.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 
+	"golang.org/x/net/http/httpguts"
+
 	"filbertdeck/internal/failure"
 )
 
@@ -16,11 +18,17 @@
 const (
 	// PartStatus is the status code.
 	PartStatus Part = "status"
+	// PartFieldLine is a line of the header that is no field.
+	PartFieldLine Part = "field_line"
+	// PartFieldName is the name of a field.
+	PartFieldName Part = "field_name"
+	// PartFieldValue is the value of a field.
+	PartFieldValue Part = "field_value"
 )
 
 // Parts returns all parts that are checked.
 func Parts() []Part {
-	return []Part{PartStatus}
+	return []Part{PartStatus, PartFieldLine, PartFieldName, PartFieldValue}
 }
 
 // maxQuotedBytes bounds the text of a response that an Error quotes.
@@ -29,7 +37,8 @@
 // Error says which part of a response is invalid.
 type Error struct {
 	Part Part
-	// Text is the invalid part.
+	// Text is the invalid part: a status, or the name of a field. It never holds the
+	// value of a field, and is empty for a line that is no field.
 	Text string
 }
 
@@ -71,3 +80,13 @@
 	}
 	return nil
 }
+
+func checkField(name, value string) *Error {
+	switch {
+	case !httpguts.ValidHeaderFieldName(name):
+		return newError(PartFieldName, name)
+	case !httpguts.ValidHeaderFieldValue(value):
+		return newError(PartFieldValue, name)
+	}
+	return nil
+}
--- a/internal/httpcheck/transport_internal_test.go
+++ b/internal/httpcheck/transport_internal_test.go
@@ -12,7 +12,7 @@
 	here, there := net.Pipe()
 	conn := NewConn(here)
 	defer func() { _ = conn.Close() }()
-	pieces := []string{"HTTP/1.1 ", "000 Trouble\r\n"}
+	pieces := []string{"HTTP/1.1 200 OK\r\n", "A B: c\r\n\r\n"}
 	go func() {
 		for _, piece := range pieces {
 			_, _ = io.WriteString(there, piece)
--- a/test/gateway/invalid_answers_test.go
+++ b/test/gateway/invalid_answers_test.go
@@ -2,17 +2,26 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	gometrics "github.com/rcrowley/go-metrics"
 
+	"filbertdeck/internal/call"
+	"filbertdeck/internal/directory"
+	"filbertdeck/internal/failure"
+	"filbertdeck/internal/relay"
+	"filbertdeck/platform"
 	"filbertdeck/platform/standin"
 )
 
@@ -124,7 +133,9 @@
 type invalidAnswer struct{ name, part, text string }
 
 func invalidAnswers() []invalidAnswer {
+	const ok = "HTTP/1.1 200 OK"
 	withStatus := func(line string) string { return answerHead(line, "Marker: m", sized) + payload }
+	withField := func(field string) string { return answerHead(ok, sized, field) + payload }
 	return []invalidAnswer{
 		{"status 000", "status", withStatus("HTTP/1.1 000 Trouble")},
 		{"status 099", "status", withStatus("HTTP/1.1 099 Trouble")},
@@ -133,6 +144,23 @@
 		{"a status with a sign", "status", withStatus("HTTP/1.1 +20 OK")},
 		{"a switch of protocols", "status", withStatus("HTTP/1.1 101 Switching Protocols")},
 		{"a switch of protocols that names one", "status", answerHead("HTTP/1.1 101 Switching Protocols", "Connection: Upgrade", "Upgrade: marker") + payload},
+		{"a blank in a name", "field_name", withField("X Marker: m")},
+		{"a blank before a colon", "field_name", withField("X-Marker : m")},
+		{"a blank before the colon of the length", "field_name", answerHead(ok, fmt.Sprintf("Content-Length : %d", len(payload))) + payload},
+		{"a blank before the colon of the chunks", "field_name", answerHead(ok, "Transfer-Encoding : chunked") + chunks("", "")},
+		{"a blank in the name of a refusal that says not run", "field_name", answerHead("HTTP/1.1 503 Service Unavailable", standin.HeaderNotExecuted+": full", "X Marker: m", "Content-Length: 0")},
+		{"a control byte in a name", "field_name", withField("X\x01Marker: m")},
+		{"a tab in a name", "field_name", withField("X\tMarker: m")},
+		{"a byte beyond ASCII in a name", "field_name", withField("X\xe9Marker: m")},
+		{"no name", "field_name", withField(": marker")},
+		{"a control byte in a value", "field_value", withField("X-Marker: m\x01m")},
+		{"a NUL in a value", "field_value", withField("X-Marker: m\x00m")},
+		{"a DEL in a value", "field_value", withField("X-Marker: m\x7fm")},
+		{"a bare CR in a value", "field_value", withField("X-Marker: m\rX-Other: m")},
+		{"a control byte in a folded value", "field_value", withField("X-Marker: m\r\n m\x01")},
+		{"a line without a colon", "field_line", withField("X-Marker")},
+		{"a folded line before any field", "field_line", ok + "\r\n X-Marker: m\r\n" + strings.TrimPrefix(withField("A: b"), ok+"\r\n")},
+		{"an interim answer with a blank in a name", "field_name", "HTTP/1.1 103 Early Hints\r\nX Marker: m\r\n\r\n" + withField("A: b")},
 	}
 }
 
@@ -230,3 +258,156 @@
 		}
 	}
 })
+
+var _ = Describe("a gateway process before targets some of which send invalid answers", func() {
+	const invalid = "HTTP/1.1 200 OK\r\n" + standin.HeaderRequestID + ": @id@\r\n" + standin.HeaderSeal + ": s-1\r\nX Marker: m\r\nContent-Length: 0\r\n\r\n"
+	sound := answerHead("HTTP/1.1 200 OK", sized) + payload
+	var store *standin.Store
+	BeforeEach(func() {
+		store = standin.New()
+		DeferCleanup(store.Close)
+		store.PutMixedConfig(1, "app", "llm", 2, "key-1")
+	})
+	startTargets := func(answers ...func(*http.Request) string) (targets []*rawTarget) {
+		for n, answer := range answers {
+			t := startRawTarget(answer)
+			store.PutServer(fmt.Sprintf("t-plain-%d", n), "app", t.address, "ready")
+			store.PutServer(fmt.Sprintf("t-engine-%d", n), "llm", t.address, "ready")
+			targets = append(targets, t)
+		}
+		return targets
+	}
+	always := func(text string) func(*http.Request) string { return func(*http.Request) string { return text } }
+	start := func(peers ...string) *host {
+		h := startHost(serveStore(store), peers...)
+		Eventually(h.isReady, stepTimeout).Should(BeTrue())
+		return h
+	}
+
+	// sendUntil sends requests until one has met a condition. A host allows no retries until it
+	// knows the number of hosts, and avoids a target that has failed for a while.
+	sendUntil := func(h *host, path, name string, met func(id, got string) bool) {
+		n := 0
+		Eventually(func() bool {
+			n++
+			id := fmt.Sprintf("%s-%d", name, n)
+			got := h.bytesOf(path, id)
+			Expect(strings.ToLower(got)).NotTo(ContainSubstring("marker"))
+			return met(id, got)
+		}, stepTimeout, "50ms").Should(BeTrue())
+	}
+
+	// Guards against an invalid answer that ends a request which another target could serve, and
+	// against one after which a request that may have run is sent again.
+	It("sends again what may be repeated, and nothing else", func() {
+		targets := startTargets(always(invalid), always(sound))
+		h := start()
+		for _, path := range []string{"/q/x", "/s/x"} {
+			sendUntil(h, path, "repeats"+path[1:2], func(id, got string) bool {
+				Expect(targets[0].ran(id)).To(BeNumerically("<=", 1))
+				Expect(targets[1].ran(id)).To(BeNumerically("<=", 1))
+				return targets[0].ran(id) == 1 && targets[1].ran(id) == 1 && strings.HasPrefix(got, "HTTP/1.1 200 ") && strings.Contains(got, "payload")
+			})
+		}
+		sendUntil(h, "/b/x", "runs-once", func(id, got string) bool {
+			Expect(targets[0].ran(id) + targets[1].ran(id)).To(Equal(1))
+			if targets[0].ran(id) == 0 {
+				return false
+			}
+			Expect(got).To(HavePrefix("HTTP/1.1 502 "))
+			Expect(got).To(ContainSubstring(`"executed":"unknown"`))
+			return true
+		})
+	})
+
+	// Guards against a stream that goes on with the invalid answer of another engine.
+	It("does not go on with a stream from one", func() {
+		const event = "id: 1\ndata: first\n\n"
+		var continued atomic.Int64
+		answer := func(r *http.Request) string {
+			if r.Header.Get(standin.HeaderLastEventID) != "" {
+				continued.Add(1)
+				return answerHead("HTTP/1.1 200 OK", "X Marker: m") + payload
+			}
+			return answerHead("HTTP/1.1 200 OK", "Content-Length: 100") + event
+		}
+		startTargets(answer, answer)
+		h := start()
+		sendUntil(h, "/s/x", "broken-off", func(_, got string) bool {
+			Expect(got).To(HavePrefix("HTTP/1.1 200 "))
+			Expect(got).To(ContainSubstring(event))
+			Expect(got).NotTo(ContainSubstring("payload"))
+			Expect(got).NotTo(HaveSuffix("0\r\n\r\n"), "the stream is not complete")
+			return continued.Load() > 0
+		})
+		Expect(h.sumCounters("gateway.answers_invalid.field_name")).To(Equal(1))
+	})
+
+	// Guards against invalid answers that count as crashes: sound requests that share a part of
+	// their prompts with the failed ones would be refused.
+	It("takes no answer for the end of its target", func() {
+		answers := map[string]string{"control": answerHead("HTTP/1.1 200 OK", sized, "X\x01Marker: m") + payload, "blank": invalid, "status": answerHead("HTTP/1.1 000 Trouble", sized) + payload, "sound": sound}
+		answer := func(r *http.Request) string {
+			kind, _, _ := strings.Cut(r.Header.Get(standin.HeaderRequestID), "-")
+			return answers[kind]
+		}
+		startTargets(answer, answer, answer)
+		first := start()
+		second := start(first.peerAddress)
+		hosts := []*host{first, second}
+		parts := standin.HeaderPromptPrefix + ": shared:5,"
+		for n := range 6 {
+			for _, kind := range []string{"control", "blank", "status"} {
+				id := fmt.Sprintf("%s-%d", kind, n)
+				Expect(hosts[n%2].bytesOf("/s/x", id, parts+id+":5")).To(HavePrefix("HTTP/1.1 502 "))
+			}
+		}
+		Consistently(func() int {
+			return first.sumCounters("gateway.crashes_recorded") + second.sumCounters("gateway.crashes_recorded")
+		}, "1s", "100ms").Should(BeZero())
+		for n := range 6 {
+			id := fmt.Sprintf("sound-%d", n)
+			Expect(hosts[n%2].bytesOf("/s/x", id, parts+id+":5")).To(HavePrefix("HTTP/1.1 200 "))
+		}
+	})
+
+	Describe("and through which other hosts send requests", func() {
+		var h *host
+		// send sends a request to the target through the process, once it takes such requests.
+		send := func(target *rawTarget) (resp *http.Response, body []byte, err error) {
+			h = start()
+			begun := time.Now()
+			client := relay.NewClient(relay.ClientConfig{
+				Hosts: func() (near, all []string) { return []string{h.peerAddress}, []string{h.peerAddress} },
+				Log:   slog.New(slog.DiscardHandler), Metrics: gometrics.NewRegistry(), Now: func() time.Duration { return time.Since(begun) },
+			})
+			DeferCleanup(client.Close)
+			Eventually(func() int {
+				attempt := &call.Attempt{
+					Request: &call.Request{ID: "r-1", Method: http.MethodPost, Host: "a.example", URI: "/b/x", Header: http.Header{}, Body: []byte("x")},
+					Target:  directory.Target{ID: "t-plain-0", Service: "app", Address: "127.0.0.1:1", StartedUnixMilli: startedTarget}, TimeRemaining: time.Minute, Priority: -1,
+				}
+				req, buildErr := platform.Dialect{}.BuildRequest(context.Background(), attempt)
+				Expect(buildErr).NotTo(HaveOccurred())
+				if resp, err = client.Do(req, attempt, func() error { return nil }); err == nil {
+					body, err = io.ReadAll(resp.Body)
+					_ = resp.Body.Close()
+				}
+				return target.ran("r-1")
+			}, stepTimeout).Should(Equal(1))
+			return resp, body, err
+		}
+
+		// Guards against an invalid answer that another host passes on, or whose request it
+		// reports as one that did not run.
+		DescribeTable("refuses what it reads for them", func(answer, part string) {
+			_, _, err := send(startTargets(always(answer))[0])
+			Expect(failure.KindOf(err)).To(Equal(failure.KindTargetFailed))
+			Expect(failure.FromError(err).Executed).To(Equal(failure.ExecutedUnknown))
+			Expect(h.sumCounters("gateway.answers_invalid." + part)).To(Equal(1))
+		},
+			Entry("a status", answerHead("HTTP/1.1 000 Trouble", sized)+payload, "status"),
+			Entry("a name", invalid, "field_name"),
+		)
+	})
+})
