Check the version of an answer and what decides the length of its body

What callers saw: for an answer in HTTP/1.0 with Transfer-Encoding: chunked the framing of the chunks was the body, in plain answers and in streams. Answers whose status line names HTTP/2.0 or HTTP/0.9 were passed on.

Cause: net/http deletes a Transfer-Encoding in HTTP/1.0 from the header and reads on until the connection ends, so that nobody behind it can tell; RFC 9112, section 6.1, has the framing of such a message as faulty.

Change: httpcheck notes the version, the transfer codings and the lengths of a head as its lines are read, and checks them at its end: HTTP/1 only, in 1.1 one coding, chunks, in 1.0 none, and lengths that agree. A length beside chunks, a repeated one, a folded one and a later minor version stay served. What net/http refused already is refused here first, and so is logged and counted.

--- a/internal/httpcheck/head.go
+++ b/internal/httpcheck/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strings"
 )
 
@@ -12,9 +13,13 @@
 	line []byte
 	// hasStatus is set once the status line of a head is read.
 	hasStatus bool
+	minor     int
 	interim   bool
 	// field is the name of the last field, whose value may go on in the next line.
 	field string
+	// value is the value of that field if it belongs to the framing.
+	value   []byte
+	framing framing
 	// done is set once the final head was checked.
 	done bool
 }
@@ -47,21 +52,22 @@
 	case !h.hasStatus:
 		return h.checkStatusLine(line)
 	case line == "":
-		h.end()
-		return nil
+		return h.end()
 	case line[0] == ' ' || line[0] == '\t':
 		return h.continueField(line)
 	}
+	h.endField()
 	name, value, found := strings.Cut(line, ":")
 	if !found {
 		return newError(PartFieldLine, "")
 	}
-	h.field = name
+	h.field = http.CanonicalHeaderKey(name)
+	h.keepFraming(value)
 	return checkField(name, trimBlanks(value))
 }
 
-// checkStatusLine checks the line's status, before which there may be several blanks (RFC 9112,
-// section 4). A line that does not begin like a response is left to the reader,
+// checkStatusLine checks the line's version and status, between which there may be several
+// blanks (RFC 9112, section 4). A line that does not begin like a response is left to the reader,
 // for which it is none.
 func (h *headChecker) checkStatusLine(line string) *Error {
 	version, rest, _ := strings.Cut(line, " ")
@@ -69,6 +75,10 @@
 		h.done = true
 		return nil
 	}
+	var err *Error
+	if h.minor, err = checkVersion(version); err != nil {
+		return err
+	}
 	text, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	status, err := parseStatus(text)
 	if err != nil {
@@ -83,12 +93,36 @@
 	if h.field == "" {
 		return newError(PartFieldLine, "")
 	}
+	h.keepFraming(line)
 	return checkField(h.field, trimBlanks(line))
 }
 
+// keepFraming keeps a part of the last field's value if it belongs to the framing.
+func (h *headChecker) keepFraming(value string) {
+	if h.field == transferEncoding || h.field == contentLength {
+		h.value = append(append(h.value, ' '), trimBlanks(value)...)
+	}
+}
+
+// endField notes the last field, whose value is complete.
+func (h *headChecker) endField() {
+	switch h.field {
+	case transferEncoding:
+		h.framing.codings = append(h.framing.codings, trimBlanks(string(h.value)))
+	case contentLength:
+		h.framing.lengths = append(h.framing.lengths, trimBlanks(string(h.value)))
+	}
+	h.value = h.value[:0]
+}
+
 // end ends a head. Another one follows that of an interim response.
-func (h *headChecker) end() {
+func (h *headChecker) end() *Error {
+	h.endField()
+	if err := h.framing.check(h.minor); err != nil {
+		return err
+	}
 	*h = headChecker{line: h.line, done: !h.interim}
+	return nil
 }
 
 // trimBlanks removes the optional white space around a value (RFC 9110, section 5.6.3).
--- a/internal/httpcheck/rules.go
+++ b/internal/httpcheck/rules.go
@@ -16,6 +16,8 @@
 
 // The parts of a response that are checked.
 const (
+	// PartVersion is the version in the status line.
+	PartVersion Part = "version"
 	// PartStatus is the status code.
 	PartStatus Part = "status"
 	// PartFieldLine is a line of the header that is no field.
@@ -24,11 +26,13 @@
 	PartFieldName Part = "field_name"
 	// PartFieldValue is the value of a field.
 	PartFieldValue Part = "field_value"
+	// PartFraming is what determines the length of the body.
+	PartFraming Part = "framing"
 )
 
 // Parts returns all parts that are checked.
 func Parts() []Part {
-	return []Part{PartStatus, PartFieldLine, PartFieldName, PartFieldValue}
+	return []Part{PartVersion, PartStatus, PartFieldLine, PartFieldName, PartFieldValue, PartFraming}
 }
 
 // maxQuotedBytes bounds the text of a response that an Error quotes.
@@ -37,7 +41,7 @@
 // Error says which part of a response is invalid.
 type Error struct {
 	Part Part
-	// Text is the invalid part: a status, or the name of a field. It never holds the
+	// Text is the invalid part: a status, a version, or the name of a field. It never holds the
 	// value of a field, and is empty for a line that is no field.
 	Text string
 }
@@ -81,6 +85,16 @@
 	return nil
 }
 
+// checkVersion checks the version of a status line. A later minor version is handled like the
+// latest one known (RFC 9110, section 2.5).
+func checkVersion(text string) (minor int, _ *Error) {
+	major, minor, ok := http.ParseHTTPVersion(text)
+	if !ok || major != 1 {
+		return 0, newError(PartVersion, text)
+	}
+	return minor, nil
+}
+
 func checkField(name, value string) *Error {
 	switch {
 	case !httpguts.ValidHeaderFieldName(name):
@@ -90,3 +104,28 @@
 	}
 	return nil
 }
+
+// framing is what determines the length of a body (RFC 9112, section 6).
+type framing struct {
+	codings, lengths []string
+}
+
+const (
+	transferEncoding = "Transfer-Encoding"
+	contentLength    = "Content-Length"
+)
+
+// check checks the framing in a minor version of HTTP/1. A length beside chunks, and one that is
+// repeated, are allowed: the chunks count, and the length once.
+func (f framing) check(minor int) *Error {
+	// Section 6.1: in HTTP/1.0 the framing is faulty. No coding but chunks was asked for.
+	if len(f.codings) > 0 && (minor == 0 || len(f.codings) > 1 || !strings.EqualFold(f.codings[0], "chunked")) {
+		return newError(PartFraming, transferEncoding)
+	}
+	for _, length := range f.lengths {
+		if _, err := strconv.ParseUint(length, 10, 63); err != nil || length != f.lengths[0] {
+			return newError(PartFraming, contentLength)
+		}
+	}
+	return nil
+}
--- a/internal/targetclient/targetclient_test.go
+++ b/internal/targetclient/targetclient_test.go
@@ -317,5 +317,6 @@
 		Entry("status 000", "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok", httpcheck.PartStatus),
 		Entry("a blank in a name", "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\nok", httpcheck.PartFieldName),
 		Entry("a blank in a name of a refusal", "HTTP/1.1 503 Service Unavailable\r\nFilbert-Executed: no\r\nX Bad: 1\r\nContent-Length: 0\r\n\r\n", httpcheck.PartFieldName),
+		Entry("chunks in an older version", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", httpcheck.PartFraming),
 	)
 })
--- a/test/gateway/invalid_answers_test.go
+++ b/test/gateway/invalid_answers_test.go
@@ -160,6 +160,16 @@
 		{"a control byte in a folded value", "field_value", withField("X-Marker: m\r\n m\x01")},
 		{"a line without a colon", "field_line", withField("X-Marker")},
 		{"a folded line before any field", "field_line", ok + "\r\n X-Marker: m\r\n" + strings.TrimPrefix(withField("A: b"), ok+"\r\n")},
+		{"a version of another major number", "version", withStatus("HTTP/2.0 200 OK")},
+		{"a version before 1", "version", withStatus("HTTP/0.9 200 OK")},
+		{"a version of two digits", "version", withStatus("HTTP/1.10 200 OK")},
+		{"chunks in the older version", "framing", answerHead("HTTP/1.0 200 OK", "Transfer-Encoding: chunked") + chunks("", "")},
+		{"chunks beside a length in the older version", "framing", answerHead("HTTP/1.0 200 OK", "Transfer-Encoding: chunked", sized) + payload},
+		{"an unknown transfer coding", "framing", answerHead(ok, "Transfer-Encoding: gzip, chunked") + chunks("", "")},
+		{"chunks named twice", "framing", answerHead(ok, "Transfer-Encoding: chunked", "Transfer-Encoding: chunked") + chunks("", "")},
+		{"two lengths", "framing", answerHead(ok, sized, "Content-Length: 1") + payload},
+		{"a length with a sign", "framing", answerHead(ok, fmt.Sprintf("Content-Length: +%d", len(payload))) + payload},
+		{"an empty length", "framing", answerHead(ok, "Content-Length:") + payload},
 		{"an interim answer with a blank in a name", "field_name", "HTTP/1.1 103 Early Hints\r\nX Marker: m\r\n\r\n" + withField("A: b")},
 	}
 }
