Check the trailer of an answer before its end is taken for whole

What callers saw: an answer whose trailer holds a blank in the name of a field was passed on as whole, and so was a stream.

Cause: net/http parses the trailer like a head, leniently, when the body is read to its end; nobody looked at it.

Change: reading the end of a body in chunks fails if a field of its trailer is invalid, and the connection is closed. A plain answer is refused like any invalid one, also where it is read for another host; a stream, whose events have been passed on by then, is broken off before its end. What net/http refused already there (a control byte) is logged and counted as well, and is target-failed instead of target-lost.

Sound trailers, beyond ASCII in a value too, are passed over as before.

--- a/internal/gateway/answer_buffer.go
+++ b/internal/gateway/answer_buffer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -11,6 +12,7 @@
 	"filbertdeck/internal/callerconn"
 	"filbertdeck/internal/decide/answerlimit"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/httpcheck"
 )
 
 const (
@@ -62,7 +64,7 @@
 }
 
 // read reads the body of an answer to its end and closes it. Errors: KindTargetLost if it ended
-// early, KindTargetFailed if it is too long or was evicted, both with unknown execution.
+// early, KindTargetFailed if it is too long, was evicted or has an invalid trailer, all with unknown execution.
 func (b *answerBuffers) read(resp *http.Response) (*bufferedBody, error) {
 	defer func() { _ = resp.Body.Close() }()
 	if resp.ContentLength > maxAnswerBytes {
@@ -159,6 +161,10 @@
 	if evicted := body.keep(); evicted != nil {
 		return evicted
 	}
+	var invalid *httpcheck.Error
+	if errors.As(err, &invalid) {
+		return invalid.Failure()
+	}
 	return failure.Wrap(err, failure.KindTargetLost, "reading the answer failed").WithExecutionUnknown()
 }
 
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -16,6 +16,7 @@
 	"filbertdeck/internal/decide/streamorigin"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/httpcheck"
 	"filbertdeck/internal/sse"
 	"filbertdeck/internal/wake"
 )
@@ -132,6 +133,10 @@
 		s.ended.Store(true)
 	default:
 		s.broken.Store(true)
+		var invalid *httpcheck.Error
+		if errors.As(err, &invalid) {
+			err = invalid.Failure()
+		}
 	}
 	return err
 }
@@ -469,7 +474,7 @@
 		gen.g.checkClosingTarget(target)
 	}
 	if err == nil && answer.Status != http.StatusOK {
-		err = gen.readFailedAnswer(resp, answer)
+		err = gen.readFailedAnswer(resp, answer, target.Target)
 	}
 	if err != nil {
 		switch {
@@ -492,9 +497,10 @@
 // readFailedAnswer reads an engine's own failure answer, which is passed to the
 // caller when no other engine serves the request. Once a caller has events, no
 // other answer can follow them.
-func (gen *generation) readFailedAnswer(resp *http.Response, answer call.ResponseHeader) error {
+func (gen *generation) readFailedAnswer(resp *http.Response, answer call.ResponseHeader, target directory.Target) error {
 	body, err := gen.g.answers.read(resp)
 	if err != nil {
+		gen.g.recordInvalidAnswer(target, err, requestAttr(gen.ID))
 		return err
 	}
 	if gen.headerSent {
@@ -512,6 +518,7 @@
 	var block sse.RawEvent
 	for {
 		if err := stream.next(&block); err != nil {
+			gen.g.recordInvalidAnswer(stream.target.Target, err, requestAttr(gen.ID))
 			if gen.awaitSwitch(err == io.EOF && stream.isDelimited()) {
 				return errGenerationMoved
 			}
--- a/internal/gateway/peer_requests.go
+++ b/internal/gateway/peer_requests.go
@@ -91,7 +91,10 @@
 		}
 		g.observeRate(s, answer)
 	}
-	resp.Body = &peerBody{ReadCloser: resp.Body, run: run, fail: func(err error) { g.recordPeerFailure(req.Context(), target, s, err) }}
+	resp.Body = &peerBody{ReadCloser: resp.Body, run: run, fail: func(err error) {
+		g.recordInvalidAnswer(s.Target, err, requestAttr(s.ID))
+		g.recordPeerFailure(req.Context(), target, s, err)
+	}}
 	return resp, nil
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -236,6 +236,7 @@
 	}
 	body, err := g.answers.read(resp)
 	if err != nil {
+		g.recordInvalidAnswer(target.Target, err, requestAttr(x.ID))
 		return nil, err
 	}
 	if answer.Status >= http.StatusInternalServerError {
--- a/internal/gateway/switch.go
+++ b/internal/gateway/switch.go
@@ -145,6 +145,7 @@
 // end: after a loss that completes the answer, while the previous engine still knows better.
 func (gen *generation) awaitFirstEventOf(stream *engineStream, afterLoss bool) error {
 	err := stream.readAhead()
+	gen.g.recordInvalidAnswer(stream.target.Target, err, requestAttr(gen.ID))
 	switch {
 	case err == nil, err == io.EOF && stream.isDelimited() && afterLoss:
 		return nil
--- a/internal/httpcheck/rules.go
+++ b/internal/httpcheck/rules.go
@@ -28,11 +28,13 @@
 	PartFieldValue Part = "field_value"
 	// PartFraming is what determines the length of the body.
 	PartFraming Part = "framing"
+	// PartTrailer is a field after the last chunk.
+	PartTrailer Part = "trailer"
 )
 
 // Parts returns all parts that are checked.
 func Parts() []Part {
-	return []Part{PartVersion, PartStatus, PartFieldLine, PartFieldName, PartFieldValue, PartFraming}
+	return []Part{PartVersion, PartStatus, PartFieldLine, PartFieldName, PartFieldValue, PartFraming, PartTrailer}
 }
 
 // maxQuotedBytes bounds the text of a response that an Error quotes.
@@ -105,6 +107,17 @@
 	return nil
 }
 
+func checkFields(header http.Header) *Error {
+	for name, values := range header {
+		for _, value := range values {
+			if err := checkField(name, value); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // framing is what determines the length of a body (RFC 9112, section 6).
 type framing struct {
 	codings, lengths []string
--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 )
 
@@ -56,7 +59,8 @@
 }
 
 // ReadResponse reads the final response to a request with a reader that reads from conn alone; the
-// reader bounds the interim ones. If the response is invalid it fails with an *Error.
+// reader bounds the interim ones. If the response is invalid it fails with an *Error, or closes
+// conn and has reading the body fail with one.
 func ReadResponse(conn *Conn, from *bufio.Reader, req *http.Request) (*http.Response, error) {
 	for {
 		resp, err := conn.outcome(http.ReadResponse(from, req))
@@ -72,7 +76,44 @@
 	if invalid := c.invalid(); err != nil && invalid != nil {
 		return nil, invalid
 	}
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp, conn: c}
+	}
+	return resp, nil
+}
+
+// chunkedBody checks the trailer of a response.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if invalid := b.invalidTrailer(err); invalid != nil {
+		_ = b.conn.Close()
+		return n, invalid
+	}
+	return n, err
+}
+
+// invalidTrailer returns what is wrong with the trailer; readErr is the error of reading the body.
+func (b *chunkedBody) invalidTrailer(readErr error) *Error {
+	if readErr == io.EOF {
+		if invalid := checkFields(b.resp.Trailer); invalid != nil {
+			return newError(PartTrailer, invalid.Text)
+		}
+	}
+	// net/http parses fields of the body nowhere else.
+	if malformed := textproto.ProtocolError(""); errors.As(readErr, &malformed) {
+		return newError(PartTrailer, "")
+	}
+	return nil
 }
 
 // Conn is a connection on which the head of each response is checked as it is read.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -19,6 +19,7 @@
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/httpcheck"
 )
 
 const (
@@ -273,6 +274,7 @@
 // does not look complete.
 func (w *replyWriter) sendBody(body io.Reader) error {
 	chunk := make([]byte, bodyChunkBytes)
+	var invalid *httpcheck.Error
 	for {
 		n, err := body.Read(chunk)
 		if n > 0 {
@@ -284,6 +286,8 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			return nil
+		case errors.As(err, &invalid):
+			return w.fail(invalid.Failure())
 		case err != nil:
 			return w.fail(failure.Wrap(err, failure.KindTargetLost, "reading the answer failed").WithExecutionUnknown())
 		}
--- a/test/gateway/invalid_answers_test.go
+++ b/test/gateway/invalid_answers_test.go
@@ -171,6 +171,8 @@
 		{"a length with a sign", "framing", answerHead(ok, fmt.Sprintf("Content-Length: +%d", len(payload))) + payload},
 		{"an empty length", "framing", answerHead(ok, "Content-Length:") + payload},
 		{"an interim answer with a blank in a name", "field_name", "HTTP/1.1 103 Early Hints\r\nX Marker: m\r\n\r\n" + withField("A: b")},
+		{"a control byte in the name of a trailer field", "trailer", answerHead(ok, "Transfer-Encoding: chunked") + chunks("", "X\x01Marker: m\r\n")},
+		{"a blank in the name of a trailer field", "trailer", answerHead(ok, "Transfer-Encoding: chunked") + chunks("", "X Marker: m\r\n")},
 	}
 }
 
@@ -238,6 +240,11 @@
 				id := idOf(kind, fmt.Sprint("invalid ", n))
 				answers[id] = a.text
 				got := h.bytesOf(path, id)
+				if kind == "stream" && a.part == "trailer" {
+					Expect(got).To(HavePrefix("HTTP/1.1 200 "))
+					Expect(got).NotTo(HaveSuffix("0\r\n\r\n"), "the events have been passed on, but the stream is not complete")
+					return
+				}
 				Expect(got).To(HavePrefix("HTTP/1.1 502 "))
 				Expect(got).To(ContainSubstring(`"executed":"unknown"`))
 				Expect(strings.ToLower(got)).NotTo(Or(ContainSubstring("payload"), ContainSubstring("marker")))
@@ -418,6 +425,7 @@
 		},
 			Entry("a status", answerHead("HTTP/1.1 000 Trouble", sized)+payload, "status"),
 			Entry("a name", invalid, "field_name"),
+			Entry("a trailer", answerHead("HTTP/1.1 200 OK", "Transfer-Encoding: chunked")+chunks("", "X Marker: m\r\n"), "trailer"),
 		)
 	})
 })
