Check the answers to calls of an engine's own interface

What it led to: a health check with a blank in a name and status 200 said that the target was well, one with status 000 that it was leaving, so that its generations moved away. A notice whose name holds a blank was missed without a word, those of the other lines were taken in. The question for an engine's start believed the start in such an answer, and took a status of 000 for the word of the engine.

Cause: the engines' client and the question for a start read with a transport and a reader of their own, and took what net/http returns as checked.

--- a/internal/gateway/confirm_start.go
+++ b/internal/gateway/confirm_start.go
@@ -27,6 +27,7 @@
 		g.cfg.Loads.recordColdSend(g.view(), s.Target)
 		report, err := g.cfg.Dialect.AskStart(conn, s.Target)
 		g.observeNotice(s.Target, report.TargetNotice, "report")
+		g.recordInvalidAnswer(s.Target, err, sourceAttr("report"))
 		var answered *failure.Error
 		switch {
 		case errors.As(err, &answered):
--- a/internal/gateway/invalid_answer.go
+++ b/internal/gateway/invalid_answer.go
@@ -33,3 +33,6 @@
 
 // requestAttr names a request in a log line.
 func requestAttr(id string) slog.Attr { return slog.String("request", id) }
+
+// sourceAttr names a call of a target's own interface in a log line.
+func sourceAttr(call string) slog.Attr { return slog.String("source", call) }
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -140,6 +140,7 @@
 	health, err := g.engineClient(t.Target).Health(ctx, t.Address, service.HealthPath)
 	g.observeNotice(t.Target, health.TargetNotice, "health check")
 	if err != nil {
+		g.recordInvalidAnswer(t.Target, err, sourceAttr("health check"))
 		g.cfg.Log.Debug("health check failed", "target", t.ID, "error", err)
 		return
 	}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -243,6 +243,7 @@
 	start := time.Now()
 	result, err := gen.g.engineClient(from.Target).Move(ctx, from.Address, gen.ID, to.Address, false)
 	gen.g.observeNotice(from.Target, result.TargetNotice, "move")
+	gen.g.recordInvalidAnswer(from.Target, err, sourceAttr("move"))
 	gen.g.cfg.Log.Info("generation copied", "request", gen.ID, "from", from.ID, "from_version", from.Version, "to", to.ID, "to_version", to.Version, "took", time.Since(start),
 		"remote", to.DataCentre != from.DataCentre, "leaves_in", time.Until(stopTime), "events", result.Events, "error", err)
 	if err != nil {
@@ -302,6 +303,7 @@
 	defer cancel()
 	notice, err := gen.g.engineClient(from.Target).Drop(ctx, from.Address, m.copy.handoff.Handle)
 	gen.g.observeNotice(from.Target, notice, "drop")
+	gen.g.recordInvalidAnswer(from.Target, err, sourceAttr("drop"))
 	if err != nil {
 		gen.g.cfg.Log.Debug("dropping the copy failed", "request", gen.ID, "error", err)
 	}
@@ -352,6 +354,7 @@
 	defer cancel()
 	report, err := g.engineClient(from.Target).Report(ctx, from.Address)
 	g.observeNotice(from.Target, report.TargetNotice, "report")
+	g.recordInvalidAnswer(from.Target, err, sourceAttr("report"))
 	return report, err
 }
 
