Check the answers of the store

What it led to: an answer with `Store-Era : 7` or `Store Era: 7` was read as one without an era, which counts as one of the era known, and its records were taken; so was an answer in HTTP/1.0 with chunks whose length came from elsewhere. After an invalid answer the connection was used again.

Cause: the store's client took what net/http returns as checked.

Change: it sends with httpcheck. An invalid answer is one that can't be read: the host keeps what it knows, and "store lost" says what is invalid; published.answers_invalid counts them.

--- a/internal/controller/recordsync/controller.go
+++ b/internal/controller/recordsync/controller.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -19,6 +20,7 @@
 	"filbertdeck/internal/decide/storeoutage"
 	"filbertdeck/internal/directory"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/httpcheck"
 	"filbertdeck/internal/wake"
 )
 
@@ -84,6 +86,8 @@
 	ignoredRecords metrics.Counter
 	// unreadableEras counts the answers of the store whose era can't be read.
 	unreadableEras metrics.Counter
+	// invalidAnswers counts the invalid responses of the store.
+	invalidAnswers metrics.Counter
 
 	mu     sync.Mutex
 	mirror *mirror.Mirror
@@ -132,6 +136,7 @@
 		historyGone:    metrics.GetOrRegisterCounter("published.history_gone", cfg.Metrics),
 		ignoredRecords: metrics.GetOrRegisterCounter("published.records_ignored", cfg.Metrics),
 		unreadableEras: metrics.GetOrRegisterCounter("published.unreadable_eras", cfg.Metrics),
+		invalidAnswers: metrics.GetOrRegisterCounter("published.answers_invalid", cfg.Metrics),
 	}
 	c.registerGauge("published.revision", func() int64 { return int64(c.Position().Revision) })
 	c.registerGauge("published.era", func() int64 { return int64(c.Position().Era) })
@@ -423,6 +428,10 @@
 		}
 	}
 	c.historyLost = gone
+	var invalid *httpcheck.Error
+	if errors.As(err, &invalid) {
+		c.invalidAnswers.Inc(1)
+	}
 	failed := err != nil && !gone
 	if failed {
 		c.mirror.RecordStoreFailure()
--- a/test/gateway/invalid_answers_test.go
+++ b/test/gateway/invalid_answers_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -429,3 +430,36 @@
 		)
 	})
 })
+
+// Guards against records, and an era, that are read from an invalid answer of the store, and
+// against such answers that an operator can't find.
+var _ = Describe("a gateway process before a store with invalid answers", func() {
+	It("keeps what it knows until the store answers again", func() {
+		env := newEnvironment()
+		var broken atomic.Bool
+		front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !broken.Load() {
+				env.store.ServeHTTP(w, r)
+				return
+			}
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			body := `{"items":[],"events":[{"key":"servers/i-1","deleted":true,"revision":900}],"at":900}`
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nStore-Era : 7\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			_ = conn.Close()
+		}))
+		DeferCleanup(func() { front.CloseClientConnections(); front.Close() })
+		h := startHost(hostPort(front))
+		Eventually(h.isReady, stepTimeout).Should(BeTrue())
+		Expect(h.post("/b/x", "key-1")).To(Equal(http.StatusOK))
+		broken.Store(true)
+		Eventually(func() int { return h.sumCounters("published.answers_invalid") }, stepTimeout).Should(BeNumerically(">=", 3))
+		Expect(h.logText()).To(And(ContainSubstring(`"msg":"store lost"`), ContainSubstring(`invalid response: field name \"Store-Era \"`)))
+		Expect(h.post("/b/x", "key-1")).To(Equal(http.StatusOK))
+		broken.Store(false)
+		env.publishKeys(4, "key-2")
+		Eventually(func() int { return h.post("/b/x", "key-2") }, stepTimeout).Should(Equal(http.StatusOK))
+	})
+})
