Check again what a host of another version passes on

What callers saw: a host that has lost a service's targets passed on what another host had read for it, whatever that was: status 000 closed the connection without an answer, a name with a blank was dropped.

Cause: the host that reads an answer is the one that checks it; one of an earlier version does not.

Change: the host that gets the answer checks status, names and values once more (httpcheck.Response). What an earlier version has changed by then, chunks in HTTP/1.0, can't be seen any more.

--- a/internal/httpcheck/doc.go
+++ b/internal/httpcheck/doc.go
@@ -4,5 +4,6 @@
 // name may hold blanks, and a Transfer-Encoding in HTTP/1.0 is deleted, so that the framing of
 // the chunks becomes the body. Writing is stricter: http.ResponseWriter panics or drops a field.
 // A process that passes responses on therefore checks them where they enter it. Transport does so
-// on the bytes of a connection, before net/http has changed anything.
+// on the bytes of a connection, before net/http has changed anything; Response checks one that
+// was read elsewhere.
 package httpcheck
--- a/internal/httpcheck/httpcheck_test.go
+++ b/internal/httpcheck/httpcheck_test.go
@@ -160,6 +160,25 @@
 		Expect(invalid.Failure().Executed).To(Equal(failure.ExecutedUnknown))
 	})
 
+	// Guards against an invalid response that another process read and passes on.
+	DescribeTable("is checked after it was read elsewhere", func(status int, name, value string, part httpcheck.Part) {
+		invalid := httpcheck.Response(&http.Response{StatusCode: status, Header: http.Header{name: {"b", value}}})
+		if part == "" {
+			Expect(invalid).To(BeNil())
+			return
+		}
+		Expect(invalid).NotTo(BeNil())
+		Expect(invalid.Part).To(Equal(part))
+	},
+		Entry(nil, 200, "A", "\xe9", httpcheck.Part("")),
+		Entry(nil, 599, "A", "", httpcheck.Part("")),
+		Entry(nil, 0, "A", "b", httpcheck.PartStatus),
+		Entry(nil, 101, "A", "b", httpcheck.PartStatus),
+		Entry(nil, 103, "A", "b", httpcheck.PartStatus),
+		Entry(nil, 600, "A", "b", httpcheck.PartStatus),
+		Entry(nil, 200, "A ", "b", httpcheck.PartFieldName),
+		Entry(nil, 200, "A", "b\r\nC: d", httpcheck.PartFieldValue),
+	)
 })
 
 var _ = Describe("a transport", func() {
--- a/internal/httpcheck/rules.go
+++ b/internal/httpcheck/rules.go
@@ -142,3 +142,15 @@
 	}
 	return nil
 }
+
+// Response checks a final response that was not read with a Transport, such as one that another
+// process read and whose version may not check it.
+func Response(resp *http.Response) *Error {
+	if resp.StatusCode < minFinalStatus {
+		return newError(PartStatus, fmt.Sprintf("%03d", resp.StatusCode))
+	}
+	if err := checkStatus(resp.StatusCode); err != nil {
+		return err
+	}
+	return checkFields(resp.Header)
+}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -27,6 +27,7 @@
 	"filbertdeck/internal/call"
 	"filbertdeck/internal/decide/relaypeers"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/httpcheck"
 	"filbertdeck/internal/rpc"
 )
 
@@ -292,7 +293,13 @@
 		x.end()
 		return nil, connectionLost(nil, x.host)
 	}
-	return decodeAnswer(answer, req, &answerBody{exchange: x}), nil
+	resp := decodeAnswer(answer, req, &answerBody{exchange: x})
+	// The host may be of a version that does not check what it passes on.
+	if invalid := httpcheck.Response(resp); invalid != nil {
+		x.end()
+		return nil, invalid.Failure()
+	}
+	return resp, nil
 }
 
 // receive returns the host's next message that says something. io.EOF is the end of
--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -242,3 +242,19 @@
 	DeferCleanup(server.Stop)
 	return l.Addr().String()
 }
+
+// Guards against the invalid answer of a target that a host of an earlier version passes on.
+var _ = DescribeTable("an invalid answer that another host passes on", func(answer *filbertv1.RelayAnswer) {
+	stream := newScriptedStream(nil, &filbertv1.RelayReply{Step: &filbertv1.RelayReply_Answer{Answer: answer}}, bodyReply("ok"))
+	resp, err := startOn(stream)
+	Expect(resp).To(BeNil())
+	Expect(failure.KindOf(err)).To(Equal(failure.KindTargetFailed))
+	Expect(failure.FromError(err).Executed).To(Equal(failure.ExecutedUnknown))
+	Expect(stream.ended).To(BeClosed())
+},
+	Entry("status 000", &filbertv1.RelayAnswer{Status: 0}),
+	Entry("status 600", &filbertv1.RelayAnswer{Status: 600}),
+	Entry("a switch of protocols", &filbertv1.RelayAnswer{Status: http.StatusSwitchingProtocols}),
+	Entry("a blank in a name", &filbertv1.RelayAnswer{Status: http.StatusOK, Headers: []*filbertv1.Header{{Name: "X Bad", Value: "1"}}}),
+	Entry("a blank at the end of a name", &filbertv1.RelayAnswer{Status: http.StatusServiceUnavailable, Headers: []*filbertv1.Header{{Name: "Content-Length ", Value: "1"}}}),
+)
