Check the answers of the configuration service

What it led to: filbert-entry and filbert-control read their table from an answer with a blank in the name of a field, or in HTTP/1.0 with chunks.

Cause: the client has a transport of its own. The other readers of the older path (calls, generations and load reports of targets) send with internal/targetclient, whose specs show both of its clients sound.

Change: it sends with httpcheck, which needs the connection after the TLS handshake, so the client does that itself; the time to connect covers it.

Evidence: "an invalid response" with a blank in a name and with chunks in HTTP/1.0 was read on, with status 000 refused without saying what was invalid: the three specs fail there and pass now.

--- a/internal/configservice/client.go
+++ b/internal/configservice/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/httpcheck"
 )
 
 // Timeouts and limits of the client.
@@ -72,13 +73,14 @@
 	if tlsConfig != nil {
 		scheme = "https"
 	}
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		TLSClientConfig:     tlsConfig,
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := httpcheck.NewTransport(&http.Transport{
+		DialContext:         dialer.DialContext,
+		DialTLSContext:      (&tls.Dialer{NetDialer: dialer, Config: tlsConfig}).DialContext,
 		MaxConnsPerHost:     2,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     time.Minute,
-	}
+	})
 	return &Client{
 		base: url.URL{Scheme: scheme, Host: address, Path: "/v1/values"},
 		http: &http.Client{Transport: transport, CheckRedirect: rejectRedirect},
--- a/internal/configservice/configservice_test.go
+++ b/internal/configservice/configservice_test.go
@@ -1,7 +1,9 @@
 package configservice_test
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,6 +17,7 @@
 
 	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/httpcheck"
 )
 
 func TestConfigService(t *testing.T) {
@@ -146,3 +149,31 @@
 		}
 	})
 }
+
+// Guards against a table that is read from an invalid response.
+var _ = DescribeTable("an invalid response", func(head string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = fmt.Fprint(conn, head+"Content-Length: 14\r\n\r\n{\"revision\":5}")
+		}
+	}()
+	c, err := configservice.New(l.Addr().String(), nil)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	_, err = c.Read(context.Background(), "", 0)
+	Expect(failure.KindOf(err)).To(Equal(failure.KindConfigUnreadable))
+	var invalid *httpcheck.Error
+	Expect(errors.As(err, &invalid)).To(BeTrue())
+},
+	Entry("with status 000", "HTTP/1.1 000 Trouble\r\n"),
+	Entry("with a blank in a name", "HTTP/1.1 200 OK\r\nRetry After: 1\r\n"),
+	Entry("with chunks in an older version", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"),
+)
