Pass values that are no UTF-8 on between hosts

What callers saw: an answer with bytes beyond ASCII in the value of a field, which RFC 9110 allows and which is served where the host reaches the target itself, ended as a 502 with "unknown" when it came through another host, after the target had run the request.

Cause: the value of a header is a string in the messages between our processes, and gRPC refuses to encode one that is no UTF-8.

Change: it is bytes, which has the same form on the wire; a host of an earlier version understands all values that it understood.

Evidence: "passes on bytes beyond ASCII in a value" of test/gateway fails on (grpc: error while marshaling: string field contains invalid UTF-8) and passes now.

--- a/internal/entry/servicecall/call.go
+++ b/internal/entry/servicecall/call.go
@@ -103,7 +103,7 @@
 func headersToProto(headers []idempotency.Header) []*filbertv1.Header {
 	out := make([]*filbertv1.Header, len(headers))
 	for i, h := range headers {
-		out[i] = &filbertv1.Header{Name: h.Name, Value: h.Value}
+		out[i] = &filbertv1.Header{Name: h.Name, Value: []byte(h.Value)}
 	}
 	return out
 }
@@ -111,7 +111,7 @@
 func headersFromProto(headers []*filbertv1.Header) []idempotency.Header {
 	out := make([]idempotency.Header, len(headers))
 	for i, h := range headers {
-		out[i] = idempotency.Header{Name: h.Name, Value: h.Value}
+		out[i] = idempotency.Header{Name: h.Name, Value: string(h.Value)}
 	}
 	return out
 }
--- a/internal/entry/servicecall/forward.go
+++ b/internal/entry/servicecall/forward.go
@@ -99,7 +99,7 @@
 	var out []*filbertv1.Header
 	for _, name := range requestHeaders {
 		for _, value := range h.Values(name) {
-			out = append(out, &filbertv1.Header{Name: name, Value: value})
+			out = append(out, &filbertv1.Header{Name: name, Value: []byte(value)})
 		}
 	}
 	return out
@@ -148,7 +148,7 @@
 	}
 	header := http.Header{}
 	for _, h := range r.Headers {
-		header.Add(h.Name, h.Value)
+		header.Add(h.Name, string(h.Value))
 	}
 	// The usage is discarded: the entry that received the call from the caller
 	// accounts for it.
--- a/internal/gateway/peer_requests_test.go
+++ b/internal/gateway/peer_requests_test.go
@@ -412,7 +412,7 @@
 		Entry("a request target on another host", request(&filbertv1.RelayRequest{Target: "app-1", Method: "POST", Uri: "http://10.0.0.1/book"})),
 		Entry("a request target with a line break", request(&filbertv1.RelayRequest{Target: "app-1", Method: "POST", Uri: "/a HTTP/1.1\r\nX: y"})),
 		Entry("no request target", request(&filbertv1.RelayRequest{Target: "app-1", Method: "POST"})),
-		Entry("a header with a line break", request(&filbertv1.RelayRequest{Target: "app-1", Method: "POST", Uri: "/book/1", Headers: []*filbertv1.Header{{Name: "A", Value: "b\r\nC: d"}}})),
+		Entry("a header with a line break", request(&filbertv1.RelayRequest{Target: "app-1", Method: "POST", Uri: "/book/1", Headers: []*filbertv1.Header{{Name: "A", Value: []byte("b\r\nC: d")}}})),
 	)
 
 	// Guards against a request that runs although the host that it came to has given it
--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -255,6 +255,6 @@
 	Entry("status 000", &filbertv1.RelayAnswer{Status: 0}),
 	Entry("status 600", &filbertv1.RelayAnswer{Status: 600}),
 	Entry("a switch of protocols", &filbertv1.RelayAnswer{Status: http.StatusSwitchingProtocols}),
-	Entry("a blank in a name", &filbertv1.RelayAnswer{Status: http.StatusOK, Headers: []*filbertv1.Header{{Name: "X Bad", Value: "1"}}}),
-	Entry("a blank at the end of a name", &filbertv1.RelayAnswer{Status: http.StatusServiceUnavailable, Headers: []*filbertv1.Header{{Name: "Content-Length ", Value: "1"}}}),
+	Entry("a blank in a name", &filbertv1.RelayAnswer{Status: http.StatusOK, Headers: []*filbertv1.Header{{Name: "X Bad", Value: []byte("1")}}}),
+	Entry("a blank at the end of a name", &filbertv1.RelayAnswer{Status: http.StatusServiceUnavailable, Headers: []*filbertv1.Header{{Name: "Content-Length ", Value: []byte("1")}}}),
 )
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -65,7 +65,7 @@
 	req.Host = message.GetHost()
 	req.Header = http.Header{}
 	for _, h := range message.GetHeaders() {
-		req.Header[h.GetName()] = append(req.Header[h.GetName()], h.GetValue())
+		req.Header[h.GetName()] = append(req.Header[h.GetName()], string(h.GetValue()))
 	}
 	if _, named := req.Header["User-Agent"]; !named {
 		// Keeps net/http from adding its own.
@@ -84,7 +84,7 @@
 	var out []*filbertv1.Header
 	for name, values := range header {
 		for _, value := range values {
-			out = append(out, &filbertv1.Header{Name: name, Value: value})
+			out = append(out, &filbertv1.Header{Name: name, Value: []byte(value)})
 		}
 	}
 	return out
@@ -104,7 +104,7 @@
 		Header: http.Header{}, Body: body, ContentLength: -1, Close: answer.GetClose(), Request: req,
 	}
 	for _, h := range answer.GetHeaders() {
-		resp.Header[h.GetName()] = append(resp.Header[h.GetName()], h.GetValue())
+		resp.Header[h.GetName()] = append(resp.Header[h.GetName()], string(h.GetValue()))
 	}
 	return resp
 }
--- a/test/gateway/invalid_answers_test.go
+++ b/test/gateway/invalid_answers_test.go
@@ -428,6 +428,14 @@
 			Entry("a name", invalid, "field_name"),
 			Entry("a trailer", answerHead("HTTP/1.1 200 OK", "Transfer-Encoding: chunked")+chunks("", "X Marker: m\r\n"), "trailer"),
 		)
+
+		// Guards against a value that is lost, or ends the request, between hosts.
+		It("passes on bytes beyond ASCII in a value", func() {
+			resp, body, err := send(startTargets(always(answerHead("HTTP/1.1 200 OK", sized, "X-Marker: \xe9\xff") + payload))[0])
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Header.Get("X-Marker")).To(Equal("\xe9\xff"))
+			Expect(string(body)).To(Equal(payload))
+		})
 	})
 })
 
