--- a/internal/configservice/configservice_test.go
+++ b/internal/configservice/configservice_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"net"
@@ -150,6 +152,34 @@
 	})
 }
 
+// Guards against a service that is not reached, or not checked, over TLS.
+var _ = It("reads and checks over TLS", func() {
+	invalid := false
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !invalid {
+			_, _ = fmt.Fprint(w, `{"revision":5}`)
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		Expect(err).NotTo(HaveOccurred())
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nRetry After: 1\r\nContent-Length: 14\r\n\r\n{\"revision\":6}")
+		_ = conn.Close()
+	}))
+	DeferCleanup(server.Close)
+	roots := x509.NewCertPool()
+	roots.AddCert(server.Certificate())
+	c, err := configservice.New(server.Listener.Addr().String(), &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	response, err := c.Read(context.Background(), "", 0)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.Revision).To(BeEquivalentTo(5))
+	invalid = true
+	_, err = c.Read(context.Background(), "", 0)
+	var broken *httpcheck.Error
+	Expect(errors.As(err, &broken)).To(BeTrue())
+})
+
 // Guards against a table that is read from an invalid response.
 var _ = DescribeTable("an invalid response", func(head string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
