Lock what a spec of switches reads after its plays

Cause: the spec reads when the two engines worked on a generation without the lock under which the goroutine that watches a connection's end writes it. That end may be noticed after the answer is whole.

Change: the time is read under the lock. What is checked stays as it was.

Evidence: the report names the read and the write.

--- a/internal/gateway/switch_play_test.go
+++ b/internal/gateway/switch_play_test.go
@@ -95,6 +95,17 @@
 	}
 }
 
+// bothAtWork returns how long the two engines worked on the generation; 0 unless both did. The
+// end of a connection may still be noticed after the play.
+func (p *switchPlay) bothAtWork() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asked.IsZero() || p.released.IsZero() {
+		return 0
+	}
+	return p.released.Sub(p.asked)
+}
+
 // watchClose calls onClose and closes the channel when the peer has closed a connection.
 func watchClose(conn net.Conn, onClose func()) chan struct{} {
 	closed := make(chan struct{})
@@ -255,9 +266,7 @@
 		o.lost++
 	}
 	o.pauses = append(o.pauses, p.pause)
-	if !p.asked.IsZero() && !p.released.IsZero() {
-		o.bothAtWork = max(o.bothAtWork, p.released.Sub(p.asked))
-	}
+	o.bothAtWork = max(o.bothAtWork, p.bothAtWork())
 }
 
 func (o *switchOutcome) String() string {
