Report a lost connection to its reader, whichever call got the error

The caller got that part as a complete answer, 200, of unsafe, safe and streaming routes alike; a safe request went to no other target. The same with the target's own status and an empty body, and when the target stopped reading and our TCP_USER_TIMEOUT ended the connection.

Cause: Linux reports the error of a connection once, to the first call that asks. With a write and a read waiting, the write of the upload got it, and the read got EOF, which net/http takes for the end of a body that ends with its connection.

TLS doesn't help: crypto/tls takes an EOF between two records for the end.

Why this works: targets, engines and the store are all connected to by targetclient.Dial, below TLS, so that the end is checked where bytes enter. What Linux does: an EOF without a FIN means that the error was reported to another call, here only a Read or a Write; a connection that has failed is in the state closed and never leaves it. So a write that got the error is either recorded or still counted when the read returns (it is counted until its error is recorded, and the count is read first): with neither, the EOF is a FIN. While a write is in progress, TCP_INFO tells: any state but closed means that no error had come when it was asked, so that the EOF before was a FIN. No timing is in it. If the question itself fails, the connection was closed here after an error of a write, or by whoever waited for the answer. TCP_INFO's states are documented in linux/tcp.h, but that EOF follows a collected error is only how Linux behaves.

What this one refuses too: a FIN, then a failure, before the read has run, while the upload is still being written. The two can't be told apart there.

The spec of keep-alive probes asks for syscall.Conn in place of *net.TCPConn; what it checks is unchanged.

--- a/internal/configservice/configservice_test.go
+++ b/internal/configservice/configservice_test.go
@@ -20,6 +20,7 @@
 	"filbertdeck/internal/configservice"
 	"filbertdeck/internal/failure"
 	"filbertdeck/internal/httpcheck"
+	"filbertdeck/internal/tcpconn/cuttest"
 )
 
 func TestConfigService(t *testing.T) {
@@ -207,3 +208,32 @@
 	Entry("with a blank in a name", "HTTP/1.1 200 OK\r\nRetry After: 1\r\n"),
 	Entry("with chunks in an older version", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"),
 )
+
+// Guards against a table that is read from the part of a response.
+var _ = DescribeTable("a response that is cut off", func(encrypted bool) {
+	var config *tls.Config
+	var wrap func(net.Conn) net.Conn
+	if encrypted {
+		server := httptest.NewTLSServer(nil)
+		DeferCleanup(server.Close)
+		roots := x509.NewCertPool()
+		roots.AddCert(server.Certificate())
+		config = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13}
+		wrap = func(conn net.Conn) net.Conn {
+			return tls.Server(conn, &tls.Config{Certificates: server.TLS.Certificates, MinVersion: tls.VersionTLS13})
+		}
+	}
+	server, err := cuttest.Start("HTTP/1.1 200 OK\r\n\r\n{\"revision\":5}", wrap)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(server.Close)
+	c, err := configservice.New(server.Address(), config)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	for range 2 * len(cuttest.Pauses) {
+		_, err = c.Read(context.Background(), "table/", 0)
+		Expect(failure.KindOf(err)).To(Equal(failure.KindConfigUnreadable))
+	}
+},
+	Entry("without TLS", false),
+	Entry("over TLS", true),
+)
--- a/internal/targetclient/dial.go
+++ b/internal/targetclient/dial.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"filbertdeck/internal/tcpconn"
 )
 
 // tcpUserTimeout limits how long sent data may stay unacknowledged. A host that
@@ -18,10 +20,10 @@
 
 // Dial opens a TCP connection that detects an unresponsive peer: with
 // keep-alive probes while it is idle, and with TCP_USER_TIMEOUT while sent data
-// is unacknowledged.
+// is unacknowledged. Its end is that of what the peer sends only if the connection has not failed.
 func Dial(ctx context.Context, network, address string, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: keepAliveConfig, Control: setTCPUserTimeout}
-	return dialer.DialContext(ctx, network, address)
+	return tcpconn.Dial(ctx, &dialer, network, address)
 }
 
 func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/internal/targetclient/keepalive_test.go
+++ b/internal/targetclient/keepalive_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -14,7 +15,7 @@
 
 // socketOption returns a TCP option of a connection's socket.
 func socketOption(conn net.Conn, option int) int {
-	raw, err := conn.(*net.TCPConn).SyscallConn()
+	raw, err := conn.(syscall.Conn).SyscallConn()
 	Expect(err).NotTo(HaveOccurred())
 	var value int
 	var optionErr error
--- a/test/gateway/invalid_answers_test.go
+++ b/test/gateway/invalid_answers_test.go
@@ -48,30 +48,42 @@
 // after each. It answers requests for its report as a sound engine.
 type rawTarget struct {
 	address string
-	answer  func(r *http.Request) string
+	serve   func(conn *net.TCPConn, r *http.Request)
 
 	mu   sync.Mutex
 	runs map[string]int
 }
 
+// startRawTarget starts a target that reads each request to its end and then answers it.
 func startRawTarget(answer func(r *http.Request) string) *rawTarget {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return startRawTargetOn(net.ListenConfig{}, func(conn *net.TCPConn, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, withID(answer(r), r))
+	})
+}
+
+// startRawTargetOn starts a target that listens as configured and serves each request, whose body
+// is unread.
+func startRawTargetOn(config net.ListenConfig, serve func(conn *net.TCPConn, r *http.Request)) *rawTarget {
+	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(l.Close)
-	t := &rawTarget{address: l.Addr().String(), answer: answer, runs: map[string]int{}}
+	t := &rawTarget{address: l.Addr().String(), serve: serve, runs: map[string]int{}}
 	go func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go t.serve(conn)
+			go t.serveConn(conn.(*net.TCPConn))
 		}
 	}()
 	return t
 }
 
-func (t *rawTarget) serve(conn net.Conn) {
+func (t *rawTarget) serveConn(conn *net.TCPConn) {
 	defer func() { _ = conn.Close() }()
 	in := bufio.NewReader(conn)
 	for {
@@ -79,23 +91,27 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
 		if r.URL.Path == standin.PathReport {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
 			report := fmt.Sprintf(`{"born":%d}`, int64(startedTarget))
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
 			continue
 		}
-		id := r.Header.Get(standin.HeaderRequestID)
 		t.mu.Lock()
-		t.runs[id]++
+		t.runs[r.Header.Get(standin.HeaderRequestID)]++
 		t.mu.Unlock()
-		_, _ = io.WriteString(conn, strings.ReplaceAll(t.answer(r), "@id@", id))
+		t.serve(conn, r)
 		return
 	}
 }
 
+// withID completes the head of an answer to a request.
+func withID(answer string, r *http.Request) string {
+	return strings.ReplaceAll(answer, "@id@", r.Header.Get(standin.HeaderRequestID))
+}
+
 // ran returns how often a request ran.
 func (t *rawTarget) ran(id string) int {
 	t.mu.Lock()
