Take cut answers for lost connections in the load generator

What was seen: loadgen, which judges answers, took the part of an answer without length for a whole one when the connection was reset while its request was still being written. Its spec failed before.

It connects with tcpconn.Dial now, so that the read reports the error. The outcome is a lost connection, which is tried again, as for other cuts.

--- a/internal/loadgen/client.go
+++ b/internal/loadgen/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"filbertdeck/internal/failure"
+	"filbertdeck/internal/tcpconn"
 )
 
 // ClientConfig holds the addresses to call, the accounts to call as, and the
@@ -63,7 +64,9 @@
 func newClient(config ClientConfig) *client {
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnsPerEntry, DisableCompression: true,
-		DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return tcpconn.Dial(ctx, &net.Dialer{Timeout: connectTimeout}, network, address)
+		},
 	}
 	return &client{config: config, http: &http.Client{
 		Transport:     transport,
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -26,6 +26,7 @@
 	"filbertdeck/internal/standin/app"
 	"filbertdeck/internal/standin/engine"
 	"filbertdeck/internal/standin/model"
+	"filbertdeck/internal/tcpconn/cuttest"
 )
 
 func TestLoad(t *testing.T) {
@@ -456,3 +457,16 @@
 		Expect((&Result{Targets: &TargetCounts{Calls: 2, RanTwice: 1}}).HasViolations()).To(BeTrue())
 	})
 })
+
+// Guards against a run that counts the part of an answer as a whole one.
+var _ = It("takes an answer that is cut off while its request is written for a lost connection", func() {
+	server, err := cuttest.Start("HTTP/1.1 200 OK\r\n\r\n{}", nil)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(server.Close)
+	c := newClient(ClientConfig{Entries: []string{server.Address()}, Accounts: []string{"a"}, APIKeys: []string{"k"}})
+	DeferCleanup(c.close)
+	for range 2 * len(cuttest.Pauses) {
+		_, err := c.fetch(context.Background(), requestSpec{method: http.MethodPost, path: "/x", body: strings.Repeat("x", cuttest.UploadBytes), generation: true})
+		Expect(isConnectionLost(err)).To(BeTrue())
+	}
+})
