Log and count answers of targets that are cut off

What on-call saw: a cut answer left no line of its own. A plain request was refused with a kind and a cause, one that another host sent showed there only as a failure, and nothing said how much had arrived or whether the request was still being written, which tells a target that cuts long uploads from one that crashes.

The body of each answer is watched where it is read, also for other hosts: `target's answer was cut off` (request, target, bytes received, what should have shown the end, whether the request was still being written, cause) and gateway.answers_cut, once for each answer. Not for one whose request has ended, that was closed here, or that is invalid, which has its own line.

--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -143,13 +143,14 @@
 		// A body in memory is read again without an error.
 		req.Body, _ = d.req.GetBody()
 	}
+	upload := trackUpload(req)
 	go func() {
 		admit := func() error { return d.admit(w) }
 		var o outcome
 		if w == direct {
 			o.resp, o.err = d.g.cfg.Client.DoConfirmed(req, d.g.confirmation(d.attempt, d.recordConnected), admit)
 			if o.err == nil {
-				d.g.verifyEnd(o.resp, d.attempt.Target)
+				d.g.checkEnd(ctx, o.resp, d.attempt, upload)
 			}
 		} else {
 			o.resp, o.err = d.g.cfg.Relay.Do(req, d.attempt, admit)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -87,6 +87,8 @@
 	cutOff gometrics.Counter
 	// panics counts the requests whose handler panicked.
 	panics gometrics.Counter
+	// answersCut counts the answers of targets that were cut off.
+	answersCut gometrics.Counter
 	// invalidAnswers counts the invalid answers of targets, by the part that is invalid.
 	invalidAnswers map[httpcheck.Part]gometrics.Counter
 	// rooms count grants of engines' room, and searches without an engine in time.
@@ -116,6 +118,7 @@
 		promptsHeld: counter("prompts_held"), promptHold: newHistogram("prompt_hold_us", r),
 		waitingTurns: counter("waiting_turns"), waitingHeld: counter("waiting_held"), waitingUnanswered: counter("waiting_unanswered"), waitingHopeless: counter("waiting_hopeless"),
 		failuresReported: counter("failures_reported"), sendsRefused: counter("sends_refused"), emptyStreams: counter("streams_empty"), cutOff: counter("requests_cut_off"), panics: counter("panics"),
+		answersCut:     counter("answers_cut"),
 		invalidAnswers: newInvalidAnswerCounters(counter),
 		rooms:          newRoomCounters(counter),
 	}
--- a/internal/gateway/peer_requests.go
+++ b/internal/gateway/peer_requests.go
@@ -51,6 +51,7 @@
 // its own.
 func (g *Gateway) SendForPeer(req *http.Request, target *directory.ObservedTarget, s *call.Attempt, ready func() error) (*http.Response, error) {
 	run := g.cfg.CrashEvidence.begin(target, identityOf(s))
+	upload := trackUpload(req)
 	resp, err := g.cfg.Client.DoConfirmed(req, g.confirmation(s, func() {}), func() error {
 		g.paths.recordReached(s.Target)
 		if s.Management {
@@ -83,7 +84,7 @@
 		run.fail(err)
 		return nil, err
 	}
-	g.verifyEnd(resp, s.Target)
+	g.checkEnd(req.Context(), resp, s, upload)
 	if !s.Management {
 		answer := g.cfg.Dialect.ParseResponseHeader(resp)
 		if isOwnAnswer(s, answer) {
--- a/test/gateway/cut_answers_test.go
+++ b/test/gateway/cut_answers_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -112,6 +114,8 @@
 	end       answerEnd
 	// pauses are those before the end, one for each upload.
 	pauses []time.Duration
+	// endsWith is what shows the end of an answer in the log.
+	endsWith string
 	// status and body are what a client must get of a sound answer.
 	status int
 	body   string
@@ -126,8 +130,8 @@
 		{name: "a head alone, then a reset", text: answerHead(ok), end: reset, pauses: cutPauses},
 		{name: "a status of its own without a body, then an end with bytes unread", text: answerHead("HTTP/1.1 422 Unprocessable Content", "Connection: close"), readShare: 0.5, end: closeUnread, pauses: cutPauses},
 		{name: "a part without a length, then nothing more", text: answerHead(ok) + firstEvent, end: stall, pauses: make([]time.Duration, 4)},
-		{name: "a part with a length, then a reset", text: answerHead(ok, "Content-Length: 100") + firstEvent, end: reset, pauses: cutPauses},
-		{name: "a part with chunks, then a reset", text: answerHead(ok, "Transfer-Encoding: chunked") + fmt.Sprintf("%x\r\n%s\r\n", len(firstEvent), firstEvent), end: reset, pauses: cutPauses},
+		{name: "a part with a length, then a reset", text: answerHead(ok, "Content-Length: 100") + firstEvent, end: reset, pauses: cutPauses, endsWith: "length"},
+		{name: "a part with chunks, then a reset", text: answerHead(ok, "Transfer-Encoding: chunked") + fmt.Sprintf("%x\r\n%s\r\n", len(firstEvent), firstEvent), end: reset, pauses: cutPauses, endsWith: "chunks"},
 	}
 }
 
@@ -138,7 +142,7 @@
 func soundEarlyAnswers() []earlyAnswer {
 	const ok = "HTTP/1.1 200 OK"
 	pauses := make([]time.Duration, 8)
-	late := slicesOf(sinceHalfClose, 8)
+	late := slices.Repeat([]time.Duration{sinceHalfClose}, len(pauses))
 	answers := []earlyAnswer{
 		{name: "a length, the rest is read", text: answerHead(ok, fmt.Sprintf("Content-Length: %d", len(firstEvent))) + firstEvent, end: readOn, pauses: pauses},
 		{name: "no length, a half-close, the rest is read", text: answerHead(ok) + firstEvent, end: halfCloseAnd(readOn), pauses: pauses},
@@ -157,14 +161,6 @@
 	})
 }
 
-func slicesOf(d time.Duration, n int) []time.Duration {
-	out := make([]time.Duration, n)
-	for i := range out {
-		out[i] = d
-	}
-	return out
-}
-
 // startEarlyTarget starts a target that answers before it has read a request, as answer says. A
 // pause belongs to the number at the end of the request's id.
 func startEarlyTarget(answer func(r *http.Request) earlyAnswer) *rawTarget {
@@ -293,6 +289,22 @@
 				Expect(wrong).To(BeEmpty(), "%d of %d answers", len(wrong), len(a.pauses))
 			})
 		}
+		for n, a := range cutAnswers() {
+			// Guards against cut answers that an operator can't find.
+			It(fmt.Sprintf("names %s in a log line and in a counter (%s)", a.name, route.kind), func() {
+				const longPause = 9
+				name := fmt.Sprintf("named-%s-%d", route.kind, n)
+				answers.Store(name, a)
+				before := h.sumCounters("gateway.answers_cut")
+				u := uploaded{id: fmt.Sprintf("%s-%d", name, longPause)}
+				u.text, u.err = h.upload(route.path, u.id, uploadBytes)
+				Expect(u.isCutFor(route.kind)).To(BeTrue(), u.text)
+				Expect(h.sumCounters("gateway.answers_cut") - before).To(Equal(1))
+				received := strings.Count(a.text, firstEvent) * len(firstEvent)
+				Eventually(h.logText, stepTimeout).Should(MatchRegexp(`"msg":"target's answer was cut off".*"request":"%s","target":"t-.*","received":%d,"ends_with":"%s","uploading":true`,
+					u.id, received, cmp.Or(a.endsWith, "connection")))
+			})
+		}
 		for n, a := range soundEarlyAnswers() {
 			// Guards against a whole answer that is refused since its connection broke afterwards.
 			It(fmt.Sprintf("passes on an answer: %s (%s)", a.name, route.kind), func() {
@@ -441,6 +453,7 @@
 				Expect(failure.KindOf(err)).To(Equal(failure.KindTargetLost))
 				Expect(failure.FromError(err).Executed).To(Equal(failure.ExecutedUnknown))
 			}
+			Expect(h.logText()).To(MatchRegexp(`"msg":"target's answer was cut off".*"request":"relayed-9","target":"t-plain-0","received":%d,"ends_with":"connection","uploading":true`, len(firstEvent)))
 		})
 	})
 })
