Wait for the write of a failed connection before its end is judged

What callers would see: a target reads an upload to its end, answers without a length, ends in order and resets at once. If the write had ended but not yet returned to us, the sound answer was refused: 502, "unknown".

Cause: with a write in progress and the connection closed the end was taken for a failure at once, though the write may have got no error.

In a connection that has failed each write returns at once, so that the read waits for it: with its error the answer was cut off, without one the error was not reported to a write, and EOF is the peer's end. The wait has no time limit and needs none. It also gives LostError its cause in every case. A connection that can't be asked for its state (it was closed here) still ends with an error.

--- a/internal/tcpconn/conn.go
+++ b/internal/tcpconn/conn.go
@@ -11,7 +11,7 @@
 	"io"
 	"net"
 	"os"
-	"sync/atomic"
+	"sync"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -22,16 +22,20 @@
 //
 // Only a Read or a Write collects the error. A Write that has done so is either recorded or still in
 // progress when Read gets io.EOF. With none recorded and none in progress, the end is the peer's.
-// While a Write is in progress, the state of the connection tells: a closed connection, for which
-// the error is the reason, never returns to the state in which only the peer has ended. If the peer
-// ends what it sends and the connection then fails before Read has returned, while a Write is in
-// progress, the two can't be told apart, and Read returns an error.
+// While a Write is in progress, the state of the connection tells: a connection that has failed is
+// closed and stays so. Any other state shows the peer's end. In a closed one all writes return at
+// once, and one of them has the error unless the peer had ended before. If the peer ends what it
+// sends and the connection then fails, a Write may get the error before Read has returned the end;
+// that can't be told from a failure alone, and Read returns an error.
 type Conn struct {
 	net.Conn
-	// writes is the number of writes in progress. A write is counted until its error is recorded.
-	writes atomic.Int32
+
+	mu sync.Mutex
+	// writes is the number of writes in progress; written is signaled when one has returned.
+	writes  int
+	written *sync.Cond
 	// failure is the first error of a call; nil before it.
-	failure atomic.Pointer[error]
+	failure error
 }
 
 // Dial connects to an address with a dialer.
@@ -45,41 +49,49 @@
 
 // New returns a Conn on a connection, on which nothing was written or read before. Its SyscallConn
 // is needed to ask for the state.
-func New(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+func New(conn net.Conn) *Conn {
+	c := &Conn{Conn: conn}
+	c.written = sync.NewCond(&c.mu)
+	return c
+}
 
 // LostError is the error of a read at the end of a connection that has failed.
 type LostError struct {
-	// Cause is the error that another call has collected; nil if it has not returned yet.
+	// Cause is the error that another call has collected.
 	Cause error
 }
 
 // Error implements error.
-func (e *LostError) Error() string {
-	if e.Cause == nil {
-		return "the connection was lost while it was written to"
-	}
-	return "the connection was lost: " + e.Cause.Error()
-}
+func (e *LostError) Error() string { return "the connection was lost: " + e.Cause.Error() }
 
 // Unwrap returns the cause.
 func (e *LostError) Unwrap() error { return e.Cause }
 
 // Write implements io.Writer.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.writes.Add(1)
-	defer c.writes.Add(-1)
+	c.mu.Lock()
+	c.writes++
+	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
-	c.record(err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes--
+	c.recordLocked(err)
+	c.written.Broadcast()
 	return n, err
 }
 
 // Read implements io.Reader. At the end of a connection that has failed it returns a *LostError.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		return n, c.end()
+	case err != nil:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.recordLocked(err)
 	}
-	c.record(err)
 	return n, err
 }
 
@@ -92,37 +104,52 @@
 	return conn.SyscallConn()
 }
 
-// record records an error of the connection. A deadline is none: the connection goes on after it.
-func (c *Conn) record(err error) {
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.failure.CompareAndSwap(nil, &err)
+// recordLocked records an error of the connection. A deadline is none: the connection goes on after
+// it. The caller holds mu.
+func (c *Conn) recordLocked(err error) {
+	if err != nil && c.failure == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.failure = err
 	}
 }
 
 // end returns io.EOF if the peer has ended what it sends, else a *LostError.
 func (c *Conn) end() error {
-	// In this order a write whose error is not recorded yet is counted.
-	writing := c.writes.Load() > 0
-	if failure := c.failure.Load(); failure != nil {
-		return &LostError{Cause: *failure}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failure == nil && c.writes > 0 {
+		c.mu.Unlock()
+		closed, err := c.isClosed()
+		c.mu.Lock()
+		switch {
+		case err == nil && !closed:
+			return io.EOF
+		case err != nil && c.failure == nil:
+			return &LostError{Cause: err}
+		}
+		for c.failure == nil && c.writes > 0 {
+			c.written.Wait()
+		}
 	}
-	if writing && !c.isConnected() {
-		return &LostError{}
+	if c.failure != nil {
+		return &LostError{Cause: c.failure}
 	}
 	return io.EOF
 }
 
-// isConnected reports whether the connection has not failed. It has if it can't be asked: then it
-// was closed here, after a write that failed, or because nobody waits for the answer.
-func (c *Conn) isConnected() bool {
+// isClosed reports whether the connection is closed, by a failure. The error says that it can't be
+// asked: then it was closed here, after a write that failed, or because nobody waits for the answer.
+func (c *Conn) isClosed() (bool, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return false, err
 	}
-	connected := false
+	closed := false
+	var askErr error
 	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		connected = err == nil && info.State != unix.BPF_TCP_CLOSE
+		var info *unix.TCPInfo
+		if info, askErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); askErr == nil {
+			closed = info.State == unix.BPF_TCP_CLOSE
+		}
 	})
-	return err == nil && connected
+	return closed, errors.Join(err, askErr)
 }
--- a/internal/tcpconn/conn_test.go
+++ b/internal/tcpconn/conn_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 
 	"filbertdeck/internal/tcpconn"
 )
@@ -40,6 +41,28 @@
 	return conn, accepted.(*net.TCPConn)
 }
 
+// connectBare is connect without a Conn.
+func connectBare() (conn, peer *net.TCPConn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	dialed, err := net.Dial("tcp", l.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	accepted, err := l.Accept()
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = dialed.Close(); _ = accepted.Close() })
+	return dialed.(*net.TCPConn), accepted.(*net.TCPConn)
+}
+
+// lateConn is a connection whose writes return late.
+type lateConn struct{ *net.TCPConn }
+
+func (c lateConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	time.Sleep(50 * time.Millisecond)
+	return n, err
+}
+
 // during calls end while n writes and a read are waiting, and returns the outcome of the read, which
 // is that of a body that ends with its connection. closes has the connection closed after a write
 // that failed, as net/http does.
@@ -117,6 +140,28 @@
 		}),
 	)
 
+	// Guards against an outcome that depends on how soon a write returns: one that has got the
+	// error, and one that has ended without an error just before the peer ended and reset.
+	DescribeTable("is told apart however late a write returns", func(length int, end func(*net.TCPConn), expected types.GomegaMatcher) {
+		bare, peer := connectBare()
+		conn := tcpconn.New(lateConn{bare})
+		_, err := io.WriteString(peer, "part")
+		Expect(err).NotTo(HaveOccurred())
+		go func() { _, _ = conn.Write(make([]byte, length)) }()
+		_, err = peer.Read(make([]byte, 1))
+		Expect(err).NotTo(HaveOccurred())
+		end(peer)
+		text, err := io.ReadAll(conn)
+		Expect(string(text)).To(Equal("part"))
+		Expect(err).To(expected)
+	},
+		Entry("with an error", uploadBytes, reset, MatchError(syscall.ECONNRESET)),
+		Entry("without an error", 1, func(peer *net.TCPConn) {
+			halfClose(peer)
+			reset(peer)
+		}, Not(HaveOccurred())),
+	)
+
 	// Guards against an error of the connection that a read has returned, and the next one has not.
 	It("that has failed does not end with io.EOF afterwards", func() {
 		conn, peer := connect()
