--- a/internal/tcpconn/conn.go
+++ b/internal/tcpconn/conn.go
@@ -47,8 +47,8 @@
 	return New(conn), nil
 }
 
-// New returns a Conn on a connection, on which nothing was written or read before. Its SyscallConn
-// is needed to ask for the state.
+// New returns a Conn on a connection, on which nothing was written or read before. One that is no
+// syscall.Conn can't be asked for its state: while it is written to it ends with an error.
 func New(conn net.Conn) *Conn {
 	c := &Conn{Conn: conn}
 	c.written = sync.NewCond(&c.mu)
@@ -57,7 +57,7 @@
 
 // LostError is the error of a read at the end of a connection that has failed.
 type LostError struct {
-	// Cause is the error that another call has collected.
+	// Cause is the error that another call has collected, or that of asking for the state.
 	Cause error
 }
 
--- a/test/gateway/cut_answers_test.go
+++ b/test/gateway/cut_answers_test.go
@@ -292,6 +292,7 @@
 		for n, a := range cutAnswers() {
 			// Guards against cut answers that an operator can't find.
 			It(fmt.Sprintf("names %s in a log line and in a counter (%s)", a.name, route.kind), func() {
+				// longPause is the number of a pause after which the part has arrived.
 				const longPause = 9
 				name := fmt.Sprintf("named-%s-%d", route.kind, n)
 				answers.Store(name, a)
